--- /dev/null
+++ b/include/geraniumpond/burn.h
@@ -0,0 +1,74 @@
+#pragma once
+
+#include <geraniumpond/time.h>
+
+#include <boost/histogram.hpp>
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <tuple>
+#include <vector>
+
+/// \brief Latency histograms and the burn of service-level objectives.
+namespace geraniumpond::burn {
+
+using LatencyAxis =
+  boost::histogram::axis::regular<double,
+                                  boost::histogram::axis::transform::log>;
+using Histogram =
+  decltype(boost::histogram::make_histogram(std::declval<LatencyAxis>()));
+
+/// \brief A histogram of latencies in milliseconds, 0.05 ms to 100 s.
+[[nodiscard]] Histogram NewHistogram();
+
+/// \brief Upper bound in milliseconds of the bin that holds a quantile; 0
+/// while the histogram is empty.
+[[nodiscard]] double Quantile(const Histogram& aHistogram, double aShare);
+
+/// \brief Answers that met their objective, out of all, in one minute.
+struct Minute {
+  std::uint64_t mGood = 0;
+  std::uint64_t mTotal = 0;
+};
+
+/// \brief Minutes that are kept: three days.
+constexpr std::size_t kMinutes = 3 * 24 * 60;
+
+/// \brief What is kept for one (service, kind, caller).
+struct Series {
+  Histogram mLatency = NewHistogram();
+  std::map<std::int64_t, Minute> mMinutes;
+  std::map<std::string, std::uint64_t> mOutcomes;
+  double mObjectiveShare = 0.99;
+  Micros mObjectiveTime = 0;
+};
+
+using SeriesKey = std::tuple<std::string, std::string, std::string>;
+
+/// \brief All series of one host.
+using Book = std::map<SeriesKey, Series>;
+
+/// \brief Notes one answer.
+void Note(Series& aSeries,
+          Micros aNow,
+          Micros aLatency,
+          const std::string& aOutcome,
+          bool aGood);
+
+/// \brief Good and total answers of the last `aWindow`.
+[[nodiscard]] Minute Over(const Series& aSeries, Micros aNow, Micros aWindow);
+
+/// \brief Error budget spent per unit of time, 1 being exactly all of it over
+/// the objective's period; 0 without answers.
+[[nodiscard]] double Rate(const Minute& aCounts, double aObjectiveShare);
+
+/// \brief Windows of the report.
+struct Window {
+  const char* mName;
+  Micros mLength;
+};
+
+[[nodiscard]] const std::vector<Window>& Windows();
+
+} // namespace geraniumpond::burn
--- /dev/null
+++ b/include/geraniumpond/hash.h
@@ -0,0 +1,19 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+namespace geraniumpond {
+
+/// \brief 64-bit xxHash (XXH3) of a text; equal on every host.
+[[nodiscard]] std::uint64_t Hash64(std::string_view aText,
+                                   std::uint64_t aSeed = 0) noexcept;
+
+/// \brief Lower-case hexadecimal SHA-256 of a text.
+[[nodiscard]] std::string Sha256Hex(std::string_view aText);
+
+/// \brief CRC-32 of a block of bytes, as stored beside each log record.
+[[nodiscard]] std::uint32_t Checksum(std::string_view aBytes) noexcept;
+
+} // namespace geraniumpond
--- /dev/null
+++ b/include/geraniumpond/routing.h
@@ -0,0 +1,131 @@
+#pragma once
+
+#include <geraniumpond/time.h>
+
+#include <cstdint>
+#include <deque>
+#include <optional>
+#include <string>
+#include <vector>
+
+/// \brief Choice of a target for each attempt, from this entry's own
+/// knowledge first and from reports faded by their age.
+namespace geraniumpond::routing {
+
+/// \brief How an attempt ended, as far as routing is concerned.
+enum class Verdict { Good, Failed, Refused, Cancelled };
+
+/// \brief One attempt that is running on a target.
+struct Running {
+  std::uint64_t mAttempt = 0;
+  Micros mStartedAt = 0;
+};
+
+/// \brief What one entry knows about one target.
+struct Target {
+  std::string mId;
+  std::string mAddress;
+  std::string mDataCentre;
+  std::uint64_t mIncarnation = 0;
+  int mSlots = 1;
+  bool mDraining = false;
+  Micros mStartedAt = 0;
+
+  /// Attempts of this entry, oldest first.
+  std::deque<Running> mRunning;
+  /// Smoothed latency in microseconds; 0 until the first sample.
+  double mLatency = 0;
+  Micros mSampledAt = 0;
+  int mSamples = 0;
+
+  /// Attempts of other entries, as the last report showed them.
+  double mOthers = 0;
+  Micros mReportedAt = 0;
+
+  int mFailures = 0;
+  int mEjections = 0;
+  Micros mEjectedUntil = 0;
+  /// Set while one attempt probes an ejected target.
+  bool mProbing = false;
+};
+
+/// \brief Constants of the choice; the defaults were measured by `make bench`.
+struct Rules {
+  /// Weight of a new latency sample.
+  double mSmoothing = 0.1;
+  /// Time in which a report of other entries' work loses half its weight.
+  Micros mReportHalfLife = 40 * kMillisecond;
+  /// Time in which an outlying latency comes halfway back to the median.
+  Micros mLatencyHalfLife = 1500 * kMillisecond;
+  /// Failures in a row that eject a target.
+  int mFailuresToEject = 3;
+  Micros mEjection = 1500 * kMillisecond;
+  Micros mMaxEjection = 3 * kSecond;
+  double mMaxEjected = 0.3;
+  Micros mSlowStart = 10 * kSecond;
+  /// Attempts beyond the slots that may wait at a target.
+  int mExtra = 1;
+  /// Added to the score of a target in another data centre.
+  Micros mDistance = 3 * kMillisecond;
+  /// Set while the service's waiting queue is held by this entry alone.
+  int mEntries = 1;
+};
+
+/// \brief The targets of one service that an entry holds.
+struct TargetSet {
+  std::vector<Target> mTargets;
+  std::string mDataCentre;
+  Rules mRules;
+  /// Median of the smoothed latencies; kept by Finish().
+  double mMedianLatency = 0;
+};
+
+/// \brief Index of the best target, or nothing while none may take more.
+///
+/// `aExclude` names targets already tried for this request. `aRandom` breaks
+/// ties, so that entries with the same knowledge do not choose alike.
+[[nodiscard]] std::optional<std::size_t> Pick(
+  const TargetSet& aSet,
+  Micros aNow,
+  std::uint64_t aRandom,
+  const std::vector<std::string>& aExclude);
+
+/// \brief Expected time in microseconds of one more attempt on a target.
+[[nodiscard]] double Score(const TargetSet& aSet,
+                           const Target& aTarget,
+                           Micros aNow) noexcept;
+
+/// \brief True while a target may take one more attempt from this entry.
+[[nodiscard]] bool HasRoom(const TargetSet& aSet,
+                           const Target& aTarget,
+                           Micros aNow) noexcept;
+
+/// \brief Notes that an attempt was sent.
+void Begin(TargetSet& aSet,
+           std::size_t aIndex,
+           std::uint64_t aAttempt,
+           Micros aNow);
+
+/// \brief Notes that an attempt ended.
+void Finish(TargetSet& aSet,
+            const std::string& aTarget,
+            std::uint64_t aAttempt,
+            Verdict aVerdict,
+            Micros aNow);
+
+/// \brief Takes a target's own report of its work in flight.
+void Report(TargetSet& aSet,
+            const std::string& aTarget,
+            std::uint32_t aInFlight,
+            Micros aNow);
+
+/// \brief The target with this id, or null.
+[[nodiscard]] Target* Find(TargetSet& aSet, const std::string& aId) noexcept;
+
+/// \brief Share of targets that are ejected now, 0 to 1.
+[[nodiscard]] double EjectedShare(const TargetSet& aSet, Micros aNow) noexcept;
+
+/// \brief Attempts that the set's targets can run at the same time.
+[[nodiscard]] int Capacity(const TargetSet& aSet, Micros aNow) noexcept;
+
+} // namespace geraniumpond::routing
--- /dev/null
+++ b/src/config/ini.h
@@ -0,0 +1,62 @@
+#pragma once
+
+#include <geraniumpond/settings.h>
+
+#include <map>
+#include <string>
+#include <string_view>
+#include <vector>
+
+/// \brief INI files checked against a table of rules.
+namespace geraniumpond::ini {
+
+/// \brief How a value is read and checked.
+enum class ValueType {
+  Text,
+  Name,
+  Integer,
+  Decimal,
+  Boolean,
+  Choice,
+  Digest,
+  Address,
+  PeerList,
+  NameList,
+};
+
+/// \brief One key that a section may have; optional keys have a default.
+struct KeyRule {
+  const char* mSection;
+  const char* mKey;
+  ValueType mType;
+  /// Null marks a required key.
+  const char* mDefault;
+  double mMin = 0;
+  double mMax = 0;
+  /// Space-separated choices of a Choice.
+  const char* mChoices = "";
+};
+
+/// \brief A section "[type name]" with every value present and checked.
+struct Section {
+  std::string mType;
+  std::string mName;
+  int mLine = 0;
+  std::map<std::string, std::string> mValues;
+  std::map<std::string, int> mLines;
+
+  [[nodiscard]] const std::string& Text(const std::string& aKey) const;
+  [[nodiscard]] long long Integer(const std::string& aKey) const;
+  [[nodiscard]] double Decimal(const std::string& aKey) const;
+  [[nodiscard]] bool Boolean(const std::string& aKey) const;
+  [[nodiscard]] std::vector<std::string> List(const std::string& aKey) const;
+  [[nodiscard]] int Line(const std::string& aKey) const;
+};
+
+/// \brief Reads a file; sections with faults are left out of the value.
+[[nodiscard]] Checked<std::vector<Section>> Read(
+  std::string_view aText,
+  const std::string& aFile,
+  const std::vector<KeyRule>& aRules);
+
+} // namespace geraniumpond::ini
--- /dev/null
+++ b/src/consensus/consensus.cpp
@@ -0,0 +1,296 @@
+#include "internal.h"
+
+#include <algorithm>
+#include <array>
+#include <limits>
+
+namespace geraniumpond::consensus {
+
+namespace {
+
+constexpr std::array<const char*, 5> kRoleNames = {
+  "learner", "follower", "pre-candidate", "candidate", "leader",
+};
+
+bool SameVoter(const wire::Member& aLeft, const wire::Member* aRight) {
+  return aRight != nullptr && aRight->voter() == aLeft.voter() &&
+         aRight->storage() == aLeft.storage();
+}
+
+// Two majorities of neighbouring memberships overlap only when they differ by
+// one voter at most; a voter with another disk counts as another voter.
+std::size_t VoterChanges(const wire::Membership& aOld,
+                         const wire::Membership& aNew) {
+  std::size_t changes = 0;
+  for (const wire::Member& member : aOld.members()) {
+    const wire::Member* next = FindMember(aNew, member.id());
+    if (member.voter() && !SameVoter(member, next)) {
+      ++changes;
+    }
+  }
+  for (const wire::Member& member : aNew.members()) {
+    const wire::Member* old = FindMember(aOld, member.id());
+    if (member.voter() && !SameVoter(member, old)) {
+      ++changes;
+    }
+  }
+  return changes;
+}
+
+void LeaderTick(State& aState, Micros aNow, Output& aOut) {
+  if (!QuorumHeardSince(aState, aNow - aState.mRules.mElectionMax)) {
+    BecomeFollower(aState, aState.mTerm, "", aOut);
+    return;
+  }
+  if (!aState.mTransferTo.empty() && aNow >= aState.mTransferUntil) {
+    aState.mTransferTo.clear();
+  }
+  if (aNow >= aState.mHeartbeatAt) {
+    aState.mHeartbeatAt = aNow + aState.mRules.mHeartbeat;
+    Broadcast(aState, aNow, aOut);
+  }
+}
+
+// Messages that must not move the receiver to the sender's term.
+bool KeepsTerm(const wire::ConsensusMessage& aMessage) {
+  if (aMessage.has_vote_request()) {
+    return true;
+  }
+  return aMessage.has_vote_reply() && aMessage.vote_reply().pre_vote() &&
+         aMessage.vote_reply().granted();
+}
+
+bool IsFromLeader(const wire::ConsensusMessage& aMessage) {
+  return aMessage.has_append_request() || aMessage.has_snapshot_request();
+}
+
+void RefuseOldTerm(State& aState,
+                   const wire::ConsensusMessage& aMessage,
+                   Output& aOut) {
+  wire::ConsensusMessage reply = NewMessage(aState, aMessage.from());
+  reply.mutable_append_reply()->set_success(false);
+  reply.mutable_append_reply()->set_index(1);
+  SendDurable(aState, std::move(reply), aOut);
+}
+
+void FollowLeader(State& aState,
+                  Micros aNow,
+                  std::uint64_t aRandom,
+                  const wire::ConsensusMessage& aMessage,
+                  Output& aOut) {
+  if (aState.mRole != Role::Follower && aState.mRole != Role::Learner) {
+    BecomeFollower(aState, aMessage.term(), aMessage.from(), aOut);
+  }
+  aState.mLeader = aMessage.from();
+  aState.mHeardLeaderAt = aNow;
+  ResetElection(aState, aNow, aRandom);
+}
+
+void Handle(State& aState,
+            Micros aNow,
+            std::uint64_t aRandom,
+            const wire::ConsensusMessage& aMessage,
+            Output& aOut) {
+  switch (aMessage.body_case()) {
+    case wire::ConsensusMessage::kVoteRequest:
+      TakeVoteRequest(aState, aNow, aRandom, aMessage, aOut);
+      break;
+    case wire::ConsensusMessage::kVoteReply:
+      TakeVoteReply(aState, aNow, aRandom, aMessage, aOut);
+      break;
+    case wire::ConsensusMessage::kAppendRequest:
+      TakeAppendRequest(aState, aMessage, aOut);
+      break;
+    case wire::ConsensusMessage::kAppendReply:
+      TakeAppendReply(aState, aNow, aMessage, aOut);
+      break;
+    case wire::ConsensusMessage::kSnapshotRequest:
+      TakeSnapshotRequest(aState, aMessage, aOut);
+      break;
+    case wire::ConsensusMessage::kTransferRequest:
+      if (IsVoter(aState)) {
+        StartElection(aState, aNow, aRandom, true, aOut);
+      }
+      break;
+    case wire::ConsensusMessage::BODY_NOT_SET:
+      break;
+  }
+}
+
+} // namespace
+
+const char* ToString(Role aRole) noexcept {
+  return kRoleNames[static_cast<std::size_t>(aRole)];
+}
+
+const wire::Member* FindMember(const wire::Membership& aMembers,
+                               const std::string& aId) noexcept {
+  for (const wire::Member& member : aMembers.members()) {
+    if (member.id() == aId) {
+      return &member;
+    }
+  }
+  return nullptr;
+}
+
+bool IsVoter(const State& aState) noexcept {
+  const wire::Member* self = FindMember(aState.mMembership, aState.mId);
+  return self != nullptr && self->voter() &&
+         self->storage() == aState.mStorage;
+}
+
+std::size_t VoterCount(const wire::Membership& aMembers) noexcept {
+  return static_cast<std::size_t>(
+    std::count_if(aMembers.members().begin(),
+                  aMembers.members().end(),
+                  [](const wire::Member& aMember) { return aMember.voter(); }));
+}
+
+std::size_t Quorum(const State& aState) noexcept {
+  return VoterCount(aState.mMembership) / 2 + 1;
+}
+
+wire::ConsensusMessage NewMessage(const State& aState, const std::string& aTo) {
+  wire::ConsensusMessage message;
+  message.set_from(aState.mId);
+  message.set_from_storage(aState.mStorage);
+  message.set_to(aTo);
+  message.set_term(aState.mTerm);
+  return message;
+}
+
+void Send(wire::ConsensusMessage aMessage, Output& aOut) {
+  aOut.mMessages.push_back(std::move(aMessage));
+}
+
+void SendDurable(State& aState, wire::ConsensusMessage aMessage, Output& aOut) {
+  if (aState.mSyncedSequence >= aState.mWriteSequence) {
+    Send(std::move(aMessage), aOut);
+    return;
+  }
+  aState.mHeld.push_back({ aState.mWriteSequence, std::move(aMessage) });
+}
+
+bool QuorumHeardSince(const State& aState, Micros aTime) noexcept {
+  std::size_t heard = 0;
+  for (const wire::Member& member : aState.mMembership.members()) {
+    if (!member.voter()) {
+      continue;
+    }
+    const auto found = aState.mProgress.find(member.id());
+    const bool self = member.id() == aState.mId;
+    if (self || (found != aState.mProgress.end() &&
+                 found->second.mHeardAt >= aTime)) {
+      ++heard;
+    }
+  }
+  return heard >= Quorum(aState);
+}
+
+void Tick(State& aState, Micros aNow, std::uint64_t aRandom, Output& aOut) {
+  if (aState.mFailed) {
+    return;
+  }
+  if (aState.mRole == Role::Leader) {
+    LeaderTick(aState, aNow, aOut);
+    return;
+  }
+  if (!IsVoter(aState)) {
+    aState.mRole = Role::Learner;
+    return;
+  }
+  if (aNow >= aState.mElectionAt) {
+    StartPreVote(aState, aNow, aRandom, aOut);
+  }
+}
+
+void Receive(State& aState,
+             Micros aNow,
+             std::uint64_t aRandom,
+             const wire::ConsensusMessage& aMessage,
+             Output& aOut) {
+  if (aState.mFailed || aMessage.to() != aState.mId) {
+    return;
+  }
+  if (aMessage.term() < aState.mTerm && IsFromLeader(aMessage)) {
+    RefuseOldTerm(aState, aMessage, aOut);
+    return;
+  }
+  if (aMessage.term() > aState.mTerm && !KeepsTerm(aMessage)) {
+    BecomeFollower(aState, aMessage.term(), "", aOut);
+  }
+  if (IsFromLeader(aMessage)) {
+    FollowLeader(aState, aNow, aRandom, aMessage, aOut);
+  }
+  Handle(aState, aNow, aRandom, aMessage, aOut);
+  if (aState.mRole == Role::Learner && IsVoter(aState)) {
+    aState.mRole = Role::Follower;
+  }
+}
+
+Result<std::uint64_t> ChangeMembership(State& aState,
+                                       Micros aNow,
+                                       const wire::Membership& aNext,
+                                       Output& aOut) {
+  if (aState.mRole != Role::Leader || aState.mFailed) {
+    return Fail(ErrorCode::NotLeader, aState.mLeader);
+  }
+  if (aState.mCommit < aState.mMembershipIndex ||
+      aState.mCommit < aState.mTermStart) {
+    return Fail(ErrorCode::Conflict, "an earlier change is not committed");
+  }
+  if (VoterChanges(aState.mMembership, aNext) > 1 || VoterCount(aNext) == 0) {
+    return Fail(ErrorCode::InvalidArgument, "one voter at a time");
+  }
+  wire::Entry entry;
+  entry.set_term(aState.mTerm);
+  entry.set_index(LastIndex(aState) + 1);
+  *entry.mutable_membership() = aNext;
+  AppendEntries(aState, { entry }, aOut);
+  for (const wire::Member& member : aNext.members()) {
+    if (aState.mProgress.count(member.id()) == 0) {
+      Progress& progress = aState.mProgress[member.id()];
+      progress.mNext = LastIndex(aState);
+      progress.mHeardAt = aNow;
+    }
+  }
+  for (auto it = aState.mProgress.begin(); it != aState.mProgress.end();) {
+    const bool kept = FindMember(aNext, it->first) != nullptr;
+    it = kept ? std::next(it) : aState.mProgress.erase(it);
+  }
+  Broadcast(aState, aNow, aOut);
+  return entry.index();
+}
+
+void Failed(State& aState) {
+  aState.mFailed = true;
+  aState.mRole = Role::Learner;
+  aState.mLeader.clear();
+  aState.mHeld.clear();
+}
+
+bool IsLeader(const State& aState) noexcept {
+  return aState.mRole == Role::Leader && !aState.mFailed;
+}
+
+Micros NextTick(const State& aState) noexcept {
+  if (aState.mFailed || aState.mRole == Role::Learner) {
+    return std::numeric_limits<Micros>::max();
+  }
+  return aState.mRole == Role::Leader ? aState.mHeartbeatAt
+                                      : aState.mElectionAt;
+}
+
+wire::Membership Founders(const std::vector<wire::Peer>& aPeers) {
+  wire::Membership membership;
+  for (const wire::Peer& peer : aPeers) {
+    wire::Member& member = *membership.add_members();
+    member.set_id(peer.id());
+    member.set_address(peer.address());
+    member.set_storage(kFoundingStorage);
+    member.set_voter(true);
+  }
+  return membership;
+}
+
+} // namespace geraniumpond::consensus
--- /dev/null
+++ b/src/consensus/election.cpp
@@ -0,0 +1,216 @@
+#include "internal.h"
+
+#include <geraniumpond/hash.h>
+
+namespace geraniumpond::consensus {
+
+namespace {
+
+bool LogIsUpToDate(const State& aState, const wire::VoteRequest& aRequest) {
+  const std::uint64_t last = LastIndex(aState);
+  const std::uint64_t term = TermAt(aState, last).value_or(0);
+  if (aRequest.last_term() != term) {
+    return aRequest.last_term() > term;
+  }
+  return aRequest.last_index() >= last;
+}
+
+bool HearsLeader(const State& aState, Micros aNow) {
+  if (aState.mRole == Role::Leader) {
+    return true;
+  }
+  return !aState.mLeader.empty() &&
+         aNow - aState.mHeardLeaderAt < aState.mRules.mElectionMin;
+}
+
+void AskForVotes(State& aState,
+                 std::uint64_t aTerm,
+                 bool aPreVote,
+                 bool aTransfer,
+                 Output& aOut) {
+  const std::uint64_t last = LastIndex(aState);
+  for (const wire::Member& member : aState.mMembership.members()) {
+    if (!member.voter() || member.id() == aState.mId) {
+      continue;
+    }
+    wire::ConsensusMessage message = NewMessage(aState, member.id());
+    message.set_term(aTerm);
+    wire::VoteRequest& request = *message.mutable_vote_request();
+    request.set_last_index(last);
+    request.set_last_term(TermAt(aState, last).value_or(0));
+    request.set_pre_vote(aPreVote);
+    request.set_transfer(aTransfer);
+    SendDurable(aState, std::move(message), aOut);
+  }
+}
+
+void BecomeLeader(State& aState, Micros aNow, Output& aOut) {
+  aState.mRole = Role::Leader;
+  aState.mLeader = aState.mId;
+  aState.mTransferTo.clear();
+  aState.mProgress.clear();
+  for (const wire::Member& member : aState.mMembership.members()) {
+    Progress& progress = aState.mProgress[member.id()];
+    progress.mNext = LastIndex(aState) + 1;
+    progress.mHeardAt = aNow;
+  }
+  // Entries of earlier terms commit only together with one of this term.
+  wire::Entry entry;
+  entry.set_term(aState.mTerm);
+  entry.set_index(LastIndex(aState) + 1);
+  aState.mTermStart = entry.index();
+  AppendEntries(aState, { entry }, aOut);
+  aState.mHeartbeatAt = aNow;
+  Broadcast(aState, aNow, aOut);
+  AdvanceCommit(aState, aOut);
+}
+
+void CountVotes(State& aState,
+                Micros aNow,
+                std::uint64_t aRandom,
+                Output& aOut) {
+  if (aState.mVotes.size() < Quorum(aState)) {
+    return;
+  }
+  if (aState.mRole == Role::PreCandidate) {
+    StartElection(aState, aNow, aRandom, false, aOut);
+  } else if (aState.mRole == Role::Candidate) {
+    BecomeLeader(aState, aNow, aOut);
+  }
+}
+
+void ReplyVote(State& aState,
+               const wire::ConsensusMessage& aRequest,
+               bool aGranted,
+               Output& aOut) {
+  wire::ConsensusMessage reply = NewMessage(aState, aRequest.from());
+  wire::VoteReply& body = *reply.mutable_vote_reply();
+  body.set_granted(aGranted);
+  body.set_pre_vote(aRequest.vote_request().pre_vote());
+  if (aGranted) {
+    reply.set_term(aRequest.term());
+  }
+  SendDurable(aState, std::move(reply), aOut);
+}
+
+void GrantVote(State& aState,
+               const wire::ConsensusMessage& aMessage,
+               Output& aOut) {
+  if (aState.mVotedFor != aMessage.from()) {
+    aState.mVotedFor = aMessage.from();
+    WriteHardState(aState, aOut);
+  }
+  ReplyVote(aState, aMessage, true, aOut);
+}
+
+} // namespace
+
+void ResetElection(State& aState, Micros aNow, std::uint64_t aRandom) {
+  const Rules& rules = aState.mRules;
+  const auto width =
+    static_cast<std::uint64_t>(rules.mElectionMax - rules.mElectionMin);
+  const std::uint64_t spread = Hash64(aState.mId, aRandom) % (width + 1);
+  aState.mElectionAt =
+    aNow + rules.mElectionMin + static_cast<Micros>(spread);
+}
+
+void BecomeFollower(State& aState,
+                    std::uint64_t aTerm,
+                    const std::string& aLeader,
+                    Output& aOut) {
+  if (aTerm > aState.mTerm) {
+    aState.mTerm = aTerm;
+    aState.mVotedFor.clear();
+    WriteHardState(aState, aOut);
+  }
+  aState.mRole = IsVoter(aState) ? Role::Follower : Role::Learner;
+  aState.mLeader = aLeader;
+  aState.mVotes.clear();
+  aState.mTransferTo.clear();
+}
+
+void StartPreVote(State& aState,
+                  Micros aNow,
+                  std::uint64_t aRandom,
+                  Output& aOut) {
+  aState.mRole = Role::PreCandidate;
+  aState.mLeader.clear();
+  aState.mVotes = { aState.mId };
+  ResetElection(aState, aNow, aRandom);
+  AskForVotes(aState, aState.mTerm + 1, true, false, aOut);
+  CountVotes(aState, aNow, aRandom, aOut);
+}
+
+void StartElection(State& aState,
+                   Micros aNow,
+                   std::uint64_t aRandom,
+                   bool aTransfer,
+                   Output& aOut) {
+  aState.mRole = Role::Candidate;
+  aState.mLeader.clear();
+  ++aState.mTerm;
+  aState.mVotedFor = aState.mId;
+  aState.mVotes = { aState.mId };
+  WriteHardState(aState, aOut);
+  ResetElection(aState, aNow, aRandom);
+  AskForVotes(aState, aState.mTerm, false, aTransfer, aOut);
+  CountVotes(aState, aNow, aRandom, aOut);
+}
+
+void TakeVoteRequest(State& aState,
+                     Micros aNow,
+                     std::uint64_t aRandom,
+                     const wire::ConsensusMessage& aMessage,
+                     Output& aOut) {
+  const wire::VoteRequest& request = aMessage.vote_request();
+  // A member that hears a leader does not help to depose it; this also keeps
+  // a host that is back from a partition from disturbing the group.
+  if (HearsLeader(aState, aNow) && !request.transfer()) {
+    ReplyVote(aState, aMessage, false, aOut);
+    return;
+  }
+  if (request.pre_vote()) {
+    const bool granted = aMessage.term() > aState.mTerm && IsVoter(aState) &&
+                         LogIsUpToDate(aState, request);
+    ReplyVote(aState, aMessage, granted, aOut);
+    return;
+  }
+  if (aMessage.term() > aState.mTerm) {
+    BecomeFollower(aState, aMessage.term(), "", aOut);
+  }
+  const bool free =
+    aState.mVotedFor.empty() || aState.mVotedFor == aMessage.from();
+  const bool granted = aMessage.term() == aState.mTerm && free &&
+                       IsVoter(aState) && LogIsUpToDate(aState, request);
+  if (!granted) {
+    ReplyVote(aState, aMessage, false, aOut);
+    return;
+  }
+  ResetElection(aState, aNow, aRandom);
+  GrantVote(aState, aMessage, aOut);
+}
+
+void TakeVoteReply(State& aState,
+                   Micros aNow,
+                   std::uint64_t aRandom,
+                   const wire::ConsensusMessage& aMessage,
+                   Output& aOut) {
+  const wire::VoteReply& reply = aMessage.vote_reply();
+  const bool mine =
+    reply.pre_vote()
+      ? aState.mRole == Role::PreCandidate &&
+          aMessage.term() == aState.mTerm + 1
+      : aState.mRole == Role::Candidate && aMessage.term() == aState.mTerm;
+  if (!mine || !reply.granted()) {
+    return;
+  }
+  const wire::Member* member = FindMember(aState.mMembership, aMessage.from());
+  if (member == nullptr || !member->voter() ||
+      member->storage() != aMessage.from_storage()) {
+    return;
+  }
+  aState.mVotes.insert(aMessage.from());
+  CountVotes(aState, aNow, aRandom, aOut);
+}
+
+} // namespace geraniumpond::consensus
--- /dev/null
+++ b/src/consensus/internal.h
@@ -0,0 +1,98 @@
+#pragma once
+
+#include <geraniumpond/consensus.h>
+
+/// \brief Steps that the consensus sources share.
+namespace geraniumpond::consensus {
+
+// --- log.cpp
+
+/// \brief Opens a write for this call, or adds to the one that is open.
+Write& OpenWrite(State& aState, Output& aOut);
+
+/// \brief Records the term and the vote.
+void WriteHardState(State& aState, Output& aOut);
+
+/// \brief Appends entries that continue the log.
+void AppendEntries(State& aState,
+                   const std::vector<wire::Entry>& aEntries,
+                   Output& aOut);
+
+/// \brief Drops all entries from an index on.
+void TruncateFrom(State& aState, std::uint64_t aIndex, Output& aOut);
+
+/// \brief Replaces the log by a snapshot from the leader.
+void InstallSnapshot(State& aState,
+                     const wire::Snapshot& aSnapshot,
+                     Output& aOut);
+
+/// \brief Moves the commit index and hands newly committed entries over.
+void CommitTo(State& aState, std::uint64_t aIndex, Output& aOut);
+
+[[nodiscard]] const wire::Entry* EntryAt(const State& aState,
+                                         std::uint64_t aIndex) noexcept;
+
+// --- election.cpp
+
+void BecomeFollower(State& aState,
+                    std::uint64_t aTerm,
+                    const std::string& aLeader,
+                    Output& aOut);
+void ResetElection(State& aState, Micros aNow, std::uint64_t aRandom);
+void StartElection(State& aState,
+                   Micros aNow,
+                   std::uint64_t aRandom,
+                   bool aTransfer,
+                   Output& aOut);
+void StartPreVote(State& aState,
+                  Micros aNow,
+                  std::uint64_t aRandom,
+                  Output& aOut);
+void TakeVoteRequest(State& aState,
+                     Micros aNow,
+                     std::uint64_t aRandom,
+                     const wire::ConsensusMessage& aMessage,
+                     Output& aOut);
+void TakeVoteReply(State& aState,
+                   Micros aNow,
+                   std::uint64_t aRandom,
+                   const wire::ConsensusMessage& aMessage,
+                   Output& aOut);
+
+// --- replication.cpp
+
+void Broadcast(State& aState, Micros aNow, Output& aOut);
+void AdvanceCommit(State& aState, Output& aOut);
+void TakeAppendRequest(State& aState,
+                       const wire::ConsensusMessage& aMessage,
+                       Output& aOut);
+void TakeAppendReply(State& aState,
+                     Micros aNow,
+                     const wire::ConsensusMessage& aMessage,
+                     Output& aOut);
+void TakeSnapshotRequest(State& aState,
+                         const wire::ConsensusMessage& aMessage,
+                         Output& aOut);
+
+// --- consensus.cpp
+
+[[nodiscard]] const wire::Member* FindMember(const wire::Membership& aMembers,
+                                             const std::string& aId) noexcept;
+[[nodiscard]] bool IsVoter(const State& aState) noexcept;
+[[nodiscard]] std::size_t VoterCount(const wire::Membership& aMembers) noexcept;
+[[nodiscard]] std::size_t Quorum(const State& aState) noexcept;
+
+/// \brief Starts a message with the own identity and term.
+[[nodiscard]] wire::ConsensusMessage NewMessage(const State& aState,
+                                                const std::string& aTo);
+
+/// \brief Sends at once; for what promises nothing about the own disk.
+void Send(wire::ConsensusMessage aMessage, Output& aOut);
+
+/// \brief Sends when every earlier write is on disk.
+void SendDurable(State& aState, wire::ConsensusMessage aMessage, Output& aOut);
+
+/// \brief True when a quorum, this member included, was heard since a time.
+[[nodiscard]] bool QuorumHeardSince(const State& aState, Micros aTime) noexcept;
+
+} // namespace geraniumpond::consensus
--- /dev/null
+++ b/src/consensus/replication.cpp
@@ -0,0 +1,279 @@
+#include "internal.h"
+
+#include <algorithm>
+
+namespace geraniumpond::consensus {
+
+namespace {
+
+// A snapshot that was not answered is sent again after this time.
+constexpr Micros kSnapshotRetry = kSecond;
+
+void SendSnapshot(State& aState,
+                  const wire::Member& aMember,
+                  Progress& aProgress,
+                  Micros aNow,
+                  Output& aOut) {
+  if (aProgress.mSnapshotSent && aNow - aProgress.mSentAt < kSnapshotRetry) {
+    return;
+  }
+  aProgress.mSnapshotSent = true;
+  aProgress.mSentAt = aNow;
+  wire::ConsensusMessage message = NewMessage(aState, aMember.id());
+  wire::SnapshotRequest& request = *message.mutable_snapshot_request();
+  *request.mutable_snapshot() = aState.mSnapshot;
+  request.set_round(aState.mRound);
+  Send(std::move(message), aOut);
+}
+
+void SendAppend(State& aState,
+                const wire::Member& aMember,
+                Micros aNow,
+                Output& aOut) {
+  Progress& progress = aState.mProgress[aMember.id()];
+  const std::uint64_t prev = progress.mNext - 1;
+  const std::optional<std::uint64_t> prevTerm = TermAt(aState, prev);
+  const bool compacted = progress.mNext <= LastIndex(aState) &&
+                         EntryAt(aState, progress.mNext) == nullptr;
+  if (!prevTerm || compacted) {
+    SendSnapshot(aState, aMember, progress, aNow, aOut);
+    return;
+  }
+  wire::ConsensusMessage message = NewMessage(aState, aMember.id());
+  wire::AppendRequest& request = *message.mutable_append_request();
+  request.set_prev_index(prev);
+  request.set_prev_term(*prevTerm);
+  request.set_commit(aState.mCommit);
+  request.set_round(aState.mRound);
+  std::size_t room = aState.mRules.mEntriesPerMessage;
+  while (room > 0 && progress.mNext <= LastIndex(aState)) {
+    *request.add_entries() = *EntryAt(aState, progress.mNext);
+    ++progress.mNext;
+    --room;
+  }
+  progress.mSentAt = aNow;
+  Send(std::move(message), aOut);
+}
+
+void ReplyAppend(State& aState,
+                 const std::string& aTo,
+                 bool aSuccess,
+                 std::uint64_t aIndex,
+                 std::uint64_t aRound,
+                 Output& aOut) {
+  wire::ConsensusMessage message = NewMessage(aState, aTo);
+  wire::AppendReply& reply = *message.mutable_append_reply();
+  reply.set_success(aSuccess);
+  reply.set_index(aIndex);
+  reply.set_round(aRound);
+  SendDurable(aState, std::move(message), aOut);
+}
+
+// First index of the term that conflicts, so that the leader skips a term per
+// round trip instead of an entry.
+std::uint64_t ConflictHint(const State& aState, std::uint64_t aPrev) {
+  const std::uint64_t last = LastIndex(aState);
+  if (aPrev > last) {
+    return last + 1;
+  }
+  const std::optional<std::uint64_t> term = TermAt(aState, aPrev);
+  std::uint64_t index = aPrev;
+  while (index > aState.mCommit + 1 && TermAt(aState, index - 1) == term) {
+    --index;
+  }
+  return std::max<std::uint64_t>(index, 1);
+}
+
+// Entries that the log does not have yet; a conflict drops the old suffix.
+std::vector<wire::Entry> NewEntries(State& aState,
+                                    const wire::AppendRequest& aRequest,
+                                    Output& aOut) {
+  std::vector<wire::Entry> fresh;
+  for (const wire::Entry& entry : aRequest.entries()) {
+    if (entry.index() <= aState.mSnapshot.index()) {
+      continue;
+    }
+    const std::optional<std::uint64_t> known = TermAt(aState, entry.index());
+    if (fresh.empty() && known == entry.term()) {
+      continue;
+    }
+    if (fresh.empty() && known) {
+      TruncateFrom(aState, entry.index(), aOut);
+    }
+    fresh.push_back(entry);
+  }
+  return fresh;
+}
+
+std::uint64_t QuorumMatch(const State& aState) {
+  std::vector<std::uint64_t> matches;
+  for (const wire::Member& member : aState.mMembership.members()) {
+    if (!member.voter()) {
+      continue;
+    }
+    if (member.id() == aState.mId) {
+      matches.push_back(aState.mSyncedIndex);
+      continue;
+    }
+    const auto found = aState.mProgress.find(member.id());
+    matches.push_back(found == aState.mProgress.end() ? 0
+                                                      : found->second.mMatch);
+  }
+  if (matches.empty()) {
+    return 0;
+  }
+  std::sort(matches.begin(), matches.end(), std::greater<>());
+  return matches[matches.size() / 2];
+}
+
+void StepDownIfRemoved(State& aState, Output& aOut) {
+  if (aState.mCommit >= aState.mMembershipIndex && !IsVoter(aState)) {
+    BecomeFollower(aState, aState.mTerm, "", aOut);
+  }
+}
+
+void SendTransfer(State& aState, Output& aOut) {
+  Send(
+    [&] {
+      wire::ConsensusMessage message = NewMessage(aState, aState.mTransferTo);
+      message.mutable_transfer_request();
+      return message;
+    }(),
+    aOut);
+}
+
+} // namespace
+
+void Broadcast(State& aState, Micros aNow, Output& aOut) {
+  ++aState.mRound;
+  for (const wire::Member& member : aState.mMembership.members()) {
+    if (member.id() != aState.mId) {
+      SendAppend(aState, member, aNow, aOut);
+    }
+  }
+}
+
+void AdvanceCommit(State& aState, Output& aOut) {
+  const std::uint64_t match = QuorumMatch(aState);
+  if (match > aState.mCommit && TermAt(aState, match) == aState.mTerm) {
+    CommitTo(aState, match, aOut);
+    StepDownIfRemoved(aState, aOut);
+  }
+}
+
+void TakeAppendRequest(State& aState,
+                       const wire::ConsensusMessage& aMessage,
+                       Output& aOut) {
+  const wire::AppendRequest& request = aMessage.append_request();
+  const std::uint64_t prev = request.prev_index();
+  const bool covered = prev <= aState.mSnapshot.index();
+  if (!covered && TermAt(aState, prev) != request.prev_term()) {
+    ReplyAppend(aState,
+                aMessage.from(),
+                false,
+                ConflictHint(aState, prev),
+                request.round(),
+                aOut);
+    return;
+  }
+  const std::vector<wire::Entry> fresh = NewEntries(aState, request, aOut);
+  AppendEntries(aState, fresh, aOut);
+  const std::uint64_t sent =
+    request.entries().empty()
+      ? prev
+      : request.entries(request.entries_size() - 1).index();
+  const std::uint64_t matched = std::max(sent, aState.mSnapshot.index());
+  CommitTo(aState, std::min(request.commit(), matched), aOut);
+  ReplyAppend(
+    aState, aMessage.from(), true, matched, request.round(), aOut);
+}
+
+void TakeAppendReply(State& aState,
+                     Micros aNow,
+                     const wire::ConsensusMessage& aMessage,
+                     Output& aOut) {
+  const wire::Member* member = FindMember(aState.mMembership, aMessage.from());
+  if (aState.mRole != Role::Leader || aMessage.term() != aState.mTerm ||
+      member == nullptr || member->storage() != aMessage.from_storage()) {
+    return;
+  }
+  const wire::AppendReply& reply = aMessage.append_reply();
+  Progress& progress = aState.mProgress[member->id()];
+  progress.mHeardAt = aNow;
+  progress.mRoundSeen = std::max(progress.mRoundSeen, reply.round());
+  if (!reply.success()) {
+    progress.mNext = std::max(progress.mMatch + 1,
+                              std::min(reply.index(), LastIndex(aState) + 1));
+    progress.mSnapshotSent = false;
+    SendAppend(aState, *member, aNow, aOut);
+    return;
+  }
+  progress.mSnapshotSent = false;
+  progress.mMatch = std::max(progress.mMatch, reply.index());
+  progress.mNext = std::max(progress.mNext, progress.mMatch + 1);
+  AdvanceCommit(aState, aOut);
+  if (aState.mRole != Role::Leader) {
+    return;
+  }
+  if (aState.mTransferTo == member->id() &&
+      progress.mMatch == LastIndex(aState)) {
+    SendTransfer(aState, aOut);
+    aState.mTransferTo.clear();
+  }
+  if (progress.mNext <= LastIndex(aState)) {
+    SendAppend(aState, *member, aNow, aOut);
+  }
+}
+
+void TakeSnapshotRequest(State& aState,
+                         const wire::ConsensusMessage& aMessage,
+                         Output& aOut) {
+  const wire::SnapshotRequest& request = aMessage.snapshot_request();
+  if (request.snapshot().index() > aState.mCommit) {
+    InstallSnapshot(aState, request.snapshot(), aOut);
+  }
+  ReplyAppend(
+    aState, aMessage.from(), true, aState.mCommit, request.round(), aOut);
+}
+
+Result<std::uint64_t> Propose(State& aState,
+                              Micros aNow,
+                              std::string aCommand,
+                              Output& aOut) {
+  if (aState.mRole != Role::Leader || aState.mFailed ||
+      !aState.mTransferTo.empty()) {
+    return Fail(ErrorCode::NotLeader, aState.mLeader);
+  }
+  wire::Entry entry;
+  entry.set_term(aState.mTerm);
+  entry.set_index(LastIndex(aState) + 1);
+  entry.set_command(std::move(aCommand));
+  AppendEntries(aState, { entry }, aOut);
+  Broadcast(aState, aNow, aOut);
+  return entry.index();
+}
+
+void Transfer(State& aState, Micros aNow, Output& aOut) {
+  if (aState.mRole != Role::Leader) {
+    return;
+  }
+  std::uint64_t best = 0;
+  for (const wire::Member& member : aState.mMembership.members()) {
+    const Progress& progress = aState.mProgress[member.id()];
+    const bool live = aNow - progress.mHeardAt < aState.mRules.mElectionMin;
+    if (member.voter() && member.id() != aState.mId && live &&
+        progress.mMatch + 1 > best) {
+      best = progress.mMatch + 1;
+      aState.mTransferTo = member.id();
+      aState.mTransferUntil = aNow + aState.mRules.mElectionMin;
+    }
+  }
+  if (best == LastIndex(aState) + 1) {
+    SendTransfer(aState, aOut);
+    aState.mTransferTo.clear();
+  } else {
+    Broadcast(aState, aNow, aOut);
+  }
+}
+
+} // namespace geraniumpond::consensus
--- /dev/null
+++ b/src/edge/attempt.cpp
@@ -0,0 +1,451 @@
+#include "attempt.h"
+
+#include <Poco/Exception.h>
+#include <Poco/Net/HTTPRequest.h>
+#include <Poco/Net/NetException.h>
+#include <Poco/Net/SocketAddress.h>
+#include <Poco/NumberParser.h>
+#include <Poco/String.h>
+
+#include <algorithm>
+#include <poll.h>
+#include <sys/socket.h>
+
+namespace geraniumpond::edge {
+
+namespace {
+
+using Poco::Net::HTTPMessage;
+using Poco::Net::HTTPRequest;
+using Poco::Net::HTTPResponse;
+
+constexpr Micros kConnectTimeout = kSecond;
+// The reducer's deadline comes first; this one only frees the thread.
+constexpr Micros kBackstop = 100 * kMillisecond;
+// A keyed attempt outlives its caller's deadline, so that its end is known.
+constexpr Micros kKeyedGrace = 2 * kSecond;
+// A body that makes no progress for this long is broken.
+constexpr Micros kBodySilence = 5 * kSecond;
+// Answers up to this size are read whole before the caller gets a byte.
+constexpr std::size_t kWholeFirst = 64 * 1024;
+constexpr std::size_t kMaxKeyedAnswer = 256 * 1024;
+constexpr std::size_t kBufferBytes = 64 * 1024;
+constexpr int kUnavailable = 503;
+constexpr int kPartialContent = 206;
+constexpr std::uint32_t kBadGateway = 502;
+
+bool IsHopByHop(const std::string& aName) {
+  for (const char* name : { "Connection",
+                            "Keep-Alive",
+                            "Proxy-Connection",
+                            "TE",
+                            "Trailer",
+                            "Transfer-Encoding",
+                            "Upgrade" }) {
+    if (Poco::icompare(aName, name) == 0) {
+      return true;
+    }
+  }
+  return false;
+}
+
+/// One attempt, from its connection to its last byte.
+class AttemptRun {
+public:
+  AttemptRun(AttemptTools& aTools,
+             const std::shared_ptr<Exchange>& aExchange,
+             Call* aCall,
+             const wire::Dispatch& aDispatch)
+    : mTools(aTools)
+    , mExchange(aExchange)
+    , mCall(aCall)
+    , mDispatch(aDispatch) {
+    mEnd.set_request(aDispatch.request());
+    mEnd.set_attempt(aDispatch.attempt());
+    mEnd.set_end(wire::END_NOT_SENT);
+  }
+
+  void Run() {
+    try {
+      if (Connect()) {
+        Converse();
+      }
+    } catch (const Poco::TimeoutException&) {
+      mEnd.set_end(mSent ? wire::END_TIMED_OUT : wire::END_NOT_SENT);
+      mTools.mPool.Suspect(mDispatch.address());
+    } catch (const std::exception&) {
+      NoteBreak();
+    }
+    mExchange->Detach(mDispatch.attempt());
+    GiveBack();
+    PostEnd();
+  }
+
+private:
+  [[nodiscard]] Micros Remaining() const {
+    const Micros grace =
+      kBackstop + (mDispatch.buffer_answer() ? kKeyedGrace : 0);
+    return mDispatch.deadline_us() + grace - mTools.mRuntime.Now();
+  }
+
+  bool Connect() {
+    const Micros now = mTools.mRuntime.Now();
+    mSession = mTools.mPool.Take(
+      mDispatch.address(), mDispatch.max_idle_us(), now);
+    if (mSession == nullptr) {
+      const Poco::Net::SocketAddress address(mDispatch.address());
+      mSession = std::make_unique<TargetSession>(address.host().toString(),
+                                                 address.port());
+      mSession->Connect(
+        std::max<Micros>(std::min(kConnectTimeout, Remaining()), 1));
+      mEnd.set_new_connection(true);
+    }
+    if (!mExchange->Attach(mDispatch.attempt(), mSession->socket())) {
+      mEnd.set_end(wire::END_NOT_SENT);
+      return false;
+    }
+    return true;
+  }
+
+  void FillRequest(HTTPRequest& aRequest) const {
+    const CallerRequest& from = mExchange->mRequest;
+    for (const auto& [name, value] : from.mHeaders) {
+      aRequest.add(name, value);
+    }
+    aRequest.setHost(mDispatch.address());
+    aRequest.setKeepAlive(true);
+    aRequest.set("Geraniumpond-Caller", mDispatch.caller());
+    aRequest.set("Geraniumpond-Kind", mDispatch.kind());
+    aRequest.set("Geraniumpond-Attempt",
+                 std::to_string(mDispatch.request()) + "." +
+                   std::to_string(mDispatch.attempt()));
+    const Micros left = std::max<Micros>(
+      (mDispatch.deadline_us() - mTools.mRuntime.Now()) / kMillisecond, 1);
+    aRequest.set("Geraniumpond-Deadline-Ms", std::to_string(left));
+    if (!mDispatch.if_range().empty()) {
+      aRequest.set("Range",
+                   "bytes=" + std::to_string(mDispatch.range_from()) + "-");
+      aRequest.set("If-Range", mDispatch.if_range());
+    }
+    if (!from.mBody.empty() || from.mMethod == HTTPRequest::HTTP_POST ||
+        from.mMethod == HTTPRequest::HTTP_PUT) {
+      aRequest.setContentLength64(
+        static_cast<Poco::Int64>(from.mBody.size()));
+    }
+  }
+
+  void SendRequest() {
+    const CallerRequest& from = mExchange->mRequest;
+    HTTPRequest request(from.mMethod, from.mUri, HTTPMessage::HTTP_1_1);
+    FillRequest(request);
+    mSession->setTimeout(
+      Poco::Timespan(std::max<Micros>(Remaining(), kMillisecond)));
+    // From here on the kernel may have bytes of it.
+    mSent = true;
+    mEnd.set_end(wire::END_BROKEN_BEFORE_HEAD);
+    std::ostream& body = mSession->sendRequest(request);
+    body.write(from.mBody.data(),
+               static_cast<std::streamsize>(from.mBody.size()));
+    body.flush();
+    mSession->flushRequest();
+  }
+
+  // Waits for the target; tells the reducer when the caller goes away first.
+  void AwaitHead() {
+    pollfd items[2] = {
+      { mSession->socket().impl()->sockfd(), POLLIN, 0 },
+      { mDispatch.buffer_answer() ? -1 : mExchange->mRequest.mClientSocket,
+        POLLIN | POLLRDHUP,
+        0 },
+    };
+    while (true) {
+      const Micros left = Remaining();
+      if (left <= 0) {
+        throw Poco::TimeoutException("deadline");
+      }
+      const int ready =
+        ::poll(items, 2, static_cast<int>(left / kMillisecond) + 1);
+      if (ready > 0 && items[0].revents != 0) {
+        return;
+      }
+      if (ready > 0 && items[1].revents != 0) {
+        WatchCaller(items[1]);
+      }
+    }
+  }
+
+  void WatchCaller(pollfd& aItem) {
+    const bool gone = (aItem.revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0;
+    // Pipelined bytes are no reason to stop, and are not looked at again.
+    aItem.fd = -1;
+    if (gone) {
+      wire::Event event;
+      event.mutable_client_gone()->set_request(mDispatch.request());
+      mTools.mRuntime.Post(std::move(event));
+    }
+  }
+
+  wire::LoadReport LoadOf() const {
+    wire::LoadReport load;
+    const std::string text = mResponse.get("Geraniumpond-Load", "");
+    const std::size_t slash = text.find('/');
+    unsigned inFlight = 0;
+    unsigned slots = 0;
+    if (slash != std::string::npos &&
+        Poco::NumberParser::tryParseUnsigned(text.substr(0, slash),
+                                             inFlight) &&
+        Poco::NumberParser::tryParseUnsigned(text.substr(slash + 1), slots)) {
+      load.set_in_flight(inFlight);
+      load.set_slots(slots);
+      load.set_present(true);
+    }
+    return load;
+  }
+
+  void Converse() {
+    SendRequest();
+    AwaitHead();
+    mSession->receiveResponse(mResponse);
+    mEnd.set_status(static_cast<std::uint32_t>(mResponse.getStatus()));
+    *mEnd.mutable_load() = LoadOf();
+    const bool headOnly = mExchange->mRequest.mMethod == "HEAD";
+    if (!mSession->StartBody(mResponse, headOnly)) {
+      return;
+    }
+    mSession->setTimeout(Poco::Timespan(kBodySilence));
+    const bool refused =
+      mResponse.getStatus() == kUnavailable &&
+      Poco::icompare(mResponse.get("Geraniumpond-Not-Run", ""), "yes") == 0;
+    if (refused) {
+      ReadWhole(kWholeFirst);
+      mEnd.set_end(wire::END_REFUSED);
+      return;
+    }
+    if (mDispatch.buffer_answer()) {
+      BufferAnswer();
+      return;
+    }
+    PassOn();
+  }
+
+  /// Reads up to a limit; true when the body ended within it.
+  bool ReadWhole(std::size_t aLimit) {
+    std::string buffer(kBufferBytes, '\0');
+    while (mBody.size() < aLimit) {
+      std::size_t size = std::min(buffer.size(), aLimit - mBody.size());
+      const BodyRead read = mSession->ReadBody(buffer.data(), size);
+      mBody.append(buffer, 0, size);
+      if (read == BodyRead::Done) {
+        mBodyDone = true;
+        return true;
+      }
+      if (read == BodyRead::Broken) {
+        throw Poco::Net::NetException("body broken");
+      }
+    }
+    return false;
+  }
+
+  void BufferAnswer() {
+    wire::StoredAnswer answer;
+    answer.set_status(static_cast<std::uint32_t>(mResponse.getStatus()));
+    answer.set_content_type(mResponse.getContentType());
+    if (!ReadWhole(kMaxKeyedAnswer)) {
+      // It ran, but its answer is larger than a record may be.
+      answer.set_status(kBadGateway);
+      answer.set_content_type("text/plain");
+      mBody = "answer too large to record\n";
+    }
+    answer.set_body(mBody);
+    mExchange->KeepAnswer(mDispatch.attempt(), answer);
+    *mEnd.mutable_answer() = std::move(answer);
+    mEnd.set_end(wire::END_COMPLETE);
+  }
+
+  void PostHead() {
+    wire::Event event;
+    wire::AttemptHead& head = *event.mutable_head();
+    head.set_request(mDispatch.request());
+    head.set_attempt(mDispatch.attempt());
+    head.set_status(mEnd.status());
+    *head.mutable_load() = mEnd.load();
+    const std::string etag = mResponse.get("ETag", "");
+    // A weak validator proves nothing about bytes.
+    if (etag.rfind("W/", 0) != 0 && mResponse.get("Accept-Ranges", "") == "bytes") {
+      head.set_strong_etag(etag);
+    }
+    head.set_range_matches(RangeMatches());
+    mTools.mRuntime.Post(std::move(event));
+  }
+
+  [[nodiscard]] bool RangeMatches() const {
+    const std::string prefix =
+      "bytes " + std::to_string(mDispatch.range_from()) + "-";
+    return mResponse.getStatus() == kPartialContent &&
+           mResponse.get("ETag", "") == mDispatch.if_range() &&
+           mResponse.get("Content-Range", "").rfind(prefix, 0) == 0;
+  }
+
+  void PassOn() {
+    // A small answer that breaks has reached nobody, and can be tried again.
+    const bool small =
+      mResponse.hasContentLength() &&
+      mResponse.getContentLength64() <= static_cast<int>(kWholeFirst);
+    if (small) {
+      ReadWhole(kWholeFirst + 1);
+    }
+    PostHead();
+    if (!mExchange->AwaitDecision(mDispatch.attempt())) {
+      mEnd.set_end(wire::END_CANCELLED);
+      return;
+    }
+    mEnd.set_end(wire::END_BROKEN_IN_BODY);
+    if (!mExchange->mHeadSent) {
+      SendHead();
+    }
+    if (mBodyDone) {
+      mEnd.set_end(wire::END_COMPLETE);
+      return;
+    }
+    Stream();
+  }
+
+  void FillResponse(Poco::Net::HTTPServerResponseImpl& aResponse) const {
+    aResponse.setStatusAndReason(mResponse.getStatus(),
+                                 mResponse.getReason());
+    for (const auto& [name, value] : mResponse) {
+      const bool ours = Poco::icompare(name.substr(0, 13), "Geraniumpond-") == 0;
+      if (!IsHopByHop(name) && !ours) {
+        aResponse.add(name, value);
+      }
+    }
+    aResponse.set("Geraniumpond-Outcome", "ran");
+    if (mExchange->CloseAfter()) {
+      aResponse.setKeepAlive(false);
+    }
+    if (!mBodyDone && !mResponse.hasContentLength()) {
+      aResponse.setChunkedTransferEncoding(true);
+    }
+  }
+
+  void SendHead() {
+    Poco::Net::HTTPServerResponseImpl& response = mCall->mResponse;
+    FillResponse(response);
+    mExchange->mHeadSent = true;
+    try {
+      if (mBodyDone && mExchange->mRequest.mMethod != "HEAD") {
+        response.sendBuffer(mBody.data(), mBody.size());
+        mExchange->mDelivered = mBody.size();
+      } else {
+        mExchange->mClientStream = &response.send();
+        mExchange->mClientStream->flush();
+      }
+    } catch (const Poco::Exception&) {
+      mCallerBroke = true;
+      throw;
+    }
+  }
+
+  void Stream() {
+    std::ostream& out = *mExchange->mClientStream;
+    std::string buffer(kBufferBytes, '\0');
+    while (true) {
+      std::size_t size = buffer.size();
+      const BodyRead read = mSession->ReadBody(buffer.data(), size);
+      if (read == BodyRead::Broken) {
+        return;
+      }
+      out.write(buffer.data(), static_cast<std::streamsize>(size));
+      if (!out) {
+        mEnd.set_end(wire::END_CLIENT_GONE);
+        return;
+      }
+      mExchange->mDelivered += size;
+      if (read == BodyRead::Done) {
+        out.flush();
+        mBodyDone = true;
+        mEnd.set_end(wire::END_COMPLETE);
+        return;
+      }
+    }
+  }
+
+  void NoteBreak() {
+    if (mCallerBroke) {
+      mEnd.set_end(wire::END_CLIENT_GONE);
+    }
+  }
+
+  void GiveBack() {
+    if (mSession != nullptr && mBodyDone &&
+        (mEnd.end() == wire::END_COMPLETE ||
+         mEnd.end() == wire::END_REFUSED)) {
+      mTools.mPool.Give(mDispatch.address(),
+                        std::move(mSession),
+                        mTools.mRuntime.Now());
+    }
+  }
+
+  void PostEnd() {
+    mEnd.set_delivered_bytes(mExchange->mDelivered);
+    const bool finished = !mDispatch.buffer_answer() &&
+                          (mEnd.end() == wire::END_COMPLETE ||
+                           mEnd.end() == wire::END_CLIENT_GONE);
+    wire::Event event;
+    *event.mutable_ended() = mEnd;
+    mTools.mRuntime.Post(std::move(event));
+    if (finished) {
+      mExchange->Finish(mEnd.end() == wire::END_CLIENT_GONE);
+    }
+  }
+
+  AttemptTools& mTools;
+  std::shared_ptr<Exchange> mExchange;
+  Call* mCall;
+  wire::Dispatch mDispatch;
+  wire::AttemptEnded mEnd;
+  std::unique_ptr<TargetSession> mSession;
+  HTTPResponse mResponse;
+  std::string mBody;
+  bool mBodyDone = false;
+  bool mSent = false;
+  bool mCallerBroke = false;
+};
+
+} // namespace
+
+void RunningCount::Add() {
+  const std::lock_guard<std::mutex> lock(mMutex);
+  ++mCount;
+}
+
+void RunningCount::Done() {
+  const std::lock_guard<std::mutex> lock(mMutex);
+  --mCount;
+  mNone.notify_all();
+}
+
+void RunningCount::WaitNone() {
+  std::unique_lock<std::mutex> lock(mMutex);
+  mNone.wait(lock, [this] { return mCount == 0; });
+}
+
+void RunAttempt(AttemptTools& aTools,
+                const std::shared_ptr<Exchange>& aExchange,
+                Call* aCall,
+                const wire::Dispatch& aDispatch) {
+  AttemptRun(aTools, aExchange, aCall, aDispatch).Run();
+}
+
+void SendStored(Call& aCall,
+                const wire::StoredAnswer& aAnswer,
+                const std::string& aOutcome) {
+  aCall.mResponse.set("Geraniumpond-Outcome", aOutcome);
+  SendText(aCall,
+           static_cast<int>(aAnswer.status()),
+           aAnswer.content_type().empty() ? "application/octet-stream"
+                                          : aAnswer.content_type(),
+           aAnswer.body());
+}
+
+} // namespace geraniumpond::edge
--- /dev/null
+++ b/src/edge/callers.cpp
@@ -0,0 +1,202 @@
+#include "callers.h"
+
+#include <geraniumpond/hash.h>
+#include <geraniumpond/views.h>
+
+#include <Poco/NumberParser.h>
+#include <Poco/String.h>
+#include <Poco/URI.h>
+
+#include <algorithm>
+#include <thread>
+
+namespace geraniumpond::edge {
+
+namespace {
+
+constexpr const char* kEntriesPath = "/geraniumpond/v1/entries";
+constexpr Micros kMillisecondsInSecond = 1000;
+
+bool IsForwarded(const std::string& aName) {
+  static const std::vector<std::string> dropped = {
+    "connection",        "keep-alive", "proxy-connection",
+    "te",                "trailer",    "transfer-encoding",
+    "upgrade",           "host",       "authorization",
+    "proxy-authorization", "expect",   "content-length",
+  };
+  const std::string name = Poco::toLower(aName);
+  return name.rfind("geraniumpond-", 0) != 0 &&
+         std::find(dropped.begin(), dropped.end(), name) == dropped.end();
+}
+
+std::vector<std::string> NamedByConnection(
+  const Poco::Net::HTTPServerRequestImpl& aRequest) {
+  std::vector<std::string> names;
+  std::string list = Poco::toLower(aRequest.get("Connection", ""));
+  std::string name;
+  for (const char next : list + ",") {
+    if (next == ',') {
+      names.push_back(Poco::trim(name));
+      name.clear();
+    } else {
+      name.push_back(next);
+    }
+  }
+  return names;
+}
+
+bool ReadRequest(Call& aCall, CallerRequest& aOut) {
+  Poco::Net::HTTPServerRequestImpl& request = aCall.mRequest;
+  aOut.mMethod = request.getMethod();
+  aOut.mUri = request.getURI();
+  aOut.mClientSocket = aCall.mSession.socket().impl()->sockfd();
+  const std::vector<std::string> named = NamedByConnection(request);
+  for (const auto& [name, value] : request) {
+    const bool hop =
+      std::find(named.begin(), named.end(), Poco::toLower(name)) != named.end();
+    if (IsForwarded(name) && !hop) {
+      aOut.mHeaders.emplace_back(name, value);
+    }
+  }
+  if (!request.hasContentLength()) {
+    return true;
+  }
+  const auto length = static_cast<std::size_t>(request.getContentLength64());
+  aOut.mBody.resize(length);
+  request.stream().read(aOut.mBody.data(),
+                        static_cast<std::streamsize>(length));
+  return static_cast<std::size_t>(request.stream().gcount()) == length;
+}
+
+std::uint32_t DeadlineOf(const Poco::Net::HTTPServerRequestImpl& aRequest) {
+  unsigned deadline = 0;
+  const std::string text = aRequest.get("Geraniumpond-Deadline-Ms", "0");
+  return Poco::NumberParser::tryParseUnsigned(text, deadline) ? deadline : 0;
+}
+
+wire::Event Arrival(const Call& aCall, const Exchange& aExchange) {
+  const CallerRequest& request = aExchange.mRequest;
+  wire::Event event;
+  wire::RequestArrived& arrived = *event.mutable_request();
+  arrived.set_request(aExchange.Id());
+  arrived.set_token_sha256(TokenDigest(aCall.mRequest));
+  arrived.set_method(request.mMethod);
+  arrived.set_path(request.mUri);
+  arrived.set_idempotency_key(aCall.mRequest.get("Idempotency-Key", ""));
+  arrived.set_body_bytes(request.mBody.size());
+  if (!arrived.idempotency_key().empty()) {
+    arrived.set_body_digest(Sha256Hex(request.mBody));
+  }
+  arrived.set_deadline_ms(DeadlineOf(aCall.mRequest));
+  arrived.set_has_range(aCall.mRequest.has("Range"));
+  return event;
+}
+
+After WriteAnswer(Call& aCall, const wire::Answer& aAnswer) {
+  Poco::Net::HTTPServerResponseImpl& response = aCall.mResponse;
+  if (aAnswer.close_connection()) {
+    response.setKeepAlive(false);
+  }
+  if (aAnswer.has_stored()) {
+    SendStored(aCall, aAnswer.stored(), aAnswer.outcome());
+    return After::KeepOpen;
+  }
+  response.set("Geraniumpond-Outcome", aAnswer.outcome());
+  if (aAnswer.retry_after_ms() > 0) {
+    const auto seconds =
+      (aAnswer.retry_after_ms() + kMillisecondsInSecond - 1) /
+      kMillisecondsInSecond;
+    response.set("Retry-After", std::to_string(seconds));
+    response.set("Geraniumpond-Retry-After-Ms",
+                 std::to_string(aAnswer.retry_after_ms()));
+  }
+  SendText(aCall,
+           static_cast<int>(aAnswer.status()),
+           "text/plain",
+           aAnswer.reason() + "\n");
+  return After::KeepOpen;
+}
+
+After WriteKept(Call& aCall, Exchange& aExchange, std::uint64_t aAttempt) {
+  if (aExchange.CloseAfter()) {
+    aCall.mResponse.setKeepAlive(false);
+  }
+  SendStored(aCall, aExchange.TakeAnswer(aAttempt), "ran");
+  return After::KeepOpen;
+}
+
+void RunOnWorker(AttemptTools& aTools,
+                 const std::shared_ptr<Exchange>& aExchange,
+                 Call* aCall,
+                 const wire::Dispatch& aDispatch) {
+  std::thread([&aTools, aExchange, aCall, aDispatch] {
+    RunAttempt(aTools, aExchange, aCall, aDispatch);
+    aTools.mRunning.Done();
+  }).detach();
+}
+
+After Serve(AttemptTools& aTools,
+            Call& aCall,
+            const std::shared_ptr<Exchange>& aExchange) {
+  aExchange->SetWorker(
+    [&aTools, weak = std::weak_ptr<Exchange>(aExchange), &aCall](
+      const wire::Dispatch& aDispatch) {
+      aTools.mRunning.Add();
+      RunOnWorker(aTools, weak.lock(), &aCall, aDispatch);
+    });
+  aTools.mRuntime.Post(Arrival(aCall, *aExchange));
+  while (true) {
+    const wire::Effect effect = aExchange->Next();
+    switch (effect.body_case()) {
+      case wire::Effect::kDispatch:
+        RunAttempt(aTools, aExchange, &aCall, effect.dispatch());
+        break;
+      case wire::Effect::kAnswer:
+        return WriteAnswer(aCall, effect.answer());
+      case wire::Effect::kAccept:
+        return WriteKept(aCall, *aExchange, effect.accept().attempt());
+      case wire::Effect::kBreakConnection:
+        return After::Break;
+      default:
+        return aExchange->CallerGone() ? After::Break : After::KeepOpen;
+    }
+  }
+}
+
+After ServeEntries(AttemptTools& aTools, Call& aCall) {
+  std::string service;
+  for (const auto& [name, value] :
+       Poco::URI(aCall.mRequest.getURI()).getQueryParameters()) {
+    if (name == "service") {
+      service = value;
+    }
+  }
+  const std::string body =
+    aTools.mRuntime.Read([&](const node::State& aState, Micros) {
+      return views::Entries(aState, service);
+    });
+  SendText(aCall, 200, "application/json", body);
+  return After::KeepOpen;
+}
+
+} // namespace
+
+After ServeCaller(AttemptTools& aTools, Call& aCall) {
+  if (aCall.mRequest.getURI().rfind(kEntriesPath, 0) == 0) {
+    return ServeEntries(aTools, aCall);
+  }
+  const std::shared_ptr<Exchange> exchange = aTools.mRuntime.NewExchange();
+  After after = After::Break;
+  try {
+    // A request that was cut short is not a request.
+    if (ReadRequest(aCall, exchange->mRequest)) {
+      after = Serve(aTools, aCall, exchange);
+    }
+  } catch (const Poco::Exception&) {
+    after = After::Break;
+  }
+  aTools.mRuntime.EndExchange(exchange->Id());
+  return after;
+}
+
+} // namespace geraniumpond::edge
--- /dev/null
+++ b/src/edge/exchange.cpp
@@ -0,0 +1,104 @@
+#include "exchange.h"
+
+#include <Poco/Exception.h>
+
+namespace geraniumpond::edge {
+
+namespace {
+
+void CutOff(Poco::Net::StreamSocket& aSocket) {
+  try {
+    aSocket.shutdown();
+  } catch (const Poco::Exception&) {
+    // The other side was faster.
+  }
+}
+
+} // namespace
+
+void Exchange::Deliver(const wire::Effect& aEffect) {
+  const std::lock_guard<std::mutex> lock(mMutex);
+  if (aEffect.has_cancel()) {
+    const std::uint64_t attempt = aEffect.cancel().attempt();
+    mDecisions[attempt] = Decision::Cancel;
+    const auto socket = mSockets.find(attempt);
+    if (socket != mSockets.end()) {
+      CutOff(socket->second);
+    }
+  } else if (aEffect.has_accept()) {
+    mDecisions[aEffect.accept().attempt()] = Decision::Accept;
+    mCloseAfter = aEffect.accept().close_connection();
+    if (mAnswers.count(aEffect.accept().attempt()) != 0) {
+      mInbox.push_back(aEffect);
+    }
+  } else if (aEffect.has_dispatch() &&
+             (mBusy || aEffect.dispatch().buffer_answer())) {
+    mWorker(aEffect.dispatch());
+  } else {
+    mBusy = mBusy || aEffect.has_dispatch();
+    mInbox.push_back(aEffect);
+  }
+  mChanged.notify_all();
+}
+
+wire::Effect Exchange::Next() {
+  std::unique_lock<std::mutex> lock(mMutex);
+  mBusy = !mInbox.empty() && mInbox.front().has_dispatch();
+  mChanged.wait(lock, [this] { return !mInbox.empty() || mFinished; });
+  if (mInbox.empty()) {
+    return wire::Effect();
+  }
+  wire::Effect effect = std::move(mInbox.front());
+  mInbox.pop_front();
+  return effect;
+}
+
+bool Exchange::AwaitDecision(std::uint64_t aAttempt) {
+  std::unique_lock<std::mutex> lock(mMutex);
+  mChanged.wait(lock, [&] { return mEnded || mDecisions.count(aAttempt) != 0; });
+  const auto decision = mDecisions.find(aAttempt);
+  return decision != mDecisions.end() && decision->second == Decision::Accept;
+}
+
+void Exchange::End() {
+  const std::lock_guard<std::mutex> lock(mMutex);
+  mEnded = true;
+  mChanged.notify_all();
+}
+
+bool Exchange::Attach(std::uint64_t aAttempt,
+                      const Poco::Net::StreamSocket& aSocket) {
+  const std::lock_guard<std::mutex> lock(mMutex);
+  const auto decision = mDecisions.find(aAttempt);
+  if (decision != mDecisions.end() && decision->second == Decision::Cancel) {
+    return false;
+  }
+  mSockets.emplace(aAttempt, aSocket);
+  return true;
+}
+
+void Exchange::Detach(std::uint64_t aAttempt) {
+  const std::lock_guard<std::mutex> lock(mMutex);
+  mSockets.erase(aAttempt);
+}
+
+void Exchange::Finish(bool aCallerGone) {
+  const std::lock_guard<std::mutex> lock(mMutex);
+  mCallerGone = aCallerGone;
+  mFinished = true;
+  mChanged.notify_all();
+}
+
+void Exchange::KeepAnswer(std::uint64_t aAttempt, wire::StoredAnswer aAnswer) {
+  const std::lock_guard<std::mutex> lock(mMutex);
+  mAnswers[aAttempt] = std::move(aAnswer);
+}
+
+wire::StoredAnswer Exchange::TakeAnswer(std::uint64_t aAttempt) {
+  const std::lock_guard<std::mutex> lock(mMutex);
+  wire::StoredAnswer answer = std::move(mAnswers[aAttempt]);
+  mAnswers.erase(aAttempt);
+  return answer;
+}
+
+} // namespace geraniumpond::edge
--- /dev/null
+++ b/src/edge/host.cpp
@@ -0,0 +1,128 @@
+#include "host.h"
+
+#include "admin.h"
+#include "callers.h"
+#include "logging.h"
+#include "runtime.h"
+
+#include <Poco/File.h>
+
+#include <csignal>
+#include <ctime>
+#include <pthread.h>
+
+namespace geraniumpond::edge {
+
+namespace {
+
+constexpr int kExitFailure = 1;
+constexpr int kAdminConnections = 300;
+constexpr std::uint64_t kMaxAdminBody = 4 * 1024 * 1024;
+
+sigset_t StopSignals() {
+  sigset_t signals;
+  sigemptyset(&signals);
+  sigaddset(&signals, SIGTERM);
+  sigaddset(&signals, SIGINT);
+  return signals;
+}
+
+// Every thread inherits the mask, so that only WaitForStop() takes signals.
+void BlockSignals() {
+  const sigset_t signals = StopSignals();
+  pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+  std::signal(SIGPIPE, SIG_IGN);
+}
+
+// A second signal changes nothing: a stop is never cut short silently.
+void WaitForStop(Runtime& aRuntime) {
+  const sigset_t signals = StopSignals();
+  const timespec wait{ 0, 50 * 1000 * 1000 };
+  while (!aRuntime.Exited()) {
+    if (sigtimedwait(&signals, nullptr, &wait) > 0) {
+      wire::Event event;
+      event.mutable_stop();
+      aRuntime.Post(std::move(event));
+    }
+  }
+}
+
+void NoteMalformed(Runtime& aRuntime, const Malformed& aFault) {
+  WriteLog(0, "malformed request: " + aFault.mReason);
+  wire::Event event;
+  event.mutable_malformed()->set_status(
+    static_cast<std::uint32_t>(aFault.mStatus));
+  aRuntime.Post(std::move(event));
+}
+
+HttpListener::Options CallerOptions(const Settings& aSettings,
+                                    AttemptTools& aTools) {
+  HttpListener::Options options;
+  options.mAddress = aSettings.mCallerAddress;
+  options.mMaxConnections = aSettings.mMaxConnections;
+  options.mMaxBody = [&aTools] { return aTools.mRuntime.MaxBodyBytes(); };
+  options.mHandler = [&aTools](Call& aCall) {
+    return ServeCaller(aTools, aCall);
+  };
+  options.mOnMalformed = [&aTools](const Malformed& aFault) {
+    NoteMalformed(aTools.mRuntime, aFault);
+  };
+  return options;
+}
+
+HttpListener::Options AdminOptions(const Settings& aSettings,
+                                   Runtime& aRuntime) {
+  HttpListener::Options options;
+  options.mAddress = aSettings.mAdminAddress;
+  options.mMaxConnections = kAdminConnections;
+  options.mMaxBody = [] { return kMaxAdminBody; };
+  options.mHandler = [&aRuntime](Call& aCall) {
+    return ServeAdmin(aRuntime, aCall);
+  };
+  options.mOnMalformed = [&aRuntime](const Malformed& aFault) {
+    NoteMalformed(aRuntime, aFault);
+  };
+  return options;
+}
+
+int Serve(const Settings& aSettings, const std::string& aRecordFile) {
+  Poco::File(aSettings.mDataFolder).createDirectories();
+  Runtime runtime(aSettings, aRecordFile);
+  const Result<bool> started = runtime.Start();
+  if (!started) {
+    WriteLog(3, "start: " + started.error().mMessage);
+    return kExitFailure;
+  }
+  SessionPool pool;
+  RunningCount running;
+  AttemptTools tools{ runtime, pool, running };
+  const HttpListener admin(AdminOptions(aSettings, runtime));
+  std::unique_ptr<HttpListener> callers;
+  if (aSettings.mEntry) {
+    callers =
+      std::make_unique<HttpListener>(CallerOptions(aSettings, tools));
+  }
+  WriteLog(1, "serving");
+  WaitForStop(runtime);
+  callers.reset();
+  running.WaitNone();
+  runtime.Stop();
+  return 0;
+}
+
+} // namespace
+
+int RunHost(const Settings& aSettings, const std::string& aRecordFile) {
+  StartLogging(aSettings.mId, aSettings.mLogFormat, aSettings.mLogLevel);
+  BlockSignals();
+  try {
+    return Serve(aSettings, aRecordFile);
+  } catch (const Poco::Exception& error) {
+    WriteLog(3, error.displayText());
+  } catch (const std::exception& error) {
+    WriteLog(3, error.what());
+  }
+  return kExitFailure;
+}
+
+} // namespace geraniumpond::edge
--- /dev/null
+++ b/src/edge/http_server.cpp
@@ -0,0 +1,287 @@
+#include "http_server.h"
+
+#include <geraniumpond/hash.h>
+
+#include <Poco/Net/NetException.h>
+#include <Poco/Net/TCPServerConnection.h>
+#include <Poco/Net/TCPServerConnectionFactory.h>
+#include <Poco/String.h>
+
+#include <algorithm>
+#include <cctype>
+
+namespace geraniumpond::edge {
+
+namespace {
+
+using Poco::Net::HTTPMessage;
+using Poco::Net::HTTPRequest;
+using Poco::Net::HTTPResponse;
+
+constexpr int kBadRequest = 400;
+constexpr int kLengthRequired = 411;
+constexpr int kTooLarge = 413;
+constexpr int kUriTooLong = 414;
+constexpr int kVersionNotSupported = 505;
+constexpr std::size_t kMaxUri = 4096;
+constexpr std::size_t kMaxLengthDigits = 15;
+constexpr int kIdleSeconds = 60;
+constexpr int kReadSeconds = 15;
+
+bool IsToken(const std::string& aName) {
+  return !aName.empty() &&
+         std::all_of(aName.begin(), aName.end(), [](unsigned char aChar) {
+           return std::isalnum(aChar) != 0 ||
+                  std::string("!#$%&'*+-.^_`|~").find(static_cast<char>(
+                    aChar)) != std::string::npos;
+         });
+}
+
+std::size_t CountOf(const HTTPRequest& aRequest, const std::string& aName) {
+  return static_cast<std::size_t>(
+    std::count_if(aRequest.begin(), aRequest.end(), [&](const auto& aField) {
+      return Poco::icompare(aField.first, aName) == 0;
+    }));
+}
+
+bool IsDigits(const std::string& aText) {
+  return !aText.empty() && aText.size() <= kMaxLengthDigits &&
+         std::all_of(aText.begin(), aText.end(), [](unsigned char aChar) {
+           return std::isdigit(aChar) != 0;
+         });
+}
+
+// Kinds are told apart by their path, so that a path must mean the same here
+// and at the target.
+bool IsPlainPath(const std::string& aUri) {
+  const std::string path = Poco::toLower(aUri.substr(0, aUri.find('?')));
+  if (path.empty() || path[0] != '/') {
+    return false;
+  }
+  for (const char* bad : { "/../", "/./", "//", "%2e", "%2f", "%5c", "\\" }) {
+    if ((path + "/").find(bad) != std::string::npos &&
+        (path.back() != '/' || path.find(bad) != std::string::npos)) {
+      return false;
+    }
+  }
+  return std::all_of(aUri.begin(), aUri.end(), [](unsigned char aChar) {
+    return aChar > ' ' && aChar < 0x7f;
+  });
+}
+
+Malformed CheckLength(const HTTPRequest& aRequest, std::uint64_t aMaxBody) {
+  const std::size_t lengths = CountOf(aRequest, HTTPMessage::CONTENT_LENGTH);
+  if (CountOf(aRequest, HTTPMessage::TRANSFER_ENCODING) > 0) {
+    return lengths > 0
+             ? Malformed{ kBadRequest, "both length and transfer encoding" }
+             : Malformed{ kLengthRequired, "a Content-Length is required" };
+  }
+  if (lengths > 1) {
+    return { kBadRequest, "more than one Content-Length" };
+  }
+  const std::string length =
+    aRequest.get(HTTPMessage::CONTENT_LENGTH, "0");
+  if (!IsDigits(length)) {
+    return { kBadRequest, "Content-Length is not a number" };
+  }
+  if (std::stoull(length) > aMaxBody) {
+    return { kTooLarge, "body too large" };
+  }
+  return {};
+}
+
+class Connection : public Poco::Net::TCPServerConnection {
+public:
+  Connection(const Poco::Net::StreamSocket& aSocket,
+             const HttpListener::Options& aOptions,
+             OpenSockets& aOpen)
+    : TCPServerConnection(aSocket)
+    , mOptions(aOptions)
+    , mOpen(aOpen)
+    , mParams(new Poco::Net::HTTPServerParams) {
+    mParams->setKeepAlive(true);
+    mParams->setMaxKeepAliveRequests(0);
+    mParams->setKeepAliveTimeout(Poco::Timespan(kIdleSeconds, 0));
+    mParams->setTimeout(Poco::Timespan(kReadSeconds, 0));
+  }
+
+  void run() override {
+    const std::uint64_t id = mOpen.Add(socket());
+    ServeAll();
+    mOpen.Remove(id);
+  }
+
+private:
+  void ServeAll() {
+    try {
+      Poco::Net::HTTPServerSession session(socket(), mParams);
+      while (session.hasMoreRequests()) {
+        if (!Serve(session)) {
+          return;
+        }
+      }
+    } catch (const Poco::Exception&) {
+      // The caller went away; there is nobody to tell.
+    }
+  }
+
+  bool Serve(Poco::Net::HTTPServerSession& aSession) {
+    Poco::Net::HTTPServerResponseImpl response(aSession);
+    try {
+      Poco::Net::HTTPServerRequestImpl request(response, aSession, mParams);
+      response.setVersion(request.getVersion());
+      response.setKeepAlive(request.getKeepAlive() &&
+                            aSession.canKeepAlive());
+      Call call{ request, response, aSession };
+      const Malformed fault = CheckRequest(request, mOptions.mMaxBody());
+      if (fault.mStatus != 0) {
+        return Refuse(call, fault);
+      }
+      if (request.getExpectContinue()) {
+        response.sendContinue();
+      }
+      const After after = mOptions.mHandler(call);
+      if (after == After::Break) {
+        socket().shutdown();
+      }
+      return after == After::KeepOpen && response.getKeepAlive();
+    } catch (const Poco::Net::NoMessageException&) {
+      return false;
+    } catch (const Poco::Net::MessageException& error) {
+      RefuseUnread(response, error.displayText());
+      return false;
+    }
+  }
+
+  bool Refuse(Call& aCall, const Malformed& aFault) {
+    mOptions.mOnMalformed(aFault);
+    aCall.mResponse.setKeepAlive(false);
+    aCall.mResponse.set("Geraniumpond-Outcome", "not-run");
+    SendText(aCall, aFault.mStatus, "text/plain", aFault.mReason + "\n");
+    return false;
+  }
+
+  void RefuseUnread(Poco::Net::HTTPServerResponseImpl& aResponse,
+                    const std::string& aReason) {
+    mOptions.mOnMalformed({ kBadRequest, aReason });
+    if (aResponse.sent()) {
+      return;
+    }
+    const std::string body = "malformed request\n";
+    aResponse.setVersion(HTTPMessage::HTTP_1_1);
+    aResponse.setStatusAndReason(HTTPResponse::HTTP_BAD_REQUEST);
+    aResponse.setKeepAlive(false);
+    aResponse.set("Geraniumpond-Outcome", "not-run");
+    aResponse.sendBuffer(body.data(), body.size());
+  }
+
+  const HttpListener::Options& mOptions;
+  OpenSockets& mOpen;
+  Poco::Net::HTTPServerParams::Ptr mParams;
+};
+
+class Factory : public Poco::Net::TCPServerConnectionFactory {
+public:
+  Factory(const HttpListener::Options& aOptions, OpenSockets& aOpen)
+    : mOptions(aOptions)
+    , mOpen(aOpen) {}
+
+  Poco::Net::TCPServerConnection* createConnection(
+    const Poco::Net::StreamSocket& aSocket) override {
+    return new Connection(aSocket, mOptions, mOpen);
+  }
+
+private:
+  const HttpListener::Options& mOptions;
+  OpenSockets& mOpen;
+};
+
+} // namespace
+
+std::uint64_t OpenSockets::Add(const Poco::Net::StreamSocket& aSocket) {
+  const std::lock_guard<std::mutex> lock(mMutex);
+  mSockets.emplace(++mLast, aSocket);
+  return mLast;
+}
+
+void OpenSockets::Remove(std::uint64_t aId) {
+  const std::lock_guard<std::mutex> lock(mMutex);
+  mSockets.erase(aId);
+}
+
+void OpenSockets::ShutdownAll() {
+  const std::lock_guard<std::mutex> lock(mMutex);
+  for (auto& [id, socket] : mSockets) {
+    try {
+      socket.shutdown();
+    } catch (const Poco::Exception&) {
+      // Ended by the other side already.
+    }
+  }
+}
+
+Malformed CheckRequest(const Poco::Net::HTTPServerRequestImpl& aRequest,
+                       std::uint64_t aMaxBody) {
+  if (aRequest.getVersion() != HTTPMessage::HTTP_1_1) {
+    return { kVersionNotSupported, "HTTP/1.1 only" };
+  }
+  if (aRequest.getURI().size() > kMaxUri) {
+    return { kUriTooLong, "URI too long" };
+  }
+  if (!IsPlainPath(aRequest.getURI())) {
+    return { kBadRequest, "path not allowed" };
+  }
+  const bool soundNames =
+    std::all_of(aRequest.begin(), aRequest.end(), [](const auto& aField) {
+      return IsToken(aField.first);
+    });
+  if (!soundNames || !IsToken(aRequest.getMethod())) {
+    return { kBadRequest, "malformed header" };
+  }
+  return CheckLength(aRequest, aMaxBody);
+}
+
+std::string TokenDigest(const HTTPRequest& aRequest) {
+  constexpr std::size_t kPrefix = 7;
+  const std::string value = aRequest.get("Authorization", "");
+  const bool bearer =
+    Poco::icompare(value.substr(0, kPrefix), "Bearer ") == 0;
+  return Sha256Hex(bearer ? value.substr(kPrefix) : "");
+}
+
+void SendText(Call& aCall,
+              int aStatus,
+              const std::string& aType,
+              const std::string& aBody) {
+  aCall.mResponse.setStatusAndReason(
+    static_cast<HTTPResponse::HTTPStatus>(aStatus));
+  aCall.mResponse.setContentType(aType);
+  aCall.mResponse.sendBuffer(aBody.data(), aBody.size());
+}
+
+HttpListener::HttpListener(Options aOptions)
+  : mOptions(std::move(aOptions))
+  , mThreads(2, std::max(mOptions.mMaxConnections, 2)) {
+  const Poco::Net::SocketAddress address(mOptions.mAddress);
+  Poco::Net::ServerSocket socket;
+  socket.bind(address, true);
+  socket.listen(1024);
+  auto* params = new Poco::Net::TCPServerParams;
+  params->setMaxThreads(mOptions.mMaxConnections);
+  params->setMaxQueued(mOptions.mMaxConnections);
+  mServer = std::make_unique<Poco::Net::TCPServer>(
+    new Factory(mOptions, mOpen), mThreads, socket, params);
+  mServer->start();
+}
+
+HttpListener::~HttpListener() {
+  Stop();
+}
+
+void HttpListener::Stop() {
+  mServer->stop();
+  mOpen.ShutdownAll();
+  mThreads.joinAll();
+}
+
+} // namespace geraniumpond::edge
--- /dev/null
+++ b/src/edge/http_server.h
@@ -0,0 +1,91 @@
+#pragma once
+
+#include <Poco/Net/HTTPServerParams.h>
+#include <Poco/Net/HTTPServerRequestImpl.h>
+#include <Poco/Net/HTTPServerResponseImpl.h>
+#include <Poco/Net/HTTPServerSession.h>
+#include <Poco/Net/ServerSocket.h>
+#include <Poco/Net/TCPServer.h>
+#include <Poco/ThreadPool.h>
+
+#include <atomic>
+#include <functional>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <string>
+
+namespace geraniumpond::edge {
+
+/// \brief What a handler wants done with the connection after its answer.
+enum class After { KeepOpen, Close, Break };
+
+/// \brief One request on one connection.
+struct Call {
+  Poco::Net::HTTPServerRequestImpl& mRequest;
+  Poco::Net::HTTPServerResponseImpl& mResponse;
+  Poco::Net::HTTPServerSession& mSession;
+};
+
+/// \brief Why a request is refused before any handler sees it.
+struct Malformed {
+  int mStatus = 0;
+  std::string mReason;
+};
+
+/// \brief Checks the request's framing and path; status 0 when it is sound.
+[[nodiscard]] Malformed CheckRequest(
+  const Poco::Net::HTTPServerRequestImpl& aRequest,
+  std::uint64_t aMaxBody);
+
+/// \brief Bearer token's SHA-256, or the digest of nothing.
+[[nodiscard]] std::string TokenDigest(
+  const Poco::Net::HTTPRequest& aRequest);
+
+/// \brief Sends a small answer with its length.
+void SendText(Call& aCall,
+              int aStatus,
+              const std::string& aType,
+              const std::string& aBody);
+
+/// \brief The sockets of open connections, so that a stop can end idle ones.
+class OpenSockets {
+public:
+  std::uint64_t Add(const Poco::Net::StreamSocket& aSocket);
+  void Remove(std::uint64_t aId);
+  void ShutdownAll();
+
+private:
+  std::mutex mMutex;
+  std::uint64_t mLast = 0;
+  std::map<std::uint64_t, Poco::Net::StreamSocket> mSockets;
+};
+
+/// \brief An HTTP listener with one thread a connection.
+class HttpListener {
+public:
+  using Handler = std::function<After(Call&)>;
+  struct Options {
+    std::string mAddress;
+    int mMaxConnections = 100;
+    std::function<std::uint64_t()> mMaxBody;
+    Handler mHandler;
+    std::function<void(const Malformed&)> mOnMalformed;
+  };
+
+  explicit HttpListener(Options aOptions);
+  ~HttpListener();
+  HttpListener(const HttpListener&) = delete;
+  HttpListener& operator=(const HttpListener&) = delete;
+
+  /// \brief Stops accepting and ends all connections.
+  void Stop();
+
+private:
+  Options mOptions;
+  OpenSockets mOpen;
+  Poco::ThreadPool mThreads;
+  std::unique_ptr<Poco::Net::TCPServer> mServer;
+};
+
+} // namespace geraniumpond::edge
--- /dev/null
+++ b/src/edge/peers.cpp
@@ -0,0 +1,132 @@
+#include "peers.h"
+
+#include <zmq.hpp>
+
+namespace geraniumpond::edge {
+
+namespace {
+
+constexpr int kHeartbeatMs = 500;
+constexpr int kHeartbeatTimeoutMs = 1500;
+constexpr int kReconnectMs = 50;
+constexpr int kReconnectMaxMs = 1000;
+constexpr int kConnectTimeoutMs = 1000;
+constexpr int kLingerMs = 300;
+constexpr int kHighWater = 20000;
+constexpr std::size_t kQueueLimit = 100000;
+constexpr std::int64_t kMaxMessageBytes = 256LL * 1024 * 1024;
+constexpr const char* kWakeAddress = "inproc://wake";
+
+void SetOptions(zmq::socket_t& aSocket) {
+  aSocket.set(zmq::sockopt::heartbeat_ivl, kHeartbeatMs);
+  aSocket.set(zmq::sockopt::heartbeat_timeout, kHeartbeatTimeoutMs);
+  aSocket.set(zmq::sockopt::reconnect_ivl, kReconnectMs);
+  aSocket.set(zmq::sockopt::reconnect_ivl_max, kReconnectMaxMs);
+  aSocket.set(zmq::sockopt::connect_timeout, kConnectTimeoutMs);
+  aSocket.set(zmq::sockopt::linger, kLingerMs);
+  aSocket.set(zmq::sockopt::sndhwm, kHighWater);
+  aSocket.set(zmq::sockopt::rcvhwm, kHighWater);
+  aSocket.set(zmq::sockopt::maxmsgsize, kMaxMessageBytes);
+}
+
+} // namespace
+
+struct Peers::Sockets {
+  zmq::context_t mContext{ 1 };
+  zmq::socket_t mIn{ mContext, zmq::socket_type::router };
+  zmq::socket_t mWakeOut{ mContext, zmq::socket_type::pair };
+  zmq::socket_t mWakeIn{ mContext, zmq::socket_type::pair };
+  std::map<std::string, zmq::socket_t> mOut;
+
+  zmq::socket_t& To(const std::string& aAddress) {
+    const auto found = mOut.find(aAddress);
+    if (found != mOut.end()) {
+      return found->second;
+    }
+    zmq::socket_t socket(mContext, zmq::socket_type::dealer);
+    SetOptions(socket);
+    socket.connect("tcp://" + aAddress);
+    return mOut.emplace(aAddress, std::move(socket)).first->second;
+  }
+};
+
+Peers::Peers(const std::string& aListen, Handler aHandler)
+  : mHandler(std::move(aHandler))
+  , mSockets(std::make_unique<Sockets>()) {
+  SetOptions(mSockets->mIn);
+  mSockets->mIn.bind("tcp://" + aListen);
+  mSockets->mWakeIn.bind(kWakeAddress);
+  mSockets->mWakeOut.connect(kWakeAddress);
+  mThread = std::thread([this] { Run(); });
+}
+
+Peers::~Peers() {
+  {
+    const std::lock_guard<std::mutex> lock(mMutex);
+    mStopping = true;
+    Wake();
+  }
+  mThread.join();
+}
+
+// Called with the lock held: ZeroMQ sockets belong to one thread at a time.
+void Peers::Wake() {
+  mSockets->mWakeOut.send(zmq::message_t(), zmq::send_flags::dontwait);
+}
+
+void Peers::Send(const std::string& aAddress,
+                 const wire::PeerMessage& aMessage) {
+  std::string bytes = aMessage.SerializeAsString();
+  const std::lock_guard<std::mutex> lock(mMutex);
+  if (mStopping || mQueue.size() >= kQueueLimit) {
+    return;
+  }
+  mQueue.emplace_back(aAddress, std::move(bytes));
+  if (mQueue.size() == 1) {
+    Wake();
+  }
+}
+
+void Peers::SendQueued() {
+  std::deque<std::pair<std::string, std::string>> queue;
+  {
+    const std::lock_guard<std::mutex> lock(mMutex);
+    queue.swap(mQueue);
+  }
+  for (const auto& [address, bytes] : queue) {
+    // A peer that is away long enough to fill its queue loses messages; every
+    // protocol above repairs that.
+    (void)mSockets->To(address).send(zmq::buffer(bytes),
+                                     zmq::send_flags::dontwait);
+  }
+}
+
+void Peers::Run() {
+  zmq::pollitem_t items[] = {
+    { mSockets->mIn.handle(), 0, ZMQ_POLLIN, 0 },
+    { mSockets->mWakeIn.handle(), 0, ZMQ_POLLIN, 0 },
+  };
+  while (true) {
+    zmq::poll(items, 2, std::chrono::milliseconds(-1));
+    zmq::message_t message;
+    while (mSockets->mWakeIn.recv(message, zmq::recv_flags::dontwait)) {
+    }
+    SendQueued();
+    while (mSockets->mIn.recv(message, zmq::recv_flags::dontwait)) {
+      if (message.more()) {
+        continue;
+      }
+      wire::PeerMessage peer;
+      if (peer.ParseFromArray(message.data(),
+                              static_cast<int>(message.size()))) {
+        mHandler(std::move(peer));
+      }
+    }
+    const std::lock_guard<std::mutex> lock(mMutex);
+    if (mStopping && mQueue.empty()) {
+      return;
+    }
+  }
+}
+
+} // namespace geraniumpond::edge
--- /dev/null
+++ b/src/edge/runtime.cpp
@@ -0,0 +1,381 @@
+#include "runtime.h"
+
+#include "logging.h"
+
+#include <geraniumpond/hash.h>
+
+#include <google/protobuf/util/delimited_message_util.h>
+
+#include <chrono>
+#include <random>
+
+namespace geraniumpond::edge {
+
+namespace {
+
+using std::chrono::duration_cast;
+using std::chrono::microseconds;
+using std::chrono::steady_clock;
+using std::chrono::system_clock;
+
+constexpr std::chrono::seconds kOperationPatience{ 20 };
+constexpr std::uint32_t kUnavailable = 503;
+constexpr std::uint64_t kDefaultMaxBody = 1024 * 1024;
+
+Micros SteadyNow() {
+  return duration_cast<microseconds>(steady_clock::now().time_since_epoch())
+    .count();
+}
+
+Micros WallNow() {
+  return duration_cast<microseconds>(system_clock::now().time_since_epoch())
+    .count();
+}
+
+std::string NewStorageName() {
+  std::random_device device;
+  return "disk-" + std::to_string(device()) + std::to_string(device());
+}
+
+// Splitmix64: one random word per event, seeded once by the system.
+std::uint64_t NextWord(std::uint64_t& aState) {
+  aState += 0x9e3779b97f4a7c15ULL;
+  std::uint64_t word = aState;
+  word = (word ^ (word >> 30)) * 0xbf58476d1ce4e5b9ULL;
+  word = (word ^ (word >> 27)) * 0x94d049bb133111ebULL;
+  return word ^ (word >> 31);
+}
+
+} // namespace
+
+Runtime::Runtime(const Settings& aSettings, const std::string& aRecordFile)
+  : mSettings(aSettings) {
+  mClockOffset = WallNow() - SteadyNow();
+  std::random_device device;
+  mRandomState = (static_cast<std::uint64_t>(device()) << 32) | device();
+  if (!aRecordFile.empty()) {
+    mRecordFile =
+      std::make_unique<std::ofstream>(aRecordFile, std::ios::binary);
+  }
+}
+
+Runtime::~Runtime() {
+  Stop();
+}
+
+Micros Runtime::Now() const {
+  return SteadyNow() + mClockOffset;
+}
+
+Result<bool> Runtime::FillStarted(wire::Started& aStarted) {
+  *aStarted.mutable_settings() = node::ToWire(mSettings);
+  const Result<std::uint64_t> incarnation = NextIncarnation(
+    mSettings.mDataFolder, static_cast<std::uint64_t>(WallNow()));
+  if (!incarnation) {
+    return incarnation.error();
+  }
+  aStarted.set_incarnation(incarnation.value());
+  Result<wire::DeploymentVersion> cached =
+    ReadCachedDeployment(mSettings.mDataFolder);
+  if (cached) {
+    *aStarted.mutable_cached() = cached.value();
+  }
+  if (!mSettings.mControl) {
+    return true;
+  }
+  const Result<bool> made =
+    InitJoiner(mSettings.mDataFolder, NewStorageName());
+  if (!made) {
+    return made.error();
+  }
+  Result<StoredState> stored = Recover(mSettings.mDataFolder);
+  if (!stored) {
+    return stored.error();
+  }
+  if (stored.value().mCutBytes > 0) {
+    WriteLog(2,
+             "log: cut a torn tail of " +
+               std::to_string(stored.value().mCutBytes) + " bytes");
+  }
+  *aStarted.mutable_hard_state() = stored.value().mHard;
+  *aStarted.mutable_snapshot() = stored.value().mSnapshot;
+  for (wire::Entry& entry : stored.value().mEntries) {
+    *aStarted.add_entries() = std::move(entry);
+  }
+  Result<std::unique_ptr<LogWriter>> log =
+    LogWriter::Open(mSettings.mDataFolder);
+  if (!log) {
+    return log.error();
+  }
+  mLog = std::move(log.value());
+  return true;
+}
+
+Result<bool> Runtime::Start() {
+  wire::Event event;
+  const Result<bool> filled = FillStarted(*event.mutable_started());
+  if (!filled) {
+    return filled.error();
+  }
+  try {
+    mPeers = std::make_unique<Peers>(
+      mSettings.mPeerAddress, [this](wire::PeerMessage aMessage) {
+        wire::Event received;
+        *received.mutable_peer() = std::move(aMessage);
+        Post(std::move(received));
+      });
+  } catch (const std::exception& error) {
+    return Fail(ErrorCode::Io,
+                "listen for hosts on " + mSettings.mPeerAddress + ": " +
+                  error.what());
+  }
+  mThreads.emplace_back([this] { RunTimer(); });
+  mThreads.emplace_back([this] { RunWriter(); });
+  mThreads.emplace_back([this] { RunCache(); });
+  Post(std::move(event));
+  return true;
+}
+
+void Runtime::Stop() {
+  {
+    const std::lock_guard<std::mutex> lock(mThreadMutex);
+    mStopped = true;
+    mTimerChanged.notify_all();
+    mWriteQueued.notify_all();
+    mCacheQueued.notify_all();
+  }
+  for (std::thread& thread : mThreads) {
+    thread.join();
+  }
+  mThreads.clear();
+  mPeers.reset();
+}
+
+void Runtime::Post(wire::Event aEvent) {
+  const std::lock_guard<std::mutex> lock(mMutex);
+  aEvent.set_now_us(Now());
+  aEvent.set_random(NextWord(mRandomState));
+  const wire::Effects effects = node::Step(mState, aEvent);
+  if (mRecordFile) {
+    Record(aEvent, effects);
+  }
+  Perform(effects);
+}
+
+void Runtime::Record(const wire::Event& aEvent, const wire::Effects& aEffects) {
+  wire::RecordedStep step;
+  *step.mutable_event() = aEvent;
+  step.set_effects_digest(Hash64(aEffects.SerializeAsString()));
+  google::protobuf::util::SerializeDelimitedToOstream(step,
+                                                      mRecordFile.get());
+  if (aEvent.has_tick()) {
+    mRecordFile->flush();
+  }
+}
+
+void Runtime::Perform(const wire::Effects& aEffects) {
+  for (const wire::Effect& effect : aEffects.effects()) {
+    PerformOne(effect);
+  }
+}
+
+void Runtime::PerformOne(const wire::Effect& aEffect) {
+  const auto toExchange = [&](std::uint64_t aRequest) {
+    const auto found = mExchanges.find(aRequest);
+    if (found != mExchanges.end()) {
+      found->second->Deliver(aEffect);
+    }
+  };
+  switch (aEffect.body_case()) {
+    case wire::Effect::kSend:
+      if (mPeers) {
+        mPeers->Send(aEffect.send().address(), aEffect.send().message());
+      }
+      break;
+    case wire::Effect::kDispatch:
+      toExchange(aEffect.dispatch().request());
+      break;
+    case wire::Effect::kAccept:
+      toExchange(aEffect.accept().request());
+      break;
+    case wire::Effect::kCancel:
+      toExchange(aEffect.cancel().request());
+      break;
+    case wire::Effect::kAnswer:
+      toExchange(aEffect.answer().request());
+      break;
+    case wire::Effect::kBreakConnection:
+      toExchange(aEffect.break_connection().request());
+      break;
+    case wire::Effect::kPersist: {
+      const std::lock_guard<std::mutex> lock(mThreadMutex);
+      mWrites.push_back(aEffect.persist());
+      mWriteQueued.notify_one();
+      break;
+    }
+    case wire::Effect::kTimer: {
+      const std::lock_guard<std::mutex> lock(mThreadMutex);
+      mTimerAt = aEffect.timer().at_us();
+      mTimerChanged.notify_one();
+      break;
+    }
+    case wire::Effect::kOperation: {
+      const std::lock_guard<std::mutex> lock(mOperationMutex);
+      mOperationAnswers[aEffect.operation().operation()] =
+        aEffect.operation();
+      mOperationDone.notify_all();
+      break;
+    }
+    case wire::Effect::kCache: {
+      const std::lock_guard<std::mutex> lock(mThreadMutex);
+      mCache = std::make_unique<wire::DeploymentVersion>(
+        aEffect.cache().deployment());
+      mCacheQueued.notify_one();
+      break;
+    }
+    case wire::Effect::kLog:
+      WriteLog(static_cast<int>(aEffect.log().level()),
+               aEffect.log().message());
+      break;
+    case wire::Effect::kExit: {
+      const std::lock_guard<std::mutex> lock(mThreadMutex);
+      mExited = true;
+      mExitChanged.notify_all();
+      break;
+    }
+    case wire::Effect::BODY_NOT_SET:
+      break;
+  }
+}
+
+wire::OperationAnswer Runtime::Operate(
+  const std::function<void(wire::Event&, std::uint64_t)>& aFill) {
+  const std::uint64_t id = ++mLastOperation;
+  wire::Event event;
+  aFill(event, id);
+  Post(std::move(event));
+  std::unique_lock<std::mutex> lock(mOperationMutex);
+  const bool done = mOperationDone.wait_for(lock, kOperationPatience, [&] {
+    return mOperationAnswers.count(id) != 0;
+  });
+  wire::OperationAnswer answer;
+  answer.set_status(kUnavailable);
+  answer.set_body("{\"error\":\"unknown\",\"message\":\"no answer in time\"}");
+  if (done) {
+    answer = mOperationAnswers[id];
+    mOperationAnswers.erase(id);
+  }
+  return answer;
+}
+
+std::shared_ptr<Exchange> Runtime::NewExchange() {
+  auto exchange = std::make_shared<Exchange>(++mLastRequest);
+  const std::lock_guard<std::mutex> lock(mMutex);
+  mExchanges[exchange->Id()] = exchange;
+  return exchange;
+}
+
+void Runtime::EndExchange(std::uint64_t aRequest) {
+  const std::lock_guard<std::mutex> lock(mMutex);
+  const auto found = mExchanges.find(aRequest);
+  if (found != mExchanges.end()) {
+    found->second->End();
+    mExchanges.erase(found);
+  }
+}
+
+std::uint64_t Runtime::MaxBodyBytes() {
+  return Read([](const node::State& aState, Micros) {
+    std::uint64_t most = kDefaultMaxBody;
+    for (const auto& [name, service] : aState.mDeployment.mServices) {
+      for (const Kind& kind : service.mKinds) {
+        most = std::max(most, kind.mMaxBodyBytes);
+      }
+    }
+    return most;
+  });
+}
+
+bool Runtime::WaitExit(std::chrono::milliseconds aTimeout) {
+  std::unique_lock<std::mutex> lock(mThreadMutex);
+  mExitChanged.wait_for(lock, aTimeout, [this] { return mExited.load(); });
+  return mExited;
+}
+
+void Runtime::RunTimer() {
+  std::unique_lock<std::mutex> lock(mThreadMutex);
+  while (!mStopped) {
+    const Micros wait = mTimerAt - Now();
+    if (wait > 0) {
+      mTimerChanged.wait_for(lock, microseconds(wait));
+      continue;
+    }
+    // The reducer sets the next time; until it does, do not spin.
+    mTimerAt = Now() + kMillisecond;
+    lock.unlock();
+    wire::Event event;
+    event.mutable_tick();
+    Post(std::move(event));
+    lock.lock();
+  }
+}
+
+void Runtime::FailDisk(const std::string& aReason) {
+  wire::Event event;
+  event.mutable_sync_failed()->set_reason(aReason);
+  Post(std::move(event));
+}
+
+void Runtime::WriteBatch(const std::vector<wire::Persist>& aBatch) {
+  for (const wire::Persist& persist : aBatch) {
+    const Result<bool> written = mLog->Write(persist);
+    if (!written) {
+      FailDisk(written.error().mMessage);
+      return;
+    }
+  }
+  const Result<bool> synced = mLog->Sync();
+  if (!synced) {
+    FailDisk(synced.error().mMessage);
+    return;
+  }
+  wire::Event event;
+  event.mutable_sync_done()->set_sequence(aBatch.back().sequence());
+  Post(std::move(event));
+}
+
+void Runtime::RunWriter() {
+  std::unique_lock<std::mutex> lock(mThreadMutex);
+  while (true) {
+    mWriteQueued.wait(lock, [this] { return !mWrites.empty() || mStopped; });
+    if (mWrites.empty()) {
+      return;
+    }
+    std::vector<wire::Persist> batch;
+    batch.swap(mWrites);
+    lock.unlock();
+    WriteBatch(batch);
+    lock.lock();
+  }
+}
+
+void Runtime::RunCache() {
+  std::unique_lock<std::mutex> lock(mThreadMutex);
+  while (true) {
+    mCacheQueued.wait(lock, [this] { return mCache != nullptr || mStopped; });
+    if (mCache == nullptr) {
+      return;
+    }
+    const std::unique_ptr<wire::DeploymentVersion> version =
+      std::move(mCache);
+    lock.unlock();
+    const Result<bool> written =
+      WriteCachedDeployment(mSettings.mDataFolder, *version);
+    if (!written) {
+      WriteLog(2, "deployment cache: " + written.error().mMessage);
+    }
+    lock.lock();
+  }
+}
+
+} // namespace geraniumpond::edge
--- /dev/null
+++ b/src/edge/runtime.h
@@ -0,0 +1,107 @@
+#pragma once
+
+#include "exchange.h"
+#include "peers.h"
+#include "storage.h"
+
+#include <geraniumpond/node.h>
+
+#include <atomic>
+#include <condition_variable>
+#include <fstream>
+#include <functional>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <thread>
+#include <vector>
+
+namespace geraniumpond::edge {
+
+/// \brief Runs one host's reducer and performs its effects.
+///
+/// Events are taken one at a time; effects are performed in order, and none
+/// of them blocks.
+class Runtime {
+public:
+  Runtime(const Settings& aSettings, const std::string& aRecordFile);
+  Runtime(const Runtime&) = delete;
+  Runtime& operator=(const Runtime&) = delete;
+  ~Runtime();
+
+  /// \brief Reads the disk and takes the first event.
+  [[nodiscard]] Result<bool> Start();
+
+  /// \brief Stops threads; no event is taken afterwards.
+  void Stop();
+
+  /// \brief Takes one event; its time and random word are filled in here.
+  void Post(wire::Event aEvent);
+
+  /// \brief Posts an operation and waits for its answer.
+  [[nodiscard]] wire::OperationAnswer Operate(
+    const std::function<void(wire::Event&, std::uint64_t)>& aFill);
+
+  /// \brief Makes an exchange known, so that effects reach it.
+  [[nodiscard]] std::shared_ptr<Exchange> NewExchange();
+  void EndExchange(std::uint64_t aRequest);
+
+  /// \brief Reads the state under the lock.
+  template<class Reader>
+  auto Read(Reader aReader) {
+    const std::lock_guard<std::mutex> lock(mMutex);
+    return aReader(static_cast<const node::State&>(mState), Now());
+  }
+
+  /// \brief Microseconds since 1970 at the start, monotonic from there on.
+  [[nodiscard]] Micros Now() const;
+  [[nodiscard]] bool Exited() const noexcept { return mExited; }
+  [[nodiscard]] bool WaitExit(std::chrono::milliseconds aTimeout);
+
+  /// \brief Largest body of any kind in the deployment in force.
+  [[nodiscard]] std::uint64_t MaxBodyBytes();
+
+private:
+  void Perform(const wire::Effects& aEffects);
+  void PerformOne(const wire::Effect& aEffect);
+  void Record(const wire::Event& aEvent, const wire::Effects& aEffects);
+  void RunTimer();
+  void RunWriter();
+  void RunCache();
+  void WriteBatch(const std::vector<wire::Persist>& aBatch);
+  void FailDisk(const std::string& aReason);
+  [[nodiscard]] Result<bool> FillStarted(wire::Started& aStarted);
+
+  Settings mSettings;
+  std::unique_ptr<std::ofstream> mRecordFile;
+  Micros mClockOffset = 0;
+
+  std::mutex mMutex;
+  node::State mState;
+  std::uint64_t mRandomState = 0;
+  std::map<std::uint64_t, std::shared_ptr<Exchange>> mExchanges;
+  std::atomic<std::uint64_t> mLastRequest{ 0 };
+
+  std::mutex mOperationMutex;
+  std::condition_variable mOperationDone;
+  std::map<std::uint64_t, wire::OperationAnswer> mOperationAnswers;
+  std::atomic<std::uint64_t> mLastOperation{ 0 };
+
+  std::unique_ptr<Peers> mPeers;
+  std::unique_ptr<LogWriter> mLog;
+
+  std::mutex mThreadMutex;
+  std::condition_variable mTimerChanged;
+  std::condition_variable mWriteQueued;
+  std::condition_variable mCacheQueued;
+  std::condition_variable mExitChanged;
+  Micros mTimerAt = 0;
+  std::vector<wire::Persist> mWrites;
+  std::unique_ptr<wire::DeploymentVersion> mCache;
+  bool mStopped = false;
+  std::atomic<bool> mExited{ false };
+  std::vector<std::thread> mThreads;
+};
+
+} // namespace geraniumpond::edge
--- /dev/null
+++ b/src/edge/storage.cpp
@@ -0,0 +1,324 @@
+#include "storage.h"
+
+#include <geraniumpond/consensus.h>
+#include <geraniumpond/hash.h>
+
+#include <cerrno>
+#include <cstring>
+#include <fcntl.h>
+#include <optional>
+#include <string_view>
+#include <sys/stat.h>
+#include <unistd.h>
+
+namespace geraniumpond::edge {
+
+namespace {
+
+constexpr const char* kLogFile = "log";
+constexpr const char* kSnapshotFile = "snapshot";
+constexpr std::size_t kHeaderBytes = 12;
+constexpr std::size_t kWordBytes = 4;
+constexpr mode_t kFileMode = 0600;
+
+void PutWord(std::string& aOut, std::uint32_t aWord) {
+  for (std::size_t i = 0; i < kWordBytes; ++i) {
+    aOut.push_back(static_cast<char>((aWord >> (8 * i)) & 0xff));
+  }
+}
+
+std::uint32_t GetWord(std::string_view aBytes, std::size_t aAt) {
+  std::uint32_t word = 0;
+  for (std::size_t i = 0; i < kWordBytes; ++i) {
+    word |= static_cast<std::uint32_t>(
+              static_cast<unsigned char>(aBytes[aAt + i]))
+            << (8 * i);
+  }
+  return word;
+}
+
+// The payload of the record at an offset, when header and payload check out.
+std::optional<std::string_view> RecordAt(std::string_view aBytes,
+                                         std::size_t aAt) {
+  if (aBytes.size() - aAt < kHeaderBytes) {
+    return std::nullopt;
+  }
+  const std::uint32_t length = GetWord(aBytes, aAt);
+  if (GetWord(aBytes, aAt + kWordBytes) !=
+      Checksum(aBytes.substr(aAt, kWordBytes))) {
+    return std::nullopt;
+  }
+  if (length > aBytes.size() - aAt - kHeaderBytes) {
+    return std::nullopt;
+  }
+  const std::string_view payload = aBytes.substr(aAt + kHeaderBytes, length);
+  if (GetWord(aBytes, aAt + 2 * kWordBytes) != Checksum(payload)) {
+    return std::nullopt;
+  }
+  return payload;
+}
+
+// A record that does not check out is a torn tail only if nothing whole comes
+// after it: appends reach the disk in order, so that whatever follows a whole
+// record had been acknowledged.
+bool AnyRecordAfter(std::string_view aBytes, std::size_t aAt) {
+  for (std::size_t at = aAt + 1; at + kHeaderBytes < aBytes.size(); ++at) {
+    const std::optional<std::string_view> payload = RecordAt(aBytes, at);
+    if (payload && !payload->empty()) {
+      return true;
+    }
+  }
+  return false;
+}
+
+Result<bool> TakeRecord(const wire::LogRecord& aRecord, StoredState& aOut) {
+  if (aRecord.has_hard_state()) {
+    aOut.mHard = aRecord.hard_state();
+    return true;
+  }
+  if (aRecord.has_entry()) {
+    const std::uint64_t last = aOut.mEntries.empty()
+                                 ? 0
+                                 : aOut.mEntries.back().index();
+    if (last != 0 && aRecord.entry().index() != last + 1) {
+      return Fail(ErrorCode::Corrupt,
+                  "log: entry " + std::to_string(aRecord.entry().index()) +
+                    " follows entry " + std::to_string(last));
+    }
+    aOut.mEntries.push_back(aRecord.entry());
+    return true;
+  }
+  while (!aOut.mEntries.empty() &&
+         aOut.mEntries.back().index() >= aRecord.truncate_from()) {
+    aOut.mEntries.pop_back();
+  }
+  return true;
+}
+
+Result<bool> CutTail(const std::string& aPath, std::size_t aLength) {
+  if (::truncate(aPath.c_str(), static_cast<off_t>(aLength)) != 0) {
+    return Fail(ErrorCode::Io, aPath + ": " + std::strerror(errno));
+  }
+  return true;
+}
+
+Result<bool> ReadLog(const std::string& aFolder, StoredState& aOut) {
+  const std::string path = aFolder + "/" + kLogFile;
+  const Result<std::string> content = ReadFile(path);
+  if (!content) {
+    return content.error().mCode == ErrorCode::NotFound
+             ? Result<bool>(true)
+             : Result<bool>(content.error());
+  }
+  const std::string_view bytes = content.value();
+  std::size_t at = 0;
+  while (at < bytes.size()) {
+    const std::optional<std::string_view> payload = RecordAt(bytes, at);
+    if (!payload) {
+      if (AnyRecordAfter(bytes, at)) {
+        return Fail(ErrorCode::Corrupt,
+                    path + ": corrupt record at byte " + std::to_string(at) +
+                      " with whole records behind it; this host must not "
+                      "vote, give it an empty data folder to let it join anew");
+      }
+      aOut.mCutBytes = bytes.size() - at;
+      return CutTail(path, at);
+    }
+    wire::LogRecord record;
+    if (!record.ParseFromArray(payload->data(),
+                               static_cast<int>(payload->size()))) {
+      return Fail(ErrorCode::Corrupt, path + ": a record does not parse");
+    }
+    const Result<bool> taken = TakeRecord(record, aOut);
+    if (!taken) {
+      return taken.error();
+    }
+    at += kHeaderBytes + payload->size();
+  }
+  return true;
+}
+
+Result<bool> ReadSnapshot(const std::string& aFolder, StoredState& aOut) {
+  const std::string path = aFolder + "/" + kSnapshotFile;
+  const Result<std::string> content = ReadFile(path);
+  if (!content) {
+    return content.error();
+  }
+  const std::optional<std::string_view> payload = RecordAt(content.value(), 0);
+  if (!payload ||
+      !aOut.mSnapshot.ParseFromArray(payload->data(),
+                                     static_cast<int>(payload->size()))) {
+    return Fail(ErrorCode::Corrupt, path + ": the snapshot is corrupt");
+  }
+  return true;
+}
+
+// A crash between the two files of a replacement leaves the older log: what
+// the snapshot covers or contradicts is void, a gap between them is not.
+Result<bool> FitToSnapshot(StoredState& aState) {
+  std::vector<wire::Entry>& entries = aState.mEntries;
+  const std::uint64_t covered = aState.mSnapshot.index();
+  if (entries.empty()) {
+    return true;
+  }
+  if (entries.front().index() > covered + 1) {
+    return Fail(ErrorCode::Corrupt,
+                "entries between snapshot and log are missing");
+  }
+  if (entries.back().index() < covered) {
+    entries.clear();
+    return true;
+  }
+  for (const wire::Entry& entry : entries) {
+    if (entry.index() == covered && entry.term() != aState.mSnapshot.term()) {
+      entries.clear();
+      return true;
+    }
+  }
+  return true;
+}
+
+Result<bool> InitDisk(const std::string& aFolder,
+                      const wire::Snapshot& aSnapshot,
+                      const std::string& aStorage) {
+  wire::LogRecord record;
+  record.mutable_hard_state()->set_storage(aStorage);
+  const Result<bool> log =
+    ReplaceFile(aFolder, kLogFile, Frame(record.SerializeAsString()));
+  if (!log) {
+    return log.error();
+  }
+  // The snapshot goes last: a disk without one was never made.
+  return ReplaceFile(
+    aFolder, kSnapshotFile, Frame(aSnapshot.SerializeAsString()));
+}
+
+bool HasDisk(const std::string& aFolder) {
+  return ::access((aFolder + "/" + kSnapshotFile).c_str(), F_OK) == 0;
+}
+
+} // namespace
+
+std::string Frame(const std::string& aPayload) {
+  std::string frame;
+  frame.reserve(kHeaderBytes + aPayload.size());
+  PutWord(frame, static_cast<std::uint32_t>(aPayload.size()));
+  PutWord(frame, Checksum(std::string_view(frame).substr(0, kWordBytes)));
+  PutWord(frame, Checksum(aPayload));
+  return frame + aPayload;
+}
+
+Result<StoredState> Recover(const std::string& aFolder) {
+  StoredState state;
+  const Result<bool> snapshot = ReadSnapshot(aFolder, state);
+  if (!snapshot) {
+    return snapshot.error();
+  }
+  const Result<bool> log = ReadLog(aFolder, state);
+  if (!log) {
+    return log.error();
+  }
+  const Result<bool> fits = FitToSnapshot(state);
+  if (!fits) {
+    return fits.error();
+  }
+  return state;
+}
+
+Result<bool> InitFounder(const std::string& aFolder,
+                         const wire::HostSettings& aSettings) {
+  if (HasDisk(aFolder)) {
+    return Fail(ErrorCode::Conflict, aFolder + " already holds a disk");
+  }
+  wire::Snapshot snapshot;
+  *snapshot.mutable_membership() = consensus::Founders(
+    { aSettings.voters().begin(), aSettings.voters().end() });
+  return InitDisk(aFolder, snapshot, consensus::kFoundingStorage);
+}
+
+Result<bool> InitJoiner(const std::string& aFolder,
+                        const std::string& aStorage) {
+  if (HasDisk(aFolder)) {
+    return true;
+  }
+  return InitDisk(aFolder, wire::Snapshot(), aStorage);
+}
+
+LogWriter::LogWriter(std::string aFolder)
+  : mFolder(std::move(aFolder)) {}
+
+LogWriter::~LogWriter() {
+  if (mFile >= 0) {
+    ::close(mFile);
+  }
+}
+
+Result<std::unique_ptr<LogWriter>> LogWriter::Open(const std::string& aFolder) {
+  std::unique_ptr<LogWriter> writer(new LogWriter(aFolder));
+  const Result<bool> opened = writer->OpenLog();
+  if (!opened) {
+    return opened.error();
+  }
+  return writer;
+}
+
+Result<bool> LogWriter::OpenLog() {
+  if (mFile >= 0) {
+    ::close(mFile);
+  }
+  const std::string path = mFolder + "/" + kLogFile;
+  mFile = ::open(
+    path.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, kFileMode);
+  if (mFile < 0) {
+    return Fail(ErrorCode::Io, path + ": " + std::strerror(errno));
+  }
+  return true;
+}
+
+Result<bool> LogWriter::Write(const wire::Persist& aPersist) {
+  std::string bytes;
+  for (const wire::LogRecord& record : aPersist.records()) {
+    bytes += Frame(record.SerializeAsString());
+  }
+  std::size_t done = 0;
+  while (done < bytes.size()) {
+    const ssize_t count =
+      ::write(mFile, bytes.data() + done, bytes.size() - done);
+    if (count < 0 && errno == EINTR) {
+      continue;
+    }
+    if (count <= 0) {
+      return Fail(ErrorCode::Io, std::string("log: ") + std::strerror(errno));
+    }
+    done += static_cast<std::size_t>(count);
+  }
+  return aPersist.has_snapshot() ? Replace(aPersist) : Result<bool>(true);
+}
+
+Result<bool> LogWriter::Replace(const wire::Persist& aPersist) {
+  const Result<bool> snapshot =
+    ReplaceFile(mFolder,
+                kSnapshotFile,
+                Frame(aPersist.snapshot().SerializeAsString()));
+  if (!snapshot) {
+    return snapshot.error();
+  }
+  std::string bytes;
+  for (const wire::LogRecord& record : aPersist.retained()) {
+    bytes += Frame(record.SerializeAsString());
+  }
+  const Result<bool> log = ReplaceFile(mFolder, kLogFile, bytes);
+  if (!log) {
+    return log.error();
+  }
+  return OpenLog();
+}
+
+Result<bool> LogWriter::Sync() {
+  if (::fdatasync(mFile) != 0) {
+    return Fail(ErrorCode::Io, std::string("sync: ") + std::strerror(errno));
+  }
+  return true;
+}
+
+} // namespace geraniumpond::edge
--- /dev/null
+++ b/src/edge/target_client.cpp
@@ -0,0 +1,192 @@
+#include "target_client.h"
+
+#include <Poco/NumberParser.h>
+
+#include <algorithm>
+#include <poll.h>
+
+namespace geraniumpond::edge {
+
+namespace {
+
+constexpr std::size_t kMaxIdle = 256;
+constexpr std::size_t kMaxLine = 256;
+constexpr std::size_t kMaxTrailers = 64;
+constexpr int kKeepAliveSeconds = 3600;
+// Connections that were idle for longer are closed.
+constexpr Micros kForgetIdle = kMinute;
+
+// An idle connection must be silent; anything to read is an end or rubbish.
+bool IsQuiet(TargetSession& aSession) {
+  pollfd item{ aSession.socket().impl()->sockfd(), POLLIN, 0 };
+  return ::poll(&item, 1, 0) == 0;
+}
+
+} // namespace
+
+TargetSession::TargetSession(const std::string& aHost, std::uint16_t aPort)
+  : HTTPClientSession(aHost, aPort) {
+  setKeepAlive(true);
+  setKeepAliveTimeout(Poco::Timespan(kKeepAliveSeconds, 0));
+}
+
+void TargetSession::Connect(Micros aTimeout) {
+  socket().connect(Poco::Net::SocketAddress(getHost(), getPort()),
+                   Poco::Timespan(aTimeout));
+  socket().setNoDelay(true);
+}
+
+int TargetSession::write(const char* aBuffer, std::streamsize aLength) {
+  return HTTPSession::write(aBuffer, aLength);
+}
+
+bool TargetSession::mustReconnect() const {
+  return false;
+}
+
+bool TargetSession::StartBody(const Poco::Net::HTTPResponse& aResponse,
+                              bool aHeadOnly) {
+  const int status = aResponse.getStatus();
+  const bool noBody = aHeadOnly || status == 204 || status == 304;
+  const bool chunked = aResponse.getChunkedTransferEncoding();
+  mReusable = aResponse.getKeepAlive();
+  mInChunk = false;
+  if (noBody) {
+    mFraming = Framing::None;
+    return true;
+  }
+  if (chunked && aResponse.hasContentLength()) {
+    return false;
+  }
+  if (chunked) {
+    mFraming = Framing::Chunked;
+    return true;
+  }
+  if (aResponse.hasContentLength()) {
+    mFraming = Framing::Length;
+    mRemaining = static_cast<std::uint64_t>(aResponse.getContentLength64());
+    return true;
+  }
+  // A body that ends with its connection cannot be told from a broken one.
+  return false;
+}
+
+bool TargetSession::ReadLine(std::string& aLine) {
+  aLine.clear();
+  while (aLine.size() < kMaxLine) {
+    const int next = get();
+    if (next < 0) {
+      return false;
+    }
+    if (next == '\n') {
+      if (!aLine.empty() && aLine.back() == '\r') {
+        aLine.pop_back();
+      }
+      return true;
+    }
+    aLine.push_back(static_cast<char>(next));
+  }
+  return false;
+}
+
+bool TargetSession::NextChunk() {
+  std::string line;
+  if (mInChunk && (!ReadLine(line) || !line.empty())) {
+    return false;
+  }
+  if (!ReadLine(line)) {
+    return false;
+  }
+  const std::string digits = line.substr(0, line.find_first_of("; \t"));
+  Poco::UInt64 size = 0;
+  if (digits.empty() || !Poco::NumberParser::tryParseHex64(digits, size)) {
+    return false;
+  }
+  mRemaining = size;
+  mInChunk = true;
+  return true;
+}
+
+bool TargetSession::SkipTrailers() {
+  std::string line;
+  for (std::size_t i = 0; i < kMaxTrailers; ++i) {
+    if (!ReadLine(line)) {
+      return false;
+    }
+    if (line.empty()) {
+      return true;
+    }
+  }
+  return false;
+}
+
+BodyRead TargetSession::ReadBody(char* aBuffer, std::size_t& aSize) {
+  const std::size_t room = aSize;
+  aSize = 0;
+  if (mFraming == Framing::None ||
+      (mFraming == Framing::Length && mRemaining == 0)) {
+    return BodyRead::Done;
+  }
+  if (mFraming == Framing::Chunked && mRemaining == 0) {
+    if (!NextChunk()) {
+      return BodyRead::Broken;
+    }
+    if (mRemaining == 0) {
+      return SkipTrailers() ? BodyRead::Done : BodyRead::Broken;
+    }
+  }
+  const auto wanted = std::min<std::uint64_t>(room, mRemaining);
+  const int count = read(aBuffer, static_cast<std::streamsize>(wanted));
+  if (count <= 0) {
+    return BodyRead::Broken;
+  }
+  aSize = static_cast<std::size_t>(count);
+  mRemaining -= aSize;
+  return BodyRead::More;
+}
+
+std::unique_ptr<TargetSession> SessionPool::Take(const std::string& aAddress,
+                                                 Micros aMaxIdle,
+                                                 Micros aNow) {
+  const std::lock_guard<std::mutex> lock(mMutex);
+  auto& idle = mIdle[aAddress];
+  while (!idle.empty()) {
+    std::unique_ptr<TargetSession> session = std::move(idle.back());
+    idle.pop_back();
+    if (aNow - session->mLastUsed > kForgetIdle) {
+      idle.clear();
+      return nullptr;
+    }
+    if (aNow - session->mLastUsed > aMaxIdle) {
+      // The rest has been idle for longer still. Keep it for other kinds.
+      idle.push_back(std::move(session));
+      return nullptr;
+    }
+    if (IsQuiet(*session)) {
+      return session;
+    }
+  }
+  return nullptr;
+}
+
+void SessionPool::Give(const std::string& aAddress,
+                       std::unique_ptr<TargetSession> aSession,
+                       Micros aNow) {
+  if (!aSession->Reusable()) {
+    return;
+  }
+  aSession->mLastUsed = aNow;
+  const std::lock_guard<std::mutex> lock(mMutex);
+  auto& idle = mIdle[aAddress];
+  if (idle.size() >= kMaxIdle) {
+    idle.erase(idle.begin());
+  }
+  idle.push_back(std::move(aSession));
+}
+
+void SessionPool::Suspect(const std::string& aAddress) {
+  const std::lock_guard<std::mutex> lock(mMutex);
+  mIdle.erase(aAddress);
+}
+
+} // namespace geraniumpond::edge
--- /dev/null
+++ b/src/node/deployments.cpp
@@ -0,0 +1,146 @@
+#include "context.h"
+
+namespace geraniumpond::node {
+
+namespace {
+
+// How long a host that starts waits for a quorum's word before it serves from
+// the deployment that it had in force last.
+constexpr Micros kQuorumWait = 3 * kSecond;
+
+void ConfigureService(Context& aContext, const Service& aRules) {
+  State& state = aContext.mState;
+  ServiceState& service = state.mServices[aRules.mName];
+  service.mTargets.mDataCentre = state.mSettings.data_centre();
+  service.mTargets.mRules.mMaxEjected = aRules.mMaxEjected;
+  service.mTargets.mRules.mSlowStart = aRules.mSlowStart;
+  service.mTargets.mRules.mEntries =
+    static_cast<int>(membership::EntriesOf(
+                       state.mDirectory, aRules.mName, aRules.mEntries)
+                       .size());
+  service.mQueue.mLimit = aRules.mQueueLimit;
+  service.mQueue.mBulkShare = aRules.mBulkShare;
+  service.mRetries.mRatio = aRules.mRetryBudget;
+  SyncTargets(aContext, aRules.mName);
+}
+
+std::size_t Majority(const State& aState) {
+  return static_cast<std::size_t>(aState.mSettings.voters_size()) / 2 + 1;
+}
+
+} // namespace
+
+void TakeDeployment(Context& aContext,
+                    const wire::DeploymentVersion& aVersion) {
+  State& state = aContext.mState;
+  if (aVersion.version() <= state.mVersion.version()) {
+    return;
+  }
+  Checked<Deployment> parsed =
+    ParseDeployment(aVersion.text(), "deployment");
+  if (!parsed.Ok()) {
+    aContext.Count("deployments_unreadable");
+    aContext.Log(kError,
+                 "deployment " + std::to_string(aVersion.version()) + ": " +
+                   ToString(parsed.mFaults.front()));
+    return;
+  }
+  state.mVersion = aVersion;
+  state.mDeployment = std::move(parsed.mValue);
+  state.mHostBudget.mPerSecond = state.mDeployment.mBudget.mBytesPerHost;
+  state.mHostBudget.mBurst = 4 * state.mHostBudget.mPerSecond;
+  for (const auto& [name, service] : state.mDeployment.mServices) {
+    ConfigureService(aContext, service);
+  }
+  *aContext.Add().mutable_cache()->mutable_deployment() = aVersion;
+  aContext.Log(kInfo,
+               "deployment version " + std::to_string(aVersion.version()) +
+                 " in force");
+  CheckReady(aContext);
+}
+
+void SendDeployment(Context& aContext, const std::string& aTo, bool aRelay) {
+  wire::PeerMessage message;
+  wire::DeploymentPush& push = *message.mutable_deployment_push();
+  *push.mutable_deployment() = aContext.mState.mVersion;
+  push.set_relay(aRelay);
+  SendTo(aContext, aTo, std::move(message));
+}
+
+void SpreadDeployment(Context& aContext, bool aRelay) {
+  const membership::Spread spread =
+    membership::SpreadFrom(aContext.mState.mDirectory,
+                           aContext.Self(),
+                           aContext.mState.mSettings.data_centre(),
+                           aContext.NextRandom());
+  for (const wire::Fact* host : spread.mLocal) {
+    SendDeployment(aContext, host->id(), false);
+  }
+  if (!aRelay) {
+    return;
+  }
+  for (const wire::Fact* host : spread.mRelays) {
+    SendDeployment(aContext, host->id(), true);
+  }
+}
+
+void TakeDeploymentPush(Context& aContext,
+                        const std::string& aFrom,
+                        const wire::DeploymentPush& aMessage) {
+  State& state = aContext.mState;
+  const std::uint64_t before = state.mVersion.version();
+  if (IsControlHost(state, aFrom)) {
+    state.mQuorumWord.insert(aFrom);
+  }
+  TakeDeployment(aContext, aMessage.deployment());
+  CheckReady(aContext);
+  if (state.mVersion.version() == before) {
+    return;
+  }
+  if (aMessage.relay()) {
+    SpreadDeployment(aContext, false);
+  }
+  // The control hosts learn at once what is in force here.
+  for (const wire::Peer& voter : state.mSettings.voters()) {
+    if (voter.id() == aContext.Self()) {
+      continue;
+    }
+    wire::PeerMessage message;
+    wire::Heartbeat& heartbeat = *message.mutable_heartbeat();
+    heartbeat.set_version(state.mVersion.version());
+    heartbeat.set_number(state.mHeartbeatNumber);
+    heartbeat.set_echo(state.mPeers[voter.id()].mNumberSeen);
+    SendTo(aContext, voter.id(), std::move(message));
+  }
+}
+
+void AskDeployment(Context& aContext) {
+  for (const wire::Peer& voter : aContext.mState.mSettings.voters()) {
+    if (voter.id() == aContext.Self()) {
+      continue;
+    }
+    wire::PeerMessage message;
+    message.mutable_deployment_request()->set_have_version(
+      aContext.mState.mVersion.version());
+    SendTo(aContext, voter.id(), std::move(message));
+  }
+}
+
+void CheckReady(Context& aContext) {
+  State& state = aContext.mState;
+  if (state.mReady || state.mVersion.version() == 0) {
+    return;
+  }
+  const bool word = state.mQuorumWord.size() >= Majority(state);
+  const bool waited = aContext.mNow - state.mStartedAt >= kQuorumWait;
+  if (word || waited) {
+    state.mReady = true;
+    aContext.Log(kInfo,
+                 std::string("ready, ") +
+                   (word ? "by a quorum's word" : "after waiting for one"));
+    return;
+  }
+  AskDeployment(aContext);
+}
+
+} // namespace geraniumpond::node
--- /dev/null
+++ b/src/node/facts.cpp
@@ -0,0 +1,326 @@
+#include "context.h"
+
+#include <geraniumpond/hash.h>
+
+#include <algorithm>
+
+namespace geraniumpond::node {
+
+namespace {
+
+constexpr Micros kGossipInterval = kSecond;
+// One exchange in this many goes to a seed, so that two halves that think each
+// other gone find each other again.
+constexpr std::uint64_t kSeedEvery = 4;
+// Largest number of a service's targets that one entry holds.
+constexpr std::size_t kSubset = 64;
+
+void Push(Context& aContext,
+          const std::string& aTo,
+          const std::vector<wire::Fact>& aFacts,
+          bool aRelay) {
+  wire::PeerMessage message;
+  wire::FactPush& push = *message.mutable_fact_push();
+  for (const wire::Fact& fact : aFacts) {
+    *push.add_facts() = fact;
+  }
+  push.set_relay(aRelay);
+  // A change always goes out; it is charged so that gossip waits for it.
+  (void)budget::Take(aContext.mState.mHostBudget,
+                     aContext.mNow,
+                     static_cast<double>(message.ByteSizeLong()));
+  SendTo(aContext, aTo, std::move(message));
+}
+
+void Spread(Context& aContext,
+            const std::vector<wire::Fact>& aFacts,
+            bool aAcross) {
+  if (aFacts.empty()) {
+    return;
+  }
+  const membership::Spread spread =
+    membership::SpreadFrom(aContext.mState.mDirectory,
+                           aContext.Self(),
+                           aContext.mState.mSettings.data_centre(),
+                           aContext.NextRandom());
+  for (const wire::Fact* host : spread.mLocal) {
+    Push(aContext, host->id(), aFacts, false);
+  }
+  if (!aAcross) {
+    return;
+  }
+  for (const wire::Fact* host : spread.mRelays) {
+    Push(aContext, host->id(), aFacts, true);
+  }
+}
+
+// Another host thinks this one gone, or knows an earlier life of it.
+bool MustRefute(const State& aState, const wire::Fact& aFact) {
+  return aFact.kind() == wire::FACT_HOST &&
+         aFact.id() == aState.mSettings.id() &&
+         aFact.incarnation() == aState.mIncarnation && aFact.gone();
+}
+
+void Changed(Context& aContext, const wire::Fact& aFact) {
+  if (aFact.kind() == wire::FACT_TARGET) {
+    SyncTargets(aContext, aFact.service());
+    return;
+  }
+  // Who serves a service depends on which hosts there are.
+  for (auto& [name, service] : aContext.mState.mServices) {
+    const auto rules = aContext.mState.mDeployment.mServices.find(name);
+    if (rules != aContext.mState.mDeployment.mServices.end()) {
+      service.mTargets.mRules.mEntries =
+        static_cast<int>(membership::EntriesOf(aContext.mState.mDirectory,
+                                               name,
+                                               rules->second.mEntries)
+                           .size());
+    }
+  }
+}
+
+// Facts that changed here, in the order in which they came.
+std::vector<wire::Fact> MergeAll(Context& aContext,
+                                 const wire::FactPush& aMessage) {
+  std::vector<wire::Fact> changed;
+  State& state = aContext.mState;
+  for (const wire::Fact& fact : aMessage.facts()) {
+    if (!membership::Merge(state.mDirectory, fact, aContext.mNow)) {
+      continue;
+    }
+    const wire::Fact now =
+      *membership::Find(state.mDirectory, membership::KeyOf(fact));
+    changed.push_back(now);
+    Changed(aContext, now);
+    if (MustRefute(state, now)) {
+      AnnounceSelf(aContext);
+    }
+  }
+  return changed;
+}
+
+std::string GossipPartner(Context& aContext) {
+  State& state = aContext.mState;
+  std::vector<std::string> partners;
+  const bool seed = aContext.NextRandom() % kSeedEvery == 0;
+  for (const wire::Fact* host : membership::Hosts(state.mDirectory)) {
+    if (!seed && host->id() != aContext.Self()) {
+      partners.push_back(host->id());
+    }
+  }
+  if (partners.empty()) {
+    for (const wire::Peer& peer : state.mSettings.voters()) {
+      partners.push_back(peer.id());
+    }
+    for (const wire::Peer& peer : state.mSettings.seeds()) {
+      partners.push_back(peer.id());
+    }
+    partners.erase(
+      std::remove(partners.begin(), partners.end(), aContext.Self()),
+      partners.end());
+  }
+  return partners.empty()
+           ? std::string()
+           : partners[aContext.NextRandom() % partners.size()];
+}
+
+void OfferDigests(Context& aContext, const std::string& aTo, bool aWhole) {
+  const membership::Directory& directory = aContext.mState.mDirectory;
+  wire::PeerMessage message;
+  wire::DigestOffer& offer = *message.mutable_digest_offer();
+  offer.set_root(directory.mRoot);
+  if (aWhole) {
+    for (const auto& [service, digest] : directory.mDigests) {
+      wire::DigestEntry& entry = *offer.add_digests();
+      entry.set_service(service);
+      entry.set_digest(digest);
+    }
+  }
+  if (budget::Take(aContext.mState.mHostBudget,
+                   aContext.mNow,
+                   static_cast<double>(message.ByteSizeLong()))) {
+    SendTo(aContext, aTo, std::move(message));
+  } else {
+    aContext.Count("gossip_over_budget");
+  }
+}
+
+std::set<std::string> DifferingServices(const membership::Directory& aDirectory,
+                                        const wire::DigestOffer& aOffer) {
+  std::set<std::string> differing;
+  std::set<std::string> offered;
+  for (const wire::DigestEntry& entry : aOffer.digests()) {
+    offered.insert(entry.service());
+    const auto found = aDirectory.mDigests.find(entry.service());
+    if (found == aDirectory.mDigests.end() ||
+        found->second != entry.digest()) {
+      differing.insert(entry.service());
+    }
+  }
+  for (const auto& [service, digest] : aDirectory.mDigests) {
+    if (digest != 0 && offered.count(service) == 0) {
+      differing.insert(service);
+    }
+  }
+  return differing;
+}
+
+void PushServices(Context& aContext,
+                  const std::string& aTo,
+                  const std::set<std::string>& aServices) {
+  std::vector<wire::Fact> facts;
+  for (const std::string& service : aServices) {
+    for (const wire::Fact* fact :
+         membership::FactsOf(aContext.mState.mDirectory, service)) {
+      facts.push_back(*fact);
+    }
+  }
+  if (!facts.empty()) {
+    Push(aContext, aTo, facts, false);
+  }
+}
+
+routing::Target NewTarget(const wire::Fact& aFact) {
+  routing::Target target;
+  target.mId = aFact.id();
+  target.mIncarnation = aFact.incarnation();
+  target.mStartedAt = aFact.started_at_us();
+  return target;
+}
+
+void UpdateTarget(routing::Target& aTarget, const wire::Fact& aFact) {
+  if (aTarget.mIncarnation != aFact.incarnation()) {
+    // A restarted target is another one: nothing learned holds any more.
+    aTarget = NewTarget(aFact);
+  }
+  aTarget.mAddress = aFact.address();
+  aTarget.mDataCentre = aFact.data_centre();
+  aTarget.mSlots = std::max<int>(1, static_cast<int>(aFact.slots()));
+  aTarget.mDraining = membership::IsDraining(aFact);
+}
+
+// The targets that this entry holds: all of a small service, and of a large
+// one a subset by rendezvous hashing, so that each target is held by about as
+// many entries as any other.
+std::vector<const wire::Fact*> HeldTargets(const State& aState,
+                                           const std::string& aService) {
+  std::vector<const wire::Fact*> live;
+  for (const wire::Fact* fact :
+       membership::FactsOf(aState.mDirectory, aService)) {
+    if (!fact->gone()) {
+      live.push_back(fact);
+    }
+  }
+  if (live.size() <= kSubset) {
+    return live;
+  }
+  const std::uint64_t seed = Hash64(aState.mSettings.id());
+  std::sort(live.begin(),
+            live.end(),
+            [seed](const wire::Fact* aLeft, const wire::Fact* aRight) {
+              return Hash64(aLeft->id(), seed) > Hash64(aRight->id(), seed);
+            });
+  live.resize(kSubset);
+  return live;
+}
+
+} // namespace
+
+void Publish(Context& aContext, const wire::Fact& aFact) {
+  State& state = aContext.mState;
+  if (!membership::Merge(state.mDirectory, aFact, aContext.mNow)) {
+    return;
+  }
+  const wire::Fact now =
+    *membership::Find(state.mDirectory, membership::KeyOf(aFact));
+  Changed(aContext, now);
+  Spread(aContext, { now }, true);
+}
+
+void TakeFacts(Context& aContext, const wire::FactPush& aMessage) {
+  const std::vector<wire::Fact> changed = MergeAll(aContext, aMessage);
+  if (aMessage.relay()) {
+    Spread(aContext, changed, false);
+  }
+}
+
+void Gossip(Context& aContext) {
+  aContext.mState.mGossipAt = aContext.mNow + kGossipInterval;
+  const std::string partner = GossipPartner(aContext);
+  if (!partner.empty()) {
+    OfferDigests(aContext, partner, false);
+  }
+}
+
+void TakeDigests(Context& aContext,
+                 const std::string& aFrom,
+                 const wire::DigestOffer& aMessage) {
+  const membership::Directory& directory = aContext.mState.mDirectory;
+  if (aMessage.root() == directory.mRoot) {
+    return;
+  }
+  if (aMessage.digests().empty()) {
+    OfferDigests(aContext, aFrom, true);
+    return;
+  }
+  aContext.Count("anti_entropy_repairs");
+  const std::set<std::string> differing =
+    DifferingServices(directory, aMessage);
+  PushServices(aContext, aFrom, differing);
+  wire::PeerMessage message;
+  for (const std::string& service : differing) {
+    message.mutable_fact_request()->add_services(service);
+  }
+  if (!differing.empty()) {
+    SendTo(aContext, aFrom, std::move(message));
+  }
+}
+
+void TakeFactRequest(Context& aContext,
+                     const std::string& aFrom,
+                     const wire::FactRequest& aMessage) {
+  PushServices(
+    aContext,
+    aFrom,
+    { aMessage.services().begin(), aMessage.services().end() });
+}
+
+void AnnounceSelf(Context& aContext) {
+  State& state = aContext.mState;
+  const wire::HostSettings& settings = state.mSettings;
+  const wire::Fact* known = membership::Find(
+    state.mDirectory, { wire::FACT_HOST, "", settings.id() });
+  wire::Fact fact;
+  fact.set_kind(wire::FACT_HOST);
+  fact.set_id(settings.id());
+  fact.set_incarnation(state.mIncarnation);
+  fact.set_sequence(known == nullptr ? 1 : known->sequence() + 1);
+  fact.set_drain_sequence(known == nullptr ? 0 : known->drain_sequence());
+  fact.set_data_centre(settings.data_centre());
+  fact.set_address(settings.caller_address());
+  fact.set_peer_address(settings.peer_address());
+  fact.set_origin(settings.id());
+  fact.set_entry_role(settings.entry());
+  fact.set_control_role(settings.control());
+  fact.set_started_at_us(state.mStartedAt);
+  Publish(aContext, fact);
+}
+
+void SyncTargets(Context& aContext, const std::string& aService) {
+  State& state = aContext.mState;
+  const auto service = state.mServices.find(aService);
+  if (service == state.mServices.end()) {
+    return;
+  }
+  routing::TargetSet& set = service->second.mTargets;
+  std::vector<routing::Target> next;
+  for (const wire::Fact* fact : HeldTargets(state, aService)) {
+    const routing::Target* known = routing::Find(set, fact->id());
+    next.push_back(known == nullptr ? NewTarget(*fact) : *known);
+    UpdateTarget(next.back(), *fact);
+  }
+  set.mTargets = std::move(next);
+  Pump(aContext, aService);
+}
+
+} // namespace geraniumpond::node
--- /dev/null
+++ b/src/retries/retries.cpp
@@ -0,0 +1,46 @@
+#include <geraniumpond/retries.h>
+
+#include <algorithm>
+
+namespace geraniumpond::retries {
+
+void Deposit(RetryBudget& aBudget) noexcept {
+  aBudget.mSaved =
+    std::min(aBudget.mMaxSaved, aBudget.mSaved + aBudget.mRatio);
+}
+
+bool MayRetry(RetryBudget& aBudget,
+              const Situation& aSituation,
+              Micros aNow) noexcept {
+  const bool harmless =
+    aSituation.mEffect == Effect::DidNotRun ||
+    (aSituation.mIdempotent && aSituation.mEffect != Effect::Ran);
+  if (!harmless || aNow >= aSituation.mDeadline ||
+      aSituation.mAttempts >= kMaxAttempts) {
+    return false;
+  }
+  // Under overload every extra attempt takes the place of a first one. One
+  // that did not run took no place.
+  if (aSituation.mOverloaded && aSituation.mEffect != Effect::DidNotRun) {
+    return false;
+  }
+  if (aBudget.mSaved < 1) {
+    return false;
+  }
+  aBudget.mSaved -= 1;
+  return true;
+}
+
+bool MayHedge(RetryBudget& aBudget,
+              const Situation& aSituation,
+              Micros aNow) noexcept {
+  if (!aSituation.mIdempotent || aSituation.mOverloaded ||
+      aSituation.mAttempts > 1 || aNow >= aSituation.mDeadline ||
+      aBudget.mSaved < 1 + aBudget.mHedgeReserve) {
+    return false;
+  }
+  aBudget.mSaved -= 1;
+  return true;
+}
+
+} // namespace geraniumpond::retries
