--- a/include/geraniumpond/budget.h
+++ b/include/geraniumpond/budget.h
@@ -6,7 +6,8 @@
 namespace geraniumpond::budget {
 
 /// \brief A bucket that fills at a steady rate up to its burst.
-struct TokenBucket {
+struct TokenBucket
+{
   double mPerSecond = 1;
   double mBurst = 1;
   double mLevel = 1;
--- a/include/geraniumpond/burn.h
+++ b/include/geraniumpond/burn.h
@@ -27,7 +27,8 @@
 [[nodiscard]] double Quantile(const Histogram& aHistogram, double aShare);
 
 /// \brief Answers that met their objective, out of all, in one minute.
-struct Minute {
+struct Minute
+{
   std::uint64_t mGood = 0;
   std::uint64_t mTotal = 0;
 };
@@ -36,7 +37,8 @@
 constexpr std::size_t kMinutes = 3 * 24 * 60;
 
 /// \brief What is kept for one (service, kind, caller).
-struct Series {
+struct Series
+{
   Histogram mLatency = NewHistogram();
   std::map<std::int64_t, Minute> mMinutes;
   std::map<std::string, std::uint64_t> mOutcomes;
@@ -64,7 +66,8 @@
 [[nodiscard]] double Rate(const Minute& aCounts, double aObjectiveShare);
 
 /// \brief Windows of the report.
-struct Window {
+struct Window
+{
   const char* mName;
   Micros mLength;
 };
--- a/include/geraniumpond/consensus.h
+++ b/include/geraniumpond/consensus.h
@@ -24,13 +24,21 @@
 namespace geraniumpond::consensus {
 
 /// \brief What a member is doing.
-enum class Role { Learner, Follower, PreCandidate, Candidate, Leader };
+enum class Role
+{
+  Learner,
+  Follower,
+  PreCandidate,
+  Candidate,
+  Leader
+};
 
 /// \brief Lower-case name of a role.
 [[nodiscard]] const char* ToString(Role aRole) noexcept;
 
 /// \brief Timing and sizes; times are in microseconds.
-struct Rules {
+struct Rules
+{
   Micros mHeartbeat = 150 * kMillisecond;
   Micros mElectionMin = 600 * kMillisecond;
   Micros mElectionMax = 1200 * kMillisecond;
@@ -42,7 +50,8 @@
 };
 
 /// \brief What the leader knows of one member.
-struct Progress {
+struct Progress
+{
   std::uint64_t mMatch = 0;
   std::uint64_t mNext = 1;
   std::uint64_t mRoundSeen = 0;
@@ -52,7 +61,8 @@
 };
 
 /// \brief A write that must reach the disk, in order of sequence.
-struct Write {
+struct Write
+{
   std::uint64_t mSequence = 0;
   std::vector<wire::LogRecord> mRecords;
   std::optional<wire::Snapshot> mSnapshot;
@@ -61,7 +71,8 @@
 };
 
 /// \brief What a call asks its embedder to do.
-struct Output {
+struct Output
+{
   std::vector<wire::ConsensusMessage> mMessages;
   std::vector<Write> mWrites;
   std::vector<wire::Entry> mCommitted;
@@ -70,13 +81,15 @@
 };
 
 /// \brief A message held back until a write is on disk.
-struct Held {
+struct Held
+{
   std::uint64_t mAfter = 0;
   wire::ConsensusMessage mMessage;
 };
 
 /// \brief The whole state of one member.
-struct State {
+struct State
+{
   std::string mId;
   std::string mStorage;
   Rules mRules;
@@ -113,7 +126,8 @@
 };
 
 /// \brief What was read back from disk at a start.
-struct Recovered {
+struct Recovered
+{
   wire::HardState mHard;
   wire::Snapshot mSnapshot;
   std::vector<wire::Entry> mEntries;
--- a/include/geraniumpond/control.h
+++ b/include/geraniumpond/control.h
@@ -16,7 +16,8 @@
 constexpr std::size_t kChanges = 20000;
 
 /// \brief The replicated state machine.
-struct State {
+struct State
+{
   std::deque<wire::DeploymentVersion> mHistory;
   std::map<std::string, wire::ChangeOutcome> mChanges;
   std::deque<std::string> mChangeOrder;
--- a/include/geraniumpond/deployment.h
+++ b/include/geraniumpond/deployment.h
@@ -10,13 +10,19 @@
 namespace geraniumpond {
 
 /// \brief Order in which waiting requests are served, most urgent first.
-enum class Priority { Urgent, Normal, Bulk };
+enum class Priority
+{
+  Urgent,
+  Normal,
+  Bulk
+};
 
 /// \brief Name of a priority as written in deployment files.
 [[nodiscard]] const char* ToString(Priority aPriority) noexcept;
 
 /// \brief One kind of request of a service, with the rules for it.
-struct Kind {
+struct Kind
+{
   std::string mName;
   std::set<std::string> mMethods;
   std::string mPathPrefix;
@@ -31,7 +37,8 @@
 };
 
 /// \brief A group of interchangeable targets and how calls to it are limited.
-struct Service {
+struct Service
+{
   std::string mName;
   int mEntries = 4;
   int mSlots = 4;
@@ -49,7 +56,8 @@
 };
 
 /// \brief Someone who sends requests, and the services that they may reach.
-struct Caller {
+struct Caller
+{
   std::string mName;
   std::string mTokenSha256;
   std::set<std::string> mServices;
@@ -58,13 +66,15 @@
 };
 
 /// \brief What measuring may cost.
-struct MeasuringBudget {
+struct MeasuringBudget
+{
   double mReportsPerTarget = 4.0;
   double mBytesPerHost = 14.0 * 1024;
 };
 
 /// \brief The whole configuration; replaced as a whole.
-struct Deployment {
+struct Deployment
+{
   std::string mName;
   Micros mKeyRetention = 24 * 3600 * kSecond;
   MeasuringBudget mBudget;
--- a/include/geraniumpond/fwd.h
+++ b/include/geraniumpond/fwd.h
@@ -16,7 +16,7 @@
 namespace routing {
 struct Target;
 struct TargetSet;
-}
+} // namespace routing
 namespace limits {
 struct WaitQueue;
 }
@@ -32,7 +32,7 @@
 namespace consensus {
 struct State;
 struct Output;
-}
+} // namespace consensus
 namespace control {
 struct State;
 }
--- a/include/geraniumpond/idempotency.h
+++ b/include/geraniumpond/idempotency.h
@@ -17,7 +17,8 @@
 namespace geraniumpond::idempotency {
 
 /// \brief All records that have not expired.
-struct Table {
+struct Table
+{
   std::map<std::string, wire::KeyRecord> mRecords;
   std::set<std::pair<Micros, std::string>> mExpiries;
 };
--- a/include/geraniumpond/limits.h
+++ b/include/geraniumpond/limits.h
@@ -16,7 +16,8 @@
 namespace geraniumpond::limits {
 
 /// \brief A request that waits for a target.
-struct Waiter {
+struct Waiter
+{
   std::uint64_t mRequest = 0;
   std::string mCaller;
   Priority mPriority = Priority::Normal;
@@ -26,7 +27,8 @@
 };
 
 /// \brief One caller's work at this entry.
-struct CallerLoad {
+struct CallerLoad
+{
   double mShare = 1;
   int mRunning = 0;
   /// Waiting requests by priority, in deadline order.
@@ -34,7 +36,8 @@
 };
 
 /// \brief The requests of one service that wait at this entry.
-struct WaitQueue {
+struct WaitQueue
+{
   std::map<std::string, CallerLoad> mCallers;
   std::map<std::uint64_t, Waiter> mWaiters;
   std::array<int, 3> mRunning{};
--- a/include/geraniumpond/membership.h
+++ b/include/geraniumpond/membership.h
@@ -20,13 +20,15 @@
 using FactKey = std::tuple<wire::FactKind, std::string, std::string>;
 
 /// \brief A fact and when it last changed here.
-struct Known {
+struct Known
+{
   wire::Fact mFact;
   Micros mChangedAt = 0;
 };
 
 /// \brief All facts known to a host, with a digest per service.
-struct Directory {
+struct Directory
+{
   std::map<FactKey, Known> mFacts;
   /// Exclusive-or of the hashes of a service's facts; hosts under "".
   std::map<std::string, std::uint64_t> mDigests;
@@ -58,20 +60,17 @@
 
 /// \brief The `aCount` hosts that serve a service, best first: rendezvous
 /// hashing over the entry hosts that are neither gone nor draining.
-[[nodiscard]] std::vector<const wire::Fact*> EntriesOf(
-  const Directory& aDirectory,
-  const std::string& aService,
-  int aCount);
+[[nodiscard]] std::vector<const wire::Fact*>
+EntriesOf(const Directory& aDirectory, const std::string& aService, int aCount);
 
 /// \brief Hosts of a data centre's ring that follow `aSelf`, `aCount` at most.
-[[nodiscard]] std::vector<const wire::Fact*> Successors(
-  const Directory& aDirectory,
-  const std::string& aSelf,
-  int aCount);
+[[nodiscard]] std::vector<const wire::Fact*>
+Successors(const Directory& aDirectory, const std::string& aSelf, int aCount);
 
 /// \brief Hosts a change is pushed to: the own data centre, and one relay in
 /// each other one.
-struct Spread {
+struct Spread
+{
   std::vector<const wire::Fact*> mLocal;
   std::vector<const wire::Fact*> mRelays;
 };
--- a/include/geraniumpond/node.h
+++ b/include/geraniumpond/node.h
@@ -19,10 +19,18 @@
 namespace geraniumpond::node {
 
 /// \brief Where a request stands.
-enum class Phase { Claiming, AwaitingRecord, Waiting, Running, Accepted };
+enum class Phase
+{
+  Claiming,
+  AwaitingRecord,
+  Waiting,
+  Running,
+  Accepted
+};
 
 /// \brief One try of a request on one target.
-struct Attempt {
+struct Attempt
+{
   std::uint64_t mNumber = 0;
   std::string mTarget;
   Micros mStartedAt = 0;
@@ -30,7 +38,8 @@
 };
 
 /// \brief A request from its arrival to its last byte.
-struct Request {
+struct Request
+{
   std::uint64_t mId = 0;
   std::string mCaller;
   std::string mService;
@@ -65,7 +74,8 @@
 };
 
 /// \brief Whose slot an attempt holds; outlives its request.
-struct Holding {
+struct Holding
+{
   std::string mService;
   std::string mTarget;
   std::string mCaller;
@@ -73,7 +83,8 @@
 };
 
 /// \brief One service at this entry.
-struct ServiceState {
+struct ServiceState
+{
   routing::TargetSet mTargets;
   limits::WaitQueue mQueue;
   retries::RetryBudget mRetries;
@@ -82,10 +93,17 @@
 };
 
 /// \brief What a request timer is for.
-enum class TimerKind { Deadline, GiveUp, Hedge, Claim };
+enum class TimerKind
+{
+  Deadline,
+  GiveUp,
+  Hedge,
+  Claim
+};
 
 /// \brief A command on its way through the control group.
-struct Proposal {
+struct Proposal
+{
   wire::Command mCommand;
   std::uint64_t mRequest = 0;
   std::uint64_t mOperation = 0;
@@ -96,14 +114,17 @@
 };
 
 /// \brief A proposal that this leader answers when it commits.
-struct CommitWaiter {
+struct CommitWaiter
+{
   std::uint64_t mTerm = 0;
   std::string mFrom;
   std::uint64_t mProposal = 0;
 };
 
 /// \brief What is known of another host's liveness.
-struct PeerState {
+struct PeerState
+{
+  std::string mAddress;
   std::uint64_t mIncarnation = 0;
   Micros mHeardAt = 0;
   Micros mExpectedSince = 0;
@@ -117,7 +138,8 @@
 using Counters = std::map<std::string, std::uint64_t>;
 
 /// \brief Everything one host knows.
-struct State {
+struct State
+{
   wire::HostSettings mSettings;
   std::uint64_t mIncarnation = 0;
   bool mStarted = false;
--- a/include/geraniumpond/result.h
+++ b/include/geraniumpond/result.h
@@ -9,7 +9,8 @@
 namespace geraniumpond {
 
 /// \brief What kind of outcome an Error is; see ToString().
-enum class ErrorCode {
+enum class ErrorCode
+{
   InvalidArgument,
   NotFound,
   Conflict,
@@ -26,7 +27,8 @@
 [[nodiscard]] const char* ToString(ErrorCode aCode) noexcept;
 
 /// \brief An outcome that the caller of a function can act on.
-struct Error {
+struct Error
+{
   ErrorCode mCode = ErrorCode::InvalidArgument;
   std::string mMessage;
 };
@@ -37,7 +39,8 @@
   basic_result<T, Error, BOOST_OUTCOME_V2_NAMESPACE::policy::terminate>;
 
 /// \brief Makes the failed side of a Result.
-[[nodiscard]] inline Error Fail(ErrorCode aCode, std::string aMessage) {
+[[nodiscard]] inline Error Fail(ErrorCode aCode, std::string aMessage)
+{
   return Error{ aCode, std::move(aMessage) };
 }
 
--- a/include/geraniumpond/retries.h
+++ b/include/geraniumpond/retries.h
@@ -6,7 +6,8 @@
 namespace geraniumpond::retries {
 
 /// \brief Extra attempts earned by first attempts.
-struct RetryBudget {
+struct RetryBudget
+{
   /// Extra attempts per first attempt.
   double mRatio = 0.05;
   /// Most extra attempts that may be saved up.
@@ -17,10 +18,16 @@
 };
 
 /// \brief What one attempt told about whether the request ran.
-enum class Effect { DidNotRun, Unknown, Ran };
+enum class Effect
+{
+  DidNotRun,
+  Unknown,
+  Ran
+};
 
 /// \brief What is known about a request that may be tried again.
-struct Situation {
+struct Situation
+{
   bool mIdempotent = false;
   Effect mEffect = Effect::Unknown;
   int mAttempts = 1;
--- a/include/geraniumpond/routing.h
+++ b/include/geraniumpond/routing.h
@@ -13,16 +13,24 @@
 namespace geraniumpond::routing {
 
 /// \brief How an attempt ended, as far as routing is concerned.
-enum class Verdict { Good, Failed, Refused, Cancelled };
+enum class Verdict
+{
+  Good,
+  Failed,
+  Refused,
+  Cancelled
+};
 
 /// \brief One attempt that is running on a target.
-struct Running {
+struct Running
+{
   std::uint64_t mAttempt = 0;
   Micros mStartedAt = 0;
 };
 
 /// \brief What one entry knows about one target.
-struct Target {
+struct Target
+{
   std::string mId;
   std::string mAddress;
   std::string mDataCentre;
@@ -50,7 +58,8 @@
 };
 
 /// \brief Constants of the choice; the defaults were measured by `make bench`.
-struct Rules {
+struct Rules
+{
   /// Weight of a new latency sample.
   double mSmoothing = 0.1;
   /// Time in which a report of other entries' work loses half its weight.
@@ -72,7 +81,8 @@
 };
 
 /// \brief The targets of one service that an entry holds.
-struct TargetSet {
+struct TargetSet
+{
   std::vector<Target> mTargets;
   std::string mDataCentre;
   Rules mRules;
--- a/include/geraniumpond/settings.h
+++ b/include/geraniumpond/settings.h
@@ -10,7 +10,8 @@
 namespace geraniumpond {
 
 /// \brief One fault of a settings or deployment file.
-struct Fault {
+struct Fault
+{
   std::string mFile;
   int mLine = 0;
   std::string mKey;
@@ -22,13 +23,15 @@
 [[nodiscard]] std::string ToString(const Fault& aFault);
 
 /// \brief Another host as named in a settings file: "id@ip:port".
-struct PeerAddress {
+struct PeerAddress
+{
   std::string mId;
   std::string mAddress;
 };
 
 /// \brief What one process reads at its start; see docs/OPERATIONS.md.
-struct Settings {
+struct Settings
+{
   std::string mId;
   std::string mDataCentre;
   bool mEntry = false;
@@ -48,7 +51,8 @@
 
 /// \brief A parsed file, or every fault that it has.
 template<class T>
-struct Checked {
+struct Checked
+{
   T mValue;
   std::vector<Fault> mFaults;
 
--- a/include/geraniumpond/views.h
+++ b/include/geraniumpond/views.h
@@ -8,11 +8,13 @@
 namespace geraniumpond::views {
 
 /// \brief Who looks: the operator sees all, a caller only what is its own.
-struct Viewer {
+struct Viewer
+{
   bool mOperator = false;
   std::string mCaller;
 
-  [[nodiscard]] bool Sees(const std::string& aCaller) const noexcept {
+  [[nodiscard]] bool Sees(const std::string& aCaller) const noexcept
+  {
     return mOperator || (!mCaller.empty() && mCaller == aCaller);
   }
 };
--- a/src/cli/burn_html.cpp
+++ b/src/cli/burn_html.cpp
@@ -18,7 +18,8 @@
 // Burn rates are drawn up to here; a rate of 1 spends the budget exactly.
 constexpr double kMostBurn = 20;
 
-std::string Escape(const std::string& aText) {
+std::string Escape(const std::string& aText)
+{
   std::string out;
   for (const char next : aText) {
     switch (next) {
@@ -41,13 +42,15 @@
   return out;
 }
 
-double XOf(double aMs) {
+double XOf(double aMs)
+{
   const double share = std::log(std::max(aMs, kLowestMs) / kLowestMs) /
                        std::log(kHighestMs / kLowestMs);
   return kLeft + share * kWidth;
 }
 
-double YOf(double aShare) {
+double YOf(double aShare)
+{
   return kTop + (1.0 - aShare) * kHeight;
 }
 
@@ -56,19 +59,22 @@
           double aY1,
           double aX2,
           double aY2,
-          const char* aClass) {
-  aOut << "<line x1='" << aX1 << "' y1='" << aY1 << "' x2='" << aX2
-       << "' y2='" << aY2 << "' class='" << aClass << "'/>";
+          const char* aClass)
+{
+  aOut << "<line x1='" << aX1 << "' y1='" << aY1 << "' x2='" << aX2 << "' y2='"
+       << aY2 << "' class='" << aClass << "'/>";
 }
 
 void Label(std::ostringstream& aOut,
            double aX,
            double aY,
-           const std::string& aText) {
+           const std::string& aText)
+{
   aOut << "<text x='" << aX << "' y='" << aY << "'>" << aText << "</text>";
 }
 
-void LatencyPlot(std::ostringstream& aOut, const MergedSeries& aSeries) {
+void LatencyPlot(std::ostringstream& aOut, const MergedSeries& aSeries)
+{
   aOut << "<svg viewBox='0 0 560 230' role='img' "
           "aria-label='share of answers by latency'>";
   for (const double ms : { 0.1, 1.0, 10.0, 100.0, 1000.0, 10000.0 }) {
@@ -88,12 +94,10 @@
     total += count;
   }
   std::uint64_t seen = 0;
-  aOut << "<polyline class='curve' points='" << XOf(kLowestMs) << ","
-       << YOf(0);
+  aOut << "<polyline class='curve' points='" << XOf(kLowestMs) << "," << YOf(0);
   for (const auto& [upper, count] : aSeries.mBins) {
     seen += count;
-    const double share =
-      static_cast<double>(seen) / static_cast<double>(total);
+    const double share = static_cast<double>(seen) / static_cast<double>(total);
     aOut << " " << XOf(upper) << "," << YOf(share);
   }
   aOut << "'/>";
@@ -105,7 +109,8 @@
   aOut << "</svg>";
 }
 
-void BurnBars(std::ostringstream& aOut, const MergedSeries& aSeries) {
+void BurnBars(std::ostringstream& aOut, const MergedSeries& aSeries)
+{
   aOut << "<table><tr><th>window</th><th>good</th><th>all</th><th>burn</th>"
           "<th></th></tr>";
   for (const auto& [name, counts] : aSeries.mWindows) {
@@ -134,7 +139,8 @@
 
 } // namespace
 
-std::string BurnHtml(const BurnReport& aReport) {
+std::string BurnHtml(const BurnReport& aReport)
+{
   std::ostringstream out;
   out << std::setprecision(4);
   out << "<!doctype html><html lang='en'><meta charset='utf-8'>"
--- a/src/cli/burn_report.cpp
+++ b/src/cli/burn_report.cpp
@@ -12,7 +12,8 @@
 using Poco::JSON::Array;
 using Poco::JSON::Object;
 
-void MergeSeries(MergedSeries& aOut, const Object& aSeries) {
+void MergeSeries(MergedSeries& aOut, const Object& aSeries)
+{
   aOut.mObjectiveMs =
     std::max(aOut.mObjectiveMs, aSeries.getValue<double>("objective_ms"));
   aOut.mObjectiveShare = aSeries.getValue<double>("objective_share");
@@ -34,7 +35,8 @@
   }
 }
 
-std::uint64_t TotalOf(const MergedSeries& aSeries) {
+std::uint64_t TotalOf(const MergedSeries& aSeries)
+{
   std::uint64_t total = 0;
   for (const auto& [name, count] : aSeries.mOutcomes) {
     total += count;
@@ -44,7 +46,8 @@
 
 } // namespace
 
-void Merge(BurnReport& aReport, const Object& aHost) {
+void Merge(BurnReport& aReport, const Object& aHost)
+{
   aReport.mHosts.push_back(aHost.getValue<std::string>("host"));
   for (const auto& entry : *aHost.getArray("series")) {
     const auto series = entry.extract<Object::Ptr>();
@@ -55,7 +58,8 @@
   }
 }
 
-double QuantileMs(const MergedSeries& aSeries, double aShare) {
+double QuantileMs(const MergedSeries& aSeries, double aShare)
+{
   std::uint64_t total = 0;
   for (const auto& [upper, count] : aSeries.mBins) {
     total += count;
@@ -70,7 +74,8 @@
   return 0;
 }
 
-double BurnRate(const WindowCounts& aCounts, double aObjective) {
+double BurnRate(const WindowCounts& aCounts, double aObjective)
+{
   if (aCounts.mTotal == 0) {
     return 0;
   }
@@ -79,7 +84,8 @@
   return bad / (1.0 - aObjective);
 }
 
-std::string BurnText(const BurnReport& aReport) {
+std::string BurnText(const BurnReport& aReport)
+{
   std::ostringstream out;
   out << std::fixed << std::setprecision(2);
   out << "service-level burn over " << aReport.mHosts.size() << " hosts\n";
@@ -98,15 +104,15 @@
     }
     out << "\n  burn:";
     for (const auto& [name, counts] : series.mWindows) {
-      out << " " << name << "="
-          << BurnRate(counts, series.mObjectiveShare);
+      out << " " << name << "=" << BurnRate(counts, series.mObjectiveShare);
     }
     out << "\n";
   }
   return out.str();
 }
 
-std::string BurnJson(const BurnReport& aReport) {
+std::string BurnJson(const BurnReport& aReport)
+{
   Array all;
   for (const auto& [key, series] : aReport.mSeries) {
     Object object;
--- a/src/cli/burn_report.h
+++ b/src/cli/burn_report.h
@@ -11,13 +11,15 @@
 namespace geraniumpond::cli {
 
 /// \brief Counts of one window.
-struct WindowCounts {
+struct WindowCounts
+{
   std::uint64_t mGood = 0;
   std::uint64_t mTotal = 0;
 };
 
 /// \brief One (service, kind, caller) over all hosts that answered.
-struct MergedSeries {
+struct MergedSeries
+{
   double mObjectiveMs = 0;
   double mObjectiveShare = 0.99;
   /// Upper bound of each latency bin in milliseconds, and its count.
@@ -27,7 +29,8 @@
 };
 
 /// \brief The whole report.
-struct BurnReport {
+struct BurnReport
+{
   std::map<std::tuple<std::string, std::string, std::string>, MergedSeries>
     mSeries;
   std::vector<std::string> mHosts;
--- a/src/cli/commands.h
+++ b/src/cli/commands.h
@@ -10,7 +10,8 @@
 namespace geraniumpond::cli {
 
 /// \brief Exit codes, the same for every command.
-enum class ExitCode : int {
+enum class ExitCode : int
+{
   Ok = 0,
   Failed = 1,
   Usage = 2,
@@ -19,7 +20,8 @@
 };
 
 /// \brief Options and operands of one command line.
-struct Arguments {
+struct Arguments
+{
   std::map<std::string, std::string> mOptions;
   std::vector<std::string> mOperands;
 
@@ -29,13 +31,15 @@
 };
 
 /// \brief One option: "name" or "name=" when it takes a value.
-struct OptionRule {
+struct OptionRule
+{
   const char* mName;
   const char* mHelp;
 };
 
 /// \brief One command and what its help says.
-struct Command {
+struct Command
+{
   const char* mName;
   const char* mUsage;
   const char* mSummary;
@@ -56,7 +60,8 @@
 ExitCode RunReplay(const Arguments& aArguments);
 
 /// \brief An answer of a host's admin address.
-struct AdminReply {
+struct AdminReply
+{
   /// 0 when no answer came.
   int mStatus = 0;
   std::string mBody;
--- a/src/cli/local.cpp
+++ b/src/cli/local.cpp
@@ -20,13 +20,15 @@
 
 namespace {
 
-void PrintFaults(const std::vector<Fault>& aFaults) {
+void PrintFaults(const std::vector<Fault>& aFaults)
+{
   for (const Fault& fault : aFaults) {
     std::cerr << ToString(fault) << "\n";
   }
 }
 
-ExitCode LoadSettings(const Arguments& aArguments, Settings& aOut) {
+ExitCode LoadSettings(const Arguments& aArguments, Settings& aOut)
+{
   const std::string path = aArguments.Text("settings");
   std::string text;
   if (path.empty() || !ReadText(path, text)) {
@@ -40,16 +42,17 @@
 }
 
 // A deployment names itself in a section of that name; settings do not.
-bool LooksLikeDeployment(const std::string& aText) {
+bool LooksLikeDeployment(const std::string& aText)
+{
   return aText.find("[deployment]") != std::string::npos ||
          aText.find("[service ") != std::string::npos;
 }
 
 void PrintStep(std::uint64_t aNumber,
                const wire::Event& aEvent,
-               const wire::Effects& aEffects) {
-  std::cout << "# " << aNumber << "\n"
-            << aEvent.ShortDebugString() << "\n";
+               const wire::Effects& aEffects)
+{
+  std::cout << "# " << aNumber << "\n" << aEvent.ShortDebugString() << "\n";
   for (const wire::Effect& effect : aEffects.effects()) {
     std::cout << "  -> " << effect.ShortDebugString() << "\n";
   }
@@ -57,7 +60,8 @@
 
 } // namespace
 
-bool ReadText(const std::string& aPath, std::string& aOut) {
+bool ReadText(const std::string& aPath, std::string& aOut)
+{
   std::ifstream file(aPath, std::ios::binary);
   if (!file) {
     std::cerr << "geraniumpond: cannot read " << aPath << "\n";
@@ -69,7 +73,8 @@
   return true;
 }
 
-ExitCode RunServe(const Arguments& aArguments) {
+ExitCode RunServe(const Arguments& aArguments)
+{
   Settings settings;
   const ExitCode loaded = LoadSettings(aArguments, settings);
   if (loaded != ExitCode::Ok) {
@@ -80,7 +85,8 @@
            : ExitCode::Failed;
 }
 
-ExitCode RunInit(const Arguments& aArguments) {
+ExitCode RunInit(const Arguments& aArguments)
+{
   Settings settings;
   const ExitCode loaded = LoadSettings(aArguments, settings);
   if (loaded != ExitCode::Ok) {
@@ -98,7 +104,8 @@
   return ExitCode::Ok;
 }
 
-ExitCode RunCheck(const Arguments& aArguments) {
+ExitCode RunCheck(const Arguments& aArguments)
+{
   if (aArguments.mOperands.empty()) {
     std::cerr << "geraniumpond: check needs a file\n";
     return ExitCode::Usage;
@@ -119,7 +126,8 @@
   return sound ? ExitCode::Ok : ExitCode::Failed;
 }
 
-ExitCode RunReplay(const Arguments& aArguments) {
+ExitCode RunReplay(const Arguments& aArguments)
+{
   if (aArguments.mOperands.size() != 1) {
     std::cerr << "geraniumpond: replay needs one file\n";
     return ExitCode::Usage;
@@ -149,7 +157,8 @@
     ++count;
     step.Clear();
   }
-  std::cout << count << " events, the same effects" << (end ? "" : "; the last record is torn") << "\n";
+  std::cout << count << " events, the same effects"
+            << (end ? "" : "; the last record is torn") << "\n";
   return ExitCode::Ok;
 }
 
--- a/src/cli/main.cpp
+++ b/src/cli/main.cpp
@@ -11,7 +11,8 @@
 constexpr const char* kTokenHelp =
   "file with the token; else the variable GERANIUMPOND_TOKEN";
 
-void PrintHelp() {
+void PrintHelp()
+{
   std::cout << "geraniumpond " << GERANIUMPOND_VERSION
             << "\nusage: geraniumpond COMMAND [options]\n\n";
   for (const Command& command : Commands()) {
@@ -21,7 +22,8 @@
                "1 failed, 2 usage, 3 refused, 4 outcome unknown\n";
 }
 
-void PrintHelp(const Command& aCommand) {
+void PrintHelp(const Command& aCommand)
+{
   std::cout << "usage: geraniumpond " << aCommand.mName << " "
             << aCommand.mUsage << "\n"
             << aCommand.mSummary << "\n\n";
@@ -31,11 +33,13 @@
   std::cout << "  --help\tthis text\n  --version\tthe version\n";
 }
 
-bool TakesValue(const std::string& aName) {
+bool TakesValue(const std::string& aName)
+{
   return !aName.empty() && aName.back() == '=';
 }
 
-std::vector<std::string> OptionNames(const Command& aCommand) {
+std::vector<std::string> OptionNames(const Command& aCommand)
+{
   std::vector<std::string> names;
   for (const OptionRule& rule : aCommand.mOptions) {
     names.emplace_back(rule.mName);
@@ -45,10 +49,8 @@
   return names;
 }
 
-bool Parse(const Command& aCommand,
-           int aCount,
-           char** aWords,
-           Arguments& aOut) {
+bool Parse(const Command& aCommand, int aCount, char** aWords, Arguments& aOut)
+{
   std::vector<std::string> names = OptionNames(aCommand);
   std::vector<option> options;
   for (std::string& name : names) {
@@ -56,10 +58,8 @@
     if (value) {
       name.pop_back();
     }
-    options.push_back({ name.c_str(),
-                        value ? required_argument : no_argument,
-                        nullptr,
-                        0 });
+    options.push_back(
+      { name.c_str(), value ? required_argument : no_argument, nullptr, 0 });
   }
   options.push_back({ nullptr, 0, nullptr, 0 });
   int index = 0;
@@ -78,7 +78,8 @@
   return true;
 }
 
-ExitCode Run(const Command& aCommand, int aCount, char** aWords) {
+ExitCode Run(const Command& aCommand, int aCount, char** aWords)
+{
   Arguments arguments;
   if (!Parse(aCommand, aCount, aWords, arguments)) {
     PrintHelp(aCommand);
@@ -95,7 +96,8 @@
   return aCommand.mRun(arguments);
 }
 
-ExitCode Main(int aCount, char** aWords) {
+ExitCode Main(int aCount, char** aWords)
+{
   const std::string name = aCount > 1 ? aWords[1] : "--help";
   if (name == "--help" || name == "help") {
     PrintHelp();
@@ -117,17 +119,20 @@
 
 } // namespace
 
-bool Arguments::Has(const std::string& aName) const {
+bool Arguments::Has(const std::string& aName) const
+{
   return mOptions.count(aName) != 0;
 }
 
 std::string Arguments::Text(const std::string& aName,
-                            const std::string& aDefault) const {
+                            const std::string& aDefault) const
+{
   const auto found = mOptions.find(aName);
   return found == mOptions.end() ? aDefault : found->second;
 }
 
-const std::vector<Command>& Commands() {
+const std::vector<Command>& Commands()
+{
   static const std::vector<Command> commands = {
     { "serve",
       "--settings FILE [--record FILE]",
@@ -192,7 +197,8 @@
 
 } // namespace geraniumpond::cli
 
-int main(int aCount, char** aWords) {
+int main(int aCount, char** aWords)
+{
   try {
     return static_cast<int>(geraniumpond::cli::Main(aCount, aWords));
   } catch (const std::exception& error) {
--- a/src/cli/remote.cpp
+++ b/src/cli/remote.cpp
@@ -28,7 +28,8 @@
 constexpr int kFirstServerError = 500;
 constexpr std::chrono::milliseconds kPoll{ 100 };
 
-std::string TokenOf(const Arguments& aArguments) {
+std::string TokenOf(const Arguments& aArguments)
+{
   const std::string file = aArguments.Text("token-file");
   if (file.empty()) {
     const char* token = std::getenv("GERANIUMPOND_TOKEN");
@@ -38,7 +39,8 @@
   return ReadText(file, token) ? Poco::trim(token) : "";
 }
 
-Poco::JSON::Object::Ptr ParseObject(const std::string& aText) {
+Poco::JSON::Object::Ptr ParseObject(const std::string& aText)
+{
   try {
     return Poco::JSON::Parser().parse(aText).extract<Poco::JSON::Object::Ptr>();
   } catch (const Poco::Exception&) {
@@ -49,7 +51,8 @@
 // Hosts that are live but do not have a version in force yet.
 std::vector<std::string> Lagging(const Arguments& aArguments,
                                  const std::string& aHost,
-                                 std::uint64_t aVersion) {
+                                 std::uint64_t aVersion)
+{
   std::vector<std::string> lagging;
   const AdminReply reply = CallAdmin(aArguments, aHost, "GET", "/v1/hosts");
   const Poco::JSON::Object::Ptr object = ParseObject(reply.mBody);
@@ -68,7 +71,8 @@
 
 ExitCode WaitInForce(const Arguments& aArguments,
                      const std::string& aHost,
-                     std::uint64_t aVersion) {
+                     std::uint64_t aVersion)
+{
   using Clock = std::chrono::steady_clock;
   const auto start = Clock::now();
   const auto limit =
@@ -98,7 +102,8 @@
                       const std::vector<std::string>& aHosts,
                       const std::string& aText,
                       const std::map<std::string, std::string>& aHeaders,
-                      std::string& aUsed) {
+                      std::string& aUsed)
+{
   AdminReply reply;
   for (const std::string& host : aHosts) {
     aUsed = host;
@@ -111,7 +116,8 @@
   return reply;
 }
 
-ExitCode Drain(const Arguments& aArguments, bool aUndrain) {
+ExitCode Drain(const Arguments& aArguments, bool aUndrain)
+{
   const std::vector<std::string>& words = aArguments.mOperands;
   std::string query = aUndrain ? "undrain=yes&" : "";
   if (words.size() == 2 && words[0] == "host") {
@@ -126,13 +132,13 @@
   if (hosts.empty()) {
     return ExitCode::Usage;
   }
-  return Finish(
-    CallAdmin(aArguments, hosts[0], "POST", "/v1/drain?" + query));
+  return Finish(CallAdmin(aArguments, hosts[0], "POST", "/v1/drain?" + query));
 }
 
 } // namespace
 
-std::vector<std::string> HostsOf(const Arguments& aArguments) {
+std::vector<std::string> HostsOf(const Arguments& aArguments)
+{
   std::vector<std::string> hosts;
   std::istringstream list(aArguments.Text("host"));
   std::string host;
@@ -150,7 +156,8 @@
                      const std::string& aMethod,
                      const std::string& aPath,
                      const std::string& aBody,
-                     const std::map<std::string, std::string>& aHeaders) {
+                     const std::map<std::string, std::string>& aHeaders)
+{
   AdminReply reply;
   try {
     const Poco::Net::SocketAddress address(aHost);
@@ -175,7 +182,8 @@
   return reply;
 }
 
-ExitCode Finish(const AdminReply& aReply) {
+ExitCode Finish(const AdminReply& aReply)
+{
   if (aReply.mStatus == 0) {
     std::cerr << "geraniumpond: " << aReply.mBody << "\n";
     return ExitCode::Unknown;
@@ -192,7 +200,8 @@
   return ExitCode::Ok;
 }
 
-ExitCode RunApply(const Arguments& aArguments) {
+ExitCode RunApply(const Arguments& aArguments)
+{
   const std::vector<std::string> hosts = HostsOf(aArguments);
   std::string text;
   if (hosts.empty() || aArguments.mOperands.size() != 1 ||
@@ -205,16 +214,14 @@
     "change-id",
     Poco::UUIDGenerator::defaultGenerator().createRandom().toString());
   std::string used;
-  const AdminReply reply =
-    ApplyAtAny(aArguments,
-               hosts,
-               text,
-               { { "Geraniumpond-Change-Id", changeId },
-                 { "Geraniumpond-Expect-Version",
-                   aArguments.Text("expect-version") },
-                 { "Geraniumpond-Operator",
-                   aArguments.Text("operator", "operator") } },
-               used);
+  const AdminReply reply = ApplyAtAny(
+    aArguments,
+    hosts,
+    text,
+    { { "Geraniumpond-Change-Id", changeId },
+      { "Geraniumpond-Expect-Version", aArguments.Text("expect-version") },
+      { "Geraniumpond-Operator", aArguments.Text("operator", "operator") } },
+    used);
   const ExitCode code = Finish(reply);
   if (code == ExitCode::Unknown) {
     std::cerr << "whether it was applied is unknown; the same command with "
@@ -229,18 +236,20 @@
     aArguments, used, object->optValue<Poco::UInt64>("version", 0));
 }
 
-ExitCode RunShow(const Arguments& aArguments) {
+ExitCode RunShow(const Arguments& aArguments)
+{
   const std::vector<std::string> hosts = HostsOf(aArguments);
   static const std::map<std::string, std::string> paths = {
-    { "config", "/v1/config" }, { "hosts", "/v1/hosts" },
+    { "config", "/v1/config" },   { "hosts", "/v1/hosts" },
     { "targets", "/v1/targets" }, { "calls", "/v1/calls" },
-    { "budget", "/v1/budget" }, { "health", "/healthz" },
+    { "budget", "/v1/budget" },   { "health", "/healthz" },
   };
   const auto path = aArguments.mOperands.size() == 1
                       ? paths.find(aArguments.mOperands[0])
                       : paths.end();
   if (hosts.empty() || path == paths.end()) {
-    std::cerr << "geraniumpond: show config|hosts|targets|calls|budget|health\n";
+    std::cerr
+      << "geraniumpond: show config|hosts|targets|calls|budget|health\n";
     return ExitCode::Usage;
   }
   std::string target = path->second;
@@ -257,11 +266,13 @@
   return ExitCode::Ok;
 }
 
-ExitCode RunDrain(const Arguments& aArguments) {
+ExitCode RunDrain(const Arguments& aArguments)
+{
   return Drain(aArguments, false);
 }
 
-ExitCode RunUndrain(const Arguments& aArguments) {
+ExitCode RunUndrain(const Arguments& aArguments)
+{
   return Drain(aArguments, true);
 }
 
--- a/src/cli/report.cpp
+++ b/src/cli/report.cpp
@@ -15,7 +15,8 @@
 
 void Collect(const Arguments& aArguments,
              const std::string& aHost,
-             BurnReport& aReport) {
+             BurnReport& aReport)
+{
   const AdminReply reply = CallAdmin(aArguments, aHost, "GET", "/v1/burn");
   if (reply.mStatus != kOk) {
     aReport.mMissing.push_back(aHost);
@@ -33,9 +34,11 @@
 
 } // namespace
 
-ExitCode RunReport(const Arguments& aArguments) {
+ExitCode RunReport(const Arguments& aArguments)
+{
   const std::vector<std::string> hosts = HostsOf(aArguments);
-  if (hosts.empty() || aArguments.mOperands != std::vector<std::string>{ "burn" }) {
+  if (hosts.empty() ||
+      aArguments.mOperands != std::vector<std::string>{ "burn" }) {
     std::cerr << "geraniumpond: report burn --host ADDR[,ADDR...]\n";
     return ExitCode::Usage;
   }
--- a/src/cli/table.cpp
+++ b/src/cli/table.cpp
@@ -15,7 +15,8 @@
 using Poco::JSON::Array;
 using Poco::JSON::Object;
 
-bool IsTable(const Poco::Dynamic::Var& aValue) {
+bool IsTable(const Poco::Dynamic::Var& aValue)
+{
   if (aValue.type() != typeid(Array::Ptr)) {
     return false;
   }
@@ -23,11 +24,13 @@
   return array->size() > 0 && array->get(0).type() == typeid(Object::Ptr);
 }
 
-std::string CellOf(const Object& aRow, const std::string& aColumn) {
+std::string CellOf(const Object& aRow, const std::string& aColumn)
+{
   return aRow.has(aColumn) ? aRow.get(aColumn).toString() : "-";
 }
 
-std::vector<std::string> ColumnsOf(const Array& aRows) {
+std::vector<std::string> ColumnsOf(const Array& aRows)
+{
   std::vector<std::string> columns;
   for (const auto& row : aRows) {
     for (const std::string& name : row.extract<Object::Ptr>()->getNames()) {
@@ -39,7 +42,8 @@
   return columns;
 }
 
-void PrintRows(std::ostream& aOut, const Array& aRows) {
+void PrintRows(std::ostream& aOut, const Array& aRows)
+{
   const std::vector<std::string> columns = ColumnsOf(aRows);
   std::map<std::string, std::size_t> widths;
   for (const std::string& column : columns) {
@@ -67,7 +71,8 @@
 
 } // namespace
 
-void PrintTable(std::ostream& aOut, const Object& aObject) {
+void PrintTable(std::ostream& aOut, const Object& aObject)
+{
   for (const std::string& name : aObject.getNames()) {
     const Poco::Dynamic::Var value = aObject.get(name);
     if (IsTable(value)) {
--- a/src/config/deployment.cpp
+++ b/src/config/deployment.cpp
@@ -19,7 +19,8 @@
 constexpr double kPercent = 100.0;
 constexpr std::uint64_t kKilobyte = 1024;
 
-const std::vector<KeyRule>& Rules() {
+const std::vector<KeyRule>& Rules()
+{
   using VT = ValueType;
   static const std::vector<KeyRule> rules = {
     { "deployment", "name", VT::Name, nullptr },
@@ -53,13 +54,15 @@
   return rules;
 }
 
-Priority ToPriority(const std::string& aName) {
+Priority ToPriority(const std::string& aName)
+{
   const auto found =
     std::find(kPriorityNames.begin(), kPriorityNames.end(), aName);
   return static_cast<Priority>(found - kPriorityNames.begin());
 }
 
-Service ReadService(const Section& aSection) {
+Service ReadService(const Section& aSection)
+{
   Service service;
   service.mName = aSection.mName;
   service.mEntries = static_cast<int>(aSection.Integer("entries"));
@@ -75,7 +78,8 @@
   return service;
 }
 
-Kind ReadKind(const Section& aSection) {
+Kind ReadKind(const Section& aSection)
+{
   Kind kind;
   kind.mName = aSection.mName;
   const std::vector<std::string> methods = aSection.List("methods");
@@ -92,7 +96,8 @@
   return kind;
 }
 
-Caller ReadCaller(const Section& aSection) {
+Caller ReadCaller(const Section& aSection)
+{
   Caller caller;
   caller.mName = aSection.mName;
   caller.mTokenSha256 = aSection.Text("token_sha256");
@@ -103,14 +108,16 @@
 }
 
 /// Builds the deployment section by section and notes what does not fit.
-struct Builder {
+struct Builder
+{
   const std::string& mFile;
   Checked<Deployment>& mOut;
 
   void AddFault(int aLine,
                 std::string aKey,
                 std::string aGiven,
-                std::string aAllowed) {
+                std::string aAllowed)
+  {
     mOut.mFaults.push_back({ mFile,
                              aLine,
                              std::move(aKey),
@@ -118,7 +125,8 @@
                              std::move(aAllowed) });
   }
 
-  void AddKind(const Section& aSection) {
+  void AddKind(const Section& aSection)
+  {
     const std::string& name = aSection.Text("service");
     const auto service = mOut.mValue.mServices.find(name);
     const std::string title = "kind " + aSection.mName;
@@ -132,15 +140,14 @@
     const std::string prefix = "/" + name;
     const std::string& path = aSection.Text("path");
     if (path != prefix && path.rfind(prefix + "/", 0) != 0) {
-      AddFault(aSection.Line("path"),
-               title + "/path",
-               path,
-               "a path below " + prefix);
+      AddFault(
+        aSection.Line("path"), title + "/path", path, "a path below " + prefix);
     }
     service->second.mKinds.push_back(ReadKind(aSection));
   }
 
-  void AddCaller(const Section& aSection) {
+  void AddCaller(const Section& aSection)
+  {
     Caller caller = ReadCaller(aSection);
     for (const std::string& service : caller.mServices) {
       if (mOut.mValue.mServices.count(service) == 0) {
@@ -161,7 +168,8 @@
     mOut.mValue.mCallers[caller.mName] = std::move(caller);
   }
 
-  void AddGeneral(const Section& aSection) {
+  void AddGeneral(const Section& aSection)
+  {
     Deployment& deployment = mOut.mValue;
     if (aSection.mType == "deployment") {
       deployment.mName = aSection.Text("name");
@@ -174,7 +182,8 @@
   }
 };
 
-void CheckNames(const std::vector<Section>& aSections, Builder& aBuilder) {
+void CheckNames(const std::vector<Section>& aSections, Builder& aBuilder)
+{
   for (const Section& section : aSections) {
     const bool named = section.mType == "service" || section.mType == "kind" ||
                        section.mType == "caller";
@@ -188,7 +197,8 @@
   }
 }
 
-void CheckWhole(Builder& aBuilder) {
+void CheckWhole(Builder& aBuilder)
+{
   const Deployment& deployment = aBuilder.mOut.mValue;
   if (deployment.mName.empty()) {
     aBuilder.AddFault(0, "deployment", "no such section", "exactly one");
@@ -206,12 +216,14 @@
 
 } // namespace
 
-const char* ToString(Priority aPriority) noexcept {
+const char* ToString(Priority aPriority) noexcept
+{
   return kPriorityNames[static_cast<std::size_t>(aPriority)];
 }
 
 Checked<Deployment> ParseDeployment(std::string_view aText,
-                                    const std::string& aFile) {
+                                    const std::string& aFile)
+{
   Checked<Deployment> result;
   auto file = ini::Read(aText, aFile, Rules());
   result.mFaults = std::move(file.mFaults);
@@ -240,7 +252,8 @@
 
 const Kind* FindKind(const Service& aService,
                      std::string_view aMethod,
-                     std::string_view aPath) noexcept {
+                     std::string_view aPath) noexcept
+{
   const Kind* best = nullptr;
   for (const Kind& kind : aService.mKinds) {
     const std::string& prefix = kind.mPathPrefix;
@@ -257,12 +270,14 @@
   return best;
 }
 
-std::string ServiceOfPath(std::string_view aPath) {
+std::string ServiceOfPath(std::string_view aPath)
+{
   if (aPath.empty() || aPath[0] != '/') {
     return "";
   }
   const std::size_t end = aPath.find_first_of("/?", 1);
-  return std::string(aPath.substr(1, end == std::string_view::npos ? end : end - 1));
+  return std::string(
+    aPath.substr(1, end == std::string_view::npos ? end : end - 1));
 }
 
 } // namespace geraniumpond
--- a/src/config/ini.cpp
+++ b/src/config/ini.cpp
@@ -23,13 +23,15 @@
 /// Where each section and key of a file stands. Boost's parser keeps no lines
 /// and stops at the first duplicate; this index finds all of them, and hands
 /// the parser a text that has none.
-struct LineIndex {
+struct LineIndex
+{
   std::map<std::string, int> mSections;
   std::map<std::pair<std::string, std::string>, int> mKeys;
   std::string mCleanText;
 };
 
-std::string Shown(std::string aText) {
+std::string Shown(std::string aText)
+{
   if (aText.size() > kMaxShownBytes) {
     aText.resize(kMaxShownBytes);
     aText += "...";
@@ -39,7 +41,8 @@
 
 LineIndex IndexLines(std::string_view aText,
                      const std::string& aFile,
-                     std::vector<Fault>& aFaults) {
+                     std::vector<Fault>& aFaults)
+{
   LineIndex index;
   std::istringstream lines{ std::string(aText) };
   std::string line;
@@ -89,31 +92,36 @@
   return index;
 }
 
-bool IsName(const std::string& aText) {
+bool IsName(const std::string& aText)
+{
   static const std::regex pattern("[a-z][a-z0-9-]{0,62}");
   return std::regex_match(aText, pattern);
 }
 
-bool IsAddress(const std::string& aText) {
+bool IsAddress(const std::string& aText)
+{
   static const std::regex pattern(
     R"(\d{1,3}\.\d{1,3}\.\d{1,3}\.\d{1,3}:\d{1,5})");
   return std::regex_match(aText, pattern);
 }
 
-std::vector<std::string> Split(const std::string& aText) {
+std::vector<std::string> Split(const std::string& aText)
+{
   std::vector<std::string> parts;
   boost::split(parts, aText, boost::is_any_of(", "), boost::token_compress_on);
   parts.erase(std::remove(parts.begin(), parts.end(), ""), parts.end());
   return parts;
 }
 
-bool IsPeer(const std::string& aText) {
+bool IsPeer(const std::string& aText)
+{
   const std::size_t at = aText.find('@');
   return at != std::string::npos && IsName(aText.substr(0, at)) &&
          IsAddress(aText.substr(at + 1));
 }
 
-bool InRange(const KeyRule& aRule, const std::string& aValue) {
+bool InRange(const KeyRule& aRule, const std::string& aValue)
+{
   char* end = nullptr;
   const double value = std::strtod(aValue.c_str(), &end);
   const bool whole =
@@ -122,17 +130,20 @@
          value >= aRule.mMin && value <= aRule.mMax;
 }
 
-bool AllOf(const std::string& aValue, bool (*aTest)(const std::string&)) {
+bool AllOf(const std::string& aValue, bool (*aTest)(const std::string&))
+{
   const std::vector<std::string> parts = Split(aValue);
   return std::all_of(parts.begin(), parts.end(), aTest);
 }
 
-bool IsChoice(const KeyRule& aRule, const std::string& aValue) {
+bool IsChoice(const KeyRule& aRule, const std::string& aValue)
+{
   const std::vector<std::string> choices = Split(aRule.mChoices);
   return std::find(choices.begin(), choices.end(), aValue) != choices.end();
 }
 
-bool Matches(const KeyRule& aRule, const std::string& aValue) {
+bool Matches(const KeyRule& aRule, const std::string& aValue)
+{
   static const std::regex digest("[0-9a-f]{64}");
   switch (aRule.mType) {
     case ValueType::Text:
@@ -158,13 +169,15 @@
   return false;
 }
 
-std::string Number(double aValue) {
+std::string Number(double aValue)
+{
   std::ostringstream text;
   text << aValue;
   return text.str();
 }
 
-std::string Allowed(const KeyRule& aRule) {
+std::string Allowed(const KeyRule& aRule)
+{
   switch (aRule.mType) {
     case ValueType::Text:
       return "any text that is not empty";
@@ -193,7 +206,8 @@
 }
 
 std::string AllowedKeys(const std::vector<KeyRule>& aRules,
-                        const std::string& aType) {
+                        const std::string& aType)
+{
   std::string keys;
   for (const KeyRule& rule : aRules) {
     if (rule.mSection == aType) {
@@ -203,7 +217,8 @@
   return keys;
 }
 
-std::string AllowedSections(const std::vector<KeyRule>& aRules) {
+std::string AllowedSections(const std::vector<KeyRule>& aRules)
+{
   std::set<std::string> names;
   for (const KeyRule& rule : aRules) {
     names.insert(rule.mSection);
@@ -211,13 +226,15 @@
   return boost::join(names, ", ");
 }
 
-struct SectionReader {
+struct SectionReader
+{
   const std::string& mFile;
   const LineIndex& mIndex;
   const std::vector<KeyRule>& mRules;
   std::vector<Fault>& mFaults;
 
-  void ReadKnown(const ptree& aTree, const std::string& aTitle, Section& aOut) {
+  void ReadKnown(const ptree& aTree, const std::string& aTitle, Section& aOut)
+  {
     for (const KeyRule& rule : mRules) {
       if (rule.mSection != aOut.mType) {
         continue;
@@ -244,7 +261,8 @@
 
   void UseDefault(const KeyRule& aRule,
                   const std::string& aTitle,
-                  Section& aOut) {
+                  Section& aOut)
+  {
     if (aRule.mDefault != nullptr) {
       aOut.mValues[aRule.mKey] = aRule.mDefault;
       return;
@@ -258,10 +276,11 @@
 
   void RefuseUnknown(const ptree& aTree,
                      const std::string& aTitle,
-                     const Section& aSection) {
+                     const Section& aSection)
+  {
     for (const auto& [key, value] : aTree) {
-      const bool known = std::any_of(
-        mRules.begin(), mRules.end(), [&](const KeyRule& aRule) {
+      const bool known =
+        std::any_of(mRules.begin(), mRules.end(), [&](const KeyRule& aRule) {
           return aRule.mSection == aSection.mType && aRule.mKey == key;
         });
       if (!known) {
@@ -275,14 +294,15 @@
   }
 };
 
-bool KnownSection(const std::vector<KeyRule>& aRules,
-                  const std::string& aType) {
+bool KnownSection(const std::vector<KeyRule>& aRules, const std::string& aType)
+{
   return std::any_of(aRules.begin(), aRules.end(), [&](const KeyRule& aRule) {
     return aRule.mSection == aType;
   });
 }
 
-Section SplitTitle(const std::string& aTitle, int aLine) {
+Section SplitTitle(const std::string& aTitle, int aLine)
+{
   Section section;
   const std::size_t space = aTitle.find(' ');
   section.mType = aTitle.substr(0, space);
@@ -295,34 +315,41 @@
 
 } // namespace
 
-const std::string& Section::Text(const std::string& aKey) const {
+const std::string& Section::Text(const std::string& aKey) const
+{
   return mValues.at(aKey);
 }
 
-long long Section::Integer(const std::string& aKey) const {
+long long Section::Integer(const std::string& aKey) const
+{
   return std::strtoll(Text(aKey).c_str(), nullptr, 10);
 }
 
-double Section::Decimal(const std::string& aKey) const {
+double Section::Decimal(const std::string& aKey) const
+{
   return std::strtod(Text(aKey).c_str(), nullptr);
 }
 
-bool Section::Boolean(const std::string& aKey) const {
+bool Section::Boolean(const std::string& aKey) const
+{
   return Text(aKey) == "yes";
 }
 
-std::vector<std::string> Section::List(const std::string& aKey) const {
+std::vector<std::string> Section::List(const std::string& aKey) const
+{
   return Split(Text(aKey));
 }
 
-int Section::Line(const std::string& aKey) const {
+int Section::Line(const std::string& aKey) const
+{
   const auto found = mLines.find(aKey);
   return found == mLines.end() ? mLine : found->second;
 }
 
 Checked<std::vector<Section>> Read(std::string_view aText,
                                    const std::string& aFile,
-                                   const std::vector<KeyRule>& aRules) {
+                                   const std::vector<KeyRule>& aRules)
+{
   Checked<std::vector<Section>> result;
   if (aText.size() > kMaxFileBytes) {
     result.mFaults.push_back({ aFile,
--- a/src/config/ini.h
+++ b/src/config/ini.h
@@ -11,7 +11,8 @@
 namespace geraniumpond::ini {
 
 /// \brief How a value is read and checked.
-enum class ValueType {
+enum class ValueType
+{
   Text,
   Name,
   Integer,
@@ -25,7 +26,8 @@
 };
 
 /// \brief One key that a section may have; optional keys have a default.
-struct KeyRule {
+struct KeyRule
+{
   const char* mSection;
   const char* mKey;
   ValueType mType;
@@ -38,7 +40,8 @@
 };
 
 /// \brief A section "[type name]" with every value present and checked.
-struct Section {
+struct Section
+{
   std::string mType;
   std::string mName;
   int mLine = 0;
--- a/src/config/settings.cpp
+++ b/src/config/settings.cpp
@@ -11,7 +11,8 @@
 using ini::Section;
 using ini::ValueType;
 
-const std::vector<KeyRule>& Rules() {
+const std::vector<KeyRule>& Rules()
+{
   static const std::vector<KeyRule> rules = {
     { "host", "id", ValueType::Name, nullptr },
     { "host", "data_centre", ValueType::Name, nullptr },
@@ -25,13 +26,7 @@
     { "control", "voters", ValueType::PeerList, nullptr },
     { "control", "seeds", ValueType::PeerList, "" },
     { "control", "operator_token_sha256", ValueType::Digest, nullptr },
-    { "log",
-      "format",
-      ValueType::Choice,
-      "text",
-      0,
-      0,
-      "text json" },
+    { "log", "format", ValueType::Choice, "text", 0, 0, "text json" },
     { "log",
       "level",
       ValueType::Choice,
@@ -43,12 +38,14 @@
   return rules;
 }
 
-PeerAddress ToPeer(const std::string& aText) {
+PeerAddress ToPeer(const std::string& aText)
+{
   const std::size_t at = aText.find('@');
   return { aText.substr(0, at), aText.substr(at + 1) };
 }
 
-std::vector<PeerAddress> ToPeers(const std::vector<std::string>& aTexts) {
+std::vector<PeerAddress> ToPeers(const std::vector<std::string>& aTexts)
+{
   std::vector<PeerAddress> peers;
   std::transform(
     aTexts.begin(), aTexts.end(), std::back_inserter(peers), ToPeer);
@@ -57,7 +54,8 @@
 
 void ReadRoles(const Section& aSection,
                const std::string& aFile,
-               Checked<Settings>& aOut) {
+               Checked<Settings>& aOut)
+{
   for (const std::string& role : aSection.List("roles")) {
     if (role == "entry") {
       aOut.mValue.mEntry = true;
@@ -73,13 +71,15 @@
   }
 }
 
-void ReadHost(const Section& aSection, Settings& aOut) {
+void ReadHost(const Section& aSection, Settings& aOut)
+{
   aOut.mId = aSection.Text("id");
   aOut.mDataCentre = aSection.Text("data_centre");
   aOut.mDataFolder = aSection.Text("data_folder");
 }
 
-void ReadListen(const Section& aSection, Settings& aOut) {
+void ReadListen(const Section& aSection, Settings& aOut)
+{
   aOut.mCallerAddress = aSection.Text("callers");
   aOut.mAdminAddress = aSection.Text("admin");
   aOut.mPeerAddress = aSection.Text("hosts");
@@ -89,7 +89,8 @@
 
 void ReadControl(const Section& aSection,
                  const std::string& aFile,
-                 Checked<Settings>& aOut) {
+                 Checked<Settings>& aOut)
+{
   aOut.mValue.mVoters = ToPeers(aSection.List("voters"));
   aOut.mValue.mSeeds = ToPeers(aSection.List("seeds"));
   aOut.mValue.mOperatorTokenSha256 = aSection.Text("operator_token_sha256");
@@ -102,14 +103,16 @@
   }
 }
 
-void ReadLog(const Section& aSection, Settings& aOut) {
+void ReadLog(const Section& aSection, Settings& aOut)
+{
   aOut.mLogFormat = aSection.Text("format");
   aOut.mLogLevel = aSection.Text("level");
 }
 
 void RequireSections(const std::set<std::string>& aSeen,
                      const std::string& aFile,
-                     std::vector<Fault>& aFaults) {
+                     std::vector<Fault>& aFaults)
+{
   for (const char* name : { "host", "listen", "control" }) {
     if (aSeen.count(name) == 0) {
       aFaults.push_back({ aFile, 0, name, "no such section", "exactly one" });
@@ -119,14 +122,16 @@
 
 } // namespace
 
-std::string ToString(const Fault& aFault) {
+std::string ToString(const Fault& aFault)
+{
   return aFault.mFile + ":" + std::to_string(aFault.mLine) + ": " +
-         aFault.mKey + ": given " + aFault.mGiven + "; allowed: " +
-         aFault.mAllowed;
+         aFault.mKey + ": given " + aFault.mGiven +
+         "; allowed: " + aFault.mAllowed;
 }
 
 Checked<Settings> ParseSettings(std::string_view aText,
-                                const std::string& aFile) {
+                                const std::string& aFile)
+{
   Checked<Settings> result;
   auto file = ini::Read(aText, aFile, Rules());
   result.mFaults = std::move(file.mFaults);
--- a/src/consensus/consensus.cpp
+++ b/src/consensus/consensus.cpp
@@ -12,7 +12,8 @@
   "learner", "follower", "pre-candidate", "candidate", "leader",
 };
 
-bool SameVoter(const wire::Member& aLeft, const wire::Member* aRight) {
+bool SameVoter(const wire::Member& aLeft, const wire::Member* aRight)
+{
   return aRight != nullptr && aRight->voter() == aLeft.voter() &&
          aRight->storage() == aLeft.storage();
 }
@@ -20,7 +21,8 @@
 // Two majorities of neighbouring memberships overlap only when they differ by
 // one voter at most; a voter with another disk counts as another voter.
 std::size_t VoterChanges(const wire::Membership& aOld,
-                         const wire::Membership& aNew) {
+                         const wire::Membership& aNew)
+{
   std::size_t changes = 0;
   for (const wire::Member& member : aOld.members()) {
     const wire::Member* next = FindMember(aNew, member.id());
@@ -37,7 +39,8 @@
   return changes;
 }
 
-void LeaderTick(State& aState, Micros aNow, Output& aOut) {
+void LeaderTick(State& aState, Micros aNow, Output& aOut)
+{
   if (!QuorumHeardSince(aState, aNow - aState.mRules.mElectionMax)) {
     BecomeFollower(aState, aState.mTerm, "", aOut);
     return;
@@ -52,7 +55,8 @@
 }
 
 // Messages that must not move the receiver to the sender's term.
-bool KeepsTerm(const wire::ConsensusMessage& aMessage) {
+bool KeepsTerm(const wire::ConsensusMessage& aMessage)
+{
   if (aMessage.has_vote_request()) {
     return true;
   }
@@ -60,13 +64,15 @@
          aMessage.vote_reply().granted();
 }
 
-bool IsFromLeader(const wire::ConsensusMessage& aMessage) {
+bool IsFromLeader(const wire::ConsensusMessage& aMessage)
+{
   return aMessage.has_append_request() || aMessage.has_snapshot_request();
 }
 
 void RefuseOldTerm(State& aState,
                    const wire::ConsensusMessage& aMessage,
-                   Output& aOut) {
+                   Output& aOut)
+{
   wire::ConsensusMessage reply = NewMessage(aState, aMessage.from());
   reply.mutable_append_reply()->set_success(false);
   reply.mutable_append_reply()->set_index(1);
@@ -77,7 +83,8 @@
                   Micros aNow,
                   std::uint64_t aRandom,
                   const wire::ConsensusMessage& aMessage,
-                  Output& aOut) {
+                  Output& aOut)
+{
   if (aState.mRole != Role::Follower && aState.mRole != Role::Learner) {
     BecomeFollower(aState, aMessage.term(), aMessage.from(), aOut);
   }
@@ -90,7 +97,8 @@
             Micros aNow,
             std::uint64_t aRandom,
             const wire::ConsensusMessage& aMessage,
-            Output& aOut) {
+            Output& aOut)
+{
   switch (aMessage.body_case()) {
     case wire::ConsensusMessage::kVoteRequest:
       TakeVoteRequest(aState, aNow, aRandom, aMessage, aOut);
@@ -119,12 +127,14 @@
 
 } // namespace
 
-const char* ToString(Role aRole) noexcept {
+const char* ToString(Role aRole) noexcept
+{
   return kRoleNames[static_cast<std::size_t>(aRole)];
 }
 
 const wire::Member* FindMember(const wire::Membership& aMembers,
-                               const std::string& aId) noexcept {
+                               const std::string& aId) noexcept
+{
   for (const wire::Member& member : aMembers.members()) {
     if (member.id() == aId) {
       return &member;
@@ -133,24 +143,27 @@
   return nullptr;
 }
 
-bool IsVoter(const State& aState) noexcept {
+bool IsVoter(const State& aState) noexcept
+{
   const wire::Member* self = FindMember(aState.mMembership, aState.mId);
-  return self != nullptr && self->voter() &&
-         self->storage() == aState.mStorage;
+  return self != nullptr && self->voter() && self->storage() == aState.mStorage;
 }
 
-std::size_t VoterCount(const wire::Membership& aMembers) noexcept {
+std::size_t VoterCount(const wire::Membership& aMembers) noexcept
+{
   return static_cast<std::size_t>(
     std::count_if(aMembers.members().begin(),
                   aMembers.members().end(),
                   [](const wire::Member& aMember) { return aMember.voter(); }));
 }
 
-std::size_t Quorum(const State& aState) noexcept {
+std::size_t Quorum(const State& aState) noexcept
+{
   return VoterCount(aState.mMembership) / 2 + 1;
 }
 
-wire::ConsensusMessage NewMessage(const State& aState, const std::string& aTo) {
+wire::ConsensusMessage NewMessage(const State& aState, const std::string& aTo)
+{
   wire::ConsensusMessage message;
   message.set_from(aState.mId);
   message.set_from_storage(aState.mStorage);
@@ -159,11 +172,13 @@
   return message;
 }
 
-void Send(wire::ConsensusMessage aMessage, Output& aOut) {
+void Send(wire::ConsensusMessage aMessage, Output& aOut)
+{
   aOut.mMessages.push_back(std::move(aMessage));
 }
 
-void SendDurable(State& aState, wire::ConsensusMessage aMessage, Output& aOut) {
+void SendDurable(State& aState, wire::ConsensusMessage aMessage, Output& aOut)
+{
   if (aState.mSyncedSequence >= aState.mWriteSequence) {
     Send(std::move(aMessage), aOut);
     return;
@@ -171,7 +186,8 @@
   aState.mHeld.push_back({ aState.mWriteSequence, std::move(aMessage) });
 }
 
-bool QuorumHeardSince(const State& aState, Micros aTime) noexcept {
+bool QuorumHeardSince(const State& aState, Micros aTime) noexcept
+{
   std::size_t heard = 0;
   for (const wire::Member& member : aState.mMembership.members()) {
     if (!member.voter()) {
@@ -179,15 +195,16 @@
     }
     const auto found = aState.mProgress.find(member.id());
     const bool self = member.id() == aState.mId;
-    if (self || (found != aState.mProgress.end() &&
-                 found->second.mHeardAt >= aTime)) {
+    if (self ||
+        (found != aState.mProgress.end() && found->second.mHeardAt >= aTime)) {
       ++heard;
     }
   }
   return heard >= Quorum(aState);
 }
 
-void Tick(State& aState, Micros aNow, std::uint64_t aRandom, Output& aOut) {
+void Tick(State& aState, Micros aNow, std::uint64_t aRandom, Output& aOut)
+{
   if (aState.mFailed) {
     return;
   }
@@ -208,7 +225,8 @@
              Micros aNow,
              std::uint64_t aRandom,
              const wire::ConsensusMessage& aMessage,
-             Output& aOut) {
+             Output& aOut)
+{
   if (aState.mFailed || aMessage.to() != aState.mId) {
     return;
   }
@@ -231,7 +249,8 @@
 Result<std::uint64_t> ChangeMembership(State& aState,
                                        Micros aNow,
                                        const wire::Membership& aNext,
-                                       Output& aOut) {
+                                       Output& aOut)
+{
   if (aState.mRole != Role::Leader || aState.mFailed) {
     return Fail(ErrorCode::NotLeader, aState.mLeader);
   }
@@ -262,18 +281,21 @@
   return entry.index();
 }
 
-void Failed(State& aState) {
+void Failed(State& aState)
+{
   aState.mFailed = true;
   aState.mRole = Role::Learner;
   aState.mLeader.clear();
   aState.mHeld.clear();
 }
 
-bool IsLeader(const State& aState) noexcept {
+bool IsLeader(const State& aState) noexcept
+{
   return aState.mRole == Role::Leader && !aState.mFailed;
 }
 
-Micros NextTick(const State& aState) noexcept {
+Micros NextTick(const State& aState) noexcept
+{
   if (aState.mFailed || aState.mRole == Role::Learner) {
     return std::numeric_limits<Micros>::max();
   }
@@ -281,7 +303,8 @@
                                       : aState.mElectionAt;
 }
 
-wire::Membership Founders(const std::vector<wire::Peer>& aPeers) {
+wire::Membership Founders(const std::vector<wire::Peer>& aPeers)
+{
   wire::Membership membership;
   for (const wire::Peer& peer : aPeers) {
     wire::Member& member = *membership.add_members();
--- a/src/consensus/election.cpp
+++ b/src/consensus/election.cpp
@@ -6,7 +6,8 @@
 
 namespace {
 
-bool LogIsUpToDate(const State& aState, const wire::VoteRequest& aRequest) {
+bool LogIsUpToDate(const State& aState, const wire::VoteRequest& aRequest)
+{
   const std::uint64_t last = LastIndex(aState);
   const std::uint64_t term = TermAt(aState, last).value_or(0);
   if (aRequest.last_term() != term) {
@@ -15,7 +16,8 @@
   return aRequest.last_index() >= last;
 }
 
-bool HearsLeader(const State& aState, Micros aNow) {
+bool HearsLeader(const State& aState, Micros aNow)
+{
   if (aState.mRole == Role::Leader) {
     return true;
   }
@@ -27,7 +29,8 @@
                  std::uint64_t aTerm,
                  bool aPreVote,
                  bool aTransfer,
-                 Output& aOut) {
+                 Output& aOut)
+{
   const std::uint64_t last = LastIndex(aState);
   for (const wire::Member& member : aState.mMembership.members()) {
     if (!member.voter() || member.id() == aState.mId) {
@@ -44,7 +47,8 @@
   }
 }
 
-void BecomeLeader(State& aState, Micros aNow, Output& aOut) {
+void BecomeLeader(State& aState, Micros aNow, Output& aOut)
+{
   aState.mRole = Role::Leader;
   aState.mLeader = aState.mId;
   aState.mTransferTo.clear();
@@ -65,10 +69,8 @@
   AdvanceCommit(aState, aOut);
 }
 
-void CountVotes(State& aState,
-                Micros aNow,
-                std::uint64_t aRandom,
-                Output& aOut) {
+void CountVotes(State& aState, Micros aNow, std::uint64_t aRandom, Output& aOut)
+{
   if (aState.mVotes.size() < Quorum(aState)) {
     return;
   }
@@ -82,7 +84,8 @@
 void ReplyVote(State& aState,
                const wire::ConsensusMessage& aRequest,
                bool aGranted,
-               Output& aOut) {
+               Output& aOut)
+{
   wire::ConsensusMessage reply = NewMessage(aState, aRequest.from());
   wire::VoteReply& body = *reply.mutable_vote_reply();
   body.set_granted(aGranted);
@@ -95,7 +98,8 @@
 
 void GrantVote(State& aState,
                const wire::ConsensusMessage& aMessage,
-               Output& aOut) {
+               Output& aOut)
+{
   if (aState.mVotedFor != aMessage.from()) {
     aState.mVotedFor = aMessage.from();
     WriteHardState(aState, aOut);
@@ -105,19 +109,20 @@
 
 } // namespace
 
-void ResetElection(State& aState, Micros aNow, std::uint64_t aRandom) {
+void ResetElection(State& aState, Micros aNow, std::uint64_t aRandom)
+{
   const Rules& rules = aState.mRules;
   const auto width =
     static_cast<std::uint64_t>(rules.mElectionMax - rules.mElectionMin);
   const std::uint64_t spread = Hash64(aState.mId, aRandom) % (width + 1);
-  aState.mElectionAt =
-    aNow + rules.mElectionMin + static_cast<Micros>(spread);
+  aState.mElectionAt = aNow + rules.mElectionMin + static_cast<Micros>(spread);
 }
 
 void BecomeFollower(State& aState,
                     std::uint64_t aTerm,
                     const std::string& aLeader,
-                    Output& aOut) {
+                    Output& aOut)
+{
   if (aTerm > aState.mTerm) {
     aState.mTerm = aTerm;
     aState.mVotedFor.clear();
@@ -132,7 +137,8 @@
 void StartPreVote(State& aState,
                   Micros aNow,
                   std::uint64_t aRandom,
-                  Output& aOut) {
+                  Output& aOut)
+{
   aState.mRole = Role::PreCandidate;
   aState.mLeader.clear();
   aState.mVotes = { aState.mId };
@@ -145,7 +151,8 @@
                    Micros aNow,
                    std::uint64_t aRandom,
                    bool aTransfer,
-                   Output& aOut) {
+                   Output& aOut)
+{
   aState.mRole = Role::Candidate;
   aState.mLeader.clear();
   ++aState.mTerm;
@@ -161,7 +168,8 @@
                      Micros aNow,
                      std::uint64_t aRandom,
                      const wire::ConsensusMessage& aMessage,
-                     Output& aOut) {
+                     Output& aOut)
+{
   const wire::VoteRequest& request = aMessage.vote_request();
   // A member that hears a leader does not help to depose it; this also keeps
   // a host that is back from a partition from disturbing the group.
@@ -194,13 +202,13 @@
                    Micros aNow,
                    std::uint64_t aRandom,
                    const wire::ConsensusMessage& aMessage,
-                   Output& aOut) {
+                   Output& aOut)
+{
   const wire::VoteReply& reply = aMessage.vote_reply();
-  const bool mine =
-    reply.pre_vote()
-      ? aState.mRole == Role::PreCandidate &&
-          aMessage.term() == aState.mTerm + 1
-      : aState.mRole == Role::Candidate && aMessage.term() == aState.mTerm;
+  const bool mine = reply.pre_vote() ? aState.mRole == Role::PreCandidate &&
+                                         aMessage.term() == aState.mTerm + 1
+                                     : aState.mRole == Role::Candidate &&
+                                         aMessage.term() == aState.mTerm;
   if (!mine || !reply.granted()) {
     return;
   }
--- a/src/consensus/log.cpp
+++ b/src/consensus/log.cpp
@@ -7,7 +7,8 @@
 namespace {
 
 // The membership in force is the last one in the log, committed or not.
-void FindMembership(State& aState) {
+void FindMembership(State& aState)
+{
   for (auto it = aState.mLog.rbegin(); it != aState.mLog.rend(); ++it) {
     if (it->has_membership()) {
       aState.mMembership = it->membership();
@@ -19,7 +20,8 @@
   aState.mMembershipIndex = aState.mSnapshot.index();
 }
 
-wire::HardState HardStateOf(const State& aState) {
+wire::HardState HardStateOf(const State& aState)
+{
   wire::HardState hard;
   hard.set_term(aState.mTerm);
   hard.set_voted_for(aState.mVotedFor);
@@ -27,7 +29,8 @@
   return hard;
 }
 
-void NoteUnsynced(State& aState) {
+void NoteUnsynced(State& aState)
+{
   const std::uint64_t last = LastIndex(aState);
   if (!aState.mUnsynced.empty() &&
       aState.mUnsynced.back().first == aState.mWriteSequence) {
@@ -37,7 +40,8 @@
   aState.mUnsynced.emplace_back(aState.mWriteSequence, last);
 }
 
-std::vector<wire::LogRecord> RetainedRecords(const State& aState) {
+std::vector<wire::LogRecord> RetainedRecords(const State& aState)
+{
   std::vector<wire::LogRecord> records;
   records.emplace_back();
   *records.back().mutable_hard_state() = HardStateOf(aState);
@@ -48,7 +52,8 @@
   return records;
 }
 
-void WriteSnapshot(State& aState, Output& aOut) {
+void WriteSnapshot(State& aState, Output& aOut)
+{
   Write write;
   write.mSequence = ++aState.mWriteSequence;
   write.mSnapshot = aState.mSnapshot;
@@ -59,12 +64,14 @@
 
 } // namespace
 
-std::uint64_t LastIndex(const State& aState) noexcept {
+std::uint64_t LastIndex(const State& aState) noexcept
+{
   return aState.mLog.empty() ? aState.mSnapshot.index()
                              : aState.mLog.back().index();
 }
 
-const wire::Entry* EntryAt(const State& aState, std::uint64_t aIndex) noexcept {
+const wire::Entry* EntryAt(const State& aState, std::uint64_t aIndex) noexcept
+{
   if (aState.mLog.empty() || aIndex < aState.mLog.front().index() ||
       aIndex > aState.mLog.back().index()) {
     return nullptr;
@@ -73,7 +80,8 @@
 }
 
 std::optional<std::uint64_t> TermAt(const State& aState,
-                                    std::uint64_t aIndex) noexcept {
+                                    std::uint64_t aIndex) noexcept
+{
   if (aIndex == 0) {
     return 0;
   }
@@ -86,7 +94,8 @@
   return std::nullopt;
 }
 
-Write& OpenWrite(State& aState, Output& aOut) {
+Write& OpenWrite(State& aState, Output& aOut)
+{
   if (aOut.mWrites.empty() || aOut.mWrites.back().mSnapshot) {
     Write write;
     write.mSequence = ++aState.mWriteSequence;
@@ -95,7 +104,8 @@
   return aOut.mWrites.back();
 }
 
-void WriteHardState(State& aState, Output& aOut) {
+void WriteHardState(State& aState, Output& aOut)
+{
   Write& write = OpenWrite(aState, aOut);
   write.mRecords.emplace_back();
   *write.mRecords.back().mutable_hard_state() = HardStateOf(aState);
@@ -104,7 +114,8 @@
 
 void AppendEntries(State& aState,
                    const std::vector<wire::Entry>& aEntries,
-                   Output& aOut) {
+                   Output& aOut)
+{
   if (aEntries.empty()) {
     return;
   }
@@ -121,7 +132,8 @@
   NoteUnsynced(aState);
 }
 
-void TruncateFrom(State& aState, std::uint64_t aIndex, Output& aOut) {
+void TruncateFrom(State& aState, std::uint64_t aIndex, Output& aOut)
+{
   while (!aState.mLog.empty() && aState.mLog.back().index() >= aIndex) {
     aState.mLog.pop_back();
   }
@@ -135,7 +147,8 @@
 
 void InstallSnapshot(State& aState,
                      const wire::Snapshot& aSnapshot,
-                     Output& aOut) {
+                     Output& aOut)
+{
   const bool keepsSuffix =
     TermAt(aState, aSnapshot.index()) == aSnapshot.term();
   if (!keepsSuffix) {
@@ -154,7 +167,8 @@
   aOut.mInstall = aSnapshot;
 }
 
-void TakeSnapshot(State& aState, std::string aAppliedState, Output& aOut) {
+void TakeSnapshot(State& aState, std::string aAppliedState, Output& aOut)
+{
   const std::uint64_t index = aState.mApplied;
   if (index <= aState.mSnapshot.index()) {
     return;
@@ -178,12 +192,14 @@
   WriteSnapshot(aState, aOut);
 }
 
-bool WantsSnapshot(const State& aState) noexcept {
+bool WantsSnapshot(const State& aState) noexcept
+{
   return aState.mApplied >=
          aState.mSnapshot.index() + aState.mRules.mSnapshotEvery;
 }
 
-void CommitTo(State& aState, std::uint64_t aIndex, Output& aOut) {
+void CommitTo(State& aState, std::uint64_t aIndex, Output& aOut)
+{
   aState.mCommit =
     std::max(aState.mCommit, std::min(aIndex, LastIndex(aState)));
   while (aState.mApplied < aState.mCommit) {
@@ -192,7 +208,8 @@
   }
 }
 
-void Synced(State& aState, std::uint64_t aSequence, Output& aOut) {
+void Synced(State& aState, std::uint64_t aSequence, Output& aOut)
+{
   if (aState.mFailed) {
     return;
   }
@@ -215,7 +232,8 @@
 State Open(const std::string& aId,
            const Recovered& aRecovered,
            Micros aNow,
-           std::uint64_t aRandom) {
+           std::uint64_t aRandom)
+{
   State state;
   state.mId = aId;
   state.mStorage = aRecovered.mHard.storage();
--- a/src/consensus/replication.cpp
+++ b/src/consensus/replication.cpp
@@ -13,7 +13,8 @@
                   const wire::Member& aMember,
                   Progress& aProgress,
                   Micros aNow,
-                  Output& aOut) {
+                  Output& aOut)
+{
   if (aProgress.mSnapshotSent && aNow - aProgress.mSentAt < kSnapshotRetry) {
     return;
   }
@@ -29,7 +30,8 @@
 void SendAppend(State& aState,
                 const wire::Member& aMember,
                 Micros aNow,
-                Output& aOut) {
+                Output& aOut)
+{
   Progress& progress = aState.mProgress[aMember.id()];
   const std::uint64_t prev = progress.mNext - 1;
   const std::optional<std::uint64_t> prevTerm = TermAt(aState, prev);
@@ -60,7 +62,8 @@
                  bool aSuccess,
                  std::uint64_t aIndex,
                  std::uint64_t aRound,
-                 Output& aOut) {
+                 Output& aOut)
+{
   wire::ConsensusMessage message = NewMessage(aState, aTo);
   wire::AppendReply& reply = *message.mutable_append_reply();
   reply.set_success(aSuccess);
@@ -71,7 +74,8 @@
 
 // First index of the term that conflicts, so that the leader skips a term per
 // round trip instead of an entry.
-std::uint64_t ConflictHint(const State& aState, std::uint64_t aPrev) {
+std::uint64_t ConflictHint(const State& aState, std::uint64_t aPrev)
+{
   const std::uint64_t last = LastIndex(aState);
   if (aPrev > last) {
     return last + 1;
@@ -87,7 +91,8 @@
 // Entries that the log does not have yet; a conflict drops the old suffix.
 std::vector<wire::Entry> NewEntries(State& aState,
                                     const wire::AppendRequest& aRequest,
-                                    Output& aOut) {
+                                    Output& aOut)
+{
   std::vector<wire::Entry> fresh;
   for (const wire::Entry& entry : aRequest.entries()) {
     if (entry.index() <= aState.mSnapshot.index()) {
@@ -105,7 +110,8 @@
   return fresh;
 }
 
-std::uint64_t QuorumMatch(const State& aState) {
+std::uint64_t QuorumMatch(const State& aState)
+{
   std::vector<std::uint64_t> matches;
   for (const wire::Member& member : aState.mMembership.members()) {
     if (!member.voter()) {
@@ -126,13 +132,15 @@
   return matches[matches.size() / 2];
 }
 
-void StepDownIfRemoved(State& aState, Output& aOut) {
+void StepDownIfRemoved(State& aState, Output& aOut)
+{
   if (aState.mCommit >= aState.mMembershipIndex && !IsVoter(aState)) {
     BecomeFollower(aState, aState.mTerm, "", aOut);
   }
 }
 
-void SendTransfer(State& aState, Output& aOut) {
+void SendTransfer(State& aState, Output& aOut)
+{
   Send(
     [&] {
       wire::ConsensusMessage message = NewMessage(aState, aState.mTransferTo);
@@ -144,7 +152,8 @@
 
 } // namespace
 
-void Broadcast(State& aState, Micros aNow, Output& aOut) {
+void Broadcast(State& aState, Micros aNow, Output& aOut)
+{
   ++aState.mRound;
   for (const wire::Member& member : aState.mMembership.members()) {
     if (member.id() != aState.mId) {
@@ -153,7 +162,8 @@
   }
 }
 
-void AdvanceCommit(State& aState, Output& aOut) {
+void AdvanceCommit(State& aState, Output& aOut)
+{
   const std::uint64_t match = QuorumMatch(aState);
   if (match > aState.mCommit && TermAt(aState, match) == aState.mTerm) {
     CommitTo(aState, match, aOut);
@@ -163,7 +173,8 @@
 
 void TakeAppendRequest(State& aState,
                        const wire::ConsensusMessage& aMessage,
-                       Output& aOut) {
+                       Output& aOut)
+{
   const wire::AppendRequest& request = aMessage.append_request();
   const std::uint64_t prev = request.prev_index();
   const bool covered = prev <= aState.mSnapshot.index();
@@ -184,14 +195,14 @@
       : request.entries(request.entries_size() - 1).index();
   const std::uint64_t matched = std::max(sent, aState.mSnapshot.index());
   CommitTo(aState, std::min(request.commit(), matched), aOut);
-  ReplyAppend(
-    aState, aMessage.from(), true, matched, request.round(), aOut);
+  ReplyAppend(aState, aMessage.from(), true, matched, request.round(), aOut);
 }
 
 void TakeAppendReply(State& aState,
                      Micros aNow,
                      const wire::ConsensusMessage& aMessage,
-                     Output& aOut) {
+                     Output& aOut)
+{
   const wire::Member* member = FindMember(aState.mMembership, aMessage.from());
   if (aState.mRole != Role::Leader || aMessage.term() != aState.mTerm ||
       member == nullptr || member->storage() != aMessage.from_storage()) {
@@ -227,7 +238,8 @@
 
 void TakeSnapshotRequest(State& aState,
                          const wire::ConsensusMessage& aMessage,
-                         Output& aOut) {
+                         Output& aOut)
+{
   const wire::SnapshotRequest& request = aMessage.snapshot_request();
   if (request.snapshot().index() > aState.mCommit) {
     InstallSnapshot(aState, request.snapshot(), aOut);
@@ -239,7 +251,8 @@
 Result<std::uint64_t> Propose(State& aState,
                               Micros aNow,
                               std::string aCommand,
-                              Output& aOut) {
+                              Output& aOut)
+{
   if (aState.mRole != Role::Leader || aState.mFailed ||
       !aState.mTransferTo.empty()) {
     return Fail(ErrorCode::NotLeader, aState.mLeader);
@@ -253,7 +266,8 @@
   return entry.index();
 }
 
-void Transfer(State& aState, Micros aNow, Output& aOut) {
+void Transfer(State& aState, Micros aNow, Output& aOut)
+{
   if (aState.mRole != Role::Leader) {
     return;
   }
--- a/src/control/control.cpp
+++ b/src/control/control.cpp
@@ -7,7 +7,8 @@
 namespace {
 
 wire::ChangeOutcome Decide(const State& aState,
-                           const wire::ApplyDeployment& aApply) {
+                           const wire::ApplyDeployment& aApply)
+{
   wire::ChangeOutcome outcome;
   outcome.set_change_id(aApply.change_id());
   outcome.set_operator_name(aApply.operator_name());
@@ -23,13 +24,14 @@
   outcome.set_reason(
     "expected version " + std::to_string(aApply.expected_version()) +
     ", in force is version " + std::to_string(version) +
-    (latest == nullptr ? std::string()
-                       : " by " + latest->operator_name() + ", change " +
-                           latest->change_id()));
+    (latest == nullptr
+       ? std::string()
+       : " by " + latest->operator_name() + ", change " + latest->change_id()));
   return outcome;
 }
 
-void Remember(State& aState, const wire::ChangeOutcome& aOutcome) {
+void Remember(State& aState, const wire::ChangeOutcome& aOutcome)
+{
   aState.mChanges[aOutcome.change_id()] = aOutcome;
   aState.mChangeOrder.push_back(aOutcome.change_id());
   if (aState.mChangeOrder.size() > kChanges) {
@@ -39,7 +41,8 @@
 }
 
 wire::ChangeOutcome ApplyDeployment(State& aState,
-                                    const wire::ApplyDeployment& aApply) {
+                                    const wire::ApplyDeployment& aApply)
+{
   const auto known = aState.mChanges.find(aApply.change_id());
   if (known != aState.mChanges.end()) {
     return known->second;
@@ -64,7 +67,8 @@
 
 } // namespace
 
-wire::CommandOutcome Apply(State& aState, const wire::Command& aCommand) {
+wire::CommandOutcome Apply(State& aState, const wire::Command& aCommand)
+{
   aState.mTime = std::max(aState.mTime, aCommand.proposed_at_us());
   wire::CommandOutcome outcome;
   switch (aCommand.body_case()) {
@@ -81,8 +85,7 @@
       break;
     case wire::Command::kRelease:
       *outcome.mutable_record() =
-        idempotency::Release(
-          aState.mKeys, aCommand.release(), aState.mTime);
+        idempotency::Release(aState.mKeys, aCommand.release(), aState.mTime);
       break;
     case wire::Command::BODY_NOT_SET:
       break;
@@ -90,11 +93,13 @@
   return outcome;
 }
 
-const wire::DeploymentVersion* Latest(const State& aState) noexcept {
+const wire::DeploymentVersion* Latest(const State& aState) noexcept
+{
   return aState.mHistory.empty() ? nullptr : &aState.mHistory.back();
 }
 
-std::string Save(const State& aState) {
+std::string Save(const State& aState)
+{
   wire::ControlState saved;
   for (const wire::DeploymentVersion& version : aState.mHistory) {
     *saved.add_history() = version;
@@ -109,7 +114,8 @@
   return saved.SerializeAsString();
 }
 
-Result<State> Load(const std::string& aBytes) {
+Result<State> Load(const std::string& aBytes)
+{
   wire::ControlState saved;
   if (!saved.ParseFromString(aBytes)) {
     return Fail(ErrorCode::Corrupt, "control state does not parse");
--- a/src/edge/admin.cpp
+++ b/src/edge/admin.cpp
@@ -23,11 +23,13 @@
 constexpr const char* kJson = "application/json";
 constexpr std::size_t kMaxName = 63;
 
-After SendError(Call& aCall, int aStatus, const std::string& aMessage) {
+After SendError(Call& aCall, int aStatus, const std::string& aMessage)
+{
   Object object;
-  object.set("error", aStatus == kUnauthorized ? "unauthorized"
-                      : aStatus == kNotFound   ? "not-found"
-                                               : "invalid-argument");
+  object.set("error",
+             aStatus == kUnauthorized ? "unauthorized"
+             : aStatus == kNotFound   ? "not-found"
+                                      : "invalid-argument");
   object.set("message", aMessage);
   std::ostringstream text;
   object.stringify(text);
@@ -35,7 +37,8 @@
   return After::KeepOpen;
 }
 
-std::string Query(const Call& aCall, const std::string& aName) {
+std::string Query(const Call& aCall, const std::string& aName)
+{
   for (const auto& [name, value] :
        Poco::URI(aCall.mRequest.getURI()).getQueryParameters()) {
     if (name == aName) {
@@ -45,12 +48,14 @@
   return "";
 }
 
-std::uint64_t Number(const std::string& aText) {
+std::uint64_t Number(const std::string& aText)
+{
   Poco::UInt64 number = 0;
   return Poco::NumberParser::tryParseUnsigned64(aText, number) ? number : 0;
 }
 
-std::string Body(Call& aCall) {
+std::string Body(Call& aCall)
+{
   if (!aCall.mRequest.hasContentLength()) {
     return "";
   }
@@ -63,12 +68,14 @@
   return body;
 }
 
-After Reply(Call& aCall, const wire::OperationAnswer& aAnswer) {
+After Reply(Call& aCall, const wire::OperationAnswer& aAnswer)
+{
   SendText(aCall, static_cast<int>(aAnswer.status()), kJson, aAnswer.body());
   return After::KeepOpen;
 }
 
-After Apply(Runtime& aRuntime, Call& aCall) {
+After Apply(Runtime& aRuntime, Call& aCall)
+{
   const std::string body = Body(aCall);
   const std::string token = TokenDigest(aCall.mRequest);
   return Reply(
@@ -86,27 +93,30 @@
     }));
 }
 
-After Drain(Runtime& aRuntime, Call& aCall) {
+After Drain(Runtime& aRuntime, Call& aCall)
+{
   const std::string token = TokenDigest(aCall.mRequest);
-  return Reply(
-    aCall, aRuntime.Operate([&](wire::Event& aEvent, std::uint64_t aId) {
-      wire::OperatorDrain& drain = *aEvent.mutable_drain();
-      drain.set_operation(aId);
-      drain.set_token_sha256(token);
-      drain.set_what(Query(aCall, "what"));
-      drain.set_service(Query(aCall, "service"));
-      drain.set_id(Query(aCall, "id"));
-      drain.set_undrain(Query(aCall, "undrain") == "yes");
-    }));
+  return Reply(aCall,
+               aRuntime.Operate([&](wire::Event& aEvent, std::uint64_t aId) {
+                 wire::OperatorDrain& drain = *aEvent.mutable_drain();
+                 drain.set_operation(aId);
+                 drain.set_token_sha256(token);
+                 drain.set_what(Query(aCall, "what"));
+                 drain.set_service(Query(aCall, "service"));
+                 drain.set_id(Query(aCall, "id"));
+                 drain.set_undrain(Query(aCall, "undrain") == "yes");
+               }));
 }
 
-bool IsName(const std::string& aText) {
+bool IsName(const std::string& aText)
+{
   return !aText.empty() && aText.size() <= kMaxName &&
          aText.find_first_not_of("abcdefghijklmnopqrstuvwxyz0123456789-") ==
            std::string::npos;
 }
 
-bool IsAddress(const std::string& aText) {
+bool IsAddress(const std::string& aText)
+{
   try {
     const std::size_t colon = aText.rfind(':');
     if (colon == std::string::npos) {
@@ -122,8 +132,8 @@
 }
 
 // Fills the event from the body; returns what is wrong, or nothing.
-std::string FillAnnounce(const std::string& aBody,
-                         wire::TargetAnnounced& aOut) {
+std::string FillAnnounce(const std::string& aBody, wire::TargetAnnounced& aOut)
+{
   try {
     const auto object =
       Poco::JSON::Parser().parse(aBody).extract<Object::Ptr>();
@@ -160,7 +170,8 @@
 After Announce(Runtime& aRuntime,
                Call& aCall,
                const std::string& aService,
-               const std::string& aId) {
+               const std::string& aId)
+{
   wire::TargetAnnounced announced;
   if (!IsName(aService) || !IsName(aId)) {
     return SendError(aCall, kBadRequest, "service and id must be names");
@@ -184,13 +195,15 @@
                              const Call&,
                              Micros);
 
-struct ViewRoute {
+struct ViewRoute
+{
   const char* mPath;
   bool mOperatorOnly;
   View mView;
 };
 
-const std::vector<ViewRoute>& ViewRoutes() {
+const std::vector<ViewRoute>& ViewRoutes()
+{
   using S = const node::State&;
   using V = const views::Viewer&;
   using C = const Call&;
@@ -210,9 +223,7 @@
       } },
     { "/v1/budget",
       true,
-      [](S aState, V, C, Micros aNow) {
-        return views::Budget(aState, aNow);
-      } },
+      [](S aState, V, C, Micros aNow) { return views::Budget(aState, aNow); } },
     { "/v1/config",
       true,
       [](S aState, V, C aCall, Micros) {
@@ -227,7 +238,8 @@
   return routes;
 }
 
-After Show(Runtime& aRuntime, Call& aCall, const ViewRoute& aRoute) {
+After Show(Runtime& aRuntime, Call& aCall, const ViewRoute& aRoute)
+{
   const std::string token = TokenDigest(aCall.mRequest);
   bool allowed = false;
   const std::string body =
@@ -244,7 +256,8 @@
   return After::KeepOpen;
 }
 
-After Health(Runtime& aRuntime, Call& aCall, bool aReadiness) {
+After Health(Runtime& aRuntime, Call& aCall, bool aReadiness)
+{
   bool ready = false;
   const std::string body =
     aRuntime.Read([&](const node::State& aState, Micros) {
@@ -255,7 +268,8 @@
   return After::KeepOpen;
 }
 
-std::vector<std::string> Segments(const Call& aCall) {
+std::vector<std::string> Segments(const Call& aCall)
+{
   std::vector<std::string> segments;
   Poco::URI(aCall.mRequest.getURI()).getPathSegments(segments);
   return segments;
@@ -263,7 +277,8 @@
 
 } // namespace
 
-After ServeAdmin(Runtime& aRuntime, Call& aCall) {
+After ServeAdmin(Runtime& aRuntime, Call& aCall)
+{
   const std::string path = Poco::URI(aCall.mRequest.getURI()).getPath();
   const std::string& method = aCall.mRequest.getMethod();
   const std::vector<std::string> segments = Segments(aCall);
--- a/src/edge/attempt.cpp
+++ b/src/edge/attempt.cpp
@@ -34,7 +34,8 @@
 constexpr int kPartialContent = 206;
 constexpr std::uint32_t kBadGateway = 502;
 
-bool IsHopByHop(const std::string& aName) {
+bool IsHopByHop(const std::string& aName)
+{
   for (const char* name : { "Connection",
                             "Keep-Alive",
                             "Proxy-Connection",
@@ -50,7 +51,8 @@
 }
 
 /// One attempt, from its connection to its last byte.
-class AttemptRun {
+class AttemptRun
+{
 public:
   AttemptRun(AttemptTools& aTools,
              const std::shared_ptr<Exchange>& aExchange,
@@ -59,13 +61,15 @@
     : mTools(aTools)
     , mExchange(aExchange)
     , mCall(aCall)
-    , mDispatch(aDispatch) {
+    , mDispatch(aDispatch)
+  {
     mEnd.set_request(aDispatch.request());
     mEnd.set_attempt(aDispatch.attempt());
     mEnd.set_end(wire::END_NOT_SENT);
   }
 
-  void Run() {
+  void Run()
+  {
     try {
       if (Connect()) {
         Converse();
@@ -82,16 +86,18 @@
   }
 
 private:
-  [[nodiscard]] Micros Remaining() const {
+  [[nodiscard]] Micros Remaining() const
+  {
     const Micros grace =
       kBackstop + (mDispatch.buffer_answer() ? kKeyedGrace : 0);
     return mDispatch.deadline_us() + grace - mTools.mRuntime.Now();
   }
 
-  bool Connect() {
+  bool Connect()
+  {
     const Micros now = mTools.mRuntime.Now();
-    mSession = mTools.mPool.Take(
-      mDispatch.address(), mDispatch.max_idle_us(), now);
+    mSession =
+      mTools.mPool.Take(mDispatch.address(), mDispatch.max_idle_us(), now);
     if (mSession == nullptr) {
       const Poco::Net::SocketAddress address(mDispatch.address());
       mSession = std::make_unique<TargetSession>(address.host().toString(),
@@ -107,7 +113,8 @@
     return true;
   }
 
-  void FillRequest(HTTPRequest& aRequest) const {
+  void FillRequest(HTTPRequest& aRequest) const
+  {
     const CallerRequest& from = mExchange->mRequest;
     for (const auto& [name, value] : from.mHeaders) {
       aRequest.add(name, value);
@@ -129,12 +136,12 @@
     }
     if (!from.mBody.empty() || from.mMethod == HTTPRequest::HTTP_POST ||
         from.mMethod == HTTPRequest::HTTP_PUT) {
-      aRequest.setContentLength64(
-        static_cast<Poco::Int64>(from.mBody.size()));
+      aRequest.setContentLength64(static_cast<Poco::Int64>(from.mBody.size()));
     }
   }
 
-  void SendRequest() {
+  void SendRequest()
+  {
     const CallerRequest& from = mExchange->mRequest;
     HTTPRequest request(from.mMethod, from.mUri, HTTPMessage::HTTP_1_1);
     FillRequest(request);
@@ -151,7 +158,8 @@
   }
 
   // Waits for the target; tells the reducer when the caller goes away first.
-  void AwaitHead() {
+  void AwaitHead()
+  {
     pollfd items[2] = {
       { mSession->socket().impl()->sockfd(), POLLIN, 0 },
       { mDispatch.buffer_answer() ? -1 : mExchange->mRequest.mClientSocket,
@@ -174,7 +182,8 @@
     }
   }
 
-  void WatchCaller(pollfd& aItem) {
+  void WatchCaller(pollfd& aItem)
+  {
     const bool gone = (aItem.revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0;
     // Pipelined bytes are no reason to stop, and are not looked at again.
     aItem.fd = -1;
@@ -185,15 +194,15 @@
     }
   }
 
-  wire::LoadReport LoadOf() const {
+  wire::LoadReport LoadOf() const
+  {
     wire::LoadReport load;
     const std::string text = mResponse.get("Geraniumpond-Load", "");
     const std::size_t slash = text.find('/');
     unsigned inFlight = 0;
     unsigned slots = 0;
     if (slash != std::string::npos &&
-        Poco::NumberParser::tryParseUnsigned(text.substr(0, slash),
-                                             inFlight) &&
+        Poco::NumberParser::tryParseUnsigned(text.substr(0, slash), inFlight) &&
         Poco::NumberParser::tryParseUnsigned(text.substr(slash + 1), slots)) {
       load.set_in_flight(inFlight);
       load.set_slots(slots);
@@ -202,7 +211,8 @@
     return load;
   }
 
-  void Converse() {
+  void Converse()
+  {
     SendRequest();
     AwaitHead();
     mSession->receiveResponse(mResponse);
@@ -229,7 +239,8 @@
   }
 
   /// Reads up to a limit; true when the body ended within it.
-  bool ReadWhole(std::size_t aLimit) {
+  bool ReadWhole(std::size_t aLimit)
+  {
     std::string buffer(kBufferBytes, '\0');
     while (mBody.size() < aLimit) {
       std::size_t size = std::min(buffer.size(), aLimit - mBody.size());
@@ -246,7 +257,8 @@
     return false;
   }
 
-  void BufferAnswer() {
+  void BufferAnswer()
+  {
     wire::StoredAnswer answer;
     answer.set_status(static_cast<std::uint32_t>(mResponse.getStatus()));
     answer.set_content_type(mResponse.getContentType());
@@ -262,7 +274,8 @@
     mEnd.set_end(wire::END_COMPLETE);
   }
 
-  void PostHead() {
+  void PostHead()
+  {
     wire::Event event;
     wire::AttemptHead& head = *event.mutable_head();
     head.set_request(mDispatch.request());
@@ -271,14 +284,16 @@
     *head.mutable_load() = mEnd.load();
     const std::string etag = mResponse.get("ETag", "");
     // A weak validator proves nothing about bytes.
-    if (etag.rfind("W/", 0) != 0 && mResponse.get("Accept-Ranges", "") == "bytes") {
+    if (etag.rfind("W/", 0) != 0 &&
+        mResponse.get("Accept-Ranges", "") == "bytes") {
       head.set_strong_etag(etag);
     }
     head.set_range_matches(RangeMatches());
     mTools.mRuntime.Post(std::move(event));
   }
 
-  [[nodiscard]] bool RangeMatches() const {
+  [[nodiscard]] bool RangeMatches() const
+  {
     const std::string prefix =
       "bytes " + std::to_string(mDispatch.range_from()) + "-";
     return mResponse.getStatus() == kPartialContent &&
@@ -286,7 +301,8 @@
            mResponse.get("Content-Range", "").rfind(prefix, 0) == 0;
   }
 
-  void PassOn() {
+  void PassOn()
+  {
     // A small answer that breaks has reached nobody, and can be tried again.
     const bool small =
       mResponse.hasContentLength() &&
@@ -310,11 +326,12 @@
     Stream();
   }
 
-  void FillResponse(Poco::Net::HTTPServerResponseImpl& aResponse) const {
-    aResponse.setStatusAndReason(mResponse.getStatus(),
-                                 mResponse.getReason());
+  void FillResponse(Poco::Net::HTTPServerResponseImpl& aResponse) const
+  {
+    aResponse.setStatusAndReason(mResponse.getStatus(), mResponse.getReason());
     for (const auto& [name, value] : mResponse) {
-      const bool ours = Poco::icompare(name.substr(0, 13), "Geraniumpond-") == 0;
+      const bool ours =
+        Poco::icompare(name.substr(0, 13), "Geraniumpond-") == 0;
       if (!IsHopByHop(name) && !ours) {
         aResponse.add(name, value);
       }
@@ -328,7 +345,8 @@
     }
   }
 
-  void SendHead() {
+  void SendHead()
+  {
     Poco::Net::HTTPServerResponseImpl& response = mCall->mResponse;
     FillResponse(response);
     mExchange->mHeadSent = true;
@@ -346,7 +364,8 @@
     }
   }
 
-  void Stream() {
+  void Stream()
+  {
     std::ostream& out = *mExchange->mClientStream;
     std::string buffer(kBufferBytes, '\0');
     while (true) {
@@ -370,27 +389,28 @@
     }
   }
 
-  void NoteBreak() {
+  void NoteBreak()
+  {
     if (mCallerBroke) {
       mEnd.set_end(wire::END_CLIENT_GONE);
     }
   }
 
-  void GiveBack() {
+  void GiveBack()
+  {
     if (mSession != nullptr && mBodyDone &&
-        (mEnd.end() == wire::END_COMPLETE ||
-         mEnd.end() == wire::END_REFUSED)) {
-      mTools.mPool.Give(mDispatch.address(),
-                        std::move(mSession),
-                        mTools.mRuntime.Now());
+        (mEnd.end() == wire::END_COMPLETE || mEnd.end() == wire::END_REFUSED)) {
+      mTools.mPool.Give(
+        mDispatch.address(), std::move(mSession), mTools.mRuntime.Now());
     }
   }
 
-  void PostEnd() {
+  void PostEnd()
+  {
     mEnd.set_delivered_bytes(mExchange->mDelivered);
-    const bool finished = !mDispatch.buffer_answer() &&
-                          (mEnd.end() == wire::END_COMPLETE ||
-                           mEnd.end() == wire::END_CLIENT_GONE);
+    const bool finished =
+      !mDispatch.buffer_answer() &&
+      (mEnd.end() == wire::END_COMPLETE || mEnd.end() == wire::END_CLIENT_GONE);
     wire::Event event;
     *event.mutable_ended() = mEnd;
     mTools.mRuntime.Post(std::move(event));
@@ -414,18 +434,21 @@
 
 } // namespace
 
-void RunningCount::Add() {
+void RunningCount::Add()
+{
   const std::lock_guard<std::mutex> lock(mMutex);
   ++mCount;
 }
 
-void RunningCount::Done() {
+void RunningCount::Done()
+{
   const std::lock_guard<std::mutex> lock(mMutex);
   --mCount;
   mNone.notify_all();
 }
 
-void RunningCount::WaitNone() {
+void RunningCount::WaitNone()
+{
   std::unique_lock<std::mutex> lock(mMutex);
   mNone.wait(lock, [this] { return mCount == 0; });
 }
@@ -433,13 +456,15 @@
 void RunAttempt(AttemptTools& aTools,
                 const std::shared_ptr<Exchange>& aExchange,
                 Call* aCall,
-                const wire::Dispatch& aDispatch) {
+                const wire::Dispatch& aDispatch)
+{
   AttemptRun(aTools, aExchange, aCall, aDispatch).Run();
 }
 
 void SendStored(Call& aCall,
                 const wire::StoredAnswer& aAnswer,
-                const std::string& aOutcome) {
+                const std::string& aOutcome)
+{
   aCall.mResponse.set("Geraniumpond-Outcome", aOutcome);
   SendText(aCall,
            static_cast<int>(aAnswer.status()),
--- a/src/edge/attempt.h
+++ b/src/edge/attempt.h
@@ -11,7 +11,8 @@
 namespace geraniumpond::edge {
 
 /// \brief Counts attempts on threads of their own, so that a stop can wait.
-class RunningCount {
+class RunningCount
+{
 public:
   void Add();
   void Done();
@@ -24,7 +25,8 @@
 };
 
 /// \brief What attempts need: the reducer, connections, a count of threads.
-struct AttemptTools {
+struct AttemptTools
+{
   Runtime& mRuntime;
   SessionPool& mPool;
   RunningCount& mRunning;
--- a/src/edge/callers.cpp
+++ b/src/edge/callers.cpp
@@ -17,12 +17,15 @@
 constexpr const char* kEntriesPath = "/geraniumpond/v1/entries";
 constexpr Micros kMillisecondsInSecond = 1000;
 
-bool IsForwarded(const std::string& aName) {
+bool IsForwarded(const std::string& aName)
+{
   static const std::vector<std::string> dropped = {
-    "connection",        "keep-alive", "proxy-connection",
-    "te",                "trailer",    "transfer-encoding",
-    "upgrade",           "host",       "authorization",
-    "proxy-authorization", "expect",   "content-length",
+    "connection",       "keep-alive",
+    "proxy-connection", "te",
+    "trailer",          "transfer-encoding",
+    "upgrade",          "host",
+    "authorization",    "proxy-authorization",
+    "expect",           "content-length",
   };
   const std::string name = Poco::toLower(aName);
   return name.rfind("geraniumpond-", 0) != 0 &&
@@ -30,7 +33,8 @@
 }
 
 std::vector<std::string> NamedByConnection(
-  const Poco::Net::HTTPServerRequestImpl& aRequest) {
+  const Poco::Net::HTTPServerRequestImpl& aRequest)
+{
   std::vector<std::string> names;
   std::string list = Poco::toLower(aRequest.get("Connection", ""));
   std::string name;
@@ -45,7 +49,8 @@
   return names;
 }
 
-bool ReadRequest(Call& aCall, CallerRequest& aOut) {
+bool ReadRequest(Call& aCall, CallerRequest& aOut)
+{
   Poco::Net::HTTPServerRequestImpl& request = aCall.mRequest;
   aOut.mMethod = request.getMethod();
   aOut.mUri = request.getURI();
@@ -68,13 +73,15 @@
   return static_cast<std::size_t>(request.stream().gcount()) == length;
 }
 
-std::uint32_t DeadlineOf(const Poco::Net::HTTPServerRequestImpl& aRequest) {
+std::uint32_t DeadlineOf(const Poco::Net::HTTPServerRequestImpl& aRequest)
+{
   unsigned deadline = 0;
   const std::string text = aRequest.get("Geraniumpond-Deadline-Ms", "0");
   return Poco::NumberParser::tryParseUnsigned(text, deadline) ? deadline : 0;
 }
 
-wire::Event Arrival(const Call& aCall, const Exchange& aExchange) {
+wire::Event Arrival(const Call& aCall, const Exchange& aExchange)
+{
   const CallerRequest& request = aExchange.mRequest;
   wire::Event event;
   wire::RequestArrived& arrived = *event.mutable_request();
@@ -92,7 +99,8 @@
   return event;
 }
 
-After WriteAnswer(Call& aCall, const wire::Answer& aAnswer) {
+After WriteAnswer(Call& aCall, const wire::Answer& aAnswer)
+{
   Poco::Net::HTTPServerResponseImpl& response = aCall.mResponse;
   if (aAnswer.close_connection()) {
     response.setKeepAlive(false);
@@ -117,7 +125,8 @@
   return After::KeepOpen;
 }
 
-After WriteKept(Call& aCall, Exchange& aExchange, std::uint64_t aAttempt) {
+After WriteKept(Call& aCall, Exchange& aExchange, std::uint64_t aAttempt)
+{
   if (aExchange.CloseAfter()) {
     aCall.mResponse.setKeepAlive(false);
   }
@@ -128,7 +137,8 @@
 void RunOnWorker(AttemptTools& aTools,
                  const std::shared_ptr<Exchange>& aExchange,
                  Call* aCall,
-                 const wire::Dispatch& aDispatch) {
+                 const wire::Dispatch& aDispatch)
+{
   std::thread([&aTools, aExchange, aCall, aDispatch] {
     RunAttempt(aTools, aExchange, aCall, aDispatch);
     aTools.mRunning.Done();
@@ -137,13 +147,14 @@
 
 After Serve(AttemptTools& aTools,
             Call& aCall,
-            const std::shared_ptr<Exchange>& aExchange) {
-  aExchange->SetWorker(
-    [&aTools, weak = std::weak_ptr<Exchange>(aExchange), &aCall](
-      const wire::Dispatch& aDispatch) {
-      aTools.mRunning.Add();
-      RunOnWorker(aTools, weak.lock(), &aCall, aDispatch);
-    });
+            const std::shared_ptr<Exchange>& aExchange)
+{
+  aExchange->SetWorker([&aTools,
+                        weak = std::weak_ptr<Exchange>(aExchange),
+                        &aCall](const wire::Dispatch& aDispatch) {
+    aTools.mRunning.Add();
+    RunOnWorker(aTools, weak.lock(), &aCall, aDispatch);
+  });
   aTools.mRuntime.Post(Arrival(aCall, *aExchange));
   while (true) {
     const wire::Effect effect = aExchange->Next();
@@ -163,7 +174,8 @@
   }
 }
 
-After ServeEntries(AttemptTools& aTools, Call& aCall) {
+After ServeEntries(AttemptTools& aTools, Call& aCall)
+{
   std::string service;
   for (const auto& [name, value] :
        Poco::URI(aCall.mRequest.getURI()).getQueryParameters()) {
@@ -181,7 +193,8 @@
 
 } // namespace
 
-After ServeCaller(AttemptTools& aTools, Call& aCall) {
+After ServeCaller(AttemptTools& aTools, Call& aCall)
+{
   if (aCall.mRequest.getURI().rfind(kEntriesPath, 0) == 0) {
     return ServeEntries(aTools, aCall);
   }
--- a/src/edge/exchange.cpp
+++ b/src/edge/exchange.cpp
@@ -6,7 +6,8 @@
 
 namespace {
 
-void CutOff(Poco::Net::StreamSocket& aSocket) {
+void CutOff(Poco::Net::StreamSocket& aSocket)
+{
   try {
     aSocket.shutdown();
   } catch (const Poco::Exception&) {
@@ -16,7 +17,8 @@
 
 } // namespace
 
-void Exchange::Deliver(const wire::Effect& aEffect) {
+void Exchange::Deliver(const wire::Effect& aEffect)
+{
   const std::lock_guard<std::mutex> lock(mMutex);
   if (aEffect.has_cancel()) {
     const std::uint64_t attempt = aEffect.cancel().attempt();
@@ -41,7 +43,8 @@
   mChanged.notify_all();
 }
 
-wire::Effect Exchange::Next() {
+wire::Effect Exchange::Next()
+{
   std::unique_lock<std::mutex> lock(mMutex);
   mBusy = !mInbox.empty() && mInbox.front().has_dispatch();
   mChanged.wait(lock, [this] { return !mInbox.empty() || mFinished; });
@@ -53,21 +56,25 @@
   return effect;
 }
 
-bool Exchange::AwaitDecision(std::uint64_t aAttempt) {
+bool Exchange::AwaitDecision(std::uint64_t aAttempt)
+{
   std::unique_lock<std::mutex> lock(mMutex);
-  mChanged.wait(lock, [&] { return mEnded || mDecisions.count(aAttempt) != 0; });
+  mChanged.wait(lock,
+                [&] { return mEnded || mDecisions.count(aAttempt) != 0; });
   const auto decision = mDecisions.find(aAttempt);
   return decision != mDecisions.end() && decision->second == Decision::Accept;
 }
 
-void Exchange::End() {
+void Exchange::End()
+{
   const std::lock_guard<std::mutex> lock(mMutex);
   mEnded = true;
   mChanged.notify_all();
 }
 
 bool Exchange::Attach(std::uint64_t aAttempt,
-                      const Poco::Net::StreamSocket& aSocket) {
+                      const Poco::Net::StreamSocket& aSocket)
+{
   const std::lock_guard<std::mutex> lock(mMutex);
   const auto decision = mDecisions.find(aAttempt);
   if (decision != mDecisions.end() && decision->second == Decision::Cancel) {
@@ -77,24 +84,28 @@
   return true;
 }
 
-void Exchange::Detach(std::uint64_t aAttempt) {
+void Exchange::Detach(std::uint64_t aAttempt)
+{
   const std::lock_guard<std::mutex> lock(mMutex);
   mSockets.erase(aAttempt);
 }
 
-void Exchange::Finish(bool aCallerGone) {
+void Exchange::Finish(bool aCallerGone)
+{
   const std::lock_guard<std::mutex> lock(mMutex);
   mCallerGone = aCallerGone;
   mFinished = true;
   mChanged.notify_all();
 }
 
-void Exchange::KeepAnswer(std::uint64_t aAttempt, wire::StoredAnswer aAnswer) {
+void Exchange::KeepAnswer(std::uint64_t aAttempt, wire::StoredAnswer aAnswer)
+{
   const std::lock_guard<std::mutex> lock(mMutex);
   mAnswers[aAttempt] = std::move(aAnswer);
 }
 
-wire::StoredAnswer Exchange::TakeAnswer(std::uint64_t aAttempt) {
+wire::StoredAnswer Exchange::TakeAnswer(std::uint64_t aAttempt)
+{
   const std::lock_guard<std::mutex> lock(mMutex);
   wire::StoredAnswer answer = std::move(mAnswers[aAttempt]);
   mAnswers.erase(aAttempt);
--- a/src/edge/exchange.h
+++ b/src/edge/exchange.h
@@ -18,7 +18,8 @@
 namespace geraniumpond::edge {
 
 /// \brief A caller's request as it is passed on to targets.
-struct CallerRequest {
+struct CallerRequest
+{
   std::string mMethod;
   std::string mUri;
   std::vector<std::pair<std::string, std::string>> mHeaders;
@@ -28,10 +29,13 @@
 
 /// \brief One request at the edge: where the reducer's effects for it arrive
 /// and where its attempts can be cut off.
-class Exchange {
+class Exchange
+{
 public:
   explicit Exchange(std::uint64_t aId)
-    : mId(aId) {}
+    : mId(aId)
+  {
+  }
 
   [[nodiscard]] std::uint64_t Id() const noexcept { return mId; }
 
@@ -77,7 +81,11 @@
   std::ostream* mClientStream = nullptr;
 
 private:
-  enum class Decision { Accept, Cancel };
+  enum class Decision
+  {
+    Accept,
+    Cancel
+  };
 
   const std::uint64_t mId;
   std::mutex mMutex;
--- a/src/edge/files.cpp
+++ b/src/edge/files.cpp
@@ -16,11 +16,13 @@
 constexpr const char* kCacheFile = "deployment";
 constexpr mode_t kFileMode = 0600;
 
-Error SystemError(const std::string& aWhat) {
+Error SystemError(const std::string& aWhat)
+{
   return Fail(ErrorCode::Io, aWhat + ": " + std::strerror(errno));
 }
 
-bool WriteAll(int aFile, const std::string& aBytes) {
+bool WriteAll(int aFile, const std::string& aBytes)
+{
   std::size_t done = 0;
   while (done < aBytes.size()) {
     const ssize_t count =
@@ -36,7 +38,8 @@
   return true;
 }
 
-Result<bool> SyncFolder(const std::string& aFolder) {
+Result<bool> SyncFolder(const std::string& aFolder)
+{
   const int folder = ::open(aFolder.c_str(), O_RDONLY | O_DIRECTORY);
   if (folder < 0) {
     return SystemError(aFolder);
@@ -53,11 +56,12 @@
 
 Result<bool> ReplaceFile(const std::string& aFolder,
                          const std::string& aName,
-                         const std::string& aContent) {
+                         const std::string& aContent)
+{
   const std::string path = aFolder + "/" + aName;
   const std::string temporary = path + ".new";
-  const int file =
-    ::open(temporary.c_str(), O_WRONLY | O_CREAT | O_TRUNC | O_CLOEXEC, kFileMode);
+  const int file = ::open(
+    temporary.c_str(), O_WRONLY | O_CREAT | O_TRUNC | O_CLOEXEC, kFileMode);
   if (file < 0) {
     return SystemError(temporary);
   }
@@ -72,7 +76,8 @@
   return SyncFolder(aFolder);
 }
 
-Result<std::string> ReadFile(const std::string& aPath) {
+Result<std::string> ReadFile(const std::string& aPath)
+{
   std::ifstream file(aPath, std::ios::binary);
   if (!file) {
     return Fail(errno == ENOENT ? ErrorCode::NotFound : ErrorCode::Io,
@@ -84,10 +89,10 @@
 }
 
 Result<std::uint64_t> NextIncarnation(const std::string& aFolder,
-                                      std::uint64_t aClock) {
+                                      std::uint64_t aClock)
+{
   std::uint64_t next = aClock;
-  const Result<std::string> before =
-    ReadFile(aFolder + "/" + kIncarnationFile);
+  const Result<std::string> before = ReadFile(aFolder + "/" + kIncarnationFile);
   if (before) {
     next = std::max<std::uint64_t>(
       next, std::strtoull(before.value().c_str(), nullptr, 10) + 1);
@@ -100,8 +105,8 @@
   return next;
 }
 
-Result<wire::DeploymentVersion> ReadCachedDeployment(
-  const std::string& aFolder) {
+Result<wire::DeploymentVersion> ReadCachedDeployment(const std::string& aFolder)
+{
   const Result<std::string> bytes = ReadFile(aFolder + "/" + kCacheFile);
   if (!bytes) {
     return bytes.error();
@@ -114,7 +119,8 @@
 }
 
 Result<bool> WriteCachedDeployment(const std::string& aFolder,
-                                   const wire::DeploymentVersion& aVersion) {
+                                   const wire::DeploymentVersion& aVersion)
+{
   return ReplaceFile(aFolder, kCacheFile, aVersion.SerializeAsString());
 }
 
--- a/src/edge/host.cpp
+++ b/src/edge/host.cpp
@@ -19,7 +19,8 @@
 constexpr int kAdminConnections = 300;
 constexpr std::uint64_t kMaxAdminBody = 4 * 1024 * 1024;
 
-sigset_t StopSignals() {
+sigset_t StopSignals()
+{
   sigset_t signals;
   sigemptyset(&signals);
   sigaddset(&signals, SIGTERM);
@@ -28,14 +29,16 @@
 }
 
 // Every thread inherits the mask, so that only WaitForStop() takes signals.
-void BlockSignals() {
+void BlockSignals()
+{
   const sigset_t signals = StopSignals();
   pthread_sigmask(SIG_BLOCK, &signals, nullptr);
   std::signal(SIGPIPE, SIG_IGN);
 }
 
 // A second signal changes nothing: a stop is never cut short silently.
-void WaitForStop(Runtime& aRuntime) {
+void WaitForStop(Runtime& aRuntime)
+{
   const sigset_t signals = StopSignals();
   const timespec wait{ 0, 50 * 1000 * 1000 };
   while (!aRuntime.Exited()) {
@@ -47,7 +50,8 @@
   }
 }
 
-void NoteMalformed(Runtime& aRuntime, const Malformed& aFault) {
+void NoteMalformed(Runtime& aRuntime, const Malformed& aFault)
+{
   WriteLog(0, "malformed request: " + aFault.mReason);
   wire::Event event;
   event.mutable_malformed()->set_status(
@@ -56,7 +60,8 @@
 }
 
 HttpListener::Options CallerOptions(const Settings& aSettings,
-                                    AttemptTools& aTools) {
+                                    AttemptTools& aTools)
+{
   HttpListener::Options options;
   options.mAddress = aSettings.mCallerAddress;
   options.mMaxConnections = aSettings.mMaxConnections;
@@ -70,8 +75,8 @@
   return options;
 }
 
-HttpListener::Options AdminOptions(const Settings& aSettings,
-                                   Runtime& aRuntime) {
+HttpListener::Options AdminOptions(const Settings& aSettings, Runtime& aRuntime)
+{
   HttpListener::Options options;
   options.mAddress = aSettings.mAdminAddress;
   options.mMaxConnections = kAdminConnections;
@@ -85,7 +90,8 @@
   return options;
 }
 
-int Serve(const Settings& aSettings, const std::string& aRecordFile) {
+int Serve(const Settings& aSettings, const std::string& aRecordFile)
+{
   Poco::File(aSettings.mDataFolder).createDirectories();
   Runtime runtime(aSettings, aRecordFile);
   const Result<bool> started = runtime.Start();
@@ -99,8 +105,7 @@
   const HttpListener admin(AdminOptions(aSettings, runtime));
   std::unique_ptr<HttpListener> callers;
   if (aSettings.mEntry) {
-    callers =
-      std::make_unique<HttpListener>(CallerOptions(aSettings, tools));
+    callers = std::make_unique<HttpListener>(CallerOptions(aSettings, tools));
   }
   WriteLog(1, "serving");
   WaitForStop(runtime);
@@ -112,7 +117,8 @@
 
 } // namespace
 
-int RunHost(const Settings& aSettings, const std::string& aRecordFile) {
+int RunHost(const Settings& aSettings, const std::string& aRecordFile)
+{
   StartLogging(aSettings.mId, aSettings.mLogFormat, aSettings.mLogLevel);
   BlockSignals();
   try {
--- a/src/edge/http_server.cpp
+++ b/src/edge/http_server.cpp
@@ -28,23 +28,26 @@
 constexpr int kIdleSeconds = 60;
 constexpr int kReadSeconds = 15;
 
-bool IsToken(const std::string& aName) {
+bool IsToken(const std::string& aName)
+{
   return !aName.empty() &&
          std::all_of(aName.begin(), aName.end(), [](unsigned char aChar) {
            return std::isalnum(aChar) != 0 ||
-                  std::string("!#$%&'*+-.^_`|~").find(static_cast<char>(
-                    aChar)) != std::string::npos;
+                  std::string("!#$%&'*+-.^_`|~")
+                      .find(static_cast<char>(aChar)) != std::string::npos;
          });
 }
 
-std::size_t CountOf(const HTTPRequest& aRequest, const std::string& aName) {
+std::size_t CountOf(const HTTPRequest& aRequest, const std::string& aName)
+{
   return static_cast<std::size_t>(
     std::count_if(aRequest.begin(), aRequest.end(), [&](const auto& aField) {
       return Poco::icompare(aField.first, aName) == 0;
     }));
 }
 
-bool IsDigits(const std::string& aText) {
+bool IsDigits(const std::string& aText)
+{
   return !aText.empty() && aText.size() <= kMaxLengthDigits &&
          std::all_of(aText.begin(), aText.end(), [](unsigned char aChar) {
            return std::isdigit(aChar) != 0;
@@ -53,7 +56,8 @@
 
 // Kinds are told apart by their path, so that a path must mean the same here
 // and at the target.
-bool IsPlainPath(const std::string& aUri) {
+bool IsPlainPath(const std::string& aUri)
+{
   const std::string path = Poco::toLower(aUri.substr(0, aUri.find('?')));
   if (path.empty() || path[0] != '/') {
     return false;
@@ -69,7 +73,8 @@
   });
 }
 
-Malformed CheckLength(const HTTPRequest& aRequest, std::uint64_t aMaxBody) {
+Malformed CheckLength(const HTTPRequest& aRequest, std::uint64_t aMaxBody)
+{
   const std::size_t lengths = CountOf(aRequest, HTTPMessage::CONTENT_LENGTH);
   if (CountOf(aRequest, HTTPMessage::TRANSFER_ENCODING) > 0) {
     return lengths > 0
@@ -79,8 +84,7 @@
   if (lengths > 1) {
     return { kBadRequest, "more than one Content-Length" };
   }
-  const std::string length =
-    aRequest.get(HTTPMessage::CONTENT_LENGTH, "0");
+  const std::string length = aRequest.get(HTTPMessage::CONTENT_LENGTH, "0");
   if (!IsDigits(length)) {
     return { kBadRequest, "Content-Length is not a number" };
   }
@@ -90,7 +94,8 @@
   return {};
 }
 
-class Connection : public Poco::Net::TCPServerConnection {
+class Connection : public Poco::Net::TCPServerConnection
+{
 public:
   Connection(const Poco::Net::StreamSocket& aSocket,
              const HttpListener::Options& aOptions,
@@ -98,21 +103,24 @@
     : TCPServerConnection(aSocket)
     , mOptions(aOptions)
     , mOpen(aOpen)
-    , mParams(new Poco::Net::HTTPServerParams) {
+    , mParams(new Poco::Net::HTTPServerParams)
+  {
     mParams->setKeepAlive(true);
     mParams->setMaxKeepAliveRequests(0);
     mParams->setKeepAliveTimeout(Poco::Timespan(kIdleSeconds, 0));
     mParams->setTimeout(Poco::Timespan(kReadSeconds, 0));
   }
 
-  void run() override {
+  void run() override
+  {
     const std::uint64_t id = mOpen.Add(socket());
     ServeAll();
     mOpen.Remove(id);
   }
 
 private:
-  void ServeAll() {
+  void ServeAll()
+  {
     try {
       Poco::Net::HTTPServerSession session(socket(), mParams);
       while (session.hasMoreRequests()) {
@@ -125,13 +133,13 @@
     }
   }
 
-  bool Serve(Poco::Net::HTTPServerSession& aSession) {
+  bool Serve(Poco::Net::HTTPServerSession& aSession)
+  {
     Poco::Net::HTTPServerResponseImpl response(aSession);
     try {
       Poco::Net::HTTPServerRequestImpl request(response, aSession, mParams);
       response.setVersion(request.getVersion());
-      response.setKeepAlive(request.getKeepAlive() &&
-                            aSession.canKeepAlive());
+      response.setKeepAlive(request.getKeepAlive() && aSession.canKeepAlive());
       Call call{ request, response, aSession };
       const Malformed fault = CheckRequest(request, mOptions.mMaxBody());
       if (fault.mStatus != 0) {
@@ -153,7 +161,8 @@
     }
   }
 
-  bool Refuse(Call& aCall, const Malformed& aFault) {
+  bool Refuse(Call& aCall, const Malformed& aFault)
+  {
     mOptions.mOnMalformed(aFault);
     aCall.mResponse.setKeepAlive(false);
     aCall.mResponse.set("Geraniumpond-Outcome", "not-run");
@@ -162,7 +171,8 @@
   }
 
   void RefuseUnread(Poco::Net::HTTPServerResponseImpl& aResponse,
-                    const std::string& aReason) {
+                    const std::string& aReason)
+  {
     mOptions.mOnMalformed({ kBadRequest, aReason });
     if (aResponse.sent()) {
       return;
@@ -180,14 +190,18 @@
   Poco::Net::HTTPServerParams::Ptr mParams;
 };
 
-class Factory : public Poco::Net::TCPServerConnectionFactory {
+class Factory : public Poco::Net::TCPServerConnectionFactory
+{
 public:
   Factory(const HttpListener::Options& aOptions, OpenSockets& aOpen)
     : mOptions(aOptions)
-    , mOpen(aOpen) {}
+    , mOpen(aOpen)
+  {
+  }
 
   Poco::Net::TCPServerConnection* createConnection(
-    const Poco::Net::StreamSocket& aSocket) override {
+    const Poco::Net::StreamSocket& aSocket) override
+  {
     return new Connection(aSocket, mOptions, mOpen);
   }
 
@@ -198,18 +212,21 @@
 
 } // namespace
 
-std::uint64_t OpenSockets::Add(const Poco::Net::StreamSocket& aSocket) {
+std::uint64_t OpenSockets::Add(const Poco::Net::StreamSocket& aSocket)
+{
   const std::lock_guard<std::mutex> lock(mMutex);
   mSockets.emplace(++mLast, aSocket);
   return mLast;
 }
 
-void OpenSockets::Remove(std::uint64_t aId) {
+void OpenSockets::Remove(std::uint64_t aId)
+{
   const std::lock_guard<std::mutex> lock(mMutex);
   mSockets.erase(aId);
 }
 
-void OpenSockets::ShutdownAll() {
+void OpenSockets::ShutdownAll()
+{
   const std::lock_guard<std::mutex> lock(mMutex);
   for (auto& [id, socket] : mSockets) {
     try {
@@ -221,7 +238,8 @@
 }
 
 Malformed CheckRequest(const Poco::Net::HTTPServerRequestImpl& aRequest,
-                       std::uint64_t aMaxBody) {
+                       std::uint64_t aMaxBody)
+{
   if (aRequest.getVersion() != HTTPMessage::HTTP_1_1) {
     return { kVersionNotSupported, "HTTP/1.1 only" };
   }
@@ -241,18 +259,19 @@
   return CheckLength(aRequest, aMaxBody);
 }
 
-std::string TokenDigest(const HTTPRequest& aRequest) {
+std::string TokenDigest(const HTTPRequest& aRequest)
+{
   constexpr std::size_t kPrefix = 7;
   const std::string value = aRequest.get("Authorization", "");
-  const bool bearer =
-    Poco::icompare(value.substr(0, kPrefix), "Bearer ") == 0;
+  const bool bearer = Poco::icompare(value.substr(0, kPrefix), "Bearer ") == 0;
   return Sha256Hex(bearer ? value.substr(kPrefix) : "");
 }
 
 void SendText(Call& aCall,
               int aStatus,
               const std::string& aType,
-              const std::string& aBody) {
+              const std::string& aBody)
+{
   aCall.mResponse.setStatusAndReason(
     static_cast<HTTPResponse::HTTPStatus>(aStatus));
   aCall.mResponse.setContentType(aType);
@@ -261,10 +280,12 @@
 
 HttpListener::HttpListener(Options aOptions)
   : mOptions(std::move(aOptions))
-  , mThreads(2, std::max(mOptions.mMaxConnections, 2)) {
+  , mThreads(2, std::max(mOptions.mMaxConnections, 2))
+{
   const Poco::Net::SocketAddress address(mOptions.mAddress);
   Poco::Net::ServerSocket socket;
-  socket.bind(address, true);
+  // Without sharing: a second process on the same port must fail.
+  socket.bind(address, true, false);
   socket.listen(1024);
   auto* params = new Poco::Net::TCPServerParams;
   params->setMaxThreads(mOptions.mMaxConnections);
@@ -274,11 +295,13 @@
   mServer->start();
 }
 
-HttpListener::~HttpListener() {
+HttpListener::~HttpListener()
+{
   Stop();
 }
 
-void HttpListener::Stop() {
+void HttpListener::Stop()
+{
   mServer->stop();
   mOpen.ShutdownAll();
   mThreads.joinAll();
--- a/src/edge/http_server.h
+++ b/src/edge/http_server.h
@@ -18,17 +18,24 @@
 namespace geraniumpond::edge {
 
 /// \brief What a handler wants done with the connection after its answer.
-enum class After { KeepOpen, Close, Break };
+enum class After
+{
+  KeepOpen,
+  Close,
+  Break
+};
 
 /// \brief One request on one connection.
-struct Call {
+struct Call
+{
   Poco::Net::HTTPServerRequestImpl& mRequest;
   Poco::Net::HTTPServerResponseImpl& mResponse;
   Poco::Net::HTTPServerSession& mSession;
 };
 
 /// \brief Why a request is refused before any handler sees it.
-struct Malformed {
+struct Malformed
+{
   int mStatus = 0;
   std::string mReason;
 };
@@ -39,8 +46,7 @@
   std::uint64_t aMaxBody);
 
 /// \brief Bearer token's SHA-256, or the digest of nothing.
-[[nodiscard]] std::string TokenDigest(
-  const Poco::Net::HTTPRequest& aRequest);
+[[nodiscard]] std::string TokenDigest(const Poco::Net::HTTPRequest& aRequest);
 
 /// \brief Sends a small answer with its length.
 void SendText(Call& aCall,
@@ -49,7 +55,8 @@
               const std::string& aBody);
 
 /// \brief The sockets of open connections, so that a stop can end idle ones.
-class OpenSockets {
+class OpenSockets
+{
 public:
   std::uint64_t Add(const Poco::Net::StreamSocket& aSocket);
   void Remove(std::uint64_t aId);
@@ -62,10 +69,12 @@
 };
 
 /// \brief An HTTP listener with one thread a connection.
-class HttpListener {
+class HttpListener
+{
 public:
   using Handler = std::function<After(Call&)>;
-  struct Options {
+  struct Options
+  {
     std::string mAddress;
     int mMaxConnections = 100;
     std::function<std::uint64_t()> mMaxBody;
--- a/src/edge/logging.cpp
+++ b/src/edge/logging.cpp
@@ -24,10 +24,14 @@
 namespace logging = boost::log;
 
 constexpr std::array<const char*, 4> kLevels = {
-  "debug", "info", "warning", "error",
+  "debug",
+  "info",
+  "warning",
+  "error",
 };
 
-int LevelOf(const std::string& aName) {
+int LevelOf(const std::string& aName)
+{
   for (std::size_t i = 0; i < kLevels.size(); ++i) {
     if (aName == kLevels[i]) {
       return static_cast<int>(i);
@@ -36,13 +40,15 @@
   return 1;
 }
 
-struct Line {
+struct Line
+{
   std::string mTime;
   const char* mLevel;
   std::string mMessage;
 };
 
-Line LineOf(const logging::record_view& aRecord) {
+Line LineOf(const logging::record_view& aRecord)
+{
   const auto time =
     logging::extract<boost::posix_time::ptime>("TimeStamp", aRecord);
   const auto level = logging::extract<int>("Severity", aRecord);
@@ -54,7 +60,8 @@
 
 void WriteText(const logging::record_view& aRecord,
                logging::formatting_ostream& aOut,
-               const std::string& aHost) {
+               const std::string& aHost)
+{
   const Line line = LineOf(aRecord);
   aOut << "time=" << line.mTime << "Z level=" << line.mLevel
        << " host=" << aHost << " message=\"" << line.mMessage << "\"";
@@ -62,7 +69,8 @@
 
 void WriteJson(const logging::record_view& aRecord,
                logging::formatting_ostream& aOut,
-               const std::string& aHost) {
+               const std::string& aHost)
+{
   const Line line = LineOf(aRecord);
   Poco::JSON::Object object;
   object.set("time", line.mTime + "Z");
@@ -78,7 +86,8 @@
 
 void StartLogging(const std::string& aHost,
                   const std::string& aFormat,
-                  const std::string& aLevel) {
+                  const std::string& aLevel)
+{
   using Backend = logging::sinks::text_ostream_backend;
   auto backend = boost::make_shared<Backend>();
   backend->add_stream(
@@ -98,11 +107,12 @@
   const int level = LevelOf(aLevel);
   sink->set_filter(logging::expressions::attr<int>("Severity") >= level);
   logging::core::get()->add_sink(sink);
-  logging::core::get()->add_global_attribute(
-    "TimeStamp", logging::attributes::utc_clock());
+  logging::core::get()->add_global_attribute("TimeStamp",
+                                             logging::attributes::utc_clock());
 }
 
-void WriteLog(int aLevel, const std::string& aMessage) {
+void WriteLog(int aLevel, const std::string& aMessage)
+{
   static logging::sources::severity_logger_mt<int> logger;
   BOOST_LOG_SEV(logger, aLevel) << aMessage;
 }
--- a/src/edge/peers.cpp
+++ b/src/edge/peers.cpp
@@ -17,7 +17,8 @@
 constexpr std::int64_t kMaxMessageBytes = 256LL * 1024 * 1024;
 constexpr const char* kWakeAddress = "inproc://wake";
 
-void SetOptions(zmq::socket_t& aSocket) {
+void SetOptions(zmq::socket_t& aSocket)
+{
   aSocket.set(zmq::sockopt::heartbeat_ivl, kHeartbeatMs);
   aSocket.set(zmq::sockopt::heartbeat_timeout, kHeartbeatTimeoutMs);
   aSocket.set(zmq::sockopt::reconnect_ivl, kReconnectMs);
@@ -31,14 +32,16 @@
 
 } // namespace
 
-struct Peers::Sockets {
+struct Peers::Sockets
+{
   zmq::context_t mContext{ 1 };
   zmq::socket_t mIn{ mContext, zmq::socket_type::router };
   zmq::socket_t mWakeOut{ mContext, zmq::socket_type::pair };
   zmq::socket_t mWakeIn{ mContext, zmq::socket_type::pair };
   std::map<std::string, zmq::socket_t> mOut;
 
-  zmq::socket_t& To(const std::string& aAddress) {
+  zmq::socket_t& To(const std::string& aAddress)
+  {
     const auto found = mOut.find(aAddress);
     if (found != mOut.end()) {
       return found->second;
@@ -52,7 +55,8 @@
 
 Peers::Peers(const std::string& aListen, Handler aHandler)
   : mHandler(std::move(aHandler))
-  , mSockets(std::make_unique<Sockets>()) {
+  , mSockets(std::make_unique<Sockets>())
+{
   SetOptions(mSockets->mIn);
   mSockets->mIn.bind("tcp://" + aListen);
   mSockets->mWakeIn.bind(kWakeAddress);
@@ -60,7 +64,8 @@
   mThread = std::thread([this] { Run(); });
 }
 
-Peers::~Peers() {
+Peers::~Peers()
+{
   {
     const std::lock_guard<std::mutex> lock(mMutex);
     mStopping = true;
@@ -70,12 +75,13 @@
 }
 
 // Called with the lock held: ZeroMQ sockets belong to one thread at a time.
-void Peers::Wake() {
+void Peers::Wake()
+{
   mSockets->mWakeOut.send(zmq::message_t(), zmq::send_flags::dontwait);
 }
 
-void Peers::Send(const std::string& aAddress,
-                 const wire::PeerMessage& aMessage) {
+void Peers::Send(const std::string& aAddress, const wire::PeerMessage& aMessage)
+{
   std::string bytes = aMessage.SerializeAsString();
   const std::lock_guard<std::mutex> lock(mMutex);
   if (mStopping || mQueue.size() >= kQueueLimit) {
@@ -87,7 +93,8 @@
   }
 }
 
-void Peers::SendQueued() {
+void Peers::SendQueued()
+{
   std::deque<std::pair<std::string, std::string>> queue;
   {
     const std::lock_guard<std::mutex> lock(mMutex);
@@ -101,7 +108,8 @@
   }
 }
 
-void Peers::Run() {
+void Peers::Run()
+{
   zmq::pollitem_t items[] = {
     { mSockets->mIn.handle(), 0, ZMQ_POLLIN, 0 },
     { mSockets->mWakeIn.handle(), 0, ZMQ_POLLIN, 0 },
--- a/src/edge/peers.h
+++ b/src/edge/peers.h
@@ -17,7 +17,8 @@
 ///
 /// Each direction has a connection of its own, with heartbeats that replace a
 /// connection that has gone silent.
-class Peers {
+class Peers
+{
 public:
   using Handler = std::function<void(wire::PeerMessage)>;
 
--- a/src/edge/runtime.cpp
+++ b/src/edge/runtime.cpp
@@ -22,23 +22,27 @@
 constexpr std::uint32_t kUnavailable = 503;
 constexpr std::uint64_t kDefaultMaxBody = 1024 * 1024;
 
-Micros SteadyNow() {
+Micros SteadyNow()
+{
   return duration_cast<microseconds>(steady_clock::now().time_since_epoch())
     .count();
 }
 
-Micros WallNow() {
+Micros WallNow()
+{
   return duration_cast<microseconds>(system_clock::now().time_since_epoch())
     .count();
 }
 
-std::string NewStorageName() {
+std::string NewStorageName()
+{
   std::random_device device;
   return "disk-" + std::to_string(device()) + std::to_string(device());
 }
 
 // Splitmix64: one random word per event, seeded once by the system.
-std::uint64_t NextWord(std::uint64_t& aState) {
+std::uint64_t NextWord(std::uint64_t& aState)
+{
   aState += 0x9e3779b97f4a7c15ULL;
   std::uint64_t word = aState;
   word = (word ^ (word >> 30)) * 0xbf58476d1ce4e5b9ULL;
@@ -49,7 +53,8 @@
 } // namespace
 
 Runtime::Runtime(const Settings& aSettings, const std::string& aRecordFile)
-  : mSettings(aSettings) {
+  : mSettings(aSettings)
+{
   mClockOffset = WallNow() - SteadyNow();
   std::random_device device;
   mRandomState = (static_cast<std::uint64_t>(device()) << 32) | device();
@@ -59,15 +64,18 @@
   }
 }
 
-Runtime::~Runtime() {
+Runtime::~Runtime()
+{
   Stop();
 }
 
-Micros Runtime::Now() const {
+Micros Runtime::Now() const
+{
   return SteadyNow() + mClockOffset;
 }
 
-Result<bool> Runtime::FillStarted(wire::Started& aStarted) {
+Result<bool> Runtime::FillStarted(wire::Started& aStarted)
+{
   *aStarted.mutable_settings() = node::ToWire(mSettings);
   const Result<std::uint64_t> incarnation = NextIncarnation(
     mSettings.mDataFolder, static_cast<std::uint64_t>(WallNow()));
@@ -83,8 +91,7 @@
   if (!mSettings.mControl) {
     return true;
   }
-  const Result<bool> made =
-    InitJoiner(mSettings.mDataFolder, NewStorageName());
+  const Result<bool> made = InitJoiner(mSettings.mDataFolder, NewStorageName());
   if (!made) {
     return made.error();
   }
@@ -111,7 +118,8 @@
   return true;
 }
 
-Result<bool> Runtime::Start() {
+Result<bool> Runtime::Start()
+{
   wire::Event event;
   const Result<bool> filled = FillStarted(*event.mutable_started());
   if (!filled) {
@@ -136,7 +144,8 @@
   return true;
 }
 
-void Runtime::Stop() {
+void Runtime::Stop()
+{
   {
     const std::lock_guard<std::mutex> lock(mThreadMutex);
     mStopped = true;
@@ -151,7 +160,8 @@
   mPeers.reset();
 }
 
-void Runtime::Post(wire::Event aEvent) {
+void Runtime::Post(wire::Event aEvent)
+{
   const std::lock_guard<std::mutex> lock(mMutex);
   aEvent.set_now_us(Now());
   aEvent.set_random(NextWord(mRandomState));
@@ -162,24 +172,26 @@
   Perform(effects);
 }
 
-void Runtime::Record(const wire::Event& aEvent, const wire::Effects& aEffects) {
+void Runtime::Record(const wire::Event& aEvent, const wire::Effects& aEffects)
+{
   wire::RecordedStep step;
   *step.mutable_event() = aEvent;
   step.set_effects_digest(Hash64(aEffects.SerializeAsString()));
-  google::protobuf::util::SerializeDelimitedToOstream(step,
-                                                      mRecordFile.get());
+  google::protobuf::util::SerializeDelimitedToOstream(step, mRecordFile.get());
   if (aEvent.has_tick()) {
     mRecordFile->flush();
   }
 }
 
-void Runtime::Perform(const wire::Effects& aEffects) {
+void Runtime::Perform(const wire::Effects& aEffects)
+{
   for (const wire::Effect& effect : aEffects.effects()) {
     PerformOne(effect);
   }
 }
 
-void Runtime::PerformOne(const wire::Effect& aEffect) {
+void Runtime::PerformOne(const wire::Effect& aEffect)
+{
   const auto toExchange = [&](std::uint64_t aRequest) {
     const auto found = mExchanges.find(aRequest);
     if (found != mExchanges.end()) {
@@ -221,15 +233,14 @@
     }
     case wire::Effect::kOperation: {
       const std::lock_guard<std::mutex> lock(mOperationMutex);
-      mOperationAnswers[aEffect.operation().operation()] =
-        aEffect.operation();
+      mOperationAnswers[aEffect.operation().operation()] = aEffect.operation();
       mOperationDone.notify_all();
       break;
     }
     case wire::Effect::kCache: {
       const std::lock_guard<std::mutex> lock(mThreadMutex);
-      mCache = std::make_unique<wire::DeploymentVersion>(
-        aEffect.cache().deployment());
+      mCache =
+        std::make_unique<wire::DeploymentVersion>(aEffect.cache().deployment());
       mCacheQueued.notify_one();
       break;
     }
@@ -249,15 +260,15 @@
 }
 
 wire::OperationAnswer Runtime::Operate(
-  const std::function<void(wire::Event&, std::uint64_t)>& aFill) {
+  const std::function<void(wire::Event&, std::uint64_t)>& aFill)
+{
   const std::uint64_t id = ++mLastOperation;
   wire::Event event;
   aFill(event, id);
   Post(std::move(event));
   std::unique_lock<std::mutex> lock(mOperationMutex);
-  const bool done = mOperationDone.wait_for(lock, kOperationPatience, [&] {
-    return mOperationAnswers.count(id) != 0;
-  });
+  const bool done = mOperationDone.wait_for(
+    lock, kOperationPatience, [&] { return mOperationAnswers.count(id) != 0; });
   wire::OperationAnswer answer;
   answer.set_status(kUnavailable);
   answer.set_body("{\"error\":\"unknown\",\"message\":\"no answer in time\"}");
@@ -268,14 +279,16 @@
   return answer;
 }
 
-std::shared_ptr<Exchange> Runtime::NewExchange() {
+std::shared_ptr<Exchange> Runtime::NewExchange()
+{
   auto exchange = std::make_shared<Exchange>(++mLastRequest);
   const std::lock_guard<std::mutex> lock(mMutex);
   mExchanges[exchange->Id()] = exchange;
   return exchange;
 }
 
-void Runtime::EndExchange(std::uint64_t aRequest) {
+void Runtime::EndExchange(std::uint64_t aRequest)
+{
   const std::lock_guard<std::mutex> lock(mMutex);
   const auto found = mExchanges.find(aRequest);
   if (found != mExchanges.end()) {
@@ -284,7 +297,8 @@
   }
 }
 
-std::uint64_t Runtime::MaxBodyBytes() {
+std::uint64_t Runtime::MaxBodyBytes()
+{
   return Read([](const node::State& aState, Micros) {
     std::uint64_t most = kDefaultMaxBody;
     for (const auto& [name, service] : aState.mDeployment.mServices) {
@@ -296,13 +310,15 @@
   });
 }
 
-bool Runtime::WaitExit(std::chrono::milliseconds aTimeout) {
+bool Runtime::WaitExit(std::chrono::milliseconds aTimeout)
+{
   std::unique_lock<std::mutex> lock(mThreadMutex);
   mExitChanged.wait_for(lock, aTimeout, [this] { return mExited.load(); });
   return mExited;
 }
 
-void Runtime::RunTimer() {
+void Runtime::RunTimer()
+{
   std::unique_lock<std::mutex> lock(mThreadMutex);
   while (!mStopped) {
     const Micros wait = mTimerAt - Now();
@@ -320,13 +336,15 @@
   }
 }
 
-void Runtime::FailDisk(const std::string& aReason) {
+void Runtime::FailDisk(const std::string& aReason)
+{
   wire::Event event;
   event.mutable_sync_failed()->set_reason(aReason);
   Post(std::move(event));
 }
 
-void Runtime::WriteBatch(const std::vector<wire::Persist>& aBatch) {
+void Runtime::WriteBatch(const std::vector<wire::Persist>& aBatch)
+{
   for (const wire::Persist& persist : aBatch) {
     const Result<bool> written = mLog->Write(persist);
     if (!written) {
@@ -344,7 +362,8 @@
   Post(std::move(event));
 }
 
-void Runtime::RunWriter() {
+void Runtime::RunWriter()
+{
   std::unique_lock<std::mutex> lock(mThreadMutex);
   while (true) {
     mWriteQueued.wait(lock, [this] { return !mWrites.empty() || mStopped; });
@@ -359,15 +378,15 @@
   }
 }
 
-void Runtime::RunCache() {
+void Runtime::RunCache()
+{
   std::unique_lock<std::mutex> lock(mThreadMutex);
   while (true) {
     mCacheQueued.wait(lock, [this] { return mCache != nullptr || mStopped; });
     if (mCache == nullptr) {
       return;
     }
-    const std::unique_ptr<wire::DeploymentVersion> version =
-      std::move(mCache);
+    const std::unique_ptr<wire::DeploymentVersion> version = std::move(mCache);
     lock.unlock();
     const Result<bool> written =
       WriteCachedDeployment(mSettings.mDataFolder, *version);
--- a/src/edge/runtime.h
+++ b/src/edge/runtime.h
@@ -23,7 +23,8 @@
 ///
 /// Events are taken one at a time; effects are performed in order, and none
 /// of them blocks.
-class Runtime {
+class Runtime
+{
 public:
   Runtime(const Settings& aSettings, const std::string& aRecordFile);
   Runtime(const Runtime&) = delete;
@@ -49,7 +50,8 @@
 
   /// \brief Reads the state under the lock.
   template<class Reader>
-  auto Read(Reader aReader) {
+  auto Read(Reader aReader)
+  {
     const std::lock_guard<std::mutex> lock(mMutex);
     return aReader(static_cast<const node::State&>(mState), Now());
   }
--- a/src/edge/storage.cpp
+++ b/src/edge/storage.cpp
@@ -21,25 +21,28 @@
 constexpr std::size_t kWordBytes = 4;
 constexpr mode_t kFileMode = 0600;
 
-void PutWord(std::string& aOut, std::uint32_t aWord) {
+void PutWord(std::string& aOut, std::uint32_t aWord)
+{
   for (std::size_t i = 0; i < kWordBytes; ++i) {
     aOut.push_back(static_cast<char>((aWord >> (8 * i)) & 0xff));
   }
 }
 
-std::uint32_t GetWord(std::string_view aBytes, std::size_t aAt) {
+std::uint32_t GetWord(std::string_view aBytes, std::size_t aAt)
+{
   std::uint32_t word = 0;
   for (std::size_t i = 0; i < kWordBytes; ++i) {
-    word |= static_cast<std::uint32_t>(
-              static_cast<unsigned char>(aBytes[aAt + i]))
-            << (8 * i);
+    word |=
+      static_cast<std::uint32_t>(static_cast<unsigned char>(aBytes[aAt + i]))
+      << (8 * i);
   }
   return word;
 }
 
 // The payload of the record at an offset, when header and payload check out.
 std::optional<std::string_view> RecordAt(std::string_view aBytes,
-                                         std::size_t aAt) {
+                                         std::size_t aAt)
+{
   if (aBytes.size() - aAt < kHeaderBytes) {
     return std::nullopt;
   }
@@ -61,7 +64,8 @@
 // A record that does not check out is a torn tail only if nothing whole comes
 // after it: appends reach the disk in order, so that whatever follows a whole
 // record had been acknowledged.
-bool AnyRecordAfter(std::string_view aBytes, std::size_t aAt) {
+bool AnyRecordAfter(std::string_view aBytes, std::size_t aAt)
+{
   for (std::size_t at = aAt + 1; at + kHeaderBytes < aBytes.size(); ++at) {
     const std::optional<std::string_view> payload = RecordAt(aBytes, at);
     if (payload && !payload->empty()) {
@@ -71,15 +75,15 @@
   return false;
 }
 
-Result<bool> TakeRecord(const wire::LogRecord& aRecord, StoredState& aOut) {
+Result<bool> TakeRecord(const wire::LogRecord& aRecord, StoredState& aOut)
+{
   if (aRecord.has_hard_state()) {
     aOut.mHard = aRecord.hard_state();
     return true;
   }
   if (aRecord.has_entry()) {
-    const std::uint64_t last = aOut.mEntries.empty()
-                                 ? 0
-                                 : aOut.mEntries.back().index();
+    const std::uint64_t last =
+      aOut.mEntries.empty() ? 0 : aOut.mEntries.back().index();
     if (last != 0 && aRecord.entry().index() != last + 1) {
       return Fail(ErrorCode::Corrupt,
                   "log: entry " + std::to_string(aRecord.entry().index()) +
@@ -95,14 +99,16 @@
   return true;
 }
 
-Result<bool> CutTail(const std::string& aPath, std::size_t aLength) {
+Result<bool> CutTail(const std::string& aPath, std::size_t aLength)
+{
   if (::truncate(aPath.c_str(), static_cast<off_t>(aLength)) != 0) {
     return Fail(ErrorCode::Io, aPath + ": " + std::strerror(errno));
   }
   return true;
 }
 
-Result<bool> ReadLog(const std::string& aFolder, StoredState& aOut) {
+Result<bool> ReadLog(const std::string& aFolder, StoredState& aOut)
+{
   const std::string path = aFolder + "/" + kLogFile;
   const Result<std::string> content = ReadFile(path);
   if (!content) {
@@ -138,16 +144,16 @@
   return true;
 }
 
-Result<bool> ReadSnapshot(const std::string& aFolder, StoredState& aOut) {
+Result<bool> ReadSnapshot(const std::string& aFolder, StoredState& aOut)
+{
   const std::string path = aFolder + "/" + kSnapshotFile;
   const Result<std::string> content = ReadFile(path);
   if (!content) {
     return content.error();
   }
   const std::optional<std::string_view> payload = RecordAt(content.value(), 0);
-  if (!payload ||
-      !aOut.mSnapshot.ParseFromArray(payload->data(),
-                                     static_cast<int>(payload->size()))) {
+  if (!payload || !aOut.mSnapshot.ParseFromArray(
+                    payload->data(), static_cast<int>(payload->size()))) {
     return Fail(ErrorCode::Corrupt, path + ": the snapshot is corrupt");
   }
   return true;
@@ -155,7 +161,8 @@
 
 // A crash between the two files of a replacement leaves the older log: what
 // the snapshot covers or contradicts is void, a gap between them is not.
-Result<bool> FitToSnapshot(StoredState& aState) {
+Result<bool> FitToSnapshot(StoredState& aState)
+{
   std::vector<wire::Entry>& entries = aState.mEntries;
   const std::uint64_t covered = aState.mSnapshot.index();
   if (entries.empty()) {
@@ -180,7 +187,8 @@
 
 Result<bool> InitDisk(const std::string& aFolder,
                       const wire::Snapshot& aSnapshot,
-                      const std::string& aStorage) {
+                      const std::string& aStorage)
+{
   wire::LogRecord record;
   record.mutable_hard_state()->set_storage(aStorage);
   const Result<bool> log =
@@ -193,13 +201,15 @@
     aFolder, kSnapshotFile, Frame(aSnapshot.SerializeAsString()));
 }
 
-bool HasDisk(const std::string& aFolder) {
+bool HasDisk(const std::string& aFolder)
+{
   return ::access((aFolder + "/" + kSnapshotFile).c_str(), F_OK) == 0;
 }
 
 } // namespace
 
-std::string Frame(const std::string& aPayload) {
+std::string Frame(const std::string& aPayload)
+{
   std::string frame;
   frame.reserve(kHeaderBytes + aPayload.size());
   PutWord(frame, static_cast<std::uint32_t>(aPayload.size()));
@@ -208,7 +218,8 @@
   return frame + aPayload;
 }
 
-Result<StoredState> Recover(const std::string& aFolder) {
+Result<StoredState> Recover(const std::string& aFolder)
+{
   StoredState state;
   const Result<bool> snapshot = ReadSnapshot(aFolder, state);
   if (!snapshot) {
@@ -226,7 +237,8 @@
 }
 
 Result<bool> InitFounder(const std::string& aFolder,
-                         const wire::HostSettings& aSettings) {
+                         const wire::HostSettings& aSettings)
+{
   if (HasDisk(aFolder)) {
     return Fail(ErrorCode::Conflict, aFolder + " already holds a disk");
   }
@@ -236,8 +248,8 @@
   return InitDisk(aFolder, snapshot, consensus::kFoundingStorage);
 }
 
-Result<bool> InitJoiner(const std::string& aFolder,
-                        const std::string& aStorage) {
+Result<bool> InitJoiner(const std::string& aFolder, const std::string& aStorage)
+{
   if (HasDisk(aFolder)) {
     return true;
   }
@@ -245,15 +257,19 @@
 }
 
 LogWriter::LogWriter(std::string aFolder)
-  : mFolder(std::move(aFolder)) {}
+  : mFolder(std::move(aFolder))
+{
+}
 
-LogWriter::~LogWriter() {
+LogWriter::~LogWriter()
+{
   if (mFile >= 0) {
     ::close(mFile);
   }
 }
 
-Result<std::unique_ptr<LogWriter>> LogWriter::Open(const std::string& aFolder) {
+Result<std::unique_ptr<LogWriter>> LogWriter::Open(const std::string& aFolder)
+{
   std::unique_ptr<LogWriter> writer(new LogWriter(aFolder));
   const Result<bool> opened = writer->OpenLog();
   if (!opened) {
@@ -262,20 +278,22 @@
   return writer;
 }
 
-Result<bool> LogWriter::OpenLog() {
+Result<bool> LogWriter::OpenLog()
+{
   if (mFile >= 0) {
     ::close(mFile);
   }
   const std::string path = mFolder + "/" + kLogFile;
-  mFile = ::open(
-    path.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, kFileMode);
+  mFile =
+    ::open(path.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, kFileMode);
   if (mFile < 0) {
     return Fail(ErrorCode::Io, path + ": " + std::strerror(errno));
   }
   return true;
 }
 
-Result<bool> LogWriter::Write(const wire::Persist& aPersist) {
+Result<bool> LogWriter::Write(const wire::Persist& aPersist)
+{
   std::string bytes;
   for (const wire::LogRecord& record : aPersist.records()) {
     bytes += Frame(record.SerializeAsString());
@@ -295,11 +313,10 @@
   return aPersist.has_snapshot() ? Replace(aPersist) : Result<bool>(true);
 }
 
-Result<bool> LogWriter::Replace(const wire::Persist& aPersist) {
-  const Result<bool> snapshot =
-    ReplaceFile(mFolder,
-                kSnapshotFile,
-                Frame(aPersist.snapshot().SerializeAsString()));
+Result<bool> LogWriter::Replace(const wire::Persist& aPersist)
+{
+  const Result<bool> snapshot = ReplaceFile(
+    mFolder, kSnapshotFile, Frame(aPersist.snapshot().SerializeAsString()));
   if (!snapshot) {
     return snapshot.error();
   }
@@ -314,7 +331,8 @@
   return OpenLog();
 }
 
-Result<bool> LogWriter::Sync() {
+Result<bool> LogWriter::Sync()
+{
   if (::fdatasync(mFile) != 0) {
     return Fail(ErrorCode::Io, std::string("sync: ") + std::strerror(errno));
   }
--- a/src/edge/storage.h
+++ b/src/edge/storage.h
@@ -12,7 +12,8 @@
 namespace geraniumpond::edge {
 
 /// \brief What a host's disk held at its start.
-struct StoredState {
+struct StoredState
+{
   wire::HardState mHard;
   wire::Snapshot mSnapshot;
   std::vector<wire::Entry> mEntries;
@@ -24,7 +25,8 @@
 [[nodiscard]] Result<StoredState> Recover(const std::string& aFolder);
 
 /// \brief Appends to the log file and replaces it together with a snapshot.
-class LogWriter {
+class LogWriter
+{
 public:
   [[nodiscard]] static Result<std::unique_ptr<LogWriter>> Open(
     const std::string& aFolder);
--- a/src/edge/target_client.cpp
+++ b/src/edge/target_client.cpp
@@ -17,7 +17,8 @@
 constexpr Micros kForgetIdle = kMinute;
 
 // An idle connection must be silent; anything to read is an end or rubbish.
-bool IsQuiet(TargetSession& aSession) {
+bool IsQuiet(TargetSession& aSession)
+{
   pollfd item{ aSession.socket().impl()->sockfd(), POLLIN, 0 };
   return ::poll(&item, 1, 0) == 0;
 }
@@ -25,27 +26,32 @@
 } // namespace
 
 TargetSession::TargetSession(const std::string& aHost, std::uint16_t aPort)
-  : HTTPClientSession(aHost, aPort) {
+  : HTTPClientSession(aHost, aPort)
+{
   setKeepAlive(true);
   setKeepAliveTimeout(Poco::Timespan(kKeepAliveSeconds, 0));
 }
 
-void TargetSession::Connect(Micros aTimeout) {
+void TargetSession::Connect(Micros aTimeout)
+{
   socket().connect(Poco::Net::SocketAddress(getHost(), getPort()),
                    Poco::Timespan(aTimeout));
   socket().setNoDelay(true);
 }
 
-int TargetSession::write(const char* aBuffer, std::streamsize aLength) {
+int TargetSession::write(const char* aBuffer, std::streamsize aLength)
+{
   return HTTPSession::write(aBuffer, aLength);
 }
 
-bool TargetSession::mustReconnect() const {
+bool TargetSession::mustReconnect() const
+{
   return false;
 }
 
 bool TargetSession::StartBody(const Poco::Net::HTTPResponse& aResponse,
-                              bool aHeadOnly) {
+                              bool aHeadOnly)
+{
   const int status = aResponse.getStatus();
   const bool noBody = aHeadOnly || status == 204 || status == 304;
   const bool chunked = aResponse.getChunkedTransferEncoding();
@@ -71,7 +77,8 @@
   return false;
 }
 
-bool TargetSession::ReadLine(std::string& aLine) {
+bool TargetSession::ReadLine(std::string& aLine)
+{
   aLine.clear();
   while (aLine.size() < kMaxLine) {
     const int next = get();
@@ -89,7 +96,8 @@
   return false;
 }
 
-bool TargetSession::NextChunk() {
+bool TargetSession::NextChunk()
+{
   std::string line;
   if (mInChunk && (!ReadLine(line) || !line.empty())) {
     return false;
@@ -107,7 +115,8 @@
   return true;
 }
 
-bool TargetSession::SkipTrailers() {
+bool TargetSession::SkipTrailers()
+{
   std::string line;
   for (std::size_t i = 0; i < kMaxTrailers; ++i) {
     if (!ReadLine(line)) {
@@ -120,7 +129,8 @@
   return false;
 }
 
-BodyRead TargetSession::ReadBody(char* aBuffer, std::size_t& aSize) {
+BodyRead TargetSession::ReadBody(char* aBuffer, std::size_t& aSize)
+{
   const std::size_t room = aSize;
   aSize = 0;
   if (mFraming == Framing::None ||
@@ -147,7 +157,8 @@
 
 std::unique_ptr<TargetSession> SessionPool::Take(const std::string& aAddress,
                                                  Micros aMaxIdle,
-                                                 Micros aNow) {
+                                                 Micros aNow)
+{
   const std::lock_guard<std::mutex> lock(mMutex);
   auto& idle = mIdle[aAddress];
   while (!idle.empty()) {
@@ -171,7 +182,8 @@
 
 void SessionPool::Give(const std::string& aAddress,
                        std::unique_ptr<TargetSession> aSession,
-                       Micros aNow) {
+                       Micros aNow)
+{
   if (!aSession->Reusable()) {
     return;
   }
@@ -184,7 +196,8 @@
   idle.push_back(std::move(aSession));
 }
 
-void SessionPool::Suspect(const std::string& aAddress) {
+void SessionPool::Suspect(const std::string& aAddress)
+{
   const std::lock_guard<std::mutex> lock(mMutex);
   mIdle.erase(aAddress);
 }
--- a/src/edge/target_client.h
+++ b/src/edge/target_client.h
@@ -15,13 +15,19 @@
 namespace geraniumpond::edge {
 
 /// \brief How reading a body went.
-enum class BodyRead { More, Done, Broken };
+enum class BodyRead
+{
+  More,
+  Done,
+  Broken
+};
 
 /// \brief A connection to a target.
 ///
 /// It never reconnects by itself, and it reads bodies itself: POCO takes a
 /// malformed or cut-off chunked body for a complete one.
-class TargetSession : public Poco::Net::HTTPClientSession {
+class TargetSession : public Poco::Net::HTTPClientSession
+{
 public:
   TargetSession(const std::string& aHost, std::uint16_t aPort);
 
@@ -46,7 +52,12 @@
   bool mustReconnect() const override;
 
 private:
-  enum class Framing { None, Length, Chunked };
+  enum class Framing
+  {
+    None,
+    Length,
+    Chunked
+  };
 
   [[nodiscard]] bool ReadLine(std::string& aLine);
   [[nodiscard]] bool NextChunk();
@@ -59,7 +70,8 @@
 };
 
 /// \brief Idle connections by target address.
-class SessionPool {
+class SessionPool
+{
 public:
   /// \brief A connection proved alive within `aMaxIdle`, or null.
   [[nodiscard]] std::unique_ptr<TargetSession> Take(const std::string& aAddress,
--- a/src/idempotency/idempotency.cpp
+++ b/src/idempotency/idempotency.cpp
@@ -4,7 +4,8 @@
 
 namespace {
 
-wire::KeyRecord Absent(const std::string& aKey) {
+wire::KeyRecord Absent(const std::string& aKey)
+{
   wire::KeyRecord record;
   record.set_key(aKey);
   record.set_phase(wire::KEY_ABSENT);
@@ -12,7 +13,8 @@
 }
 
 // A claim that arrives after its own release is a late copy and stays void.
-bool MayReplace(const wire::KeyRecord& aRecord, const wire::ClaimKey& aClaim) {
+bool MayReplace(const wire::KeyRecord& aRecord, const wire::ClaimKey& aClaim)
+{
   return aRecord.phase() == wire::KEY_RELEASED &&
          !IsOwnedBy(aRecord,
                     aClaim.owner(),
@@ -20,7 +22,8 @@
                     aClaim.attempt());
 }
 
-void Erase(Table& aTable, const std::string& aKey) {
+void Erase(Table& aTable, const std::string& aKey)
+{
   const auto found = aTable.mRecords.find(aKey);
   if (found != aTable.mRecords.end()) {
     aTable.mExpiries.erase({ found->second.expires_at_us(), aKey });
@@ -29,7 +32,8 @@
 }
 
 template<class Command>
-wire::KeyRecord* FindOwned(Table& aTable, const Command& aCommand) {
+wire::KeyRecord* FindOwned(Table& aTable, const Command& aCommand)
+{
   const auto found = aTable.mRecords.find(aCommand.key());
   if (found == aTable.mRecords.end() ||
       found->second.phase() != wire::KEY_CLAIMED ||
@@ -42,7 +46,8 @@
   return &found->second;
 }
 
-wire::KeyRecord Current(const Table& aTable, const std::string& aKey) {
+wire::KeyRecord Current(const Table& aTable, const std::string& aKey)
+{
   const auto found = aTable.mRecords.find(aKey);
   return found == aTable.mRecords.end() ? Absent(aKey) : found->second;
 }
@@ -51,14 +56,14 @@
 
 std::string ScopedKey(const std::string& aCaller,
                       const std::string& aService,
-                      const std::string& aKey) {
+                      const std::string& aKey)
+{
   // Names hold no '/', so that no caller can spell another one's scope.
   return aCaller + "/" + aService + "/" + aKey;
 }
 
-wire::KeyRecord Claim(Table& aTable,
-                      const wire::ClaimKey& aClaim,
-                      Micros aNow) {
+wire::KeyRecord Claim(Table& aTable, const wire::ClaimKey& aClaim, Micros aNow)
+{
   Expire(aTable, aNow);
   const auto found = aTable.mRecords.find(aClaim.key());
   if (found != aTable.mRecords.end() && !MayReplace(found->second, aClaim)) {
@@ -78,7 +83,8 @@
   return record;
 }
 
-wire::KeyRecord Complete(Table& aTable, const wire::CompleteKey& aComplete) {
+wire::KeyRecord Complete(Table& aTable, const wire::CompleteKey& aComplete)
+{
   wire::KeyRecord* record = FindOwned(aTable, aComplete);
   if (record == nullptr) {
     return Current(aTable, aComplete.key());
@@ -94,7 +100,8 @@
 
 wire::KeyRecord Release(Table& aTable,
                         const wire::ReleaseKey& aRelease,
-                        Micros aNow) {
+                        Micros aNow)
+{
   const auto found = aTable.mRecords.find(aRelease.key());
   const bool absent = found == aTable.mRecords.end();
   if (!absent && FindOwned(aTable, aRelease) == nullptr) {
@@ -112,9 +119,9 @@
   return record;
 }
 
-void Expire(Table& aTable, Micros aNow) {
-  while (!aTable.mExpiries.empty() &&
-         aTable.mExpiries.begin()->first <= aNow) {
+void Expire(Table& aTable, Micros aNow)
+{
+  while (!aTable.mExpiries.empty() && aTable.mExpiries.begin()->first <= aNow) {
     aTable.mRecords.erase(aTable.mExpiries.begin()->second);
     aTable.mExpiries.erase(aTable.mExpiries.begin());
   }
@@ -123,7 +130,8 @@
 bool IsOwnedBy(const wire::KeyRecord& aRecord,
                const std::string& aOwner,
                std::uint64_t aIncarnation,
-               std::uint64_t aAttempt) noexcept {
+               std::uint64_t aAttempt) noexcept
+{
   return aRecord.owner() == aOwner &&
          aRecord.owner_incarnation() == aIncarnation &&
          aRecord.attempt() == aAttempt;
--- a/src/limits/limits.cpp
+++ b/src/limits/limits.cpp
@@ -9,19 +9,22 @@
 constexpr int kPriorities = 3;
 constexpr int kBulk = static_cast<int>(Priority::Bulk);
 
-int BulkLimit(const WaitQueue& aQueue, int aCapacity) noexcept {
+int BulkLimit(const WaitQueue& aQueue, int aCapacity) noexcept
+{
   return std::max(1, static_cast<int>(aQueue.mBulkShare * aCapacity));
 }
 
 // Bulk work may borrow what is idle only up to its share: a slot given to a
 // long transfer does not come back when an urgent request arrives.
-bool BulkAllowed(const WaitQueue& aQueue, int aCapacity) noexcept {
+bool BulkAllowed(const WaitQueue& aQueue, int aCapacity) noexcept
+{
   return aQueue.mRunning[kBulk] < BulkLimit(aQueue, aCapacity);
 }
 
 // The caller with the least work for its share goes first; what others leave
 // idle is thereby borrowed, and given back one attempt at a time.
-CallerLoad* Neediest(WaitQueue& aQueue, int aPriority) {
+CallerLoad* Neediest(WaitQueue& aQueue, int aPriority)
+{
   CallerLoad* best = nullptr;
   double bestUse = 0;
   for (auto& [name, load] : aQueue.mCallers) {
@@ -37,7 +40,8 @@
   return best;
 }
 
-int WaitingOf(const WaitQueue& aQueue, const std::string& aCaller) noexcept {
+int WaitingOf(const WaitQueue& aQueue, const std::string& aCaller) noexcept
+{
   const auto found = aQueue.mCallers.find(aCaller);
   if (found == aQueue.mCallers.end()) {
     return 0;
@@ -51,7 +55,8 @@
 
 // A caller may fill the queue alone, but once others wait too it keeps only
 // its share of the places.
-bool HasPlace(const WaitQueue& aQueue, const Waiter& aWaiter) noexcept {
+bool HasPlace(const WaitQueue& aQueue, const Waiter& aWaiter) noexcept
+{
   const int total = static_cast<int>(aQueue.mWaiters.size());
   const int own = WaitingOf(aQueue, aWaiter.mCaller);
   if (total < aQueue.mLimit) {
@@ -64,19 +69,21 @@
 
 } // namespace
 
-Micros GiveUpTime(Micros aNow, Micros aDeadline) noexcept {
+Micros GiveUpTime(Micros aNow, Micros aDeadline) noexcept
+{
   return aNow + std::max<Micros>(aDeadline - aNow, 0) / kWaitDivisor;
 }
 
 bool MayWait(const WaitQueue& aQueue,
              const Waiter& aWaiter,
              Micros aExpectedWait,
-             Micros aNow) noexcept {
-  return aNow + aExpectedWait <= aWaiter.mGiveUpAt &&
-         HasPlace(aQueue, aWaiter);
+             Micros aNow) noexcept
+{
+  return aNow + aExpectedWait <= aWaiter.mGiveUpAt && HasPlace(aQueue, aWaiter);
 }
 
-void Add(WaitQueue& aQueue, const Waiter& aWaiter, double aShare) {
+void Add(WaitQueue& aQueue, const Waiter& aWaiter, double aShare)
+{
   CallerLoad& load = aQueue.mCallers[aWaiter.mCaller];
   load.mShare = aShare;
   load.mWaiting[static_cast<int>(aWaiter.mPriority)].insert(
@@ -84,7 +91,8 @@
   aQueue.mWaiters[aWaiter.mRequest] = aWaiter;
 }
 
-bool Remove(WaitQueue& aQueue, std::uint64_t aRequest) {
+bool Remove(WaitQueue& aQueue, std::uint64_t aRequest)
+{
   const auto found = aQueue.mWaiters.find(aRequest);
   if (found == aQueue.mWaiters.end()) {
     return false;
@@ -97,7 +105,8 @@
   return true;
 }
 
-std::optional<Waiter> Next(WaitQueue& aQueue, int aCapacity) {
+std::optional<Waiter> Next(WaitQueue& aQueue, int aCapacity)
+{
   for (int priority = 0; priority < kPriorities; ++priority) {
     if (priority == kBulk && !BulkAllowed(aQueue, aCapacity)) {
       continue;
@@ -117,7 +126,8 @@
 void Running(WaitQueue& aQueue,
              const std::string& aCaller,
              Priority aPriority,
-             int aChange) {
+             int aChange)
+{
   aQueue.mRunning[static_cast<int>(aPriority)] += aChange;
   CallerLoad& load = aQueue.mCallers[aCaller];
   load.mRunning += aChange;
--- a/src/membership/directory.cpp
+++ b/src/membership/directory.cpp
@@ -9,20 +9,23 @@
 
 namespace {
 
-std::uint64_t DigestOf(const wire::Fact& aFact) {
-  const std::string text =
-    std::to_string(aFact.kind()) + "/" + aFact.service() + "/" + aFact.id() +
-    "/" + std::to_string(aFact.incarnation()) + "/" +
-    std::to_string(aFact.sequence()) + "/" +
-    std::to_string(aFact.drain_sequence());
+std::uint64_t DigestOf(const wire::Fact& aFact)
+{
+  const std::string text = std::to_string(aFact.kind()) + "/" +
+                           aFact.service() + "/" + aFact.id() + "/" +
+                           std::to_string(aFact.incarnation()) + "/" +
+                           std::to_string(aFact.sequence()) + "/" +
+                           std::to_string(aFact.drain_sequence());
   return Hash64(text);
 }
 
-const std::string& GroupOf(const wire::Fact& aFact) {
+const std::string& GroupOf(const wire::Fact& aFact)
+{
   return aFact.service();
 }
 
-void ToggleDigest(Directory& aDirectory, const wire::Fact& aFact) {
+void ToggleDigest(Directory& aDirectory, const wire::Fact& aFact)
+{
   const std::uint64_t digest = DigestOf(aFact);
   aDirectory.mDigests[GroupOf(aFact)] ^= digest;
   aDirectory.mRoot ^= digest;
@@ -30,12 +33,14 @@
 
 // A tie on the sequence means that two hosts wrote at the same time; the
 // larger origin wins everywhere.
-bool LeaseIsNewer(const wire::Fact& aNew, const wire::Fact& aOld) {
+bool LeaseIsNewer(const wire::Fact& aNew, const wire::Fact& aOld)
+{
   return std::pair(aNew.sequence(), aNew.origin()) >
          std::pair(aOld.sequence(), aOld.origin());
 }
 
-wire::Fact Join(const wire::Fact& aOld, const wire::Fact& aNew) {
+wire::Fact Join(const wire::Fact& aOld, const wire::Fact& aNew)
+{
   if (aNew.incarnation() != aOld.incarnation()) {
     return aNew.incarnation() > aOld.incarnation() ? aNew : aOld;
   }
@@ -45,19 +50,22 @@
   return joined;
 }
 
-bool Same(const wire::Fact& aLeft, const wire::Fact& aRight) {
+bool Same(const wire::Fact& aLeft, const wire::Fact& aRight)
+{
   return aLeft.incarnation() == aRight.incarnation() &&
          aLeft.sequence() == aRight.sequence() &&
          aLeft.origin() == aRight.origin() &&
          aLeft.drain_sequence() == aRight.drain_sequence();
 }
 
-std::uint64_t RankOf(const std::string& aName, const std::string& aHost) {
+std::uint64_t RankOf(const std::string& aName, const std::string& aHost)
+{
   return Hash64(aHost, Hash64(aName));
 }
 
 std::vector<const wire::Fact*> Ranked(std::vector<const wire::Fact*> aHosts,
-                                      const std::string& aName) {
+                                      const std::string& aName)
+{
   std::sort(aHosts.begin(),
             aHosts.end(),
             [&](const wire::Fact* aLeft, const wire::Fact* aRight) {
@@ -68,15 +76,18 @@
 
 } // namespace
 
-FactKey KeyOf(const wire::Fact& aFact) {
+FactKey KeyOf(const wire::Fact& aFact)
+{
   return { aFact.kind(), aFact.service(), aFact.id() };
 }
 
-bool IsDraining(const wire::Fact& aFact) noexcept {
+bool IsDraining(const wire::Fact& aFact) noexcept
+{
   return aFact.drain_sequence() % 2 == 1;
 }
 
-bool Merge(Directory& aDirectory, const wire::Fact& aFact, Micros aNow) {
+bool Merge(Directory& aDirectory, const wire::Fact& aFact, Micros aNow)
+{
   const FactKey key = KeyOf(aFact);
   const auto found = aDirectory.mFacts.find(key);
   if (found == aDirectory.mFacts.end()) {
@@ -95,12 +106,14 @@
 }
 
 const wire::Fact* Find(const Directory& aDirectory,
-                       const FactKey& aKey) noexcept {
+                       const FactKey& aKey) noexcept
+{
   const auto found = aDirectory.mFacts.find(aKey);
   return found == aDirectory.mFacts.end() ? nullptr : &found->second.mFact;
 }
 
-std::vector<const wire::Fact*> Hosts(const Directory& aDirectory) {
+std::vector<const wire::Fact*> Hosts(const Directory& aDirectory)
+{
   std::vector<const wire::Fact*> hosts;
   for (const wire::Fact* fact : FactsOf(aDirectory, "")) {
     if (!fact->gone()) {
@@ -111,7 +124,8 @@
 }
 
 std::vector<const wire::Fact*> FactsOf(const Directory& aDirectory,
-                                       const std::string& aService) {
+                                       const std::string& aService)
+{
   const wire::FactKind kind =
     aService.empty() ? wire::FACT_HOST : wire::FACT_TARGET;
   std::vector<const wire::Fact*> facts;
@@ -124,7 +138,8 @@
   return facts;
 }
 
-void Forget(Directory& aDirectory, Micros aNow, Micros aAge) {
+void Forget(Directory& aDirectory, Micros aNow, Micros aAge)
+{
   for (auto it = aDirectory.mFacts.begin(); it != aDirectory.mFacts.end();) {
     if (it->second.mFact.gone() && aNow - it->second.mChangedAt > aAge) {
       ToggleDigest(aDirectory, it->second.mFact);
@@ -137,7 +152,8 @@
 
 std::vector<const wire::Fact*> EntriesOf(const Directory& aDirectory,
                                          const std::string& aService,
-                                         int aCount) {
+                                         int aCount)
+{
   std::vector<const wire::Fact*> hosts;
   for (const wire::Fact* host : Hosts(aDirectory)) {
     if (host->entry_role() && !IsDraining(*host)) {
@@ -153,11 +169,12 @@
 
 std::vector<const wire::Fact*> Successors(const Directory& aDirectory,
                                           const std::string& aSelf,
-                                          int aCount) {
+                                          int aCount)
+{
   const std::vector<const wire::Fact*> hosts = Hosts(aDirectory);
   std::vector<const wire::Fact*> result;
-  const auto self = std::find_if(
-    hosts.begin(), hosts.end(), [&](const wire::Fact* aHost) {
+  const auto self =
+    std::find_if(hosts.begin(), hosts.end(), [&](const wire::Fact* aHost) {
       return aHost->id() >= aSelf;
     });
   const auto start = static_cast<std::size_t>(self - hosts.begin());
@@ -173,7 +190,8 @@
 Spread SpreadFrom(const Directory& aDirectory,
                   const std::string& aSelf,
                   const std::string& aDataCentre,
-                  std::uint64_t aSalt) {
+                  std::uint64_t aSalt)
+{
   Spread spread;
   std::map<std::string, std::vector<const wire::Fact*>> others;
   for (const wire::Fact* host : Hosts(aDirectory)) {
--- a/src/metrics/burn.cpp
+++ b/src/metrics/burn.cpp
@@ -10,12 +10,14 @@
 
 } // namespace
 
-Histogram NewHistogram() {
+Histogram NewHistogram()
+{
   return boost::histogram::make_histogram(
     LatencyAxis(kBins, kLowestMs, kHighestMs));
 }
 
-double Quantile(const Histogram& aHistogram, double aShare) {
+double Quantile(const Histogram& aHistogram, double aShare)
+{
   double total = 0;
   for (auto&& bin :
        boost::histogram::indexed(aHistogram, boost::histogram::coverage::all)) {
@@ -39,7 +41,8 @@
           Micros aNow,
           Micros aLatency,
           const std::string& aOutcome,
-          bool aGood) {
+          bool aGood)
+{
   aSeries.mLatency(static_cast<double>(aLatency) / kMillisecond);
   ++aSeries.mOutcomes[aOutcome];
   Minute& minute = aSeries.mMinutes[aNow / kMinute];
@@ -50,7 +53,8 @@
   }
 }
 
-Minute Over(const Series& aSeries, Micros aNow, Micros aWindow) {
+Minute Over(const Series& aSeries, Micros aNow, Micros aWindow)
+{
   Minute sum;
   const auto first = aSeries.mMinutes.lower_bound((aNow - aWindow) / kMinute);
   for (auto it = first; it != aSeries.mMinutes.end(); ++it) {
@@ -60,17 +64,18 @@
   return sum;
 }
 
-double Rate(const Minute& aCounts, double aObjectiveShare) {
+double Rate(const Minute& aCounts, double aObjectiveShare)
+{
   if (aCounts.mTotal == 0) {
     return 0;
   }
-  const double bad =
-    1.0 - static_cast<double>(aCounts.mGood) /
-            static_cast<double>(aCounts.mTotal);
+  const double bad = 1.0 - static_cast<double>(aCounts.mGood) /
+                             static_cast<double>(aCounts.mTotal);
   return bad / (1.0 - aObjectiveShare);
 }
 
-const std::vector<Window>& Windows() {
+const std::vector<Window>& Windows()
+{
   static const std::vector<Window> windows = {
     { "5m", 5 * kMinute },
     { "1h", 60 * kMinute },
--- a/src/node/attempts.cpp
+++ b/src/node/attempts.cpp
@@ -17,7 +17,8 @@
 constexpr double kHedgeAfter = 3.0;
 constexpr Micros kMinRetryAfter = 50 * kMillisecond;
 
-Attempt* FindAttempt(Request& aRequest, std::uint64_t aNumber) {
+Attempt* FindAttempt(Request& aRequest, std::uint64_t aNumber)
+{
   for (Attempt& attempt : aRequest.mAttempts) {
     if (attempt.mNumber == aNumber) {
       return &attempt;
@@ -26,7 +27,8 @@
   return nullptr;
 }
 
-retries::Effect EffectOf(wire::AttemptEnd aEnd) {
+retries::Effect EffectOf(wire::AttemptEnd aEnd)
+{
   switch (aEnd) {
     case wire::END_NOT_SENT:
     case wire::END_REFUSED:
@@ -38,7 +40,8 @@
   }
 }
 
-routing::Verdict VerdictOf(const wire::AttemptEnded& aEvent) {
+routing::Verdict VerdictOf(const wire::AttemptEnded& aEvent)
+{
   switch (aEvent.end()) {
     case wire::END_COMPLETE:
       return aEvent.status() >= kFirstServerError ? routing::Verdict::Failed
@@ -57,7 +60,8 @@
 void TakeLoad(Context& aContext,
               const std::string& aService,
               const std::string& aTarget,
-              const wire::LoadReport& aLoad) {
+              const wire::LoadReport& aLoad)
+{
   if (!aLoad.present()) {
     return;
   }
@@ -70,7 +74,8 @@
 
 retries::Situation SituationOf(const ServiceState& aService,
                                const Request& aRequest,
-                               retries::Effect aEffect) {
+                               retries::Effect aEffect)
+{
   retries::Situation situation;
   situation.mIdempotent = aRequest.mIdempotent;
   situation.mEffect = aEffect;
@@ -80,10 +85,10 @@
   return situation;
 }
 
-bool Retry(Context& aContext, Request& aRequest, retries::Effect aEffect) {
+bool Retry(Context& aContext, Request& aRequest, retries::Effect aEffect)
+{
   ServiceState& service = aContext.mState.mServices[aRequest.mService];
-  const retries::Situation situation =
-    SituationOf(service, aRequest, aEffect);
+  const retries::Situation situation = SituationOf(service, aRequest, aEffect);
   if (aRequest.mDetached ||
       !retries::MayRetry(service.mRetries, situation, aContext.mNow)) {
     return false;
@@ -97,7 +102,8 @@
   return true;
 }
 
-void AnswerFailure(Context& aContext, Request& aRequest) {
+void AnswerFailure(Context& aContext, Request& aRequest)
+{
   if (aRequest.mOwnsKey) {
     if (aRequest.mMayHaveRun) {
       CompleteKey(aContext, aRequest, nullptr);
@@ -123,7 +129,8 @@
                     std::max(ExpectedWait(service), kMinRetryAfter) });
 }
 
-void NoteServed(Context& aContext, const Request& aRequest) {
+void NoteServed(Context& aContext, const Request& aRequest)
+{
   const Deployment& deployment = aContext.mState.mDeployment;
   burn::Series& series =
     aContext.mState
@@ -138,9 +145,9 @@
     }
   }
   const Micros latency = aContext.mNow - aRequest.mArrivedAt;
-  const bool good = aRequest.mStatus < kFirstServerError &&
-                    (series.mObjectiveTime == 0 ||
-                     latency <= series.mObjectiveTime);
+  const bool good =
+    aRequest.mStatus < kFirstServerError &&
+    (series.mObjectiveTime == 0 || latency <= series.mObjectiveTime);
   burn::Note(series, aContext.mNow, latency, kRan, good);
 }
 
@@ -148,7 +155,8 @@
 // record follows through the control group.
 void TakeKeyedAnswer(Context& aContext,
                      Request& aRequest,
-                     const wire::AttemptEnded& aEvent) {
+                     const wire::AttemptEnded& aEvent)
+{
   aRequest.mStatus = aEvent.status();
   CompleteKey(aContext, aRequest, &aEvent.answer());
   if (!aRequest.mDetached) {
@@ -161,7 +169,8 @@
   Forget(aContext, aRequest.mId);
 }
 
-void Break(Context& aContext, const Request& aRequest) {
+void Break(Context& aContext, const Request& aRequest)
+{
   aContext.Count("answers_broken");
   aContext.Add().mutable_break_connection()->set_request(aRequest.mId);
   burn::Series& series =
@@ -179,7 +188,8 @@
 // target only where a strong validator proves that it is the same body.
 void ResumeOrBreak(Context& aContext,
                    Request& aRequest,
-                   std::uint64_t aDelivered) {
+                   std::uint64_t aDelivered)
+{
   ServiceState& service = aContext.mState.mServices[aRequest.mService];
   const bool can =
     !aRequest.mEtag.empty() && aRequest.mRangeAllowed && !aRequest.mDetached;
@@ -188,8 +198,7 @@
   situation.mIdempotent = true;
   situation.mOverloaded = false;
   situation.mDeadline = aContext.mNow + 1;
-  if (!can ||
-      !retries::MayRetry(service.mRetries, situation, aContext.mNow)) {
+  if (!can || !retries::MayRetry(service.mRetries, situation, aContext.mNow)) {
     Break(aContext, aRequest);
     return;
   }
@@ -207,7 +216,8 @@
 
 void TakeAcceptedEnd(Context& aContext,
                      Request& aRequest,
-                     const wire::AttemptEnded& aEvent) {
+                     const wire::AttemptEnded& aEvent)
+{
   switch (aEvent.end()) {
     case wire::END_COMPLETE:
       NoteServed(aContext, aRequest);
@@ -223,7 +233,8 @@
   }
 }
 
-void Release(Context& aContext, const wire::AttemptEnded& aEvent) {
+void Release(Context& aContext, const wire::AttemptEnded& aEvent)
+{
   State& state = aContext.mState;
   const auto found = state.mHoldings.find(aEvent.attempt());
   if (found == state.mHoldings.end()) {
@@ -243,7 +254,8 @@
 
 void EndAttempt(Context& aContext,
                 Request& aRequest,
-                const wire::AttemptEnded& aEvent) {
+                const wire::AttemptEnded& aEvent)
+{
   auto& attempts = aRequest.mAttempts;
   attempts.erase(std::remove_if(attempts.begin(),
                                 attempts.end(),
@@ -274,7 +286,8 @@
 // A server error of an idempotent request is worth another target.
 bool RetryInstead(Context& aContext,
                   Request& aRequest,
-                  const wire::AttemptHead& aEvent) {
+                  const wire::AttemptHead& aEvent)
+{
   if (aEvent.status() < kFirstServerError || !aRequest.mIdempotent) {
     return false;
   }
@@ -286,7 +299,8 @@
           service.mRetries.mSaved >= 1 && !situation.mOverloaded);
 }
 
-void Drop(Context& aContext, std::uint64_t aRequest, std::uint64_t aAttempt) {
+void Drop(Context& aContext, std::uint64_t aRequest, std::uint64_t aAttempt)
+{
   wire::CancelAttempt& cancel = *aContext.Add().mutable_cancel();
   cancel.set_request(aRequest);
   cancel.set_attempt(aAttempt);
@@ -297,13 +311,13 @@
 void StartAttempt(Context& aContext,
                   Request& aRequest,
                   std::size_t aTarget,
-                  bool aHedge) {
+                  bool aHedge)
+{
   State& state = aContext.mState;
   ServiceState& service = state.mServices[aRequest.mService];
   const routing::Target& target = service.mTargets.mTargets[aTarget];
   const std::uint64_t number = ++state.mLastAttempt;
-  aRequest.mAttempts.push_back(
-    { number, target.mId, aContext.mNow, aHedge });
+  aRequest.mAttempts.push_back({ number, target.mId, aContext.mNow, aHedge });
   aRequest.mTried.push_back(target.mId);
   ++aRequest.mAttemptCount;
   if (aRequest.mAttemptCount == 1) {
@@ -313,10 +327,9 @@
     ++service.mExtraAttempts;
   }
   aRequest.mPhase = Phase::Running;
-  state.mHoldings[number] = { aRequest.mService,
-                              target.mId,
-                              aRequest.mCaller,
-                              aRequest.mPriority };
+  state.mHoldings[number] = {
+    aRequest.mService, target.mId, aRequest.mCaller, aRequest.mPriority
+  };
   routing::Begin(service.mTargets, aTarget, number, aContext.mNow);
   limits::Running(service.mQueue, aRequest.mCaller, aRequest.mPriority, 1);
   wire::Dispatch& dispatch = *aContext.Add().mutable_dispatch();
@@ -344,7 +357,8 @@
   }
 }
 
-void TakeHead(Context& aContext, const wire::AttemptHead& aEvent) {
+void TakeHead(Context& aContext, const wire::AttemptHead& aEvent)
+{
   State& state = aContext.mState;
   const auto found = state.mRequests.find(aEvent.request());
   if (found == state.mRequests.end() ||
@@ -382,7 +396,8 @@
   accept.set_close_connection(state.mStopping);
 }
 
-void TakeEnd(Context& aContext, const wire::AttemptEnded& aEvent) {
+void TakeEnd(Context& aContext, const wire::AttemptEnded& aEvent)
+{
   State& state = aContext.mState;
   const auto holding = state.mHoldings.find(aEvent.attempt());
   const std::string service =
@@ -396,9 +411,8 @@
   Pump(aContext, service);
 }
 
-void CancelAttempts(Context& aContext,
-                    Request& aRequest,
-                    std::uint64_t aExcept) {
+void CancelAttempts(Context& aContext, Request& aRequest, std::uint64_t aExcept)
+{
   for (const Attempt& attempt : aRequest.mAttempts) {
     if (attempt.mNumber != aExcept) {
       Drop(aContext, aRequest.mId, attempt.mNumber);
@@ -406,7 +420,8 @@
   }
 }
 
-void TryHedge(Context& aContext, Request& aRequest) {
+void TryHedge(Context& aContext, Request& aRequest)
+{
   if (aRequest.mPhase != Phase::Running || aRequest.mAttempts.size() != 1) {
     return;
   }
--- a/src/node/context.h
+++ b/src/node/context.h
@@ -6,21 +6,24 @@
 namespace geraniumpond::node {
 
 /// \brief One step: the state, the event's time and random word, the effects.
-struct Context {
+struct Context
+{
   State& mState;
   Micros mNow;
   std::uint64_t mRandom;
   wire::Effects& mOut;
 
   /// Next word of a sequence that the event's random word starts.
-  std::uint64_t NextRandom() noexcept {
+  std::uint64_t NextRandom() noexcept
+  {
     mRandom = mRandom * 6364136223846793005ULL + 1442695040888963407ULL;
     return mRandom ^ (mRandom >> 31);
   }
   [[nodiscard]] wire::Effect& Add() const { return *mOut.add_effects(); }
   void Count(const std::string& aName) const { ++mState.mCounters[aName]; }
   void Log(int aLevel, const std::string& aMessage) const;
-  [[nodiscard]] const std::string& Self() const noexcept {
+  [[nodiscard]] const std::string& Self() const noexcept
+  {
     return mState.mSettings.id();
   }
 };
@@ -44,7 +47,8 @@
 void FireTimer(Context& aContext, TimerKind aKind, std::uint64_t aRequest);
 
 /// \brief An answer that the system itself writes.
-struct Reply {
+struct Reply
+{
   std::uint32_t mStatus;
   const char* mOutcome;
   std::string mReason;
@@ -54,9 +58,7 @@
 void AnswerAndForget(Context& aContext,
                      const Request& aRequest,
                      const Reply& aReply);
-void AnswerAndDetach(Context& aContext,
-                     Request& aRequest,
-                     const Reply& aReply);
+void AnswerAndDetach(Context& aContext, Request& aRequest, const Reply& aReply);
 void Forget(Context& aContext, std::uint64_t aRequest);
 [[nodiscard]] Micros ExpectedWait(const ServiceState& aService) noexcept;
 [[nodiscard]] bool IsOverloaded(const ServiceState& aService) noexcept;
@@ -127,16 +129,13 @@
 void TakeAnnounce(Context& aContext, const wire::TargetAnnounced& aEvent);
 
 // --- deployments.cpp: the configuration in force here
-void TakeDeployment(Context& aContext,
-                    const wire::DeploymentVersion& aVersion);
+void TakeDeployment(Context& aContext, const wire::DeploymentVersion& aVersion);
 void SpreadDeployment(Context& aContext, bool aRelay);
 void TakeDeploymentPush(Context& aContext,
                         const std::string& aFrom,
                         const wire::DeploymentPush& aMessage);
 void AskDeployment(Context& aContext);
-void SendDeployment(Context& aContext,
-                    const std::string& aTo,
-                    bool aRelay);
+void SendDeployment(Context& aContext, const std::string& aTo, bool aRelay);
 void CheckReady(Context& aContext);
 
 // --- operators.cpp
--- a/src/node/deployments.cpp
+++ b/src/node/deployments.cpp
@@ -8,36 +8,36 @@
 // the deployment that it had in force last.
 constexpr Micros kQuorumWait = 3 * kSecond;
 
-void ConfigureService(Context& aContext, const Service& aRules) {
+void ConfigureService(Context& aContext, const Service& aRules)
+{
   State& state = aContext.mState;
   ServiceState& service = state.mServices[aRules.mName];
   service.mTargets.mDataCentre = state.mSettings.data_centre();
   service.mTargets.mRules.mMaxEjected = aRules.mMaxEjected;
   service.mTargets.mRules.mSlowStart = aRules.mSlowStart;
-  service.mTargets.mRules.mEntries =
-    static_cast<int>(membership::EntriesOf(
-                       state.mDirectory, aRules.mName, aRules.mEntries)
-                       .size());
+  service.mTargets.mRules.mEntries = static_cast<int>(
+    membership::EntriesOf(state.mDirectory, aRules.mName, aRules.mEntries)
+      .size());
   service.mQueue.mLimit = aRules.mQueueLimit;
   service.mQueue.mBulkShare = aRules.mBulkShare;
   service.mRetries.mRatio = aRules.mRetryBudget;
   SyncTargets(aContext, aRules.mName);
 }
 
-std::size_t Majority(const State& aState) {
+std::size_t Majority(const State& aState)
+{
   return static_cast<std::size_t>(aState.mSettings.voters_size()) / 2 + 1;
 }
 
 } // namespace
 
-void TakeDeployment(Context& aContext,
-                    const wire::DeploymentVersion& aVersion) {
+void TakeDeployment(Context& aContext, const wire::DeploymentVersion& aVersion)
+{
   State& state = aContext.mState;
   if (aVersion.version() <= state.mVersion.version()) {
     return;
   }
-  Checked<Deployment> parsed =
-    ParseDeployment(aVersion.text(), "deployment");
+  Checked<Deployment> parsed = ParseDeployment(aVersion.text(), "deployment");
   if (!parsed.Ok()) {
     aContext.Count("deployments_unreadable");
     aContext.Log(kError,
@@ -59,7 +59,8 @@
   CheckReady(aContext);
 }
 
-void SendDeployment(Context& aContext, const std::string& aTo, bool aRelay) {
+void SendDeployment(Context& aContext, const std::string& aTo, bool aRelay)
+{
   wire::PeerMessage message;
   wire::DeploymentPush& push = *message.mutable_deployment_push();
   *push.mutable_deployment() = aContext.mState.mVersion;
@@ -67,7 +68,8 @@
   SendTo(aContext, aTo, std::move(message));
 }
 
-void SpreadDeployment(Context& aContext, bool aRelay) {
+void SpreadDeployment(Context& aContext, bool aRelay)
+{
   const membership::Spread spread =
     membership::SpreadFrom(aContext.mState.mDirectory,
                            aContext.Self(),
@@ -86,7 +88,8 @@
 
 void TakeDeploymentPush(Context& aContext,
                         const std::string& aFrom,
-                        const wire::DeploymentPush& aMessage) {
+                        const wire::DeploymentPush& aMessage)
+{
   State& state = aContext.mState;
   const std::uint64_t before = state.mVersion.version();
   if (IsControlHost(state, aFrom)) {
@@ -114,7 +117,8 @@
   }
 }
 
-void AskDeployment(Context& aContext) {
+void AskDeployment(Context& aContext)
+{
   for (const wire::Peer& voter : aContext.mState.mSettings.voters()) {
     if (voter.id() == aContext.Self()) {
       continue;
@@ -126,7 +130,8 @@
   }
 }
 
-void CheckReady(Context& aContext) {
+void CheckReady(Context& aContext)
+{
   State& state = aContext.mState;
   if (state.mReady || state.mVersion.version() == 0) {
     return;
--- a/src/node/entry.cpp
+++ b/src/node/entry.cpp
@@ -20,7 +20,8 @@
 constexpr Micros kMinRetryAfter = 50 * kMillisecond;
 constexpr double kDefaultLatency = 20.0 * kMillisecond;
 
-struct Admission {
+struct Admission
+{
   const Caller* mCaller = nullptr;
   const Service* mService = nullptr;
   const Kind* mKind = nullptr;
@@ -29,7 +30,8 @@
 void Refuse(Context& aContext,
             const wire::RequestArrived& aEvent,
             const Reply& aReply,
-            const char* aCounter) {
+            const char* aCounter)
+{
   aContext.Count(std::string("refused_") + aCounter);
   wire::Answer& answer = *aContext.Add().mutable_answer();
   answer.set_request(aEvent.request());
@@ -41,7 +43,8 @@
   answer.set_close_connection(aContext.mState.mStopping);
 }
 
-bool TakesPath(const Service& aService, const std::string& aPath) {
+bool TakesPath(const Service& aService, const std::string& aPath)
+{
   return std::any_of(
     aService.mKinds.begin(), aService.mKinds.end(), [&](const Kind& aKind) {
       return aPath.rfind(aKind.mPathPrefix, 0) == 0;
@@ -52,7 +55,8 @@
 // A service that the caller may not reach looks like one that does not exist.
 bool Admit(Context& aContext,
            const wire::RequestArrived& aEvent,
-           Admission& aOut) {
+           Admission& aOut)
+{
   const Deployment& deployment = aContext.mState.mDeployment;
   if (!IsReady(aContext.mState)) {
     Refuse(aContext,
@@ -91,7 +95,8 @@
   return true;
 }
 
-bool IsKeyText(const std::string& aKey) {
+bool IsKeyText(const std::string& aKey)
+{
   return aKey.size() <= kMaxKeyBytes &&
          std::all_of(aKey.begin(), aKey.end(), [](char aChar) {
            return aChar > ' ' && aChar <= '~';
@@ -100,7 +105,8 @@
 
 bool CheckRequest(Context& aContext,
                   const wire::RequestArrived& aEvent,
-                  const Kind& aKind) {
+                  const Kind& aKind)
+{
   if (aEvent.body_bytes() > aKind.mMaxBodyBytes) {
     Refuse(
       aContext, aEvent, { kTooLarge, kNotRun, "body too large" }, "too_large");
@@ -126,7 +132,8 @@
 
 Request NewRequest(const Context& aContext,
                    const wire::RequestArrived& aEvent,
-                   const Admission& aAdmission) {
+                   const Admission& aAdmission)
+{
   const Kind& kind = *aAdmission.mKind;
   Request request;
   request.mId = aEvent.request();
@@ -151,7 +158,8 @@
   return request;
 }
 
-limits::Waiter WaiterOf(const Context& aContext, const Request& aRequest) {
+limits::Waiter WaiterOf(const Context& aContext, const Request& aRequest)
+{
   limits::Waiter waiter;
   waiter.mRequest = aRequest.mId;
   waiter.mCaller = aRequest.mCaller;
@@ -161,7 +169,8 @@
   return waiter;
 }
 
-void RefuseOverload(Context& aContext, Request& aRequest) {
+void RefuseOverload(Context& aContext, Request& aRequest)
+{
   const ServiceState& service = aContext.mState.mServices[aRequest.mService];
   const Micros wait = std::max(ExpectedWait(service), kMinRetryAfter);
   aContext.Count("refused_overload");
@@ -176,14 +185,16 @@
                     wait });
 }
 
-void GiveUp(Context& aContext, Request& aRequest) {
+void GiveUp(Context& aContext, Request& aRequest)
+{
   ServiceState& service = aContext.mState.mServices[aRequest.mService];
   if (limits::Remove(service.mQueue, aRequest.mId)) {
     RefuseOverload(aContext, aRequest);
   }
 }
 
-void MissDeadline(Context& aContext, Request& aRequest) {
+void MissDeadline(Context& aContext, Request& aRequest)
+{
   if (aRequest.mPhase == Phase::Accepted || aRequest.mDetached) {
     return;
   }
@@ -206,7 +217,8 @@
 
 } // namespace
 
-Micros ExpectedWait(const ServiceState& aService) noexcept {
+Micros ExpectedWait(const ServiceState& aService) noexcept
+{
   const double latency = aService.mTargets.mMedianLatency > 0
                            ? aService.mTargets.mMedianLatency
                            : kDefaultLatency;
@@ -218,13 +230,13 @@
   return static_cast<Micros>(latency * waiting / std::max(running, 1));
 }
 
-bool IsOverloaded(const ServiceState& aService) noexcept {
+bool IsOverloaded(const ServiceState& aService) noexcept
+{
   return !aService.mQueue.mWaiters.empty();
 }
 
-void AnswerNow(Context& aContext,
-               const Request& aRequest,
-               const Reply& aReply) {
+void AnswerNow(Context& aContext, const Request& aRequest, const Reply& aReply)
+{
   wire::Answer& answer = *aContext.Add().mutable_answer();
   answer.set_request(aRequest.mId);
   answer.set_status(aReply.mStatus);
@@ -245,19 +257,20 @@
 
 void AnswerAndForget(Context& aContext,
                      const Request& aRequest,
-                     const Reply& aReply) {
+                     const Reply& aReply)
+{
   AnswerNow(aContext, aRequest, aReply);
   Forget(aContext, aRequest.mId);
 }
 
-void AnswerAndDetach(Context& aContext,
-                     Request& aRequest,
-                     const Reply& aReply) {
+void AnswerAndDetach(Context& aContext, Request& aRequest, const Reply& aReply)
+{
   AnswerNow(aContext, aRequest, aReply);
   aRequest.mDetached = true;
 }
 
-void Forget(Context& aContext, std::uint64_t aRequest) {
+void Forget(Context& aContext, std::uint64_t aRequest)
+{
   const auto found = aContext.mState.mRequests.find(aRequest);
   if (found == aContext.mState.mRequests.end()) {
     return;
@@ -269,7 +282,8 @@
   aContext.mState.mRequests.erase(found);
 }
 
-void Arrive(Context& aContext, const wire::RequestArrived& aEvent) {
+void Arrive(Context& aContext, const wire::RequestArrived& aEvent)
+{
   Admission admission;
   if (!Admit(aContext, aEvent, admission) ||
       !CheckRequest(aContext, aEvent, *admission.mKind)) {
@@ -278,8 +292,7 @@
   State& state = aContext.mState;
   Request& request = state.mRequests[aEvent.request()];
   request = NewRequest(aContext, aEvent, admission);
-  state.mTimers.insert(
-    { request.mDeadline, TimerKind::Deadline, request.mId });
+  state.mTimers.insert({ request.mDeadline, TimerKind::Deadline, request.mId });
   const ServiceState& service = state.mServices[request.mService];
   const limits::Waiter waiter = WaiterOf(aContext, request);
   if (!limits::MayWait(
@@ -294,13 +307,13 @@
   Enqueue(aContext, request);
 }
 
-void Enqueue(Context& aContext, Request& aRequest) {
+void Enqueue(Context& aContext, Request& aRequest)
+{
   State& state = aContext.mState;
   aRequest.mPhase = Phase::Waiting;
   const limits::Waiter waiter = WaiterOf(aContext, aRequest);
   const Caller& caller = state.mDeployment.mCallers[aRequest.mCaller];
-  limits::Add(
-    state.mServices[aRequest.mService].mQueue, waiter, caller.mShare);
+  limits::Add(state.mServices[aRequest.mService].mQueue, waiter, caller.mShare);
   const std::uint64_t id = aRequest.mId;
   // The pump may end the request; the reference is not used after it.
   Pump(aContext, std::string(aRequest.mService));
@@ -311,7 +324,8 @@
   }
 }
 
-void Pump(Context& aContext, const std::string& aService) {
+void Pump(Context& aContext, const std::string& aService)
+{
   State& state = aContext.mState;
   const auto found = state.mServices.find(aService);
   if (found == state.mServices.end()) {
@@ -332,11 +346,8 @@
       return;
     }
     Request& request = state.mRequests.at(next->mRequest);
-    const std::optional<std::size_t> target =
-      routing::Pick(service.mTargets,
-                    aContext.mNow,
-                    aContext.NextRandom(),
-                    request.mTried);
+    const std::optional<std::size_t> target = routing::Pick(
+      service.mTargets, aContext.mNow, aContext.NextRandom(), request.mTried);
     if (!target) {
       const double share = state.mDeployment.mCallers[request.mCaller].mShare;
       limits::Add(service.mQueue, *next, share);
@@ -346,7 +357,8 @@
   }
 }
 
-void ClientLeft(Context& aContext, std::uint64_t aRequest) {
+void ClientLeft(Context& aContext, std::uint64_t aRequest)
+{
   const auto found = aContext.mState.mRequests.find(aRequest);
   if (found == aContext.mState.mRequests.end()) {
     return;
@@ -365,7 +377,8 @@
   Forget(aContext, aRequest);
 }
 
-void FireTimer(Context& aContext, TimerKind aKind, std::uint64_t aRequest) {
+void FireTimer(Context& aContext, TimerKind aKind, std::uint64_t aRequest)
+{
   const auto found = aContext.mState.mRequests.find(aRequest);
   if (found == aContext.mState.mRequests.end()) {
     return;
--- a/src/node/facts.cpp
+++ b/src/node/facts.cpp
@@ -18,7 +18,8 @@
 void Push(Context& aContext,
           const std::string& aTo,
           const std::vector<wire::Fact>& aFacts,
-          bool aRelay) {
+          bool aRelay)
+{
   wire::PeerMessage message;
   wire::FactPush& push = *message.mutable_fact_push();
   for (const wire::Fact& fact : aFacts) {
@@ -34,7 +35,8 @@
 
 void Spread(Context& aContext,
             const std::vector<wire::Fact>& aFacts,
-            bool aAcross) {
+            bool aAcross)
+{
   if (aFacts.empty()) {
     return;
   }
@@ -55,13 +57,15 @@
 }
 
 // Another host thinks this one gone, or knows an earlier life of it.
-bool MustRefute(const State& aState, const wire::Fact& aFact) {
+bool MustRefute(const State& aState, const wire::Fact& aFact)
+{
   return aFact.kind() == wire::FACT_HOST &&
          aFact.id() == aState.mSettings.id() &&
          aFact.incarnation() == aState.mIncarnation && aFact.gone();
 }
 
-void Changed(Context& aContext, const wire::Fact& aFact) {
+void Changed(Context& aContext, const wire::Fact& aFact)
+{
   if (aFact.kind() == wire::FACT_TARGET) {
     SyncTargets(aContext, aFact.service());
     return;
@@ -70,18 +74,18 @@
   for (auto& [name, service] : aContext.mState.mServices) {
     const auto rules = aContext.mState.mDeployment.mServices.find(name);
     if (rules != aContext.mState.mDeployment.mServices.end()) {
-      service.mTargets.mRules.mEntries =
-        static_cast<int>(membership::EntriesOf(aContext.mState.mDirectory,
-                                               name,
-                                               rules->second.mEntries)
-                           .size());
+      service.mTargets.mRules.mEntries = static_cast<int>(
+        membership::EntriesOf(
+          aContext.mState.mDirectory, name, rules->second.mEntries)
+          .size());
     }
   }
 }
 
 // Facts that changed here, in the order in which they came.
 std::vector<wire::Fact> MergeAll(Context& aContext,
-                                 const wire::FactPush& aMessage) {
+                                 const wire::FactPush& aMessage)
+{
   std::vector<wire::Fact> changed;
   State& state = aContext.mState;
   for (const wire::Fact& fact : aMessage.facts()) {
@@ -99,7 +103,8 @@
   return changed;
 }
 
-std::string GossipPartner(Context& aContext) {
+std::string GossipPartner(Context& aContext)
+{
   State& state = aContext.mState;
   std::vector<std::string> partners;
   const bool seed = aContext.NextRandom() % kSeedEvery == 0;
@@ -119,12 +124,12 @@
       std::remove(partners.begin(), partners.end(), aContext.Self()),
       partners.end());
   }
-  return partners.empty()
-           ? std::string()
-           : partners[aContext.NextRandom() % partners.size()];
+  return partners.empty() ? std::string()
+                          : partners[aContext.NextRandom() % partners.size()];
 }
 
-void OfferDigests(Context& aContext, const std::string& aTo, bool aWhole) {
+void OfferDigests(Context& aContext, const std::string& aTo, bool aWhole)
+{
   const membership::Directory& directory = aContext.mState.mDirectory;
   wire::PeerMessage message;
   wire::DigestOffer& offer = *message.mutable_digest_offer();
@@ -146,14 +151,14 @@
 }
 
 std::set<std::string> DifferingServices(const membership::Directory& aDirectory,
-                                        const wire::DigestOffer& aOffer) {
+                                        const wire::DigestOffer& aOffer)
+{
   std::set<std::string> differing;
   std::set<std::string> offered;
   for (const wire::DigestEntry& entry : aOffer.digests()) {
     offered.insert(entry.service());
     const auto found = aDirectory.mDigests.find(entry.service());
-    if (found == aDirectory.mDigests.end() ||
-        found->second != entry.digest()) {
+    if (found == aDirectory.mDigests.end() || found->second != entry.digest()) {
       differing.insert(entry.service());
     }
   }
@@ -167,7 +172,8 @@
 
 void PushServices(Context& aContext,
                   const std::string& aTo,
-                  const std::set<std::string>& aServices) {
+                  const std::set<std::string>& aServices)
+{
   std::vector<wire::Fact> facts;
   for (const std::string& service : aServices) {
     for (const wire::Fact* fact :
@@ -180,7 +186,8 @@
   }
 }
 
-routing::Target NewTarget(const wire::Fact& aFact) {
+routing::Target NewTarget(const wire::Fact& aFact)
+{
   routing::Target target;
   target.mId = aFact.id();
   target.mIncarnation = aFact.incarnation();
@@ -188,7 +195,8 @@
   return target;
 }
 
-void UpdateTarget(routing::Target& aTarget, const wire::Fact& aFact) {
+void UpdateTarget(routing::Target& aTarget, const wire::Fact& aFact)
+{
   if (aTarget.mIncarnation != aFact.incarnation()) {
     // A restarted target is another one: nothing learned holds any more.
     aTarget = NewTarget(aFact);
@@ -203,7 +211,8 @@
 // one a subset by rendezvous hashing, so that each target is held by about as
 // many entries as any other.
 std::vector<const wire::Fact*> HeldTargets(const State& aState,
-                                           const std::string& aService) {
+                                           const std::string& aService)
+{
   std::vector<const wire::Fact*> live;
   for (const wire::Fact* fact :
        membership::FactsOf(aState.mDirectory, aService)) {
@@ -226,7 +235,8 @@
 
 } // namespace
 
-void Publish(Context& aContext, const wire::Fact& aFact) {
+void Publish(Context& aContext, const wire::Fact& aFact)
+{
   State& state = aContext.mState;
   if (!membership::Merge(state.mDirectory, aFact, aContext.mNow)) {
     return;
@@ -237,14 +247,16 @@
   Spread(aContext, { now }, true);
 }
 
-void TakeFacts(Context& aContext, const wire::FactPush& aMessage) {
+void TakeFacts(Context& aContext, const wire::FactPush& aMessage)
+{
   const std::vector<wire::Fact> changed = MergeAll(aContext, aMessage);
   if (aMessage.relay()) {
     Spread(aContext, changed, false);
   }
 }
 
-void Gossip(Context& aContext) {
+void Gossip(Context& aContext)
+{
   aContext.mState.mGossipAt = aContext.mNow + kGossipInterval;
   const std::string partner = GossipPartner(aContext);
   if (!partner.empty()) {
@@ -254,7 +266,8 @@
 
 void TakeDigests(Context& aContext,
                  const std::string& aFrom,
-                 const wire::DigestOffer& aMessage) {
+                 const wire::DigestOffer& aMessage)
+{
   const membership::Directory& directory = aContext.mState.mDirectory;
   if (aMessage.root() == directory.mRoot) {
     return;
@@ -278,18 +291,19 @@
 
 void TakeFactRequest(Context& aContext,
                      const std::string& aFrom,
-                     const wire::FactRequest& aMessage) {
-  PushServices(
-    aContext,
-    aFrom,
-    { aMessage.services().begin(), aMessage.services().end() });
+                     const wire::FactRequest& aMessage)
+{
+  PushServices(aContext,
+               aFrom,
+               { aMessage.services().begin(), aMessage.services().end() });
 }
 
-void AnnounceSelf(Context& aContext) {
+void AnnounceSelf(Context& aContext)
+{
   State& state = aContext.mState;
   const wire::HostSettings& settings = state.mSettings;
-  const wire::Fact* known = membership::Find(
-    state.mDirectory, { wire::FACT_HOST, "", settings.id() });
+  const wire::Fact* known =
+    membership::Find(state.mDirectory, { wire::FACT_HOST, "", settings.id() });
   wire::Fact fact;
   fact.set_kind(wire::FACT_HOST);
   fact.set_id(settings.id());
@@ -306,7 +320,8 @@
   Publish(aContext, fact);
 }
 
-void SyncTargets(Context& aContext, const std::string& aService) {
+void SyncTargets(Context& aContext, const std::string& aService)
+{
   State& state = aContext.mState;
   const auto service = state.mServices.find(aService);
   if (service == state.mServices.end()) {
