--- a/src/node/group.cpp
+++ b/src/node/group.cpp
@@ -14,7 +14,8 @@
 
 void Reply(Context& aContext,
            const CommitWaiter& aWaiter,
-           const wire::CommandOutcome& aOutcome) {
+           const wire::CommandOutcome& aOutcome)
+{
   wire::ProposalReply reply;
   reply.set_id(aWaiter.mProposal);
   reply.set_leader(aContext.Self());
@@ -28,7 +29,8 @@
   SendTo(aContext, aWaiter.mFrom, std::move(message));
 }
 
-void ApplyEntry(Context& aContext, const wire::Entry& aEntry) {
+void ApplyEntry(Context& aContext, const wire::Entry& aEntry)
+{
   State& state = aContext.mState;
   if (aEntry.command().empty()) {
     return;
@@ -60,7 +62,8 @@
   }
 }
 
-void Install(Context& aContext, const wire::Snapshot& aSnapshot) {
+void Install(Context& aContext, const wire::Snapshot& aSnapshot)
+{
   State& state = aContext.mState;
   if (aSnapshot.state().empty()) {
     return;
@@ -78,7 +81,8 @@
   }
 }
 
-void Persist(Context& aContext, consensus::Write& aWrite) {
+void Persist(Context& aContext, consensus::Write& aWrite)
+{
   wire::Persist& persist = *aContext.Add().mutable_persist();
   persist.set_sequence(aWrite.mSequence);
   for (wire::LogRecord& record : aWrite.mRecords) {
@@ -93,7 +97,8 @@
   }
 }
 
-void SendAll(Context& aContext, consensus::Output& aOutput) {
+void SendAll(Context& aContext, consensus::Output& aOutput)
+{
   for (wire::ConsensusMessage& message : aOutput.mMessages) {
     const std::string to = message.to();
     wire::PeerMessage peer;
@@ -103,7 +108,8 @@
 }
 
 wire::Membership Without(const wire::Membership& aMembers,
-                         const std::string& aId) {
+                         const std::string& aId)
+{
   wire::Membership next;
   for (const wire::Member& member : aMembers.members()) {
     if (member.id() != aId) {
@@ -113,7 +119,8 @@
   return next;
 }
 
-void Change(Context& aContext, const wire::Membership& aNext) {
+void Change(Context& aContext, const wire::Membership& aNext)
+{
   consensus::Output output;
   const Result<std::uint64_t> index = consensus::ChangeMembership(
     aContext.mState.mGroup, aContext.mNow, aNext, output);
@@ -124,7 +131,8 @@
 }
 
 // A learner that has caught up becomes a voter, one at a time.
-void PromoteLearner(Context& aContext) {
+void PromoteLearner(Context& aContext)
+{
   const consensus::State& group = aContext.mState.mGroup;
   for (const wire::Member& member : group.mMembership.members()) {
     const auto progress = group.mProgress.find(member.id());
@@ -145,7 +153,8 @@
   }
 }
 
-void AskToJoin(Context& aContext) {
+void AskToJoin(Context& aContext)
+{
   State& state = aContext.mState;
   if (aContext.mNow < state.mJoinAt) {
     return;
@@ -166,7 +175,8 @@
 
 } // namespace
 
-void StartGroup(Context& aContext, const wire::Started& aEvent) {
+void StartGroup(Context& aContext, const wire::Started& aEvent)
+{
   State& state = aContext.mState;
   consensus::Recovered recovered;
   recovered.mHard = aEvent.hard_state();
@@ -174,24 +184,21 @@
   for (const wire::Entry& entry : aEvent.entries()) {
     recovered.mEntries.push_back(entry);
   }
-  state.mGroup = consensus::Open(aEvent.settings().id(),
-                                 recovered,
-                                 aContext.mNow,
-                                 aContext.NextRandom());
+  state.mGroup = consensus::Open(
+    aEvent.settings().id(), recovered, aContext.mNow, aContext.NextRandom());
   Install(aContext, recovered.mSnapshot);
 }
 
-void TickGroup(Context& aContext) {
+void TickGroup(Context& aContext)
+{
   State& state = aContext.mState;
   if (!state.mSettings.control()) {
     return;
   }
   consensus::Output output;
-  consensus::Tick(
-    state.mGroup, aContext.mNow, aContext.NextRandom(), output);
+  consensus::Tick(state.mGroup, aContext.mNow, aContext.NextRandom(), output);
   Drain(aContext, std::move(output));
-  if (state.mGroup.mRole == consensus::Role::Learner &&
-      !state.mGroup.mFailed) {
+  if (state.mGroup.mRole == consensus::Role::Learner && !state.mGroup.mFailed) {
     AskToJoin(aContext);
   }
   if (consensus::IsLeader(state.mGroup)) {
@@ -199,7 +206,8 @@
   }
 }
 
-void TakeConsensus(Context& aContext, const wire::ConsensusMessage& aMessage) {
+void TakeConsensus(Context& aContext, const wire::ConsensusMessage& aMessage)
+{
   State& state = aContext.mState;
   if (!state.mSettings.control()) {
     return;
@@ -210,20 +218,22 @@
   Drain(aContext, std::move(output));
 }
 
-void TakeSync(Context& aContext, std::uint64_t aSequence) {
+void TakeSync(Context& aContext, std::uint64_t aSequence)
+{
   consensus::Output output;
   consensus::Synced(aContext.mState.mGroup, aSequence, output);
   Drain(aContext, std::move(output));
 }
 
-void TakeSyncFailure(Context& aContext, const std::string& aReason) {
-  aContext.Log(kError,
-               "disk: " + aReason + "; this host no longer votes");
+void TakeSyncFailure(Context& aContext, const std::string& aReason)
+{
+  aContext.Log(kError, "disk: " + aReason + "; this host no longer votes");
   aContext.Count("disk_failures");
   consensus::Failed(aContext.mState.mGroup);
 }
 
-void TakeJoin(Context& aContext, const wire::JoinRequest& aMessage) {
+void TakeJoin(Context& aContext, const wire::JoinRequest& aMessage)
+{
   State& state = aContext.mState;
   const wire::Member& joiner = aMessage.member();
   if (!consensus::IsLeader(state.mGroup) ||
@@ -253,7 +263,8 @@
   Change(aContext, next);
 }
 
-void Drain(Context& aContext, consensus::Output aOutput) {
+void Drain(Context& aContext, consensus::Output aOutput)
+{
   State& state = aContext.mState;
   if (aOutput.mInstall) {
     Install(aContext, *aOutput.mInstall);
@@ -268,8 +279,7 @@
   if (!consensus::IsLeader(state.mGroup)) {
     state.mCommitWaiters.clear();
   }
-  if (!aOutput.mCommitted.empty() &&
-      consensus::WantsSnapshot(state.mGroup)) {
+  if (!aOutput.mCommitted.empty() && consensus::WantsSnapshot(state.mGroup)) {
     consensus::Output output;
     consensus::TakeSnapshot(
       state.mGroup, control::Save(state.mControl), output);
--- a/src/node/keys.cpp
+++ b/src/node/keys.cpp
@@ -16,7 +16,8 @@
 constexpr Micros kCompletionPatience = 10 * kMinute;
 
 // The owner lives on while its host runs the same incarnation.
-bool OwnerIsGone(const State& aState, const wire::KeyRecord& aRecord) {
+bool OwnerIsGone(const State& aState, const wire::KeyRecord& aRecord)
+{
   const wire::Fact* host = membership::Find(
     aState.mDirectory, { wire::FACT_HOST, "", aRecord.owner() });
   return host == nullptr || host->gone() ||
@@ -24,7 +25,8 @@
 }
 
 template<class Body>
-void SetOwner(const Context& aContext, Body& aBody, const Request& aRequest) {
+void SetOwner(const Context& aContext, Body& aBody, const Request& aRequest)
+{
   aBody.set_key(aRequest.mKey);
   aBody.set_owner(aContext.Self());
   aBody.set_owner_incarnation(aContext.mState.mIncarnation);
@@ -33,7 +35,8 @@
 
 void AnswerStored(Context& aContext,
                   const Request& aRequest,
-                  const wire::KeyRecord& aRecord) {
+                  const wire::KeyRecord& aRecord)
+{
   aContext.Count("answers_from_record");
   wire::Answer& answer = *aContext.Add().mutable_answer();
   answer.set_request(aRequest.mId);
@@ -44,7 +47,8 @@
   Forget(aContext, aRequest.mId);
 }
 
-void AwaitRecord(Context& aContext, Request& aRequest) {
+void AwaitRecord(Context& aContext, Request& aRequest)
+{
   aRequest.mPhase = Phase::AwaitingRecord;
   const int doublings = std::min(aRequest.mClaimTries, kMaxDoublings);
   ++aRequest.mClaimTries;
@@ -55,7 +59,8 @@
 
 void TakeForeignRecord(Context& aContext,
                        Request& aRequest,
-                       const wire::KeyRecord& aRecord) {
+                       const wire::KeyRecord& aRecord)
+{
   switch (aRecord.phase()) {
     case wire::KEY_DONE:
       AnswerStored(aContext, aRequest, aRecord);
@@ -86,7 +91,8 @@
 // The caller left, or its deadline passed, before the claim was granted.
 void DropOrphan(Context& aContext,
                 const wire::ClaimKey& aClaim,
-                const wire::KeyRecord& aRecord) {
+                const wire::KeyRecord& aRecord)
+{
   const bool mine =
     aRecord.phase() == wire::KEY_CLAIMED &&
     idempotency::IsOwnedBy(
@@ -102,7 +108,8 @@
 
 } // namespace
 
-void ClaimKey(Context& aContext, Request& aRequest) {
+void ClaimKey(Context& aContext, Request& aRequest)
+{
   if (aRequest.mPhase != Phase::AwaitingRecord) {
     aRequest.mPhase = Phase::Claiming;
   }
@@ -120,7 +127,8 @@
 void TakeRecord(Context& aContext,
                 std::uint64_t aRequest,
                 const wire::Command& aCommand,
-                const wire::KeyRecord& aRecord) {
+                const wire::KeyRecord& aRecord)
+{
   if (!aCommand.has_claim()) {
     return;
   }
@@ -158,7 +166,8 @@
 
 void CompleteKey(Context& aContext,
                  const Request& aRequest,
-                 const wire::StoredAnswer* aAnswer) {
+                 const wire::StoredAnswer* aAnswer)
+{
   Proposal proposal;
   wire::CompleteKey& complete = *proposal.mCommand.mutable_complete();
   SetOwner(aContext, complete, aRequest);
@@ -169,7 +178,8 @@
   Submit(aContext, std::move(proposal));
 }
 
-void ReleaseKey(Context& aContext, const Request& aRequest) {
+void ReleaseKey(Context& aContext, const Request& aRequest)
+{
   Proposal proposal;
   SetOwner(aContext, *proposal.mCommand.mutable_release(), aRequest);
   proposal.mGiveUpAt = aContext.mNow + kCompletionPatience;
--- a/src/node/liveness.cpp
+++ b/src/node/liveness.cpp
@@ -14,7 +14,8 @@
 // A target whose lease holder is gone may announce itself elsewhere.
 constexpr Micros kOrphanGrace = 5 * kSecond;
 
-std::set<std::string> Audience(const State& aState) {
+std::set<std::string> Audience(const State& aState)
+{
   std::set<std::string> audience;
   for (const wire::Fact* host : membership::Successors(
          aState.mDirectory, aState.mSettings.id(), kRingWidth)) {
@@ -27,7 +28,8 @@
   return audience;
 }
 
-bool ExpectsHeartbeat(const State& aState, const std::string& aHost) {
+bool ExpectsHeartbeat(const State& aState, const std::string& aHost)
+{
   if (IsControlHost(aState, aState.mSettings.id())) {
     return true;
   }
@@ -39,7 +41,8 @@
     });
 }
 
-void Suspect(Context& aContext, const wire::Fact& aHost) {
+void Suspect(Context& aContext, const wire::Fact& aHost)
+{
   aContext.Count("hosts_suspected");
   aContext.Log(kWarning, "host " + aHost.id() + " is silent: taken as gone");
   wire::Fact fact = aHost;
@@ -48,7 +51,8 @@
   Publish(aContext, fact);
 }
 
-void CheckHosts(Context& aContext) {
+void CheckHosts(Context& aContext)
+{
   State& state = aContext.mState;
   std::vector<wire::Fact> silent;
   for (const wire::Fact* host : membership::Hosts(state.mDirectory)) {
@@ -76,7 +80,8 @@
 
 // A target that still answers is alive, whatever became of the host that held
 // its lease.
-bool AnswersHere(State& aState, const wire::Fact& aFact, Micros aNow) {
+bool AnswersHere(State& aState, const wire::Fact& aFact, Micros aNow)
+{
   const auto service = aState.mServices.find(aFact.service());
   if (service == aState.mServices.end()) {
     return false;
@@ -87,7 +92,8 @@
          aNow - target->mSampledAt < kOrphanGrace;
 }
 
-bool IsOrphan(const State& aState, const wire::Fact& aFact, Micros aNow) {
+bool IsOrphan(const State& aState, const wire::Fact& aFact, Micros aNow)
+{
   const auto origin =
     aState.mDirectory.mFacts.find({ wire::FACT_HOST, "", aFact.origin() });
   if (origin == aState.mDirectory.mFacts.end()) {
@@ -97,7 +103,8 @@
          aNow - origin->second.mChangedAt > kOrphanGrace;
 }
 
-void EndTarget(Context& aContext, wire::Fact aFact, const char* aCounter) {
+void EndTarget(Context& aContext, wire::Fact aFact, const char* aCounter)
+{
   aContext.Count(aCounter);
   aFact.set_sequence(aFact.sequence() + 1);
   aFact.set_gone(true);
@@ -106,7 +113,8 @@
 
 } // namespace
 
-void Heartbeat(Context& aContext) {
+void Heartbeat(Context& aContext)
+{
   State& state = aContext.mState;
   state.mHeartbeatAt = aContext.mNow + kHeartbeatInterval;
   ++state.mHeartbeatNumber;
@@ -124,14 +132,17 @@
 void TakeHeartbeat(Context& aContext,
                    const std::string& aFrom,
                    std::uint64_t aIncarnation,
-                   const wire::Heartbeat& aMessage) {
+                   const wire::Heartbeat& aMessage)
+{
   State& state = aContext.mState;
   PeerState& peer = state.mPeers[aFrom];
   if (aIncarnation < peer.mIncarnation) {
     return;
   }
   if (aIncarnation > peer.mIncarnation) {
+    const std::string address = peer.mAddress;
     peer = PeerState();
+    peer.mAddress = address;
     peer.mIncarnation = aIncarnation;
   }
   peer.mHeardAt = aContext.mNow;
@@ -147,7 +158,8 @@
   }
 }
 
-void ExpireLeases(Context& aContext) {
+void ExpireLeases(Context& aContext)
+{
   State& state = aContext.mState;
   std::vector<wire::Fact> ended;
   std::vector<wire::Fact> orphans;
--- a/src/node/operators.cpp
+++ b/src/node/operators.cpp
@@ -16,7 +16,8 @@
 constexpr Micros kApplyPatience = 10 * kSecond;
 constexpr std::size_t kMaxChangeId = 100;
 
-std::string Write(const Poco::JSON::Object& aObject) {
+std::string Write(const Poco::JSON::Object& aObject)
+{
   std::ostringstream text;
   aObject.stringify(text);
   return text.str();
@@ -24,7 +25,8 @@
 
 bool IsOperator(Context& aContext,
                 std::uint64_t aOperation,
-                const std::string& aToken) {
+                const std::string& aToken)
+{
   if (aToken == aContext.mState.mSettings.operator_token_sha256()) {
     return true;
   }
@@ -36,7 +38,8 @@
   return false;
 }
 
-std::string FaultsJson(const std::vector<Fault>& aFaults) {
+std::string FaultsJson(const std::vector<Fault>& aFaults)
+{
   Poco::JSON::Array faults;
   for (const Fault& fault : aFaults) {
     faults.add(ToString(fault));
@@ -50,7 +53,8 @@
 
 } // namespace
 
-std::string ErrorJson(const std::string& aCode, const std::string& aMessage) {
+std::string ErrorJson(const std::string& aCode, const std::string& aMessage)
+{
   Poco::JSON::Object object;
   object.set("error", aCode);
   object.set("message", aMessage);
@@ -60,7 +64,8 @@
 void AnswerOperation(Context& aContext,
                      std::uint64_t aOperation,
                      std::uint32_t aStatus,
-                     const std::string& aBody) {
+                     const std::string& aBody)
+{
   wire::OperationAnswer& answer = *aContext.Add().mutable_operation();
   answer.set_operation(aOperation);
   answer.set_status(aStatus);
@@ -69,7 +74,8 @@
 
 void AnswerChange(Context& aContext,
                   std::uint64_t aOperation,
-                  const wire::ChangeOutcome& aOutcome) {
+                  const wire::ChangeOutcome& aOutcome)
+{
   Poco::JSON::Object object;
   object.set("change_id", aOutcome.change_id());
   object.set("accepted", aOutcome.accepted());
@@ -77,13 +83,12 @@
   if (!aOutcome.reason().empty()) {
     object.set("message", aOutcome.reason());
   }
-  AnswerOperation(aContext,
-                  aOperation,
-                  aOutcome.accepted() ? kOk : kConflict,
-                  Write(object));
+  AnswerOperation(
+    aContext, aOperation, aOutcome.accepted() ? kOk : kConflict, Write(object));
 }
 
-void TakeApply(Context& aContext, const wire::OperatorApply& aEvent) {
+void TakeApply(Context& aContext, const wire::OperatorApply& aEvent)
+{
   if (!IsOperator(aContext, aEvent.operation(), aEvent.token_sha256())) {
     return;
   }
@@ -99,10 +104,8 @@
   const Checked<Deployment> parsed =
     ParseDeployment(aEvent.apply().text(), "deployment");
   if (!parsed.Ok()) {
-    AnswerOperation(aContext,
-                    aEvent.operation(),
-                    kBadRequest,
-                    FaultsJson(parsed.mFaults));
+    AnswerOperation(
+      aContext, aEvent.operation(), kBadRequest, FaultsJson(parsed.mFaults));
     return;
   }
   Proposal proposal;
@@ -112,18 +115,16 @@
   Submit(aContext, std::move(proposal));
 }
 
-void TakeDrain(Context& aContext, const wire::OperatorDrain& aEvent) {
+void TakeDrain(Context& aContext, const wire::OperatorDrain& aEvent)
+{
   if (!IsOperator(aContext, aEvent.operation(), aEvent.token_sha256())) {
     return;
   }
   const bool host = aEvent.what() == "host";
-  const membership::FactKey key = {
-    host ? wire::FACT_HOST : wire::FACT_TARGET,
-    host ? std::string() : aEvent.service(),
-    aEvent.id()
-  };
-  const wire::Fact* known =
-    membership::Find(aContext.mState.mDirectory, key);
+  const membership::FactKey key = { host ? wire::FACT_HOST : wire::FACT_TARGET,
+                                    host ? std::string() : aEvent.service(),
+                                    aEvent.id() };
+  const wire::Fact* known = membership::Find(aContext.mState.mDirectory, key);
   if (known == nullptr || known->gone()) {
     AnswerOperation(aContext,
                     aEvent.operation(),
--- a/src/node/proposals.cpp
+++ b/src/node/proposals.cpp
@@ -11,7 +11,8 @@
 constexpr int kMaxHints = 2;
 constexpr std::uint32_t kUnavailable = 503;
 
-std::string NextVoter(const State& aState, std::size_t aTry) {
+std::string NextVoter(const State& aState, std::size_t aTry)
+{
   const auto& voters = aState.mSettings.voters();
   if (voters.empty()) {
     return "";
@@ -20,7 +21,8 @@
   return voters.Get(static_cast<int>(index)).id();
 }
 
-std::string Destination(const State& aState, const Proposal& aProposal) {
+std::string Destination(const State& aState, const Proposal& aProposal)
+{
   if (aState.mSettings.control() && consensus::IsLeader(aState.mGroup)) {
     return aState.mSettings.id();
   }
@@ -30,7 +32,8 @@
   return NextVoter(aState, aProposal.mTries);
 }
 
-void Send(Context& aContext, std::uint64_t aId, Proposal& aProposal) {
+void Send(Context& aContext, std::uint64_t aId, Proposal& aProposal)
+{
   const std::string to = Destination(aContext.mState, aProposal);
   ++aProposal.mTries;
   auto& times = aContext.mState.mProposalTimes;
@@ -48,7 +51,8 @@
   SendTo(aContext, to, std::move(message));
 }
 
-Proposal Withdraw(State& aState, std::uint64_t aId) {
+Proposal Withdraw(State& aState, std::uint64_t aId)
+{
   const auto found = aState.mProposals.find(aId);
   Proposal proposal = std::move(found->second);
   aState.mProposalTimes.erase({ proposal.mSendAt, aId });
@@ -56,7 +60,8 @@
   return proposal;
 }
 
-void GiveUp(Context& aContext, const Proposal& aProposal) {
+void GiveUp(Context& aContext, const Proposal& aProposal)
+{
   aContext.Count("proposals_given_up");
   if (aProposal.mOperation != 0) {
     AnswerOperation(
@@ -71,7 +76,8 @@
 
 void Resolve(Context& aContext,
              const Proposal& aProposal,
-             const wire::CommandOutcome& aOutcome) {
+             const wire::CommandOutcome& aOutcome)
+{
   if (aOutcome.has_change() && aProposal.mOperation != 0) {
     AnswerChange(aContext, aProposal.mOperation, aOutcome.change());
   }
@@ -83,7 +89,8 @@
 
 void ReplyNotLeader(Context& aContext,
                     const std::string& aTo,
-                    std::uint64_t aProposal) {
+                    std::uint64_t aProposal)
+{
   const std::string& leader = aContext.mState.mGroup.mLeader;
   if (aTo == aContext.Self()) {
     return;
@@ -96,7 +103,8 @@
 
 } // namespace
 
-std::uint64_t Submit(Context& aContext, Proposal aProposal) {
+std::uint64_t Submit(Context& aContext, Proposal aProposal)
+{
   State& state = aContext.mState;
   const std::uint64_t id = ++state.mLastProposal;
   Proposal& proposal = state.mProposals[id];
@@ -105,7 +113,8 @@
   return id;
 }
 
-void RetryProposals(Context& aContext) {
+void RetryProposals(Context& aContext)
+{
   State& state = aContext.mState;
   auto& times = state.mProposalTimes;
   while (!times.empty() && times.begin()->first <= aContext.mNow) {
@@ -120,14 +129,16 @@
   }
 }
 
-Micros NextProposalTime(const State& aState) noexcept {
+Micros NextProposalTime(const State& aState) noexcept
+{
   return aState.mProposalTimes.empty() ? std::numeric_limits<Micros>::max()
                                        : aState.mProposalTimes.begin()->first;
 }
 
 void TakeProposal(Context& aContext,
                   const std::string& aFrom,
-                  const wire::Proposal& aMessage) {
+                  const wire::Proposal& aMessage)
+{
   State& state = aContext.mState;
   if (!state.mSettings.control()) {
     return;
@@ -147,7 +158,8 @@
   Drain(aContext, std::move(output));
 }
 
-void TakeProposalReply(Context& aContext, const wire::ProposalReply& aMessage) {
+void TakeProposalReply(Context& aContext, const wire::ProposalReply& aMessage)
+{
   State& state = aContext.mState;
   const auto found = state.mProposals.find(aMessage.id());
   if (found == state.mProposals.end()) {
--- a/src/node/step.cpp
+++ b/src/node/step.cpp
@@ -9,7 +9,8 @@
 
 constexpr Micros kFactMemory = 10 * kMinute;
 
-void Start(Context& aContext, const wire::Started& aEvent) {
+void Start(Context& aContext, const wire::Started& aEvent)
+{
   State& state = aContext.mState;
   state = State();
   state.mStarted = true;
@@ -31,7 +32,8 @@
   Heartbeat(aContext);
 }
 
-void FireTimers(Context& aContext) {
+void FireTimers(Context& aContext)
+{
   auto& timers = aContext.mState.mTimers;
   while (!timers.empty() && std::get<0>(*timers.begin()) <= aContext.mNow) {
     const auto [at, kind, request] = *timers.begin();
@@ -40,15 +42,15 @@
   }
 }
 
-void Tick(Context& aContext) {
+void Tick(Context& aContext)
+{
   FireTimers(aContext);
   RetryProposals(aContext);
   TickGroup(aContext);
   if (aContext.mNow >= aContext.mState.mHeartbeatAt) {
     Heartbeat(aContext);
     ExpireLeases(aContext);
-    membership::Forget(
-      aContext.mState.mDirectory, aContext.mNow, kFactMemory);
+    membership::Forget(aContext.mState.mDirectory, aContext.mNow, kFactMemory);
     CheckReady(aContext);
   }
   if (aContext.mNow >= aContext.mState.mGossipAt) {
@@ -56,8 +58,10 @@
   }
 }
 
-void TakePeer(Context& aContext, const wire::PeerMessage& aMessage) {
+void TakePeer(Context& aContext, const wire::PeerMessage& aMessage)
+{
   const std::string& from = aMessage.from();
+  aContext.mState.mPeers[from].mAddress = aMessage.from_address();
   switch (aMessage.body_case()) {
     case wire::PeerMessage::kConsensus:
       TakeConsensus(aContext, aMessage.consensus());
@@ -96,7 +100,8 @@
   }
 }
 
-void Take(Context& aContext, const wire::Event& aEvent) {
+void Take(Context& aContext, const wire::Event& aEvent)
+{
   switch (aEvent.body_case()) {
     case wire::Event::kStarted:
       Start(aContext, aEvent.started());
@@ -146,7 +151,8 @@
   }
 }
 
-Micros NextWake(const State& aState) {
+Micros NextWake(const State& aState)
+{
   Micros next = std::min(aState.mHeartbeatAt, aState.mGossipAt);
   if (!aState.mTimers.empty()) {
     next = std::min(next, std::get<0>(*aState.mTimers.begin()));
@@ -157,7 +163,8 @@
   return std::min(next, NextProposalTime(aState));
 }
 
-void SetTimer(Context& aContext) {
+void SetTimer(Context& aContext)
+{
   const Micros next = NextWake(aContext.mState);
   if (next != aContext.mState.mTimerAt) {
     aContext.mState.mTimerAt = next;
@@ -167,13 +174,15 @@
 
 } // namespace
 
-void Context::Log(int aLevel, const std::string& aMessage) const {
+void Context::Log(int aLevel, const std::string& aMessage) const
+{
   wire::Log& log = *Add().mutable_log();
   log.set_level(static_cast<std::uint32_t>(aLevel));
   log.set_message(aMessage);
 }
 
-wire::Effects Step(State& aState, const wire::Event& aEvent) {
+wire::Effects Step(State& aState, const wire::Event& aEvent)
+{
   wire::Effects effects;
   if (!aState.mStarted && !aEvent.has_started()) {
     return effects;
@@ -185,7 +194,8 @@
   return effects;
 }
 
-std::string AddressOf(const State& aState, const std::string& aHost) {
+std::string AddressOf(const State& aState, const std::string& aHost)
+{
   const wire::Fact* fact =
     membership::Find(aState.mDirectory, { wire::FACT_HOST, "", aHost });
   if (fact != nullptr && !fact->peer_address().empty()) {
@@ -201,10 +211,12 @@
       return peer.address();
     }
   }
-  return "";
+  const auto peer = aState.mPeers.find(aHost);
+  return peer == aState.mPeers.end() ? "" : peer->second.mAddress;
 }
 
-bool IsControlHost(const State& aState, const std::string& aHost) {
+bool IsControlHost(const State& aState, const std::string& aHost)
+{
   const auto& voters = aState.mSettings.voters();
   return std::any_of(
     voters.begin(), voters.end(), [&](const wire::Peer& aPeer) {
@@ -214,7 +226,8 @@
 
 void SendTo(Context& aContext,
             const std::string& aHost,
-            wire::PeerMessage aMessage) {
+            wire::PeerMessage aMessage)
+{
   const std::string address = AddressOf(aContext.mState, aHost);
   if (address.empty()) {
     aContext.Count("peer_messages_without_address");
@@ -222,14 +235,15 @@
   }
   aMessage.set_from(aContext.Self());
   aMessage.set_from_incarnation(aContext.mState.mIncarnation);
-  aMessage.set_data_centre(aContext.mState.mSettings.data_centre());
+  aMessage.set_from_address(aContext.mState.mSettings.peer_address());
   wire::SendPeer& send = *aContext.Add().mutable_send();
   send.set_to(aHost);
   send.set_address(address);
   *send.mutable_message() = std::move(aMessage);
 }
 
-wire::HostSettings ToWire(const Settings& aSettings) {
+wire::HostSettings ToWire(const Settings& aSettings)
+{
   wire::HostSettings settings;
   settings.set_id(aSettings.mId);
   settings.set_data_centre(aSettings.mDataCentre);
@@ -253,7 +267,8 @@
   return settings;
 }
 
-bool IsReady(const State& aState) noexcept {
+bool IsReady(const State& aState) noexcept
+{
   return aState.mReady && !aState.mExited;
 }
 
--- a/src/node/stop.cpp
+++ b/src/node/stop.cpp
@@ -9,7 +9,8 @@
 
 } // namespace
 
-void BeginStop(Context& aContext) {
+void BeginStop(Context& aContext)
+{
   State& state = aContext.mState;
   if (state.mStopping) {
     return;
@@ -18,8 +19,8 @@
   const bool serves = state.mSettings.entry() && state.mReady;
   state.mStopAt = aContext.mNow;
   if (serves) {
-    state.mStopAt += kSpreadTime + state.mSettings.answer_keep_ms() *
-                                     kMillisecond;
+    state.mStopAt +=
+      kSpreadTime + state.mSettings.answer_keep_ms() * kMillisecond;
   }
   aContext.Log(kInfo, "stopping: no longer given out to callers");
   const wire::Fact* self = membership::Find(
@@ -36,7 +37,8 @@
   }
 }
 
-void ContinueStop(Context& aContext) {
+void ContinueStop(Context& aContext)
+{
   State& state = aContext.mState;
   if (!state.mStopping || state.mExited || aContext.mNow < state.mStopAt) {
     return;
--- a/src/node/targets.cpp
+++ b/src/node/targets.cpp
@@ -12,7 +12,8 @@
 
 wire::Fact FactOf(const Context& aContext,
                   const wire::TargetAnnounced& aEvent,
-                  const wire::Fact* aKnown) {
+                  const wire::Fact* aKnown)
+{
   wire::Fact fact;
   fact.set_kind(wire::FACT_TARGET);
   fact.set_service(aEvent.service());
@@ -39,17 +40,19 @@
   return fact;
 }
 
-bool SaysNothingNew(const wire::Fact& aKnown, const wire::Fact& aFact) {
+bool SaysNothingNew(const wire::Fact& aKnown, const wire::Fact& aFact)
+{
   return aKnown.incarnation() == aFact.incarnation() &&
          aKnown.address() == aFact.address() &&
-         aKnown.slots() == aFact.slots() &&
-         aKnown.origin() == aFact.origin() && aKnown.gone() == aFact.gone() &&
+         aKnown.slots() == aFact.slots() && aKnown.origin() == aFact.origin() &&
+         aKnown.gone() == aFact.gone() &&
          aKnown.drain_sequence() == aFact.drain_sequence();
 }
 
 void Renew(Context& aContext,
            const wire::TargetAnnounced& aEvent,
-           const Service& aService) {
+           const Service& aService)
+{
   State& state = aContext.mState;
   const membership::FactKey key = { wire::FACT_TARGET,
                                     aEvent.service(),
@@ -62,7 +65,8 @@
   }
 }
 
-void TakeLoadReport(Context& aContext, const wire::TargetAnnounced& aEvent) {
+void TakeLoadReport(Context& aContext, const wire::TargetAnnounced& aEvent)
+{
   State& state = aContext.mState;
   if (!aEvent.load().present()) {
     return;
@@ -84,7 +88,8 @@
 
 } // namespace
 
-void TakeAnnounce(Context& aContext, const wire::TargetAnnounced& aEvent) {
+void TakeAnnounce(Context& aContext, const wire::TargetAnnounced& aEvent)
+{
   State& state = aContext.mState;
   const auto answer = [&](std::uint32_t aStatus, const std::string& aBody) {
     AnswerOperation(aContext, aEvent.operation(), aStatus, aBody);
@@ -112,8 +117,7 @@
     state.mDirectory, { wire::FACT_TARGET, aEvent.service(), aEvent.id() });
   if (known != nullptr && known->incarnation() > aEvent.incarnation()) {
     aContext.Count("announces_old_incarnation");
-    answer(kConflict,
-           ErrorJson("conflict", "a later incarnation is known"));
+    answer(kConflict, ErrorJson("conflict", "a later incarnation is known"));
     return;
   }
   Renew(aContext, aEvent, service->second);
@@ -122,8 +126,8 @@
     state.mDirectory, { wire::FACT_TARGET, aEvent.service(), aEvent.id() });
   const Micros lease = service->second.mLease / kMillisecond;
   answer(kOk,
-         "{\"lease_ms\":" + std::to_string(lease) + ",\"renew_ms\":" +
-           std::to_string(lease / 3) + ",\"draining\":" +
+         "{\"lease_ms\":" + std::to_string(lease) +
+           ",\"renew_ms\":" + std::to_string(lease / 3) + ",\"draining\":" +
            (membership::IsDraining(*fact) ? "true" : "false") + "}");
 }
 
--- a/src/node/views.cpp
+++ b/src/node/views.cpp
@@ -12,23 +12,27 @@
 using Poco::JSON::Array;
 using Poco::JSON::Object;
 
-std::string Write(const Object& aObject) {
+std::string Write(const Object& aObject)
+{
   std::ostringstream text;
   aObject.stringify(text);
   return text.str();
 }
 
-Poco::UInt64 Number(std::uint64_t aValue) {
+Poco::UInt64 Number(std::uint64_t aValue)
+{
   return aValue;
 }
 
-double Milliseconds(double aMicros) {
+double Milliseconds(double aMicros)
+{
   return aMicros / static_cast<double>(kMillisecond);
 }
 
 Object HostObject(const node::State& aState,
                   const wire::Fact& aHost,
-                  Micros aNow) {
+                  Micros aNow)
+{
   Object object;
   const bool self = aHost.id() == aState.mSettings.id();
   object.set("id", aHost.id());
@@ -45,15 +49,16 @@
     object.set("age_ms", 0);
   } else if (peer != aState.mPeers.end() && peer->second.mHeardAt > 0) {
     object.set("version", Number(peer->second.mVersion));
-    object.set("age_ms", Milliseconds(
-                           static_cast<double>(aNow - peer->second.mHeardAt)));
+    object.set("age_ms",
+               Milliseconds(static_cast<double>(aNow - peer->second.mHeardAt)));
   }
   return object;
 }
 
 Object TargetObject(const routing::TargetSet& aSet,
                     const routing::Target& aTarget,
-                    Micros aNow) {
+                    Micros aNow)
+{
   Object object;
   object.set("id", aTarget.mId);
   object.set("address", aTarget.mAddress);
@@ -65,8 +70,8 @@
   object.set("latency_ms", Milliseconds(aTarget.mLatency));
   object.set("others", aTarget.mOthers);
   if (aTarget.mReportedAt > 0) {
-    object.set("report_age_ms", Milliseconds(static_cast<double>(
-                                  aNow - aTarget.mReportedAt)));
+    object.set("report_age_ms",
+               Milliseconds(static_cast<double>(aNow - aTarget.mReportedAt)));
   }
   object.set("score_ms", Milliseconds(routing::Score(aSet, aTarget, aNow)));
   return object;
@@ -74,7 +79,8 @@
 
 bool SeesService(const node::State& aState,
                  const Viewer& aViewer,
-                 const std::string& aService) {
+                 const std::string& aService)
+{
   if (aViewer.mOperator) {
     return true;
   }
@@ -83,7 +89,8 @@
          caller->second.mServices.count(aService) != 0;
 }
 
-Array Bins(const burn::Histogram& aHistogram) {
+Array Bins(const burn::Histogram& aHistogram)
+{
   Array bins;
   for (auto&& bin : boost::histogram::indexed(aHistogram)) {
     const auto count = static_cast<std::uint64_t>(*bin);
@@ -99,7 +106,8 @@
 
 Object SeriesObject(const burn::SeriesKey& aKey,
                     const burn::Series& aSeries,
-                    Micros aNow) {
+                    Micros aNow)
+{
   Object object;
   object.set("service", std::get<0>(aKey));
   object.set("kind", std::get<1>(aKey));
@@ -129,7 +137,8 @@
 void Line(std::ostringstream& aOut,
           const std::string& aName,
           const std::string& aLabels,
-          double aValue) {
+          double aValue)
+{
   aOut << "geraniumpond_" << aName;
   if (!aLabels.empty()) {
     aOut << "{" << aLabels << "}";
@@ -137,14 +146,16 @@
   aOut << " " << aValue << "\n";
 }
 
-std::string Label(const std::string& aService, const std::string& aKind) {
+std::string Label(const std::string& aService, const std::string& aKind)
+{
   return "service=\"" + aService + "\",kind=\"" + aKind + "\"";
 }
 
 // Callers are summed up: rivals share this system, and metrics are read by
 // whoever can reach the port.
 std::map<std::pair<std::string, std::string>, burn::Series> Sums(
-  const node::State& aState) {
+  const node::State& aState)
+{
   std::map<std::pair<std::string, std::string>, burn::Series> sums;
   for (const auto& [key, series] : aState.mBook) {
     burn::Series& sum = sums[{ std::get<0>(key), std::get<1>(key) }];
@@ -156,7 +167,8 @@
   return sums;
 }
 
-void WriteSeries(std::ostringstream& aOut, const node::State& aState) {
+void WriteSeries(std::ostringstream& aOut, const node::State& aState)
+{
   for (const auto& [key, series] : Sums(aState)) {
     const std::string label = Label(key.first, key.second);
     double seen = 0;
@@ -183,7 +195,8 @@
 
 void WriteServices(std::ostringstream& aOut,
                    const node::State& aState,
-                   Micros aNow) {
+                   Micros aNow)
+{
   for (const auto& [name, service] : aState.mServices) {
     const std::string label = "service=\"" + name + "\"";
     Line(aOut,
@@ -211,7 +224,8 @@
 
 } // namespace
 
-Viewer ViewerOf(const node::State& aState, const std::string& aTokenSha256) {
+Viewer ViewerOf(const node::State& aState, const std::string& aTokenSha256)
+{
   Viewer viewer;
   viewer.mOperator = aTokenSha256 == aState.mSettings.operator_token_sha256();
   const auto caller = aState.mDeployment.mCallerByToken.find(aTokenSha256);
@@ -221,7 +235,8 @@
   return viewer;
 }
 
-std::string Entries(const node::State& aState, const std::string& aService) {
+std::string Entries(const node::State& aState, const std::string& aService)
+{
   constexpr int kDefaultEntries = 4;
   const auto service = aState.mDeployment.mServices.find(aService);
   const int count = service == aState.mDeployment.mServices.end()
@@ -243,10 +258,10 @@
   return Write(object);
 }
 
-std::string Hosts(const node::State& aState, Micros aNow) {
+std::string Hosts(const node::State& aState, Micros aNow)
+{
   Array hosts;
-  for (const wire::Fact* host :
-       membership::FactsOf(aState.mDirectory, "")) {
+  for (const wire::Fact* host : membership::FactsOf(aState.mDirectory, "")) {
     hosts.add(HostObject(aState, *host, aNow));
   }
   Object object;
@@ -257,7 +272,8 @@
 
 std::string Targets(const node::State& aState,
                     const Viewer& aViewer,
-                    Micros aNow) {
+                    Micros aNow)
+{
   Object services;
   for (const auto& [name, service] : aState.mServices) {
     if (!SeesService(aState, aViewer, name)) {
@@ -274,7 +290,8 @@
   return Write(object);
 }
 
-std::string Calls(const node::State& aState, const Viewer& aViewer) {
+std::string Calls(const node::State& aState, const Viewer& aViewer)
+{
   Array calls;
   for (const auto& [id, request] : aState.mRequests) {
     if (!aViewer.Sees(request.mCaller)) {
@@ -293,7 +310,8 @@
   return Write(object);
 }
 
-std::string Budget(const node::State& aState, Micros aNow) {
+std::string Budget(const node::State& aState, Micros aNow)
+{
   Object object;
   const budget::TokenBucket& host = aState.mHostBudget;
   object.set("host_bytes_per_s_allowed", host.mPerSecond);
@@ -314,7 +332,8 @@
   return Write(object);
 }
 
-std::string Config(const node::State& aState, std::uint64_t aVersion) {
+std::string Config(const node::State& aState, std::uint64_t aVersion)
+{
   const wire::DeploymentVersion* found =
     aVersion == 0 ? &aState.mVersion : nullptr;
   for (const wire::DeploymentVersion& version : aState.mControl.mHistory) {
@@ -336,9 +355,8 @@
   return Write(object);
 }
 
-std::string Burn(const node::State& aState,
-                 const Viewer& aViewer,
-                 Micros aNow) {
+std::string Burn(const node::State& aState, const Viewer& aViewer, Micros aNow)
+{
   Array series;
   for (const auto& [key, entry] : aState.mBook) {
     if (aViewer.Sees(std::get<2>(key))) {
@@ -352,7 +370,8 @@
   return Write(object);
 }
 
-std::string Health(const node::State& aState) {
+std::string Health(const node::State& aState)
+{
   Object object;
   object.set("host", aState.mSettings.id());
   object.set("ready", node::IsReady(aState));
@@ -372,7 +391,8 @@
   return Write(object);
 }
 
-std::string Metrics(const node::State& aState, Micros aNow) {
+std::string Metrics(const node::State& aState, Micros aNow)
+{
   std::ostringstream out;
   WriteSeries(out, aState);
   WriteServices(out, aState, aNow);
--- a/src/retries/retries.cpp
+++ b/src/retries/retries.cpp
@@ -4,14 +4,15 @@
 
 namespace geraniumpond::retries {
 
-void Deposit(RetryBudget& aBudget) noexcept {
-  aBudget.mSaved =
-    std::min(aBudget.mMaxSaved, aBudget.mSaved + aBudget.mRatio);
+void Deposit(RetryBudget& aBudget) noexcept
+{
+  aBudget.mSaved = std::min(aBudget.mMaxSaved, aBudget.mSaved + aBudget.mRatio);
 }
 
 bool MayRetry(RetryBudget& aBudget,
               const Situation& aSituation,
-              Micros aNow) noexcept {
+              Micros aNow) noexcept
+{
   const bool harmless =
     aSituation.mEffect == Effect::DidNotRun ||
     (aSituation.mIdempotent && aSituation.mEffect != Effect::Ran);
@@ -33,7 +34,8 @@
 
 bool MayHedge(RetryBudget& aBudget,
               const Situation& aSituation,
-              Micros aNow) noexcept {
+              Micros aNow) noexcept
+{
   if (!aSituation.mIdempotent || aSituation.mOverloaded ||
       aSituation.mAttempts > 1 || aNow >= aSituation.mDeadline ||
       aBudget.mSaved < 1 + aBudget.mHedgeReserve) {
--- a/src/routing/routing.cpp
+++ b/src/routing/routing.cpp
@@ -19,15 +19,16 @@
 // A target is never held back below this share by its slow start.
 constexpr double kSlowStartFloor = 0.1;
 
-double Fade(Micros aAge, Micros aHalfLife) noexcept {
+double Fade(Micros aAge, Micros aHalfLife) noexcept
+{
   if (aAge <= 0) {
     return 1.0;
   }
-  return std::exp2(-static_cast<double>(aAge) /
-                   static_cast<double>(aHalfLife));
+  return std::exp2(-static_cast<double>(aAge) / static_cast<double>(aHalfLife));
 }
 
-double BaseLatency(const TargetSet& aSet) noexcept {
+double BaseLatency(const TargetSet& aSet) noexcept
+{
   return aSet.mMedianLatency > 0 ? aSet.mMedianLatency : kDefaultLatency;
 }
 
@@ -35,7 +36,8 @@
 // sample: a target that has just become slow shows before any answer does.
 double Latency(const TargetSet& aSet,
                const Target& aTarget,
-               Micros aNow) noexcept {
+               Micros aNow) noexcept
+{
   const double base = BaseLatency(aSet);
   double latency = aTarget.mLatency > 0 ? aTarget.mLatency : base;
   const double usual = base * kOutlier;
@@ -54,7 +56,8 @@
 
 double Others(const TargetSet& aSet,
               const Target& aTarget,
-              Micros aNow) noexcept {
+              Micros aNow) noexcept
+{
   return aTarget.mOthers *
          Fade(aNow - aTarget.mReportedAt, aSet.mRules.mReportHalfLife);
 }
@@ -62,7 +65,8 @@
 // Share of its full work that a target that has just started may get.
 double Warmth(const TargetSet& aSet,
               const Target& aTarget,
-              Micros aNow) noexcept {
+              Micros aNow) noexcept
+{
   const Micros age = aNow - aTarget.mStartedAt;
   if (aSet.mRules.mSlowStart <= 0 || age >= aSet.mRules.mSlowStart) {
     return 1.0;
@@ -72,21 +76,25 @@
   return std::max(kSlowStartFloor, share);
 }
 
-bool IsEjected(const Target& aTarget, Micros aNow) noexcept {
+bool IsEjected(const Target& aTarget, Micros aNow) noexcept
+{
   return aTarget.mEjectedUntil > aNow;
 }
 
 // After its ejection a target is on probation until one attempt succeeds.
-bool OnProbation(const Target& aTarget) noexcept {
+bool OnProbation(const Target& aTarget) noexcept
+{
   return aTarget.mEjectedUntil > 0;
 }
 
 bool Excluded(const std::vector<std::string>& aExclude,
-              const std::string& aId) noexcept {
+              const std::string& aId) noexcept
+{
   return std::find(aExclude.begin(), aExclude.end(), aId) != aExclude.end();
 }
 
-void UpdateMedian(TargetSet& aSet) {
+void UpdateMedian(TargetSet& aSet)
+{
   std::vector<double> samples;
   samples.reserve(aSet.mTargets.size());
   for (const Target& target : aSet.mTargets) {
@@ -103,19 +111,22 @@
   aSet.mMedianLatency = *middle;
 }
 
-void Eject(TargetSet& aSet, Target& aTarget, Micros aNow) {
+void Eject(TargetSet& aSet, Target& aTarget, Micros aNow)
+{
   const double after =
     EjectedShare(aSet, aNow) + 1.0 / static_cast<double>(aSet.mTargets.size());
   if (after > aSet.mRules.mMaxEjected && !OnProbation(aTarget)) {
     return;
   }
-  const Micros length = aSet.mRules.mEjection << std::min(aTarget.mEjections, 4);
+  const Micros length = aSet.mRules.mEjection
+                        << std::min(aTarget.mEjections, 4);
   aTarget.mEjectedUntil = aNow + std::min(length, aSet.mRules.mMaxEjection);
   ++aTarget.mEjections;
   aTarget.mFailures = 0;
 }
 
-void TakeSample(TargetSet& aSet, Target& aTarget, double aSample, Micros aNow) {
+void TakeSample(TargetSet& aSet, Target& aTarget, double aSample, Micros aNow)
+{
   // The first samples count in full, so that a new target is known soon.
   const double weight =
     std::max(aSet.mRules.mSmoothing, 1.0 / (aTarget.mSamples + 1));
@@ -127,19 +138,19 @@
   UpdateMedian(aSet);
 }
 
-void TakeFailure(TargetSet& aSet, Target& aTarget, double aSample, Micros aNow) {
-  const double slow =
-    std::max(aSample, kFailurePenalty * BaseLatency(aSet));
+void TakeFailure(TargetSet& aSet, Target& aTarget, double aSample, Micros aNow)
+{
+  const double slow = std::max(aSample, kFailurePenalty * BaseLatency(aSet));
   aTarget.mLatency = std::max(aTarget.mLatency, slow);
   aTarget.mSampledAt = aNow;
   ++aTarget.mFailures;
-  if (aTarget.mProbing ||
-      aTarget.mFailures >= aSet.mRules.mFailuresToEject) {
+  if (aTarget.mProbing || aTarget.mFailures >= aSet.mRules.mFailuresToEject) {
     Eject(aSet, aTarget, aNow);
   }
 }
 
-void TakeSuccess(TargetSet& aSet, Target& aTarget, double aSample, Micros aNow) {
+void TakeSuccess(TargetSet& aSet, Target& aTarget, double aSample, Micros aNow)
+{
   aTarget.mFailures = 0;
   if (OnProbation(aTarget)) {
     aTarget.mEjectedUntil = 0;
@@ -151,9 +162,8 @@
 
 } // namespace
 
-double Score(const TargetSet& aSet,
-             const Target& aTarget,
-             Micros aNow) noexcept {
+double Score(const TargetSet& aSet, const Target& aTarget, Micros aNow) noexcept
+{
   const double work = static_cast<double>(aTarget.mRunning.size()) +
                       Others(aSet, aTarget, aNow) + 1.0;
   const double slots = aTarget.mSlots * Warmth(aSet, aTarget, aNow);
@@ -164,9 +174,8 @@
   return score;
 }
 
-bool HasRoom(const TargetSet& aSet,
-             const Target& aTarget,
-             Micros aNow) noexcept {
+bool HasRoom(const TargetSet& aSet, const Target& aTarget, Micros aNow) noexcept
+{
   if (aTarget.mDraining || IsEjected(aTarget, aNow)) {
     return false;
   }
@@ -180,7 +189,8 @@
 std::optional<std::size_t> Pick(const TargetSet& aSet,
                                 Micros aNow,
                                 std::uint64_t aRandom,
-                                const std::vector<std::string>& aExclude) {
+                                const std::vector<std::string>& aExclude)
+{
   std::optional<std::size_t> best;
   double bestScore = std::numeric_limits<double>::infinity();
   std::uint64_t ties = 0;
@@ -211,7 +221,8 @@
 void Begin(TargetSet& aSet,
            std::size_t aIndex,
            std::uint64_t aAttempt,
-           Micros aNow) {
+           Micros aNow)
+{
   Target& target = aSet.mTargets[aIndex];
   target.mRunning.push_back({ aAttempt, aNow });
   if (OnProbation(target)) {
@@ -223,7 +234,8 @@
             const std::string& aTarget,
             std::uint64_t aAttempt,
             Verdict aVerdict,
-            Micros aNow) {
+            Micros aNow)
+{
   Target* target = Find(aSet, aTarget);
   if (target == nullptr) {
     return;
@@ -252,10 +264,10 @@
       break;
     case Verdict::Refused:
       // Full of other entries' work.
-      target->mOthers = std::max(
-        target->mOthers,
-        static_cast<double>(target->mSlots) -
-          static_cast<double>(target->mRunning.size()) + 1.0);
+      target->mOthers =
+        std::max(target->mOthers,
+                 static_cast<double>(target->mSlots) -
+                   static_cast<double>(target->mRunning.size()) + 1.0);
       target->mReportedAt = aNow;
       break;
   }
@@ -265,7 +277,8 @@
 void Report(TargetSet& aSet,
             const std::string& aTarget,
             std::uint32_t aInFlight,
-            Micros aNow) {
+            Micros aNow)
+{
   Target* target = Find(aSet, aTarget);
   if (target == nullptr) {
     return;
@@ -275,7 +288,8 @@
   target->mReportedAt = aNow;
 }
 
-Target* Find(TargetSet& aSet, const std::string& aId) noexcept {
+Target* Find(TargetSet& aSet, const std::string& aId) noexcept
+{
   for (Target& target : aSet.mTargets) {
     if (target.mId == aId) {
       return &target;
@@ -284,7 +298,8 @@
   return nullptr;
 }
 
-double EjectedShare(const TargetSet& aSet, Micros aNow) noexcept {
+double EjectedShare(const TargetSet& aSet, Micros aNow) noexcept
+{
   if (aSet.mTargets.empty()) {
     return 0;
   }
@@ -296,7 +311,8 @@
          static_cast<double>(aSet.mTargets.size());
 }
 
-int Capacity(const TargetSet& aSet, Micros aNow) noexcept {
+int Capacity(const TargetSet& aSet, Micros aNow) noexcept
+{
   int slots = 0;
   for (const Target& target : aSet.mTargets) {
     if (!target.mDraining && !IsEjected(target, aNow)) {
--- a/tests/fakes/fake_audit.cpp
+++ b/tests/fakes/fake_audit.cpp
@@ -16,7 +16,8 @@
 
 using Poco::JSON::Object;
 
-void Collect(const std::string& aTarget, std::map<std::string, int>& aRuns) {
+void Collect(const std::string& aTarget, std::map<std::string, int>& aRuns)
+{
   const Poco::Net::SocketAddress address(aTarget);
   Poco::Net::HTTPClientSession session(address);
   Poco::Net::HTTPRequest request("GET", "/control", "HTTP/1.1");
@@ -24,10 +25,8 @@
   Poco::Net::HTTPResponse response;
   std::string text;
   Poco::StreamCopier::copyToString(session.receiveResponse(response), text);
-  const auto runs = Poco::JSON::Parser()
-                      .parse(text)
-                      .extract<Object::Ptr>()
-                      ->getObject("runs");
+  const auto runs =
+    Poco::JSON::Parser().parse(text).extract<Object::Ptr>()->getObject("runs");
   for (const std::string& key : runs->getNames()) {
     aRuns[key.substr(key.find('/') + 1)] += runs->getValue<int>(key);
   }
@@ -35,7 +34,8 @@
 
 } // namespace
 
-int main(int aCount, char** aWords) {
+int main(int aCount, char** aWords)
+{
   const auto options = geraniumpond::fakes::ParseOptions(aCount, aWords);
   std::map<std::string, int> runs;
   for (const std::string& target : options.List("targets")) {
@@ -53,7 +53,7 @@
     ++told;
     lost += runs.count(key) == 0 ? 1 : 0;
   }
-  std::cout << "signed " << told << ", run " << runs.size() << ", lost "
-            << lost << ", doubled " << doubled << std::endl;
+  std::cout << "signed " << told << ", run " << runs.size() << ", lost " << lost
+            << ", doubled " << doubled << std::endl;
   return told > 0 && lost == 0 && doubled == 0 ? 0 : 1;
 }
--- a/tests/fakes/fake_caller.cpp
+++ b/tests/fakes/fake_caller.cpp
@@ -34,20 +34,23 @@
 constexpr std::size_t kArchiveBytes = 400000;
 constexpr int kMaxTries = 8;
 
-struct Totals {
+struct Totals
+{
   std::mutex mMutex;
   std::vector<double> mLatencies;
   std::map<std::string, long> mCounts;
   std::map<std::string, std::vector<double>> mByKind;
   std::vector<std::string> mSigned;
 
-  void Count(const std::string& aName) {
+  void Count(const std::string& aName)
+  {
     const std::lock_guard<std::mutex> lock(mMutex);
     ++mCounts[aName];
   }
 };
 
-struct Shape {
+struct Shape
+{
   std::string mName;
   std::string mMethod;
   std::string mPath;
@@ -55,7 +58,8 @@
   std::size_t mSize = 0;
 };
 
-Shape ShapeOf(const std::string& aName) {
+Shape ShapeOf(const std::string& aName)
+{
   if (aName == "sign") {
     return { aName, "POST", "/consent/permissions", true, 0 };
   }
@@ -65,11 +69,13 @@
   return { "archive", "GET", "/records/archive", false, kArchiveBytes };
 }
 
-std::string ServiceOf(const Shape& aShape) {
+std::string ServiceOf(const Shape& aShape)
+{
   return aShape.mPath.substr(1, aShape.mPath.find('/', 1) - 1);
 }
 
-struct Reply {
+struct Reply
+{
   int mStatus = 0;
   std::string mOutcome;
   std::string mBody;
@@ -77,13 +83,15 @@
   bool mClose = false;
 };
 
-class Caller {
+class Caller
+{
 public:
   Caller(const Options& aOptions, Totals& aTotals, int aNumber)
     : mOptions(aOptions)
     , mTotals(aTotals)
     , mNumber(aNumber)
-    , mRandom(static_cast<unsigned>(aNumber) + 1) {
+    , mRandom(static_cast<unsigned>(aNumber) + 1)
+  {
     for (const std::string& name :
          aOptions.List(aOptions.Text("mix").empty() ? "none" : "mix")) {
       mShapes.push_back(ShapeOf(name));
@@ -93,7 +101,8 @@
     }
   }
 
-  void Run(Clock::time_point aEnd, double aInterval) {
+  void Run(Clock::time_point aEnd, double aInterval)
+  {
     const auto start = Clock::now();
     long sent = 0;
     while (Clock::now() < aEnd) {
@@ -110,7 +119,8 @@
   }
 
 private:
-  void Call(const Shape& aShape, long aSent) {
+  void Call(const Shape& aShape, long aSent)
+  {
     const std::string key = mOptions.Text("run", "run") + "-" +
                             std::to_string(mNumber) + "-" +
                             std::to_string(aSent);
@@ -138,7 +148,8 @@
   void Note(const Shape& aShape,
             const std::string& aKey,
             const Reply& aReply,
-            Clock::time_point aBegin) {
+            Clock::time_point aBegin)
+  {
     const std::chrono::duration<double, std::milli> took =
       Clock::now() - aBegin;
     const std::lock_guard<std::mutex> lock(mTotals.mMutex);
@@ -160,7 +171,8 @@
     }
   }
 
-  std::string EntryOf(const std::string& aService) {
+  std::string EntryOf(const std::string& aService)
+  {
     if (mOptions.Text("direct") != "") {
       const std::vector<std::string> targets = mOptions.List("direct");
       return targets[static_cast<std::size_t>(mNumber) % targets.size()];
@@ -176,7 +188,8 @@
       .mAddresses[static_cast<std::size_t>(mNumber) % known.mAddresses.size()];
   }
 
-  void Ask(const std::string& aService) {
+  void Ask(const std::string& aService)
+  {
     const std::vector<std::string> hosts = mOptions.List("entries");
     for (std::size_t i = 0; i < hosts.size(); ++i) {
       try {
@@ -184,9 +197,8 @@
           hosts[(mRandom() + i) % hosts.size()]);
         HTTPClientSession session(address);
         session.setTimeout(Poco::Timespan(1, 0));
-        HTTPRequest request("GET",
-                            "/geraniumpond/v1/entries?service=" + aService,
-                            "HTTP/1.1");
+        HTTPRequest request(
+          "GET", "/geraniumpond/v1/entries?service=" + aService, "HTTP/1.1");
         session.sendRequest(request);
         HTTPResponse response;
         std::string text;
@@ -200,7 +212,8 @@
     }
   }
 
-  void Take(const std::string& aService, const std::string& aText) {
+  void Take(const std::string& aService, const std::string& aText)
+  {
     const auto object =
       Poco::JSON::Parser().parse(aText).extract<Poco::JSON::Object::Ptr>();
     auto& known = mEntries[aService];
@@ -210,16 +223,16 @@
         entry.extract<Poco::JSON::Object::Ptr>()->getValue<std::string>(
           "address"));
     }
-    known.mKeepUntil =
-      Clock::now() +
-      std::chrono::milliseconds(object->getValue<int>("keep_ms"));
+    known.mKeepUntil = Clock::now() + std::chrono::milliseconds(
+                                        object->getValue<int>("keep_ms"));
   }
 
-  HTTPClientSession* SessionTo(const std::string& aAddress) {
+  HTTPClientSession* SessionTo(const std::string& aAddress)
+  {
     auto& session = mSessions[aAddress];
     if (session == nullptr) {
-      session = std::make_unique<HTTPClientSession>(
-        Poco::Net::SocketAddress(aAddress));
+      session =
+        std::make_unique<HTTPClientSession>(Poco::Net::SocketAddress(aAddress));
       session->setKeepAlive(true);
       session->setKeepAliveTimeout(Poco::Timespan(600, 0));
       session->setTimeout(Poco::Timespan(20, 0));
@@ -227,7 +240,8 @@
     return session.get();
   }
 
-  bool Send(const Shape& aShape, const std::string& aKey, Reply& aReply) {
+  bool Send(const Shape& aShape, const std::string& aKey, Reply& aReply)
+  {
     const std::string address = EntryOf(ServiceOf(aShape));
     if (address.empty()) {
       std::this_thread::sleep_for(std::chrono::milliseconds(50));
@@ -268,7 +282,8 @@
     }
   }
 
-  struct Known {
+  struct Known
+  {
     std::vector<std::string> mAddresses;
     Clock::time_point mKeepUntil;
   };
@@ -282,17 +297,19 @@
   std::map<std::string, std::unique_ptr<HTTPClientSession>> mSessions;
 };
 
-double Quantile(std::vector<double>& aValues, double aShare) {
+double Quantile(std::vector<double>& aValues, double aShare)
+{
   if (aValues.empty()) {
     return 0;
   }
   std::sort(aValues.begin(), aValues.end());
-  const auto at = static_cast<std::size_t>(
-    aShare * static_cast<double>(aValues.size() - 1));
+  const auto at =
+    static_cast<std::size_t>(aShare * static_cast<double>(aValues.size() - 1));
   return aValues[at];
 }
 
-void Print(Totals& aTotals, double aSeconds) {
+void Print(Totals& aTotals, double aSeconds)
+{
   Poco::JSON::Object object;
   object.set("calls", static_cast<long>(aTotals.mLatencies.size()));
   object.set("per_second",
@@ -312,17 +329,16 @@
 
 } // namespace
 
-int main(int aCount, char** aWords) {
+int main(int aCount, char** aWords)
+{
   std::signal(SIGPIPE, SIG_IGN);
   const Options options = geraniumpond::fakes::ParseOptions(aCount, aWords);
   Totals totals;
-  const int connections =
-    static_cast<int>(options.Number("connections", 16));
+  const int connections = static_cast<int>(options.Number("connections", 16));
   const double seconds = options.Number("seconds", 5);
   const double rate = options.Number("rate", 0);
-  const auto end =
-    Clock::now() + std::chrono::duration_cast<Clock::duration>(
-                     std::chrono::duration<double>(seconds));
+  const auto end = Clock::now() + std::chrono::duration_cast<Clock::duration>(
+                                    std::chrono::duration<double>(seconds));
   std::vector<std::thread> threads;
   for (int i = 0; i < connections; ++i) {
     threads.emplace_back([&, i] {
--- a/tests/fakes/fake_target.cpp
+++ b/tests/fakes/fake_target.cpp
@@ -15,8 +15,8 @@
 #include <algorithm>
 #include <atomic>
 #include <chrono>
-#include <csignal>
 #include <condition_variable>
+#include <csignal>
 #include <iostream>
 #include <map>
 #include <mutex>
@@ -34,7 +34,8 @@
 
 std::atomic<bool> gStopping{ false };
 
-struct Target {
+struct Target
+{
   Options mOptions;
   int mSlots = 4;
   double mMedianMs = 5;
@@ -55,24 +56,27 @@
   std::atomic<bool> mDraining{ false };
 };
 
-bool EveryNth(long aCall, int aEvery) {
+bool EveryNth(long aCall, int aEvery)
+{
   return aEvery > 0 && aCall % aEvery == 0;
 }
 
-class Slot {
+class Slot
+{
 public:
   explicit Slot(Target& aTarget)
-    : mTarget(aTarget) {
+    : mTarget(aTarget)
+  {
     std::unique_lock<std::mutex> lock(mTarget.mMutex);
     ++mTarget.mWaiting;
-    mTarget.mFree.wait(lock,
-                       [&] { return mTarget.mRunning < mTarget.mSlots; });
+    mTarget.mFree.wait(lock, [&] { return mTarget.mRunning < mTarget.mSlots; });
     --mTarget.mWaiting;
     ++mTarget.mRunning;
   }
   Slot(const Slot&) = delete;
   Slot& operator=(const Slot&) = delete;
-  ~Slot() {
+  ~Slot()
+  {
     const std::lock_guard<std::mutex> lock(mTarget.mMutex);
     --mTarget.mRunning;
     mTarget.mFree.notify_one();
@@ -82,7 +86,8 @@
   Target& mTarget;
 };
 
-void Work(Target& aTarget, double aFactor) {
+void Work(Target& aTarget, double aFactor)
+{
   double ms = 0;
   {
     const std::lock_guard<std::mutex> lock(aTarget.mMutex);
@@ -96,7 +101,8 @@
   }
 }
 
-std::string BodyOf(const std::string& aPath, std::size_t aSize) {
+std::string BodyOf(const std::string& aPath, std::size_t aSize)
+{
   std::string body;
   body.reserve(aSize);
   std::minstd_rand random(
@@ -107,13 +113,17 @@
   return body;
 }
 
-class Handler : public Poco::Net::HTTPRequestHandler {
+class Handler : public Poco::Net::HTTPRequestHandler
+{
 public:
   explicit Handler(Target& aTarget)
-    : mTarget(aTarget) {}
+    : mTarget(aTarget)
+  {
+  }
 
   void handleRequest(HTTPServerRequest& aRequest,
-                     HTTPServerResponse& aResponse) override {
+                     HTTPServerResponse& aResponse) override
+  {
     const Poco::URI uri(aRequest.getURI());
     if (uri.getPath() == "/control") {
       Control(uri, aResponse);
@@ -138,7 +148,8 @@
   void Serve(HTTPServerRequest& aRequest,
              HTTPServerResponse& aResponse,
              const std::string& aPath,
-             long aCall) {
+             long aCall)
+  {
     const bool bulk = aPath.find("/archive") != std::string::npos ||
                       aPath.find("/scans") != std::string::npos;
     const Slot slot(mTarget);
@@ -161,7 +172,8 @@
   void ServeBulk(HTTPServerRequest& aRequest,
                  HTTPServerResponse& aResponse,
                  const std::string& aPath,
-                 long aCall) {
+                 long aCall)
+  {
     const std::string body = BodyOf(aPath, 400000);
     const std::string etag = "\"" + std::to_string(body.size()) + "-" +
                              std::to_string(std::hash<std::string>()(body)) +
@@ -179,8 +191,7 @@
                       std::to_string(body.size() - 1) + "/" +
                       std::to_string(body.size()));
     }
-    aResponse.setContentLength64(
-      static_cast<Poco::Int64>(body.size() - from));
+    aResponse.setContentLength64(static_cast<Poco::Int64>(body.size() - from));
     SetLoad(aResponse);
     std::ostream& out = aResponse.send();
     const bool breaks = from == 0 && EveryNth(aCall, mTarget.mBreakEvery);
@@ -192,7 +203,8 @@
     }
   }
 
-  void SetLoad(HTTPServerResponse& aResponse) {
+  void SetLoad(HTTPServerResponse& aResponse)
+  {
     const std::lock_guard<std::mutex> lock(mTarget.mMutex);
     aResponse.set("Geraniumpond-Load",
                   std::to_string(mTarget.mRunning + mTarget.mWaiting) + "/" +
@@ -201,14 +213,16 @@
 
   void Answer(HTTPServerResponse& aResponse,
               int aStatus,
-              const std::string& aBody) {
+              const std::string& aBody)
+  {
     aResponse.setStatus(static_cast<HTTPResponse::HTTPStatus>(aStatus));
     aResponse.setContentType("application/json");
     SetLoad(aResponse);
     aResponse.sendBuffer(aBody.data(), aBody.size());
   }
 
-  void Control(const Poco::URI& aUri, HTTPServerResponse& aResponse) {
+  void Control(const Poco::URI& aUri, HTTPServerResponse& aResponse)
+  {
     for (const auto& [name, value] : aUri.getQueryParameters()) {
       if (name == "slowdown") {
         mTarget.mSlowdown = std::stod(value);
@@ -239,12 +253,16 @@
   Target& mTarget;
 };
 
-class Factory : public Poco::Net::HTTPRequestHandlerFactory {
+class Factory : public Poco::Net::HTTPRequestHandlerFactory
+{
 public:
   explicit Factory(Target& aTarget)
-    : mTarget(aTarget) {}
+    : mTarget(aTarget)
+  {
+  }
   Poco::Net::HTTPRequestHandler* createRequestHandler(
-    const Poco::Net::HTTPServerRequest&) override {
+    const Poco::Net::HTTPServerRequest&) override
+  {
     return new Handler(mTarget);
   }
 
@@ -252,7 +270,10 @@
   Target& mTarget;
 };
 
-std::string AnnounceBody(Target& aTarget, std::uint64_t aIncarnation, bool aLeaving) {
+std::string AnnounceBody(Target& aTarget,
+                         std::uint64_t aIncarnation,
+                         bool aLeaving)
+{
   Poco::JSON::Object object;
   object.set("address", aTarget.mOptions.Text("listen"));
   object.set("data_centre", aTarget.mOptions.Text("data-centre", "abdali"));
@@ -272,7 +293,8 @@
 bool Announce(Target& aTarget,
               const std::string& aHost,
               std::uint64_t aIncarnation,
-              bool aLeaving) {
+              bool aLeaving)
+{
   try {
     const Poco::Net::SocketAddress address(aHost);
     Poco::Net::HTTPClientSession session(address);
@@ -294,13 +316,13 @@
   }
 }
 
-void AnnounceLoop(Target& aTarget) {
+void AnnounceLoop(Target& aTarget)
+{
   const std::vector<std::string> hosts = aTarget.mOptions.List("announce");
   const auto incarnation = static_cast<std::uint64_t>(
     std::chrono::system_clock::now().time_since_epoch().count());
-  std::size_t at =
-    std::hash<std::string>()(aTarget.mOptions.Text("id")) %
-    std::max<std::size_t>(hosts.size(), 1);
+  std::size_t at = std::hash<std::string>()(aTarget.mOptions.Text("id")) %
+                   std::max<std::size_t>(hosts.size(), 1);
   while (!gStopping && !hosts.empty()) {
     if (!Announce(aTarget, hosts[at % hosts.size()], incarnation, false)) {
       ++at;
@@ -316,7 +338,8 @@
 
 } // namespace
 
-int main(int aCount, char** aWords) {
+int main(int aCount, char** aWords)
+{
   std::signal(SIGPIPE, SIG_IGN);
   std::signal(SIGTERM, [](int) { gStopping = true; });
   Target target;
@@ -328,10 +351,11 @@
   auto* params = new Poco::Net::HTTPServerParams;
   params->setMaxThreads(1900);
   params->setKeepAliveTimeout(Poco::Timespan(600, 0));
-  const Poco::Net::ServerSocket socket(
-    Poco::Net::SocketAddress(target.mOptions.Text("listen")), 512);
-  Poco::Net::HTTPServer server(
-    new Factory(target), threads, socket, params);
+  Poco::Net::ServerSocket socket;
+  socket.bind(
+    Poco::Net::SocketAddress(target.mOptions.Text("listen")), true, false);
+  socket.listen(512);
+  Poco::Net::HTTPServer server(new Factory(target), threads, socket, params);
   server.start();
   AnnounceLoop(target);
   while (!gStopping) {
--- a/tools/cluster.sh
+++ b/tools/cluster.sh
@@ -7,6 +7,7 @@
 KEEP_MS=${KEEP_MS:-1000}
 export GERANIUMPOND_TOKEN=operator
 declare -A PIDS
+NEXT_TARGET=0
 CONTROLS=(abdali-1 marka-1 tla-1)
 ENTRIES=(abdali-2 sweifieh-1 marka-2 tla-2)
 
@@ -65,7 +66,8 @@
 
 start_target() { # SERVICE NUMBER DATA_CENTRE [ARGS...]
   local name=$1-$2 service=$1 dc=$3
-  local port=$((BASE + 500 + $2 + ($(printf '%s' "$1" | cksum | cut -d' ' -f1) % 5) * 50))
+  local port=$((BASE + 500 + NEXT_TARGET))
+  NEXT_TARGET=$((NEXT_TARGET + 1))
   shift 3
   "$BIN/tests/fake_target" --listen "127.0.0.1:$port" --service "$service" \
     --id "$name" --token "$service-target" --data-centre "$dc" \
