Mend two message storms that the safety search found

A follower that lost what it had acknowledged was asked again at the speed of the network. Ruled out: gossip and fact refutation, by the types of the first 20,000 messages. Change: the question goes out with heartbeats; a failed append without progress waits for the next heartbeat. The start's storm has a test of its own. Conclusion: no question may be caused by its own answer.

--- a/src/consensus/replication.cpp
+++ b/src/consensus/replication.cpp
@@ -213,10 +213,15 @@
   progress.mHeardAt = aNow;
   progress.mRoundSeen = std::max(progress.mRoundSeen, reply.round());
   if (!reply.success()) {
+    const std::uint64_t before = progress.mNext;
     progress.mNext = std::max(progress.mMatch + 1,
                               std::min(reply.index(), LastIndex(aState) + 1));
     progress.mSnapshotSent = false;
-    SendAppend(aState, *member, aNow, aOut);
+    // Without progress the next heartbeat tries again: a member that lost what
+    // it had acknowledged must not be asked at the speed of the network.
+    if (progress.mNext < before) {
+      SendAppend(aState, *member, aNow, aOut);
+    }
     return;
   }
   progress.mSnapshotSent = false;
--- a/src/node/deployments.cpp
+++ b/src/node/deployments.cpp
@@ -143,9 +143,7 @@
     aContext.Log(kInfo,
                  std::string("ready, ") +
                    (word ? "by a quorum's word" : "after waiting for one"));
-    return;
   }
-  AskDeployment(aContext);
 }
 
 } // namespace geraniumpond::node
--- a/src/node/step.cpp
+++ b/src/node/step.cpp
@@ -52,6 +52,10 @@
     ExpireLeases(aContext);
     membership::Forget(aContext.mState.mDirectory, aContext.mNow, kFactMemory);
     CheckReady(aContext);
+    // Asked at the pace of heartbeats: an answer must not cause a question.
+    if (!aContext.mState.mReady) {
+      AskDeployment(aContext);
+    }
   }
   if (aContext.mNow >= aContext.mState.mGossipAt) {
     Gossip(aContext);
--- a/tests/node_test.cpp
+++ b/tests/node_test.cpp
@@ -26,6 +26,7 @@
   CPPUNIT_TEST(RacingOperatorsHaveOneWinner);
   CPPUNIT_TEST(ChangeIsInForceEverywhereWithinTwoSecondsDespiteLoss);
   CPPUNIT_TEST(EntryWithoutAQuorumServesItsCachedDeploymentAfterAWait);
+  CPPUNIT_TEST(StartWithAVoterDownCausesNoStormOfMessages);
   CPPUNIT_TEST(StopFinishesWhatIsInFlightAndThenExits);
   CPPUNIT_TEST(LeaderLostCommitsAgainWithinThreeSeconds);
   CPPUNIT_TEST(ReplacedDiskJoinsAndASecondLossIsSurvived);
@@ -251,6 +252,15 @@
                          mWorld->StateOf("e0").mVersion.version());
   }
 
+  void StartWithAVoterDownCausesNoStormOfMessages() {
+    mWorld->Crash("c1");
+    mWorld->Crash("c2");
+    mWorld->Start("c2");
+    const std::uint64_t before = mWorld->mMessages;
+    mWorld->RunFor(kSecond);
+    CPPUNIT_ASSERT(mWorld->mMessages - before < 200);
+  }
+
   void StopFinishesWhatIsInFlightAndThenExits() {
     const std::uint64_t id = mWorld->Request("e0", "k");
     mWorld->Stop("e0");
