--- a/bench/safety_search.cpp
+++ b/bench/safety_search.cpp
@@ -16,10 +16,17 @@
 using fakes::SmallDeployment;
 using fakes::World;
 
-enum class Plant { None, Vote, Sync, Version };
+enum class Plant
+{
+  None,
+  Vote,
+  Sync,
+  Version
+};
 
 /// One thing that a schedule does, at a time.
-enum class Action {
+enum class Action
+{
   Crash,
   Restart,
   ReplaceDisk,
@@ -32,13 +39,15 @@
   Drain,
 };
 
-struct Planned {
+struct Planned
+{
   Micros mAt = 0;
   Action mAction = Action::Heal;
   std::uint64_t mWord = 0;
 };
 
-struct Schedule {
+struct Schedule
+{
   std::uint64_t mSeed = 0;
   fakes::FaultRates mRates;
   std::vector<Planned> mActions;
@@ -46,23 +55,26 @@
 
 constexpr Micros kLength = 12 * kSecond;
 constexpr Micros kSettle = 20 * kSecond;
-constexpr const char* kActionNames[] = { "crash",   "restart", "replace-disk",
-                                         "partition", "heal",  "request",
-                                         "resend",  "apply",   "resend-apply",
+constexpr const char* kActionNames[] = { "crash",     "restart", "replace-disk",
+                                         "partition", "heal",    "request",
+                                         "resend",    "apply",   "resend-apply",
                                          "drain" };
 
-Action ActionOf(std::uint64_t aWord) {
+Action ActionOf(std::uint64_t aWord)
+{
   static const Action actions[] = {
-    Action::Crash,   Action::Restart, Action::Restart, Action::Partition,
-    Action::Heal,    Action::Request, Action::Request, Action::Request,
-    Action::Request, Action::Resend,  Action::Resend,  Action::Resend,
-    Action::Apply,   Action::Apply,   Action::ResendApply, Action::Drain,
-    Action::ReplaceDisk,
+    Action::Crash,     Action::Restart,     Action::Restart,
+    Action::Partition, Action::Heal,        Action::Request,
+    Action::Request,   Action::Request,     Action::Request,
+    Action::Resend,    Action::Resend,      Action::Resend,
+    Action::Apply,     Action::Apply,       Action::ResendApply,
+    Action::Drain,     Action::ReplaceDisk,
   };
   return actions[aWord % std::size(actions)];
 }
 
-Schedule MakeSchedule(std::uint64_t aSeed) {
+Schedule MakeSchedule(std::uint64_t aSeed)
+{
   std::mt19937_64 random(aSeed);
   const auto share = [&](double aMost) {
     return aMost * static_cast<double>(random() % 1000) / 1000;
@@ -99,14 +111,18 @@
   return schedule;
 }
 
-class Run {
+class Run
+{
 public:
   Run(const Schedule& aSchedule, Plant aPlant)
     : mSchedule(aSchedule)
     , mPlant(aPlant)
-    , mWorld(aSchedule.mSeed) {}
+    , mWorld(aSchedule.mSeed)
+  {
+  }
 
-  std::vector<std::string> Violations() {
+  std::vector<std::string> Violations()
+  {
     Prepare();
     const Micros start = mWorld.mNow;
     for (const Planned& planned : mSchedule.mActions) {
@@ -121,7 +137,8 @@
   }
 
 private:
-  void Prepare() {
+  void Prepare()
+  {
     mWorld.AddHosts(3, 2);
     mWorld.StartAll();
     mWorld.RunUntil([&] { return !mWorld.Leader().empty(); }, 5 * kSecond);
@@ -135,13 +152,15 @@
     mWorld.mAfterStep = [this] { CheckCommitted(); };
   }
 
-  std::string HostOf(std::uint64_t aWord) {
+  std::string HostOf(std::uint64_t aWord)
+  {
     auto host = mWorld.mHosts.begin();
     std::advance(host, static_cast<long>(aWord % mWorld.mHosts.size()));
     return host->first;
   }
 
-  std::string UpHostOf(std::uint64_t aWord, const char* aPrefix) {
+  std::string UpHostOf(std::uint64_t aWord, const char* aPrefix)
+  {
     std::vector<std::string> up;
     for (const auto& [id, host] : mWorld.mHosts) {
       if (host.mUp && id.rfind(aPrefix, 0) == 0) {
@@ -151,7 +170,8 @@
     return up.empty() ? "" : up[aWord % up.size()];
   }
 
-  void Perform(const Planned& aPlanned) {
+  void Perform(const Planned& aPlanned)
+  {
     const std::uint64_t word = aPlanned.mWord;
     switch (aPlanned.mAction) {
       case Action::Crash:
@@ -187,7 +207,8 @@
     }
   }
 
-  void Crash(const std::string& aHost) {
+  void Crash(const std::string& aHost)
+  {
     if (!mWorld.mHosts[aHost].mUp) {
       return;
     }
@@ -198,7 +219,8 @@
     mWorld.Crash(aHost);
   }
 
-  void Restart(const std::string& aHost) {
+  void Restart(const std::string& aHost)
+  {
     if (!mWorld.mHosts[aHost].mUp) {
       if (mPlant == Plant::Version) {
         mWorld.mHosts[aHost].mDisk.mCache.Clear();
@@ -208,7 +230,8 @@
   }
 
   // One disk at a time: the next goes only when the group is whole again.
-  void ReplaceDisk(std::uint64_t aWord) {
+  void ReplaceDisk(std::uint64_t aWord)
+  {
     const std::string host = "c" + std::to_string(aWord % 3);
     std::size_t voters = 0;
     for (const auto& [id, other] : mWorld.mHosts) {
@@ -227,40 +250,43 @@
     mWorld.Start(host);
   }
 
-  bool AllHoldMembers() {
+  bool AllHoldMembers()
+  {
     for (const auto& [id, host] : mWorld.mHosts) {
       const auto& group = host.mState.mGroup;
-      if (host.mSettings.control() &&
-          (group.mCommit < group.mMembershipIndex ||
-           group.mMembership.members_size() != 3)) {
+      if (host.mSettings.control() && (group.mCommit < group.mMembershipIndex ||
+                                       group.mMembership.members_size() != 3)) {
         return false;
       }
     }
     return true;
   }
 
-  void Request(std::uint64_t aWord, const std::string& aKey) {
+  void Request(std::uint64_t aWord, const std::string& aKey)
+  {
     const std::string host = UpHostOf(aWord, "e");
     if (!host.empty()) {
       mWorld.Request(host, aKey);
     }
   }
 
-  void Apply(std::uint64_t aWord, int aChange) {
+  void Apply(std::uint64_t aWord, int aChange)
+  {
     const std::string host = UpHostOf(aWord, "");
     if (host.empty()) {
       return;
     }
     const std::string id = "change-" + std::to_string(aChange);
     const auto known = mApplied.find(id);
-    const std::uint64_t expected =
-      known != mApplied.end() ? known->second
-                              : mWorld.StateOf(host).mVersion.version();
+    const std::uint64_t expected = known != mApplied.end()
+                                     ? known->second
+                                     : mWorld.StateOf(host).mVersion.version();
     mApplied[id] = expected;
     mWorld.Apply(host, id, expected, SmallDeployment(aChange));
   }
 
-  void Drain(std::uint64_t aWord) {
+  void Drain(std::uint64_t aWord)
+  {
     const std::string host = UpHostOf(aWord, "");
     if (!host.empty()) {
       mWorld.Drain(host, "consent", "t2");
@@ -269,7 +295,8 @@
 
   // Entries that replicas have committed must be the same ones. A planted
   // fault of the disk shows here too.
-  void CheckCommitted() {
+  void CheckCommitted()
+  {
     for (auto& [id, host] : mWorld.mHosts) {
       if (!host.mUp || !host.mSettings.control()) {
         continue;
@@ -296,7 +323,8 @@
     }
   }
 
-  void Settle() {
+  void Settle()
+  {
     mWorld.Heal();
     mWorld.mRates = fakes::FaultRates();
     for (const auto& [id, host] : mWorld.mHosts) {
@@ -307,7 +335,8 @@
   }
 
   // Once the faults are over everything must be in force and answered.
-  void CheckSettled() {
+  void CheckSettled()
+  {
     std::set<std::uint64_t> versions;
     for (const auto& [id, host] : mWorld.mHosts) {
       versions.insert(host.mState.mVersion.version());
@@ -328,7 +357,8 @@
     CheckAccepted();
   }
 
-  void CheckAnswer(std::uint64_t aId, const fakes::SentRequest& aRequest) {
+  void CheckAnswer(std::uint64_t aId, const fakes::SentRequest& aRequest)
+  {
     if (!aRequest.mTold || aRequest.mTold->mOutcome != "ran") {
       return;
     }
@@ -343,7 +373,8 @@
   }
 
   // An accepted change stays in the history, under its version.
-  void CheckAccepted() {
+  void CheckAccepted()
+  {
     for (const auto& [id, host] : mWorld.mHosts) {
       if (!host.mSettings.control()) {
         continue;
@@ -354,7 +385,8 @@
     }
   }
 
-  void CheckOne(const control::State& aState, const fakes::OperatorTold& aTold) {
+  void CheckOne(const control::State& aState, const fakes::OperatorTold& aTold)
+  {
     if (aTold.mStatus != 200 ||
         aTold.mBody.find("\"accepted\":true") == std::string::npos) {
       return;
@@ -379,12 +411,14 @@
   std::map<std::uint64_t, std::pair<std::uint64_t, std::string>> mCommitted;
 };
 
-std::vector<std::string> Try(const Schedule& aSchedule, Plant aPlant) {
+std::vector<std::string> Try(const Schedule& aSchedule, Plant aPlant)
+{
   return Run(aSchedule, aPlant).Violations();
 }
 
 // Drops actions as long as the schedule still fails.
-Schedule Shrink(Schedule aSchedule, Plant aPlant) {
+Schedule Shrink(Schedule aSchedule, Plant aPlant)
+{
   bool smaller = true;
   while (smaller) {
     smaller = false;
@@ -402,16 +436,18 @@
   return aSchedule;
 }
 
-void Print(const Schedule& aSchedule, const std::string& aViolation) {
+void Print(const Schedule& aSchedule, const std::string& aViolation)
+{
   std::cout << "seed " << aSchedule.mSeed << ": " << aViolation << "\n";
   for (const Planned& planned : aSchedule.mActions) {
     std::cout << "  at " << planned.mAt << " us "
-              << kActionNames[static_cast<std::size_t>(planned.mAction)]
-              << " " << planned.mWord << "\n";
+              << kActionNames[static_cast<std::size_t>(planned.mAction)] << " "
+              << planned.mWord << "\n";
   }
 }
 
-Plant PlantOf(const std::string& aName) {
+Plant PlantOf(const std::string& aName)
+{
   if (aName == "vote") {
     return Plant::Vote;
   }
@@ -423,7 +459,8 @@
 
 } // namespace
 
-int main(int aCount, char** aWords) {
+int main(int aCount, char** aWords)
+{
   const auto options = fakes::ParseOptions(aCount, aWords);
   const Plant plant = PlantOf(options.Text("plant"));
   const auto first = static_cast<std::uint64_t>(options.Number("first", 1));
--- a/tests/config_test.cpp
+++ b/tests/config_test.cpp
@@ -10,7 +10,8 @@
 
 namespace {
 
-std::string ReadDeploy(const std::string& aName) {
+std::string ReadDeploy(const std::string& aName)
+{
   std::ifstream file(std::string(GERANIUMPOND_SOURCE) + "/deploy/" + aName);
   std::ostringstream text;
   text << file.rdbuf();
@@ -19,13 +20,15 @@
 
 std::string Replaced(std::string aText,
                      const std::string& aFrom,
-                     const std::string& aTo) {
+                     const std::string& aTo)
+{
   const std::size_t at = aText.find(aFrom);
   CPPUNIT_ASSERT_MESSAGE(aFrom, at != std::string::npos);
   return aText.replace(at, aFrom.size(), aTo);
 }
 
-int LineOf(const std::string& aText, const std::string& aPart) {
+int LineOf(const std::string& aText, const std::string& aPart)
+{
   const std::size_t at = aText.rfind(aPart);
   CPPUNIT_ASSERT_MESSAGE(aPart, at != std::string::npos);
   return 1 + static_cast<int>(
@@ -34,7 +37,8 @@
                           '\n'));
 }
 
-struct BadEdit {
+struct BadEdit
+{
   const char* mFrom;
   const char* mTo;
   /// Text of the line that must be named, and part of the fault.
@@ -44,7 +48,8 @@
 
 } // namespace
 
-class ConfigTest : public CppUnit::TestFixture {
+class ConfigTest : public CppUnit::TestFixture
+{
   CPPUNIT_TEST_SUITE(ConfigTest);
   CPPUNIT_TEST(DeploymentExamplesAreSound);
   CPPUNIT_TEST(DeploymentBadEditIsReportedWithItsLine);
@@ -54,7 +59,8 @@
   CPPUNIT_TEST_SUITE_END();
 
 public:
-  void DeploymentExamplesAreSound() {
+  void DeploymentExamplesAreSound()
+  {
     for (const char* name : { "haddad.ini", "consortium.ini" }) {
       const auto checked = ParseDeployment(ReadDeploy(name), name);
       CPPUNIT_ASSERT_EQUAL(std::size_t(0), checked.mFaults.size());
@@ -63,7 +69,8 @@
     CPPUNIT_ASSERT(ParseSettings(ReadDeploy("host.ini"), "host.ini").Ok());
   }
 
-  void DeploymentBadEditIsReportedWithItsLine() {
+  void DeploymentBadEditIsReportedWithItsLine()
+  {
     const std::string good = ReadDeploy("haddad.ini");
     const BadEdit edits[] = {
       { "slots = 4", "slots = 0", "slots = 0", "from 1 to 1024" },
@@ -94,15 +101,16 @@
       std::string all;
       for (const Fault& fault : checked.mFaults) {
         all += ToString(fault) + "\n";
-        found = found ||
-                (ToString(fault).find(edit.mFault) != std::string::npos &&
-                 fault.mLine == LineOf(text, edit.mLine));
+        found =
+          found || (ToString(fault).find(edit.mFault) != std::string::npos &&
+                    fault.mLine == LineOf(text, edit.mLine));
       }
       CPPUNIT_ASSERT_MESSAGE(std::string(edit.mTo) + "\n" + all, found);
     }
   }
 
-  void DeploymentManyFaultsAreAllReported() {
+  void DeploymentManyFaultsAreAllReported()
+  {
     std::string text = ReadDeploy("haddad.ini");
     text = Replaced(text, "slots = 4", "slots = x");
     text = Replaced(text, "hedge = yes", "hedge = x");
@@ -113,7 +121,8 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t(5), checked.mFaults.size());
   }
 
-  void SettingsBadEditIsReportedWithItsLine() {
+  void SettingsBadEditIsReportedWithItsLine()
+  {
     const std::string good = ReadDeploy("host.ini");
     const BadEdit edits[] = {
       { "roles = entry", "roles = boss", "roles = boss", "entry, control" },
@@ -131,7 +140,8 @@
     }
   }
 
-  void KindLookupTakesLongestPrefixAtASegmentEnd() {
+  void KindLookupTakesLongestPrefixAtASegmentEnd()
+  {
     Service service;
     for (const char* path : { "/s", "/s/a", "/s/a/b" }) {
       Kind kind;
--- a/tests/decisions_test.cpp
+++ b/tests/decisions_test.cpp
@@ -10,16 +10,19 @@
 
 namespace geraniumpond {
 
-class RetriesTest : public CppUnit::TestFixture {
+class RetriesTest : public CppUnit::TestFixture
+{
   CPPUNIT_TEST_SUITE(RetriesTest);
   CPPUNIT_TEST(RetryIsAllowedOnlyWhereItIsHarmless);
   CPPUNIT_TEST(BudgetBoundsExtraAttempts);
   CPPUNIT_TEST_SUITE_END();
 
 public:
-  void RetryIsAllowedOnlyWhereItIsHarmless() {
+  void RetryIsAllowedOnlyWhereItIsHarmless()
+  {
     using retries::Effect;
-    struct Case {
+    struct Case
+    {
       bool mIdempotent;
       Effect mEffect;
       int mAttempts;
@@ -54,7 +57,8 @@
     }
   }
 
-  void BudgetBoundsExtraAttempts() {
+  void BudgetBoundsExtraAttempts()
+  {
     retries::RetryBudget budget;
     const retries::Situation situation{
       true, retries::Effect::Unknown, 1, false, 10
@@ -69,13 +73,15 @@
   }
 };
 
-class BudgetTest : public CppUnit::TestFixture {
+class BudgetTest : public CppUnit::TestFixture
+{
   CPPUNIT_TEST_SUITE(BudgetTest);
   CPPUNIT_TEST(BucketNeverGivesMoreThanRateAndBurst);
   CPPUNIT_TEST_SUITE_END();
 
 public:
-  void BucketNeverGivesMoreThanRateAndBurst() {
+  void BucketNeverGivesMoreThanRateAndBurst()
+  {
     std::mt19937_64 random(3);
     budget::TokenBucket bucket{ 10, 5, 5, 0, 0, 0 };
     Micros now = 0;
@@ -92,7 +98,8 @@
   }
 };
 
-class LimitsTest : public CppUnit::TestFixture {
+class LimitsTest : public CppUnit::TestFixture
+{
   CPPUNIT_TEST_SUITE(LimitsTest);
   CPPUNIT_TEST(NextTakesPriorityThenShareThenDeadline);
   CPPUNIT_TEST(BulkNeverHoldsMoreThanItsShare);
@@ -102,7 +109,8 @@
   CPPUNIT_TEST_SUITE_END();
 
 public:
-  void NextTakesPriorityThenShareThenDeadline() {
+  void NextTakesPriorityThenShareThenDeadline()
+  {
     limits::WaitQueue queue;
     limits::Add(queue, Waiter(1, "a", Priority::Normal, 50), 1);
     limits::Add(queue, Waiter(2, "a", Priority::Urgent, 90), 1);
@@ -115,7 +123,8 @@
     CPPUNIT_ASSERT(!limits::Next(queue, 8));
   }
 
-  void BulkNeverHoldsMoreThanItsShare() {
+  void BulkNeverHoldsMoreThanItsShare()
+  {
     limits::WaitQueue queue;
     queue.mBulkShare = 0.25;
     for (std::uint64_t i = 0; i < 20; ++i) {
@@ -131,7 +140,8 @@
     CPPUNIT_ASSERT_EQUAL(std::uint64_t(99), limits::Next(queue, 16)->mRequest);
   }
 
-  void BurstOfOneCallerDoesNotStarveAnother() {
+  void BurstOfOneCallerDoesNotStarveAnother()
+  {
     limits::WaitQueue queue;
     for (std::uint64_t i = 0; i < 500; ++i) {
       limits::Add(queue, Waiter(i, "burst", Priority::Normal, 1), 0.5);
@@ -148,7 +158,8 @@
     CPPUNIT_ASSERT_EQUAL(10, quiet);
   }
 
-  void NewcomerIsRefusedAtOnceWhenTheWaitIsHopeless() {
+  void NewcomerIsRefusedAtOnceWhenTheWaitIsHopeless()
+  {
     limits::WaitQueue queue;
     queue.mLimit = 2;
     limits::Waiter waiter = Waiter(1, "a", Priority::Normal, 1000);
@@ -164,7 +175,8 @@
     CPPUNIT_ASSERT(limits::MayWait(queue, waiter, 0, 0));
   }
 
-  void RemovedWaiterIsNeverReturned() {
+  void RemovedWaiterIsNeverReturned()
+  {
     limits::WaitQueue queue;
     limits::Add(queue, Waiter(1, "a", Priority::Normal, 5), 1);
     CPPUNIT_ASSERT(limits::Remove(queue, 1));
@@ -176,12 +188,14 @@
   static limits::Waiter Waiter(std::uint64_t aId,
                                const std::string& aCaller,
                                Priority aPriority,
-                               Micros aDeadline) {
+                               Micros aDeadline)
+  {
     return { aId, aCaller, aPriority, aDeadline, aDeadline };
   }
 };
 
-class IdempotencyTest : public CppUnit::TestFixture {
+class IdempotencyTest : public CppUnit::TestFixture
+{
   CPPUNIT_TEST_SUITE(IdempotencyTest);
   CPPUNIT_TEST(KeyHasOneOwnerUntilItIsReleased);
   CPPUNIT_TEST(LateCopyOfAReleasedClaimStaysVoid);
@@ -191,7 +205,8 @@
   CPPUNIT_TEST_SUITE_END();
 
 public:
-  void KeyHasOneOwnerUntilItIsReleased() {
+  void KeyHasOneOwnerUntilItIsReleased()
+  {
     CPPUNIT_ASSERT(Owns(Claim(1), 1));
     CPPUNIT_ASSERT(Owns(Claim(1), 1));
     CPPUNIT_ASSERT(Owns(Claim(2), 1));
@@ -203,7 +218,8 @@
     CPPUNIT_ASSERT_EQUAL(std::string("answer"), record.answer().body());
   }
 
-  void LateCopyOfAReleasedClaimStaysVoid() {
+  void LateCopyOfAReleasedClaimStaysVoid()
+  {
     Release(1); // before its claim
     CPPUNIT_ASSERT_EQUAL(wire::KEY_RELEASED, Claim(1).phase());
     CPPUNIT_ASSERT(Owns(Claim(2), 2));
@@ -211,7 +227,8 @@
     CPPUNIT_ASSERT_EQUAL(wire::KEY_RELEASED, Claim(2).phase());
   }
 
-  void ForeignCompletionAndReleaseChangeNothing() {
+  void ForeignCompletionAndReleaseChangeNothing()
+  {
     CPPUNIT_ASSERT(Owns(Claim(1), 1));
     Complete(2, "foreign");
     Release(2);
@@ -222,13 +239,15 @@
     CPPUNIT_ASSERT_EQUAL(wire::KEY_UNKNOWN, Claim(3).phase());
   }
 
-  void RecordExpiresAfterItsRetentionOnly() {
+  void RecordExpiresAfterItsRetentionOnly()
+  {
     CPPUNIT_ASSERT(Owns(Claim(1, 0), 1));
     CPPUNIT_ASSERT(Owns(Claim(2, 99), 1));
     CPPUNIT_ASSERT(Owns(Claim(2, 100), 2));
   }
 
-  void ScopeOfOneCallerNeverMeetsAnother() {
+  void ScopeOfOneCallerNeverMeetsAnother()
+  {
     const std::set<std::string> scoped = {
       idempotency::ScopedKey("a", "s", "k"),
       idempotency::ScopedKey("b", "s", "k"),
@@ -239,7 +258,8 @@
   }
 
 private:
-  wire::KeyRecord Claim(std::uint64_t aAttempt, Micros aNow = 0) {
+  wire::KeyRecord Claim(std::uint64_t aAttempt, Micros aNow = 0)
+  {
     wire::ClaimKey claim;
     claim.set_key("k");
     claim.set_owner("h");
@@ -248,7 +268,8 @@
     claim.set_expires_at_us(aNow + 100);
     return idempotency::Claim(mTable, claim, aNow);
   }
-  void Release(std::uint64_t aAttempt) {
+  void Release(std::uint64_t aAttempt)
+  {
     wire::ReleaseKey release;
     release.set_key("k");
     release.set_owner("h");
@@ -256,7 +277,8 @@
     release.set_attempt(aAttempt);
     (void)idempotency::Release(mTable, release, 0);
   }
-  void Complete(std::uint64_t aAttempt, const std::string& aBody) {
+  void Complete(std::uint64_t aAttempt, const std::string& aBody)
+  {
     wire::CompleteKey complete;
     complete.set_key("k");
     complete.set_owner("h");
@@ -267,7 +289,8 @@
     }
     (void)idempotency::Complete(mTable, complete);
   }
-  static bool Owns(const wire::KeyRecord& aRecord, std::uint64_t aAttempt) {
+  static bool Owns(const wire::KeyRecord& aRecord, std::uint64_t aAttempt)
+  {
     return aRecord.phase() == wire::KEY_CLAIMED &&
            idempotency::IsOwnedBy(aRecord, "h", 1, aAttempt);
   }
@@ -275,7 +298,8 @@
   idempotency::Table mTable;
 };
 
-class BurnTest : public CppUnit::TestFixture {
+class BurnTest : public CppUnit::TestFixture
+{
   CPPUNIT_TEST_SUITE(BurnTest);
   CPPUNIT_TEST(RateIsOneWhenTheBudgetIsSpentExactly);
   CPPUNIT_TEST(WindowLeavesOutOlderMinutes);
@@ -283,25 +307,26 @@
   CPPUNIT_TEST_SUITE_END();
 
 public:
-  void RateIsOneWhenTheBudgetIsSpentExactly() {
+  void RateIsOneWhenTheBudgetIsSpentExactly()
+  {
     CPPUNIT_ASSERT_DOUBLES_EQUAL(1.0, burn::Rate({ 99, 100 }, 0.99), 1e-9);
     CPPUNIT_ASSERT_DOUBLES_EQUAL(10.0, burn::Rate({ 90, 100 }, 0.99), 1e-9);
     CPPUNIT_ASSERT_DOUBLES_EQUAL(0.0, burn::Rate({ 0, 0 }, 0.99), 1e-9);
   }
 
-  void WindowLeavesOutOlderMinutes() {
+  void WindowLeavesOutOlderMinutes()
+  {
     burn::Series series;
     burn::Note(series, 10 * kMinute, 1, "ran", false);
     burn::Note(series, 60 * kMinute, 1, "ran", true);
-    CPPUNIT_ASSERT_EQUAL(
-      std::uint64_t(1),
-      burn::Over(series, 60 * kMinute, 5 * kMinute).mTotal);
-    CPPUNIT_ASSERT_EQUAL(
-      std::uint64_t(2),
-      burn::Over(series, 60 * kMinute, 60 * kMinute).mTotal);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t(1),
+                         burn::Over(series, 60 * kMinute, 5 * kMinute).mTotal);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t(2),
+                         burn::Over(series, 60 * kMinute, 60 * kMinute).mTotal);
   }
 
-  void QuantileBoundsTheSamples() {
+  void QuantileBoundsTheSamples()
+  {
     burn::Histogram histogram = burn::NewHistogram();
     for (int i = 1; i <= 100; ++i) {
       histogram(static_cast<double>(i));
--- a/tests/fakes/world.cpp
+++ b/tests/fakes/world.cpp
@@ -12,7 +12,8 @@
 constexpr Micros kSyncMax = 3000;
 constexpr Micros kServiceTime = 5 * kMillisecond;
 
-void ApplyRecord(FakeDisk& aDisk, const wire::LogRecord& aRecord) {
+void ApplyRecord(FakeDisk& aDisk, const wire::LogRecord& aRecord)
+{
   if (aRecord.has_hard_state()) {
     aDisk.mHard = aRecord.hard_state();
   } else if (aRecord.has_entry()) {
@@ -27,12 +28,13 @@
 
 } // namespace
 
-std::string SmallDeployment(int aEdition) {
+std::string SmallDeployment(int aEdition)
+{
   return "[deployment]\nname = small\nkey_retention_s = 3600\n"
          "[service consent]\nslots = 2\nslow_start_ms = 0\nlease_ms = 600000\n"
          "retry_percent = 100\nqueue_limit = " +
-         std::to_string(100 + aEdition) + "\ntarget_token_sha256 = " +
-         Sha256Hex("target") +
+         std::to_string(100 + aEdition) +
+         "\ntarget_token_sha256 = " + Sha256Hex("target") +
          "\n[kind sign]\nservice = consent\nmethods = POST\n"
          "path = /consent/permissions\nidempotent = no\nkey_required = yes\n"
          "deadline_ms = 2000\nobjective_ms = 500\n"
@@ -46,17 +48,22 @@
 }
 
 World::World(std::uint64_t aSeed)
-  : mRandom(aSeed) {}
+  : mRandom(aSeed)
+{
+}
 
-double World::Chance() {
+double World::Chance()
+{
   return std::uniform_real_distribution<double>(0, 1)(mRandom);
 }
 
-void World::Fail(const std::string& aWhat) {
+void World::Fail(const std::string& aWhat)
+{
   mViolations.push_back(std::to_string(mNow) + ": " + aWhat);
 }
 
-void World::AddHosts(int aControls, int aEntries) {
+void World::AddHosts(int aControls, int aEntries)
+{
   std::vector<wire::Peer> voters;
   for (int i = 0; i < aControls; ++i) {
     wire::Peer peer;
@@ -66,9 +73,8 @@
   }
   for (int i = 0; i < aControls + aEntries; ++i) {
     const bool control = i < aControls;
-    const std::string id =
-      control ? voters[static_cast<std::size_t>(i)].id()
-              : "e" + std::to_string(i - aControls);
+    const std::string id = control ? voters[static_cast<std::size_t>(i)].id()
+                                   : "e" + std::to_string(i - aControls);
     FakeHost& host = mHosts[id];
     host.mSettings.set_id(id);
     host.mSettings.set_data_centre("dc" + std::to_string(i % 3));
@@ -86,7 +92,8 @@
   }
 }
 
-void World::Start(const std::string& aHost) {
+void World::Start(const std::string& aHost)
+{
   FakeHost& host = mHosts.at(aHost);
   host.mUp = true;
   host.mTimerAt = 0;
@@ -107,20 +114,23 @@
   Take(host, std::move(event));
 }
 
-void World::StartAll() {
+void World::StartAll()
+{
   for (auto& [id, host] : mHosts) {
     Start(id);
   }
 }
 
-void World::Crash(const std::string& aHost) {
+void World::Crash(const std::string& aHost)
+{
   FakeHost& host = mHosts.at(aHost);
   host.mUp = false;
   host.mDisk.mUnsynced.clear();
   host.mState = node::State();
 }
 
-void World::ReplaceDisk(const std::string& aHost) {
+void World::ReplaceDisk(const std::string& aHost)
+{
   FakeHost& host = mHosts.at(aHost);
   const int replacements = host.mDisk.mReplacements + 1;
   host.mDisk = FakeDisk();
@@ -129,26 +139,27 @@
   host.mHighestVersion = 0;
 }
 
-void World::Partition(const std::set<std::string>& aOneSide) {
+void World::Partition(const std::set<std::string>& aOneSide)
+{
   mOneSide = aOneSide;
 }
 
-bool World::Cut(const std::string& aFrom, const std::string& aTo) const {
+bool World::Cut(const std::string& aFrom, const std::string& aTo) const
+{
   return mOneSide.count(aFrom) != mOneSide.count(aTo);
 }
 
-void World::Post(const std::string& aHost, Micros aAt, wire::Event aEvent) {
-  mQueue.push({ aAt,
-                ++mOrder,
-                aHost,
-                mHosts.at(aHost).mIncarnation,
-                std::move(aEvent) });
+void World::Post(const std::string& aHost, Micros aAt, wire::Event aEvent)
+{
+  mQueue.push(
+    { aAt, ++mOrder, aHost, mHosts.at(aHost).mIncarnation, std::move(aEvent) });
 }
 
 void World::Announce(const std::string& aHost,
                      const std::string& aService,
                      const std::string& aId,
-                     bool aDraining) {
+                     bool aDraining)
+{
   wire::Event event;
   wire::TargetAnnounced& announced = *event.mutable_announced();
   announced.set_operation(++mLastOperation);
@@ -167,7 +178,8 @@
                              const std::string& aKey,
                              const std::string& aBody,
                              const std::string& aPath,
-                             const std::string& aToken) {
+                             const std::string& aToken)
+{
   const std::uint64_t id = ++mLastRequest;
   mRequests[id] = { aHost, mHosts.at(aHost).mIncarnation, aKey, {}, 0 };
   wire::Event event;
@@ -185,7 +197,8 @@
 std::uint64_t World::Apply(const std::string& aHost,
                            const std::string& aChangeId,
                            std::uint64_t aExpected,
-                           const std::string& aText) {
+                           const std::string& aText)
+{
   wire::Event event;
   wire::OperatorApply& apply = *event.mutable_apply();
   apply.set_operation(++mLastOperation);
@@ -200,7 +213,8 @@
 
 std::uint64_t World::Drain(const std::string& aHost,
                            const std::string& aService,
-                           const std::string& aTarget) {
+                           const std::string& aTarget)
+{
   wire::Event event;
   wire::OperatorDrain& drain = *event.mutable_drain();
   drain.set_operation(++mLastOperation);
@@ -212,17 +226,20 @@
   return mLastOperation;
 }
 
-void World::Stop(const std::string& aHost) {
+void World::Stop(const std::string& aHost)
+{
   wire::Event event;
   event.mutable_stop();
   Post(aHost, mNow, std::move(event));
 }
 
-void World::RunFor(Micros aTime) {
+void World::RunFor(Micros aTime)
+{
   RunUntil([] { return false; }, aTime);
 }
 
-bool World::RunUntil(const std::function<bool()>& aCondition, Micros aLimit) {
+bool World::RunUntil(const std::function<bool()>& aCondition, Micros aLimit)
+{
   const Micros end = mNow + aLimit;
   while (!aCondition()) {
     if (mQueue.empty() || mQueue.top().mAt > end) {
@@ -247,7 +264,8 @@
   return true;
 }
 
-std::string World::Leader() const {
+std::string World::Leader() const
+{
   for (const auto& [id, host] : mHosts) {
     if (host.mUp && host.mSettings.control() &&
         consensus::IsLeader(host.mState.mGroup)) {
@@ -257,7 +275,8 @@
   return "";
 }
 
-void World::Take(FakeHost& aHost, wire::Event aEvent) {
+void World::Take(FakeHost& aHost, wire::Event aEvent)
+{
   aEvent.set_now_us(mNow);
   aEvent.set_random(mRandom());
   if (aEvent.has_sync_done()) {
@@ -270,7 +289,8 @@
   CheckVersions(aHost);
 }
 
-void World::CheckVersions(FakeHost& aHost) {
+void World::CheckVersions(FakeHost& aHost)
+{
   const wire::DeploymentVersion& version = aHost.mState.mVersion;
   if (version.version() < aHost.mHighestVersion) {
     Fail(aHost.mSettings.id() + " reverted to version " +
@@ -294,7 +314,8 @@
   }
 }
 
-void World::Perform(FakeHost& aHost, const wire::Effect& aEffect) {
+void World::Perform(FakeHost& aHost, const wire::Effect& aEffect)
+{
   switch (aEffect.body_case()) {
     case wire::Effect::kSend:
       Send(aHost, aEffect.send());
@@ -342,7 +363,8 @@
   }
 }
 
-void World::Send(const FakeHost& aHost, const wire::SendPeer& aSend) {
+void World::Send(const FakeHost& aHost, const wire::SendPeer& aSend)
+{
   const std::string& from = aHost.mSettings.id();
   const std::size_t size = aSend.message().ByteSizeLong();
   ++mMessages;
@@ -364,7 +386,8 @@
   }
 }
 
-void World::Persist(FakeHost& aHost, const wire::Persist& aPersist) {
+void World::Persist(FakeHost& aHost, const wire::Persist& aPersist)
+{
   aHost.mDisk.mUnsynced.push_back(aPersist);
   wire::Event event;
   event.mutable_sync_done()->set_sequence(aPersist.sequence());
@@ -373,7 +396,8 @@
   Post(aHost.mSettings.id(), mNow + delay, std::move(event));
 }
 
-void World::Sync(FakeHost& aHost, std::uint64_t aSequence) {
+void World::Sync(FakeHost& aHost, std::uint64_t aSequence)
+{
   FakeDisk& disk = aHost.mDisk;
   std::size_t done = 0;
   while (done < disk.mUnsynced.size() &&
@@ -396,7 +420,8 @@
                          static_cast<std::ptrdiff_t>(done));
 }
 
-void World::NoteRun(std::uint64_t aRequest, const wire::Dispatch& aDispatch) {
+void World::NoteRun(std::uint64_t aRequest, const wire::Dispatch& aDispatch)
+{
   SentRequest& request = mRequests.at(aRequest);
   ++request.mRuns;
   ++mRunsByTarget[aDispatch.target()];
@@ -412,7 +437,8 @@
   }
 }
 
-void World::RunAttempt(const FakeHost& aHost, const wire::Dispatch& aDispatch) {
+void World::RunAttempt(const FakeHost& aHost, const wire::Dispatch& aDispatch)
+{
   const std::uint64_t id = aDispatch.request();
   wire::Event event;
   wire::AttemptEnded& ended = *event.mutable_ended();
@@ -457,7 +483,8 @@
   Post(aHost.mSettings.id(), at, std::move(event));
 }
 
-void World::Tell(std::uint64_t aRequest, Told aTold) {
+void World::Tell(std::uint64_t aRequest, Told aTold)
+{
   SentRequest& request = mRequests.at(aRequest);
   if (request.mTold) {
     Fail("request " + std::to_string(aRequest) + " answered twice");
--- a/tests/fakes/world.h
+++ b/tests/fakes/world.h
@@ -18,7 +18,8 @@
 namespace geraniumpond::fakes {
 
 /// \brief How often faults happen, as shares of messages or attempts.
-struct FaultRates {
+struct FaultRates
+{
   double mLoss = 0;
   double mDuplicate = 0;
   Micros mDelayMin = 500;
@@ -31,7 +32,8 @@
 };
 
 /// \brief What a host's disk holds for good, and what is not yet synced.
-struct FakeDisk {
+struct FakeDisk
+{
   wire::HardState mHard;
   wire::Snapshot mSnapshot;
   std::vector<wire::Entry> mEntries;
@@ -40,7 +42,8 @@
   int mReplacements = 0;
 };
 
-struct FakeHost {
+struct FakeHost
+{
   wire::HostSettings mSettings;
   node::State mState;
   FakeDisk mDisk;
@@ -52,7 +55,8 @@
 };
 
 /// \brief What one request was told in the end.
-struct Told {
+struct Told
+{
   std::uint32_t mStatus = 0;
   std::string mOutcome;
   std::string mBody;
@@ -61,7 +65,8 @@
 };
 
 /// \brief A request as the test sent it.
-struct SentRequest {
+struct SentRequest
+{
   std::string mHost;
   std::uint64_t mIncarnation = 0;
   std::string mKey;
@@ -70,12 +75,14 @@
 };
 
 /// \brief What an operator was told.
-struct OperatorTold {
+struct OperatorTold
+{
   std::uint32_t mStatus = 0;
   std::string mBody;
 };
 
-class World {
+class World
+{
 public:
   explicit World(std::uint64_t aSeed);
 
@@ -116,7 +123,8 @@
   bool RunUntil(const std::function<bool()>& aCondition, Micros aLimit);
 
   [[nodiscard]] std::string Leader() const;
-  [[nodiscard]] node::State& StateOf(const std::string& aHost) {
+  [[nodiscard]] node::State& StateOf(const std::string& aHost)
+  {
     return mHosts.at(aHost).mState;
   }
   [[nodiscard]] double Chance();
@@ -140,13 +148,15 @@
   std::function<bool(const wire::SendPeer&)> mDrop;
 
 private:
-  struct Pending {
+  struct Pending
+  {
     Micros mAt = 0;
     std::uint64_t mOrder = 0;
     std::string mHost;
     std::uint64_t mIncarnation = 0;
     wire::Event mEvent;
-    bool operator<(const Pending& aOther) const {
+    bool operator<(const Pending& aOther) const
+    {
       return std::pair(mAt, mOrder) > std::pair(aOther.mAt, aOther.mOrder);
     }
   };
@@ -161,7 +171,8 @@
   void NoteRun(std::uint64_t aRequest, const wire::Dispatch& aDispatch);
   void Tell(std::uint64_t aRequest, Told aTold);
   void CheckVersions(FakeHost& aHost);
-  [[nodiscard]] bool Cut(const std::string& aFrom, const std::string& aTo) const;
+  [[nodiscard]] bool Cut(const std::string& aFrom,
+                         const std::string& aTo) const;
 
   std::mt19937_64 mRandom;
   std::priority_queue<Pending> mQueue;
--- a/tests/main.cpp
+++ b/tests/main.cpp
@@ -7,7 +7,8 @@
 
 #include <iostream>
 
-int main() {
+int main()
+{
   CppUnit::TestResult result;
   CppUnit::TestResultCollector collector;
   CppUnit::BriefTestProgressListener progress;
--- a/tests/membership_test.cpp
+++ b/tests/membership_test.cpp
@@ -12,7 +12,8 @@
 wire::Fact TargetFact(std::uint64_t aIncarnation,
                       std::uint64_t aSequence,
                       std::uint64_t aDrain,
-                      const std::string& aOrigin = "a") {
+                      const std::string& aOrigin = "a")
+{
   wire::Fact fact;
   fact.set_kind(wire::FACT_TARGET);
   fact.set_service("s");
@@ -24,7 +25,8 @@
   return fact;
 }
 
-wire::Fact HostFact(const std::string& aId, const std::string& aDataCentre) {
+wire::Fact HostFact(const std::string& aId, const std::string& aDataCentre)
+{
   wire::Fact fact;
   fact.set_kind(wire::FACT_HOST);
   fact.set_id(aId);
@@ -36,7 +38,8 @@
 }
 
 // The naive join: looks at all facts ever seen, in no order.
-wire::Fact NaiveJoin(const std::vector<wire::Fact>& aFacts) {
+wire::Fact NaiveJoin(const std::vector<wire::Fact>& aFacts)
+{
   std::uint64_t incarnation = 0;
   for (const wire::Fact& fact : aFacts) {
     incarnation = std::max(incarnation, fact.incarnation());
@@ -59,7 +62,8 @@
 
 } // namespace
 
-class MembershipTest : public CppUnit::TestFixture {
+class MembershipTest : public CppUnit::TestFixture
+{
   CPPUNIT_TEST_SUITE(MembershipTest);
   CPPUNIT_TEST(MergeInAnyOrderEqualsTheNaiveJoin);
   CPPUNIT_TEST(DrainIsNotUndoneByAnOlderReport);
@@ -71,7 +75,8 @@
   CPPUNIT_TEST_SUITE_END();
 
 public:
-  void MergeInAnyOrderEqualsTheNaiveJoin() {
+  void MergeInAnyOrderEqualsTheNaiveJoin()
+  {
     std::mt19937_64 random(7);
     for (int round = 0; round < 500; ++round) {
       std::vector<wire::Fact> facts;
@@ -101,7 +106,8 @@
     }
   }
 
-  void DrainIsNotUndoneByAnOlderReport() {
+  void DrainIsNotUndoneByAnOlderReport()
+  {
     Directory directory;
     Merge(directory, TargetFact(1, 1, 0), 0);
     Merge(directory, TargetFact(1, 1, 1), 0);
@@ -113,7 +119,8 @@
     CPPUNIT_ASSERT(!IsDraining(*fact));
   }
 
-  void DigestsAreEqualExactlyWhenFactsAre() {
+  void DigestsAreEqualExactlyWhenFactsAre()
+  {
     Directory left;
     Directory right;
     Merge(left, TargetFact(1, 1, 0), 0);
@@ -127,7 +134,8 @@
     CPPUNIT_ASSERT(left.mRoot != right.mRoot);
   }
 
-  void EntriesOfAServiceMoveLittleWhenAHostLeaves() {
+  void EntriesOfAServiceMoveLittleWhenAHostLeaves()
+  {
     Directory directory;
     for (int i = 0; i < 16; ++i) {
       Merge(directory, HostFact("h" + std::to_string(i), "dc"), 0);
@@ -155,7 +163,8 @@
     CPPUNIT_ASSERT(moved > 0 && moved < 50);
   }
 
-  void SpreadReachesOneRelayInEachOtherDataCentre() {
+  void SpreadReachesOneRelayInEachOtherDataCentre()
+  {
     Directory directory;
     for (int i = 0; i < 12; ++i) {
       Merge(directory,
@@ -167,7 +176,8 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t(3), spread.mRelays.size());
   }
 
-  void SuccessorsWrapAroundTheRing() {
+  void SuccessorsWrapAroundTheRing()
+  {
     Directory directory;
     for (const char* id : { "a", "b", "c", "d" }) {
       Merge(directory, HostFact(id, "dc"), 0);
@@ -178,7 +188,8 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t(3), Successors(directory, "a", 9).size());
   }
 
-  void ForgetDropsOnlyFactsLongGone() {
+  void ForgetDropsOnlyFactsLongGone()
+  {
     Directory directory;
     wire::Fact gone = TargetFact(1, 1, 0);
     gone.set_gone(true);
@@ -192,13 +203,13 @@
   }
 
 private:
-  static bool Before(const wire::Fact& aLeft, const wire::Fact& aRight) {
-    return std::tuple(
-             aLeft.incarnation(), aLeft.sequence(), aLeft.origin()) <
-           std::tuple(
-             aRight.incarnation(), aRight.sequence(), aRight.origin());
+  static bool Before(const wire::Fact& aLeft, const wire::Fact& aRight)
+  {
+    return std::tuple(aLeft.incarnation(), aLeft.sequence(), aLeft.origin()) <
+           std::tuple(aRight.incarnation(), aRight.sequence(), aRight.origin());
   }
-  static bool SameLease(const wire::Fact& aLeft, const wire::Fact& aRight) {
+  static bool SameLease(const wire::Fact& aLeft, const wire::Fact& aRight)
+  {
     return !Before(aLeft, aRight) && !Before(aRight, aLeft);
   }
 };
--- a/tests/node_test.cpp
+++ b/tests/node_test.cpp
@@ -8,7 +8,8 @@
 using fakes::World;
 
 /// Three control hosts, two entry hosts, one deployment, two targets.
-class NodeTest : public CppUnit::TestFixture {
+class NodeTest : public CppUnit::TestFixture
+{
   CPPUNIT_TEST_SUITE(NodeTest);
   CPPUNIT_TEST(KeyedRequestRunsOnceAndAResendGetsItsAnswer);
   CPPUNIT_TEST(ResendWhileTheFirstRunsWaitsForItsAnswer);
@@ -34,7 +35,8 @@
   CPPUNIT_TEST_SUITE_END();
 
 public:
-  void setUp() override {
+  void setUp() override
+  {
     mWorld = std::make_unique<World>(42);
     mWorld->AddHosts(3, 2);
     mWorld->StartAll();
@@ -47,7 +49,8 @@
     CPPUNIT_ASSERT(mWorld->RunUntil([&] { return AllSee(2); }, 2 * kSecond));
   }
 
-  void KeyedRequestRunsOnceAndAResendGetsItsAnswer() {
+  void KeyedRequestRunsOnceAndAResendGetsItsAnswer()
+  {
     const std::uint64_t first = mWorld->Request("e0", "k");
     ExpectTold(first, 200, "ran");
     const std::uint64_t again = mWorld->Request("e1", "k");
@@ -56,7 +59,8 @@
     CPPUNIT_ASSERT_EQUAL(Body(first), Body(again));
   }
 
-  void ResendWhileTheFirstRunsWaitsForItsAnswer() {
+  void ResendWhileTheFirstRunsWaitsForItsAnswer()
+  {
     const std::uint64_t first = mWorld->Request("e0", "k");
     const std::uint64_t again = mWorld->Request("e1", "k");
     ExpectTold(first, 200, "ran");
@@ -65,12 +69,14 @@
     CPPUNIT_ASSERT_EQUAL(Body(first), Body(again));
   }
 
-  void KeyWithAnotherBodyIsRefused() {
+  void KeyWithAnotherBodyIsRefused()
+  {
     ExpectTold(mWorld->Request("e0", "k", "one"), 200, "ran");
     ExpectTold(mWorld->Request("e1", "k", "two"), 422, "not-run");
   }
 
-  void KeyOfOneCallerIsNothingToAnother() {
+  void KeyOfOneCallerIsNothingToAnother()
+  {
     ExpectTold(mWorld->Request("e0", "k", "one"), 200, "ran");
     ExpectTold(
       mWorld->Request("e0", "k", "two", "/consent/permissions", "rival"),
@@ -79,7 +85,8 @@
     CPPUNIT_ASSERT_EQUAL(1, mWorld->mRunsByKey["rival/k"]);
   }
 
-  void LostEndIsUnknownAndNeverDispatchedAgain() {
+  void LostEndIsUnknownAndNeverDispatchedAgain()
+  {
     mWorld->mRates.mTargetBreaksAfterRun = 1;
     ExpectTold(mWorld->Request("e0", "k"), 502, "unknown");
     mWorld->mRates.mTargetBreaksAfterRun = 0;
@@ -88,7 +95,8 @@
     CPPUNIT_ASSERT_EQUAL(1, mWorld->mRunsByKey["school/k"]);
   }
 
-  void OwnerLostMidwayMakesTheKeyUnknown() {
+  void OwnerLostMidwayMakesTheKeyUnknown()
+  {
     mWorld->mRates.mTargetHangs = 1;
     mWorld->Request("e0", "k");
     mWorld->RunFor(100 * kMillisecond);
@@ -102,7 +110,8 @@
     ExpectTold(mWorld->Request("e0", "k"), 409, "unknown");
   }
 
-  void RefusedEverywhereIsNotRunAndTheKeyIsFreeAgain() {
+  void RefusedEverywhereIsNotRunAndTheKeyIsFreeAgain()
+  {
     mWorld->mRates.mTargetRefuses = 1;
     ExpectTold(mWorld->Request("e0", "k"), 503, "not-run");
     mWorld->mRates.mTargetRefuses = 0;
@@ -110,7 +119,8 @@
     ExpectTold(mWorld->Request("e1", "k"), 200, "ran");
   }
 
-  void ControlGroupLossAnswersNotRunByTheDeadline() {
+  void ControlGroupLossAnswersNotRunByTheDeadline()
+  {
     mWorld->Crash("c0");
     mWorld->Crash("c1");
     const Micros start = mWorld->mNow;
@@ -127,8 +137,10 @@
     ExpectTold(mWorld->Request("e1", "k"), 200, "ran");
   }
 
-  void BadRequestsGetClearErrors() {
-    struct Case {
+  void BadRequestsGetClearErrors()
+  {
+    struct Case
+    {
       const char* mKey;
       const char* mPath;
       const char* mToken;
@@ -143,20 +155,19 @@
     };
     for (const Case& entry : cases) {
       ExpectTold(
-        mWorld->Request(
-          "e0", entry.mKey, "body", entry.mPath, entry.mToken),
+        mWorld->Request("e0", entry.mKey, "body", entry.mPath, entry.mToken),
         entry.mStatus,
         "not-run");
     }
     CPPUNIT_ASSERT(mWorld->mRunsByKey.empty());
   }
 
-  void IdempotentRequestIsRetriedAfterABreak() {
+  void IdempotentRequestIsRetriedAfterABreak()
+  {
     mWorld->mRates.mTargetBreaksBeforeRun = 0.3;
     int ran = 0;
     for (int i = 0; i < 50; ++i) {
-      const std::uint64_t id =
-        mWorld->Request("e0", "", "", "/consent/roster");
+      const std::uint64_t id = mWorld->Request("e0", "", "", "/consent/roster");
       mWorld->RunUntil([&] { return Answered(id); }, 3 * kSecond);
       ran += mWorld->mRequests[id].mTold->mOutcome == "ran" ? 1 : 0;
       mWorld->RunFor(500 * kMillisecond);
@@ -164,7 +175,8 @@
     CPPUNIT_ASSERT(ran >= 40);
   }
 
-  void DrainReachesEveryHostWithinTwoSecondsDespiteLoss() {
+  void DrainReachesEveryHostWithinTwoSecondsDespiteLoss()
+  {
     mWorld->mRates.mLoss = 0.2;
     mWorld->Drain("c1", "consent", "t0");
     CPPUNIT_ASSERT(
@@ -175,21 +187,22 @@
     CPPUNIT_ASSERT(AllSeeDrain("t0"));
   }
 
-  void DrainingTargetGetsNoNewWork() {
+  void DrainingTargetGetsNoNewWork()
+  {
     mWorld->Drain("e0", "consent", "t0");
     mWorld->RunFor(kSecond);
     mWorld->mRunsByTarget.clear();
     for (int i = 0; i < 20; ++i) {
       ExpectTold(
-        mWorld->Request(
-          i % 2 == 0 ? "e0" : "e1", "", "", "/consent/roster"),
+        mWorld->Request(i % 2 == 0 ? "e0" : "e1", "", "", "/consent/roster"),
         200,
         "ran");
     }
     CPPUNIT_ASSERT_EQUAL(0, mWorld->mRunsByTarget["t0"]);
   }
 
-  void ChangeIdTellsItsFirstOutcomeAgainAfterARestart() {
+  void ChangeIdTellsItsFirstOutcomeAgainAfterARestart()
+  {
     ExpectOperator(mWorld->Apply("c0", "second", 1, SmallDeployment(2)), 200);
     ExpectOperator(mWorld->Apply("c1", "third", 2, SmallDeployment(3)), 200);
     for (const char* host : { "c0", "c1", "c2" }) {
@@ -206,7 +219,8 @@
                          mWorld->StateOf("c0").mVersion.version());
   }
 
-  void RacingOperatorsHaveOneWinner() {
+  void RacingOperatorsHaveOneWinner()
+  {
     const std::uint64_t left =
       mWorld->Apply("c0", "left", 1, SmallDeployment(2));
     const std::uint64_t right =
@@ -220,7 +234,8 @@
                    std::string::npos);
   }
 
-  void ChangeIsInForceEverywhereWithinTwoSecondsDespiteLoss() {
+  void ChangeIsInForceEverywhereWithinTwoSecondsDespiteLoss()
+  {
     mWorld->mRates.mLoss = 0.05;
     for (std::uint64_t version = 2; version < 12; ++version) {
       mWorld->Apply("e0",
@@ -240,7 +255,8 @@
     }
   }
 
-  void EntryWithoutAQuorumServesItsCachedDeploymentAfterAWait() {
+  void EntryWithoutAQuorumServesItsCachedDeploymentAfterAWait()
+  {
     mWorld->Crash("e0");
     mWorld->Partition({ "e0" });
     mWorld->Start("e0");
@@ -252,7 +268,8 @@
                          mWorld->StateOf("e0").mVersion.version());
   }
 
-  void StartWithAVoterDownCausesNoStormOfMessages() {
+  void StartWithAVoterDownCausesNoStormOfMessages()
+  {
     mWorld->Crash("c1");
     mWorld->Crash("c2");
     mWorld->Start("c2");
@@ -261,18 +278,20 @@
     CPPUNIT_ASSERT(mWorld->mMessages - before < 200);
   }
 
-  void StopFinishesWhatIsInFlightAndThenExits() {
+  void StopFinishesWhatIsInFlightAndThenExits()
+  {
     const std::uint64_t id = mWorld->Request("e0", "k");
     mWorld->Stop("e0");
     ExpectTold(id, 200, "ran");
     CPPUNIT_ASSERT(mWorld->mHosts["e0"].mUp);
-    CPPUNIT_ASSERT(mWorld->RunUntil(
-      [&] { return !mWorld->mHosts["e0"].mUp; }, 10 * kSecond));
+    CPPUNIT_ASSERT(mWorld->RunUntil([&] { return !mWorld->mHosts["e0"].mUp; },
+                                    10 * kSecond));
     // No record was left behind.
     ExpectTold(mWorld->Request("e1", "k"), 200, "ran");
   }
 
-  void LeaderLostCommitsAgainWithinThreeSeconds() {
+  void LeaderLostCommitsAgainWithinThreeSeconds()
+  {
     const std::string leader = mWorld->Leader();
     mWorld->Crash(leader);
     const std::string other = leader == "c0" ? "c1" : "c0";
@@ -284,7 +303,8 @@
                          mWorld->mOperations[operation].mStatus);
   }
 
-  void ReplacedDiskJoinsAndASecondLossIsSurvived() {
+  void ReplacedDiskJoinsAndASecondLossIsSurvived()
+  {
     ExpectTold(mWorld->Request("e0", "k"), 200, "ran");
     mWorld->Crash("c0");
     mWorld->ReplaceDisk("c0");
@@ -304,7 +324,8 @@
     ExpectTold(mWorld->Request("e1", "fresh"), 200, "ran");
   }
 
-  void SilentHostIsTakenAsGoneAndComesBack() {
+  void SilentHostIsTakenAsGoneAndComesBack()
+  {
     mWorld->Partition({ "e1" });
     mWorld->RunFor(6 * kSecond);
     CPPUNIT_ASSERT(IsGone("c0", "e1"));
@@ -318,7 +339,8 @@
       20 * kSecond));
   }
 
-  void tearDown() override {
+  void tearDown() override
+  {
     CPPUNIT_ASSERT_EQUAL_MESSAGE(
       mWorld->mViolations.empty() ? "" : mWorld->mViolations[0],
       std::size_t(0),
@@ -326,7 +348,8 @@
   }
 
 private:
-  bool AllReady() {
+  bool AllReady()
+  {
     for (auto& [id, host] : mWorld->mHosts) {
       if (!node::IsReady(host.mState)) {
         return false;
@@ -334,7 +357,8 @@
     }
     return true;
   }
-  bool AllSee(std::size_t aTargets) {
+  bool AllSee(std::size_t aTargets)
+  {
     for (auto& [id, host] : mWorld->mHosts) {
       if (host.mState.mServices["consent"].mTargets.mTargets.size() !=
           aTargets) {
@@ -343,37 +367,43 @@
     }
     return true;
   }
-  bool AllSeeDrain(const std::string& aTarget) {
+  bool AllSeeDrain(const std::string& aTarget)
+  {
     for (auto& [id, host] : mWorld->mHosts) {
-      const routing::Target* target = routing::Find(
-        host.mState.mServices["consent"].mTargets, aTarget);
+      const routing::Target* target =
+        routing::Find(host.mState.mServices["consent"].mTargets, aTarget);
       if (target == nullptr || !target->mDraining) {
         return false;
       }
     }
     return true;
   }
-  bool IsGone(const std::string& aAt, const std::string& aHost) {
-    const wire::Fact* fact =
-      membership::Find(mWorld->StateOf(aAt).mDirectory,
-                       { wire::FACT_HOST, "", aHost });
+  bool IsGone(const std::string& aAt, const std::string& aHost)
+  {
+    const wire::Fact* fact = membership::Find(mWorld->StateOf(aAt).mDirectory,
+                                              { wire::FACT_HOST, "", aHost });
     return fact != nullptr && fact->gone();
   }
-  bool Answered(std::uint64_t aId) {
+  bool Answered(std::uint64_t aId)
+  {
     return mWorld->mRequests[aId].mTold.has_value();
   }
-  std::string Body(std::uint64_t aId) {
+  std::string Body(std::uint64_t aId)
+  {
     return mWorld->mRequests[aId].mTold->mBody;
   }
   void ExpectTold(std::uint64_t aId,
                   std::uint32_t aStatus,
-                  const std::string& aOutcome) {
-    CPPUNIT_ASSERT(mWorld->RunUntil([&] { return Answered(aId); }, 9 * kSecond));
+                  const std::string& aOutcome)
+  {
+    CPPUNIT_ASSERT(
+      mWorld->RunUntil([&] { return Answered(aId); }, 9 * kSecond));
     const fakes::Told& told = *mWorld->mRequests[aId].mTold;
     CPPUNIT_ASSERT_EQUAL_MESSAGE(told.mBody, aStatus, told.mStatus);
     CPPUNIT_ASSERT_EQUAL(aOutcome, told.mOutcome);
   }
-  void ExpectOperator(std::uint64_t aOperation, std::uint32_t aStatus) {
+  void ExpectOperator(std::uint64_t aOperation, std::uint32_t aStatus)
+  {
     CPPUNIT_ASSERT(mWorld->RunUntil(
       [&] { return mWorld->mOperations.count(aOperation) != 0; }, 9 * kSecond));
     CPPUNIT_ASSERT_EQUAL(aStatus, mWorld->mOperations[aOperation].mStatus);
--- a/tests/storage_test.cpp
+++ b/tests/storage_test.cpp
@@ -12,7 +12,8 @@
 
 namespace {
 
-wire::LogRecord EntryRecord(std::uint64_t aIndex, std::uint64_t aTerm = 1) {
+wire::LogRecord EntryRecord(std::uint64_t aIndex, std::uint64_t aTerm = 1)
+{
   wire::LogRecord record;
   record.mutable_entry()->set_index(aIndex);
   record.mutable_entry()->set_term(aTerm);
@@ -20,7 +21,8 @@
   return record;
 }
 
-wire::LogRecord Truncate(std::uint64_t aFrom) {
+wire::LogRecord Truncate(std::uint64_t aFrom)
+{
   wire::LogRecord record;
   record.set_truncate_from(aFrom);
   return record;
@@ -28,7 +30,8 @@
 
 } // namespace
 
-class StorageTest : public CppUnit::TestFixture {
+class StorageTest : public CppUnit::TestFixture
+{
   CPPUNIT_TEST_SUITE(StorageTest);
   CPPUNIT_TEST(LogWrittenAndReopenedHoldsTheSameEntries);
   CPPUNIT_TEST(LogTornAtAnyByteKeepsWholeRecords);
@@ -41,14 +44,16 @@
   CPPUNIT_TEST_SUITE_END();
 
 public:
-  void setUp() override {
+  void setUp() override
+  {
     mFolder = Poco::TemporaryFile::tempName();
     Poco::File(mFolder).createDirectories();
     CPPUNIT_ASSERT(InitFounder(mFolder, wire::HostSettings()));
   }
   void tearDown() override { Poco::File(mFolder).remove(true); }
 
-  void LogWrittenAndReopenedHoldsTheSameEntries() {
+  void LogWrittenAndReopenedHoldsTheSameEntries()
+  {
     Write({ EntryRecord(1), EntryRecord(2), EntryRecord(3) });
     Write({ Truncate(2), EntryRecord(2, 2) });
     const auto state = Recover(mFolder);
@@ -59,7 +64,8 @@
                          state.value().mHard.storage());
   }
 
-  void LogTornAtAnyByteKeepsWholeRecords() {
+  void LogTornAtAnyByteKeepsWholeRecords()
+  {
     Write({ EntryRecord(1), EntryRecord(2) });
     const std::string whole = Log();
     const std::string last = Frame(EntryRecord(2).SerializeAsString());
@@ -72,7 +78,8 @@
     }
   }
 
-  void LogWithAnyCorruptByteInTheMiddleIsRefused() {
+  void LogWithAnyCorruptByteInTheMiddleIsRefused()
+  {
     Write({ EntryRecord(1), EntryRecord(2), EntryRecord(3) });
     const std::string whole = Log();
     const std::size_t last = Frame(EntryRecord(3).SerializeAsString()).size();
@@ -86,7 +93,8 @@
     }
   }
 
-  void SnapshotWithAnyCorruptByteIsRefused() {
+  void SnapshotWithAnyCorruptByteIsRefused()
+  {
     wire::Persist persist;
     persist.mutable_snapshot()->set_index(5);
     persist.mutable_snapshot()->set_state("state");
@@ -101,8 +109,10 @@
     }
   }
 
-  void CrashBetweenSnapshotAndLogIsRepaired() {
-    struct Case {
+  void CrashBetweenSnapshotAndLogIsRepaired()
+  {
+    struct Case
+    {
       std::uint64_t mCovered;
       std::uint64_t mTerm;
       std::size_t mKept;
@@ -120,18 +130,18 @@
       wire::Snapshot snapshot;
       snapshot.set_index(entry.mCovered);
       snapshot.set_term(entry.mTerm);
-      CPPUNIT_ASSERT(ReplaceFile(
-        mFolder, "snapshot", Frame(snapshot.SerializeAsString())));
+      CPPUNIT_ASSERT(
+        ReplaceFile(mFolder, "snapshot", Frame(snapshot.SerializeAsString())));
       const auto state = Recover(mFolder);
       CPPUNIT_ASSERT(state);
       CPPUNIT_ASSERT_EQUAL(entry.mKept, state.value().mEntries.size());
     }
   }
 
-  void WriteToAFullDiskIsAnError() {
+  void WriteToAFullDiskIsAnError()
+  {
     CPPUNIT_ASSERT_EQUAL(0, ::unlink((mFolder + "/log").c_str()));
-    CPPUNIT_ASSERT_EQUAL(0,
-                         ::symlink("/dev/full", (mFolder + "/log").c_str()));
+    CPPUNIT_ASSERT_EQUAL(0, ::symlink("/dev/full", (mFolder + "/log").c_str()));
     auto writer = LogWriter::Open(mFolder);
     CPPUNIT_ASSERT(writer);
     wire::Persist persist;
@@ -141,7 +151,8 @@
     CPPUNIT_ASSERT(written.error().mCode == ErrorCode::Io);
   }
 
-  void InitOfAnExistingDiskIsRefused() {
+  void InitOfAnExistingDiskIsRefused()
+  {
     const auto again = InitFounder(mFolder, wire::HostSettings());
     CPPUNIT_ASSERT(!again);
     CPPUNIT_ASSERT(again.error().mCode == ErrorCode::Conflict);
@@ -150,7 +161,8 @@
                          Recover(mFolder).value().mHard.storage());
   }
 
-  void IncarnationGrowsThoughTheClockFallsBack() {
+  void IncarnationGrowsThoughTheClockFallsBack()
+  {
     const std::uint64_t first = NextIncarnation(mFolder, 1000).value();
     CPPUNIT_ASSERT(NextIncarnation(mFolder, 500).value() > first);
     CPPUNIT_ASSERT_EQUAL(std::uint64_t(2000),
@@ -158,21 +170,24 @@
   }
 
 private:
-  void Write(const std::vector<wire::LogRecord>& aRecords) {
+  void Write(const std::vector<wire::LogRecord>& aRecords)
+  {
     wire::Persist persist;
     for (const wire::LogRecord& record : aRecords) {
       *persist.add_records() = record;
     }
     Persist(persist);
   }
-  void Persist(const wire::Persist& aPersist) {
+  void Persist(const wire::Persist& aPersist)
+  {
     auto writer = LogWriter::Open(mFolder);
     CPPUNIT_ASSERT(writer);
     CPPUNIT_ASSERT(writer.value()->Write(aPersist));
     CPPUNIT_ASSERT(writer.value()->Sync());
   }
   std::string Log() { return ReadFile(mFolder + "/log").value(); }
-  void SetLog(const std::string& aBytes) {
+  void SetLog(const std::string& aBytes)
+  {
     CPPUNIT_ASSERT(ReplaceFile(mFolder, "log", aBytes));
   }
 
