Give each target a home entry and score the wait for a slot

Cause: entries with the same stale knowledge meet at the same targets; the score spread work evenly even while slots were free. Urgent calls were refused because of bulk that waited behind them. Change: each target is home to one of the entries that serve its service; others pay 1.5 median latencies for it. The score adds the expected wait for a slot, from the age of the oldest attempt. Reports of others' work fade over 100 ms instead of 40. The expected wait counts only waiters that go first.

--- a/bench/entries.cpp
+++ b/bench/entries.cpp
@@ -8,6 +8,7 @@
 
 // Event times start late enough for every entry to be ready at time zero.
 constexpr Micros kEpoch = 100 * kSecond;
+constexpr Micros kDrainTime = 10 * kSecond;
 
 std::string DeploymentText(const Scenario& aScenario) {
   const std::string deadline =
@@ -73,13 +74,49 @@
     target.set_incarnation(1);
     (void)node::Step(mStates[aEntry], announce);
   }
-  mStates[aEntry].mServices["s"].mTargets.mRules.mEntries =
-    mWorld.mScenario.mEntries;
+  IntroduceOthers(aEntry);
   wire::Event tick;
   tick.mutable_tick();
   Take(aEntry, std::move(tick));
 }
 
+// The other entries are known and heard; nothing else crosses between them.
+void Entries::IntroduceOthers(std::size_t aEntry)
+{
+  for (std::size_t other = 0; other < mStates.size(); ++other) {
+    if (other == aEntry) {
+      continue;
+    }
+    wire::Event event;
+    event.mutable_peer()->set_from(HostName(other));
+    wire::Fact& fact =
+      *event.mutable_peer()->mutable_fact_push()->add_facts();
+    fact.set_kind(wire::FACT_HOST);
+    fact.set_id(HostName(other));
+    fact.set_incarnation(1);
+    fact.set_sequence(1);
+    fact.set_entry_role(true);
+    fact.set_data_centre(DataCentre(static_cast<int>(other)));
+    event.set_now_us(kEpoch);
+    (void)node::Step(mStates[aEntry], event);
+  }
+  Hear(aEntry);
+}
+
+void Entries::Hear(std::size_t aEntry)
+{
+  for (std::size_t other = 0; other < mStates.size(); ++other) {
+    wire::Event event;
+    event.mutable_peer()->set_from(HostName(other));
+    event.mutable_peer()->set_from_incarnation(1);
+    event.mutable_peer()->mutable_heartbeat()->set_version(1);
+    Take(aEntry, std::move(event));
+  }
+  if (mWorld.mNow < mWorld.mScenario.mLength + kDrainTime) {
+    mWorld.At(mWorld.mNow + kSecond, [this, aEntry] { Hear(aEntry); });
+  }
+}
+
 void Entries::Take(std::size_t aEntry, wire::Event aEvent) {
   aEvent.set_now_us(kEpoch + mWorld.mNow);
   aEvent.set_random(mWorld.mRandom());
--- a/bench/entries.h
+++ b/bench/entries.h
@@ -16,6 +16,8 @@
 
 private:
   void Start(std::size_t aEntry);
+  void IntroduceOthers(std::size_t aEntry);
+  void Hear(std::size_t aEntry);
   void Take(std::size_t aEntry, wire::Event aEvent);
   void Perform(std::size_t aEntry, const wire::Effect& aEffect);
   void SetTimer(std::size_t aEntry, Micros aAt);
--- a/include/geraniumpond/limits.h
+++ b/include/geraniumpond/limits.h
@@ -41,6 +41,7 @@
   std::map<std::string, CallerLoad> mCallers;
   std::map<std::uint64_t, Waiter> mWaiters;
   std::array<int, 3> mRunning{};
+  std::array<int, 3> mWaiting{};
   int mLimit = 1000;
   double mBulkShare = 0.5;
 };
@@ -53,6 +54,9 @@
 /// \brief Latest time at which a request may still be refused.
 [[nodiscard]] Micros GiveUpTime(Micros aNow, Micros aDeadline) noexcept;
 
+/// \brief Waiters that are served before a newcomer of this priority.
+[[nodiscard]] int Ahead(const WaitQueue& aQueue, Priority aPriority) noexcept;
+
 /// \brief True when a newcomer may wait, false when it is refused at once.
 [[nodiscard]] bool MayWait(const WaitQueue& aQueue,
                            const Waiter& aWaiter,
--- a/include/geraniumpond/membership.h
+++ b/include/geraniumpond/membership.h
@@ -63,6 +63,12 @@
 [[nodiscard]] std::vector<const wire::Fact*>
 EntriesOf(const Directory& aDirectory, const std::string& aService, int aCount);
 
+/// \brief The entry among `aEntries` that a target is home to: one of the
+/// target's own data centre before any other, by rendezvous hashing.
+[[nodiscard]] const wire::Fact* HomeOf(
+  const std::vector<const wire::Fact*>& aEntries,
+  const wire::Fact& aTarget);
+
 /// \brief Hosts of a data centre's ring that follow `aSelf`, `aCount` at most.
 [[nodiscard]] std::vector<const wire::Fact*>
 Successors(const Directory& aDirectory, const std::string& aSelf, int aCount);
--- a/include/geraniumpond/routing.h
+++ b/include/geraniumpond/routing.h
@@ -37,6 +37,9 @@
   std::uint64_t mIncarnation = 0;
   int mSlots = 1;
   bool mDraining = false;
+  /// Preferred by this entry; each target is home to one of the entries that
+  /// serve its service, so that their first choices do not meet.
+  bool mHome = true;
   Micros mStartedAt = 0;
 
   /// Attempts of this entry, oldest first.
@@ -63,7 +66,7 @@
   /// Weight of a new latency sample.
   double mSmoothing = 0.1;
   /// Time in which a report of other entries' work loses half its weight.
-  Micros mReportHalfLife = 40 * kMillisecond;
+  Micros mReportHalfLife = 100 * kMillisecond;
   /// Time in which an outlying latency comes halfway back to the median.
   Micros mLatencyHalfLife = 1500 * kMillisecond;
   /// Failures in a row that eject a target.
@@ -76,7 +79,14 @@
   int mExtra = 1;
   /// Added to the score of a target in another data centre.
   Micros mDistance = 3 * kMillisecond;
-  /// Set while the service's waiting queue is held by this entry alone.
+  /// Added for a target that is home to another entry, in median latencies.
+  double mAwayPenalty = 1.5;
+  /// Weight of work in flight on a target that still has free slots: others'
+  /// work is known late, so that an emptier target is the safer one.
+  double mCrowding = 0.5;
+  /// Weight of the time that an attempt would wait for a slot.
+  double mWaitWeight = 2.0;
+  /// Entries that serve the service, this one included.
   int mEntries = 1;
 };
 
--- a/src/limits/limits.cpp
+++ b/src/limits/limits.cpp
@@ -74,6 +74,14 @@
   return aNow + std::max<Micros>(aDeadline - aNow, 0) / kWaitDivisor;
 }
 
+int Ahead(const WaitQueue& aQueue, Priority aPriority) noexcept {
+  int ahead = 0;
+  for (int priority = 0; priority <= static_cast<int>(aPriority); ++priority) {
+    ahead += aQueue.mWaiting[priority];
+  }
+  return ahead;
+}
+
 bool MayWait(const WaitQueue& aQueue,
              const Waiter& aWaiter,
              Micros aExpectedWait,
@@ -89,6 +97,7 @@
   load.mWaiting[static_cast<int>(aWaiter.mPriority)].insert(
     { aWaiter.mDeadline, aWaiter.mRequest });
   aQueue.mWaiters[aWaiter.mRequest] = aWaiter;
+  ++aQueue.mWaiting[static_cast<int>(aWaiter.mPriority)];
 }
 
 bool Remove(WaitQueue& aQueue, std::uint64_t aRequest)
@@ -101,6 +110,7 @@
   CallerLoad& load = aQueue.mCallers[waiter.mCaller];
   load.mWaiting[static_cast<int>(waiter.mPriority)].erase(
     { waiter.mDeadline, aRequest });
+  --aQueue.mWaiting[static_cast<int>(waiter.mPriority)];
   aQueue.mWaiters.erase(found);
   return true;
 }
--- a/src/membership/directory.cpp
+++ b/src/membership/directory.cpp
@@ -167,6 +167,22 @@
   return hosts;
 }
 
+const wire::Fact* HomeOf(const std::vector<const wire::Fact*>& aEntries,
+                         const wire::Fact& aTarget)
+{
+  const wire::Fact* best = nullptr;
+  std::pair<bool, std::uint64_t> bestRank;
+  for (const wire::Fact* entry : aEntries) {
+    const std::pair rank(entry->data_centre() == aTarget.data_centre(),
+                         RankOf(aTarget.id(), entry->id()));
+    if (best == nullptr || rank > bestRank) {
+      best = entry;
+      bestRank = rank;
+    }
+  }
+  return best;
+}
+
 std::vector<const wire::Fact*> Successors(const Directory& aDirectory,
                                           const std::string& aSelf,
                                           int aCount)
--- a/src/node/attempts.cpp
+++ b/src/node/attempts.cpp
@@ -126,7 +126,7 @@
                   { kUnavailable,
                     kNotRun,
                     "no target took the request",
-                    std::max(ExpectedWait(service), kMinRetryAfter) });
+                    std::max(ExpectedWait(service, aRequest.mPriority), kMinRetryAfter) });
 }
 
 void NoteServed(Context& aContext, const Request& aRequest)
--- a/src/node/context.h
+++ b/src/node/context.h
@@ -60,7 +60,8 @@
                      const Reply& aReply);
 void AnswerAndDetach(Context& aContext, Request& aRequest, const Reply& aReply);
 void Forget(Context& aContext, std::uint64_t aRequest);
-[[nodiscard]] Micros ExpectedWait(const ServiceState& aService) noexcept;
+[[nodiscard]] Micros ExpectedWait(const ServiceState& aService,
+                                  Priority aPriority) noexcept;
 [[nodiscard]] bool IsOverloaded(const ServiceState& aService) noexcept;
 
 // --- attempts.cpp: from dispatch to the last byte
--- a/src/node/deployments.cpp
+++ b/src/node/deployments.cpp
@@ -15,9 +15,6 @@
   service.mTargets.mDataCentre = state.mSettings.data_centre();
   service.mTargets.mRules.mMaxEjected = aRules.mMaxEjected;
   service.mTargets.mRules.mSlowStart = aRules.mSlowStart;
-  service.mTargets.mRules.mEntries = static_cast<int>(
-    membership::EntriesOf(state.mDirectory, aRules.mName, aRules.mEntries)
-      .size());
   service.mQueue.mLimit = aRules.mQueueLimit;
   service.mQueue.mBulkShare = aRules.mBulkShare;
   service.mRetries.mRatio = aRules.mRetryBudget;
--- a/src/node/entry.cpp
+++ b/src/node/entry.cpp
@@ -172,7 +172,7 @@
 void RefuseOverload(Context& aContext, Request& aRequest)
 {
   const ServiceState& service = aContext.mState.mServices[aRequest.mService];
-  const Micros wait = std::max(ExpectedWait(service), kMinRetryAfter);
+  const Micros wait = std::max(ExpectedWait(service, aRequest.mPriority), kMinRetryAfter);
   aContext.Count("refused_overload");
   if (aRequest.mOwnsKey && !aRequest.mMayHaveRun) {
     ReleaseKey(aContext, aRequest);
@@ -217,7 +217,8 @@
 
 } // namespace
 
-Micros ExpectedWait(const ServiceState& aService) noexcept
+Micros ExpectedWait(const ServiceState& aService,
+                    Priority aPriority) noexcept
 {
   const double latency = aService.mTargets.mMedianLatency > 0
                            ? aService.mTargets.mMedianLatency
@@ -226,8 +227,8 @@
   for (const int count : aService.mQueue.mRunning) {
     running += count;
   }
-  const auto waiting = static_cast<double>(aService.mQueue.mWaiters.size());
-  return static_cast<Micros>(latency * waiting / std::max(running, 1));
+  const double ahead = limits::Ahead(aService.mQueue, aPriority);
+  return static_cast<Micros>(latency * ahead / std::max(running, 1));
 }
 
 bool IsOverloaded(const ServiceState& aService) noexcept
@@ -296,7 +297,7 @@
   const ServiceState& service = state.mServices[request.mService];
   const limits::Waiter waiter = WaiterOf(aContext, request);
   if (!limits::MayWait(
-        service.mQueue, waiter, ExpectedWait(service), aContext.mNow)) {
+        service.mQueue, waiter, ExpectedWait(service, request.mPriority), aContext.mNow)) {
     RefuseOverload(aContext, request);
     return;
   }
--- a/src/node/facts.cpp
+++ b/src/node/facts.cpp
@@ -64,6 +64,26 @@
          aFact.incarnation() == aState.mIncarnation && aFact.gone();
 }
 
+// Which of the service's entries prefers which target.
+void AssignHomes(State& aState, const std::string& aService)
+{
+  const auto rules = aState.mDeployment.mServices.find(aService);
+  if (rules == aState.mDeployment.mServices.end()) {
+    return;
+  }
+  routing::TargetSet& set = aState.mServices[aService].mTargets;
+  const auto entries = membership::EntriesOf(
+    aState.mDirectory, aService, rules->second.mEntries);
+  set.mRules.mEntries = static_cast<int>(entries.size());
+  for (routing::Target& target : set.mTargets) {
+    const wire::Fact* fact = membership::Find(
+      aState.mDirectory, { wire::FACT_TARGET, aService, target.mId });
+    const wire::Fact* home =
+      fact == nullptr ? nullptr : membership::HomeOf(entries, *fact);
+    target.mHome = home == nullptr || home->id() == aState.mSettings.id();
+  }
+}
+
 void Changed(Context& aContext, const wire::Fact& aFact)
 {
   if (aFact.kind() == wire::FACT_TARGET) {
@@ -71,14 +91,8 @@
     return;
   }
   // Who serves a service depends on which hosts there are.
-  for (auto& [name, service] : aContext.mState.mServices) {
-    const auto rules = aContext.mState.mDeployment.mServices.find(name);
-    if (rules != aContext.mState.mDeployment.mServices.end()) {
-      service.mTargets.mRules.mEntries = static_cast<int>(
-        membership::EntriesOf(
-          aContext.mState.mDirectory, name, rules->second.mEntries)
-          .size());
-    }
+  for (const auto& [name, service] : aContext.mState.mServices) {
+AssignHomes(aContext.mState, name);
   }
 }
 
@@ -335,6 +349,7 @@
     UpdateTarget(next.back(), *fact);
   }
   set.mTargets = std::move(next);
+  AssignHomes(state, aService);
   Pump(aContext, aService);
 }
 
--- a/src/routing/routing.cpp
+++ b/src/routing/routing.cpp
@@ -7,13 +7,14 @@
 namespace geraniumpond::routing {
 
 namespace {
-
 // A failure counts as this many median latencies, so that a target that fails
 // fast looks slow rather than idle.
 constexpr double kFailurePenalty = 10.0;
 // Latencies above this many medians fade back towards the median.
 constexpr double kOutlier = 2.0;
 constexpr double kDefaultLatency = 20.0 * kMillisecond;
+// Part of an attempt's time that is always taken to remain.
+constexpr double kLeastRemaining = 0.25;
 // Scores within this fraction of the best are ties.
 constexpr double kTie = 1e-9;
 // A target is never held back below this share by its slow start.
@@ -76,6 +77,41 @@
   return std::max(kSlowStartFloor, share);
 }
 
+// Time until the oldest attempt here frees its slot. Service times are never
+// known, so that some of the smoothed latency or of the age always remains.
+double Remaining(const Target& aTarget,
+                 double aOthers,
+                 double aLatency,
+                 Micros aNow) noexcept
+{
+  double remaining = aLatency;
+  if (!aTarget.mRunning.empty()) {
+    const auto age =
+      static_cast<double>(aNow - aTarget.mRunning.front().mStartedAt);
+    remaining =
+      std::max(aLatency - age, kLeastRemaining * std::max(aLatency, age));
+  }
+  return std::min(remaining, aLatency / (aOthers + 1.0));
+}
+
+double ExpectedWait(const Target& aTarget,
+                    double aWork,
+                    double aSlots,
+                    double aOthers,
+                    double aLatency,
+                    Micros aNow) noexcept
+{
+  const double excess = aWork - aSlots;
+  if (excess <= 0) {
+    return 0;
+  }
+  const double first = Remaining(aTarget, aOthers, aLatency, aNow);
+  // Others' work is an estimate: less than one more than the slots hold means
+  // that there may be a wait.
+  return excess < 1 ? excess * first
+                    : first + (excess - 1.0) / aSlots * aLatency;
+}
+
 bool IsEjected(const Target& aTarget, Micros aNow) noexcept
 {
   return aTarget.mEjectedUntil > aNow;
@@ -164,12 +200,20 @@
 
 double Score(const TargetSet& aSet, const Target& aTarget, Micros aNow) noexcept
 {
-  const double work = static_cast<double>(aTarget.mRunning.size()) +
-                      Others(aSet, aTarget, aNow) + 1.0;
+  const Rules& rules = aSet.mRules;
   const double slots = aTarget.mSlots * Warmth(aSet, aTarget, aNow);
-  double score = Latency(aSet, aTarget, aNow) * work / slots;
+  const double others = Others(aSet, aTarget, aNow);
+  const double work =
+    static_cast<double>(aTarget.mRunning.size()) + others + 1.0;
+  const double latency = Latency(aSet, aTarget, aNow);
+  double score = latency * (1.0 + rules.mCrowding * work / slots);
+  score += rules.mWaitWeight *
+           ExpectedWait(aTarget, work, slots, others, latency, aNow);
+  if (!aTarget.mHome) {
+    score += rules.mAwayPenalty * BaseLatency(aSet);
+  }
   if (aTarget.mDataCentre != aSet.mDataCentre) {
-    score += static_cast<double>(aSet.mRules.mDistance);
+    score += static_cast<double>(rules.mDistance);
   }
   return score;
 }
