Halve the entry's cost per call

Cause: a profile of a closed loop showed a third of the time in waking and putting to sleep threads that waited for the reducer, and 3 % in zeroing a 64 KiB buffer twice a call. Ruled out: the reducer itself (2.4 us a call). Change: threads spin shortly for the reducer's lock; exchanges have a lock of their own; the largest body size is kept, not searched for, on every request; one buffer per thread. Names, digests and addresses in settings are checked without regular expressions. What is left is mostly system calls of one thread per connection.

--- a/src/config/ini.cpp
+++ b/src/config/ini.cpp
@@ -4,10 +4,8 @@
 #include <boost/property_tree/ini_parser.hpp>
 
 #include <algorithm>
-#include <charconv>
 #include <cmath>
 #include <cstdlib>
-#include <regex>
 #include <set>
 #include <sstream>
 
@@ -101,17 +99,45 @@
   return index;
 }
 
+constexpr std::size_t kMaxName = 63;
+constexpr std::size_t kDigestDigits = 64;
+
 bool IsName(const std::string& aText)
 {
-  static const std::regex pattern("[a-z][a-z0-9-]{0,62}");
-  return std::regex_match(aText, pattern);
+  const bool starts = !aText.empty() && aText[0] >= 'a' && aText[0] <= 'z';
+  return starts && aText.size() <= kMaxName &&
+         aText.find_first_not_of("abcdefghijklmnopqrstuvwxyz0123456789-") ==
+           std::string::npos;
 }
 
+bool IsDigest(const std::string& aText)
+{
+  return aText.size() == kDigestDigits &&
+         aText.find_first_not_of("0123456789abcdef") == std::string::npos;
+}
+
+bool IsNumberUpTo(const std::string& aText, int aMost)
+{
+  constexpr std::size_t kMaxDigits = 5;
+  return !aText.empty() && aText.size() <= kMaxDigits &&
+         aText.find_first_not_of("0123456789") == std::string::npos &&
+         std::atoi(aText.c_str()) <= aMost;
+}
+
+constexpr int kMaxByte = 255;
+constexpr int kMaxPort = 65535;
+
 bool IsAddress(const std::string& aText)
 {
-  static const std::regex pattern(
-    R"(\d{1,3}\.\d{1,3}\.\d{1,3}\.\d{1,3}:\d{1,5})");
-  return std::regex_match(aText, pattern);
+  std::vector<std::string> parts;
+  boost::split(parts, aText, boost::is_any_of(".:"));
+  const std::size_t colon = aText.find(':');
+  return parts.size() == 5 && colon != std::string::npos &&
+         aText.find('.', colon) == std::string::npos &&
+         IsNumberUpTo(parts[4], kMaxPort) &&
+         std::all_of(parts.begin(), parts.end() - 1, [](const auto& aPart) {
+           return IsNumberUpTo(aPart, kMaxByte);
+         });
 }
 
 std::vector<std::string> Split(const std::string& aText)
@@ -153,7 +179,6 @@
 
 bool Matches(const KeyRule& aRule, const std::string& aValue)
 {
-  static const std::regex digest("[0-9a-f]{64}");
   switch (aRule.mType) {
     case ValueType::Text:
       return !aValue.empty();
@@ -167,7 +192,7 @@
     case ValueType::Choice:
       return IsChoice(aRule, aValue);
     case ValueType::Digest:
-      return std::regex_match(aValue, digest);
+      return IsDigest(aValue);
     case ValueType::Address:
       return IsAddress(aValue);
     case ValueType::PeerList:
--- a/src/edge/attempt.cpp
+++ b/src/edge/attempt.cpp
@@ -50,6 +50,13 @@
   return false;
 }
 
+// Made once a thread: filling it anew would cost more than most answers.
+std::string& ThreadBuffer()
+{
+  thread_local std::string buffer(kBufferBytes, '\0');
+  return buffer;
+}
+
 /// One attempt, from its connection to its last byte.
 class AttemptRun
 {
@@ -241,7 +248,7 @@
   /// Reads up to a limit; true when the body ended within it.
   bool ReadWhole(std::size_t aLimit)
   {
-    std::string buffer(kBufferBytes, '\0');
+    std::string& buffer = ThreadBuffer();
     while (mBody.size() < aLimit) {
       std::size_t size = std::min(buffer.size(), aLimit - mBody.size());
       const BodyRead read = mSession->ReadBody(buffer.data(), size);
@@ -367,7 +374,7 @@
   void Stream()
   {
     std::ostream& out = *mExchange->mClientStream;
-    std::string buffer(kBufferBytes, '\0');
+    std::string& buffer = ThreadBuffer();
     while (true) {
       std::size_t size = buffer.size();
       const BodyRead read = mSession->ReadBody(buffer.data(), size);
--- a/src/edge/callers.cpp
+++ b/src/edge/callers.cpp
@@ -208,7 +208,7 @@
   } catch (const Poco::Exception&) {
     after = After::Break;
   }
-  aTools.mRuntime.EndExchange(exchange->Id());
+  aTools.mRuntime.EndExchange(exchange);
   return after;
 }
 
--- a/src/edge/runtime.cpp
+++ b/src/edge/runtime.cpp
@@ -40,6 +40,21 @@
   return "disk-" + std::to_string(device()) + std::to_string(device());
 }
 
+// A step takes about a microsecond, much less than putting a thread to sleep
+// and waking it again.
+std::unique_lock<std::mutex> LockSpinning(std::mutex& aMutex)
+{
+  constexpr int kTries = 200;
+  for (int i = 0; i < kTries; ++i) {
+    std::unique_lock<std::mutex> lock(aMutex, std::try_to_lock);
+    if (lock.owns_lock()) {
+      return lock;
+    }
+    std::this_thread::yield();
+  }
+  return std::unique_lock<std::mutex>(aMutex);
+}
+
 // Splitmix64: one random word per event, seeded once by the system.
 std::uint64_t NextWord(std::uint64_t& aState)
 {
@@ -162,7 +177,7 @@
 
 void Runtime::Post(wire::Event aEvent)
 {
-  const std::lock_guard<std::mutex> lock(mMutex);
+  const std::unique_lock<std::mutex> lock = LockSpinning(mMutex);
   aEvent.set_now_us(Now());
   aEvent.set_random(NextWord(mRandomState));
   const wire::Effects effects = node::Step(mState, aEvent);
@@ -193,9 +208,9 @@
 void Runtime::PerformOne(const wire::Effect& aEffect)
 {
   const auto toExchange = [&](std::uint64_t aRequest) {
-    const auto found = mExchanges.find(aRequest);
-    if (found != mExchanges.end()) {
-      found->second->Deliver(aEffect);
+    const std::shared_ptr<Exchange> exchange = FindExchange(aRequest);
+    if (exchange != nullptr) {
+      exchange->Deliver(aEffect);
     }
   };
   switch (aEffect.body_case()) {
@@ -238,6 +253,7 @@
       break;
     }
     case wire::Effect::kCache: {
+      UpdateMaxBody();
       const std::lock_guard<std::mutex> lock(mThreadMutex);
       mCache =
         std::make_unique<wire::DeploymentVersion>(aEffect.cache().deployment());
@@ -282,32 +298,34 @@
 std::shared_ptr<Exchange> Runtime::NewExchange()
 {
   auto exchange = std::make_shared<Exchange>(++mLastRequest);
-  const std::lock_guard<std::mutex> lock(mMutex);
+  const std::lock_guard<std::mutex> lock(mExchangeMutex);
   mExchanges[exchange->Id()] = exchange;
   return exchange;
 }
 
-void Runtime::EndExchange(std::uint64_t aRequest)
+std::shared_ptr<Exchange> Runtime::FindExchange(std::uint64_t aRequest)
 {
-  const std::lock_guard<std::mutex> lock(mMutex);
+  const std::lock_guard<std::mutex> lock(mExchangeMutex);
   const auto found = mExchanges.find(aRequest);
-  if (found != mExchanges.end()) {
-    found->second->End();
-    mExchanges.erase(found);
-  }
+  return found == mExchanges.end() ? nullptr : found->second;
 }
 
-std::uint64_t Runtime::MaxBodyBytes()
+void Runtime::EndExchange(const std::shared_ptr<Exchange>& aExchange)
 {
-  return Read([](const node::State& aState, Micros) {
-    std::uint64_t most = kDefaultMaxBody;
-    for (const auto& [name, service] : aState.mDeployment.mServices) {
-      for (const Kind& kind : service.mKinds) {
-        most = std::max(most, kind.mMaxBodyBytes);
-      }
+  aExchange->End();
+  const std::lock_guard<std::mutex> lock(mExchangeMutex);
+  mExchanges.erase(aExchange->Id());
+}
+
+void Runtime::UpdateMaxBody()
+{
+  std::uint64_t most = kDefaultMaxBody;
+  for (const auto& [name, service] : mState.mDeployment.mServices) {
+    for (const Kind& kind : service.mKinds) {
+      most = std::max(most, kind.mMaxBodyBytes);
     }
-    return most;
-  });
+  }
+  mMaxBody = most;
 }
 
 bool Runtime::WaitExit(std::chrono::milliseconds aTimeout)
--- a/src/edge/runtime.h
+++ b/src/edge/runtime.h
@@ -15,6 +15,7 @@
 #include <mutex>
 #include <string>
 #include <thread>
+#include <unordered_map>
 #include <vector>
 
 namespace geraniumpond::edge {
@@ -46,7 +47,7 @@
 
   /// \brief Makes an exchange known, so that effects reach it.
   [[nodiscard]] std::shared_ptr<Exchange> NewExchange();
-  void EndExchange(std::uint64_t aRequest);
+  void EndExchange(const std::shared_ptr<Exchange>& aExchange);
 
   /// \brief Reads the state under the lock.
   template<class Reader>
@@ -62,9 +63,11 @@
   [[nodiscard]] bool WaitExit(std::chrono::milliseconds aTimeout);
 
   /// \brief Largest body of any kind in the deployment in force.
-  [[nodiscard]] std::uint64_t MaxBodyBytes();
+  [[nodiscard]] std::uint64_t MaxBodyBytes() const noexcept { return mMaxBody; }
 
 private:
+  [[nodiscard]] std::shared_ptr<Exchange> FindExchange(std::uint64_t aRequest);
+  void UpdateMaxBody();
   void Perform(const wire::Effects& aEffects);
   void PerformOne(const wire::Effect& aEffect);
   void Record(const wire::Event& aEvent, const wire::Effects& aEffects);
@@ -82,7 +85,9 @@
   std::mutex mMutex;
   node::State mState;
   std::uint64_t mRandomState = 0;
-  std::map<std::uint64_t, std::shared_ptr<Exchange>> mExchanges;
+  std::atomic<std::uint64_t> mMaxBody{ 1024 * 1024 };
+  std::mutex mExchangeMutex;
+  std::unordered_map<std::uint64_t, std::shared_ptr<Exchange>> mExchanges;
   std::atomic<std::uint64_t> mLastRequest{ 0 };
 
   std::mutex mOperationMutex;
--- a/src/routing/latency.cpp
+++ b/src/routing/latency.cpp
@@ -23,8 +23,7 @@
   if (aAge <= 0) {
     return 1.0;
   }
-  return std::exp2(-static_cast<double>(aAge) /
-                   static_cast<double>(aHalfLife));
+  return std::exp2(-static_cast<double>(aAge) / static_cast<double>(aHalfLife));
 }
 
 // An attempt that is already older than its kind's latency is itself a sample:
@@ -126,8 +125,8 @@
 
 double UsualLatency(const TargetSet& aSet, std::size_t aKind) noexcept
 {
-  const bool known = aKind < aSet.mKindLatency.size() &&
-                     aSet.mKindLatency[aKind] > 0;
+  const bool known =
+    aKind < aSet.mKindLatency.size() && aSet.mKindLatency[aKind] > 0;
   return known ? aSet.mKindLatency[aKind] : kDefaultLatency;
 }
 
