Send changes of the deployment as deltas; fewer heartbeats to control

Change: pushes and log entries carry the replaced part of the text and its digest; a host without the base asks for the text. Ring neighbours watch each other; control hosts get every fourth heartbeat. The operator's client waits for versions at a control host.

--- a/bench/step_bench.cpp
+++ b/bench/step_bench.cpp
@@ -55,8 +55,8 @@
             "\nmethods = GET\npath = /" + name +
             "\nidempotent = yes\ndeadline_ms = 1000\nobjective_ms = 100\n";
   }
-  return text + "[caller c]\nservices = s0\ntoken_sha256 = " +
-         Sha256Hex("c") + "\n";
+  return text + "[caller c]\nservices = s0\ntoken_sha256 = " + Sha256Hex("c") +
+         "\n";
 }
 
 node::State MakeNode(int aServices, int aInstances)
--- a/include/geraniumpond/control.h
+++ b/include/geraniumpond/control.h
@@ -30,6 +30,10 @@
 [[nodiscard]] wire::CommandOutcome Apply(State& aState,
                                          const wire::Command& aCommand);
 
+/// \brief Makes a command smaller for the log: the text of a deployment that
+/// builds on the one in force becomes a delta of it.
+void Compact(const State& aState, wire::Command& aCommand);
+
 /// \brief The deployment in force, or null before the first one.
 [[nodiscard]] const wire::DeploymentVersion* Latest(
   const State& aState) noexcept;
--- a/include/geraniumpond/node.h
+++ b/include/geraniumpond/node.h
@@ -167,6 +167,8 @@
 
   Deployment mDeployment;
   wire::DeploymentVersion mVersion;
+  /// The one before, as the base of deltas.
+  wire::DeploymentVersion mPreviousVersion;
   std::set<std::string> mQuorumWord;
   bool mReady = false;
 
--- a/src/cli/remote.cpp
+++ b/src/cli/remote.cpp
@@ -48,16 +48,34 @@
   }
 }
 
+// The control hosts are told by every host what it has in force.
+std::string ControlHost(const Arguments& aArguments, const std::string& aHost)
+{
+  const Poco::JSON::Object::Ptr object =
+    ParseObject(CallAdmin(aArguments, aHost, "GET", "/v1/hosts").mBody);
+  if (object.isNull() || !object->has("hosts")) {
+    return aHost;
+  }
+  for (const auto& entry : *object->getArray("hosts")) {
+    const auto& host = entry.extract<Poco::JSON::Object::Ptr>();
+    if (host->getValue<bool>("control") && !host->getValue<bool>("gone")) {
+      return host->optValue<std::string>("admin", aHost);
+    }
+  }
+  return aHost;
+}
+
 // Hosts that are live but do not have a version in force yet.
 std::vector<std::string> Lagging(const Arguments& aArguments,
                                  const std::string& aHost,
                                  std::uint64_t aVersion)
 {
   std::vector<std::string> lagging;
-  const AdminReply reply = CallAdmin(aArguments, aHost, "GET", "/v1/hosts");
+  const std::string control = ControlHost(aArguments, aHost);
+  const AdminReply reply = CallAdmin(aArguments, control, "GET", "/v1/hosts");
   const Poco::JSON::Object::Ptr object = ParseObject(reply.mBody);
   if (object.isNull() || !object->has("hosts")) {
-    return { "(no answer from " + aHost + ")" };
+    return { "(no answer from " + control + ")" };
   }
   for (const auto& entry : *object->getArray("hosts")) {
     const auto& host = entry.extract<Poco::JSON::Object::Ptr>();
--- a/src/control/control.cpp
+++ b/src/control/control.cpp
@@ -1,5 +1,7 @@
 #include <geraniumpond/control.h>
 
+#include <geraniumpond/text_delta.h>
+
 #include <algorithm>
 
 namespace geraniumpond::control {
@@ -30,6 +32,16 @@
   return outcome;
 }
 
+// The expected version was checked before: the base of a delta is in force.
+std::string TextOf(const State& aState, const wire::ApplyDeployment& aApply)
+{
+  const wire::DeploymentVersion* latest = Latest(aState);
+  if (!aApply.has_delta() || latest == nullptr) {
+    return aApply.text();
+  }
+  return text_delta::Apply(latest->text(), aApply.delta()).value();
+}
+
 void Remember(State& aState, const wire::ChangeOutcome& aOutcome)
 {
   aState.mChanges[aOutcome.change_id()] = aOutcome;
@@ -54,7 +66,7 @@
   }
   wire::DeploymentVersion version;
   version.set_version(outcome.version());
-  version.set_text(aApply.text());
+  version.set_text(TextOf(aState, aApply));
   version.set_change_id(aApply.change_id());
   version.set_operator_name(aApply.operator_name());
   version.set_decided_at_us(aState.mTime);
@@ -67,6 +79,18 @@
 
 } // namespace
 
+void Compact(const State& aState, wire::Command& aCommand)
+{
+  const wire::DeploymentVersion* latest = Latest(aState);
+  if (!aCommand.has_apply() || latest == nullptr ||
+      aCommand.apply().expected_version() != latest->version()) {
+    return;
+  }
+  wire::ApplyDeployment& apply = *aCommand.mutable_apply();
+  *apply.mutable_delta() = text_delta::Between(latest->text(), apply.text());
+  apply.clear_text();
+}
+
 wire::CommandOutcome Apply(State& aState, const wire::Command& aCommand)
 {
   aState.mTime = std::max(aState.mTime, aCommand.proposed_at_us());
--- a/src/node/deployments.cpp
+++ b/src/node/deployments.cpp
@@ -1,5 +1,7 @@
 #include "context.h"
 
+#include <geraniumpond/text_delta.h>
+
 namespace geraniumpond::node {
 
 namespace {
@@ -21,6 +23,60 @@
   SyncTargets(aContext, aRules.mName);
 }
 
+// The change alone, for hosts that have the version before it in force.
+wire::DeploymentPush NewPush(const State& aState)
+{
+  wire::DeploymentPush push;
+  *push.mutable_deployment() = aState.mVersion;
+  if (aState.mPreviousVersion.version() + 1 == aState.mVersion.version()) {
+    *push.mutable_delta() = text_delta::Between(aState.mPreviousVersion.text(),
+                                                aState.mVersion.text());
+    push.mutable_delta()->set_base_version(aState.mPreviousVersion.version());
+    push.mutable_deployment()->clear_text();
+  }
+  return push;
+}
+
+void SendPush(Context& aContext,
+              const std::string& aTo,
+              const wire::DeploymentPush& aPush,
+              bool aRelay)
+{
+  wire::PeerMessage message;
+  *message.mutable_deployment_push() = aPush;
+  message.mutable_deployment_push()->set_relay(aRelay);
+  SendTo(aContext, aTo, std::move(message));
+}
+
+// The whole version that a push stands for. A host that lacks the base of a
+// delta asks for the text itself.
+std::optional<wire::DeploymentVersion> Unpack(
+  Context& aContext,
+  const std::string& aFrom,
+  const wire::DeploymentPush& aMessage)
+{
+  const State& state = aContext.mState;
+  wire::DeploymentVersion version = aMessage.deployment();
+  if (!aMessage.has_delta() || version.version() <= state.mVersion.version()) {
+    return version;
+  }
+  const bool hasBase =
+    aMessage.delta().base_version() == state.mVersion.version();
+  const Result<std::string> text =
+    hasBase ? text_delta::Apply(state.mVersion.text(), aMessage.delta())
+            : Result<std::string>(Fail(ErrorCode::NotFound, "no base"));
+  if (!text) {
+    aContext.Count("deployment_deltas_without_base");
+    wire::PeerMessage message;
+    message.mutable_deployment_request()->set_have_version(
+      state.mVersion.version());
+    SendTo(aContext, aFrom, std::move(message));
+    return std::nullopt;
+  }
+  version.set_text(text.value());
+  return version;
+}
+
 std::size_t Majority(const State& aState)
 {
   return static_cast<std::size_t>(aState.mSettings.voters_size()) / 2 + 1;
@@ -42,6 +98,7 @@
                    ToString(parsed.mFaults.front()));
     return;
   }
+  state.mPreviousVersion = std::move(state.mVersion);
   state.mVersion = aVersion;
   state.mDeployment = std::move(parsed.mValue);
   state.mHostBudget.mPerSecond = state.mDeployment.mBudget.mBytesPerHost;
@@ -67,19 +124,20 @@
 
 void SpreadDeployment(Context& aContext, bool aRelay)
 {
+  const wire::DeploymentPush push = NewPush(aContext.mState);
   const membership::Spread spread =
     membership::SpreadFrom(aContext.mState.mDirectory,
                            aContext.Self(),
                            aContext.mState.mSettings.data_centre(),
                            aContext.NextRandom());
   for (const wire::Fact* host : spread.mLocal) {
-    SendDeployment(aContext, host->id(), false);
+    SendPush(aContext, host->id(), push, false);
   }
   if (!aRelay) {
     return;
   }
   for (const wire::Fact* host : spread.mRelays) {
-    SendDeployment(aContext, host->id(), true);
+    SendPush(aContext, host->id(), push, true);
   }
 }
 
@@ -92,7 +150,11 @@
   if (IsControlHost(state, aFrom)) {
     state.mQuorumWord.insert(aFrom);
   }
-  TakeDeployment(aContext, aMessage.deployment());
+  const std::optional<wire::DeploymentVersion> version =
+    Unpack(aContext, aFrom, aMessage);
+  if (version) {
+    TakeDeployment(aContext, *version);
+  }
   CheckReady(aContext);
   if (state.mVersion.version() == before) {
     return;
--- a/src/node/facts.cpp
+++ b/src/node/facts.cpp
@@ -327,6 +327,7 @@
   fact.set_data_centre(settings.data_centre());
   fact.set_address(settings.caller_address());
   fact.set_peer_address(settings.peer_address());
+  fact.set_admin_address(settings.admin_address());
   fact.set_origin(settings.id());
   fact.set_entry_role(settings.entry());
   fact.set_control_role(settings.control());
--- a/src/node/liveness.cpp
+++ b/src/node/liveness.cpp
@@ -11,9 +11,12 @@
 constexpr Micros kSuspectAfter = 2500 * kMillisecond;
 // Hosts that each host sends heartbeats to, along a ring.
 constexpr int kRingWidth = 3;
+// One heartbeat in this many goes to the control hosts too.
+constexpr std::uint64_t kControlEvery = 4;
 // A target whose lease holder is gone may announce itself elsewhere.
 constexpr Micros kOrphanGrace = 5 * kSecond;
 
+// Ring neighbours watch each other; control hosts only learn versions.
 std::set<std::string> Audience(const State& aState)
 {
   std::set<std::string> audience;
@@ -21,8 +24,10 @@
          aState.mDirectory, aState.mSettings.id(), kRingWidth)) {
     audience.insert(host->id());
   }
-  for (const wire::Peer& voter : aState.mSettings.voters()) {
-    audience.insert(voter.id());
+  if (aState.mHeartbeatNumber % kControlEvery == 1) {
+    for (const wire::Peer& voter : aState.mSettings.voters()) {
+      audience.insert(voter.id());
+    }
   }
   audience.erase(aState.mSettings.id());
   return audience;
@@ -30,9 +35,6 @@
 
 bool ExpectsHeartbeat(const State& aState, const std::string& aHost)
 {
-  if (IsControlHost(aState, aState.mSettings.id())) {
-    return true;
-  }
   const auto successors =
     membership::Successors(aState.mDirectory, aHost, kRingWidth);
   return std::any_of(
--- a/src/node/proposals.cpp
+++ b/src/node/proposals.cpp
@@ -145,6 +145,7 @@
   }
   wire::Command command = aMessage.command();
   command.set_proposed_at_us(aContext.mNow);
+  control::Compact(state.mControl, command);
   consensus::Output output;
   const Result<std::uint64_t> index = consensus::Propose(
     state.mGroup, aContext.mNow, command.SerializeAsString(), output);
--- a/src/node/step.cpp
+++ b/src/node/step.cpp
@@ -253,6 +253,7 @@
   settings.set_data_centre(aSettings.mDataCentre);
   settings.set_caller_address(aSettings.mCallerAddress);
   settings.set_peer_address(aSettings.mPeerAddress);
+  settings.set_admin_address(aSettings.mAdminAddress);
   settings.set_entry(aSettings.mEntry);
   settings.set_control(aSettings.mControl);
   settings.set_operator_token_sha256(aSettings.mOperatorTokenSha256);
--- a/src/node/views.cpp
+++ b/src/node/views.cpp
@@ -38,6 +38,7 @@
   object.set("id", aHost.id());
   object.set("data_centre", aHost.data_centre());
   object.set("address", aHost.address());
+  object.set("admin", aHost.admin_address());
   object.set("entry", aHost.entry_role());
   object.set("control", aHost.control_role());
   object.set("gone", aHost.gone());
--- a/tests/fakes/world.cpp
+++ b/tests/fakes/world.cpp
@@ -370,6 +370,7 @@
   ++mMessages;
   mBytes += size;
   mBytesBy[from] += size;
+  mBytesTo[aSend.to()] += size;
   if (mHosts.count(aSend.address()) == 0 || Cut(from, aSend.address()) ||
       Chance() < mRates.mLoss || (mDrop && mDrop(aSend))) {
     return;
--- a/tests/fakes/world.h
+++ b/tests/fakes/world.h
@@ -145,6 +145,7 @@
   std::uint64_t mMessages = 0;
   std::uint64_t mBytes = 0;
   std::map<std::string, std::uint64_t> mBytesBy;
+  std::map<std::string, std::uint64_t> mBytesTo;
   std::function<bool(const wire::SendPeer&)> mDrop;
 
 private:
