--- a/bench/capacity_bench.cpp
+++ b/bench/capacity_bench.cpp
@@ -18,15 +18,14 @@
 
 std::string Deployment(int aServices, int aEdition)
 {
-  std::string text =
-    "[deployment]\nname = size\nkey_retention_s = " +
-    std::to_string(3600 + aEdition) + "\n";
+  std::string text = "[deployment]\nname = size\nkey_retention_s = " +
+                     std::to_string(3600 + aEdition) + "\n";
   for (int i = 0; i < aServices; ++i) {
     const std::string name = "s" + std::to_string(i);
     text += "[service " + name + "]\nslots = 4\nslow_start_ms = 0\n" +
-            "lease_ms = 600000\ntarget_token_sha256 = " +
-            Sha256Hex("target") + "\n[kind k" + std::to_string(i) +
-            "]\nservice = " + name + "\nmethods = GET\npath = /" + name +
+            "lease_ms = 600000\ntarget_token_sha256 = " + Sha256Hex("target") +
+            "\n[kind k" + std::to_string(i) + "]\nservice = " + name +
+            "\nmethods = GET\npath = /" + name +
             "\nidempotent = yes\ndeadline_ms = 1000\nobjective_ms = 100\n" +
             "[caller c" + std::to_string(i) + "]\nservices = " + name +
             "\ntoken_sha256 = " + Sha256Hex(name) + "\n";
@@ -36,12 +35,12 @@
 
 double Bytes(World& aWorld, const std::string& aHost)
 {
-  return static_cast<double>(aWorld.mBytesBy[aHost] +
-                             aWorld.mBytesTo[aHost]);
+  return static_cast<double>(aWorld.mBytesBy[aHost] + aWorld.mBytesTo[aHost]);
 }
 
 // Bytes a second that hosts send and receive, over some time.
-struct Rates {
+struct Rates
+{
   double mControl = 0;
   double mEntryMean = 0;
   double mEntryMost = 0;
--- a/tests/text_delta_test.cpp
+++ b/tests/text_delta_test.cpp
@@ -22,8 +22,7 @@
       const std::string base = Text(random);
       const std::string next = Text(random);
       CPPUNIT_ASSERT_EQUAL(
-        next,
-        text_delta::Apply(base, text_delta::Between(base, next)).value());
+        next, text_delta::Apply(base, text_delta::Between(base, next)).value());
     }
   }
 
