--- a/tests/node_test.cpp
+++ b/tests/node_test.cpp
@@ -24,6 +24,7 @@
   CPPUNIT_TEST(DrainReachesEveryHostWithinTwoSecondsDespiteLoss);
   CPPUNIT_TEST(DrainingTargetGetsNoNewWork);
   CPPUNIT_TEST(ChangeIdTellsItsFirstOutcomeAgainAfterARestart);
+  CPPUNIT_TEST(RestartAfterAThousandChangesKeepsThemAll);
   CPPUNIT_TEST(RacingOperatorsHaveOneWinner);
   CPPUNIT_TEST(ChangeIsInForceEverywhereWithinTwoSecondsDespiteLoss);
   CPPUNIT_TEST(EntryWithoutAQuorumServesItsCachedDeploymentAfterAWait);
@@ -219,6 +220,34 @@
                          mWorld->StateOf("c0").mVersion.version());
   }
 
+  void RestartAfterAThousandChangesKeepsThemAll()
+  {
+    constexpr std::uint64_t kChanges = 1100;
+    for (std::uint64_t version = 2; version <= kChanges; ++version) {
+      const std::uint64_t operation =
+        mWorld->Apply("c0",
+                      "change-" + std::to_string(version),
+                      version - 1,
+                      SmallDeployment(static_cast<int>(version)));
+      ExpectOperator(operation, 200);
+    }
+    for (const char* host : { "c0", "c1", "c2" }) {
+      CPPUNIT_ASSERT(mWorld->mHosts[host].mDisk.mSnapshot.index() > 0);
+      mWorld->Crash(host);
+    }
+    for (const char* host : { "c0", "c1", "c2" }) {
+      mWorld->Start(host);
+    }
+    mWorld->RunFor(3 * kSecond);
+    CPPUNIT_ASSERT_EQUAL(kChanges, mWorld->StateOf("c1").mVersion.version());
+    // An outcome from before the snapshot is told again.
+    const std::uint64_t again =
+      mWorld->Apply("c2", "change-2", 1, SmallDeployment(2));
+    ExpectOperator(again, 200);
+    CPPUNIT_ASSERT(mWorld->mOperations[again].mBody.find("\"version\":2") !=
+                   std::string::npos);
+  }
+
   void RacingOperatorsHaveOneWinner()
   {
     const std::uint64_t left =
