--- a/tests/membership_test.cpp
+++ b/tests/membership_test.cpp
@@ -80,6 +80,7 @@
     std::mt19937_64 random(7);
     for (int round = 0; round < 500; ++round) {
       std::vector<wire::Fact> facts;
+      facts.reserve(6);
       for (int i = 0; i < 6; ++i) {
         facts.push_back(TargetFact(1 + random() % 2,
                                    1 + random() % 4,
