Fade reports towards others' usual work instead of nothing

Cause: between two reports a target that other entries use looked emptier every millisecond. Change: an old report fades to the smoothed mean of reports, halfway in 20 ms. Tried: half-lives of 10, 40 and 100 ms with the same mean, and 0.7 of the mean.

--- a/include/geraniumpond/routing.h
+++ b/include/geraniumpond/routing.h
@@ -62,6 +62,8 @@
 
   /// Attempts of other entries, as the last report showed them.
   double mOthers = 0;
+  /// Smoothed over many reports; what an old report fades to.
+  double mOthersUsual = 0;
   Micros mReportedAt = 0;
 
   int mFailures = 0;
@@ -76,8 +78,9 @@
 {
   /// Weight of a new latency sample.
   double mSmoothing = 0.1;
-  /// Time in which a report of other entries' work loses half its weight.
-  Micros mReportHalfLife = 100 * kMillisecond;
+  /// Time in which a report of other entries' work comes halfway back to
+  /// their usual work.
+  Micros mReportHalfLife = 20 * kMillisecond;
   /// Time in which an outlying latency comes halfway back to the usual.
   Micros mLatencyHalfLife = 1500 * kMillisecond;
   /// Failures in a row that eject a target.
--- a/src/routing/latency.cpp
+++ b/src/routing/latency.cpp
@@ -15,6 +15,8 @@
 constexpr double kDefaultLatency = 20.0 * kMillisecond;
 // Weight of one sample in the usual latency of its kind.
 constexpr double kUsualWeight = 0.01;
+// Weight of one report in the usual work of others.
+constexpr double kReportWeight = 0.05;
 constexpr int kMaxSamples = 1000;
 constexpr int kMaxDoublings = 4;
 
@@ -142,8 +144,10 @@
               const Target& aTarget,
               Micros aNow) noexcept
 {
-  return aTarget.mOthers *
-         Fade(aNow - aTarget.mReportedAt, aSet.mRules.mReportHalfLife);
+  const double fade =
+    Fade(aNow - aTarget.mReportedAt, aSet.mRules.mReportHalfLife);
+  const double usual = aTarget.mOthersUsual;
+  return usual + (aTarget.mOthers - usual) * fade;
 }
 
 bool IsEjected(const Target& aTarget, Micros aNow) noexcept
@@ -224,6 +228,8 @@
   }
   const double own = static_cast<double>(target->mRunning.size());
   target->mOthers = std::max(0.0, static_cast<double>(aInFlight) - own);
+  target->mOthersUsual +=
+    kReportWeight * (target->mOthers - target->mOthersUsual);
   target->mReportedAt = aNow;
 }
 
