Split files by job; test partners' views, cancels and planned stops

Change: admission, attempt ends, metrics text, single values, forwarding and the runtime's threads are files of their own; one function says whom a change is pushed to. Tests for views by token, for a caller that leaves, for planned stops of a target and an entry under load.

--- a/src/edge/attempt.cpp
+++ b/src/edge/attempt.cpp
@@ -1,5 +1,7 @@
 #include "attempt.h"
 
+#include "forwarding.h"
+
 #include <Poco/Exception.h>
 #include <Poco/Net/HTTPRequest.h>
 #include <Poco/Net/NetException.h>
@@ -31,25 +33,8 @@
 constexpr std::size_t kMaxKeyedAnswer = 256 * 1024;
 constexpr std::size_t kBufferBytes = 64 * 1024;
 constexpr int kUnavailable = 503;
-constexpr int kPartialContent = 206;
 constexpr std::uint32_t kBadGateway = 502;
 
-bool IsHopByHop(const std::string& aName)
-{
-  for (const char* name : { "Connection",
-                            "Keep-Alive",
-                            "Proxy-Connection",
-                            "TE",
-                            "Trailer",
-                            "Transfer-Encoding",
-                            "Upgrade" }) {
-    if (Poco::icompare(aName, name) == 0) {
-      return true;
-    }
-  }
-  return false;
-}
-
 // Made once a thread: filling it anew would cost more than most answers.
 std::string& ThreadBuffer()
 {
@@ -120,38 +105,11 @@
     return true;
   }
 
-  void FillRequest(HTTPRequest& aRequest) const
-  {
-    const CallerRequest& from = mExchange->mRequest;
-    for (const auto& [name, value] : from.mHeaders) {
-      aRequest.add(name, value);
-    }
-    aRequest.setHost(mDispatch.address());
-    aRequest.setKeepAlive(true);
-    aRequest.set("Geraniumpond-Caller", mDispatch.caller());
-    aRequest.set("Geraniumpond-Kind", mDispatch.kind());
-    aRequest.set("Geraniumpond-Attempt",
-                 std::to_string(mDispatch.request()) + "." +
-                   std::to_string(mDispatch.attempt()));
-    const Micros left = std::max<Micros>(
-      (mDispatch.deadline_us() - mTools.mRuntime.Now()) / kMillisecond, 1);
-    aRequest.set("Geraniumpond-Deadline-Ms", std::to_string(left));
-    if (!mDispatch.if_range().empty()) {
-      aRequest.set("Range",
-                   "bytes=" + std::to_string(mDispatch.range_from()) + "-");
-      aRequest.set("If-Range", mDispatch.if_range());
-    }
-    if (!from.mBody.empty() || from.mMethod == HTTPRequest::HTTP_POST ||
-        from.mMethod == HTTPRequest::HTTP_PUT) {
-      aRequest.setContentLength64(static_cast<Poco::Int64>(from.mBody.size()));
-    }
-  }
-
   void SendRequest()
   {
     const CallerRequest& from = mExchange->mRequest;
     HTTPRequest request(from.mMethod, from.mUri, HTTPMessage::HTTP_1_1);
-    FillRequest(request);
+    FillTargetRequest(from, mDispatch, mTools.mRuntime.Now(), request);
     mSession->setTimeout(
       Poco::Timespan(std::max<Micros>(Remaining(), kMillisecond)));
     // From here on the kernel may have bytes of it.
@@ -201,30 +159,13 @@
     }
   }
 
-  wire::LoadReport LoadOf() const
-  {
-    wire::LoadReport load;
-    const std::string text = mResponse.get("Geraniumpond-Load", "");
-    const std::size_t slash = text.find('/');
-    unsigned inFlight = 0;
-    unsigned slots = 0;
-    if (slash != std::string::npos &&
-        Poco::NumberParser::tryParseUnsigned(text.substr(0, slash), inFlight) &&
-        Poco::NumberParser::tryParseUnsigned(text.substr(slash + 1), slots)) {
-      load.set_in_flight(inFlight);
-      load.set_slots(slots);
-      load.set_present(true);
-    }
-    return load;
-  }
-
   void Converse()
   {
     SendRequest();
     AwaitHead();
     mSession->receiveResponse(mResponse);
     mEnd.set_status(static_cast<std::uint32_t>(mResponse.getStatus()));
-    *mEnd.mutable_load() = LoadOf();
+    *mEnd.mutable_load() = LoadOf(mResponse);
     const bool headOnly = mExchange->mRequest.mMethod == "HEAD";
     if (!mSession->StartBody(mResponse, headOnly)) {
       return;
@@ -295,19 +236,10 @@
         mResponse.get("Accept-Ranges", "") == "bytes") {
       head.set_strong_etag(etag);
     }
-    head.set_range_matches(RangeMatches());
+    head.set_range_matches(RangeMatches(mResponse, mDispatch));
     mTools.mRuntime.Post(std::move(event));
   }
 
-  [[nodiscard]] bool RangeMatches() const
-  {
-    const std::string prefix =
-      "bytes " + std::to_string(mDispatch.range_from()) + "-";
-    return mResponse.getStatus() == kPartialContent &&
-           mResponse.get("ETag", "") == mDispatch.if_range() &&
-           mResponse.get("Content-Range", "").rfind(prefix, 0) == 0;
-  }
-
   void PassOn()
   {
     // A small answer that breaks has reached nobody, and can be tried again.
@@ -333,29 +265,13 @@
     Stream();
   }
 
-  void FillResponse(Poco::Net::HTTPServerResponseImpl& aResponse) const
-  {
-    aResponse.setStatusAndReason(mResponse.getStatus(), mResponse.getReason());
-    for (const auto& [name, value] : mResponse) {
-      const bool ours =
-        Poco::icompare(name.substr(0, 13), "Geraniumpond-") == 0;
-      if (!IsHopByHop(name) && !ours) {
-        aResponse.add(name, value);
-      }
-    }
-    aResponse.set("Geraniumpond-Outcome", "ran");
-    if (mExchange->CloseAfter()) {
-      aResponse.setKeepAlive(false);
-    }
-    if (!mBodyDone && !mResponse.hasContentLength()) {
-      aResponse.setChunkedTransferEncoding(true);
-    }
-  }
-
   void SendHead()
   {
     Poco::Net::HTTPServerResponseImpl& response = mCall->mResponse;
-    FillResponse(response);
+    FillCallerResponse(mResponse, mBodyDone, response);
+    if (mExchange->CloseAfter()) {
+      response.setKeepAlive(false);
+    }
     mExchange->mHeadSent = true;
     try {
       if (mBodyDone && mExchange->mRequest.mMethod != "HEAD") {
--- a/src/node/attempts.cpp
+++ b/src/node/attempts.cpp
@@ -1,13 +1,9 @@
 #include "context.h"
 
-#include <algorithm>
-
 namespace geraniumpond::node {
 
 namespace {
 
-constexpr std::uint32_t kBadGateway = 502;
-constexpr std::uint32_t kUnavailable = 503;
 constexpr std::uint32_t kFirstServerError = 500;
 // A connection that answered this recently is proved alive; non-idempotent
 // requests use no other one, because a broken one would leave them unknown.
@@ -15,61 +11,40 @@
 constexpr Micros kAnyIdle = 30 * kSecond;
 // A hedge starts once an attempt has taken this many usual latencies.
 constexpr double kHedgeAfter = 3.0;
-constexpr Micros kMinRetryAfter = 50 * kMillisecond;
 
-Attempt* FindAttempt(Request& aRequest, std::uint64_t aNumber)
+// A server error of an idempotent request is worth another target.
+bool RetryInstead(Context& aContext,
+                  Request& aRequest,
+                  const wire::AttemptHead& aEvent)
 {
-  for (Attempt& attempt : aRequest.mAttempts) {
-    if (attempt.mNumber == aNumber) {
-      return &attempt;
-    }
+  if (aEvent.status() < kFirstServerError || !aRequest.mIdempotent) {
+    return false;
   }
-  return nullptr;
+  ServiceState& service = aContext.mState.mServices[aRequest.mService];
+  const retries::Situation situation =
+    SituationOf(service, aRequest, retries::Effect::Unknown);
+  return aRequest.mAttempts.size() > 1 ||
+         (situation.mAttempts < retries::kMaxAttempts &&
+          service.mRetries.mSaved >= 1 && !situation.mOverloaded);
 }
 
-retries::Effect EffectOf(wire::AttemptEnd aEnd)
+void Drop(Context& aContext, std::uint64_t aRequest, std::uint64_t aAttempt)
 {
-  switch (aEnd) {
-    case wire::END_NOT_SENT:
-    case wire::END_REFUSED:
-      return retries::Effect::DidNotRun;
-    case wire::END_COMPLETE:
-      return retries::Effect::Ran;
-    default:
-      return retries::Effect::Unknown;
-  }
+  wire::CancelAttempt& cancel = *aContext.Add().mutable_cancel();
+  cancel.set_request(aRequest);
+  cancel.set_attempt(aAttempt);
 }
 
-routing::Verdict VerdictOf(const wire::AttemptEnded& aEvent)
-{
-  switch (aEvent.end()) {
-    case wire::END_COMPLETE:
-      return aEvent.status() >= kFirstServerError ? routing::Verdict::Failed
-                                                  : routing::Verdict::Good;
-    case wire::END_REFUSED:
-      return routing::Verdict::Refused;
-    case wire::END_CANCELLED:
-    case wire::END_CLIENT_GONE:
-      return aEvent.status() >= kFirstServerError ? routing::Verdict::Failed
-                                                  : routing::Verdict::Cancelled;
-    default:
-      return routing::Verdict::Failed;
-  }
-}
+} // namespace
 
-void TakeLoad(Context& aContext,
-              const std::string& aService,
-              const std::string& aTarget,
-              const wire::LoadReport& aLoad)
+Attempt* FindAttempt(Request& aRequest, std::uint64_t aNumber)
 {
-  if (!aLoad.present()) {
-    return;
+  for (Attempt& attempt : aRequest.mAttempts) {
+    if (attempt.mNumber == aNumber) {
+      return &attempt;
+    }
   }
-  aContext.Count("load_reports_on_answers");
-  routing::Report(aContext.mState.mServices[aService].mTargets,
-                  aTarget,
-                  aLoad.in_flight(),
-                  aContext.mNow);
+  return nullptr;
 }
 
 retries::Situation SituationOf(const ServiceState& aService,
@@ -85,233 +60,16 @@
   return situation;
 }
 
-bool Retry(Context& aContext, Request& aRequest, retries::Effect aEffect)
-{
-  ServiceState& service = aContext.mState.mServices[aRequest.mService];
-  const retries::Situation situation = SituationOf(service, aRequest, aEffect);
-  if (aRequest.mDetached ||
-      !retries::MayRetry(service.mRetries, situation, aContext.mNow)) {
-    return false;
-  }
-  aContext.Count("retries");
-  // With nothing left that was not tried, any target will do again.
-  if (aRequest.mTried.size() >= service.mTargets.mTargets.size()) {
-    aRequest.mTried.clear();
-  }
-  Enqueue(aContext, aRequest);
-  return true;
-}
-
-void AnswerFailure(Context& aContext, Request& aRequest)
-{
-  if (aRequest.mOwnsKey) {
-    if (aRequest.mMayHaveRun) {
-      CompleteKey(aContext, aRequest, nullptr);
-    } else {
-      ReleaseKey(aContext, aRequest);
-    }
-  }
-  if (aRequest.mDetached) {
-    Forget(aContext, aRequest.mId);
-    return;
-  }
-  if (aRequest.mMayHaveRun) {
-    AnswerAndForget(
-      aContext, aRequest, { kBadGateway, kUnknown, "target failed" });
-    return;
-  }
-  const ServiceState& service = aContext.mState.mServices[aRequest.mService];
-  AnswerAndForget(
-    aContext,
-    aRequest,
-    { kUnavailable,
-      kNotRun,
-      "no target took the request",
-      std::max(ExpectedWait(service, aRequest), kMinRetryAfter) });
-}
-
-void NoteServed(Context& aContext, const Request& aRequest)
+std::optional<std::size_t> PickUntried(Context& aContext,
+                                       const Request& aRequest)
 {
-  const Deployment& deployment = aContext.mState.mDeployment;
-  burn::Series& series =
-    aContext.mState
-      .mBook[{ aRequest.mService, aRequest.mKind, aRequest.mCaller }];
-  const auto service = deployment.mServices.find(aRequest.mService);
-  if (service != deployment.mServices.end()) {
-    for (const Kind& kind : service->second.mKinds) {
-      if (kind.mName == aRequest.mKind) {
-        series.mObjectiveTime = kind.mObjectiveTime;
-        series.mObjectiveShare = kind.mObjectiveShare;
-      }
-    }
-  }
-  const Micros latency = aContext.mNow - aRequest.mArrivedAt;
-  const bool good =
-    aRequest.mStatus < kFirstServerError &&
-    (series.mObjectiveTime == 0 || latency <= series.mObjectiveTime);
-  burn::Note(series, aContext.mNow, latency, kRan, good);
+  return routing::Pick(aContext.mState.mServices[aRequest.mService].mTargets,
+                       aContext.mNow,
+                       aContext.NextRandom(),
+                       AskOf(aRequest),
+                       aRequest.mTried);
 }
 
-// The whole answer of a keyed request is here: the caller gets it now, its
-// record follows through the control group.
-void TakeKeyedAnswer(Context& aContext,
-                     Request& aRequest,
-                     const wire::AttemptEnded& aEvent)
-{
-  aRequest.mStatus = aEvent.status();
-  CompleteKey(aContext, aRequest, &aEvent.answer());
-  if (!aRequest.mDetached) {
-    wire::Accept& accept = *aContext.Add().mutable_accept();
-    accept.set_request(aRequest.mId);
-    accept.set_attempt(aEvent.attempt());
-    accept.set_close_connection(aContext.mState.mStopping);
-    NoteServed(aContext, aRequest);
-  }
-  Forget(aContext, aRequest.mId);
-}
-
-void Break(Context& aContext, const Request& aRequest)
-{
-  aContext.Count("answers_broken");
-  aContext.Add().mutable_break_connection()->set_request(aRequest.mId);
-  burn::Series& series =
-    aContext.mState
-      .mBook[{ aRequest.mService, aRequest.mKind, aRequest.mCaller }];
-  burn::Note(series,
-             aContext.mNow,
-             aContext.mNow - aRequest.mArrivedAt,
-             "broken",
-             false);
-  Forget(aContext, aRequest.mId);
-}
-
-// The body broke after its first byte: the rest is fetched from another
-// target only where a strong validator proves that it is the same body.
-void ResumeOrBreak(Context& aContext,
-                   Request& aRequest,
-                   std::uint64_t aDelivered)
-{
-  ServiceState& service = aContext.mState.mServices[aRequest.mService];
-  const bool can =
-    !aRequest.mEtag.empty() && aRequest.mRangeAllowed && !aRequest.mDetached;
-  retries::Situation situation =
-    SituationOf(service, aRequest, retries::Effect::Unknown);
-  situation.mIdempotent = true;
-  situation.mOverloaded = false;
-  situation.mDeadline = aContext.mNow + 1;
-  if (!can || !retries::MayRetry(service.mRetries, situation, aContext.mNow)) {
-    Break(aContext, aRequest);
-    return;
-  }
-  const std::optional<std::size_t> target = routing::Pick(service.mTargets,
-                                                          aContext.mNow,
-                                                          aContext.NextRandom(),
-                                                          AskOf(aRequest),
-                                                          aRequest.mTried);
-  if (!target) {
-    Break(aContext, aRequest);
-    return;
-  }
-  aContext.Count("resumes");
-  aRequest.mResumeFrom = aDelivered;
-  StartAttempt(aContext, aRequest, *target, false);
-  aRequest.mPhase = Phase::Accepted;
-}
-
-void TakeAcceptedEnd(Context& aContext,
-                     Request& aRequest,
-                     const wire::AttemptEnded& aEvent)
-{
-  switch (aEvent.end()) {
-    case wire::END_COMPLETE:
-      NoteServed(aContext, aRequest);
-      Forget(aContext, aRequest.mId);
-      break;
-    case wire::END_CLIENT_GONE:
-      aContext.Count("clients_gone");
-      Forget(aContext, aRequest.mId);
-      break;
-    default:
-      ResumeOrBreak(aContext, aRequest, aEvent.delivered_bytes());
-      break;
-  }
-}
-
-void Release(Context& aContext, const wire::AttemptEnded& aEvent)
-{
-  State& state = aContext.mState;
-  const auto found = state.mHoldings.find(aEvent.attempt());
-  if (found == state.mHoldings.end()) {
-    return;
-  }
-  const Holding holding = found->second;
-  state.mHoldings.erase(found);
-  ServiceState& service = state.mServices[holding.mService];
-  routing::Finish(service.mTargets,
-                  holding.mTarget,
-                  aEvent.attempt(),
-                  VerdictOf(aEvent),
-                  aContext.mNow);
-  TakeLoad(aContext, holding.mService, holding.mTarget, aEvent.load());
-  limits::Running(service.mQueue, holding.mCaller, holding.mPriority, -1);
-}
-
-void EndAttempt(Context& aContext,
-                Request& aRequest,
-                const wire::AttemptEnded& aEvent)
-{
-  auto& attempts = aRequest.mAttempts;
-  attempts.erase(std::remove_if(attempts.begin(),
-                                attempts.end(),
-                                [&](const Attempt& aAttempt) {
-                                  return aAttempt.mNumber == aEvent.attempt();
-                                }),
-                 attempts.end());
-  if (aRequest.mAccepted != 0) {
-    if (aRequest.mAccepted == aEvent.attempt()) {
-      TakeAcceptedEnd(aContext, aRequest, aEvent);
-    }
-    return;
-  }
-  if (aRequest.mOwnsKey && aEvent.end() == wire::END_COMPLETE) {
-    TakeKeyedAnswer(aContext, aRequest, aEvent);
-    return;
-  }
-  const retries::Effect effect = EffectOf(aEvent.end());
-  aRequest.mMayHaveRun =
-    aRequest.mMayHaveRun || effect != retries::Effect::DidNotRun;
-  // A hedge may still answer.
-  if (!attempts.empty() || Retry(aContext, aRequest, effect)) {
-    return;
-  }
-  AnswerFailure(aContext, aRequest);
-}
-
-// A server error of an idempotent request is worth another target.
-bool RetryInstead(Context& aContext,
-                  Request& aRequest,
-                  const wire::AttemptHead& aEvent)
-{
-  if (aEvent.status() < kFirstServerError || !aRequest.mIdempotent) {
-    return false;
-  }
-  ServiceState& service = aContext.mState.mServices[aRequest.mService];
-  const retries::Situation situation =
-    SituationOf(service, aRequest, retries::Effect::Unknown);
-  return aRequest.mAttempts.size() > 1 ||
-         (situation.mAttempts < retries::kMaxAttempts &&
-          service.mRetries.mSaved >= 1 && !situation.mOverloaded);
-}
-
-void Drop(Context& aContext, std::uint64_t aRequest, std::uint64_t aAttempt)
-{
-  wire::CancelAttempt& cancel = *aContext.Add().mutable_cancel();
-  cancel.set_request(aRequest);
-  cancel.set_attempt(aAttempt);
-}
-
-} // namespace
-
 void StartAttempt(Context& aContext,
                   Request& aRequest,
                   std::size_t aTarget,
@@ -401,21 +159,6 @@
   accept.set_close_connection(state.mStopping);
 }
 
-void TakeEnd(Context& aContext, const wire::AttemptEnded& aEvent)
-{
-  State& state = aContext.mState;
-  const auto holding = state.mHoldings.find(aEvent.attempt());
-  const std::string service =
-    holding == state.mHoldings.end() ? "" : holding->second.mService;
-  Release(aContext, aEvent);
-  const auto found = state.mRequests.find(aEvent.request());
-  if (found != state.mRequests.end() &&
-      FindAttempt(found->second, aEvent.attempt()) != nullptr) {
-    EndAttempt(aContext, found->second, aEvent);
-  }
-  Pump(aContext, service);
-}
-
 void CancelAttempts(Context& aContext, Request& aRequest, std::uint64_t aExcept)
 {
   for (const Attempt& attempt : aRequest.mAttempts) {
@@ -433,11 +176,7 @@
   ServiceState& service = aContext.mState.mServices[aRequest.mService];
   const retries::Situation situation =
     SituationOf(service, aRequest, retries::Effect::Unknown);
-  const std::optional<std::size_t> target = routing::Pick(service.mTargets,
-                                                          aContext.mNow,
-                                                          aContext.NextRandom(),
-                                                          AskOf(aRequest),
-                                                          aRequest.mTried);
+  const std::optional<std::size_t> target = PickUntried(aContext, aRequest);
   if (!target ||
       !retries::MayHedge(service.mRetries, situation, aContext.mNow)) {
     return;
--- a/src/node/context.h
+++ b/src/node/context.h
@@ -2,6 +2,8 @@
 
 #include <geraniumpond/node.h>
 
+#include <functional>
+
 /// \brief What the reducer's parts share while one event is taken.
 namespace geraniumpond::node {
 
@@ -39,6 +41,11 @@
 constexpr const char* kNotRun = "not-run";
 constexpr const char* kUnknown = "unknown";
 
+// --- admission.cpp: who may ask for what
+/// \brief The request, or nothing once it has been refused.
+[[nodiscard]] std::optional<Request> Admit(Context& aContext,
+                                           const wire::RequestArrived& aEvent);
+
 // --- entry.cpp: from arrival to the queue
 void Arrive(Context& aContext, const wire::RequestArrived& aEvent);
 void ClientLeft(Context& aContext, std::uint64_t aRequest);
@@ -77,6 +84,16 @@
                     std::uint64_t aExcept);
 void TryHedge(Context& aContext, Request& aRequest);
 
+[[nodiscard]] Attempt* FindAttempt(Request& aRequest, std::uint64_t aNumber);
+[[nodiscard]] retries::Situation SituationOf(const ServiceState& aService,
+                                             const Request& aRequest,
+                                             retries::Effect aEffect);
+[[nodiscard]] std::optional<std::size_t> PickUntried(Context& aContext,
+                                                     const Request& aRequest);
+
+// --- attempt_ends.cpp: what an attempt's end means for its request
+void Break(Context& aContext, const Request& aRequest);
+
 // --- keys.cpp: idempotency keys
 void ClaimKey(Context& aContext, Request& aRequest);
 void TakeRecord(Context& aContext,
@@ -108,6 +125,11 @@
 
 // --- facts.cpp: the directory and how it spreads
 void Publish(Context& aContext, const wire::Fact& aFact);
+/// \brief Calls `aSend` for each host that a change is pushed to, and whether
+/// it relays to its data centre; other data centres only if `aAcross`.
+void ForEachSpread(Context& aContext,
+                   bool aAcross,
+                   const std::function<void(const std::string&, bool)>& aSend);
 void TakeFacts(Context& aContext, const wire::FactPush& aMessage);
 void Gossip(Context& aContext);
 void TakeDigests(Context& aContext,
@@ -132,7 +154,7 @@
 
 // --- deployments.cpp: the configuration in force here
 void TakeDeployment(Context& aContext, const wire::DeploymentVersion& aVersion);
-void SpreadDeployment(Context& aContext, bool aRelay);
+void SpreadDeployment(Context& aContext, bool aAcross);
 void TakeDeploymentPush(Context& aContext,
                         const std::string& aFrom,
                         const wire::DeploymentPush& aMessage);
--- a/src/node/deployments.cpp
+++ b/src/node/deployments.cpp
@@ -122,23 +122,12 @@
   SendTo(aContext, aTo, std::move(message));
 }
 
-void SpreadDeployment(Context& aContext, bool aRelay)
+void SpreadDeployment(Context& aContext, bool aAcross)
 {
   const wire::DeploymentPush push = NewPush(aContext.mState);
-  const membership::Spread spread =
-    membership::SpreadFrom(aContext.mState.mDirectory,
-                           aContext.Self(),
-                           aContext.mState.mSettings.data_centre(),
-                           aContext.NextRandom());
-  for (const wire::Fact* host : spread.mLocal) {
-    SendPush(aContext, host->id(), push, false);
-  }
-  if (!aRelay) {
-    return;
-  }
-  for (const wire::Fact* host : spread.mRelays) {
-    SendPush(aContext, host->id(), push, true);
-  }
+  ForEachSpread(aContext, aAcross, [&](const std::string& aHost, bool aRelay) {
+    SendPush(aContext, aHost, push, aRelay);
+  });
 }
 
 void TakeDeploymentPush(Context& aContext,
--- a/src/node/entry.cpp
+++ b/src/node/entry.cpp
@@ -1,164 +1,15 @@
 #include "context.h"
 
-#include <geraniumpond/hash.h>
-
 #include <algorithm>
 
 namespace geraniumpond::node {
 
 namespace {
 
-constexpr std::uint32_t kBadRequest = 400;
-constexpr std::uint32_t kUnauthorized = 401;
-constexpr std::uint32_t kNotFound = 404;
-constexpr std::uint32_t kMethodNotAllowed = 405;
-constexpr std::uint32_t kTooLarge = 413;
 constexpr std::uint32_t kUnavailable = 503;
 constexpr std::uint32_t kGatewayTimeout = 504;
-constexpr std::size_t kMaxKeyBytes = 200;
-constexpr Micros kNotReadyRetry = kSecond;
 constexpr Micros kMinRetryAfter = 50 * kMillisecond;
 
-struct Admission
-{
-  const Caller* mCaller = nullptr;
-  const Service* mService = nullptr;
-  const Kind* mKind = nullptr;
-};
-
-void Refuse(Context& aContext,
-            const wire::RequestArrived& aEvent,
-            const Reply& aReply,
-            const char* aCounter)
-{
-  aContext.Count(std::string("refused_") + aCounter);
-  wire::Answer& answer = *aContext.Add().mutable_answer();
-  answer.set_request(aEvent.request());
-  answer.set_status(aReply.mStatus);
-  answer.set_outcome(aReply.mOutcome);
-  answer.set_reason(aReply.mReason);
-  answer.set_retry_after_ms(
-    static_cast<std::uint32_t>(aReply.mRetryAfter / kMillisecond));
-  answer.set_close_connection(aContext.mState.mStopping);
-}
-
-bool TakesPath(const Service& aService, const std::string& aPath)
-{
-  return std::any_of(
-    aService.mKinds.begin(), aService.mKinds.end(), [&](const Kind& aKind) {
-      return aPath.rfind(aKind.mPathPrefix, 0) == 0;
-    });
-}
-
-// Finds who asks for what; answers and returns false when that is not allowed.
-// A service that the caller may not reach looks like one that does not exist.
-bool Admit(Context& aContext,
-           const wire::RequestArrived& aEvent,
-           Admission& aOut)
-{
-  const Deployment& deployment = aContext.mState.mDeployment;
-  if (!IsReady(aContext.mState)) {
-    Refuse(aContext,
-           aEvent,
-           { kUnavailable, kNotRun, "not ready", kNotReadyRetry },
-           "not_ready");
-    return false;
-  }
-  const auto name = deployment.mCallerByToken.find(aEvent.token_sha256());
-  if (name == deployment.mCallerByToken.end()) {
-    Refuse(aContext,
-           aEvent,
-           { kUnauthorized, kNotRun, "unknown caller" },
-           "unauthorized");
-    return false;
-  }
-  aOut.mCaller = &deployment.mCallers.at(name->second);
-  const std::string service = ServiceOfPath(aEvent.path());
-  if (aOut.mCaller->mServices.count(service) == 0) {
-    Refuse(
-      aContext, aEvent, { kNotFound, kNotRun, "unknown path" }, "unknown_path");
-    return false;
-  }
-  aOut.mService = &deployment.mServices.at(service);
-  aOut.mKind = FindKind(*aOut.mService, aEvent.method(), aEvent.path());
-  if (aOut.mKind == nullptr) {
-    const bool known = TakesPath(*aOut.mService, aEvent.path());
-    Refuse(aContext,
-           aEvent,
-           { known ? kMethodNotAllowed : kNotFound,
-             kNotRun,
-             known ? "method not allowed" : "unknown path" },
-           "unknown_path");
-    return false;
-  }
-  return true;
-}
-
-bool IsKeyText(const std::string& aKey)
-{
-  return aKey.size() <= kMaxKeyBytes &&
-         std::all_of(aKey.begin(), aKey.end(), [](char aChar) {
-           return aChar > ' ' && aChar <= '~';
-         });
-}
-
-bool CheckRequest(Context& aContext,
-                  const wire::RequestArrived& aEvent,
-                  const Kind& aKind)
-{
-  if (aEvent.body_bytes() > aKind.mMaxBodyBytes) {
-    Refuse(
-      aContext, aEvent, { kTooLarge, kNotRun, "body too large" }, "too_large");
-    return false;
-  }
-  const std::string& key = aEvent.idempotency_key();
-  if (aKind.mKeyRequired && key.empty()) {
-    Refuse(aContext,
-           aEvent,
-           { kBadRequest, kNotRun, "Idempotency-Key required" },
-           "no_key");
-    return false;
-  }
-  if (!IsKeyText(key)) {
-    Refuse(aContext,
-           aEvent,
-           { kBadRequest, kNotRun, "Idempotency-Key not valid" },
-           "bad_key");
-    return false;
-  }
-  return true;
-}
-
-Request NewRequest(const Context& aContext,
-                   const wire::RequestArrived& aEvent,
-                   const Admission& aAdmission)
-{
-  const Kind& kind = *aAdmission.mKind;
-  Request request;
-  request.mId = aEvent.request();
-  request.mCaller = aAdmission.mCaller->mName;
-  request.mService = aAdmission.mService->mName;
-  request.mKind = kind.mName;
-  request.mKindIndex = static_cast<std::size_t>(
-    aAdmission.mKind - aAdmission.mService->mKinds.data());
-  request.mPriority = kind.mPriority;
-  request.mArrivedAt = aContext.mNow;
-  Micros allowed = kind.mDeadline;
-  if (aEvent.deadline_ms() > 0) {
-    allowed = std::min<Micros>(allowed, aEvent.deadline_ms() * kMillisecond);
-  }
-  request.mDeadline = aContext.mNow + allowed;
-  request.mIdempotent = kind.mIdempotent;
-  request.mRangeAllowed = aEvent.method() == "GET" && !aEvent.has_range();
-  if (!kind.mIdempotent && !aEvent.idempotency_key().empty()) {
-    request.mKey = idempotency::ScopedKey(
-      request.mCaller, request.mService, aEvent.idempotency_key());
-    request.mDigest = Sha256Hex(aEvent.method() + " " + aEvent.path() + " " +
-                                aEvent.body_digest());
-  }
-  return request;
-}
-
 limits::Waiter WaiterOf(const Context& aContext, const Request& aRequest)
 {
   limits::Waiter waiter;
@@ -290,14 +141,13 @@
 
 void Arrive(Context& aContext, const wire::RequestArrived& aEvent)
 {
-  Admission admission;
-  if (!Admit(aContext, aEvent, admission) ||
-      !CheckRequest(aContext, aEvent, *admission.mKind)) {
+  std::optional<Request> admitted = Admit(aContext, aEvent);
+  if (!admitted) {
     return;
   }
   State& state = aContext.mState;
   Request& request = state.mRequests[aEvent.request()];
-  request = NewRequest(aContext, aEvent, admission);
+  request = std::move(*admitted);
   state.mTimers.insert({ request.mDeadline, TimerKind::Deadline, request.mId });
   const ServiceState& service = state.mServices[request.mService];
   const limits::Waiter waiter = WaiterOf(aContext, request);
--- a/src/node/facts.cpp
+++ b/src/node/facts.cpp
@@ -40,20 +40,9 @@
   if (aFacts.empty()) {
     return;
   }
-  const membership::Spread spread =
-    membership::SpreadFrom(aContext.mState.mDirectory,
-                           aContext.Self(),
-                           aContext.mState.mSettings.data_centre(),
-                           aContext.NextRandom());
-  for (const wire::Fact* host : spread.mLocal) {
-    Push(aContext, host->id(), aFacts, false);
-  }
-  if (!aAcross) {
-    return;
-  }
-  for (const wire::Fact* host : spread.mRelays) {
-    Push(aContext, host->id(), aFacts, true);
-  }
+  ForEachSpread(aContext, aAcross, [&](const std::string& aHost, bool aRelay) {
+    Push(aContext, aHost, aFacts, aRelay);
+  });
 }
 
 // Another host thinks this one gone, or knows an earlier life of it.
@@ -249,6 +238,26 @@
 
 } // namespace
 
+void ForEachSpread(Context& aContext,
+                   bool aAcross,
+                   const std::function<void(const std::string&, bool)>& aSend)
+{
+  const membership::Spread spread =
+    membership::SpreadFrom(aContext.mState.mDirectory,
+                           aContext.Self(),
+                           aContext.mState.mSettings.data_centre(),
+                           aContext.NextRandom());
+  for (const wire::Fact* host : spread.mLocal) {
+    aSend(host->id(), false);
+  }
+  if (!aAcross) {
+    return;
+  }
+  for (const wire::Fact* host : spread.mRelays) {
+    aSend(host->id(), true);
+  }
+}
+
 void Publish(Context& aContext, const wire::Fact& aFact)
 {
   State& state = aContext.mState;
--- a/tests/node_test.cpp
+++ b/tests/node_test.cpp
@@ -1,5 +1,8 @@
 #include "fakes/world.h"
 
+#include <geraniumpond/hash.h>
+#include <geraniumpond/views.h>
+
 #include <cppunit/extensions/HelperMacros.h>
 
 namespace geraniumpond {
@@ -15,6 +18,7 @@
   CPPUNIT_TEST(ResendWhileTheFirstRunsWaitsForItsAnswer);
   CPPUNIT_TEST(KeyWithAnotherBodyIsRefused);
   CPPUNIT_TEST(KeyOfOneCallerIsNothingToAnother);
+  CPPUNIT_TEST(ViewsShowACallerNothingOfAnother);
   CPPUNIT_TEST(LostEndIsUnknownAndNeverDispatchedAgain);
   CPPUNIT_TEST(OwnerLostMidwayMakesTheKeyUnknown);
   CPPUNIT_TEST(RefusedEverywhereIsNotRunAndTheKeyIsFreeAgain);
@@ -86,6 +90,36 @@
     CPPUNIT_ASSERT_EQUAL(1, mWorld->mRunsByKey["rival/k"]);
   }
 
+  void ViewsShowACallerNothingOfAnother()
+  {
+    ExpectTold(mWorld->Request("e0", "k", "one"), 200, "ran");
+    mWorld->mRates.mTargetHangs = 1;
+    mWorld->Request("e0", "open", "one");
+    mWorld->RunFor(100 * kMillisecond);
+    const node::State& state = mWorld->StateOf("e0");
+    const struct
+    {
+      const char* mToken;
+      bool mSees;
+    } viewers[] = { { "school", true },
+                    { "operator", true },
+                    { "rival", false },
+                    { "stranger", false } };
+    for (const auto& viewer : viewers) {
+      const views::Viewer view =
+        views::ViewerOf(state, Sha256Hex(viewer.mToken));
+      const std::string shown =
+        views::Calls(state, view) + views::Burn(state, view, mWorld->mNow);
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(
+        viewer.mToken, viewer.mSees, shown.find("school") != std::string::npos);
+    }
+    const std::string metrics = views::Metrics(state, mWorld->mNow);
+    CPPUNIT_ASSERT(metrics.find("school") == std::string::npos);
+    const views::Viewer stranger = views::ViewerOf(state, "");
+    CPPUNIT_ASSERT(views::Targets(state, stranger, mWorld->mNow).find("t0") ==
+                   std::string::npos);
+  }
+
   void LostEndIsUnknownAndNeverDispatchedAgain()
   {
     mWorld->mRates.mTargetBreaksAfterRun = 1;
--- a/tests/process_test.sh
+++ b/tests/process_test.sh
@@ -160,11 +160,46 @@
 expect "calls are served though a target is frozen" \
   [ "$(count frozen_target served)" -gt 400 ]
 
-"$BIN/tests/fake_audit" --targets "$TARGETS" --signed /dev/null >/dev/null
-exec 9<>"/dev/tcp/127.0.0.1/$PORT_records_1"
-printf 'GET /control?break_every=2 HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n' >&9
-cat <&9 >/dev/null
+control() { # PORT QUERY
+  exec 9<>"/dev/tcp/127.0.0.1/$1"
+  printf "GET /control?$2 HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n" >&9
+  cat <&9 >/dev/null
+  exec 9<&-
+}
+
+# A caller that leaves cancels its request at the target.
+control "$PORT_records_0" slowdown=300
+control "$PORT_records_1" slowdown=300
+gone=$(metric abdali-2 clients_gone_total)
+exec 9<>"/dev/tcp/127.0.0.1/$(port_of abdali-2 callers)"
+printf "GET /records/roster HTTP/1.1\r\n${auth}\r\n" >&9
+sleep 0.3
 exec 9<&-
+more_gone() { [ "$(metric abdali-2 clients_gone_total)" -gt "${gone:-0}" ]; }
+expect "a caller that leaves is noticed at once" wait_for "the cancel" 1 \
+  more_gone
+control "$PORT_records_0" slowdown=1
+control "$PORT_records_1" slowdown=1
+
+# Planned stops under load: a target, then an entry; nothing may be cut.
+start_target records 2 tla --median-ms 5
+for entry in "${ENTRIES[@]}"; do
+  wait_for "the third target" 10 sees_targets "$entry" 5
+done
+load planned 8 &
+job=$!
+sleep 1
+"$BIN/geraniumpond" drain target records records-2 \
+  --host "$(admin_of abdali-2)" >/dev/null
+sleep 2.5
+kill -TERM "${PIDS[records-2]}" "${PIDS[sweifieh-1]}"
+wait "$job"
+expect "planned stops cut no request" none planned resent_after_break
+expect "planned stops break no answer" none planned broken_visibly
+expect "planned stops lose no call" none planned lost
+wait_for "the entry to stop" 20 sh -c "! kill -0 ${PIDS[sweifieh-1]}"
+
+control "$PORT_records_1" break_every=2
 load broken_body 4 --mix archive --rate 40
 expect "broken bodies are resumed from another target" \
   [ "$(count broken_body served)" -gt 100 ]
