--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,8 @@
 PACKAGES = g++ make cmake ninja-build pkg-config libpoco-dev libzmq3-dev \
   cppzmq-dev libprotobuf-dev protobuf-compiler libboost-dev libboost-log-dev \
   libxxhash-dev zlib1g-dev libcppunit-dev libbenchmark-dev
-SOURCES = $(shell git ls-files 'src/*.cpp' 'src/*.h' 'include/*.h' \
+SOURCES = $(shell git ls-files --cached --others --exclude-standard \
+  'src/*.cpp' 'src/*.h' 'include/*.h' \
   'tests/*.cpp' 'tests/*.h' 'bench/*.cpp' 'bench/*.h' 'examples/*.cpp' \
   | grep -v '\.pb\.')
 
--- a/src/edge/forwarding.cpp
+++ b/src/edge/forwarding.cpp
@@ -47,8 +47,8 @@
   aRequest.set("Geraniumpond-Attempt",
                std::to_string(aDispatch.request()) + "." +
                  std::to_string(aDispatch.attempt()));
-  const Micros left = std::max<Micros>(
-    (aDispatch.deadline_us() - aNow) / kMillisecond, 1);
+  const Micros left =
+    std::max<Micros>((aDispatch.deadline_us() - aNow) / kMillisecond, 1);
   aRequest.set("Geraniumpond-Deadline-Ms", std::to_string(left));
   if (!aDispatch.if_range().empty()) {
     aRequest.set("Range",
@@ -67,8 +67,7 @@
 {
   aResponse.setStatusAndReason(aFrom.getStatus(), aFrom.getReason());
   for (const auto& [name, value] : aFrom) {
-    const bool ours =
-      Poco::icompare(name.substr(0, 13), "Geraniumpond-") == 0;
+    const bool ours = Poco::icompare(name.substr(0, 13), "Geraniumpond-") == 0;
     if (!IsHopByHop(name) && !ours) {
       aResponse.add(name, value);
     }
--- a/src/node/admission.cpp
+++ b/src/node/admission.cpp
@@ -51,8 +51,8 @@
 // Finds who asks for what; answers and returns false when that is not allowed.
 // A service that the caller may not reach looks like one that does not exist.
 bool FindRules(Context& aContext,
-           const wire::RequestArrived& aEvent,
-           Admission& aOut)
+               const wire::RequestArrived& aEvent,
+               Admission& aOut)
 {
   const Deployment& deployment = aContext.mState.mDeployment;
   if (!IsReady(aContext.mState)) {
--- a/src/routing/latency.cpp
+++ b/src/routing/latency.cpp
@@ -19,6 +19,8 @@
 constexpr double kReportWeight = 0.05;
 constexpr int kMaxSamples = 1000;
 constexpr int kMaxDoublings = 4;
+// Three tenths are not more than 0.3.
+constexpr double kRounding = 1e-9;
 
 double Fade(Micros aAge, Micros aHalfLife) noexcept
 {
@@ -76,7 +78,7 @@
 {
   const double after =
     EjectedShare(aSet, aNow) + 1.0 / static_cast<double>(aSet.mTargets.size());
-  if (after > aSet.mRules.mMaxEjected && !OnProbation(aTarget)) {
+  if (after > aSet.mRules.mMaxEjected + kRounding && !OnProbation(aTarget)) {
     return;
   }
   const Micros length = aSet.mRules.mEjection
--- a/tests/fakes/world.cpp
+++ b/tests/fakes/world.cpp
@@ -139,6 +139,13 @@
   host.mHighestVersion = 0;
 }
 
+void World::FailDisk(const std::string& aHost)
+{
+  wire::Event event;
+  event.mutable_sync_failed()->set_reason("no space left");
+  Post(aHost, mNow, std::move(event));
+}
+
 void World::Partition(const std::set<std::string>& aOneSide)
 {
   mOneSide = aOneSide;
--- a/tests/fakes/world.h
+++ b/tests/fakes/world.h
@@ -94,6 +94,7 @@
   /// \brief Stops a host at once; what was not synced is lost.
   void Crash(const std::string& aHost);
   void ReplaceDisk(const std::string& aHost);
+  void FailDisk(const std::string& aHost);
 
   /// \brief Cuts all links between two groups; everyone else sees both.
   void Partition(const std::set<std::string>& aOneSide);
--- a/tests/node_test.cpp
+++ b/tests/node_test.cpp
@@ -36,6 +36,7 @@
   CPPUNIT_TEST(StopFinishesWhatIsInFlightAndThenExits);
   CPPUNIT_TEST(LeaderLostCommitsAgainWithinThreeSeconds);
   CPPUNIT_TEST(ReplacedDiskJoinsAndASecondLossIsSurvived);
+  CPPUNIT_TEST(FailedDiskStopsOneVoteAndNotTheSystem);
   CPPUNIT_TEST(SilentHostIsTakenAsGoneAndComesBack);
   CPPUNIT_TEST_SUITE_END();
 
@@ -387,6 +388,17 @@
     ExpectTold(mWorld->Request("e1", "fresh"), 200, "ran");
   }
 
+  void FailedDiskStopsOneVoteAndNotTheSystem()
+  {
+    const std::string failed = mWorld->Leader();
+    mWorld->FailDisk(failed);
+    mWorld->RunFor(3 * kSecond);
+    CPPUNIT_ASSERT(mWorld->StateOf(failed).mGroup.mFailed);
+    const std::string other = failed == "c0" ? "c1" : "c0";
+    ExpectOperator(mWorld->Apply(other, "next", 1, SmallDeployment(2)), 200);
+    ExpectTold(mWorld->Request("e0", "k"), 200, "ran");
+  }
+
   void SilentHostIsTakenAsGoneAndComesBack()
   {
     mWorld->Partition({ "e1" });
--- a/tests/process_test.sh
+++ b/tests/process_test.sh
@@ -102,6 +102,19 @@
 expect "a signature without a key" answers 400 \
   "POST /consent/permissions HTTP/1.1\r\n${auth}Content-Length: 0\r\n\r\n"
 expect "a sound request" answers 200 "GET /records/roster HTTP/1.1\r\n${auth}\r\n"
+announce() { # SERVICE BODY
+  exec 9<>"/dev/tcp/127.0.0.1/$(port_of abdali-2 admin)"
+  printf 'PUT /v1/targets/%s/x HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer %s-target\r\nContent-Length: %d\r\nConnection: close\r\n\r\n%s' \
+    "$1" "$1" "${#2}" "$2" >&9
+  timeout 3 head -1 <&9
+  exec 9<&-
+}
+announced() { announce "$2" "$3" | grep -q "HTTP/1.1 $1"; }
+body='{"address":"127.0.0.1:1","data_centre":"tla","slots":1,"incarnation":1}'
+expect "an announce for no service" announced 404 nothing "$body"
+expect "an announce that is not JSON" announced 400 records nonsense
+expect "an announce without slots" announced 400 records \
+  '{"address":"127.0.0.1:1","data_centre":"tla","incarnation":1}'
 expect "malformed requests are counted" \
   [ "$(metric abdali-2 malformed_400_total)" -ge 6 ]
 expect "a second process on a port fails" refuses timeout 5 \
