--- a/src/cli/commands.h
+++ b/src/cli/commands.h
@@ -54,6 +54,7 @@
 ExitCode RunCheck(const Arguments& aArguments);
 ExitCode RunApply(const Arguments& aArguments);
 ExitCode RunShow(const Arguments& aArguments);
+ExitCode RunDiff(const Arguments& aArguments);
 ExitCode RunDrain(const Arguments& aArguments);
 ExitCode RunUndrain(const Arguments& aArguments);
 ExitCode RunReport(const Arguments& aArguments);
--- a/src/cli/remote.cpp
+++ b/src/cli/remote.cpp
@@ -1,5 +1,6 @@
 #include "commands.h"
 
+#include "line_diff.h"
 #include "table.h"
 
 #include <Poco/Exception.h>
@@ -134,6 +135,13 @@
   return reply;
 }
 
+ExitCode FinishMissing(const std::string& aVersion)
+{
+  std::cerr << "geraniumpond: this host does not keep version " << aVersion
+            << "; ask a control host\n";
+  return ExitCode::Refused;
+}
+
 ExitCode Drain(const Arguments& aArguments, bool aUndrain)
 {
   const std::vector<std::string>& words = aArguments.mOperands;
@@ -284,6 +292,27 @@
   return ExitCode::Ok;
 }
 
+ExitCode RunDiff(const Arguments& aArguments)
+{
+  const std::vector<std::string> hosts = HostsOf(aArguments);
+  if (hosts.empty() || !aArguments.Has("version")) {
+    return ExitCode::Usage;
+  }
+  std::vector<std::string> texts;
+  for (const std::string& version :
+       { aArguments.Text("version"), aArguments.Text("with", "0") }) {
+    const AdminReply reply =
+      CallAdmin(aArguments, hosts[0], "GET", "/v1/config?version=" + version);
+    const Poco::JSON::Object::Ptr object = ParseObject(reply.mBody);
+    if (object.isNull() || !object->has("text")) {
+      return reply.mStatus == 0 ? Finish(reply) : FinishMissing(version);
+    }
+    texts.push_back(object->getValue<std::string>("text"));
+  }
+  std::cout << LineDiff(texts[0], texts[1]);
+  return ExitCode::Ok;
+}
+
 ExitCode RunDrain(const Arguments& aArguments)
 {
   return Drain(aArguments, false);
