Compute burn rates in one place

Cause: the report wrote the library's burn rate and its counts again. Conclusion: one piece of code less.

--- a/src/cli/burn_report.cpp
+++ b/src/cli/burn_report.cpp
@@ -24,7 +24,7 @@
   }
   for (const auto& entry : *aSeries.getArray("windows")) {
     const auto& window = entry.extract<Object::Ptr>();
-    WindowCounts& counts =
+    burn::Bucket& counts =
       aOut.mWindows[window->getValue<std::string>("window")];
     counts.mGood += window->getValue<Poco::UInt64>("good");
     counts.mTotal += window->getValue<Poco::UInt64>("total");
@@ -74,16 +74,6 @@
   return 0;
 }
 
-double BurnRate(const WindowCounts& aCounts, double aObjective)
-{
-  if (aCounts.mTotal == 0) {
-    return 0;
-  }
-  const double bad = 1.0 - static_cast<double>(aCounts.mGood) /
-                             static_cast<double>(aCounts.mTotal);
-  return bad / (1.0 - aObjective);
-}
-
 std::string BurnText(const BurnReport& aReport)
 {
   std::ostringstream out;
@@ -104,7 +94,7 @@
     }
     out << "\n  burn:";
     for (const auto& [name, counts] : series.mWindows) {
-      out << " " << name << "=" << BurnRate(counts, series.mObjectiveShare);
+      out << " " << name << "=" << burn::Rate(counts, series.mObjectiveShare);
     }
     out << "\n";
   }
@@ -126,7 +116,7 @@
     object.set("objective_share", series.mObjectiveShare);
     Object windows;
     for (const auto& [name, counts] : series.mWindows) {
-      windows.set(name, BurnRate(counts, series.mObjectiveShare));
+      windows.set(name, burn::Rate(counts, series.mObjectiveShare));
     }
     object.set("burn", windows);
     Object outcomes;
--- a/src/cli/burn_report.h
+++ b/src/cli/burn_report.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <geraniumpond/burn.h>
+
 #include <Poco/JSON/Object.h>
 
 #include <map>
@@ -10,13 +12,6 @@
 /// \brief Service-level burn merged over hosts.
 namespace geraniumpond::cli {
 
-/// \brief Counts of one window.
-struct WindowCounts
-{
-  std::uint64_t mGood = 0;
-  std::uint64_t mTotal = 0;
-};
-
 /// \brief One (service, kind, caller) over all hosts that answered.
 struct MergedSeries
 {
@@ -24,7 +19,7 @@
   double mObjectiveShare = 0.99;
   /// Upper bound of each latency bin in milliseconds, and its count.
   std::map<double, std::uint64_t> mBins;
-  std::map<std::string, WindowCounts> mWindows;
+  std::map<std::string, burn::Bucket> mWindows;
   std::map<std::string, std::uint64_t> mOutcomes;
 };
 
@@ -42,7 +37,6 @@
 void Merge(BurnReport& aReport, const Poco::JSON::Object& aHost);
 
 [[nodiscard]] double QuantileMs(const MergedSeries& aSeries, double aShare);
-[[nodiscard]] double BurnRate(const WindowCounts& aCounts, double aObjective);
 
 [[nodiscard]] std::string BurnText(const BurnReport& aReport);
 [[nodiscard]] std::string BurnJson(const BurnReport& aReport);
