Send heartbeats from one function; drop state that nothing read

Change: SendHeartbeat() serves both; the unread state is gone. The echo and the round are still in the messages. No decision uses the heartbeat's echo yet.

--- a/bench/entries.cpp
+++ b/bench/entries.cpp
@@ -164,9 +164,6 @@
         mWorld.End(aEffect.answer().request(), false);
       }
       break;
-    case wire::Effect::kCancel:
-      mDropped.insert(aEffect.cancel().attempt());
-      break;
     default:
       break;
   }
@@ -210,7 +207,6 @@
   head.set_attempt(aWork.mAttempt);
   head.set_status(aOk ? 200 : 500);
   mAccepted.erase(aWork.mAttempt);
-  mDropped.erase(aWork.mAttempt);
   Take(aEntry, std::move(event));
   const bool accepted = mAccepted.erase(aWork.mAttempt) != 0;
   EndAttempt(aEntry,
--- a/bench/entries.h
+++ b/bench/entries.h
@@ -34,7 +34,6 @@
   std::vector<node::State> mStates;
   std::vector<Micros> mTimers;
   std::set<std::uint64_t> mAccepted;
-  std::set<std::uint64_t> mDropped;
 };
 
 } // namespace geraniumpond::bench
--- a/include/geraniumpond/consensus.h
+++ b/include/geraniumpond/consensus.h
@@ -54,7 +54,6 @@
 {
   std::uint64_t mMatch = 0;
   std::uint64_t mNext = 1;
-  std::uint64_t mRoundSeen = 0;
   Micros mHeardAt = 0;
   Micros mSentAt = 0;
   bool mSnapshotSent = false;
--- a/include/geraniumpond/node.h
+++ b/include/geraniumpond/node.h
@@ -131,8 +131,6 @@
   Micros mExpectedSince = 0;
   std::uint64_t mVersion = 0;
   std::uint64_t mNumberSeen = 0;
-  std::uint64_t mEchoSeen = 0;
-  Micros mEchoAt = 0;
 };
 
 /// \brief Counters that /metrics shows.
--- a/src/consensus/replication.cpp
+++ b/src/consensus/replication.cpp
@@ -211,7 +211,6 @@
   const wire::AppendReply& reply = aMessage.append_reply();
   Progress& progress = aState.mProgress[member->id()];
   progress.mHeardAt = aNow;
-  progress.mRoundSeen = std::max(progress.mRoundSeen, reply.round());
   if (!reply.success()) {
     const std::uint64_t before = progress.mNext;
     progress.mNext = std::max(progress.mMatch + 1,
--- a/src/node/context.h
+++ b/src/node/context.h
@@ -143,6 +143,7 @@
 
 // --- liveness.cpp: heartbeats, suspicion, leases
 void Heartbeat(Context& aContext);
+void SendHeartbeat(Context& aContext, const std::string& aHost);
 void TakeHeartbeat(Context& aContext,
                    const std::string& aFrom,
                    std::uint64_t aIncarnation,
--- a/src/node/deployments.cpp
+++ b/src/node/deployments.cpp
@@ -153,15 +153,9 @@
   }
   // The control hosts learn at once what is in force here.
   for (const wire::Peer& voter : state.mSettings.voters()) {
-    if (voter.id() == aContext.Self()) {
-      continue;
+    if (voter.id() != aContext.Self()) {
+      SendHeartbeat(aContext, voter.id());
     }
-    wire::PeerMessage message;
-    wire::Heartbeat& heartbeat = *message.mutable_heartbeat();
-    heartbeat.set_version(state.mVersion.version());
-    heartbeat.set_number(state.mHeartbeatNumber);
-    heartbeat.set_echo(state.mPeers[voter.id()].mNumberSeen);
-    SendTo(aContext, voter.id(), std::move(message));
   }
 }
 
--- a/src/node/liveness.cpp
+++ b/src/node/liveness.cpp
@@ -115,18 +115,24 @@
 
 } // namespace
 
+void SendHeartbeat(Context& aContext, const std::string& aHost)
+{
+  State& state = aContext.mState;
+  wire::PeerMessage message;
+  wire::Heartbeat& heartbeat = *message.mutable_heartbeat();
+  heartbeat.set_version(state.mVersion.version());
+  heartbeat.set_number(state.mHeartbeatNumber);
+  heartbeat.set_echo(state.mPeers[aHost].mNumberSeen);
+  SendTo(aContext, aHost, std::move(message));
+}
+
 void Heartbeat(Context& aContext)
 {
   State& state = aContext.mState;
   state.mHeartbeatAt = aContext.mNow + kHeartbeatInterval;
   ++state.mHeartbeatNumber;
   for (const std::string& host : Audience(state)) {
-    wire::PeerMessage message;
-    wire::Heartbeat& heartbeat = *message.mutable_heartbeat();
-    heartbeat.set_version(state.mVersion.version());
-    heartbeat.set_number(state.mHeartbeatNumber);
-    heartbeat.set_echo(state.mPeers[host].mNumberSeen);
-    SendTo(aContext, host, std::move(message));
+    SendHeartbeat(aContext, host);
   }
   CheckHosts(aContext);
 }
@@ -150,10 +156,6 @@
   peer.mHeardAt = aContext.mNow;
   peer.mVersion = std::max(peer.mVersion, aMessage.version());
   peer.mNumberSeen = std::max(peer.mNumberSeen, aMessage.number());
-  if (aMessage.echo() > peer.mEchoSeen) {
-    peer.mEchoSeen = aMessage.echo();
-    peer.mEchoAt = aContext.mNow;
-  }
   if (aMessage.version() < state.mVersion.version()) {
     aContext.Count("deployments_repaired");
     SendDeployment(aContext, aFrom, false);
