--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
   libxxhash-dev zlib1g-dev libcppunit-dev libbenchmark-dev
 SOURCES = $(shell git ls-files --cached --others --exclude-standard \
   'src/*.cpp' 'src/*.h' 'include/*.h' \
-  'tests/*.cpp' 'tests/*.h' 'bench/*.cpp' 'bench/*.h' 'examples/*.cpp' \
+  'tests/*.cpp' 'tests/*.h' 'bench/*.cpp' 'bench/*.h' 'examples/*.cpp' 'platform/*.cpp' 'platform/*.h' \
   | grep -v '\.pb\.')
 
 .PHONY: all packages build test demo bench search format lint check-format clean
--- /dev/null
+++ b/include/geraniumpond/catalog.h
@@ -0,0 +1,55 @@
+#pragma once
+
+#include <geraniumpond/result.h>
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+
+#include "impl/wire.h"
+
+/// \brief What the control group replicates for a gateway fleet: the traffic
+/// policy and the targets that announced themselves.
+namespace geraniumpond::catalog {
+
+/// \brief Accepted changes whose resends are still acknowledged.
+constexpr std::size_t kAcceptedChanges = 2000;
+/// \brief Removed incarnations that a late announcement must not bring back.
+constexpr std::size_t kRemovedTargets = 20000;
+
+/// \brief The replicated state machine; equal on every replica.
+struct State
+{
+  std::uint64_t mVersion = 0;
+  /// The policy in force, as the operator wrote it.
+  std::string mDocument;
+  std::deque<wire::AcceptedChange> mAccepted;
+  std::map<std::string, wire::TargetRecord> mTargets;
+  std::set<std::string> mRemoved;
+  std::deque<std::string> mRemovedOrder;
+};
+
+/// \brief Applies one committed command.
+[[nodiscard]] wire::CatalogOutcome Apply(State& aState,
+                                         const wire::CatalogCommand& aCommand);
+
+/// \brief What a change would come to now, without applying it; nothing while
+/// that depends on the base, which only a committed state can tell.
+[[nodiscard]] std::optional<wire::CatalogOutcome> KnownOutcome(
+  const State& aState,
+  const wire::PutPolicy& aChange);
+
+/// \brief True when a target's announcement would change the state.
+[[nodiscard]] bool IsNews(const State& aState,
+                          const wire::TargetRecord& aRecord);
+
+/// \brief The state as snapshot bytes; equal states give equal bytes.
+[[nodiscard]] std::string Save(const State& aState);
+
+/// \brief Reads snapshot bytes back.
+[[nodiscard]] Result<State> Load(const std::string& aBytes);
+
+} // namespace geraniumpond::catalog
--- /dev/null
+++ b/include/geraniumpond/fleet.h
@@ -0,0 +1,206 @@
+#pragma once
+
+#include <geraniumpond/catalog.h>
+#include <geraniumpond/consensus.h>
+#include <geraniumpond/time.h>
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+/// \brief How the hosts of a fleet agree: a control group of the hosts with a
+/// disk, which founds itself and replaces its members, and followers that hold
+/// the catalog in memory.
+///
+/// A plain struct and free functions: no clock, thread, socket or file.
+namespace geraniumpond::fleet {
+
+/// \brief What a host is told at its start.
+struct Settings
+{
+  std::string mPeerAddress;
+  std::string mCallerAddress;
+  std::string mDataCentre;
+  std::uint64_t mIncarnation = 0;
+  /// True for hosts with a disk, which vote.
+  bool mControl = false;
+  /// Peer addresses of a few control hosts; all that is known of the others.
+  std::vector<std::string> mSeeds;
+  /// Disks that may be lost at once without losing what was acknowledged.
+  int mToleratedLosses = 0;
+};
+
+/// \brief A host as the fleet knows it.
+struct Host
+{
+  std::string mPeerAddress;
+  std::string mCallerAddress;
+  std::string mDataCentre;
+  std::uint64_t mIncarnation = 0;
+  bool mReady = false;
+  bool mStopping = false;
+  Micros mHeardAt = 0;
+};
+
+/// \brief A host that takes its catalog from this one.
+struct Follower
+{
+  Host mHost;
+  /// Last index sent to it.
+  std::uint64_t mSent = 0;
+  std::uint64_t mHostsDigest = 0;
+};
+
+/// \brief How a submitted command ended.
+enum class SubmitEnd
+{
+  Committed,
+  /// Not known to have been committed in time; it may be later.
+  Unclear
+};
+
+/// \brief A submitted command's end, for whoever submitted it.
+struct Done
+{
+  std::uint64_t mId = 0;
+  SubmitEnd mEnd = SubmitEnd::Unclear;
+  wire::CatalogOutcome mOutcome;
+  std::string mReason;
+};
+
+/// \brief A line for the log, in key=value form.
+struct Note
+{
+  int mLevel = 1;
+  std::string mText;
+};
+
+/// \brief What a call asks its embedder to do.
+struct Output
+{
+  std::vector<std::pair<std::string, wire::FleetMessage>> mMessages;
+  std::vector<consensus::Write> mWrites;
+  std::vector<Done> mDone;
+  std::vector<Note> mNotes;
+  bool mPolicyChanged = false;
+  bool mTargetsChanged = false;
+  bool mHostsChanged = false;
+};
+
+/// \brief A command of this host on its way to the leader.
+struct Pending
+{
+  std::string mCommand;
+  Micros mSendAt = 0;
+  Micros mGiveUpAt = 0;
+  std::string mLastTo;
+};
+
+/// \brief A command whose commit someone waits for at this leader.
+struct Waiter
+{
+  std::uint64_t mTerm = 0;
+  std::string mFrom;
+  std::uint64_t mId = 0;
+};
+
+/// \brief Everything that one host knows of its fleet.
+struct State
+{
+  Settings mSettings;
+  consensus::State mGroup;
+  catalog::State mCatalog;
+  /// Index of the last command applied to the catalog.
+  std::uint64_t mApplied = 0;
+
+  /// Committed commands that followers may lack, oldest first.
+  std::deque<wire::CommittedCommand> mRecent;
+  std::uint64_t mRecentBytes = 0;
+  /// Commands up to this index are no longer in mRecent.
+  std::uint64_t mRecentBase = 0;
+  std::uint64_t mLogBytes = 0;
+
+  std::map<std::string, Follower> mFollowers;
+  /// All hosts by peer address, this one included.
+  std::map<std::string, Host> mHosts;
+  std::uint64_t mHostsDigest = 0;
+
+  std::vector<std::string> mControlAddresses;
+  std::string mUpstream;
+  Micros mUpstreamSince = 0;
+  Micros mUpstreamHeardAt = 0;
+  /// When the upstream last said that it hears the leader.
+  Micros mUpstreamGoodAt = 0;
+  std::size_t mUpstreamTurn = 0;
+  std::string mLeaderAddress;
+  bool mInTouch = false;
+
+  std::uint64_t mLastSubmit = 0;
+  std::map<std::uint64_t, Pending> mPending;
+  std::map<std::uint64_t, Waiter> mWaiters;
+
+  Micros mFollowAt = 0;
+  Micros mJoinAt = 0;
+  bool mReady = false;
+  bool mStopping = false;
+};
+
+/// \brief Members of the group that seeds found; ids are equal on all of them.
+[[nodiscard]] wire::Membership FoundingMembers(
+  const std::vector<std::string>& aSeeds);
+
+/// \brief Id of a member: a host whose disk was replaced is a new member.
+[[nodiscard]] std::string MemberId(const std::string& aPeerAddress,
+                                   const std::string& aStorage);
+
+/// \brief Starts a host from what its disk holds (nothing without a disk).
+[[nodiscard]] State Open(const Settings& aSettings,
+                         const consensus::Recovered& aRecovered,
+                         Micros aNow,
+                         std::uint64_t aRandom,
+                         Output& aOut);
+
+/// \brief Lets time pass.
+void Tick(State& aState, Micros aNow, std::uint64_t aRandom, Output& aOut);
+
+/// \brief Takes a message from another host.
+void Receive(State& aState,
+             Micros aNow,
+             std::uint64_t aRandom,
+             const wire::FleetMessage& aMessage,
+             Output& aOut);
+
+/// \brief Sends a command to the leader; its end comes in Output::mDone.
+[[nodiscard]] std::uint64_t Submit(State& aState,
+                                   Micros aNow,
+                                   const wire::CatalogCommand& aCommand,
+                                   Micros aPatience,
+                                   Output& aOut);
+
+/// \brief Notes that all writes up to a sequence are on disk.
+void Synced(State& aState, Micros aNow, std::uint64_t aSequence, Output& aOut);
+
+/// \brief Tells the fleet whether this host takes clients.
+void SetReady(State& aState, Micros aNow, bool aReady, Output& aOut);
+
+/// \brief Announces that this host leaves, and hands leadership over.
+void BeginStop(State& aState, Micros aNow, Output& aOut);
+
+/// \brief Hosts that clients may be sent to, by caller address.
+[[nodiscard]] std::vector<const Host*> ReadyHosts(const State& aState,
+                                                  Micros aNow);
+
+/// \brief Hosts known to be alive, this one included; at least 1.
+[[nodiscard]] int LiveHosts(const State& aState, Micros aNow);
+
+/// \brief True while the control group's leader is heard, directly or not.
+[[nodiscard]] bool IsInTouch(const State& aState, Micros aNow);
+
+/// \brief Earliest time at which Tick() has something to do.
+[[nodiscard]] Micros NextTick(const State& aState) noexcept;
+
+} // namespace geraniumpond::fleet
--- /dev/null
+++ b/include/geraniumpond/gateway.h
@@ -0,0 +1,221 @@
+#pragma once
+
+#include <geraniumpond/dispatch.h>
+#include <geraniumpond/fleet.h>
+#include <geraniumpond/policy.h>
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+/// \brief One gateway host's reducer: requests of clients, announcements of
+/// targets, the operator's policy and the fleet, over one stream of events.
+///
+/// Step() reads no clock and no random source; the same events give the same
+/// effects.
+namespace geraniumpond::gateway {
+
+/// \brief Reads a policy document; its text is whatever an operator's
+/// interface takes.
+using PolicyDecoder = Result<policy::TrafficPolicy> (*)(std::string_view);
+
+/// \brief What a gateway host is told at its start.
+struct Settings
+{
+  fleet::Settings mFleet;
+  dispatch::Bounds mBounds;
+  PolicyDecoder mDecodePolicy = nullptr;
+  /// How long clients keep an answer of the directory.
+  Micros mAnswerKeep = 1200 * kMillisecond;
+  /// Some clients keep it this many times as long.
+  int mAnswerKeepTimes = 3;
+  /// Time from the request to stop until the process must have ended.
+  Micros mStopGrace = 6 * kSecond;
+};
+
+// -------------------------------------------------------------------- events
+
+struct TimePassed
+{};
+
+struct PeerMessage
+{
+  wire::FleetMessage mMessage;
+};
+
+struct DiskSynced
+{
+  std::uint64_t mSequence = 0;
+};
+
+struct ClientGone
+{
+  std::uint64_t mRequest = 0;
+};
+
+/// \brief A target says that it is there, or that it is about to leave.
+struct Announce
+{
+  std::uint64_t mOperation = 0;
+  wire::TargetRecord mRecord;
+};
+
+/// \brief A target says that it takes no more work.
+struct Withdraw
+{
+  std::uint64_t mOperation = 0;
+  std::string mTarget;
+};
+
+struct PutPolicy
+{
+  std::uint64_t mOperation = 0;
+  std::string mDocument;
+};
+
+struct ReadPolicy
+{
+  std::uint64_t mOperation = 0;
+};
+
+struct StopRequested
+{};
+
+/// \brief Something that happened, when, and a random word.
+struct Event
+{
+  Micros mNow = 0;
+  std::uint64_t mRandom = 0;
+  std::variant<TimePassed,
+               PeerMessage,
+               DiskSynced,
+               dispatch::Arrival,
+               dispatch::ProbeEnd,
+               dispatch::AttemptEnd,
+               ClientGone,
+               Announce,
+               Withdraw,
+               PutPolicy,
+               ReadPolicy,
+               StopRequested>
+    mBody;
+};
+
+// ------------------------------------------------------------------- effects
+
+/// \brief How an operation ended, for whoever called it.
+enum class OperationEnd
+{
+  Done,
+  /// The call itself is at fault.
+  Invalid,
+  /// Another change came first.
+  Conflict,
+  /// Not known to have been done; it may be asked again, of any host.
+  Unavailable
+};
+
+/// \brief Lower-case name of an end, as logs and answers have it.
+[[nodiscard]] const char* ToString(OperationEnd aEnd) noexcept;
+
+struct AnswerOperation
+{
+  std::uint64_t mOperation = 0;
+  OperationEnd mEnd = OperationEnd::Unavailable;
+  std::string mReason;
+  /// With a read: the policy as its operator wrote it.
+  std::string mDocument;
+};
+
+struct SendPeer
+{
+  std::string mAddress;
+  wire::FleetMessage mMessage;
+};
+
+struct Persist
+{
+  consensus::Write mWrite;
+};
+
+struct ExitProcess
+{};
+
+using Effect = std::variant<dispatch::ProbeTarget,
+                            dispatch::SendRequest,
+                            dispatch::CancelAttempt,
+                            dispatch::DeliverAnswer,
+                            dispatch::ReplyToClient,
+                            dispatch::LogLine,
+                            AnswerOperation,
+                            SendPeer,
+                            Persist,
+                            ExitProcess>;
+using Effects = std::vector<Effect>;
+
+// --------------------------------------------------------------------- state
+
+/// \brief What a submitted command was for.
+enum class OperationKind
+{
+  Announce,
+  Withdraw,
+  PutPolicy,
+  ReadPolicy
+};
+
+/// \brief An operation that waits for its command to commit.
+struct Operation
+{
+  std::uint64_t mId = 0;
+  OperationKind mKind = OperationKind::Announce;
+  std::string mSubject;
+};
+
+/// \brief A read that waits until this host holds the version it must show.
+struct WaitingRead
+{
+  std::uint64_t mOperation = 0;
+  std::uint64_t mVersion = 0;
+  Micros mGiveUpAt = 0;
+};
+
+/// \brief Everything that one gateway host knows.
+struct State
+{
+  Settings mSettings;
+  fleet::State mFleet;
+  dispatch::State mDispatch;
+  std::map<std::uint64_t, Operation> mOperations;
+  std::vector<WaitingRead> mReads;
+  Micros mHostsCountedAt = 0;
+  bool mStopping = false;
+  Micros mStopAt = 0;
+  bool mExited = false;
+};
+
+/// \brief Starts a host from what its disk holds.
+[[nodiscard]] State Open(const Settings& aSettings,
+                         const consensus::Recovered& aRecovered,
+                         Micros aNow,
+                         std::uint64_t aRandom,
+                         Effects& aOut);
+
+/// \brief Takes one event; the only function that changes a State.
+[[nodiscard]] Effects Step(State& aState, const Event& aEvent);
+
+/// \brief Earliest time at which TimePassed has something to do.
+[[nodiscard]] Micros NextTick(const State& aState) noexcept;
+
+/// \brief True while clients may be sent here.
+[[nodiscard]] bool IsReady(const State& aState) noexcept;
+
+/// \brief Addresses that a client of this data centre is given.
+[[nodiscard]] std::vector<std::string>
+AddressesFor(const State& aState, const std::string& aDataCentre, Micros aNow);
+
+} // namespace geraniumpond::gateway
--- /dev/null
+++ b/include/geraniumpond/gateway_settings.h
@@ -0,0 +1,52 @@
+#pragma once
+
+#include <geraniumpond/settings.h>
+
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace geraniumpond {
+
+/// \brief What one gateway process reads at its start; see docs/OPERATIONS.md.
+struct GatewaySettings
+{
+  std::string mId;
+  std::string mDataCentre;
+  /// Empty on a host without a disk; a host with one votes.
+  std::string mDataFolder;
+
+  std::string mCallerAddress;
+  /// Where targets, operators and directory clients call; may repeat.
+  std::vector<std::string> mCallAddresses;
+  std::string mPeerAddress;
+  std::string mMetricsAddress;
+
+  /// Addresses of a few hosts that vote. Hosts listen for each other at one
+  /// port, so that only the IP counts.
+  std::vector<std::string> mSeeds;
+  /// True when the whole fleet starts for the first time, with empty disks.
+  bool mFounding = false;
+  int mToleratedLosses = 0;
+
+  Micros mAnswerKeep = 0;
+  Micros mStopGrace = 0;
+  double mExtraRatio = 0;
+  double mExtraFloor = 0;
+  Micros mExtraWindow = 0;
+  double mProbesPerTarget = 0;
+
+  std::string mLogFormat;
+  std::string mLogLevel;
+};
+
+/// \brief Checks the text of a gateway's settings file.
+[[nodiscard]] Checked<GatewaySettings> ParseGatewaySettings(
+  std::string_view aText,
+  const std::string& aFile);
+
+/// \brief Peer addresses of the seeds: their IPs at the own peer port.
+[[nodiscard]] std::vector<std::string> SeedPeers(
+  const GatewaySettings& aSettings);
+
+} // namespace geraniumpond
--- a/include/geraniumpond/impl/wire.h
+++ b/include/geraniumpond/impl/wire.h
@@ -5,5 +5,6 @@
 #pragma GCC diagnostic push
 #pragma GCC diagnostic ignored "-Wall"
 #pragma GCC diagnostic ignored "-Wextra"
+#include <geraniumpond/impl/fleet.pb.h>
 #include <geraniumpond/impl/geraniumpond.pb.h>
 #pragma GCC diagnostic pop
--- /dev/null
+++ b/src/catalog/catalog.cpp
@@ -0,0 +1,180 @@
+#include <geraniumpond/catalog.h>
+
+#include <geraniumpond/hash.h>
+
+#include <algorithm>
+
+namespace geraniumpond::catalog {
+
+namespace {
+
+// Two operators may give one version number to different contents, so that a
+// change is known by its number and its whole text.
+wire::AcceptedChange IdentityOf(const wire::PutPolicy& aChange)
+{
+  wire::AcceptedChange identity;
+  identity.set_version(aChange.version());
+  identity.set_digest(Hash64(aChange.document()));
+  return identity;
+}
+
+bool WasAccepted(const State& aState, const wire::AcceptedChange& aIdentity)
+{
+  return std::any_of(aState.mAccepted.begin(),
+                     aState.mAccepted.end(),
+                     [&](const wire::AcceptedChange& aKnown) {
+                       return aKnown.version() == aIdentity.version() &&
+                              aKnown.digest() == aIdentity.digest();
+                     });
+}
+
+wire::CatalogOutcome OutcomeOf(const State& aState,
+                               bool aAccepted,
+                               const std::string& aReason)
+{
+  wire::CatalogOutcome outcome;
+  outcome.set_accepted(aAccepted);
+  outcome.set_reason(aReason);
+  outcome.set_version(aState.mVersion);
+  return outcome;
+}
+
+wire::CatalogOutcome ApplyPolicy(State& aState, const wire::PutPolicy& aChange)
+{
+  const wire::AcceptedChange identity = IdentityOf(aChange);
+  if (WasAccepted(aState, identity)) {
+    return OutcomeOf(aState, true, "accepted before");
+  }
+  if (aChange.base_version() != aState.mVersion) {
+    return OutcomeOf(aState,
+                     false,
+                     "it builds on version " +
+                       std::to_string(aChange.base_version()) + ", version " +
+                       std::to_string(aState.mVersion) + " is in force");
+  }
+  if (aChange.version() <= aState.mVersion) {
+    return OutcomeOf(aState, false, "its version is not above the current one");
+  }
+  aState.mVersion = aChange.version();
+  aState.mDocument = aChange.document();
+  aState.mAccepted.push_back(identity);
+  if (aState.mAccepted.size() > kAcceptedChanges) {
+    aState.mAccepted.pop_front();
+  }
+  return OutcomeOf(aState, true, "accepted");
+}
+
+wire::CatalogOutcome ApplyTarget(State& aState,
+                                 const wire::TargetRecord& aRecord)
+{
+  if (!IsNews(aState, aRecord)) {
+    return OutcomeOf(aState, true, "known");
+  }
+  wire::TargetRecord& known = aState.mTargets[aRecord.id()];
+  // An incarnation that has begun to leave never comes back.
+  const bool draining = known.draining() || aRecord.draining();
+  known = aRecord;
+  known.set_draining(draining);
+  return OutcomeOf(aState, true, "noted");
+}
+
+wire::CatalogOutcome ApplyRemoval(State& aState, const std::string& aId)
+{
+  aState.mTargets.erase(aId);
+  if (aState.mRemoved.insert(aId).second) {
+    aState.mRemovedOrder.push_back(aId);
+  }
+  if (aState.mRemovedOrder.size() > kRemovedTargets) {
+    aState.mRemoved.erase(aState.mRemovedOrder.front());
+    aState.mRemovedOrder.pop_front();
+  }
+  return OutcomeOf(aState, true, "removed");
+}
+
+} // namespace
+
+bool IsNews(const State& aState, const wire::TargetRecord& aRecord)
+{
+  if (aState.mRemoved.count(aRecord.id()) != 0) {
+    return false;
+  }
+  const auto found = aState.mTargets.find(aRecord.id());
+  if (found == aState.mTargets.end()) {
+    return true;
+  }
+  const wire::TargetRecord& known = found->second;
+  if (aRecord.sequence() <= known.sequence()) {
+    return false;
+  }
+  return (aRecord.draining() && !known.draining()) ||
+         aRecord.address() != known.address() ||
+         aRecord.service() != known.service() ||
+         aRecord.slots() != known.slots() ||
+         aRecord.data_centre() != known.data_centre();
+}
+
+std::optional<wire::CatalogOutcome> KnownOutcome(const State& aState,
+                                                 const wire::PutPolicy& aChange)
+{
+  if (WasAccepted(aState, IdentityOf(aChange))) {
+    return OutcomeOf(aState, true, "accepted before");
+  }
+  return std::nullopt;
+}
+
+wire::CatalogOutcome Apply(State& aState, const wire::CatalogCommand& aCommand)
+{
+  switch (aCommand.body_case()) {
+    case wire::CatalogCommand::kPutPolicy:
+      return ApplyPolicy(aState, aCommand.put_policy());
+    case wire::CatalogCommand::kPutTarget:
+      return ApplyTarget(aState, aCommand.put_target());
+    case wire::CatalogCommand::kRemoveTarget:
+      return ApplyRemoval(aState, aCommand.remove_target().id());
+    case wire::CatalogCommand::kReadBarrier:
+      return OutcomeOf(aState, true, "read");
+    case wire::CatalogCommand::BODY_NOT_SET:
+      break;
+  }
+  return OutcomeOf(aState, false, "an unknown command");
+}
+
+std::string Save(const State& aState)
+{
+  wire::CatalogSnapshot snapshot;
+  snapshot.set_version(aState.mVersion);
+  snapshot.set_document(aState.mDocument);
+  for (const wire::AcceptedChange& change : aState.mAccepted) {
+    *snapshot.add_accepted() = change;
+  }
+  for (const auto& [id, record] : aState.mTargets) {
+    *snapshot.add_targets() = record;
+  }
+  for (const std::string& id : aState.mRemovedOrder) {
+    snapshot.add_removed_targets(id);
+  }
+  return snapshot.SerializeAsString();
+}
+
+Result<State> Load(const std::string& aBytes)
+{
+  wire::CatalogSnapshot snapshot;
+  if (!snapshot.ParseFromString(aBytes)) {
+    return Fail(ErrorCode::Corrupt, "catalog snapshot does not parse");
+  }
+  State state;
+  state.mVersion = snapshot.version();
+  state.mDocument = snapshot.document();
+  state.mAccepted.assign(snapshot.accepted().begin(),
+                         snapshot.accepted().end());
+  for (const wire::TargetRecord& record : snapshot.targets()) {
+    state.mTargets[record.id()] = record;
+  }
+  for (const std::string& id : snapshot.removed_targets()) {
+    state.mRemoved.insert(id);
+    state.mRemovedOrder.push_back(id);
+  }
+  return state;
+}
+
+} // namespace geraniumpond::catalog
--- a/src/cli/commands.h
+++ b/src/cli/commands.h
@@ -50,6 +50,8 @@
 [[nodiscard]] const std::vector<Command>& Commands();
 
 ExitCode RunServe(const Arguments& aArguments);
+ExitCode RunGatewayHost(const Arguments& aArguments);
+ExitCode RunPlatformHost(const Arguments& aArguments);
 ExitCode RunInit(const Arguments& aArguments);
 ExitCode RunCheck(const Arguments& aArguments);
 ExitCode RunApply(const Arguments& aArguments);
--- /dev/null
+++ b/src/config/gateway_settings.cpp
@@ -0,0 +1,134 @@
+#include <geraniumpond/gateway_settings.h>
+
+#include "ini.h"
+
+#include <algorithm>
+#include <set>
+
+namespace geraniumpond {
+
+namespace {
+
+using ini::KeyRule;
+using ini::Section;
+using ini::ValueType;
+
+const std::vector<KeyRule>& Rules()
+{
+  static const std::vector<KeyRule> rules = {
+    { "host", "id", ValueType::Text, nullptr },
+    { "host", "data_centre", ValueType::Text, nullptr },
+    { "host", "data_folder", ValueType::OptionalText, "" },
+    { "listen", "callers", ValueType::Address, nullptr },
+    { "listen", "calls", ValueType::AddressList, nullptr },
+    { "listen", "hosts", ValueType::Address, nullptr },
+    { "listen", "metrics", ValueType::Address, nullptr },
+    { "fleet", "seeds", ValueType::AddressList, nullptr },
+    { "fleet", "founding", ValueType::Boolean, "no" },
+    { "fleet", "tolerated_losses", ValueType::Integer, "0", 0, 100 },
+    { "bounds", "answer_keep", ValueType::Duration, "1200ms" },
+    { "bounds", "stop_grace", ValueType::Duration, "6s" },
+    { "bounds", "extra_ratio", ValueType::Decimal, "0.1", 0, 10 },
+    { "bounds", "extra_floor", ValueType::Decimal, "20", 0, 1e6 },
+    { "bounds", "extra_window", ValueType::Duration, "10s" },
+    { "bounds", "probes_per_target", ValueType::Decimal, "10", 0, 1e6 },
+    { "log", "format", ValueType::Choice, "text", 0, 0, "text json" },
+    { "log",
+      "level",
+      ValueType::Choice,
+      "info",
+      0,
+      0,
+      "debug info warning error" },
+  };
+  return rules;
+}
+
+void ReadHost(const Section& aSection, GatewaySettings& aOut)
+{
+  aOut.mId = aSection.Text("id");
+  aOut.mDataCentre = aSection.Text("data_centre");
+  aOut.mDataFolder = aSection.Text("data_folder");
+}
+
+void ReadListen(const Section& aSection, GatewaySettings& aOut)
+{
+  aOut.mCallerAddress = aSection.Text("callers");
+  aOut.mPeerAddress = aSection.Text("hosts");
+  aOut.mMetricsAddress = aSection.Text("metrics");
+  const std::vector<std::string> calls = aSection.List("calls");
+  const std::set<std::string> unique(calls.begin(), calls.end());
+  aOut.mCallAddresses.assign(unique.begin(), unique.end());
+}
+
+void ReadFleet(const Section& aSection, GatewaySettings& aOut)
+{
+  aOut.mSeeds = aSection.List("seeds");
+  aOut.mFounding = aSection.Boolean("founding");
+  aOut.mToleratedLosses =
+    static_cast<int>(aSection.Integer("tolerated_losses"));
+}
+
+void ReadBounds(const Section& aSection, GatewaySettings& aOut)
+{
+  aOut.mAnswerKeep = aSection.Duration("answer_keep");
+  aOut.mStopGrace = aSection.Duration("stop_grace");
+  aOut.mExtraRatio = aSection.Decimal("extra_ratio");
+  aOut.mExtraFloor = aSection.Decimal("extra_floor");
+  aOut.mExtraWindow = aSection.Duration("extra_window");
+  aOut.mProbesPerTarget = aSection.Decimal("probes_per_target");
+}
+
+void ReadLog(const Section& aSection, GatewaySettings& aOut)
+{
+  aOut.mLogFormat = aSection.Text("format");
+  aOut.mLogLevel = aSection.Text("level");
+}
+
+} // namespace
+
+Checked<GatewaySettings> ParseGatewaySettings(std::string_view aText,
+                                              const std::string& aFile)
+{
+  Checked<GatewaySettings> result;
+  // Sections that are left out have their defaults, and miss required keys.
+  std::string text(aText);
+  for (const char* name : { "host", "listen", "fleet", "bounds", "log" }) {
+    const std::string title = std::string("[") + name + "]";
+    if (text.find(title) == std::string::npos) {
+      text += "\n" + title + "\n";
+    }
+  }
+  auto file = ini::Read(text, aFile, Rules());
+  result.mFaults = std::move(file.mFaults);
+  for (const Section& section : file.mValue) {
+    if (!section.mSound) {
+      continue;
+    }
+    if (section.mType == "host") {
+      ReadHost(section, result.mValue);
+    } else if (section.mType == "listen") {
+      ReadListen(section, result.mValue);
+    } else if (section.mType == "fleet") {
+      ReadFleet(section, result.mValue);
+    } else if (section.mType == "bounds") {
+      ReadBounds(section, result.mValue);
+    } else {
+      ReadLog(section, result.mValue);
+    }
+  }
+  return result;
+}
+
+std::vector<std::string> SeedPeers(const GatewaySettings& aSettings)
+{
+  const std::string& own = aSettings.mPeerAddress;
+  const std::string port = own.substr(own.rfind(':'));
+  std::set<std::string> peers;
+  for (const std::string& seed : aSettings.mSeeds) {
+    peers.insert(seed.substr(0, seed.rfind(':')) + port);
+  }
+  return { peers.begin(), peers.end() };
+}
+
+} // namespace geraniumpond
--- a/src/config/ini.cpp
+++ b/src/config/ini.cpp
@@ -224,6 +224,11 @@
   return std::strtod(Text(aKey).c_str(), nullptr);
 }
 
+Micros Section::Duration(const std::string& aKey) const
+{
+  return ParseDuration(Text(aKey)).value_or(0);
+}
+
 bool Section::Boolean(const std::string& aKey) const
 {
   return Text(aKey) == "yes";
--- a/src/config/ini.h
+++ b/src/config/ini.h
@@ -3,6 +3,7 @@
 #include <geraniumpond/settings.h>
 
 #include <map>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -23,6 +24,11 @@
   Address,
   PeerList,
   NameList,
+  /// May be empty.
+  OptionalText,
+  /// A number and its unit: 250ms, 2.5s.
+  Duration,
+  AddressList,
 };
 
 /// \brief One key that a section may have; optional keys have a default.
@@ -53,11 +59,15 @@
   [[nodiscard]] const std::string& Text(const std::string& aKey) const;
   [[nodiscard]] long long Integer(const std::string& aKey) const;
   [[nodiscard]] double Decimal(const std::string& aKey) const;
+  [[nodiscard]] Micros Duration(const std::string& aKey) const;
   [[nodiscard]] bool Boolean(const std::string& aKey) const;
   [[nodiscard]] std::vector<std::string> List(const std::string& aKey) const;
   [[nodiscard]] int Line(const std::string& aKey) const;
 };
 
+/// \brief Reads a number with its unit, ms or s; nothing when it is not sound.
+[[nodiscard]] std::optional<Micros> ParseDuration(const std::string& aText);
+
 /// \brief Reads a file; sections with faults are marked as not sound.
 [[nodiscard]] Checked<std::vector<Section>> Read(
   std::string_view aText,
--- a/src/config/ini_values.cpp
+++ b/src/config/ini_values.cpp
@@ -98,6 +98,21 @@
   return parts;
 }
 
+std::optional<Micros> ParseDuration(const std::string& aText)
+{
+  char* end = nullptr;
+  const double number = std::strtod(aText.c_str(), &end);
+  const std::string unit = end;
+  const bool sound = end != aText.c_str() && std::isfinite(number) &&
+                     number >= 0 && number < 1e9 &&
+                     (unit == "ms" || unit == "s");
+  if (!sound) {
+    return std::nullopt;
+  }
+  const auto scale = static_cast<double>(unit == "s" ? kSecond : kMillisecond);
+  return static_cast<Micros>(std::llround(number * scale));
+}
+
 bool Matches(const KeyRule& aRule, const std::string& aValue)
 {
   switch (aRule.mType) {
@@ -120,6 +135,12 @@
       return AllOf(aValue, IsPeer);
     case ValueType::NameList:
       return AllOf(aValue, IsName);
+    case ValueType::OptionalText:
+      return true;
+    case ValueType::Duration:
+      return ParseDuration(aValue).has_value();
+    case ValueType::AddressList:
+      return AllOf(aValue, IsAddress);
   }
   return false;
 }
@@ -149,6 +170,12 @@
       return "a list of id@ip:port";
     case ValueType::NameList:
       return "a list of names";
+    case ValueType::OptionalText:
+      return "any text";
+    case ValueType::Duration:
+      return "a number from 0 with its unit: 250ms, 2.5s";
+    case ValueType::AddressList:
+      return "a list of ip:port";
   }
   return "";
 }
--- /dev/null
+++ b/src/dispatch/asking.cpp
@@ -0,0 +1,147 @@
+#include "internal.h"
+
+#include <algorithm>
+
+namespace geraniumpond::dispatch {
+
+namespace {
+
+/// Pause before a target that could not be reached is probed again; doubles
+/// with each failure in a row.
+constexpr Micros kProbeAgainMin = 200 * kMillisecond;
+constexpr Micros kProbeAgainMax = 1600 * kMillisecond;
+
+std::vector<Target*> Usable(State& aState,
+                            const Request& aRequest,
+                            bool aSuspects)
+{
+  std::vector<Target*> usable;
+  for (const std::string& id : aState.mServices[aRequest.mService].mTargets) {
+    Target& target = aState.mTargets[id];
+    if (target.mSuspect == aSuspects && aRequest.mTried.count(id) == 0 &&
+        aRequest.mAsked.count(id) == 0) {
+      usable.push_back(&target);
+    }
+  }
+  return usable;
+}
+
+void Shuffle(State& aState, std::vector<Target*>& aTargets)
+{
+  for (std::size_t i = aTargets.size(); i > 1; --i) {
+    std::swap(aTargets[i - 1], aTargets[NextRandom(aState) % i]);
+  }
+}
+
+// Targets of the own data centre first, in random order. Where there are many
+// of them some places go to others all the same, so that load spreads.
+std::vector<Target*> Candidates(State& aState,
+                                const Request& aRequest,
+                                std::size_t aCount)
+{
+  std::vector<Target*> all = Usable(aState, aRequest, false);
+  if (all.empty() && aRequest.mAskRound == 0) {
+    all = Usable(aState, aRequest, true);
+  }
+  Shuffle(aState, all);
+  std::stable_partition(all.begin(), all.end(), [&](const Target* aTarget) {
+    return aTarget->mDataCentre == aState.mDataCentre;
+  });
+  if (all.size() > aCount) {
+    all.resize(aCount);
+  }
+  return all;
+}
+
+// Fewer are asked as the probe budget runs low; what is known counts then.
+std::size_t AskCount(State& aState, Micros aNow)
+{
+  const budget::TokenBucket& bucket = aState.mProbeBudget;
+  const double gained =
+    static_cast<double>(aNow - bucket.mUpdatedAt) * bucket.mPerSecond / kSecond;
+  const double level =
+    std::min(bucket.mBurst, bucket.mLevel + gained) / bucket.mBurst;
+  if (level > 0.3) {
+    return kAsk;
+  }
+  return level > 0.1 ? 3 : 2;
+}
+
+} // namespace
+
+std::uint64_t NextRandom(State& aState) noexcept
+{
+  aState.mRandom =
+    aState.mRandom * 6364136223846793005ULL + 1442695040888963407ULL;
+  std::uint64_t word = aState.mRandom;
+  word = (word ^ (word >> 32)) * 0xd6e8feb86659fd93ULL;
+  return word ^ (word >> 32);
+}
+
+double NextPoint(State& aState) noexcept
+{
+  return static_cast<double>(NextRandom(aState) >> 11) / 9007199254740992.0;
+}
+
+void Probe(State& aState, Micros aNow, Target& aTarget, Effects& aOut)
+{
+  aTarget.mProbing = true;
+  aTarget.mProbeSentAt = aNow;
+  aTarget.mSentSince = 0;
+  ++aState.mCounters["probes"];
+  aOut.emplace_back(
+    ProbeTarget{ aTarget.mId,
+                 aTarget.mAddress,
+                 aState.mServices[aTarget.mService].mHealthPath });
+}
+
+void Suspect(State& aState,
+             Micros aNow,
+             Target& aTarget,
+             const char* aWhy,
+             Effects& aOut)
+{
+  if (!aTarget.mSuspect) {
+    Log(aOut,
+        2,
+        "event=target_suspect target=" + aTarget.mId + " service=" +
+          aTarget.mService + " address=" + aTarget.mAddress + " why=" + aWhy);
+  }
+  ++aTarget.mUnreached;
+  aTarget.mSuspect = true;
+  const int doublings = std::min(aTarget.mUnreached - 1, 3);
+  const Micros pause =
+    std::min(kProbeAgainMax, kProbeAgainMin << std::max(0, doublings));
+  aTarget.mProbeAgainAt = aNow + pause;
+  aState.mProbeTimers.emplace(aTarget.mProbeAgainAt, aTarget.mId);
+}
+
+bool Ask(State& aState, Micros aNow, Request& aRequest, Effects& aOut)
+{
+  Service& service = aState.mServices[aRequest.mService];
+  if (!service.mTellsLoad) {
+    return false;
+  }
+  Micros patience = 0;
+  for (Target* target : Candidates(aState, aRequest, AskCount(aState, aNow))) {
+    aRequest.mAsked.insert(target->mId);
+    if (IsFresh(*target, aNow)) {
+      continue;
+    }
+    if (!target->mProbing) {
+      if (!budget::Take(aState.mProbeBudget, aNow, 1)) {
+        ++aState.mCounters["probes_over_budget"];
+        continue;
+      }
+      Probe(aState, aNow, *target, aOut);
+    }
+    patience = std::max(
+      patience,
+      std::clamp(2 * target->mProbeTime, kAskPatienceMin, kAskPatienceMax));
+  }
+  ++aRequest.mAskRound;
+  aRequest.mAskedUntil = aNow + patience;
+  return patience > 0;
+}
+
+} // namespace geraniumpond::dispatch
--- /dev/null
+++ b/src/dispatch/choosing.cpp
@@ -0,0 +1,308 @@
+#include "internal.h"
+
+#include <algorithm>
+#include <limits>
+
+namespace geraniumpond::dispatch {
+
+namespace {
+
+/// Work varies around its mean: with this many times the mean left a request
+/// mostly makes it.
+constexpr double kWorkMargin = 1.5;
+/// Requests that may wait at a target are fewer than its slots: its queue
+/// knows no deadlines, and some targets never answer what overflows it.
+constexpr int kQueuePerSlot = 2;
+/// Work assumed of a route without answers yet, as a share of its objective.
+constexpr double kFirstWork = 0.35;
+
+/// \brief What is to be done with a waiting request.
+enum class Verdict
+{
+  Send,
+  AskMore,
+  LookAgain,
+  Hopeless,
+  NoTarget
+};
+
+struct Choice
+{
+  Verdict mVerdict = Verdict::LookAgain;
+  Target* mTarget = nullptr;
+};
+
+bool IsAsking(const State& aState, const Request& aRequest, Micros aNow)
+{
+  if (aNow >= aRequest.mAskedUntil) {
+    return false;
+  }
+  return std::any_of(aRequest.mAsked.begin(),
+                     aRequest.mAsked.end(),
+                     [&](const std::string& aId) {
+                       const auto found = aState.mTargets.find(aId);
+                       return found != aState.mTargets.end() &&
+                              found->second.mProbing;
+                     });
+}
+
+// The cheapest target that the request has not been sent to.
+Target* Best(State& aState,
+             const Request& aRequest,
+             const Need& aNeed,
+             Micros aNow,
+             bool aFreshOnly)
+{
+  Target* best = nullptr;
+  double bestCost = std::numeric_limits<double>::max();
+  for (const std::string& id : aState.mServices[aRequest.mService].mTargets) {
+    Target& target = aState.mTargets[id];
+    if (target.mSuspect || aRequest.mTried.count(id) != 0 ||
+        (aFreshOnly && !IsFresh(target, aNow))) {
+      continue;
+    }
+    const double cost = CostOf(target, aNeed, aNow);
+    if (cost < bestCost) {
+      best = &target;
+      bestCost = cost;
+    }
+  }
+  return best;
+}
+
+bool AnyUntried(const State& aState, const Request& aRequest)
+{
+  const std::vector<std::string>& targets =
+    aState.mServices.at(aRequest.mService).mTargets;
+  return std::any_of(
+    targets.begin(), targets.end(), [&](const std::string& aId) {
+      return aRequest.mTried.count(aId) == 0;
+    });
+}
+
+// With its objective lost a request takes any target that can still answer in
+// time, the target's queue included.
+Choice LateChoice(const Request& aRequest,
+                  const Need& aNeed,
+                  Target* aBest,
+                  Micros aNow)
+{
+  const Micros left = aRequest.mDeadline - aNow;
+  if (aBest != nullptr) {
+    const int room = kQueuePerSlot * Slots(*aBest) - 1;
+    if (Occupancy(*aBest, aNow) < room &&
+        ExpectedTime(*aBest, aNeed, aNow) <= left) {
+      return { Verdict::Send, aBest };
+    }
+  }
+  if (left > aNeed.mWork + kLookAgain) {
+    return { Verdict::LookAgain, nullptr };
+  }
+  return { Verdict::Hopeless, nullptr };
+}
+
+// A request waits for a target that meets its objective as long as one may
+// turn up in time: targets change their speed several times a second.
+Choice Choose(State& aState, const Request& aRequest, Micros aNow)
+{
+  const Need need = NeedOf(aState, aRequest);
+  const bool tells = aState.mServices[aRequest.mService].mTellsLoad;
+  const bool more = tells && aRequest.mAskRound < kAskRounds;
+  Target* best = Best(aState, aRequest, need, aNow, tells);
+  if (best != nullptr && HasFreeSlot(*best, aNow) &&
+      aNow + ExpectedTime(*best, need, aNow) <= aRequest.mObjectiveAt) {
+    return { Verdict::Send, best };
+  }
+  if (more) {
+    return { Verdict::AskMore, nullptr };
+  }
+  if (best == nullptr) {
+    best = Best(aState, aRequest, need, aNow, false);
+  }
+  if (best == nullptr && !AnyUntried(aState, aRequest)) {
+    return { Verdict::NoTarget, nullptr };
+  }
+  const auto wanted = static_cast<Micros>(kWorkMargin * need.mWork);
+  if (aNow + wanted + kLookAgain < aRequest.mObjectiveAt) {
+    return { Verdict::LookAgain, nullptr };
+  }
+  return LateChoice(aRequest, need, best, aNow);
+}
+
+void LookLater(State& aState, Micros aNow, Request& aRequest)
+{
+  aRequest.mAsked.clear();
+  aRequest.mAskRound = 0;
+  aRequest.mAskedUntil = 0;
+  aRequest.mLookAgainAt = aNow + kLookAgain;
+  SetTimer(aState, aRequest);
+}
+
+// The first attempt still works: a second one starts only where a target is
+// free now.
+void StopHedging(State& aState, Micros aNow, Request& aRequest)
+{
+  StopWaiting(aState, aRequest);
+  aRequest.mHedging = false;
+  const Need need = NeedOf(aState, aRequest);
+  aRequest.mHedgeAt = aNow + std::max(4 * kLookAgain, need.mWork / 2);
+  SetTimer(aState, aRequest);
+}
+
+void SendOut(State& aState,
+             Micros aNow,
+             Request& aRequest,
+             Target& aTarget,
+             Effects& aOut)
+{
+  Service& service = aState.mServices[aRequest.mService];
+  const bool extra = aRequest.mSent > 0;
+  if (extra &&
+      !TakeExtra(service.mExtra, aState.mBounds, aState.mHosts, aNow)) {
+    ++aState.mCounters["extra_over_budget"];
+    if (aRequest.mHedging) {
+      StopHedging(aState, aNow, aRequest);
+      return;
+    }
+    Refuse(aState,
+           aNow,
+           aRequest.mId,
+           aRequest.mMayHaveRun ? 502 : 503,
+           RetryAfter(aState, 0),
+           "extra_attempts_spent",
+           aOut);
+    return;
+  }
+  StopWaiting(aState, aRequest);
+  SendTo(aState, aNow, aRequest, aTarget, aOut);
+}
+
+// One waiting request: sent, refused, or left to wait.
+void Serve(State& aState, Micros aNow, Request& aRequest, Effects& aOut)
+{
+  if (IsAsking(aState, aRequest, aNow)) {
+    return;
+  }
+  const Choice choice = Choose(aState, aRequest, aNow);
+  const bool hedging = aRequest.mHedging;
+  switch (choice.mVerdict) {
+    case Verdict::Send:
+      if (hedging && !HasFreeSlot(*choice.mTarget, aNow)) {
+        StopHedging(aState, aNow, aRequest);
+        return;
+      }
+      SendOut(aState, aNow, aRequest, *choice.mTarget, aOut);
+      return;
+    case Verdict::AskMore:
+      if (aNow < aRequest.mLookAgainAt) {
+        return;
+      }
+      if (Ask(aState, aNow, aRequest, aOut)) {
+        SetTimer(aState, aRequest);
+        return;
+      }
+      Serve(aState, aNow, aRequest, aOut);
+      return;
+    case Verdict::LookAgain:
+      if (hedging) {
+        StopHedging(aState, aNow, aRequest);
+        return;
+      }
+      LookLater(aState, aNow, aRequest);
+      return;
+    case Verdict::Hopeless:
+    case Verdict::NoTarget:
+      if (hedging) {
+        StopHedging(aState, aNow, aRequest);
+        return;
+      }
+      Refuse(aState,
+             aNow,
+             aRequest.mId,
+             aRequest.mMayHaveRun ? 502 : 503,
+             RetryAfter(aState, 0),
+             choice.mVerdict == Verdict::Hopeless ? "deadline_out_of_reach"
+                                                  : "no_target",
+             aOut);
+      return;
+  }
+}
+
+} // namespace
+
+Need NeedOf(const State& aState, const Request& aRequest)
+{
+  Need need;
+  need.mDataCentre = aState.mDataCentre;
+  const auto found = aState.mStatistics.find(aRequest.mRoute);
+  if (found != aState.mStatistics.end() && found->second.mWork > 0) {
+    need.mWork = static_cast<Micros>(found->second.mWork);
+    need.mAnswerBytes = found->second.mAnswerBytes;
+    return need;
+  }
+  const Micros objective = aRequest.mObjectiveAt - aRequest.mArrivedAt;
+  need.mWork = static_cast<Micros>(kFirstWork * static_cast<double>(objective));
+  return need;
+}
+
+Micros ExpectedWait(const Service& aService, const Request& aRequest)
+{
+  const WaitKey own{ aRequest.mPriority, aRequest.mDeadline, aRequest.mId };
+  const auto ahead = std::distance(aService.mWaiting.begin(),
+                                   aService.mWaiting.lower_bound(own));
+  return static_cast<Micros>(static_cast<double>(ahead) *
+                             aService.mDispatchInterval);
+}
+
+Micros RetryAfter(State& aState, Micros aExpectedWait)
+{
+  // Clients that were refused together must not come back together.
+  constexpr Micros kLeast = 100 * kMillisecond;
+  const Micros middle = std::max(kLeast, aExpectedWait);
+  return middle / 2 +
+         static_cast<Micros>(NextPoint(aState) * static_cast<double>(middle));
+}
+
+void StartWaiting(State& aState, Micros aNow, Request& aRequest, Effects& aOut)
+{
+  Service& service = aState.mServices[aRequest.mService];
+  aRequest.mWaiting = true;
+  aRequest.mAsked.clear();
+  aRequest.mAskRound = 0;
+  aRequest.mLookAgainAt = 0;
+  service.mWaiting.insert(
+    { aRequest.mPriority, aRequest.mDeadline, aRequest.mId });
+  Ask(aState, aNow, aRequest, aOut);
+  SetTimer(aState, aRequest);
+}
+
+void StopWaiting(State& aState, Request& aRequest)
+{
+  if (!aRequest.mWaiting) {
+    return;
+  }
+  aRequest.mWaiting = false;
+  aState.mServices[aRequest.mService].mWaiting.erase(
+    { aRequest.mPriority, aRequest.mDeadline, aRequest.mId });
+}
+
+void Pump(State& aState,
+          Micros aNow,
+          const std::string& aService,
+          Effects& aOut)
+{
+  const auto service = aState.mServices.find(aService);
+  if (service == aState.mServices.end()) {
+    return;
+  }
+  const std::vector<WaitKey> waiting(service->second.mWaiting.begin(),
+                                     service->second.mWaiting.end());
+  for (const WaitKey& key : waiting) {
+    const auto found = aState.mRequests.find(key.mRequest);
+    if (found != aState.mRequests.end() && found->second.mWaiting) {
+      Serve(aState, aNow, found->second, aOut);
+    }
+  }
+}
+
+} // namespace geraniumpond::dispatch
--- /dev/null
+++ b/src/dispatch/cost.cpp
@@ -0,0 +1,119 @@
+#include "internal.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace geraniumpond::dispatch {
+
+namespace {
+
+/// Slowness assumed of a target whose report is old: a third of them, a few
+/// times slower than usual.
+constexpr double kUnknownSlowness = 2;
+/// A target that has just started works about half as fast.
+constexpr double kColdFactor = 2;
+/// Targets slow each other's work down when nearly all slots are taken.
+constexpr double kCrowdedShare = 0.8;
+constexpr double kCrowdedFactor = 1.4;
+/// A failing target is ranked as many times dearer at a failure share of 1.
+constexpr double kFailureWeight = 8;
+/// Smoothing of the failure share, and the time in which it halves.
+constexpr double kFailureGain = 0.25;
+constexpr Micros kFailureHalfLife = 4 * kSecond;
+/// Crossing between data centres is as dear as this share of the work for a
+/// small answer, and grows with its size: links between them are shared.
+constexpr double kCrossingShare = 0.3;
+constexpr double kCrossingBytes = 20000;
+constexpr double kCrossingMax = 6;
+/// A trip to another data centre and back.
+constexpr Micros kCrossingTime = 3 * kMillisecond;
+
+double SlownessOf(const Target& aTarget, Micros aNow) noexcept
+{
+  if (!aTarget.mReport) {
+    return kUnknownSlowness;
+  }
+  // Speeds change about twice a second: an old report says little.
+  const double age = static_cast<double>(aNow - aTarget.mReportAt);
+  const double trust = std::exp(-age / (400.0 * kMillisecond));
+  return aTarget.mReport->mSlowness * trust + kUnknownSlowness * (1 - trust);
+}
+
+} // namespace
+
+bool IsFresh(const Target& aTarget, Micros aNow) noexcept
+{
+  return aTarget.mReport && aNow - aTarget.mReportAt <= kFreshReport;
+}
+
+int Slots(const Target& aTarget) noexcept
+{
+  return std::max(1,
+                  aTarget.mReport ? aTarget.mReport->mSlots : aTarget.mSlots);
+}
+
+int Occupancy(const Target& aTarget, Micros aNow) noexcept
+{
+  if (!aTarget.mReport || aNow - aTarget.mReportAt > 10 * kFreshReport) {
+    return aTarget.mRunning;
+  }
+  const Report& report = *aTarget.mReport;
+  return std::max(aTarget.mRunning,
+                  report.mRunning + report.mWaiting + aTarget.mSentSince);
+}
+
+bool HasFreeSlot(const Target& aTarget, Micros aNow) noexcept
+{
+  return Occupancy(aTarget, aNow) < Slots(aTarget);
+}
+
+Micros ExpectedTime(const Target& aTarget,
+                    const Need& aNeed,
+                    Micros aNow) noexcept
+{
+  double work = static_cast<double>(aNeed.mWork) * SlownessOf(aTarget, aNow);
+  if (aNow < aTarget.mWarmAt) {
+    work *= kColdFactor;
+  }
+  const int slots = Slots(aTarget);
+  const int occupancy = Occupancy(aTarget, aNow);
+  double time = work;
+  if (occupancy >= slots) {
+    time += work * (occupancy - slots + 1) / slots;
+  }
+  if (occupancy + 1 > kCrowdedShare * slots) {
+    time *= kCrowdedFactor;
+  }
+  if (aTarget.mDataCentre != aNeed.mDataCentre) {
+    time += static_cast<double>(kCrossingTime);
+  }
+  return static_cast<Micros>(time);
+}
+
+double CostOf(const Target& aTarget, const Need& aNeed, Micros aNow) noexcept
+{
+  double cost = static_cast<double>(ExpectedTime(aTarget, aNeed, aNow));
+  if (aTarget.mDataCentre != aNeed.mDataCentre) {
+    const double share = std::min(
+      kCrossingMax, kCrossingShare + aNeed.mAnswerBytes / kCrossingBytes);
+    cost += share * static_cast<double>(aNeed.mWork);
+  }
+  // Among equals the emptier one: the next request finds both usable.
+  cost *= 1 + 0.05 * Occupancy(aTarget, aNow) / Slots(aTarget);
+  return cost * (1 + kFailureWeight * FailureShare(aTarget, aNow));
+}
+
+double FailureShare(const Target& aTarget, Micros aNow) noexcept
+{
+  const double age = static_cast<double>(aNow - aTarget.mFailedAt);
+  return aTarget.mFailureShare * std::exp2(-age / kFailureHalfLife);
+}
+
+void NoteResult(Target& aTarget, bool aFailed, Micros aNow) noexcept
+{
+  const double share = FailureShare(aTarget, aNow);
+  aTarget.mFailureShare = share + kFailureGain * ((aFailed ? 1 : 0) - share);
+  aTarget.mFailedAt = aNow;
+}
+
+} // namespace geraniumpond::dispatch
--- /dev/null
+++ b/src/dispatch/extra.cpp
@@ -0,0 +1,58 @@
+#include "internal.h"
+
+#include <algorithm>
+
+namespace geraniumpond::dispatch {
+
+namespace {
+
+/// Parts of a window that are counted apart; one more than fits is kept, so
+/// that every span of the window's length is bounded.
+constexpr int kSlices = 10;
+/// Share of the bound that is spent: hosts know each other's number only as of
+/// their last report, and requests are unevenly spread.
+constexpr double kSpent = 0.7;
+
+ExtraWindow::Slice& Current(ExtraWindow& aWindow, Micros aLength, Micros aNow)
+{
+  const Micros slice = std::max<Micros>(1, aLength / kSlices);
+  while (!aWindow.mSlices.empty() &&
+         aNow - aWindow.mSlices.front().mStart > aLength + slice) {
+    aWindow.mSlices.pop_front();
+  }
+  if (aWindow.mSlices.empty() ||
+      aNow - aWindow.mSlices.back().mStart >= slice) {
+    aWindow.mSlices.push_back({ aNow, 0, 0 });
+  }
+  return aWindow.mSlices.back();
+}
+
+} // namespace
+
+void CountRequest(ExtraWindow& aWindow, const Bounds& aBounds, Micros aNow)
+{
+  ++Current(aWindow, aBounds.mExtraWindow, aNow).mRequests;
+}
+
+bool TakeExtra(ExtraWindow& aWindow,
+               const Bounds& aBounds,
+               int aHosts,
+               Micros aNow)
+{
+  ExtraWindow::Slice& current = Current(aWindow, aBounds.mExtraWindow, aNow);
+  int requests = 0;
+  int extra = 0;
+  for (const ExtraWindow::Slice& slice : aWindow.mSlices) {
+    requests += slice.mRequests;
+    extra += slice.mExtra;
+  }
+  const double allowed = kSpent * (aBounds.mExtraRatio * requests +
+                                   aBounds.mExtraFloor / std::max(1, aHosts));
+  if (extra + 1 > allowed) {
+    return false;
+  }
+  ++current.mExtra;
+  return true;
+}
+
+} // namespace geraniumpond::dispatch
--- /dev/null
+++ b/src/dispatch/internal.h
@@ -0,0 +1,112 @@
+#pragma once
+
+#include <geraniumpond/dispatch.h>
+
+/// \brief Steps that the dispatch sources share.
+namespace geraniumpond::dispatch {
+
+/// \brief Targets asked for their load before a request is sent. A target's
+/// speed changes several times a second, and every third one may be slow:
+/// five answers leave one choice in two hundred without a good one.
+constexpr std::size_t kAsk = 5;
+/// \brief Rounds of asking before a request waits or takes what there is.
+constexpr int kAskRounds = 2;
+/// \brief A report this young still tells the load; a few trips between data
+/// centres old.
+constexpr Micros kFreshReport = 40 * kMillisecond;
+/// \brief Bounds on how long an asked target is waited for.
+constexpr Micros kAskPatienceMin = 10 * kMillisecond;
+constexpr Micros kAskPatienceMax = 100 * kMillisecond;
+/// \brief Pause before a request that found no free target looks again: a
+/// small part of the shortest work.
+constexpr Micros kLookAgain = 15 * kMillisecond;
+
+// --- cost.cpp: what a choice of target comes to
+
+/// \brief What a request needs of its target.
+struct Need
+{
+  Micros mWork = 0;
+  double mAnswerBytes = 0;
+  std::string mDataCentre;
+};
+
+[[nodiscard]] bool IsFresh(const Target& aTarget, Micros aNow) noexcept;
+[[nodiscard]] int Slots(const Target& aTarget) noexcept;
+/// \brief Requests at a target, own ones sent since its report included.
+[[nodiscard]] int Occupancy(const Target& aTarget, Micros aNow) noexcept;
+[[nodiscard]] bool HasFreeSlot(const Target& aTarget, Micros aNow) noexcept;
+/// \brief Time until an answer, waiting at the target included.
+[[nodiscard]] Micros ExpectedTime(const Target& aTarget,
+                                  const Need& aNeed,
+                                  Micros aNow) noexcept;
+/// \brief What a choice is ranked by: the expected time, made dearer for
+/// targets that fail, and for answers that cross between data centres.
+[[nodiscard]] double CostOf(const Target& aTarget,
+                            const Need& aNeed,
+                            Micros aNow) noexcept;
+[[nodiscard]] double FailureShare(const Target& aTarget, Micros aNow) noexcept;
+void NoteResult(Target& aTarget, bool aFailed, Micros aNow) noexcept;
+
+// --- extra.cpp: the budget of arrivals beyond the first
+void CountRequest(ExtraWindow& aWindow, const Bounds& aBounds, Micros aNow);
+/// \brief Takes one extra arrival out of this host's share, if there is one.
+[[nodiscard]] bool TakeExtra(ExtraWindow& aWindow,
+                             const Bounds& aBounds,
+                             int aHosts,
+                             Micros aNow);
+
+// --- asking.cpp: reports of load at the moment of choice
+/// \brief Asks targets for a request; true when any answer is waited for.
+bool Ask(State& aState, Micros aNow, Request& aRequest, Effects& aOut);
+void Probe(State& aState, Micros aNow, Target& aTarget, Effects& aOut);
+void Suspect(State& aState,
+             Micros aNow,
+             Target& aTarget,
+             const char* aWhy,
+             Effects& aOut);
+[[nodiscard]] std::uint64_t NextRandom(State& aState) noexcept;
+[[nodiscard]] double NextPoint(State& aState) noexcept;
+
+// --- choosing.cpp: which waiting request goes where
+void Pump(State& aState,
+          Micros aNow,
+          const std::string& aService,
+          Effects& aOut);
+void StartWaiting(State& aState, Micros aNow, Request& aRequest, Effects& aOut);
+void StopWaiting(State& aState, Request& aRequest);
+[[nodiscard]] Need NeedOf(const State& aState, const Request& aRequest);
+/// \brief Time until a newcomer of this rank would be sent.
+[[nodiscard]] Micros ExpectedWait(const Service& aService,
+                                  const Request& aRequest);
+/// \brief When a refused client should come back.
+[[nodiscard]] Micros RetryAfter(State& aState, Micros aExpectedWait);
+
+// --- requests.cpp: one request's steps
+void SendTo(State& aState,
+            Micros aNow,
+            Request& aRequest,
+            Target& aTarget,
+            Effects& aOut);
+/// \brief Answers a request here and forgets it.
+void Refuse(State& aState,
+            Micros aNow,
+            std::uint64_t aRequest,
+            int aStatus,
+            Micros aRetryAfter,
+            const std::string& aReason,
+            Effects& aOut);
+void CancelAttempts(State& aState, Request& aRequest, Effects& aOut);
+void Forget(State& aState, std::uint64_t aRequest);
+void SetTimer(State& aState, Request& aRequest);
+void Fire(State& aState, Micros aNow, std::uint64_t aRequest, Effects& aOut);
+/// \brief An attempt of the request is over; what comes next follows.
+void TryElsewhere(State& aState,
+                  Micros aNow,
+                  Request& aRequest,
+                  const std::string& aWhy,
+                  Effects& aOut);
+void Log(Effects& aOut, int aLevel, std::string aText);
+[[nodiscard]] std::string Milliseconds(Micros aTime);
+
+} // namespace geraniumpond::dispatch
--- /dev/null
+++ b/src/dispatch/requests.cpp
@@ -0,0 +1,527 @@
+#include "internal.h"
+
+#include <algorithm>
+#include <cstdio>
+
+namespace geraniumpond::dispatch {
+
+namespace {
+
+/// A second attempt starts when the first has taken this many times as long as
+/// expected: one in some hundred does by chance.
+constexpr double kHedgeFactor = 2.2;
+constexpr Micros kHedgeMin = 30 * kMillisecond;
+/// Targets that could not be reached before a request is given up.
+constexpr int kMaxUnreached = 4;
+/// Smoothing of what is learnt of a route.
+constexpr double kWorkGain = 0.08;
+/// Work is learnt where targets say they are about as fast as usual.
+constexpr double kUsualSlowness = 1.5;
+constexpr double kIntervalGain = 0.2;
+constexpr int kUnavailable = 503;
+constexpr int kBadGateway = 502;
+constexpr int kGatewayTimeout = 504;
+constexpr int kServerError = 500;
+constexpr Micros kNoPolicyRetry = 500 * kMillisecond;
+
+Attempt* FindAttempt(Request& aRequest, std::uint64_t aNumber)
+{
+  const auto found = std::find_if(
+    aRequest.mAttempts.begin(),
+    aRequest.mAttempts.end(),
+    [&](const Attempt& aAttempt) { return aAttempt.mNumber == aNumber; });
+  return found == aRequest.mAttempts.end() ? nullptr : &*found;
+}
+
+void RemoveAttempt(Request& aRequest, std::uint64_t aNumber)
+{
+  aRequest.mAttempts.erase(std::remove_if(aRequest.mAttempts.begin(),
+                                          aRequest.mAttempts.end(),
+                                          [&](const Attempt& aAttempt) {
+                                            return aAttempt.mNumber == aNumber;
+                                          }),
+                           aRequest.mAttempts.end());
+}
+
+std::string Describe(const State& aState, const Request& aRequest, Micros aNow)
+{
+  return " request=" + aRequest.mClientRequestId + " route=" + aRequest.mRoute +
+         " service=" + aRequest.mService +
+         " sent=" + std::to_string(aRequest.mSent) +
+         " took_ms=" + Milliseconds(aNow - aRequest.mArrivedAt) +
+         " left_ms=" + Milliseconds(aRequest.mDeadline - aNow) + " policy=" +
+         std::to_string(aState.mPolicy ? aState.mPolicy->mVersion : 0);
+}
+
+std::string Describe(const Attempt& aAttempt)
+{
+  char load[96];
+  std::snprintf(load,
+                sizeof(load),
+                " slowness=%.2f occupancy=%d report_age_ms=%s",
+                aAttempt.mSlowness,
+                aAttempt.mOccupancy,
+                Milliseconds(aAttempt.mReportAge).c_str());
+  return " target=" + aAttempt.mTarget + load;
+}
+
+void TakeReport(Target& aTarget, const Report& aReport, Micros aNow)
+{
+  aTarget.mReport = aReport;
+  aTarget.mReportAt = aNow;
+}
+
+void Learn(State& aState,
+           const Request& aRequest,
+           const Attempt& aAttempt,
+           const AttemptEnd& aEnd,
+           Micros aNow)
+{
+  if (aAttempt.mSlowness > kUsualSlowness || aEnd.mStatus >= 300) {
+    return;
+  }
+  RouteStatistics& learnt = aState.mStatistics[aRequest.mRoute];
+  const double took = static_cast<double>(aNow - aAttempt.mSentAt);
+  if (learnt.mWork <= 0) {
+    learnt.mWork = took;
+    learnt.mAnswerBytes = static_cast<double>(aEnd.mBytes);
+    return;
+  }
+  // A single straggler must not double the estimate.
+  const double bounded = std::min(took, 3 * learnt.mWork);
+  learnt.mWork += kWorkGain * (bounded - learnt.mWork);
+  learnt.mAnswerBytes +=
+    kWorkGain * (static_cast<double>(aEnd.mBytes) - learnt.mAnswerBytes);
+}
+
+void Deliver(State& aState,
+             Micros aNow,
+             Request& aRequest,
+             const Attempt& aAttempt,
+             const AttemptEnd& aEnd,
+             Effects& aOut)
+{
+  Log(aOut,
+      aEnd.mStatus < kServerError ? 1 : 2,
+      "event=answered status=" + std::to_string(aEnd.mStatus) +
+        Describe(aState, aRequest, aNow) + Describe(aAttempt));
+  ++aState.mCounters["answers_delivered"];
+  aOut.emplace_back(DeliverAnswer{ aRequest.mId, aAttempt.mNumber });
+  RemoveAttempt(aRequest, aAttempt.mNumber);
+  CancelAttempts(aState, aRequest, aOut);
+  Forget(aState, aRequest.mId);
+}
+
+// True when the end says for certain that the target did not run the request.
+bool DidNotRun(const AttemptEnd& aEnd)
+{
+  return aEnd.mKind == EndKind::NotSent ||
+         (aEnd.mKind == EndKind::Answered && aEnd.mNotRun);
+}
+
+void JudgeTarget(State& aState,
+                 Micros aNow,
+                 const Attempt& aAttempt,
+                 const AttemptEnd& aEnd,
+                 Effects& aOut)
+{
+  const auto found = aState.mTargets.find(aAttempt.mTarget);
+  if (found == aState.mTargets.end()) {
+    return;
+  }
+  Target& target = found->second;
+  target.mRunning = std::max(0, target.mRunning - 1);
+  if (aEnd.mReport) {
+    TakeReport(target, *aEnd.mReport, aNow);
+    target.mSentSince = 0;
+  }
+  if (aEnd.mMisdirected) {
+    Suspect(aState, aNow, target, "address_taken", aOut);
+    return;
+  }
+  if (aEnd.mKind == EndKind::NotSent) {
+    Suspect(aState, aNow, target, "unreachable", aOut);
+    return;
+  }
+  const bool failed = aEnd.mKind == EndKind::Broken ||
+                      (aEnd.mStatus >= kServerError && !aEnd.mNotRun);
+  NoteResult(target, failed, aNow);
+  if (!failed) {
+    target.mUnreached = 0;
+  }
+}
+
+void EndDetached(State& aState,
+                 Micros aNow,
+                 Request& aRequest,
+                 const AttemptEnd& aEnd,
+                 Effects& aOut)
+{
+  Log(aOut,
+      1,
+      "event=detached_ended status=" + std::to_string(aEnd.mStatus) +
+        Describe(aState, aRequest, aNow));
+  if (aRequest.mAttempts.empty()) {
+    Forget(aState, aRequest.mId);
+  }
+}
+
+void Expire(State& aState, Micros aNow, Request& aRequest, Effects& aOut)
+{
+  if (aRequest.mSent == 0 ||
+      (!aRequest.mMayHaveRun && aRequest.mAttempts.empty())) {
+    Refuse(aState,
+           aNow,
+           aRequest.mId,
+           kUnavailable,
+           RetryAfter(aState, 0),
+           "deadline",
+           aOut);
+    return;
+  }
+  for (const Attempt& attempt : aRequest.mAttempts) {
+    const auto target = aState.mTargets.find(attempt.mTarget);
+    if (target != aState.mTargets.end()) {
+      NoteResult(target->second, true, aNow);
+    }
+  }
+  Refuse(aState, aNow, aRequest.mId, kGatewayTimeout, 0, "deadline", aOut);
+}
+
+} // namespace
+
+std::string Milliseconds(Micros aTime)
+{
+  char text[32];
+  std::snprintf(text,
+                sizeof(text),
+                "%.1f",
+                static_cast<double>(aTime) / static_cast<double>(kMillisecond));
+  return text;
+}
+
+void Log(Effects& aOut, int aLevel, std::string aText)
+{
+  aOut.emplace_back(LogLine{ aLevel, std::move(aText) });
+}
+
+void SetTimer(State& aState, Request& aRequest)
+{
+  Micros next = aRequest.mDeadline;
+  if (aRequest.mWaiting) {
+    next =
+      std::min(next, std::max(aRequest.mAskedUntil, aRequest.mLookAgainAt));
+  }
+  if (aRequest.mHedgeAt != 0 && !aRequest.mHedging) {
+    next = std::min(next, aRequest.mHedgeAt);
+  }
+  if (next == aRequest.mTimerAt) {
+    return;
+  }
+  aState.mTimers.erase({ aRequest.mTimerAt, aRequest.mId });
+  aRequest.mTimerAt = next;
+  aState.mTimers.emplace(next, aRequest.mId);
+}
+
+void Forget(State& aState, std::uint64_t aRequest)
+{
+  const auto found = aState.mRequests.find(aRequest);
+  if (found == aState.mRequests.end()) {
+    return;
+  }
+  StopWaiting(aState, found->second);
+  aState.mTimers.erase({ found->second.mTimerAt, aRequest });
+  aState.mRequests.erase(found);
+}
+
+void CancelAttempts(State& aState, Request& aRequest, Effects& aOut)
+{
+  for (const Attempt& attempt : aRequest.mAttempts) {
+    const auto target = aState.mTargets.find(attempt.mTarget);
+    if (target != aState.mTargets.end()) {
+      target->second.mRunning = std::max(0, target->second.mRunning - 1);
+    }
+    aOut.emplace_back(CancelAttempt{ aRequest.mId, attempt.mNumber });
+  }
+  aRequest.mAttempts.clear();
+}
+
+void Refuse(State& aState,
+            Micros aNow,
+            std::uint64_t aRequest,
+            int aStatus,
+            Micros aRetryAfter,
+            const std::string& aReason,
+            Effects& aOut)
+{
+  Request& request = aState.mRequests.at(aRequest);
+  std::string tried;
+  for (const std::string& target : request.mTried) {
+    tried += (tried.empty() ? "" : ",") + target;
+  }
+  Log(aOut,
+      2,
+      "event=refused status=" + std::to_string(aStatus) + " reason=" + aReason +
+        Describe(aState, request, aNow) + " tried=" + tried +
+        " retry_after_ms=" + Milliseconds(aRetryAfter));
+  ++aState.mCounters["replies_" + std::to_string(aStatus) + "_" + aReason];
+  aOut.emplace_back(ReplyToClient{ aRequest, aStatus, aRetryAfter, aReason });
+  // What cannot be repeated runs to its end: a broken connection would leave
+  // its target with work that nobody can tell the result of.
+  if (!policy::IsIdempotent(request.mKind) && !request.mAttempts.empty()) {
+    StopWaiting(aState, request);
+    request.mDetached = true;
+    aState.mTimers.erase({ request.mTimerAt, aRequest });
+    return;
+  }
+  CancelAttempts(aState, request, aOut);
+  Forget(aState, aRequest);
+}
+
+void SendTo(State& aState,
+            Micros aNow,
+            Request& aRequest,
+            Target& aTarget,
+            Effects& aOut)
+{
+  const Need need = NeedOf(aState, aRequest);
+  Attempt attempt;
+  attempt.mNumber = ++aState.mLastAttempt;
+  attempt.mTarget = aTarget.mId;
+  attempt.mSentAt = aNow;
+  attempt.mExpected = ExpectedTime(aTarget, need, aNow);
+  attempt.mSlowness = aTarget.mReport ? aTarget.mReport->mSlowness : 0;
+  attempt.mOccupancy = Occupancy(aTarget, aNow);
+  attempt.mReportAge = aTarget.mReport ? aNow - aTarget.mReportAt : -1;
+  ++aTarget.mRunning;
+  ++aTarget.mSentSince;
+  ++aRequest.mSent;
+  aRequest.mTried.insert(aTarget.mId);
+  aRequest.mHedging = false;
+  const bool idempotent = policy::IsIdempotent(aRequest.mKind);
+  const auto patience =
+    static_cast<Micros>(kHedgeFactor * static_cast<double>(attempt.mExpected));
+  aRequest.mHedgeAt = idempotent && aRequest.mSent < aRequest.mMaxAttempts
+                        ? aNow + std::max(kHedgeMin, patience)
+                        : 0;
+  Service& service = aState.mServices[aRequest.mService];
+  const double interval = static_cast<double>(aNow - service.mDispatchedAt);
+  service.mDispatchedAt = aNow;
+  if (!service.mWaiting.empty()) {
+    service.mDispatchInterval +=
+      kIntervalGain * (interval - service.mDispatchInterval);
+  }
+  aOut.emplace_back(SendRequest{ aRequest.mId,
+                                 attempt.mNumber,
+                                 aTarget.mId,
+                                 aTarget.mAddress,
+                                 aRequest.mDeadline,
+                                 !idempotent });
+  aRequest.mAttempts.push_back(std::move(attempt));
+  SetTimer(aState, aRequest);
+}
+
+void TryElsewhere(State& aState,
+                  Micros aNow,
+                  Request& aRequest,
+                  const std::string& aWhy,
+                  Effects& aOut)
+{
+  if (!aRequest.mAttempts.empty()) {
+    return;
+  }
+  const bool repeatable =
+    policy::IsIdempotent(aRequest.mKind) || !aRequest.mMayHaveRun;
+  const bool room = aRequest.mSent < aRequest.mMaxAttempts &&
+                    aRequest.mUnreached < kMaxUnreached;
+  const Need need = NeedOf(aState, aRequest);
+  const bool time = aNow + need.mWork < aRequest.mDeadline;
+  if (!repeatable || !room || !time) {
+    Refuse(aState,
+           aNow,
+           aRequest.mId,
+           aRequest.mMayHaveRun ? kBadGateway : kUnavailable,
+           aRequest.mMayHaveRun ? 0 : RetryAfter(aState, 0),
+           aWhy,
+           aOut);
+    return;
+  }
+  Log(aOut,
+      1,
+      "event=try_elsewhere why=" + aWhy + Describe(aState, aRequest, aNow));
+  ++aState.mCounters["tries_elsewhere"];
+  aRequest.mHedgeAt = 0;
+  if (!aRequest.mWaiting) {
+    StartWaiting(aState, aNow, aRequest, aOut);
+  }
+  aRequest.mHedging = false;
+  Pump(aState, aNow, aRequest.mService, aOut);
+}
+
+void Arrive(State& aState, Micros aNow, const Arrival& aArrival, Effects& aOut)
+{
+  ++aState.mCounters["requests"];
+  const auto reply = [&](int aStatus, Micros aRetry, const std::string& aWhy) {
+    Log(aOut,
+        2,
+        "event=refused status=" + std::to_string(aStatus) + " reason=" + aWhy +
+          " request=" + aArrival.mClientRequestId +
+          " host=" + aArrival.mHostName + " policy=" +
+          std::to_string(aState.mPolicy ? aState.mPolicy->mVersion : 0));
+    ++aState.mCounters["replies_" + std::to_string(aStatus) + "_" + aWhy];
+    aOut.emplace_back(ReplyToClient{ aArrival.mId, aStatus, aRetry, aWhy });
+  };
+  if (!aState.mPolicy) {
+    reply(kUnavailable, kNoPolicyRetry, "no_policy_yet");
+    return;
+  }
+  const policy::Route* route =
+    policy::FindRoute(*aState.mPolicy, aArrival.mHostName, aArrival.mPath);
+  if (route == nullptr) {
+    reply(404, 0, "no_route");
+    return;
+  }
+  Request request;
+  request.mId = aArrival.mId;
+  request.mClientRequestId = aArrival.mClientRequestId;
+  request.mRoute = route->mName;
+  request.mService = policy::PickBackend(*route, NextPoint(aState));
+  request.mKind = route->mKind;
+  request.mPriority = route->mPriority;
+  request.mMaxAttempts = route->mAttempts;
+  request.mArrivedAt = aNow;
+  request.mObjectiveAt = aNow + route->mObjective;
+  request.mDeadline = aNow + route->mTimeout;
+  if (aArrival.mPatience > 0) {
+    request.mDeadline = std::min(request.mDeadline, aNow + aArrival.mPatience);
+  }
+  Service& service = aState.mServices[request.mService];
+  CountRequest(service.mExtra, aState.mBounds, aNow);
+  if (service.mTargets.empty()) {
+    reply(kUnavailable, RetryAfter(aState, 0), "no_target");
+    return;
+  }
+  const Micros wait = ExpectedWait(service, request);
+  Request& added = aState.mRequests[request.mId] = std::move(request);
+  if (aNow + wait + NeedOf(aState, added).mWork > added.mDeadline) {
+    Refuse(aState,
+           aNow,
+           added.mId,
+           kUnavailable,
+           RetryAfter(aState, wait),
+           "queue_too_long",
+           aOut);
+    return;
+  }
+  StartWaiting(aState, aNow, added, aOut);
+  Pump(aState, aNow, added.mService, aOut);
+}
+
+void TakeEnd(State& aState, Micros aNow, const AttemptEnd& aEnd, Effects& aOut)
+{
+  const auto found = aState.mRequests.find(aEnd.mRequest);
+  Attempt* known = found == aState.mRequests.end()
+                     ? nullptr
+                     : FindAttempt(found->second, aEnd.mAttempt);
+  if (known == nullptr) {
+    ++aState.mCounters["ends_unknown"];
+    return;
+  }
+  Request& request = found->second;
+  const Attempt attempt = *known;
+  JudgeTarget(aState, aNow, attempt, aEnd, aOut);
+  RemoveAttempt(request, attempt.mNumber);
+  if (request.mDetached) {
+    EndDetached(aState, aNow, request, aEnd, aOut);
+    return;
+  }
+  const std::string service = request.mService;
+  if (aEnd.mKind == EndKind::NotSent) {
+    --request.mSent;
+    ++request.mUnreached;
+  }
+  if (DidNotRun(aEnd)) {
+    TryElsewhere(aState,
+                 aNow,
+                 request,
+                 aEnd.mReason.empty() ? "target_refused" : aEnd.mReason,
+                 aOut);
+  } else {
+    request.mMayHaveRun = true;
+    const bool failed =
+      aEnd.mKind == EndKind::Broken || aEnd.mStatus >= kServerError;
+    const bool again =
+      failed && policy::IsIdempotent(request.mKind) &&
+      (request.mSent < request.mMaxAttempts || !request.mAttempts.empty());
+    if (!failed || (aEnd.mKind == EndKind::Answered && !again)) {
+      Learn(aState, request, attempt, aEnd, aNow);
+      Deliver(aState, aNow, request, attempt, aEnd, aOut);
+    } else {
+      TryElsewhere(aState,
+                   aNow,
+                   request,
+                   aEnd.mKind == EndKind::Broken ? "answer_broken"
+                                                 : "target_failed",
+                   aOut);
+    }
+  }
+  Pump(aState, aNow, service, aOut);
+}
+
+void ClientLeft(State& aState,
+                Micros aNow,
+                std::uint64_t aRequest,
+                Effects& aOut)
+{
+  const auto found = aState.mRequests.find(aRequest);
+  if (found == aState.mRequests.end()) {
+    return;
+  }
+  Request& request = found->second;
+  if (request.mDetached) {
+    return;
+  }
+  Log(aOut, 1, "event=client_left" + Describe(aState, request, aNow));
+  ++aState.mCounters["clients_left"];
+  if (!policy::IsIdempotent(request.mKind) && !request.mAttempts.empty()) {
+    StopWaiting(aState, request);
+    request.mDetached = true;
+    aState.mTimers.erase({ request.mTimerAt, aRequest });
+    return;
+  }
+  CancelAttempts(aState, request, aOut);
+  Forget(aState, aRequest);
+}
+
+void Fire(State& aState, Micros aNow, std::uint64_t aRequest, Effects& aOut)
+{
+  const auto found = aState.mRequests.find(aRequest);
+  if (found == aState.mRequests.end()) {
+    return;
+  }
+  Request& request = found->second;
+  request.mTimerAt = 0;
+  if (aNow >= request.mDeadline) {
+    Expire(aState, aNow, request, aOut);
+    return;
+  }
+  const std::string service = request.mService;
+  if (request.mHedgeAt != 0 && aNow >= request.mHedgeAt && !request.mHedging) {
+    request.mHedging = true;
+    request.mHedgeAt = 0;
+    ++aState.mCounters["hedges_considered"];
+    StartWaiting(aState, aNow, request, aOut);
+  }
+  Pump(aState, aNow, service, aOut);
+  const auto still = aState.mRequests.find(aRequest);
+  if (still != aState.mRequests.end() && !still->second.mDetached) {
+    SetTimer(aState, still->second);
+  }
+}
+
+std::size_t RunningRequests(const State& aState) noexcept
+{
+  return aState.mRequests.size();
+}
+
+} // namespace geraniumpond::dispatch
--- /dev/null
+++ b/src/dispatch/targets.cpp
@@ -0,0 +1,210 @@
+#include "internal.h"
+
+#include <algorithm>
+#include <limits>
+
+namespace geraniumpond::dispatch {
+
+namespace {
+
+/// Share of the probe bound that is spent: hosts come and go faster than they
+/// hear of each other.
+constexpr double kProbeShare = 0.8;
+/// Probes that may be saved up, in seconds of the steady rate.
+constexpr double kProbeBurstSeconds = 3;
+/// A target that calls itself ill is asked again after this time.
+constexpr Micros kIllPause = 500 * kMillisecond;
+
+void SetProbeRate(State& aState, Micros aNow)
+{
+  const double rate = kProbeShare * aState.mBounds.mProbesPerTarget *
+                      static_cast<double>(aState.mTargets.size()) /
+                      std::max(1, aState.mHosts);
+  budget::TokenBucket& bucket = aState.mProbeBudget;
+  const bool first = bucket.mUpdatedAt == 0;
+  (void)budget::Take(bucket, aNow, 0);
+  bucket.mPerSecond = rate;
+  bucket.mBurst = std::max(1.0, kProbeBurstSeconds * rate);
+  bucket.mLevel =
+    first ? bucket.mBurst : std::min(bucket.mLevel, bucket.mBurst);
+}
+
+void RemoveTarget(State& aState, const std::string& aId, Effects& aOut)
+{
+  Target& target = aState.mTargets[aId];
+  std::vector<std::string>& list = aState.mServices[target.mService].mTargets;
+  list.erase(std::remove(list.begin(), list.end(), aId), list.end());
+  Log(aOut,
+      1,
+      "event=target_removed target=" + aId + " service=" + target.mService);
+  aState.mTargets.erase(aId);
+}
+
+void AddTarget(State& aState,
+               Micros aNow,
+               const wire::TargetRecord& aRecord,
+               Effects& aOut)
+{
+  Target& target = aState.mTargets[aRecord.id()];
+  target.mId = aRecord.id();
+  target.mService = aRecord.service();
+  target.mAddress = aRecord.address();
+  target.mDataCentre = aRecord.data_centre();
+  target.mSlots = std::max<int>(1, static_cast<int>(aRecord.slots()));
+  target.mWarmAt =
+    aNow + static_cast<Micros>(aRecord.warm_up_ms()) * kMillisecond;
+  Service& service = aState.mServices[aRecord.service()];
+  service.mTargets.push_back(target.mId);
+  Log(aOut,
+      1,
+      "event=target_added target=" + target.mId +
+        " service=" + target.mService + " address=" + target.mAddress +
+        " sequence=" + std::to_string(aRecord.sequence()));
+  // The first probe opens a connection and learns whether it tells its load.
+  target.mProbeAgainAt = aNow;
+  aState.mProbeTimers.emplace(aNow, target.mId);
+}
+
+void Revive(Target& aTarget, Effects& aOut)
+{
+  if (aTarget.mSuspect) {
+    Log(aOut,
+        1,
+        "event=target_regained target=" + aTarget.mId +
+          " service=" + aTarget.mService);
+  }
+  aTarget.mSuspect = false;
+  aTarget.mUnreached = 0;
+}
+
+void FireProbe(State& aState,
+               Micros aNow,
+               const std::string& aId,
+               Effects& aOut)
+{
+  const auto found = aState.mTargets.find(aId);
+  if (found == aState.mTargets.end() || aNow < found->second.mProbeAgainAt) {
+    return;
+  }
+  Target& target = found->second;
+  if (target.mProbing) {
+    return;
+  }
+  if (!budget::Take(aState.mProbeBudget, aNow, 1)) {
+    target.mProbeAgainAt = aNow + kIllPause;
+    aState.mProbeTimers.emplace(target.mProbeAgainAt, aId);
+    return;
+  }
+  Probe(aState, aNow, target, aOut);
+}
+
+} // namespace
+
+void SetPolicy(State& aState,
+               Micros aNow,
+               std::shared_ptr<const policy::TrafficPolicy> aPolicy)
+{
+  aState.mPolicy = std::move(aPolicy);
+  for (const auto& [name, rules] : aState.mPolicy->mServices) {
+    Service& service = aState.mServices[name];
+    service.mName = name;
+    service.mHealthPath = rules.mHealthPath;
+  }
+  // What is known of a service without rules is its name alone.
+  for (auto& [name, service] : aState.mServices) {
+    if (service.mHealthPath.empty()) {
+      service.mHealthPath = policy::ServiceRules().mHealthPath;
+    }
+  }
+  SetProbeRate(aState, aNow);
+}
+
+void SetTargets(State& aState,
+                Micros aNow,
+                const std::map<std::string, wire::TargetRecord>& aTargets,
+                Effects& aOut)
+{
+  std::vector<std::string> gone;
+  for (const auto& [id, target] : aState.mTargets) {
+    const auto found = aTargets.find(id);
+    if (found == aTargets.end() || found->second.draining() ||
+        found->second.address() != target.mAddress ||
+        found->second.service() != target.mService) {
+      gone.push_back(id);
+    }
+  }
+  for (const std::string& id : gone) {
+    RemoveTarget(aState, id, aOut);
+  }
+  for (const auto& [id, record] : aTargets) {
+    if (!record.draining() && aState.mTargets.count(id) == 0) {
+      AddTarget(aState, aNow, record, aOut);
+    }
+  }
+  SetProbeRate(aState, aNow);
+}
+
+void SetHosts(State& aState, Micros aNow, int aHosts)
+{
+  aState.mHosts = std::max(1, aHosts);
+  SetProbeRate(aState, aNow);
+}
+
+void TakeProbe(State& aState, Micros aNow, const ProbeEnd& aEnd, Effects& aOut)
+{
+  const auto found = aState.mTargets.find(aEnd.mTarget);
+  if (found == aState.mTargets.end()) {
+    return;
+  }
+  Target& target = found->second;
+  const std::string service = target.mService;
+  target.mProbing = false;
+  const bool other =
+    !aEnd.mAnsweredBy.empty() && aEnd.mAnsweredBy != target.mId;
+  if (!aEnd.mAnswered) {
+    Suspect(aState, aNow, target, "probe_unanswered", aOut);
+  } else if (other) {
+    Suspect(aState, aNow, target, "address_taken", aOut);
+  } else if (!aEnd.mHealthy) {
+    Suspect(aState, aNow, target, "says_ill", aOut);
+  } else {
+    target.mProbeTime += (aNow - target.mProbeSentAt - target.mProbeTime) / 4;
+    Revive(target, aOut);
+    if (aEnd.mReport) {
+      target.mReport = aEnd.mReport;
+      target.mReportAt = aNow;
+    } else {
+      aState.mServices[service].mTellsLoad = false;
+    }
+  }
+  Pump(aState, aNow, service, aOut);
+}
+
+void Tick(State& aState, Micros aNow, Effects& aOut)
+{
+  while (!aState.mTimers.empty() && aState.mTimers.begin()->first <= aNow) {
+    const std::uint64_t request = aState.mTimers.begin()->second;
+    aState.mTimers.erase(aState.mTimers.begin());
+    Fire(aState, aNow, request, aOut);
+  }
+  while (!aState.mProbeTimers.empty() &&
+         aState.mProbeTimers.begin()->first <= aNow) {
+    const std::string target = aState.mProbeTimers.begin()->second;
+    aState.mProbeTimers.erase(aState.mProbeTimers.begin());
+    FireProbe(aState, aNow, target, aOut);
+  }
+}
+
+Micros NextTick(const State& aState) noexcept
+{
+  Micros next = std::numeric_limits<Micros>::max();
+  if (!aState.mTimers.empty()) {
+    next = std::min(next, aState.mTimers.begin()->first);
+  }
+  if (!aState.mProbeTimers.empty()) {
+    next = std::min(next, aState.mProbeTimers.begin()->first);
+  }
+  return next;
+}
+
+} // namespace geraniumpond::dispatch
--- a/src/edge/logging.cpp
+++ b/src/edge/logging.cpp
@@ -2,20 +2,22 @@
 
 #include <Poco/JSON/Object.h>
 
-#include <boost/core/null_deleter.hpp>
 #include <boost/date_time/posix_time/posix_time.hpp>
 #include <boost/log/attributes/clock.hpp>
 #include <boost/log/core.hpp>
 #include <boost/log/expressions.hpp>
+#include <boost/log/sinks/basic_sink_backend.hpp>
 #include <boost/log/sinks/sync_frontend.hpp>
-#include <boost/log/sinks/text_ostream_backend.hpp>
 #include <boost/log/sources/record_ostream.hpp>
 #include <boost/log/sources/severity_logger.hpp>
 #include <boost/log/utility/setup/common_attributes.hpp>
 
 #include <array>
-#include <iostream>
+#include <cerrno>
+#include <chrono>
+#include <poll.h>
 #include <sstream>
+#include <unistd.h>
 
 namespace geraniumpond::edge {
 
@@ -58,13 +60,23 @@
            message ? message.get() : "" };
 }
 
+bool IsEvent(const std::string& aMessage)
+{
+  return aMessage.compare(0, 6, "event=") == 0;
+}
+
 void WriteText(const logging::record_view& aRecord,
                logging::formatting_ostream& aOut,
                const std::string& aHost)
 {
   const Line line = LineOf(aRecord);
   aOut << "time=" << line.mTime << "Z level=" << line.mLevel
-       << " host=" << aHost << " message=\"" << line.mMessage << "\"";
+       << " host=" << aHost;
+  if (IsEvent(line.mMessage)) {
+    aOut << ' ' << line.mMessage;
+  } else {
+    aOut << " message=\"" << line.mMessage << "\"";
+  }
 }
 
 void WriteJson(const logging::record_view& aRecord,
@@ -82,19 +94,72 @@
   aOut << text.str();
 }
 
+/// \brief Writes whole lines to standard output, bounded and without waiting.
+class BoundedOutput
+  : public logging::sinks::
+      basic_formatted_sink_backend<char, logging::sinks::synchronized_feeding>
+{
+public:
+  void consume(const logging::record_view&, const string_type& aLine)
+  {
+    if (!TakeToken()) {
+      ++mLeftOut;
+      return;
+    }
+    if (mLeftOut > 0 &&
+        Write("event=log_lines_left_out count=" + std::to_string(mLeftOut))) {
+      mLeftOut = 0;
+    }
+    if (!Write(aLine)) {
+      ++mLeftOut;
+    }
+  }
+
+private:
+  // A line per request of a small host, and bursts of a few seconds.
+  static constexpr double kLinesPerSecond = 150;
+  static constexpr double kBurst = 600;
+
+  bool TakeToken()
+  {
+    const auto now = std::chrono::steady_clock::now();
+    const std::chrono::duration<double> passed = now - mRefilled;
+    mRefilled = now;
+    mTokens = std::min(kBurst, mTokens + passed.count() * kLinesPerSecond);
+    if (mTokens < 1) {
+      return false;
+    }
+    mTokens -= 1;
+    return true;
+  }
+
+  // A pipe that is ready takes a line whole: lines are kept under its atomic
+  // size, and this is its only writer.
+  static bool Write(const std::string& aLine)
+  {
+    pollfd output{ STDOUT_FILENO, POLLOUT, 0 };
+    if (::poll(&output, 1, 0) != 1 || (output.revents & POLLOUT) == 0) {
+      return false;
+    }
+    constexpr std::size_t kMaxLine = 4000;
+    std::string line = aLine.substr(0, kMaxLine);
+    line += '\n';
+    return ::write(STDOUT_FILENO, line.data(), line.size()) > 0;
+  }
+
+  std::chrono::steady_clock::time_point mRefilled{};
+  double mTokens = kBurst;
+  std::uint64_t mLeftOut = 0;
+};
+
 } // namespace
 
 void StartLogging(const std::string& aHost,
                   const std::string& aFormat,
                   const std::string& aLevel)
 {
-  using Backend = logging::sinks::text_ostream_backend;
-  auto backend = boost::make_shared<Backend>();
-  backend->add_stream(
-    boost::shared_ptr<std::ostream>(&std::clog, boost::null_deleter()));
-  backend->auto_flush(true);
   auto sink =
-    boost::make_shared<logging::sinks::synchronous_sink<Backend>>(backend);
+    boost::make_shared<logging::sinks::synchronous_sink<BoundedOutput>>();
   const bool json = aFormat == "json";
   sink->set_formatter([json, aHost](const logging::record_view& aRecord,
                                     logging::formatting_ostream& aOut) {
--- a/src/edge/peers.cpp
+++ b/src/edge/peers.cpp
@@ -80,14 +80,13 @@
   mSockets->mWakeOut.send(zmq::message_t(), zmq::send_flags::dontwait);
 }
 
-void Peers::Send(const std::string& aAddress, const wire::PeerMessage& aMessage)
+void Peers::Send(const std::string& aAddress, std::string aMessage)
 {
-  std::string bytes = aMessage.SerializeAsString();
   const std::lock_guard<std::mutex> lock(mMutex);
   if (mStopping || mQueue.size() >= kQueueLimit) {
     return;
   }
-  mQueue.emplace_back(aAddress, std::move(bytes));
+  mQueue.emplace_back(aAddress, std::move(aMessage));
   if (mQueue.size() == 1) {
     Wake();
   }
@@ -124,11 +123,7 @@
       if (message.more()) {
         continue;
       }
-      wire::PeerMessage peer;
-      if (peer.ParseFromArray(message.data(),
-                              static_cast<int>(message.size()))) {
-        mHandler(std::move(peer));
-      }
+      mHandler({ static_cast<const char*>(message.data()), message.size() });
     }
     const std::lock_guard<std::mutex> lock(mMutex);
     if (mStopping && mQueue.empty()) {
--- a/src/edge/peers.h
+++ b/src/edge/peers.h
@@ -1,13 +1,12 @@
 #pragma once
 
-#include <geraniumpond/impl/wire.h>
-
 #include <deque>
 #include <functional>
 #include <map>
 #include <memory>
 #include <mutex>
 #include <string>
+#include <string_view>
 #include <thread>
 #include <utility>
 
@@ -20,7 +19,8 @@
 class Peers
 {
 public:
-  using Handler = std::function<void(wire::PeerMessage)>;
+  /// Takes one message; called by the thread of this object.
+  using Handler = std::function<void(std::string_view)>;
 
   Peers(const std::string& aListen, Handler aHandler);
   Peers(const Peers&) = delete;
@@ -28,7 +28,7 @@
   ~Peers();
 
   /// \brief Queues a message; never blocks.
-  void Send(const std::string& aAddress, const wire::PeerMessage& aMessage);
+  void Send(const std::string& aAddress, std::string aMessage);
 
 private:
   struct Sockets;
--- a/src/edge/runtime.cpp
+++ b/src/edge/runtime.cpp
@@ -142,10 +142,12 @@
   }
   try {
     mPeers = std::make_unique<Peers>(
-      mSettings.mPeerAddress, [this](wire::PeerMessage aMessage) {
+      mSettings.mPeerAddress, [this](std::string_view aBytes) {
         wire::Event received;
-        *received.mutable_peer() = std::move(aMessage);
-        Post(std::move(received));
+        if (received.mutable_peer()->ParseFromArray(
+              aBytes.data(), static_cast<int>(aBytes.size()))) {
+          Post(std::move(received));
+        }
       });
   } catch (const std::exception& error) {
     return Fail(ErrorCode::Io,
@@ -216,7 +218,8 @@
   switch (aEffect.body_case()) {
     case wire::Effect::kSend:
       if (mPeers) {
-        mPeers->Send(aEffect.send().address(), aEffect.send().message());
+        mPeers->Send(aEffect.send().address(),
+                     aEffect.send().message().SerializeAsString());
       }
       break;
     case wire::Effect::kDispatch:
--- a/src/edge/storage.cpp
+++ b/src/edge/storage.cpp
@@ -81,6 +81,15 @@
     aOut.mHard = aRecord.hard_state();
     return true;
   }
+  if (aRecord.has_batch()) {
+    for (const wire::LogRecord& record : aRecord.batch().records()) {
+      Result<bool> taken = TakeRecord(record, aOut);
+      if (!taken) {
+        return taken;
+      }
+    }
+    return true;
+  }
   if (aRecord.has_entry()) {
     const std::uint64_t last =
       aOut.mEntries.empty() ? 0 : aOut.mEntries.back().index();
@@ -238,13 +247,20 @@
 
 Result<bool> InitFounder(const std::string& aFolder,
                          const wire::HostSettings& aSettings)
+{
+  return InitFounder(aFolder,
+                     consensus::Founders({ aSettings.voters().begin(),
+                                           aSettings.voters().end() }));
+}
+
+Result<bool> InitFounder(const std::string& aFolder,
+                         const wire::Membership& aMembers)
 {
   if (HasDisk(aFolder)) {
     return Fail(ErrorCode::Conflict, aFolder + " already holds a disk");
   }
   wire::Snapshot snapshot;
-  *snapshot.mutable_membership() = consensus::Founders(
-    { aSettings.voters().begin(), aSettings.voters().end() });
+  *snapshot.mutable_membership() = aMembers;
   return InitDisk(aFolder, snapshot, consensus::kFoundingStorage);
 }
 
@@ -289,14 +305,22 @@
   if (mFile < 0) {
     return Fail(ErrorCode::Io, path + ": " + std::strerror(errno));
   }
+  mSyncedBytes = ::lseek(mFile, 0, SEEK_END);
   return true;
 }
 
+// The records of one write are one frame: after a loss of power any part of
+// what was not synced may be missing, and whole records behind a missing one
+// would look like a corrupt log.
 Result<bool> LogWriter::Write(const wire::Persist& aPersist)
 {
   std::string bytes;
-  for (const wire::LogRecord& record : aPersist.records()) {
-    bytes += Frame(record.SerializeAsString());
+  if (aPersist.records_size() == 1) {
+    bytes = Frame(aPersist.records(0).SerializeAsString());
+  } else if (aPersist.records_size() > 1) {
+    wire::LogRecord batch;
+    *batch.mutable_batch()->mutable_records() = aPersist.records();
+    bytes = Frame(batch.SerializeAsString());
   }
   std::size_t done = 0;
   while (done < bytes.size()) {
@@ -336,6 +360,15 @@
   if (::fdatasync(mFile) != 0) {
     return Fail(ErrorCode::Io, std::string("sync: ") + std::strerror(errno));
   }
+  mSyncedBytes = ::lseek(mFile, 0, SEEK_END);
+  return true;
+}
+
+Result<bool> LogWriter::Rewind()
+{
+  if (::ftruncate(mFile, mSyncedBytes) != 0) {
+    return Fail(ErrorCode::Io, std::string("rewind: ") + std::strerror(errno));
+  }
   return true;
 }
 
--- a/src/edge/storage.h
+++ b/src/edge/storage.h
@@ -37,6 +37,9 @@
   /// \brief Writes without waiting for the disk.
   [[nodiscard]] Result<bool> Write(const wire::Persist& aPersist);
 
+  /// \brief Drops what was written since the last sync, after a failure.
+  [[nodiscard]] Result<bool> Rewind();
+
   /// \brief Returns when everything written is on disk.
   [[nodiscard]] Result<bool> Sync();
 
@@ -47,6 +50,8 @@
 
   std::string mFolder;
   int mFile = -1;
+  /// Length of the log at its last sync.
+  std::int64_t mSyncedBytes = 0;
 };
 
 /// \brief Replaces a file as a whole and syncs it and its folder.
@@ -64,6 +69,10 @@
 [[nodiscard]] Result<bool> InitFounder(const std::string& aFolder,
                                        const wire::HostSettings& aSettings);
 
+/// \brief The same for a group whose founding members are given.
+[[nodiscard]] Result<bool> InitFounder(const std::string& aFolder,
+                                       const wire::Membership& aMembers);
+
 /// \brief Makes the disk of a control host that joins; keeps an existing one.
 [[nodiscard]] Result<bool> InitJoiner(const std::string& aFolder,
                                       const std::string& aStorage);
--- /dev/null
+++ b/src/fleet/fleet.cpp
@@ -0,0 +1,231 @@
+#include "internal.h"
+
+#include <algorithm>
+
+namespace geraniumpond::fleet {
+
+namespace {
+
+/// Policies may be a hundred kilobytes each, and a disk holds 64 megabytes:
+/// the log is kept to a few megabytes.
+constexpr std::size_t kSnapshotEntries = 200;
+constexpr std::size_t kRetainedEntries = 20;
+
+void LoadRecovered(State& aState, Output& aOut)
+{
+  if (aState.mGroup.mSnapshot.state().empty()) {
+    return;
+  }
+  Result<catalog::State> loaded =
+    catalog::Load(aState.mGroup.mSnapshot.state());
+  if (!loaded) {
+    aOut.mNotes.push_back({ 3, "event=snapshot_unreadable" });
+    consensus::Failed(aState.mGroup);
+    return;
+  }
+  aState.mCatalog = std::move(loaded.value());
+  aState.mApplied = aState.mGroup.mSnapshot.index();
+  aState.mRecentBase = aState.mApplied;
+  aOut.mPolicyChanged = true;
+  aOut.mTargetsChanged = true;
+}
+
+Host OwnHost(const State& aState, Micros aNow)
+{
+  const Settings& settings = aState.mSettings;
+  return { settings.mPeerAddress,
+           settings.mCallerAddress,
+           settings.mDataCentre,
+           settings.mIncarnation,
+           aState.mReady,
+           aState.mStopping,
+           aNow };
+}
+
+} // namespace
+
+void SendTo(State& aState,
+            const std::string& aAddress,
+            wire::FleetMessage aMessage,
+            Output& aOut)
+{
+  aMessage.set_from_address(aState.mSettings.mPeerAddress);
+  aOut.mMessages.emplace_back(aAddress, std::move(aMessage));
+}
+
+bool IsControlMember(const State& aState) noexcept
+{
+  return aState.mSettings.mControl;
+}
+
+wire::Membership FoundingMembers(const std::vector<std::string>& aSeeds)
+{
+  wire::Membership membership;
+  for (const std::string& seed : aSeeds) {
+    wire::Member& member = *membership.add_members();
+    member.set_id(MemberId(seed, consensus::kFoundingStorage));
+    member.set_address(seed);
+    member.set_storage(consensus::kFoundingStorage);
+    member.set_voter(true);
+  }
+  return membership;
+}
+
+std::string MemberId(const std::string& aPeerAddress,
+                     const std::string& aStorage)
+{
+  return aPeerAddress + "/" + aStorage;
+}
+
+State Open(const Settings& aSettings,
+           const consensus::Recovered& aRecovered,
+           Micros aNow,
+           std::uint64_t aRandom,
+           Output& aOut)
+{
+  State state;
+  state.mSettings = aSettings;
+  state.mControlAddresses = aSettings.mSeeds;
+  if (aSettings.mControl) {
+    state.mGroup = consensus::Open(
+      MemberId(aSettings.mPeerAddress, aRecovered.mHard.storage()),
+      aRecovered,
+      aNow,
+      aRandom);
+    state.mGroup.mRules.mSnapshotEvery = kSnapshotEntries;
+    state.mGroup.mRules.mRetained = kRetainedEntries;
+    LoadRecovered(state, aOut);
+  }
+  state.mUpstreamTurn = static_cast<std::size_t>(aRandom % 1021);
+  state.mHosts[aSettings.mPeerAddress] = OwnHost(state, aNow);
+  state.mFollowAt = aNow;
+  Tick(state, aNow, aRandom, aOut);
+  return state;
+}
+
+void Tick(State& aState, Micros aNow, std::uint64_t aRandom, Output& aOut)
+{
+  if (IsControlMember(aState)) {
+    TickGroup(aState, aNow, aRandom, aOut);
+  }
+  if (aNow >= aState.mFollowAt) {
+    aState.mFollowAt = aNow + kFollowInterval;
+    aState.mHosts[aState.mSettings.mPeerAddress] = OwnHost(aState, aNow);
+    SendFollows(aState, aNow, aOut);
+    UpdateHosts(aState, aNow, aOut);
+  }
+  RetryPending(aState, aNow, aOut);
+}
+
+void Receive(State& aState,
+             Micros aNow,
+             std::uint64_t aRandom,
+             const wire::FleetMessage& aMessage,
+             Output& aOut)
+{
+  const std::string& from = aMessage.from_address();
+  switch (aMessage.body_case()) {
+    case wire::FleetMessage::kConsensus:
+      TakeConsensus(aState, aNow, aRandom, aMessage.consensus(), aOut);
+      break;
+    case wire::FleetMessage::kFollow:
+      TakeFollow(aState, aNow, from, aMessage.follow(), aOut);
+      break;
+    case wire::FleetMessage::kFollowReply:
+      TakeFollowReply(aState, aNow, from, aMessage.follow_reply(), aOut);
+      break;
+    case wire::FleetMessage::kSubmit:
+      TakeSubmit(aState, aNow, from, aMessage.submit(), aOut);
+      break;
+    case wire::FleetMessage::kSubmitReply:
+      TakeSubmitReply(aState, aNow, aMessage.submit_reply(), aOut);
+      break;
+    case wire::FleetMessage::kJoin:
+      TakeJoin(aState, aNow, from, aMessage.join(), aOut);
+      break;
+    case wire::FleetMessage::BODY_NOT_SET:
+      aOut.mNotes.push_back({ 2, "event=message_unknown from=" + from });
+      break;
+  }
+}
+
+void Synced(State& aState, Micros aNow, std::uint64_t aSequence, Output& aOut)
+{
+  consensus::Output raft;
+  consensus::Synced(aState.mGroup, aSequence, raft);
+  Perform(aState, aNow, std::move(raft), aOut);
+}
+
+void SetReady(State& aState, Micros aNow, bool aReady, Output& aOut)
+{
+  if (aState.mReady == aReady) {
+    return;
+  }
+  aState.mReady = aReady;
+  aState.mHosts[aState.mSettings.mPeerAddress] = OwnHost(aState, aNow);
+  SendFollows(aState, aNow, aOut);
+  UpdateHosts(aState, aNow, aOut);
+}
+
+void BeginStop(State& aState, Micros aNow, Output& aOut)
+{
+  if (aState.mStopping) {
+    return;
+  }
+  aState.mStopping = true;
+  aState.mReady = false;
+  aState.mHosts[aState.mSettings.mPeerAddress] = OwnHost(aState, aNow);
+  SendFollows(aState, aNow, aOut);
+  UpdateHosts(aState, aNow, aOut);
+  if (consensus::IsLeader(aState.mGroup)) {
+    consensus::Output raft;
+    consensus::Transfer(aState.mGroup, aNow, raft);
+    Perform(aState, aNow, std::move(raft), aOut);
+  }
+}
+
+std::vector<const Host*> ReadyHosts(const State& aState, Micros aNow)
+{
+  std::vector<const Host*> hosts;
+  for (const auto& [address, host] : aState.mHosts) {
+    const bool fresh = aNow - host.mHeardAt < kHostLease;
+    if (host.mReady && !host.mStopping && fresh) {
+      hosts.push_back(&host);
+    }
+  }
+  return hosts;
+}
+
+int LiveHosts(const State& aState, Micros aNow)
+{
+  const auto live =
+    std::count_if(aState.mHosts.begin(),
+                  aState.mHosts.end(),
+                  [&](const std::pair<const std::string, Host>& aEntry) {
+                    return aNow - aEntry.second.mHeardAt < kHostLease;
+                  });
+  return std::max(1, static_cast<int>(live));
+}
+
+bool IsInTouch(const State& aState, Micros aNow)
+{
+  if (IsControlMember(aState) &&
+      aState.mGroup.mRole != consensus::Role::Learner) {
+    return consensus::IsLeader(aState.mGroup) ||
+           (!aState.mGroup.mLeader.empty() &&
+            aNow - aState.mGroup.mHeardLeaderAt < kLeaderPatience);
+  }
+  return aState.mInTouch &&
+         aNow - aState.mUpstreamHeardAt < kUpstreamPatience + kFollowInterval;
+}
+
+Micros NextTick(const State& aState) noexcept
+{
+  Micros next = std::min(aState.mFollowAt, NextPendingTime(aState));
+  if (IsControlMember(aState)) {
+    next = std::min(next, consensus::NextTick(aState.mGroup));
+  }
+  return next;
+}
+
+} // namespace geraniumpond::fleet
--- /dev/null
+++ b/src/fleet/internal.h
@@ -0,0 +1,80 @@
+#pragma once
+
+#include <geraniumpond/fleet.h>
+
+/// \brief Steps that the fleet's sources share.
+namespace geraniumpond::fleet {
+
+/// \brief Pace at which hosts report to the control host that they follow.
+constexpr Micros kFollowInterval = 400 * kMillisecond;
+/// \brief A host not heard for six reports is taken for gone.
+constexpr Micros kHostLease = 6 * kFollowInterval;
+/// \brief Silence after which another control host is followed: a report and
+/// its answer lost in a row.
+constexpr Micros kUpstreamPatience = 1000 * kMillisecond;
+/// \brief A control host that has not heard its leader for this long is out of
+/// touch; an election takes up to twice as long.
+constexpr Micros kLeaderPatience = 1000 * kMillisecond;
+
+// --- group.cpp: the control group
+
+/// \brief Performs what consensus asked for, and applies what it committed.
+void Perform(State& aState, Micros aNow, consensus::Output aRaft, Output& aOut);
+void TickGroup(State& aState, Micros aNow, std::uint64_t aRandom, Output& aOut);
+void TakeConsensus(State& aState,
+                   Micros aNow,
+                   std::uint64_t aRandom,
+                   const wire::ConsensusMessage& aMessage,
+                   Output& aOut);
+void TakeJoin(State& aState,
+              Micros aNow,
+              const std::string& aFrom,
+              const wire::Member& aJoiner,
+              Output& aOut);
+[[nodiscard]] std::string LeaderAddress(const State& aState);
+void ApplyCommand(State& aState, const std::string& aCommand, Output& aOut);
+
+// --- submit.cpp: commands to the leader and back
+void TakeSubmit(State& aState,
+                Micros aNow,
+                const std::string& aFrom,
+                const wire::Submit& aMessage,
+                Output& aOut);
+void TakeSubmitReply(State& aState,
+                     Micros aNow,
+                     const wire::SubmitReply& aMessage,
+                     Output& aOut);
+void ReplySubmit(State& aState,
+                 Micros aNow,
+                 const std::string& aTo,
+                 const wire::SubmitReply& aReply,
+                 Output& aOut);
+void RetryPending(State& aState, Micros aNow, Output& aOut);
+[[nodiscard]] Micros NextPendingTime(const State& aState) noexcept;
+
+// --- following.cpp: hosts that hold the catalog in memory
+void SendFollows(State& aState, Micros aNow, Output& aOut);
+void TakeFollow(State& aState,
+                Micros aNow,
+                const std::string& aFrom,
+                const wire::Follow& aMessage,
+                Output& aOut);
+void TakeFollowReply(State& aState,
+                     Micros aNow,
+                     const std::string& aFrom,
+                     const wire::FollowReply& aMessage,
+                     Output& aOut);
+/// \brief Sends followers what was committed since their last message.
+void PushToFollowers(State& aState, Micros aNow, Output& aOut);
+void UpdateHosts(State& aState, Micros aNow, Output& aOut);
+/// \brief Remembers a committed command for followers.
+void Remember(State& aState, std::uint64_t aIndex, const std::string& aCommand);
+
+// --- fleet.cpp
+void SendTo(State& aState,
+            const std::string& aAddress,
+            wire::FleetMessage aMessage,
+            Output& aOut);
+[[nodiscard]] bool IsControlMember(const State& aState) noexcept;
+
+} // namespace geraniumpond::fleet
--- /dev/null
+++ b/src/frontend/dialect.h
@@ -0,0 +1,85 @@
+#pragma once
+
+#include "http_message.h"
+
+#include <geraniumpond/gateway.h>
+
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace geraniumpond::frontend {
+
+/// \brief Names of the header fields that hosts, clients and targets share.
+struct FieldNames
+{
+  /// Names one attempt of a client; targets repeat it in their answers.
+  std::string mRequestId;
+  /// In a successful answer: the target vouches for it. Empty when targets
+  /// have no such field.
+  std::string mSignature;
+  /// Milliseconds that the sender of a request waits.
+  std::string mPatience;
+  /// Id of the only target that may run the request.
+  std::string mExpectedTarget;
+  /// In an answer: the target did not run the request.
+  std::string mNotRun;
+  /// In an answer: id of the target.
+  std::string mTargetId;
+  /// In an answer: running, waiting, slots, and percent of the usual time.
+  std::string mLoad;
+};
+
+/// \brief Calls that hosts, targets and operators make beside requests.
+struct CallAnnounce
+{
+  wire::TargetRecord mRecord;
+};
+struct CallWithdraw
+{
+  std::string mTarget;
+};
+struct CallPutPolicy
+{
+  std::string mDocument;
+};
+struct CallReadPolicy
+{};
+struct CallResolve
+{
+  std::string mDataCentre;
+};
+struct CallReady
+{};
+struct CallMetrics
+{};
+struct CallInvalid
+{
+  int mStatus = 404;
+  std::string mReason;
+};
+
+using Call = std::variant<CallInvalid,
+                          CallAnnounce,
+                          CallWithdraw,
+                          CallPutPolicy,
+                          CallReadPolicy,
+                          CallResolve,
+                          CallReady,
+                          CallMetrics>;
+
+/// \brief How one deployment's parties speak: names and free functions.
+struct Dialect
+{
+  FieldNames mNames;
+  /// Reads a call from a request.
+  Call (*mReadCall)(const HttpRequest&) = nullptr;
+  /// The answer to an operation.
+  HttpResponse (*mWriteEnd)(const gateway::AnswerOperation&) = nullptr;
+  /// The answer to where a service's hosts are.
+  HttpResponse (*mWriteAddresses)(const std::vector<std::string>&,
+                                  Micros aKeep) = nullptr;
+  gateway::PolicyDecoder mDecodePolicy = nullptr;
+};
+
+} // namespace geraniumpond::frontend
--- /dev/null
+++ b/src/frontend/disk_writer.cpp
@@ -0,0 +1,168 @@
+#include "disk_writer.h"
+
+#include "edge/storage.h"
+
+#include <chrono>
+
+namespace geraniumpond::frontend {
+
+namespace {
+
+/// Pause before a disk that failed is tried again.
+constexpr std::chrono::milliseconds kRetryPause{ 100 };
+
+wire::Persist ToPersist(const consensus::Write& aWrite)
+{
+  wire::Persist persist;
+  persist.set_sequence(aWrite.mSequence);
+  for (const wire::LogRecord& record : aWrite.mRecords) {
+    *persist.add_records() = record;
+  }
+  if (aWrite.mSnapshot) {
+    *persist.mutable_snapshot() = *aWrite.mSnapshot;
+    for (const wire::LogRecord& record : aWrite.mRetained) {
+      *persist.add_retained() = record;
+    }
+  }
+  return persist;
+}
+
+// Records that are written together lie in one frame, up to a snapshot.
+std::vector<wire::Persist> Merge(const std::vector<consensus::Write>& aBatch)
+{
+  std::vector<wire::Persist> merged;
+  for (const consensus::Write& write : aBatch) {
+    wire::Persist persist = ToPersist(write);
+    if (merged.empty() || merged.back().has_snapshot() ||
+        persist.has_snapshot()) {
+      merged.push_back(std::move(persist));
+      continue;
+    }
+    merged.back().set_sequence(persist.sequence());
+    for (wire::LogRecord& record : *persist.mutable_records()) {
+      *merged.back().add_records() = std::move(record);
+    }
+  }
+  return merged;
+}
+
+} // namespace
+
+Result<OpenedDisk> OpenDisk(const std::string& aFolder,
+                            bool aFounds,
+                            const wire::Membership& aFounders,
+                            const std::string& aStorage)
+{
+  if (aFounds) {
+    const Result<bool> made = edge::InitFounder(aFolder, aFounders);
+    if (!made && made.error().mCode != ErrorCode::Conflict) {
+      return made.error();
+    }
+  }
+  const Result<bool> made = edge::InitJoiner(aFolder, aStorage);
+  if (!made) {
+    return made.error();
+  }
+  Result<edge::StoredState> stored = edge::Recover(aFolder);
+  if (!stored) {
+    return stored.error();
+  }
+  OpenedDisk disk;
+  disk.mCutBytes = stored.value().mCutBytes;
+  disk.mRecovered.mHard = stored.value().mHard;
+  disk.mRecovered.mSnapshot = stored.value().mSnapshot;
+  disk.mRecovered.mEntries = std::move(stored.value().mEntries);
+  return disk;
+}
+
+Result<std::unique_ptr<DiskWriter>> DiskWriter::Open(const std::string& aFolder,
+                                                     Synced aSynced,
+                                                     Trouble aTrouble)
+{
+  Result<std::unique_ptr<edge::LogWriter>> log = edge::LogWriter::Open(aFolder);
+  if (!log) {
+    return log.error();
+  }
+  return std::unique_ptr<DiskWriter>(new DiskWriter(
+    std::move(log.value()), std::move(aSynced), std::move(aTrouble)));
+}
+
+DiskWriter::DiskWriter(std::unique_ptr<edge::LogWriter> aLog,
+                       Synced aSynced,
+                       Trouble aTrouble)
+  : mLog(std::move(aLog))
+  , mSynced(std::move(aSynced))
+  , mTrouble(std::move(aTrouble))
+  , mThread([this] { Run(); })
+{
+}
+
+DiskWriter::~DiskWriter()
+{
+  {
+    const std::lock_guard<std::mutex> lock(mMutex);
+    mStopping = true;
+    mQueued.notify_all();
+  }
+  mThread.join();
+}
+
+void DiskWriter::Write(consensus::Write aWrite)
+{
+  const std::lock_guard<std::mutex> lock(mMutex);
+  mQueue.push_back(std::move(aWrite));
+  mQueued.notify_one();
+}
+
+Result<bool> DiskWriter::WriteAll(const std::vector<consensus::Write>& aBatch)
+{
+  for (const wire::Persist& persist : Merge(aBatch)) {
+    Result<bool> written = mLog->Write(persist);
+    if (!written) {
+      return written;
+    }
+  }
+  return mLog->Sync();
+}
+
+void DiskWriter::Run()
+{
+  bool failing = false;
+  std::unique_lock<std::mutex> lock(mMutex);
+  while (true) {
+    mQueued.wait(lock, [this] { return !mQueue.empty() || mStopping; });
+    if (mQueue.empty() || (mStopping && failing)) {
+      return;
+    }
+    std::vector<consensus::Write> batch;
+    batch.swap(mQueue);
+    lock.unlock();
+    const Result<bool> written = WriteAll(batch);
+    if (written) {
+      if (failing) {
+        mTrouble("");
+      }
+      failing = false;
+      mSynced(batch.back().mSequence);
+      lock.lock();
+      continue;
+    }
+    if (!failing) {
+      mTrouble(written.error().mMessage);
+    }
+    failing = true;
+    // What may have reached the file in part is written anew as a whole.
+    const Result<bool> rewound = mLog->Rewind();
+    if (!rewound) {
+      mTrouble(rewound.error().mMessage);
+    }
+    lock.lock();
+    batch.insert(batch.end(),
+                 std::make_move_iterator(mQueue.begin()),
+                 std::make_move_iterator(mQueue.end()));
+    mQueue = std::move(batch);
+    mQueued.wait_for(lock, kRetryPause, [this] { return mStopping; });
+  }
+}
+
+} // namespace geraniumpond::frontend
--- /dev/null
+++ b/src/frontend/gateway_process.cpp
@@ -0,0 +1,538 @@
+#include "gateway_process.h"
+
+#include "edge/logging.h"
+
+#include <Poco/NumberParser.h>
+
+#include <algorithm>
+#include <chrono>
+#include <cstdio>
+#include <random>
+
+namespace geraniumpond::frontend {
+
+namespace {
+
+using std::chrono::duration_cast;
+using std::chrono::microseconds;
+using std::chrono::steady_clock;
+using std::chrono::system_clock;
+
+/// Sweeps of connections happen at this pace even when nothing else does.
+constexpr Micros kLongestWait = 50 * kMillisecond;
+/// Deadlines handed to targets end this much before the client's.
+constexpr Micros kAnswerTrip = 2 * kMillisecond;
+
+Micros SteadyNow()
+{
+  return duration_cast<microseconds>(steady_clock::now().time_since_epoch())
+    .count();
+}
+
+Micros WallNow()
+{
+  return duration_cast<microseconds>(system_clock::now().time_since_epoch())
+    .count();
+}
+
+std::uint64_t RandomWord()
+{
+  std::random_device device;
+  return (static_cast<std::uint64_t>(device()) << 32) | device();
+}
+
+// Seconds with a fraction, as clients take it.
+std::string RetryAfterText(Micros aTime)
+{
+  char text[32];
+  std::snprintf(
+    text, sizeof(text), "%.3f", static_cast<double>(aTime) / kSecond);
+  return text;
+}
+
+std::string RequestBytes(const HttpRequest& aRequest,
+                         const FieldNames& aNames,
+                         const std::string& aTarget,
+                         Micros aPatience)
+{
+  std::string out;
+  out.reserve(512 + aRequest.mBody.size());
+  out += aRequest.mMethod + " " + aRequest.mTarget + " HTTP/1.1\r\n";
+  bool framed = false;
+  for (const auto& [name, value] : aRequest.mFields) {
+    if (SameName(name, "Content-Length") ||
+        SameName(name, "Transfer-Encoding")) {
+      framed = true;
+      continue;
+    }
+    if (IsHopField(aRequest.mFields, name) ||
+        SameName(name, aNames.mPatience) ||
+        SameName(name, aNames.mExpectedTarget)) {
+      continue;
+    }
+    out += name + ": " + value + "\r\n";
+  }
+  const Micros left = std::max<Micros>(1, aPatience / kMillisecond);
+  out += aNames.mPatience + ": " + std::to_string(left) + "\r\n";
+  out += aNames.mExpectedTarget + ": " + aTarget + "\r\n";
+  if (framed) {
+    out += "Content-Length: " + std::to_string(aRequest.mBody.size()) + "\r\n";
+  }
+  out += "\r\n";
+  out += aRequest.mBody;
+  return out;
+}
+
+} // namespace
+
+/// \brief Clients' requests become arrivals.
+class GatewayProcess::Callers : public RequestSink
+{
+public:
+  explicit Callers(GatewayProcess& aProcess)
+    : mProcess(aProcess)
+  {
+  }
+
+  void OnRequest(std::uint64_t aExchange, HttpRequest aRequest) override
+  {
+    const FieldNames& names = mProcess.mDialect.mNames;
+    dispatch::Arrival arrival;
+    arrival.mId = aExchange;
+    const std::string* id = FindField(aRequest.mFields, names.mRequestId);
+    arrival.mClientRequestId = id == nullptr ? "" : *id;
+    arrival.mHostName = *FindField(aRequest.mFields, "Host");
+    arrival.mPath = aRequest.mTarget;
+    const std::string* patience = FindField(aRequest.mFields, names.mPatience);
+    Poco::Int64 milliseconds = 0;
+    if (patience != nullptr &&
+        Poco::NumberParser::tryParse64(*patience, milliseconds)) {
+      arrival.mPatience = std::max<Micros>(1, milliseconds * kMillisecond);
+    }
+    Exchange& exchange = mProcess.mExchanges[aExchange];
+    exchange.mRequest = std::move(aRequest);
+    exchange.mArrivedAt = mProcess.mNow;
+    mProcess.Post(std::move(arrival));
+  }
+
+  void OnGone(std::uint64_t aExchange) override
+  {
+    mProcess.mExchanges.erase(aExchange);
+    mProcess.Post(gateway::ClientGone{ aExchange });
+  }
+
+  void OnMalformed(int aStatus, const std::string& aReason) override
+  {
+    edge::WriteLog(2,
+                   "event=malformed_request status=" + std::to_string(aStatus) +
+                     " reason=\"" + aReason + "\"");
+    ++mProcess.mState.mDispatch.mCounters["malformed_requests"];
+  }
+
+private:
+  GatewayProcess& mProcess;
+};
+
+/// \brief Calls of targets, operators and directory clients.
+class GatewayProcess::Operators : public RequestSink
+{
+public:
+  explicit Operators(GatewayProcess& aProcess)
+    : mProcess(aProcess)
+  {
+  }
+
+  void OnRequest(std::uint64_t aExchange, HttpRequest aRequest) override
+  {
+    mProcess.TakeCall(aExchange, aRequest);
+  }
+  // An operation runs to its end without its caller.
+  void OnGone(std::uint64_t) override {}
+  void OnMalformed(int aStatus, const std::string& aReason) override
+  {
+    edge::WriteLog(2,
+                   "event=malformed_call status=" + std::to_string(aStatus) +
+                     " reason=\"" + aReason + "\"");
+    ++mProcess.mState.mDispatch.mCounters["malformed_calls"];
+  }
+
+private:
+  GatewayProcess& mProcess;
+};
+
+GatewayProcess::GatewayProcess(const GatewaySettings& aSettings,
+                               const Dialect& aDialect)
+  : mSettings(aSettings)
+  , mDialect(aDialect)
+  , mClockOffset(WallNow() - SteadyNow())
+  , mRandom(RandomWord())
+  , mTargets(mLoop, aDialect.mNames, *this)
+  , mCallerSink(std::make_unique<Callers>(*this))
+  , mOperatorSink(std::make_unique<Operators>(*this))
+{
+  mNow = Now();
+}
+
+// Threads end first: they post into what else is here.
+GatewayProcess::~GatewayProcess()
+{
+  mPeers.reset();
+  mDisk.reset();
+}
+
+Micros GatewayProcess::Now() const
+{
+  return SteadyNow() + mClockOffset;
+}
+
+std::uint64_t GatewayProcess::NextRandom()
+{
+  mRandom = mRandom * 6364136223846793005ULL + 1442695040888963407ULL;
+  std::uint64_t word = mRandom;
+  word = (word ^ (word >> 33)) * 0xff51afd7ed558ccdULL;
+  return word ^ (word >> 33);
+}
+
+gateway::Settings GatewayProcess::ReducerSettings() const
+{
+  gateway::Settings settings;
+  settings.mFleet.mPeerAddress = mSettings.mPeerAddress;
+  settings.mFleet.mCallerAddress = mSettings.mCallerAddress;
+  settings.mFleet.mDataCentre = mSettings.mDataCentre;
+  settings.mFleet.mIncarnation = static_cast<std::uint64_t>(WallNow());
+  settings.mFleet.mControl = !mSettings.mDataFolder.empty();
+  settings.mFleet.mSeeds = SeedPeers(mSettings);
+  settings.mFleet.mToleratedLosses = mSettings.mToleratedLosses;
+  settings.mBounds.mExtraRatio = mSettings.mExtraRatio;
+  settings.mBounds.mExtraFloor = mSettings.mExtraFloor;
+  settings.mBounds.mExtraWindow = mSettings.mExtraWindow;
+  settings.mBounds.mProbesPerTarget = mSettings.mProbesPerTarget;
+  settings.mDecodePolicy = mDialect.mDecodePolicy;
+  settings.mAnswerKeep = mSettings.mAnswerKeep;
+  settings.mStopGrace = mSettings.mStopGrace;
+  return settings;
+}
+
+Result<consensus::Recovered> GatewayProcess::OpenStorage(
+  const fleet::Settings& aFleet)
+{
+  if (!aFleet.mControl) {
+    return consensus::Recovered();
+  }
+  const bool isSeed = std::count(aFleet.mSeeds.begin(),
+                                 aFleet.mSeeds.end(),
+                                 aFleet.mPeerAddress) != 0;
+  char storage[32];
+  std::snprintf(storage,
+                sizeof(storage),
+                "disk-%016llx",
+                static_cast<unsigned long long>(RandomWord()));
+  Result<OpenedDisk> disk = OpenDisk(mSettings.mDataFolder,
+                                     mSettings.mFounding && isSeed,
+                                     fleet::FoundingMembers(aFleet.mSeeds),
+                                     storage);
+  if (!disk) {
+    return disk.error();
+  }
+  if (disk.value().mCutBytes > 0) {
+    edge::WriteLog(
+      2, "event=log_tail_cut bytes=" + std::to_string(disk.value().mCutBytes));
+  }
+  Result<std::unique_ptr<DiskWriter>> writer = DiskWriter::Open(
+    mSettings.mDataFolder,
+    [this](std::uint64_t aSequence) {
+      const std::lock_guard<std::mutex> lock(mInboxMutex);
+      mInbox.mSynced = aSequence;
+      mLoop.Wake();
+    },
+    [this](const std::string& aReason) {
+      const std::lock_guard<std::mutex> lock(mInboxMutex);
+      mInbox.mTroubles.push_back(aReason);
+      mLoop.Wake();
+    });
+  if (!writer) {
+    return writer.error();
+  }
+  mDisk = std::move(writer.value());
+  return std::move(disk.value().mRecovered);
+}
+
+Result<bool> GatewayProcess::Start()
+{
+  const gateway::Settings settings = ReducerSettings();
+  Result<consensus::Recovered> recovered = OpenStorage(settings.mFleet);
+  if (!recovered) {
+    return recovered.error();
+  }
+  mPeers = std::make_unique<edge::Peers>(
+    mSettings.mPeerAddress, [this](std::string_view aBytes) {
+      const std::lock_guard<std::mutex> lock(mInboxMutex);
+      mInbox.mMessages.emplace_back(aBytes);
+      mLoop.Wake();
+    });
+  mCallerServer =
+    std::make_unique<HttpServer>(mLoop, mSettings.mCallerAddress, *mCallerSink);
+  std::vector<std::string> addresses = mSettings.mCallAddresses;
+  addresses.push_back(mSettings.mMetricsAddress);
+  for (const std::string& address : addresses) {
+    mCallServers.push_back(
+      std::make_unique<HttpServer>(mLoop, address, *mOperatorSink));
+  }
+  mNow = Now();
+  gateway::Effects effects;
+  mState =
+    gateway::Open(settings, recovered.value(), mNow, NextRandom(), effects);
+  mOpened = true;
+  Perform(std::move(effects));
+  return true;
+}
+
+void GatewayProcess::RequestStop()
+{
+  Post(gateway::StopRequested{});
+  mCallerServer->BeginStop();
+}
+
+template<class Body>
+void GatewayProcess::Post(Body aBody)
+{
+  gateway::Event event;
+  event.mNow = mNow;
+  event.mRandom = NextRandom();
+  event.mBody = std::move(aBody);
+  Perform(gateway::Step(mState, event));
+}
+
+void GatewayProcess::Perform(gateway::Effects aEffects)
+{
+  for (gateway::Effect& effect : aEffects) {
+    std::visit([this](auto& aOne) { PerformOne(aOne); }, effect);
+  }
+  UpdateLimits();
+}
+
+void GatewayProcess::UpdateLimits()
+{
+  const auto& policy = mState.mDispatch.mPolicy;
+  if (policy && policy->mVersion != mPolicyVersion && mCallerServer) {
+    mPolicyVersion = policy->mVersion;
+    mCallerServer->SetLimits(policy->mLimits);
+  }
+}
+
+void GatewayProcess::PerformOne(dispatch::ProbeTarget& aEffect)
+{
+  mTargets.Probe(aEffect);
+}
+
+void GatewayProcess::PerformOne(dispatch::SendRequest& aEffect)
+{
+  const auto found = mExchanges.find(aEffect.mRequest);
+  if (found == mExchanges.end()) {
+    return;
+  }
+  const HttpRequest& request = found->second.mRequest;
+  const std::string* id =
+    FindField(request.mFields, mDialect.mNames.mRequestId);
+  Shipment shipment;
+  shipment.mRequest = aEffect.mRequest;
+  shipment.mAttempt = aEffect.mAttempt;
+  shipment.mTarget = aEffect.mTarget;
+  shipment.mAddress = aEffect.mAddress;
+  shipment.mBytes = RequestBytes(request,
+                                 mDialect.mNames,
+                                 aEffect.mTarget,
+                                 aEffect.mDeadline - mNow - kAnswerTrip);
+  shipment.mRequestId = id == nullptr ? "" : *id;
+  shipment.mHeadOnly = request.mMethod == "HEAD";
+  shipment.mProvenConnection = aEffect.mProvenConnection;
+  mTargets.Send(std::move(shipment));
+}
+
+void GatewayProcess::PerformOne(dispatch::CancelAttempt& aEffect)
+{
+  mTargets.Cancel(aEffect.mAttempt);
+}
+
+void GatewayProcess::PerformOne(dispatch::DeliverAnswer& aEffect)
+{
+  const auto found = mExchanges.find(aEffect.mRequest);
+  if (found != mExchanges.end() &&
+      found->second.mAnsweredBy == aEffect.mAttempt) {
+    Answer(aEffect.mRequest, found->second.mAnswer);
+  }
+}
+
+void GatewayProcess::PerformOne(dispatch::ReplyToClient& aEffect)
+{
+  HttpResponse response =
+    MakeResponse(aEffect.mStatus, "text/plain", aEffect.mReason + "\n");
+  if (aEffect.mRetryAfter > 0) {
+    response.mFields.emplace_back("Retry-After",
+                                  RetryAfterText(aEffect.mRetryAfter));
+  }
+  Answer(aEffect.mRequest, response);
+}
+
+void GatewayProcess::PerformOne(dispatch::LogLine& aEffect)
+{
+  edge::WriteLog(aEffect.mLevel, aEffect.mText);
+}
+
+void GatewayProcess::PerformOne(gateway::AnswerOperation& aEffect)
+{
+  AnswerCall(aEffect.mOperation, mDialect.mWriteEnd(aEffect));
+}
+
+void GatewayProcess::PerformOne(gateway::SendPeer& aEffect)
+{
+  mPeers->Send(aEffect.mAddress, aEffect.mMessage.SerializeAsString());
+}
+
+void GatewayProcess::PerformOne(gateway::Persist& aEffect)
+{
+  mDisk->Write(std::move(aEffect.mWrite));
+}
+
+void GatewayProcess::PerformOne(gateway::ExitProcess&)
+{
+  mExited = true;
+}
+
+void GatewayProcess::Answer(std::uint64_t aExchange,
+                            const HttpResponse& aResponse)
+{
+  const auto found = mExchanges.find(aExchange);
+  if (found == mExchanges.end()) {
+    return;
+  }
+  mMetrics.Observe("request",
+                   std::to_string(aResponse.mStatus),
+                   mNow - found->second.mArrivedAt);
+  mCallerServer->Respond(aExchange, aResponse);
+  mExchanges.erase(aExchange);
+}
+
+void GatewayProcess::AnswerCall(std::uint64_t aExchange,
+                                const HttpResponse& aResponse)
+{
+  for (const std::unique_ptr<HttpServer>& server : mCallServers) {
+    server->Respond(aExchange, aResponse);
+  }
+}
+
+void GatewayProcess::OnProbe(const dispatch::ProbeEnd& aEnd)
+{
+  Post(aEnd);
+}
+
+void GatewayProcess::OnAttempt(dispatch::AttemptEnd aEnd,
+                               HttpResponse aResponse)
+{
+  const auto found = mExchanges.find(aEnd.mRequest);
+  if (found != mExchanges.end() && aEnd.mKind == dispatch::EndKind::Answered) {
+    found->second.mAnswer = std::move(aResponse);
+    found->second.mAnsweredBy = aEnd.mAttempt;
+  }
+  Post(std::move(aEnd));
+}
+
+void GatewayProcess::TakeCall(std::uint64_t aExchange,
+                              const HttpRequest& aRequest)
+{
+  Call call = mDialect.mReadCall(aRequest);
+  if (auto* announce = std::get_if<CallAnnounce>(&call)) {
+    Post(gateway::Announce{ aExchange, std::move(announce->mRecord) });
+  } else if (auto* withdraw = std::get_if<CallWithdraw>(&call)) {
+    Post(gateway::Withdraw{ aExchange, std::move(withdraw->mTarget) });
+  } else if (auto* put = std::get_if<CallPutPolicy>(&call)) {
+    Post(gateway::PutPolicy{ aExchange, std::move(put->mDocument) });
+  } else if (std::holds_alternative<CallReadPolicy>(call)) {
+    Post(gateway::ReadPolicy{ aExchange });
+  } else if (const auto* resolve = std::get_if<CallResolve>(&call)) {
+    const std::vector<std::string> addresses =
+      gateway::AddressesFor(mState, resolve->mDataCentre, mNow);
+    AnswerCall(aExchange,
+               addresses.empty()
+                 ? MakeResponse(503, "text/plain", "no host is ready\n")
+                 : mDialect.mWriteAddresses(addresses, mSettings.mAnswerKeep));
+  } else if (std::holds_alternative<CallReady>(call)) {
+    const bool ready = gateway::IsReady(mState);
+    AnswerCall(aExchange,
+               MakeResponse(
+                 ready ? 200 : 503, "text/plain", ready ? "ready\n" : "not\n"));
+  } else if (std::holds_alternative<CallMetrics>(call)) {
+    AnswerCall(aExchange, MakeResponse(200, "text/plain", MetricsText()));
+  } else {
+    const auto& invalid = std::get<CallInvalid>(call);
+    edge::WriteLog(
+      2,
+      "event=call_refused status=" + std::to_string(invalid.mStatus) +
+        " reason=\"" + invalid.mReason + "\"");
+    AnswerCall(
+      aExchange,
+      MakeResponse(invalid.mStatus, "text/plain", invalid.mReason + "\n"));
+  }
+}
+
+std::string GatewayProcess::MetricsText()
+{
+  std::map<std::string, double> gauges;
+  gauges["requests_running"] =
+    static_cast<double>(dispatch::RunningRequests(mState.mDispatch));
+  gauges["targets"] = static_cast<double>(mState.mDispatch.mTargets.size());
+  gauges["hosts"] = mState.mDispatch.mHosts;
+  gauges["policy_version"] =
+    static_cast<double>(mState.mFleet.mCatalog.mVersion);
+  gauges["catalog_index"] = static_cast<double>(mState.mFleet.mApplied);
+  gauges["target_connections"] = static_cast<double>(mTargets.Connections());
+  gauges["client_connections"] =
+    static_cast<double>(mCallerServer->Connections());
+  gauges["in_touch"] = fleet::IsInTouch(mState.mFleet, mNow) ? 1 : 0;
+  return mMetrics.Text(mState.mDispatch.mCounters, gauges);
+}
+
+void GatewayProcess::TakeInbox()
+{
+  Inbox inbox;
+  {
+    const std::lock_guard<std::mutex> lock(mInboxMutex);
+    std::swap(inbox, mInbox);
+  }
+  for (const std::string& trouble : inbox.mTroubles) {
+    edge::WriteLog(trouble.empty() ? 1 : 3,
+                   trouble.empty()
+                     ? "event=disk_regained"
+                     : "event=disk_lost reason=\"" + trouble + "\"");
+  }
+  if (inbox.mSynced > 0) {
+    Post(gateway::DiskSynced{ inbox.mSynced });
+  }
+  for (const std::string& bytes : inbox.mMessages) {
+    gateway::PeerMessage message;
+    if (message.mMessage.ParseFromString(bytes)) {
+      Post(std::move(message));
+    } else {
+      edge::WriteLog(2, "event=message_unreadable");
+    }
+  }
+}
+
+bool GatewayProcess::RunOnce()
+{
+  const Micros next = std::min(gateway::NextTick(mState), mNow + kLongestWait);
+  mLoop.RunOnce(Now(), next);
+  mNow = Now();
+  TakeInbox();
+  if (mNow >= gateway::NextTick(mState) || mState.mStopping) {
+    Post(gateway::TimePassed{});
+  }
+  mTargets.Tick(mNow);
+  mCallerServer->Tick(mNow);
+  for (const std::unique_ptr<HttpServer>& server : mCallServers) {
+    server->Tick(mNow);
+  }
+  return !mExited;
+}
+
+} // namespace geraniumpond::frontend
--- /dev/null
+++ b/src/frontend/gateway_process.h
@@ -0,0 +1,114 @@
+#pragma once
+
+#include "dialect.h"
+#include "disk_writer.h"
+#include "event_loop.h"
+#include "http_server.h"
+#include "metrics.h"
+#include "target_pool.h"
+
+#include "edge/peers.h"
+
+#include <geraniumpond/gateway.h>
+#include <geraniumpond/gateway_settings.h>
+
+#include <memory>
+#include <mutex>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace geraniumpond::frontend {
+
+/// \brief Performs a gateway reducer's effects and turns what happens into its
+/// events. No decision is made here.
+class GatewayProcess : private TargetSink
+{
+public:
+  GatewayProcess(const GatewaySettings& aSettings, const Dialect& aDialect);
+  ~GatewayProcess() override;
+
+  /// \brief Reads the disk, opens listeners, takes the first event.
+  [[nodiscard]] Result<bool> Start();
+
+  /// \brief Waits once and takes what happened; false when the end has come.
+  [[nodiscard]] bool RunOnce();
+
+  /// \brief Asks for a planned stop; later calls change nothing.
+  void RequestStop();
+
+private:
+  /// \brief A client's request while it is here.
+  struct Exchange
+  {
+    HttpRequest mRequest;
+    Micros mArrivedAt = 0;
+    HttpResponse mAnswer;
+    std::uint64_t mAnsweredBy = 0;
+  };
+
+  class Callers;
+  class Operators;
+
+  void OnProbe(const dispatch::ProbeEnd& aEnd) override;
+  void OnAttempt(dispatch::AttemptEnd aEnd, HttpResponse aResponse) override;
+
+  template<class Body>
+  void Post(Body aBody);
+  void Perform(gateway::Effects aEffects);
+  void PerformOne(dispatch::ProbeTarget& aEffect);
+  void PerformOne(dispatch::SendRequest& aEffect);
+  void PerformOne(dispatch::CancelAttempt& aEffect);
+  void PerformOne(dispatch::DeliverAnswer& aEffect);
+  void PerformOne(dispatch::ReplyToClient& aEffect);
+  void PerformOne(dispatch::LogLine& aEffect);
+  void PerformOne(gateway::AnswerOperation& aEffect);
+  void PerformOne(gateway::SendPeer& aEffect);
+  void PerformOne(gateway::Persist& aEffect);
+  void PerformOne(gateway::ExitProcess& aEffect);
+
+  [[nodiscard]] Result<consensus::Recovered> OpenStorage(
+    const fleet::Settings& aFleet);
+  [[nodiscard]] gateway::Settings ReducerSettings() const;
+  void TakeInbox();
+  void TakeCall(std::uint64_t aExchange, const HttpRequest& aRequest);
+  void AnswerCall(std::uint64_t aExchange, const HttpResponse& aResponse);
+  [[nodiscard]] std::string MetricsText();
+  [[nodiscard]] Micros Now() const;
+  [[nodiscard]] std::uint64_t NextRandom();
+  void Answer(std::uint64_t aExchange, const HttpResponse& aResponse);
+  void UpdateLimits();
+
+  GatewaySettings mSettings;
+  Dialect mDialect;
+  Micros mClockOffset = 0;
+  std::uint64_t mRandom = 0;
+  Micros mNow = 0;
+  bool mExited = false;
+
+  EventLoop mLoop;
+  gateway::State mState;
+  bool mOpened = false;
+  TargetPool mTargets;
+  Metrics mMetrics;
+  std::unique_ptr<Callers> mCallerSink;
+  std::unique_ptr<Operators> mOperatorSink;
+  std::unique_ptr<HttpServer> mCallerServer;
+  std::vector<std::unique_ptr<HttpServer>> mCallServers;
+  std::unordered_map<std::uint64_t, Exchange> mExchanges;
+  std::uint64_t mPolicyVersion = 0;
+
+  /// What other threads bring: messages of hosts, ends of writes.
+  struct Inbox
+  {
+    std::vector<std::string> mMessages;
+    std::uint64_t mSynced = 0;
+    std::vector<std::string> mTroubles;
+  };
+  std::mutex mInboxMutex;
+  Inbox mInbox;
+  std::unique_ptr<DiskWriter> mDisk;
+  std::unique_ptr<edge::Peers> mPeers;
+};
+
+} // namespace geraniumpond::frontend
--- /dev/null
+++ b/src/frontend/http_message.cpp
@@ -0,0 +1,515 @@
+#include "http_message.h"
+
+#include <Poco/MemoryStream.h>
+#include <Poco/Net/HTTPRequest.h>
+#include <Poco/Net/HTTPResponse.h>
+#include <Poco/NumberParser.h>
+#include <Poco/String.h>
+
+#include <algorithm>
+#include <array>
+#include <cctype>
+
+namespace geraniumpond::frontend {
+
+namespace {
+
+constexpr std::string_view kHeadEnd = "\r\n\r\n";
+constexpr std::size_t kMaxResponseHead = 64 * 1024;
+constexpr std::size_t kMaxChunkLine = 4096;
+
+std::size_t CountFields(const HeaderFields& aFields, std::string_view aName)
+{
+  return static_cast<std::size_t>(
+    std::count_if(aFields.begin(), aFields.end(), [&](const auto& aField) {
+      return SameName(aField.first, aName);
+    }));
+}
+
+bool ParseLength(const std::string& aText, std::uint64_t& aOut)
+{
+  const bool digits =
+    !aText.empty() && std::all_of(aText.begin(), aText.end(), [](char aChar) {
+      return std::isdigit(static_cast<unsigned char>(aChar)) != 0;
+    });
+  Poco::UInt64 value = 0;
+  if (!digits || !Poco::NumberParser::tryParseUnsigned64(aText, value)) {
+    return false;
+  }
+  aOut = value;
+  return true;
+}
+
+// A name with a space could be read otherwise by the next hop.
+bool IsSoundName(const std::string& aName)
+{
+  return !aName.empty() &&
+         std::none_of(aName.begin(), aName.end(), [](char aChar) {
+           return static_cast<unsigned char>(aChar) <= ' ' || aChar == 0x7f;
+         });
+}
+
+template<class Message>
+HeaderFields FieldsOf(const Message& aMessage)
+{
+  HeaderFields fields;
+  fields.reserve(aMessage.size());
+  for (const auto& [name, value] : aMessage) {
+    fields.emplace_back(name, value);
+  }
+  return fields;
+}
+
+bool SpeaksKeepAlive(const std::string& aVersion, const HeaderFields& aFields)
+{
+  if (HasToken(aFields, "Connection", "close")) {
+    return false;
+  }
+  return aVersion == "HTTP/1.1" ||
+         HasToken(aFields, "Connection", "keep-alive");
+}
+
+int KeepAliveSeconds(const HeaderFields& aFields)
+{
+  const std::string* value = FindField(aFields, "Keep-Alive");
+  if (value == nullptr) {
+    return 0;
+  }
+  const std::size_t at = value->find("timeout=");
+  int seconds = 0;
+  if (at != std::string::npos) {
+    std::size_t end = at + 8;
+    while (end < value->size() &&
+           std::isdigit(static_cast<unsigned char>((*value)[end])) != 0) {
+      ++end;
+    }
+    (void)Poco::NumberParser::tryParse(value->substr(at + 8, end - at - 8),
+                                       seconds);
+  }
+  return seconds;
+}
+
+} // namespace
+
+bool SameName(std::string_view aLeft, std::string_view aRight)
+{
+  return aLeft.size() == aRight.size() &&
+         std::equal(
+           aLeft.begin(), aLeft.end(), aRight.begin(), [](char aA, char aB) {
+             return std::tolower(static_cast<unsigned char>(aA)) ==
+                    std::tolower(static_cast<unsigned char>(aB));
+           });
+}
+
+const std::string* FindField(const HeaderFields& aFields,
+                             std::string_view aName)
+{
+  for (const auto& [name, value] : aFields) {
+    if (SameName(name, aName)) {
+      return &value;
+    }
+  }
+  return nullptr;
+}
+
+bool HasToken(const HeaderFields& aFields,
+              std::string_view aName,
+              std::string_view aToken)
+{
+  for (const auto& [name, value] : aFields) {
+    if (!SameName(name, aName)) {
+      continue;
+    }
+    std::size_t at = 0;
+    while (at <= value.size()) {
+      const std::size_t comma = std::min(value.find(',', at), value.size());
+      if (SameName(Poco::trim(value.substr(at, comma - at)), aToken)) {
+        return true;
+      }
+      at = comma + 1;
+    }
+  }
+  return false;
+}
+
+// ---------------------------------------------------------------- BodyReader
+
+void BodyReader::Start(Framing aFraming, std::uint64_t aLength)
+{
+  mFraming = aFraming;
+  mRemaining = aLength;
+  mPart = ChunkPart::Size;
+}
+
+ReadStatus BodyReader::Feed(std::string& aBuffer, std::string& aBody)
+{
+  switch (mFraming) {
+    case Framing::None:
+      return ReadStatus::Complete;
+    case Framing::UntilClose:
+      aBody += aBuffer;
+      aBuffer.clear();
+      return ReadStatus::Partial;
+    case Framing::Chunked:
+      return FeedChunks(aBuffer, aBody);
+    case Framing::Length:
+      break;
+  }
+  const auto take = static_cast<std::size_t>(
+    std::min<std::uint64_t>(mRemaining, aBuffer.size()));
+  aBody.append(aBuffer, 0, take);
+  aBuffer.erase(0, take);
+  mRemaining -= take;
+  return mRemaining == 0 ? ReadStatus::Complete : ReadStatus::Partial;
+}
+
+ReadStatus BodyReader::TakeSizeLine(std::string& aBuffer)
+{
+  const std::size_t end = aBuffer.find("\r\n");
+  if (end == std::string::npos) {
+    return aBuffer.size() > kMaxChunkLine ? ReadStatus::Malformed
+                                          : ReadStatus::Partial;
+  }
+  const std::string digits =
+    Poco::trim(aBuffer.substr(0, std::min(end, aBuffer.find(';'))));
+  Poco::UInt64 size = 0;
+  const bool sound = !digits.empty() && digits.size() <= 15 &&
+                     std::isxdigit(static_cast<unsigned char>(digits[0])) != 0;
+  if (!sound || !Poco::NumberParser::tryParseHex64(digits, size)) {
+    return ReadStatus::Malformed;
+  }
+  aBuffer.erase(0, end + 2);
+  mRemaining = size;
+  mPart = size == 0 ? ChunkPart::Trailer : ChunkPart::Data;
+  return ReadStatus::Complete;
+}
+
+ReadStatus BodyReader::TakeTrailerLine(std::string& aBuffer)
+{
+  const std::size_t end = aBuffer.find("\r\n");
+  if (end == std::string::npos) {
+    return aBuffer.size() > kMaxChunkLine ? ReadStatus::Malformed
+                                          : ReadStatus::Partial;
+  }
+  aBuffer.erase(0, end + 2);
+  return end == 0 ? ReadStatus::Complete : ReadStatus::Partial;
+}
+
+ReadStatus BodyReader::FeedChunks(std::string& aBuffer, std::string& aBody)
+{
+  while (true) {
+    if (mPart == ChunkPart::Size) {
+      const ReadStatus status = TakeSizeLine(aBuffer);
+      if (status != ReadStatus::Complete) {
+        return status;
+      }
+    }
+    if (mPart == ChunkPart::Data) {
+      const auto take = static_cast<std::size_t>(
+        std::min<std::uint64_t>(mRemaining, aBuffer.size()));
+      aBody.append(aBuffer, 0, take);
+      aBuffer.erase(0, take);
+      mRemaining -= take;
+      if (mRemaining > 0) {
+        return ReadStatus::Partial;
+      }
+      mPart = ChunkPart::DataEnd;
+    }
+    if (mPart == ChunkPart::DataEnd) {
+      if (aBuffer.size() < 2) {
+        return ReadStatus::Partial;
+      }
+      if (aBuffer.compare(0, 2, "\r\n") != 0) {
+        return ReadStatus::Malformed;
+      }
+      aBuffer.erase(0, 2);
+      mPart = ChunkPart::Size;
+    }
+    if (mPart == ChunkPart::Trailer) {
+      const std::size_t before = aBuffer.size();
+      const ReadStatus status = TakeTrailerLine(aBuffer);
+      if (status != ReadStatus::Partial || aBuffer.size() == before) {
+        return status;
+      }
+    }
+  }
+}
+
+// ------------------------------------------------------------- RequestReader
+
+ReadStatus RequestReader::Refuse(int aStatus, std::string aFault)
+{
+  mFaultStatus = aStatus;
+  mFault = std::move(aFault);
+  return ReadStatus::Malformed;
+}
+
+ReadStatus RequestReader::StartBody(const policy::RequestLimits& aLimits)
+{
+  const HeaderFields& fields = mRequest.mFields;
+  const std::size_t encodings = CountFields(fields, "Transfer-Encoding");
+  const std::size_t lengths = CountFields(fields, "Content-Length");
+  if (encodings > 0) {
+    const std::string& encoding = *FindField(fields, "Transfer-Encoding");
+    if (encodings > 1 || lengths > 0 || !SameName(encoding, "chunked")) {
+      return Refuse(400, "ambiguous framing");
+    }
+    mBody.Start(BodyReader::Framing::Chunked, 0);
+    return ReadStatus::Complete;
+  }
+  if (lengths == 0) {
+    mBody.Start(BodyReader::Framing::None, 0);
+    return ReadStatus::Complete;
+  }
+  std::uint64_t length = 0;
+  if (lengths > 1 ||
+      !ParseLength(*FindField(fields, "Content-Length"), length)) {
+    return Refuse(400, "ambiguous framing");
+  }
+  if (length > aLimits.mMaxBodyBytes) {
+    return Refuse(413, "body too large");
+  }
+  mBody.Start(BodyReader::Framing::Length, length);
+  return ReadStatus::Complete;
+}
+
+ReadStatus RequestReader::ReadHead(std::string& aBuffer,
+                                   const policy::RequestLimits& aLimits)
+{
+  // Empty lines before a request are skipped, as RFC 9112 recommends.
+  while (aBuffer.compare(0, 2, "\r\n") == 0) {
+    aBuffer.erase(0, 2);
+  }
+  const std::size_t end = aBuffer.find(kHeadEnd);
+  if (end == std::string::npos) {
+    return aBuffer.size() > aLimits.mMaxHeaderBytes
+             ? Refuse(431, "header too large")
+             : ReadStatus::Partial;
+  }
+  if (end > aLimits.mMaxHeaderBytes) {
+    return Refuse(431, "header too large");
+  }
+  Poco::Net::HTTPRequest parsed;
+  try {
+    Poco::MemoryInputStream stream(
+      aBuffer.data(), static_cast<std::streamsize>(end + kHeadEnd.size()));
+    parsed.read(stream);
+  } catch (const Poco::Exception& error) {
+    return Refuse(400, error.displayText());
+  }
+  aBuffer.erase(0, end + kHeadEnd.size());
+  mRequest = HttpRequest();
+  mRequest.mMethod = parsed.getMethod();
+  mRequest.mTarget = parsed.getURI();
+  mRequest.mFields = FieldsOf(parsed);
+  mRequest.mKeepAlive = SpeaksKeepAlive(parsed.getVersion(), mRequest.mFields);
+  const bool sound =
+    std::all_of(mRequest.mFields.begin(),
+                mRequest.mFields.end(),
+                [](const auto& aField) { return IsSoundName(aField.first); });
+  if (!sound || mRequest.mTarget.empty() || mRequest.mTarget[0] != '/' ||
+      CountFields(mRequest.mFields, "Host") != 1) {
+    return Refuse(400, "malformed request");
+  }
+  mHaveHead = true;
+  mWantsContinue = HasToken(mRequest.mFields, "Expect", "100-continue");
+  return StartBody(aLimits);
+}
+
+ReadStatus RequestReader::Read(std::string& aBuffer,
+                               const policy::RequestLimits& aLimits)
+{
+  if (!mHaveHead) {
+    const ReadStatus head = ReadHead(aBuffer, aLimits);
+    if (head != ReadStatus::Complete) {
+      return head;
+    }
+  }
+  const ReadStatus body = mBody.Feed(aBuffer, mRequest.mBody);
+  if (body == ReadStatus::Malformed) {
+    return Refuse(400, "malformed chunks");
+  }
+  if (mRequest.mBody.size() > aLimits.mMaxBodyBytes) {
+    return Refuse(413, "body too large");
+  }
+  return body;
+}
+
+HttpRequest RequestReader::Take()
+{
+  mHaveHead = false;
+  mWantsContinue = false;
+  return std::move(mRequest);
+}
+
+bool RequestReader::TakeContinue() noexcept
+{
+  return std::exchange(mWantsContinue, false);
+}
+
+// ------------------------------------------------------------ ResponseReader
+
+ReadStatus ResponseReader::ReadHead(std::string& aBuffer, bool aHeadOnly)
+{
+  const std::size_t end = aBuffer.find(kHeadEnd);
+  if (end == std::string::npos) {
+    const bool hopeless =
+      aBuffer.size() > kMaxResponseHead ||
+      aBuffer.compare(0,
+                      5,
+                      std::string_view("HTTP/").substr(
+                        0, std::min<std::size_t>(5, aBuffer.size()))) != 0;
+    return hopeless ? ReadStatus::Malformed : ReadStatus::Partial;
+  }
+  Poco::Net::HTTPResponse parsed;
+  try {
+    Poco::MemoryInputStream stream(
+      aBuffer.data(), static_cast<std::streamsize>(end + kHeadEnd.size()));
+    parsed.read(stream);
+  } catch (const Poco::Exception&) {
+    return ReadStatus::Malformed;
+  }
+  aBuffer.erase(0, end + kHeadEnd.size());
+  mResponse = HttpResponse();
+  mResponse.mStatus = parsed.getStatus();
+  mResponse.mReason = parsed.getReason();
+  mResponse.mFields = FieldsOf(parsed);
+  const HeaderFields& fields = mResponse.mFields;
+  mResponse.mKeepAlive = SpeaksKeepAlive(parsed.getVersion(), fields);
+  mResponse.mKeepAliveSeconds = KeepAliveSeconds(fields);
+  if (mResponse.mStatus < 100 || mResponse.mStatus > 599 ||
+      parsed.getVersion().compare(0, 5, "HTTP/") != 0) {
+    return ReadStatus::Malformed;
+  }
+  const std::size_t encodings = CountFields(fields, "Transfer-Encoding");
+  const std::size_t lengths = CountFields(fields, "Content-Length");
+  std::uint64_t length = 0;
+  if (aHeadOnly || mResponse.mStatus == 204 || mResponse.mStatus == 304 ||
+      mResponse.mStatus < 200) {
+    mBody.Start(BodyReader::Framing::None, 0);
+  } else if (encodings > 0) {
+    if (encodings > 1 || lengths > 0 ||
+        !SameName(*FindField(fields, "Transfer-Encoding"), "chunked")) {
+      return ReadStatus::Malformed;
+    }
+    mBody.Start(BodyReader::Framing::Chunked, 0);
+  } else if (lengths > 0) {
+    if (lengths > 1 ||
+        !ParseLength(*FindField(fields, "Content-Length"), length)) {
+      return ReadStatus::Malformed;
+    }
+    mBody.Start(BodyReader::Framing::Length, length);
+  } else {
+    mBody.Start(BodyReader::Framing::UntilClose, 0);
+    mResponse.mKeepAlive = false;
+  }
+  mHaveHead = true;
+  return ReadStatus::Complete;
+}
+
+ReadStatus ResponseReader::Read(std::string& aBuffer, bool aHeadOnly)
+{
+  while (true) {
+    if (!mHaveHead) {
+      const ReadStatus head = ReadHead(aBuffer, aHeadOnly);
+      if (head != ReadStatus::Complete) {
+        return head;
+      }
+    }
+    if (mResponse.mStatus >= 200) {
+      return mBody.Feed(aBuffer, mResponse.mBody);
+    }
+    // Interim answers say nothing about the request's end.
+    mHaveHead = false;
+  }
+}
+
+ReadStatus ResponseReader::End()
+{
+  return mHaveHead && mBody.Kind() == BodyReader::Framing::UntilClose
+           ? ReadStatus::Complete
+           : ReadStatus::Malformed;
+}
+
+HttpResponse ResponseReader::Take()
+{
+  mHaveHead = false;
+  return std::move(mResponse);
+}
+
+// -------------------------------------------------------------------- others
+
+bool IsHopField(const HeaderFields& aFields, const std::string& aName)
+{
+  constexpr std::array<std::string_view, 10> names = {
+    "Connection",
+    "Keep-Alive",
+    "Proxy-Connection",
+    "Transfer-Encoding",
+    "TE",
+    "Trailer",
+    "Upgrade",
+    "Expect",
+    "Proxy-Authorization",
+    "Proxy-Authenticate",
+  };
+  return std::any_of(
+           names.begin(),
+           names.end(),
+           [&](std::string_view aHop) { return SameName(aHop, aName); }) ||
+         HasToken(aFields, "Connection", aName);
+}
+
+std::string Serialize(const HttpResponse& aResponse,
+                      bool aClose,
+                      bool aHeadOnly)
+{
+  std::string out;
+  out.reserve(512 + aResponse.mBody.size());
+  out += "HTTP/1.1 ";
+  out += std::to_string(aResponse.mStatus);
+  out += ' ';
+  out +=
+    aResponse.mReason.empty()
+      ? Poco::Net::HTTPResponse::getReasonForStatus(
+          static_cast<Poco::Net::HTTPResponse::HTTPStatus>(aResponse.mStatus))
+      : aResponse.mReason;
+  out += "\r\n";
+  const bool bodiless = aResponse.mStatus == 204 || aResponse.mStatus == 304;
+  for (const auto& [name, value] : aResponse.mFields) {
+    if (IsHopField(aResponse.mFields, name) ||
+        (SameName(name, "Content-Length") && !aHeadOnly)) {
+      continue;
+    }
+    out += name;
+    out += ": ";
+    out += value;
+    out += "\r\n";
+  }
+  if (!bodiless && !aHeadOnly) {
+    out += "Content-Length: ";
+    out += std::to_string(aResponse.mBody.size());
+    out += "\r\n";
+  }
+  if (aClose) {
+    out += "Connection: close\r\n";
+  }
+  out += "\r\n";
+  if (!bodiless && !aHeadOnly) {
+    out += aResponse.mBody;
+  }
+  return out;
+}
+
+HttpResponse MakeResponse(int aStatus, std::string aType, std::string aBody)
+{
+  HttpResponse response;
+  response.mStatus = aStatus;
+  if (!aType.empty()) {
+    response.mFields.emplace_back("Content-Type", std::move(aType));
+  }
+  response.mBody = std::move(aBody);
+  return response;
+}
+
+} // namespace geraniumpond::frontend
--- /dev/null
+++ b/src/frontend/http_message.h
@@ -0,0 +1,164 @@
+#pragma once
+
+#include <geraniumpond/policy.h>
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+namespace geraniumpond::frontend {
+
+using HeaderFields = std::vector<std::pair<std::string, std::string>>;
+
+/// \brief True for names that differ in case only.
+[[nodiscard]] bool SameName(std::string_view aLeft, std::string_view aRight);
+
+/// \brief First value of a field, names compared without case; null if absent.
+[[nodiscard]] const std::string* FindField(const HeaderFields& aFields,
+                                           std::string_view aName);
+
+/// \brief True when a comma-separated field names `aToken`.
+[[nodiscard]] bool HasToken(const HeaderFields& aFields,
+                            std::string_view aName,
+                            std::string_view aToken);
+
+/// \brief A whole request.
+struct HttpRequest
+{
+  std::string mMethod;
+  /// Path and query as they were sent.
+  std::string mTarget;
+  HeaderFields mFields;
+  std::string mBody;
+  bool mKeepAlive = true;
+};
+
+/// \brief A whole answer.
+struct HttpResponse
+{
+  int mStatus = 0;
+  std::string mReason;
+  HeaderFields mFields;
+  std::string mBody;
+  /// The connection can carry another request.
+  bool mKeepAlive = true;
+  /// Seconds that the other side keeps the connection open; 0 if unsaid.
+  int mKeepAliveSeconds = 0;
+};
+
+/// \brief How reading a message went.
+enum class ReadStatus
+{
+  /// More bytes are needed.
+  Partial,
+  Complete,
+  Malformed
+};
+
+/// \brief Reads bodies: by length, in chunks, or to the connection's end.
+class BodyReader
+{
+public:
+  enum class Framing
+  {
+    None,
+    Length,
+    Chunked,
+    UntilClose
+  };
+
+  void Start(Framing aFraming, std::uint64_t aLength);
+
+  /// \brief Takes what it can from the front of the buffer.
+  [[nodiscard]] ReadStatus Feed(std::string& aBuffer, std::string& aBody);
+
+  [[nodiscard]] Framing Kind() const noexcept { return mFraming; }
+
+private:
+  enum class ChunkPart
+  {
+    Size,
+    Data,
+    DataEnd,
+    Trailer
+  };
+
+  [[nodiscard]] ReadStatus FeedChunks(std::string& aBuffer, std::string& aBody);
+  [[nodiscard]] ReadStatus TakeSizeLine(std::string& aBuffer);
+  [[nodiscard]] ReadStatus TakeTrailerLine(std::string& aBuffer);
+
+  Framing mFraming = Framing::None;
+  std::uint64_t mRemaining = 0;
+  ChunkPart mPart = ChunkPart::Size;
+};
+
+/// \brief Reads requests one after the other from one connection's bytes.
+class RequestReader
+{
+public:
+  /// \brief Takes a request from the front of the buffer.
+  [[nodiscard]] ReadStatus Read(std::string& aBuffer,
+                                const policy::RequestLimits& aLimits);
+
+  /// \brief The request after Complete.
+  [[nodiscard]] HttpRequest Take();
+
+  /// \brief Status to refuse a malformed request with, and why.
+  [[nodiscard]] int FaultStatus() const noexcept { return mFaultStatus; }
+  [[nodiscard]] const std::string& Fault() const noexcept { return mFault; }
+  [[nodiscard]] bool InBody() const noexcept { return mHaveHead; }
+  /// \brief True once when the client waits for an interim answer.
+  [[nodiscard]] bool TakeContinue() noexcept;
+
+private:
+  ReadStatus Refuse(int aStatus, std::string aFault);
+  [[nodiscard]] ReadStatus ReadHead(std::string& aBuffer,
+                                    const policy::RequestLimits& aLimits);
+  [[nodiscard]] ReadStatus StartBody(const policy::RequestLimits& aLimits);
+
+  HttpRequest mRequest;
+  BodyReader mBody;
+  bool mHaveHead = false;
+  bool mWantsContinue = false;
+  int mFaultStatus = 400;
+  std::string mFault;
+};
+
+/// \brief Reads one answer after the other from one connection's bytes.
+class ResponseReader
+{
+public:
+  [[nodiscard]] ReadStatus Read(std::string& aBuffer, bool aHeadOnly);
+
+  /// \brief The connection has ended in order; Complete if that ends a body.
+  [[nodiscard]] ReadStatus End();
+
+  [[nodiscard]] HttpResponse Take();
+  [[nodiscard]] bool Started() const noexcept { return mHaveHead; }
+
+private:
+  [[nodiscard]] ReadStatus ReadHead(std::string& aBuffer, bool aHeadOnly);
+
+  HttpResponse mResponse;
+  BodyReader mBody;
+  bool mHaveHead = false;
+};
+
+/// \brief True for fields that concern one connection only.
+[[nodiscard]] bool IsHopField(const HeaderFields& aFields,
+                              const std::string& aName);
+
+/// \brief An answer as bytes, with its length.
+[[nodiscard]] std::string Serialize(const HttpResponse& aResponse,
+                                    bool aClose,
+                                    bool aHeadOnly);
+
+/// \brief An answer of this host's own.
+[[nodiscard]] HttpResponse MakeResponse(int aStatus,
+                                        std::string aType,
+                                        std::string aBody);
+
+} // namespace geraniumpond::frontend
--- /dev/null
+++ b/src/frontend/http_server.cpp
@@ -0,0 +1,344 @@
+#include "http_server.h"
+
+#include <Poco/Exception.h>
+#include <Poco/Net/SocketAddress.h>
+#include <Poco/Net/SocketImpl.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace geraniumpond::frontend {
+
+namespace {
+
+constexpr int kBacklog = 512;
+/// Requests of one connection that are taken side by side.
+constexpr std::size_t kMaxPipelined = 16;
+/// Answer bytes that may wait for a slow client before it is read no further.
+constexpr std::size_t kMaxUnsent = 4 * 1024 * 1024;
+/// Pace at which connections are looked through for late ones.
+constexpr Micros kSweepInterval = 250 * kMillisecond;
+/// How long a closed connection is drained: closing it with unread bytes would
+/// reset it and take the last answer along.
+constexpr Micros kDrainTime = 1 * kSecond;
+
+} // namespace
+
+std::uint64_t NextExchange() noexcept
+{
+  static std::uint64_t last = 0;
+  return ++last;
+}
+
+/// \brief One client's connection.
+class HttpServer::Connection : public Handler
+{
+public:
+  Connection(HttpServer& aServer,
+             std::uint64_t aId,
+             const Poco::Net::StreamSocket& aSocket)
+    : mServer(aServer)
+    , mId(aId)
+    , mSocket(aServer.mLoop, aSocket)
+    , mChangedAt(aServer.mNow)
+  {
+    mSocket.Watch(*this, false);
+  }
+
+  void OnReadable() override
+  {
+    const Received received = mSocket.Receive();
+    if (mDraining) {
+      mSocket.In().clear();
+      if (received == Received::End || received == Received::Reset) {
+        End();
+      }
+      return;
+    }
+    if (received == Received::Some) {
+      mChangedAt = mServer.mNow;
+    }
+    if (received == Received::Reset || received == Received::End) {
+      End();
+      return;
+    }
+    TakeRequests();
+  }
+
+  void OnWritable() override
+  {
+    if (!mSocket.Flush()) {
+      End();
+      return;
+    }
+    AfterSending();
+  }
+
+  void Respond(std::uint64_t aExchange, const HttpResponse& aResponse)
+  {
+    for (Pending& pending : mPending) {
+      if (pending.mExchange == aExchange) {
+        const bool close =
+          pending.mClose || mServer.mStopping || mCloseAfterFault;
+        pending.mBytes = Serialize(aResponse, close, pending.mHeadOnly);
+        pending.mClose = close;
+        pending.mAnswered = true;
+      }
+    }
+    SendAnswered();
+  }
+
+  void Sweep(Micros aNow)
+  {
+    const policy::RequestLimits& limits = mServer.mLimits;
+    if (mDraining) {
+      if (aNow - mChangedAt > kDrainTime) {
+        End();
+      }
+      return;
+    }
+    if (!mPending.empty() || mSocket.Unsent() > 0) {
+      return;
+    }
+    const bool partial = mReader.InBody() || !mSocket.In().empty();
+    const Micros bound = partial ? limits.mHeaderTimeout : limits.mIdleTimeout;
+    if (aNow - mChangedAt <= bound) {
+      return;
+    }
+    if (partial) {
+      Fault(408, "request not whole in time");
+    } else {
+      BeginDrain();
+    }
+  }
+
+  void CloseIfIdle()
+  {
+    const bool partial = mReader.InBody() || !mSocket.In().empty();
+    if (!mDraining && mPending.empty() && mSocket.Unsent() == 0 && !partial) {
+      BeginDrain();
+    }
+  }
+
+  [[nodiscard]] std::uint64_t Id() const noexcept { return mId; }
+  [[nodiscard]] std::size_t Unsent() const { return mSocket.Unsent(); }
+
+private:
+  struct Pending
+  {
+    std::uint64_t mExchange = 0;
+    bool mHeadOnly = false;
+    bool mClose = false;
+    bool mAnswered = false;
+    std::string mBytes;
+  };
+
+  void TakeRequests()
+  {
+    while (!mSocket.Closed() && !mDraining && !mCloseAfterFault &&
+           !mLastTaken && mPending.size() < kMaxPipelined) {
+      const ReadStatus status = mReader.Read(mSocket.In(), mServer.mLimits);
+      if (mReader.TakeContinue() && status == ReadStatus::Partial) {
+        (void)mSocket.Send("HTTP/1.1 100 Continue\r\n\r\n");
+      }
+      if (status == ReadStatus::Malformed) {
+        Fault(mReader.FaultStatus(), mReader.Fault());
+        return;
+      }
+      if (status == ReadStatus::Partial) {
+        break;
+      }
+      HttpRequest request = mReader.Take();
+      const std::uint64_t exchange = NextExchange();
+      mPending.push_back({ exchange,
+                           request.mMethod == "HEAD",
+                           !request.mKeepAlive,
+                           false,
+                           "" });
+      mLastTaken = !request.mKeepAlive;
+      mServer.mExchanges[exchange] = this;
+      mServer.mSink.OnRequest(exchange, std::move(request));
+    }
+    mSocket.Pause(!mDraining && mSocket.Unsent() > kMaxUnsent);
+  }
+
+  void Fault(int aStatus, const std::string& aReason)
+  {
+    mServer.mSink.OnMalformed(aStatus, aReason);
+    mCloseAfterFault = true;
+    HttpResponse response = MakeResponse(aStatus, "text/plain", aReason + "\n");
+    mPending.push_back({ 0, false, true, true, "" });
+    mPending.back().mBytes = Serialize(response, true, false);
+    SendAnswered();
+  }
+
+  void SendAnswered()
+  {
+    while (!mPending.empty() && mPending.front().mAnswered) {
+      Pending pending = std::move(mPending.front());
+      mPending.pop_front();
+      mServer.mExchanges.erase(pending.mExchange);
+      mChangedAt = mServer.mNow;
+      if (!mSocket.Send(std::move(pending.mBytes))) {
+        End();
+        return;
+      }
+      if (pending.mClose) {
+        mClosing = true;
+        LeaveUnread();
+        break;
+      }
+    }
+    AfterSending();
+  }
+
+  // What was sent behind a last answer counts as not read.
+  void LeaveUnread()
+  {
+    const std::deque<Pending> unread = std::exchange(mPending, {});
+    for (const Pending& pending : unread) {
+      if (mServer.mExchanges.erase(pending.mExchange) != 0) {
+        mServer.mSink.OnGone(pending.mExchange);
+      }
+    }
+  }
+
+  void AfterSending()
+  {
+    if (mSocket.Closed() || mDraining) {
+      return;
+    }
+    if (mClosing) {
+      if (mSocket.Unsent() == 0) {
+        BeginDrain();
+      }
+      return;
+    }
+    if (!mSocket.In().empty()) {
+      TakeRequests();
+    }
+  }
+
+  void BeginDrain()
+  {
+    mDraining = true;
+    mChangedAt = mServer.mNow;
+    mSocket.In().clear();
+    mSocket.Pause(false);
+    mSocket.FinishSending();
+  }
+
+  void End()
+  {
+    if (mSocket.Closed()) {
+      return;
+    }
+    mSocket.Close();
+    LeaveUnread();
+    mServer.Retire(*this);
+  }
+
+  HttpServer& mServer;
+  std::uint64_t mId = 0;
+  BufferedSocket mSocket;
+  RequestReader mReader;
+  std::deque<Pending> mPending;
+  Micros mChangedAt = 0;
+  bool mLastTaken = false;
+  bool mCloseAfterFault = false;
+  bool mClosing = false;
+  bool mDraining = false;
+};
+
+HttpServer::HttpServer(EventLoop& aLoop,
+                       const std::string& aAddress,
+                       RequestSink& aSink)
+  : mLoop(aLoop)
+  , mSink(aSink)
+{
+  mSocket.bind(Poco::Net::SocketAddress(aAddress), true);
+  mSocket.listen(kBacklog);
+  mSocket.setBlocking(false);
+  mLoop.Add(mSocket.impl()->sockfd(), *this);
+}
+
+HttpServer::~HttpServer()
+{
+  mLoop.Remove(mSocket.impl()->sockfd(), *this);
+}
+
+void HttpServer::OnReadable()
+{
+  // One a call: the loop calls again while more wait, and POCO throws when
+  // none does.
+  try {
+    Accept(mSocket.acceptConnection());
+  } catch (const Poco::Exception&) {
+    // The client is gone already, or descriptors have run out: the next call
+    // tries again.
+  }
+}
+
+void HttpServer::Accept(const Poco::Net::StreamSocket& aSocket)
+{
+  Poco::Net::StreamSocket socket(aSocket);
+  socket.setBlocking(false);
+  socket.setNoDelay(true);
+  const std::uint64_t id = ++mLastConnection;
+  mConnections[id] = std::make_unique<Connection>(*this, id, socket);
+}
+
+void HttpServer::Retire(Connection& aConnection)
+{
+  const auto found = mConnections.find(aConnection.Id());
+  if (found != mConnections.end()) {
+    mRetired.push_back(std::move(found->second));
+    mConnections.erase(found);
+  }
+}
+
+void HttpServer::Respond(std::uint64_t aExchange, const HttpResponse& aResponse)
+{
+  const auto found = mExchanges.find(aExchange);
+  if (found != mExchanges.end()) {
+    found->second->Respond(aExchange, aResponse);
+  }
+}
+
+bool HttpServer::Sending() const
+{
+  return std::any_of(
+    mConnections.begin(), mConnections.end(), [](const auto& aEntry) {
+      return aEntry.second->Unsent() > 0;
+    });
+}
+
+void HttpServer::CloseIdle()
+{
+  std::vector<Connection*> all;
+  for (const auto& [id, connection] : mConnections) {
+    all.push_back(connection.get());
+  }
+  for (Connection* connection : all) {
+    connection->CloseIfIdle();
+  }
+}
+
+void HttpServer::Tick(Micros aNow)
+{
+  mNow = aNow;
+  mRetired.clear();
+  if (aNow < mSweptAt + kSweepInterval) {
+    return;
+  }
+  mSweptAt = aNow;
+  std::vector<Connection*> all;
+  for (const auto& [id, connection] : mConnections) {
+    all.push_back(connection.get());
+  }
+  for (Connection* connection : all) {
+    connection->Sweep(aNow);
+  }
+}
+
+} // namespace geraniumpond::frontend
--- /dev/null
+++ b/src/frontend/metrics.cpp
@@ -0,0 +1,62 @@
+#include "metrics.h"
+
+#include <sstream>
+
+namespace geraniumpond::frontend {
+
+namespace {
+
+/// Buckets from a tenth of a millisecond to half a minute, ten a decade.
+constexpr unsigned kBuckets = 55;
+constexpr double kLeast = 0.0001;
+constexpr double kMost = 30;
+constexpr const char* kPrefix = "geraniumpond_";
+
+} // namespace
+
+void Metrics::Observe(const std::string& aName,
+                      const std::string& aLabel,
+                      Micros aDuration)
+{
+  const auto key = std::make_pair(aName, aLabel);
+  auto found = mSeries.find(key);
+  if (found == mSeries.end()) {
+    Series series{
+      boost::histogram::make_histogram(Axis(kBuckets, kLeast, kMost)), 0, 0
+    };
+    found = mSeries.emplace(key, std::move(series)).first;
+  }
+  const double seconds = static_cast<double>(aDuration) / kSecond;
+  found->second.mHistogram(seconds);
+  found->second.mSum += seconds;
+  ++found->second.mCount;
+}
+
+std::string Metrics::Text(const dispatch::Counters& aCounters,
+                          const std::map<std::string, double>& aGauges) const
+{
+  std::ostringstream out;
+  for (const auto& [name, value] : aCounters) {
+    out << kPrefix << name << "_total " << value << "\n";
+  }
+  for (const auto& [name, value] : aGauges) {
+    out << kPrefix << name << " " << value << "\n";
+  }
+  for (const auto& [key, series] : mSeries) {
+    const std::string name = kPrefix + key.first + "_seconds";
+    const std::string label = "kind=\"" + key.second + "\"";
+    double below = series.mHistogram.at(-1);
+    for (int i = 0; i < static_cast<int>(kBuckets); ++i) {
+      below += series.mHistogram.at(i);
+      out << name << "_bucket{" << label << ",le=\""
+          << series.mHistogram.axis().bin(i).upper() << "\"} " << below << "\n";
+    }
+    out << name << "_bucket{" << label << ",le=\"+Inf\"} " << series.mCount
+        << "\n"
+        << name << "_sum{" << label << "} " << series.mSum << "\n"
+        << name << "_count{" << label << "} " << series.mCount << "\n";
+  }
+  return out.str();
+}
+
+} // namespace geraniumpond::frontend
--- /dev/null
+++ b/src/frontend/metrics.h
@@ -0,0 +1,43 @@
+#pragma once
+
+#include <geraniumpond/dispatch.h>
+#include <geraniumpond/time.h>
+
+#include <boost/histogram.hpp>
+
+#include <map>
+#include <string>
+#include <utility>
+
+namespace geraniumpond::frontend {
+
+/// \brief Latency histograms of one process, in the text form of Prometheus.
+class Metrics
+{
+public:
+  /// \brief Adds a duration to the histogram `aName{label="aLabel"}`.
+  void Observe(const std::string& aName,
+               const std::string& aLabel,
+               Micros aDuration);
+
+  /// \brief Histograms and counters as text.
+  [[nodiscard]] std::string Text(
+    const dispatch::Counters& aCounters,
+    const std::map<std::string, double>& aGauges) const;
+
+private:
+  using Axis =
+    boost::histogram::axis::regular<double,
+                                    boost::histogram::axis::transform::log>;
+  using Histogram = decltype(boost::histogram::make_histogram(Axis()));
+  struct Series
+  {
+    Histogram mHistogram;
+    double mSum = 0;
+    std::uint64_t mCount = 0;
+  };
+
+  std::map<std::pair<std::string, std::string>, Series> mSeries;
+};
+
+} // namespace geraniumpond::frontend
--- /dev/null
+++ b/src/frontend/own_dialect.cpp
@@ -0,0 +1,143 @@
+#include "own_dialect.h"
+
+#include <geraniumpond/policy_file.h>
+
+#include <Poco/JSON/Object.h>
+#include <Poco/JSON/Parser.h>
+#include <Poco/URI.h>
+
+#include <sstream>
+
+namespace geraniumpond::frontend {
+
+namespace {
+
+using Poco::JSON::Object;
+
+constexpr const char* kJson = "application/json";
+constexpr std::string_view kTargets = "/targets/";
+
+std::string ToText(const Object& aObject)
+{
+  std::ostringstream text;
+  aObject.stringify(text);
+  return text.str();
+}
+
+wire::TargetRecord RecordOf(const std::string& aId, const std::string& aBody)
+{
+  Poco::JSON::Parser parser;
+  const Object::Ptr body = parser.parse(aBody).extract<Object::Ptr>();
+  wire::TargetRecord record;
+  record.set_id(aId);
+  record.set_service(body->getValue<std::string>("service"));
+  record.set_address(body->getValue<std::string>("address"));
+  record.set_data_centre(body->optValue<std::string>("data_centre", ""));
+  record.set_slots(body->optValue<unsigned>("slots", 1));
+  record.set_draining(body->optValue<bool>("draining", false));
+  record.set_sequence(body->getValue<Poco::UInt64>("sequence"));
+  record.set_warm_up_ms(body->optValue<unsigned>("warm_up_ms", 0));
+  return record;
+}
+
+Call ReadTargetCall(const HttpRequest& aRequest, const std::string& aId)
+{
+  if (aRequest.mMethod == "PUT") {
+    return CallAnnounce{ RecordOf(aId, aRequest.mBody) };
+  }
+  if (aRequest.mMethod == "DELETE") {
+    return CallWithdraw{ aId };
+  }
+  return CallInvalid{ 405, "targets take PUT and DELETE" };
+}
+
+Call ReadPath(const HttpRequest& aRequest)
+{
+  const Poco::URI uri(aRequest.mTarget);
+  const std::string& path = uri.getPath();
+  if (path.compare(0, kTargets.size(), kTargets) == 0 &&
+      path.size() > kTargets.size()) {
+    return ReadTargetCall(aRequest, path.substr(kTargets.size()));
+  }
+  if (path == "/policy") {
+    if (aRequest.mMethod == "PUT") {
+      return CallPutPolicy{ aRequest.mBody };
+    }
+    return CallReadPolicy{};
+  }
+  if (path == "/resolve") {
+    for (const auto& [name, value] : uri.getQueryParameters()) {
+      if (name == "data_centre") {
+        return CallResolve{ value };
+      }
+    }
+    return CallResolve{};
+  }
+  if (path == "/ready") {
+    return CallReady{};
+  }
+  if (path == "/metrics") {
+    return CallMetrics{};
+  }
+  return CallInvalid{ 404, "no such call" };
+}
+
+Call ReadCall(const HttpRequest& aRequest)
+{
+  try {
+    return ReadPath(aRequest);
+  } catch (const Poco::Exception& error) {
+    return CallInvalid{ 400, error.displayText() };
+  }
+}
+
+HttpResponse WriteEnd(const gateway::AnswerOperation& aEnd)
+{
+  using gateway::OperationEnd;
+  if (aEnd.mEnd == OperationEnd::Done) {
+    return MakeResponse(200, "text/plain", aEnd.mDocument);
+  }
+  Object error;
+  error.set("error", gateway::ToString(aEnd.mEnd));
+  error.set("message", aEnd.mReason);
+  int status = 503;
+  if (aEnd.mEnd == OperationEnd::Invalid) {
+    status = 400;
+  } else if (aEnd.mEnd == OperationEnd::Conflict) {
+    status = 409;
+  }
+  return MakeResponse(status, kJson, ToText(error));
+}
+
+HttpResponse WriteAddresses(const std::vector<std::string>& aAddresses,
+                            Micros aKeep)
+{
+  Poco::JSON::Array::Ptr addresses = new Poco::JSON::Array;
+  for (const std::string& address : aAddresses) {
+    addresses->add(address);
+  }
+  Object answer;
+  answer.set("addresses", addresses);
+  answer.set("keep_ms", aKeep / kMillisecond);
+  return MakeResponse(200, kJson, ToText(answer));
+}
+
+} // namespace
+
+Dialect OwnDialect()
+{
+  Dialect dialect;
+  dialect.mNames.mRequestId = "Request-Id";
+  dialect.mNames.mPatience = "Patience-Ms";
+  dialect.mNames.mExpectedTarget = "Expected-Target";
+  dialect.mNames.mNotRun = "Not-Run";
+  dialect.mNames.mTargetId = "Target-Id";
+  dialect.mNames.mLoad = "Target-Load";
+  dialect.mReadCall = ReadCall;
+  dialect.mWriteEnd = WriteEnd;
+  dialect.mWriteAddresses = WriteAddresses;
+  dialect.mDecodePolicy = policy::DecodePolicyFile;
+  return dialect;
+}
+
+} // namespace geraniumpond::frontend
--- /dev/null
+++ b/src/frontend/socket.cpp
@@ -0,0 +1,146 @@
+#include "socket.h"
+
+#include <Poco/Net/SocketImpl.h>
+
+#include <array>
+#include <cerrno>
+#include <sys/socket.h>
+#include <utility>
+
+namespace geraniumpond::frontend {
+
+namespace {
+
+constexpr std::size_t kReadBytes = 32 * 1024;
+
+} // namespace
+
+BufferedSocket::BufferedSocket(EventLoop& aLoop,
+                               const Poco::Net::StreamSocket& aSocket)
+  : mLoop(aLoop)
+  , mSocket(aSocket)
+{
+}
+
+BufferedSocket::~BufferedSocket()
+{
+  Close();
+}
+
+int BufferedSocket::Descriptor() const
+{
+  return mSocket.impl()->sockfd();
+}
+
+void BufferedSocket::Watch(Handler& aHandler, bool aWritable)
+{
+  if (Descriptor() == POCO_INVALID_SOCKET) {
+    return;
+  }
+  mHandler = &aHandler;
+  mLoop.Add(Descriptor(), aHandler);
+  if (aWritable) {
+    mLoop.WatchWritable(Descriptor(), aHandler, true);
+  }
+}
+
+// POCO throws on a reset, which is ordinary here.
+Received BufferedSocket::Receive()
+{
+  std::array<char, kReadBytes> bytes{};
+  Received result = Received::Nothing;
+  while (true) {
+    const ssize_t count = ::recv(Descriptor(), bytes.data(), bytes.size(), 0);
+    if (count > 0) {
+      mIn.append(bytes.data(), static_cast<std::size_t>(count));
+      result = Received::Some;
+      if (static_cast<std::size_t>(count) < bytes.size()) {
+        return result;
+      }
+      continue;
+    }
+    if (count == 0) {
+      return Received::End;
+    }
+    if (errno == EINTR) {
+      continue;
+    }
+    const bool empty = errno == EAGAIN || errno == EWOULDBLOCK;
+    return empty ? result : Received::Reset;
+  }
+}
+
+bool BufferedSocket::Send(std::string aBytes)
+{
+  if (Unsent() == 0) {
+    mOut = std::move(aBytes);
+    mSent = 0;
+  } else {
+    mOut += aBytes;
+  }
+  return Flush();
+}
+
+bool BufferedSocket::Flush()
+{
+  while (Unsent() > 0) {
+    const ssize_t count =
+      ::send(Descriptor(), mOut.data() + mSent, Unsent(), MSG_NOSIGNAL);
+    if (count > 0) {
+      mSent += static_cast<std::size_t>(count);
+      continue;
+    }
+    if (count < 0 && errno == EINTR) {
+      continue;
+    }
+    if (count < 0 && (errno == EAGAIN || errno == EWOULDBLOCK)) {
+      break;
+    }
+    return false;
+  }
+  const bool left = Unsent() > 0;
+  if (!left) {
+    mOut.clear();
+    mSent = 0;
+  }
+  if (mHandler != nullptr) {
+    mLoop.WatchWritable(Descriptor(), *mHandler, left);
+  }
+  return true;
+}
+
+int BufferedSocket::ConnectError() const
+{
+  int error = 0;
+  socklen_t size = sizeof(error);
+  if (::getsockopt(Descriptor(), SOL_SOCKET, SO_ERROR, &error, &size) != 0) {
+    return errno;
+  }
+  return error;
+}
+
+void BufferedSocket::FinishSending()
+{
+  (void)::shutdown(Descriptor(), SHUT_WR);
+}
+
+void BufferedSocket::Pause(bool aPaused)
+{
+  if (mHandler != nullptr) {
+    mLoop.Pause(Descriptor(), *mHandler, aPaused);
+  }
+}
+
+void BufferedSocket::Close()
+{
+  if (mHandler != nullptr) {
+    mLoop.Remove(Descriptor(), *mHandler);
+    mHandler = nullptr;
+  }
+  if (!mClosed) {
+    mClosed = true;
+    mSocket.close();
+  }
+}
+
+} // namespace geraniumpond::frontend
--- /dev/null
+++ b/src/frontend/target_pool.cpp
@@ -0,0 +1,498 @@
+#include "target_pool.h"
+
+#include <Poco/Exception.h>
+#include <Poco/Net/SocketAddress.h>
+#include <Poco/NumberParser.h>
+#include <Poco/StringTokenizer.h>
+
+#include <algorithm>
+#include <limits>
+#include <netinet/tcp.h>
+#include <utility>
+
+namespace geraniumpond::frontend {
+
+namespace {
+
+/// A connect takes a trip or two; a lost opening packet costs a second, so
+/// that another target is tried before.
+constexpr Micros kConnectPatience = 300 * kMillisecond;
+/// A target that leaves a probe unanswered for this long is taken for silent:
+/// well over any trip, well under the shortest deadline.
+constexpr Micros kProbePatience = 400 * kMillisecond;
+/// A connection on which an answer came this lately is alive.
+constexpr Micros kProvenAge = 100 * kMillisecond;
+/// Idle connections are used up to this share of the time that their target
+/// keeps them, or for this long where it does not say.
+constexpr double kIdleShare = 0.5;
+constexpr Micros kIdleUnsaid = 3 * kSecond;
+constexpr std::size_t kIdlePerTarget = 4;
+constexpr Micros kSweepInterval = 50 * kMillisecond;
+/// Bytes that are not acknowledged within this time end a connection.
+constexpr int kUserTimeoutMs = 2000;
+constexpr int kHealthy = 200;
+constexpr int kMisdirected = 421;
+constexpr int kNotSuccess = 300;
+
+} // namespace
+
+std::optional<dispatch::Report> ParseLoad(const std::string& aText)
+{
+  const Poco::StringTokenizer parts(
+    aText, ",", Poco::StringTokenizer::TOK_TRIM);
+  if (parts.count() < 3) {
+    return std::nullopt;
+  }
+  dispatch::Report report;
+  int percent = 100;
+  const bool sound =
+    Poco::NumberParser::tryParse(parts[0], report.mRunning) &&
+    Poco::NumberParser::tryParse(parts[1], report.mWaiting) &&
+    Poco::NumberParser::tryParse(parts[2], report.mSlots) &&
+    (parts.count() < 4 || Poco::NumberParser::tryParse(parts[3], percent));
+  if (!sound || report.mRunning < 0 || report.mWaiting < 0 ||
+      report.mSlots < 1 || percent < 1) {
+    return std::nullopt;
+  }
+  report.mSlowness = percent / 100.0;
+  return report;
+}
+
+/// \brief One connection to one target; carries one exchange at a time.
+class TargetPool::Connection : public Handler
+{
+public:
+  enum class Job
+  {
+    None,
+    Probe,
+    Attempt
+  };
+
+  Connection(TargetPool& aPool,
+             std::uint64_t aId,
+             std::string aTarget,
+             std::string aAddress,
+             const Poco::Net::StreamSocket& aSocket)
+    : mPool(aPool)
+    , mId(aId)
+    , mTarget(std::move(aTarget))
+    , mAddress(std::move(aAddress))
+    , mSocket(aPool.mLoop, aSocket)
+    , mStartedAt(aPool.mNow)
+  {
+    mSocket.Watch(*this, true);
+  }
+
+  void StartProbe(const std::string& aPath)
+  {
+    mJob = Job::Probe;
+    mProbePath = aPath;
+    mHeadOnly = false;
+    Start("GET " + aPath + " HTTP/1.1\r\nHost: " + mAddress + "\r\n\r\n");
+  }
+
+  void StartAttempt(Shipment aShipment)
+  {
+    mJob = Job::Attempt;
+    mRequest = aShipment.mRequest;
+    mAttempt = aShipment.mAttempt;
+    mRequestId = std::move(aShipment.mRequestId);
+    mHeadOnly = aShipment.mHeadOnly;
+    mPool.mAttempts[mAttempt] = this;
+    Start(std::move(aShipment.mBytes));
+  }
+
+  void OnWritable() override
+  {
+    if (mConnecting) {
+      const int error = mSocket.ConnectError();
+      if (error != 0) {
+        Fail("connect_failed");
+        return;
+      }
+      mConnecting = false;
+      SendFirst(std::move(mUnsent));
+      return;
+    }
+    if (!mSocket.Flush()) {
+      Fail("send_failed");
+    }
+  }
+
+  void OnReadable() override
+  {
+    if (mConnecting) {
+      OnWritable();
+      if (mSocket.Closed() || mConnecting) {
+        return;
+      }
+    }
+    const Received received = mSocket.Receive();
+    if (mJob == Job::None) {
+      // Bytes that nobody asked for, or the target's end of an idle time.
+      if (received != Received::Nothing) {
+        End();
+      }
+      return;
+    }
+    if (Read()) {
+      return;
+    }
+    if (received == Received::End) {
+      if (mReader.End() == ReadStatus::Complete) {
+        Finish();
+      } else {
+        Fail("closed_early");
+      }
+    } else if (received == Received::Reset) {
+      Fail("reset");
+    }
+  }
+
+  /// \brief Ends what takes too long.
+  void Sweep(Micros aNow)
+  {
+    if (mConnecting && aNow - mStartedAt > kConnectPatience) {
+      Fail("connect_timeout");
+      return;
+    }
+    if (mJob == Job::Probe && aNow - mStartedAt > kProbePatience) {
+      Fail("probe_timeout");
+      return;
+    }
+    if (mJob == Job::None && aNow - mUsedAt > mIdleLimit) {
+      End();
+    }
+  }
+
+  /// \brief Ends the connection without a report.
+  void End()
+  {
+    if (mSocket.Closed()) {
+      return;
+    }
+    mSocket.Close();
+    mPool.Retire(*this);
+  }
+
+  [[nodiscard]] std::uint64_t Id() const noexcept { return mId; }
+  [[nodiscard]] std::uint64_t Attempt() const noexcept { return mAttempt; }
+  [[nodiscard]] const std::string& Target() const noexcept { return mTarget; }
+  [[nodiscard]] Micros UsedAt() const noexcept { return mUsedAt; }
+  [[nodiscard]] Micros IdleLimit() const noexcept { return mIdleLimit; }
+
+private:
+  void Start(std::string aBytes)
+  {
+    mStartedAt = mPool.mNow;
+    if (mConnecting) {
+      mUnsent = std::move(aBytes);
+      return;
+    }
+    mReused = true;
+    SendFirst(std::move(aBytes));
+  }
+
+  void SendFirst(std::string aBytes)
+  {
+    const std::size_t size = aBytes.size();
+    const bool sound = mSocket.Send(std::move(aBytes));
+    mSent = mSocket.Unsent() < size;
+    if (!sound) {
+      Fail("send_failed");
+    }
+  }
+
+  // True when the exchange has ended.
+  bool Read()
+  {
+    while (true) {
+      const ReadStatus status = mReader.Read(mSocket.In(), mHeadOnly);
+      if (status == ReadStatus::Partial) {
+        return false;
+      }
+      if (status == ReadStatus::Malformed) {
+        Fail("not_an_answer");
+        return true;
+      }
+      if (Finish()) {
+        return true;
+      }
+    }
+  }
+
+  // An answer that names another request arrived late: it belongs to nobody
+  // here. A connection that has carried one is not used again.
+  bool IsStray(const HttpResponse& aResponse) const
+  {
+    const std::string* id =
+      FindField(aResponse.mFields, mPool.mNames.mRequestId);
+    if (mJob == Job::Probe) {
+      return id != nullptr;
+    }
+    return id != nullptr && *id != mRequestId;
+  }
+
+  // A head that was cut off may look like a short answer; an answer to this
+  // request names it, and a success is vouched for. A refusal may come from a
+  // target that has not read the request's fields.
+  bool IsSound(const HttpResponse& aResponse) const
+  {
+    if (mJob == Job::Probe) {
+      return true;
+    }
+    const FieldNames& names = mPool.mNames;
+    const HeaderFields& fields = aResponse.mFields;
+    const bool named = mRequestId.empty() ||
+                       FindField(fields, names.mRequestId) != nullptr ||
+                       FindField(fields, names.mNotRun) != nullptr ||
+                       aResponse.mStatus == kMisdirected;
+    const bool vouched = aResponse.mStatus >= kNotSuccess ||
+                         names.mSignature.empty() ||
+                         FindField(fields, names.mSignature) != nullptr;
+    return named && vouched;
+  }
+
+  // False when the answer was not the one waited for.
+  bool Finish()
+  {
+    HttpResponse response = mReader.Take();
+    if (IsStray(response)) {
+      mTainted = true;
+      return false;
+    }
+    if (!IsSound(response)) {
+      Fail("not_an_answer");
+      return true;
+    }
+    const bool reusable = response.mKeepAlive && !mTainted &&
+                          mSocket.In().empty() && mSocket.Unsent() == 0;
+    if (response.mKeepAliveSeconds > 0) {
+      mIdleLimit = static_cast<Micros>(
+        kIdleShare * static_cast<double>(response.mKeepAliveSeconds) * kSecond);
+    }
+    mUsedAt = mPool.mNow;
+    const Job job = std::exchange(mJob, Job::None);
+    if (job == Job::Attempt) {
+      mPool.mAttempts.erase(mAttempt);
+    }
+    if (reusable) {
+      mPool.Keep(*this);
+    } else {
+      End();
+    }
+    Report(job, std::move(response));
+    return true;
+  }
+
+  void Report(Job aJob, HttpResponse aResponse)
+  {
+    const FieldNames& names = mPool.mNames;
+    const std::string* load = FindField(aResponse.mFields, names.mLoad);
+    const std::string* by = FindField(aResponse.mFields, names.mTargetId);
+    std::optional<dispatch::Report> report;
+    if (load != nullptr) {
+      report = ParseLoad(*load);
+    }
+    if (aJob == Job::Probe) {
+      dispatch::ProbeEnd end;
+      end.mTarget = mTarget;
+      end.mAnswered = true;
+      end.mHealthy = aResponse.mStatus == kHealthy;
+      end.mAnsweredBy = by == nullptr ? "" : *by;
+      end.mReport = report;
+      mPool.mSink.OnProbe(end);
+      return;
+    }
+    dispatch::AttemptEnd end;
+    end.mRequest = mRequest;
+    end.mAttempt = mAttempt;
+    end.mKind = dispatch::EndKind::Answered;
+    end.mStatus = aResponse.mStatus;
+    end.mMisdirected = aResponse.mStatus == kMisdirected;
+    end.mNotRun = end.mMisdirected ||
+                  FindField(aResponse.mFields, names.mNotRun) != nullptr;
+    end.mBytes = aResponse.mBody.size();
+    end.mReport = report;
+    if (end.mNotRun) {
+      end.mReason = end.mMisdirected ? "address_taken" : "target_refused";
+    }
+    mPool.mSink.OnAttempt(std::move(end), std::move(aResponse));
+  }
+
+  void Fail(const char* aReason)
+  {
+    const Job job = std::exchange(mJob, Job::None);
+    if (job == Job::Attempt) {
+      mPool.mAttempts.erase(mAttempt);
+    }
+    const bool sent = mSent;
+    End();
+    if (job == Job::Probe) {
+      // An idle connection that had ended says nothing of its target.
+      if (mReused) {
+        mPool.Open(mTarget, mAddress)->StartProbe(mProbePath);
+        return;
+      }
+      dispatch::ProbeEnd end;
+      end.mTarget = mTarget;
+      mPool.mSink.OnProbe(end);
+    } else if (job == Job::Attempt) {
+      dispatch::AttemptEnd end;
+      end.mRequest = mRequest;
+      end.mAttempt = mAttempt;
+      end.mKind = sent ? dispatch::EndKind::Broken : dispatch::EndKind::NotSent;
+      end.mReason = aReason;
+      mPool.mSink.OnAttempt(std::move(end), HttpResponse());
+    }
+  }
+
+  TargetPool& mPool;
+  std::uint64_t mId = 0;
+  std::string mTarget;
+  std::string mAddress;
+  BufferedSocket mSocket;
+  ResponseReader mReader;
+  Job mJob = Job::None;
+  std::string mUnsent;
+  std::string mProbePath;
+  std::string mRequestId;
+  std::uint64_t mRequest = 0;
+  std::uint64_t mAttempt = 0;
+  Micros mStartedAt = 0;
+  Micros mUsedAt = 0;
+  Micros mIdleLimit = kIdleUnsaid;
+  bool mConnecting = true;
+  bool mSent = false;
+  bool mReused = false;
+  bool mHeadOnly = false;
+  bool mTainted = false;
+};
+
+TargetPool::TargetPool(EventLoop& aLoop,
+                       const FieldNames& aNames,
+                       TargetSink& aSink)
+  : mLoop(aLoop)
+  , mNames(aNames)
+  , mSink(aSink)
+{
+}
+
+TargetPool::~TargetPool() = default;
+
+TargetPool::Connection* TargetPool::Open(const std::string& aTarget,
+                                         const std::string& aAddress)
+{
+  Poco::Net::StreamSocket socket;
+  try {
+    socket.connectNB(Poco::Net::SocketAddress(aAddress));
+    socket.setNoDelay(true);
+    socket.setOption(IPPROTO_TCP, TCP_USER_TIMEOUT, kUserTimeoutMs);
+  } catch (const Poco::Exception&) {
+    // The connection below reports the failed connect when it is waited for.
+  }
+  const std::uint64_t id = ++mLastConnection;
+  auto connection =
+    std::make_unique<Connection>(*this, id, aTarget, aAddress, socket);
+  Connection* raw = connection.get();
+  mConnections[id] = std::move(connection);
+  return raw;
+}
+
+TargetPool::Connection* TargetPool::TakeIdle(const std::string& aTarget,
+                                             Micros aMaxAge)
+{
+  const auto found = mIdle.find(aTarget);
+  if (found == mIdle.end() || found->second.empty()) {
+    return nullptr;
+  }
+  // The one that was used last is the likeliest to be alive.
+  Connection* connection = found->second.back();
+  const Micros age = mNow - connection->UsedAt();
+  if (age > std::min(aMaxAge, connection->IdleLimit())) {
+    return nullptr;
+  }
+  found->second.pop_back();
+  return connection;
+}
+
+void TargetPool::Probe(const dispatch::ProbeTarget& aProbe)
+{
+  Connection* connection =
+    TakeIdle(aProbe.mTarget, std::numeric_limits<Micros>::max());
+  if (connection == nullptr) {
+    connection = Open(aProbe.mTarget, aProbe.mAddress);
+  }
+  connection->StartProbe(aProbe.mPath);
+}
+
+void TargetPool::Send(Shipment aShipment)
+{
+  const Micros age = aShipment.mProvenConnection
+                       ? kProvenAge
+                       : std::numeric_limits<Micros>::max();
+  Connection* connection = TakeIdle(aShipment.mTarget, age);
+  if (connection == nullptr) {
+    connection = Open(aShipment.mTarget, aShipment.mAddress);
+  }
+  connection->StartAttempt(std::move(aShipment));
+}
+
+void TargetPool::Cancel(std::uint64_t aAttempt)
+{
+  const auto found = mAttempts.find(aAttempt);
+  if (found != mAttempts.end()) {
+    Connection* connection = found->second;
+    mAttempts.erase(found);
+    connection->End();
+  }
+}
+
+void TargetPool::Keep(Connection& aConnection)
+{
+  std::vector<Connection*>& idle = mIdle[aConnection.Target()];
+  if (idle.size() >= kIdlePerTarget) {
+    idle.front()->End();
+  }
+  mIdle[aConnection.Target()].push_back(&aConnection);
+}
+
+void TargetPool::Retire(Connection& aConnection)
+{
+  const auto idle = mIdle.find(aConnection.Target());
+  if (idle != mIdle.end()) {
+    std::vector<Connection*>& list = idle->second;
+    list.erase(std::remove(list.begin(), list.end(), &aConnection), list.end());
+    if (list.empty()) {
+      mIdle.erase(idle);
+    }
+  }
+  const auto found = mConnections.find(aConnection.Id());
+  if (found != mConnections.end()) {
+    mRetired.push_back(std::move(found->second));
+    mConnections.erase(found);
+  }
+}
+
+void TargetPool::Tick(Micros aNow)
+{
+  mNow = aNow;
+  mRetired.clear();
+  if (aNow < mSweptAt + kSweepInterval) {
+    return;
+  }
+  mSweptAt = aNow;
+  std::vector<Connection*> all;
+  all.reserve(mConnections.size());
+  for (const auto& [id, connection] : mConnections) {
+    all.push_back(connection.get());
+  }
+  for (Connection* connection : all) {
+    if (mConnections.count(connection->Id()) != 0) {
+      connection->Sweep(aNow);
+    }
+  }
+}
+
+} // namespace geraniumpond::frontend
