--- /dev/null
+++ b/src/gateway/gateway.cpp
@@ -0,0 +1,481 @@
+#include <geraniumpond/gateway.h>
+
+#include <algorithm>
+#include <array>
+
+namespace geraniumpond::gateway {
+
+namespace {
+
+/// Callers move on to another host after a second without an answer; an answer
+/// of ours comes before.
+constexpr Micros kOperationPatience = 850 * kMillisecond;
+/// The number of hosts is taken over at this pace.
+constexpr Micros kCountInterval = 500 * kMillisecond;
+/// Part of the stop's time that is left unused, for the process's own end.
+constexpr Micros kStopReserve = 400 * kMillisecond;
+/// Hosts of a data centre that clients are not sent elsewhere for.
+constexpr std::size_t kEnoughLocal = 2;
+constexpr std::size_t kMaxAddresses = 64;
+
+constexpr std::array<const char*, 4> kEndNames = {
+  "done",
+  "invalid",
+  "conflict",
+  "unavailable",
+};
+
+struct Context
+{
+  State& mState;
+  Micros mNow;
+  Effects& mOut;
+
+  void Log(int aLevel, std::string aText) const
+  {
+    mOut.emplace_back(dispatch::LogLine{ aLevel, std::move(aText) });
+  }
+};
+
+void Append(Effects& aOut, dispatch::Effects aEffects)
+{
+  for (dispatch::Effect& effect : aEffects) {
+    std::visit([&](auto& aOne) { aOut.emplace_back(std::move(aOne)); }, effect);
+  }
+}
+
+void Answer(Context& aContext, AnswerOperation aAnswer, const char* aWhat)
+{
+  const bool good = aAnswer.mEnd == OperationEnd::Done;
+  aContext.Log(
+    good ? 1 : 2,
+    std::string("event=") + aWhat + " outcome=" + ToString(aAnswer.mEnd) +
+      " policy=" + std::to_string(aContext.mState.mFleet.mCatalog.mVersion) +
+      " leader=" + aContext.mState.mFleet.mLeaderAddress + " reason=\"" +
+      aAnswer.mReason + "\"");
+  aContext.mOut.emplace_back(std::move(aAnswer));
+}
+
+const char* NameOf(OperationKind aKind)
+{
+  constexpr std::array<const char*, 4> names = {
+    "target_announce",
+    "target_withdraw",
+    "policy_put",
+    "policy_read",
+  };
+  return names[static_cast<std::size_t>(aKind)];
+}
+
+void TakePolicy(Context& aContext, fleet::Output& aFleet)
+{
+  State& state = aContext.mState;
+  const catalog::State& catalog = state.mFleet.mCatalog;
+  if (catalog.mVersion == 0) {
+    return;
+  }
+  Result<policy::TrafficPolicy> decoded =
+    state.mSettings.mDecodePolicy(catalog.mDocument);
+  if (!decoded) {
+    aContext.Log(
+      3,
+      "event=policy_unreadable version=" + std::to_string(catalog.mVersion) +
+        " reason=\"" + decoded.error().mMessage + "\"");
+    return;
+  }
+  policy::BuildIndex(decoded.value());
+  const std::size_t routes = decoded.value().mRoutes.size();
+  dispatch::SetPolicy(
+    state.mDispatch,
+    aContext.mNow,
+    std::make_shared<const policy::TrafficPolicy>(std::move(decoded.value())));
+  aContext.Log(
+    1,
+    "event=policy_in_force version=" + std::to_string(catalog.mVersion) +
+      " routes=" + std::to_string(routes));
+  if (!state.mStopping) {
+    fleet::SetReady(state.mFleet, aContext.mNow, true, aFleet);
+  }
+}
+
+void AnswerReads(Context& aContext)
+{
+  State& state = aContext.mState;
+  const catalog::State& catalog = state.mFleet.mCatalog;
+  for (auto it = state.mReads.begin(); it != state.mReads.end();) {
+    const bool current = catalog.mVersion >= it->mVersion;
+    if (!current && aContext.mNow < it->mGiveUpAt) {
+      ++it;
+      continue;
+    }
+    AnswerOperation answer{ it->mOperation, OperationEnd::Done, "", "" };
+    if (!current || catalog.mVersion == 0) {
+      answer.mEnd = OperationEnd::Unavailable;
+      answer.mReason = current ? "no policy yet" : "behind the group";
+    } else {
+      answer.mDocument = catalog.mDocument;
+    }
+    Answer(aContext, std::move(answer), NameOf(OperationKind::ReadPolicy));
+    it = state.mReads.erase(it);
+  }
+}
+
+void EndOperation(Context& aContext, const fleet::Done& aDone)
+{
+  State& state = aContext.mState;
+  const auto found = state.mOperations.find(aDone.mId);
+  if (found == state.mOperations.end()) {
+    return;
+  }
+  const Operation operation = found->second;
+  state.mOperations.erase(found);
+  const bool committed = aDone.mEnd == fleet::SubmitEnd::Committed;
+  if (committed && operation.mKind == OperationKind::ReadPolicy) {
+    state.mReads.push_back({ operation.mId,
+                             aDone.mOutcome.version(),
+                             aContext.mNow + kOperationPatience });
+    return;
+  }
+  AnswerOperation answer{ operation.mId, OperationEnd::Done, "", "" };
+  answer.mReason = operation.mSubject + " ";
+  if (!committed) {
+    answer.mEnd = OperationEnd::Unavailable;
+    answer.mReason += aDone.mReason;
+  } else {
+    answer.mEnd =
+      aDone.mOutcome.accepted() ? OperationEnd::Done : OperationEnd::Conflict;
+    answer.mReason += aDone.mOutcome.reason();
+  }
+  Answer(aContext, std::move(answer), NameOf(operation.mKind));
+}
+
+void TakeFleet(Context& aContext, fleet::Output aFleet)
+{
+  State& state = aContext.mState;
+  if (aFleet.mPolicyChanged) {
+    TakePolicy(aContext, aFleet);
+  }
+  if (aFleet.mTargetsChanged) {
+    dispatch::Effects effects;
+    dispatch::SetTargets(
+      state.mDispatch, aContext.mNow, state.mFleet.mCatalog.mTargets, effects);
+    Append(aContext.mOut, std::move(effects));
+  }
+  if (aFleet.mHostsChanged) {
+    dispatch::SetHosts(state.mDispatch,
+                       aContext.mNow,
+                       fleet::LiveHosts(state.mFleet, aContext.mNow));
+  }
+  for (const fleet::Note& note : aFleet.mNotes) {
+    aContext.Log(note.mLevel, note.mText);
+  }
+  // Writes come before messages: none of these promises what is not written.
+  for (consensus::Write& write : aFleet.mWrites) {
+    aContext.mOut.emplace_back(Persist{ std::move(write) });
+  }
+  for (auto& [address, message] : aFleet.mMessages) {
+    aContext.mOut.emplace_back(SendPeer{ address, std::move(message) });
+  }
+  for (const fleet::Done& done : aFleet.mDone) {
+    EndOperation(aContext, done);
+  }
+  AnswerReads(aContext);
+}
+
+void SubmitFor(Context& aContext,
+               const Operation& aOperation,
+               const wire::CatalogCommand& aCommand)
+{
+  State& state = aContext.mState;
+  fleet::Output output;
+  const std::uint64_t id = fleet::Submit(
+    state.mFleet, aContext.mNow, aCommand, kOperationPatience, output);
+  state.mOperations[id] = aOperation;
+  TakeFleet(aContext, std::move(output));
+}
+
+void TakeAnnounce(Context& aContext, const Announce& aCall)
+{
+  const catalog::State& catalog = aContext.mState.mFleet.mCatalog;
+  if (!catalog::IsNews(catalog, aCall.mRecord)) {
+    // Renewals of what every host knows are not worth a line each.
+    aContext.mOut.emplace_back(
+      AnswerOperation{ aCall.mOperation, OperationEnd::Done, "", "" });
+    return;
+  }
+  wire::CatalogCommand command;
+  *command.mutable_put_target() = aCall.mRecord;
+  const std::string subject =
+    "target=" + aCall.mRecord.id() +
+    " sequence=" + std::to_string(aCall.mRecord.sequence()) +
+    (aCall.mRecord.draining() ? " draining" : " ready");
+  SubmitFor(
+    aContext, { aCall.mOperation, OperationKind::Announce, subject }, command);
+}
+
+void TakeWithdraw(Context& aContext, const Withdraw& aCall)
+{
+  if (aContext.mState.mFleet.mCatalog.mRemoved.count(aCall.mTarget) != 0) {
+    aContext.mOut.emplace_back(
+      AnswerOperation{ aCall.mOperation, OperationEnd::Done, "", "" });
+    return;
+  }
+  wire::CatalogCommand command;
+  command.mutable_remove_target()->set_id(aCall.mTarget);
+  SubmitFor(
+    aContext,
+    { aCall.mOperation, OperationKind::Withdraw, "target=" + aCall.mTarget },
+    command);
+}
+
+void TakePutPolicy(Context& aContext, const PutPolicy& aCall)
+{
+  State& state = aContext.mState;
+  const Result<policy::TrafficPolicy> decoded =
+    state.mSettings.mDecodePolicy(aCall.mDocument);
+  std::string fault;
+  if (!decoded) {
+    fault = decoded.error().mMessage;
+  } else {
+    const std::vector<std::string> faults = policy::FaultsOf(decoded.value());
+    fault = faults.empty() ? "" : faults.front();
+  }
+  if (!fault.empty()) {
+    Answer(aContext,
+           { aCall.mOperation, OperationEnd::Invalid, fault, "" },
+           NameOf(OperationKind::PutPolicy));
+    return;
+  }
+  wire::CatalogCommand command;
+  wire::PutPolicy& change = *command.mutable_put_policy();
+  change.set_version(decoded.value().mVersion);
+  change.set_base_version(decoded.value().mBaseVersion);
+  change.set_document(aCall.mDocument);
+  SubmitFor(aContext,
+            { aCall.mOperation,
+              OperationKind::PutPolicy,
+              "version=" + std::to_string(change.version()) +
+                " base=" + std::to_string(change.base_version()) },
+            command);
+}
+
+void TakeReadPolicy(Context& aContext, const ReadPolicy& aCall)
+{
+  wire::CatalogCommand command;
+  command.mutable_read_barrier();
+  SubmitFor(
+    aContext, { aCall.mOperation, OperationKind::ReadPolicy, "" }, command);
+}
+
+void TakeStop(Context& aContext)
+{
+  State& state = aContext.mState;
+  if (state.mStopping) {
+    return;
+  }
+  state.mStopping = true;
+  state.mStopAt = aContext.mNow;
+  aContext.Log(1,
+               "event=stopping requests=" +
+                 std::to_string(dispatch::RunningRequests(state.mDispatch)));
+  fleet::Output output;
+  fleet::BeginStop(state.mFleet, aContext.mNow, output);
+  TakeFleet(aContext, std::move(output));
+}
+
+// Clients come for as long as they may hold an answer with this host's
+// address; nothing that is in flight is cut before the time is up.
+Micros QuietFrom(const State& aState)
+{
+  const Settings& settings = aState.mSettings;
+  const Micros held = settings.mAnswerKeep * settings.mAnswerKeepTimes;
+  return aState.mStopAt +
+         std::min(held + 500 * kMillisecond, settings.mStopGrace * 3 / 4);
+}
+
+Micros LastMoment(const State& aState)
+{
+  return aState.mStopAt + aState.mSettings.mStopGrace - kStopReserve;
+}
+
+void ContinueStop(Context& aContext)
+{
+  State& state = aContext.mState;
+  if (!state.mStopping || state.mExited) {
+    return;
+  }
+  const bool idle = dispatch::RunningRequests(state.mDispatch) == 0 &&
+                    state.mOperations.empty();
+  if ((aContext.mNow >= QuietFrom(state) && idle) ||
+      aContext.mNow >= LastMoment(state)) {
+    state.mExited = true;
+    aContext.Log(1,
+                 "event=stopped requests_cut=" +
+                   std::to_string(dispatch::RunningRequests(state.mDispatch)));
+    aContext.mOut.emplace_back(ExitProcess{});
+  }
+}
+
+void CountHosts(Context& aContext)
+{
+  State& state = aContext.mState;
+  if (aContext.mNow < state.mHostsCountedAt + kCountInterval) {
+    return;
+  }
+  state.mHostsCountedAt = aContext.mNow;
+  const int hosts = fleet::LiveHosts(state.mFleet, aContext.mNow);
+  if (hosts != state.mDispatch.mHosts) {
+    dispatch::SetHosts(state.mDispatch, aContext.mNow, hosts);
+  }
+}
+
+void TakeTime(Context& aContext, std::uint64_t aRandom)
+{
+  State& state = aContext.mState;
+  dispatch::Effects effects;
+  dispatch::Tick(state.mDispatch, aContext.mNow, effects);
+  Append(aContext.mOut, std::move(effects));
+  fleet::Output output;
+  fleet::Tick(state.mFleet, aContext.mNow, aRandom, output);
+  TakeFleet(aContext, std::move(output));
+  CountHosts(aContext);
+}
+
+template<class Function>
+void Dispatch(Context& aContext, Function aFunction)
+{
+  dispatch::Effects effects;
+  aFunction(effects);
+  Append(aContext.mOut, std::move(effects));
+}
+
+/// \brief Takes each kind of event.
+struct Taker
+{
+  Context& mContext;
+  std::uint64_t mRandom;
+
+  void operator()(const TimePassed&) { TakeTime(mContext, mRandom); }
+  void operator()(const PeerMessage& aEvent)
+  {
+    fleet::Output output;
+    fleet::Receive(
+      mContext.mState.mFleet, mContext.mNow, mRandom, aEvent.mMessage, output);
+    TakeFleet(mContext, std::move(output));
+  }
+  void operator()(const DiskSynced& aEvent)
+  {
+    fleet::Output output;
+    fleet::Synced(
+      mContext.mState.mFleet, mContext.mNow, aEvent.mSequence, output);
+    TakeFleet(mContext, std::move(output));
+  }
+  void operator()(const dispatch::Arrival& aEvent)
+  {
+    Dispatch(mContext, [&](dispatch::Effects& aOut) {
+      dispatch::Arrive(mContext.mState.mDispatch, mContext.mNow, aEvent, aOut);
+    });
+  }
+  void operator()(const dispatch::ProbeEnd& aEvent)
+  {
+    Dispatch(mContext, [&](dispatch::Effects& aOut) {
+      dispatch::TakeProbe(
+        mContext.mState.mDispatch, mContext.mNow, aEvent, aOut);
+    });
+  }
+  void operator()(const dispatch::AttemptEnd& aEvent)
+  {
+    Dispatch(mContext, [&](dispatch::Effects& aOut) {
+      dispatch::TakeEnd(mContext.mState.mDispatch, mContext.mNow, aEvent, aOut);
+    });
+  }
+  void operator()(const ClientGone& aEvent)
+  {
+    Dispatch(mContext, [&](dispatch::Effects& aOut) {
+      dispatch::ClientLeft(
+        mContext.mState.mDispatch, mContext.mNow, aEvent.mRequest, aOut);
+    });
+  }
+  void operator()(const Announce& aEvent) { TakeAnnounce(mContext, aEvent); }
+  void operator()(const Withdraw& aEvent) { TakeWithdraw(mContext, aEvent); }
+  void operator()(const PutPolicy& aEvent) { TakePutPolicy(mContext, aEvent); }
+  void operator()(const ReadPolicy& aEvent)
+  {
+    TakeReadPolicy(mContext, aEvent);
+  }
+  void operator()(const StopRequested&) { TakeStop(mContext); }
+};
+
+} // namespace
+
+const char* ToString(OperationEnd aEnd) noexcept
+{
+  return kEndNames[static_cast<std::size_t>(aEnd)];
+}
+
+State Open(const Settings& aSettings,
+           const consensus::Recovered& aRecovered,
+           Micros aNow,
+           std::uint64_t aRandom,
+           Effects& aOut)
+{
+  State state;
+  state.mSettings = aSettings;
+  state.mDispatch.mDataCentre = aSettings.mFleet.mDataCentre;
+  state.mDispatch.mBounds = aSettings.mBounds;
+  state.mDispatch.mRandom = aRandom | 1;
+  fleet::Output output;
+  state.mFleet =
+    fleet::Open(aSettings.mFleet, aRecovered, aNow, aRandom, output);
+  Context context{ state, aNow, aOut };
+  TakeFleet(context, std::move(output));
+  return state;
+}
+
+Effects Step(State& aState, const Event& aEvent)
+{
+  Effects effects;
+  Context context{ aState, aEvent.mNow, effects };
+  std::visit(Taker{ context, aEvent.mRandom }, aEvent.mBody);
+  ContinueStop(context);
+  return effects;
+}
+
+Micros NextTick(const State& aState) noexcept
+{
+  Micros next = std::min(dispatch::NextTick(aState.mDispatch),
+                         fleet::NextTick(aState.mFleet));
+  for (const WaitingRead& read : aState.mReads) {
+    next = std::min(next, read.mGiveUpAt);
+  }
+  if (aState.mStopping) {
+    next = std::min(next, LastMoment(aState));
+  }
+  return next;
+}
+
+bool IsReady(const State& aState) noexcept
+{
+  return aState.mFleet.mReady && !aState.mStopping;
+}
+
+std::vector<std::string> AddressesFor(const State& aState,
+                                      const std::string& aDataCentre,
+                                      Micros aNow)
+{
+  std::vector<std::string> local;
+  std::vector<std::string> all;
+  for (const fleet::Host* host : fleet::ReadyHosts(aState.mFleet, aNow)) {
+    all.push_back(host->mCallerAddress);
+    if (host->mDataCentre == aDataCentre) {
+      local.push_back(host->mCallerAddress);
+    }
+  }
+  std::vector<std::string>& chosen = local.size() >= kEnoughLocal ? local : all;
+  if (chosen.size() > kMaxAddresses) {
+    chosen.resize(kMaxAddresses);
+  }
+  return std::move(chosen);
+}
+
+} // namespace geraniumpond::gateway
--- /dev/null
+++ b/src/policy/policy.cpp
@@ -0,0 +1,175 @@
+#include <geraniumpond/policy.h>
+
+#include <algorithm>
+#include <array>
+#include <cctype>
+#include <set>
+
+namespace geraniumpond::policy {
+
+namespace {
+
+constexpr std::array<const char*, 3> kKindNames = { "safe",
+                                                    "unsafe",
+                                                    "download" };
+
+std::string LowerCase(std::string_view aText)
+{
+  std::string lower(aText);
+  std::transform(lower.begin(), lower.end(), lower.begin(), [](char aChar) {
+    return static_cast<char>(std::tolower(static_cast<unsigned char>(aChar)));
+  });
+  return lower;
+}
+
+std::string_view WithoutPort(std::string_view aHost)
+{
+  const std::size_t colon = aHost.rfind(':');
+  return colon == std::string_view::npos ? aHost : aHost.substr(0, colon);
+}
+
+std::string IndexKey(std::string_view aHost, std::string_view aPrefix)
+{
+  std::string key = LowerCase(aHost);
+  key += ' ';
+  key += aPrefix;
+  return key;
+}
+
+void CheckRoute(const TrafficPolicy& aPolicy,
+                const Route& aRoute,
+                std::vector<std::string>& aFaults)
+{
+  const auto fault = [&](const std::string& aText) {
+    aFaults.push_back("route " + aRoute.mName + ": " + aText);
+  };
+  if (aRoute.mHostName.empty()) {
+    fault("no host name");
+  }
+  if (aRoute.mPathPrefix.empty() || aRoute.mPathPrefix.front() != '/') {
+    fault("the path prefix does not begin with a slash");
+  }
+  if (aRoute.mTimeout <= 0) {
+    fault("the timeout is not above 0");
+  }
+  if (aRoute.mTimeout > kMaxRouteTimeout) {
+    fault("the timeout is over ten minutes");
+  }
+  if (aRoute.mAttempts < 1) {
+    fault("less than one attempt");
+  }
+  if (aRoute.mBackends.empty()) {
+    fault("no service");
+  }
+  double weight = 0;
+  for (const Backend& backend : aRoute.mBackends) {
+    weight += backend.mWeight;
+    if (aPolicy.mServices.count(backend.mService) == 0) {
+      fault("unknown service " + backend.mService);
+    }
+    if (backend.mWeight < 0) {
+      fault("a weight below 0");
+    }
+  }
+  if (!aRoute.mBackends.empty() && weight <= 0) {
+    fault("no weight above 0");
+  }
+}
+
+} // namespace
+
+const char* ToString(RouteKind aKind) noexcept
+{
+  return kKindNames[static_cast<std::size_t>(aKind)];
+}
+
+Result<RouteKind> ParseRouteKind(std::string_view aName)
+{
+  for (std::size_t i = 0; i < kKindNames.size(); ++i) {
+    if (aName == kKindNames[i]) {
+      return static_cast<RouteKind>(i);
+    }
+  }
+  return Fail(ErrorCode::NotFound,
+              "route kind '" + std::string(aName) +
+                "'; allowed: safe, unsafe, download");
+}
+
+bool IsIdempotent(RouteKind aKind) noexcept
+{
+  return aKind != RouteKind::Unsafe;
+}
+
+std::vector<std::string> FaultsOf(const TrafficPolicy& aPolicy)
+{
+  std::vector<std::string> faults;
+  if (aPolicy.mVersion == 0) {
+    faults.emplace_back("the version is not above 0");
+  }
+  if (aPolicy.mVersion <= aPolicy.mBaseVersion) {
+    faults.emplace_back("the version is not above its base");
+  }
+  std::set<std::string> places;
+  for (const Route& route : aPolicy.mRoutes) {
+    CheckRoute(aPolicy, route, faults);
+    if (!places.insert(IndexKey(route.mHostName, route.mPathPrefix)).second) {
+      faults.push_back("route " + route.mName +
+                       ": another route has its host name and prefix");
+    }
+  }
+  return faults;
+}
+
+void BuildIndex(TrafficPolicy& aPolicy)
+{
+  aPolicy.mIndex.clear();
+  for (std::size_t i = 0; i < aPolicy.mRoutes.size(); ++i) {
+    const Route& route = aPolicy.mRoutes[i];
+    aPolicy.mIndex[IndexKey(route.mHostName, route.mPathPrefix)] = i;
+  }
+}
+
+const Route* FindRoute(const TrafficPolicy& aPolicy,
+                       std::string_view aHost,
+                       std::string_view aPath)
+{
+  std::string_view path = aPath.substr(0, aPath.find('?'));
+  const std::string_view host = WithoutPort(aHost);
+  // Prefixes mostly end with a slash, so that only the path's own slashes and
+  // its whole are tried, the longest first.
+  bool whole = true;
+  while (!path.empty()) {
+    if (whole || path.back() == '/') {
+      const auto found = aPolicy.mIndex.find(IndexKey(host, path));
+      if (found != aPolicy.mIndex.end()) {
+        return &aPolicy.mRoutes[found->second];
+      }
+      path.remove_suffix(1);
+      whole = false;
+    }
+    const std::size_t slash = path.rfind('/');
+    if (slash == std::string_view::npos) {
+      return nullptr;
+    }
+    path = path.substr(0, slash + 1);
+  }
+  return nullptr;
+}
+
+const std::string& PickBackend(const Route& aRoute, double aPoint) noexcept
+{
+  double total = 0;
+  for (const Backend& backend : aRoute.mBackends) {
+    total += backend.mWeight;
+  }
+  double left = aPoint * total;
+  for (const Backend& backend : aRoute.mBackends) {
+    left -= backend.mWeight;
+    if (left < 0) {
+      return backend.mService;
+    }
+  }
+  return aRoute.mBackends.back().mService;
+}
+
+} // namespace geraniumpond::policy
--- /dev/null
+++ b/tests/fakes/fleet_world.cpp
@@ -0,0 +1,250 @@
+#include "fakes/fleet_world.h"
+
+#include <algorithm>
+
+namespace geraniumpond::fakes {
+
+namespace {
+
+constexpr Micros kTrip = 1500;
+constexpr Micros kSyncTime = 1000;
+constexpr Micros kStepTime = 2 * kMillisecond;
+
+void ApplyRecord(consensus::Recovered& aDisk, const wire::LogRecord& aRecord)
+{
+  if (aRecord.has_hard_state()) {
+    aDisk.mHard = aRecord.hard_state();
+  } else if (aRecord.has_entry()) {
+    aDisk.mEntries.push_back(aRecord.entry());
+  } else {
+    while (!aDisk.mEntries.empty() &&
+           aDisk.mEntries.back().index() >= aRecord.truncate_from()) {
+      aDisk.mEntries.pop_back();
+    }
+  }
+}
+
+} // namespace
+
+FleetWorld::FleetWorld(std::uint64_t aSeed)
+  : mRandom(aSeed)
+{
+}
+
+void FleetWorld::Add(const std::string& aAddress, bool aDisk)
+{
+  FleetNode& node = mNodes[aAddress];
+  node.mSettings.mPeerAddress = aAddress;
+  node.mSettings.mCallerAddress = aAddress + "/callers";
+  node.mSettings.mDataCentre = "dc";
+  node.mSettings.mControl = aDisk;
+  node.mSettings.mSeeds = mSeeds;
+  node.mSettings.mToleratedLosses = mTolerated;
+}
+
+void FleetWorld::Start(const std::string& aAddress, bool aFounding)
+{
+  FleetNode& node = mNodes.at(aAddress);
+  node.mSettings.mIncarnation = ++mIncarnation;
+  const bool seed = std::count(mSeeds.begin(), mSeeds.end(), aAddress) != 0;
+  if (node.mSettings.mControl && node.mDisk.mHard.storage().empty()) {
+    const bool founds = aFounding && seed;
+    node.mDisk.mHard.set_storage(founds ? consensus::kFoundingStorage
+                                        : "disk" + std::to_string(Random()));
+    if (founds) {
+      *node.mDisk.mSnapshot.mutable_membership() =
+        fleet::FoundingMembers(mSeeds);
+    }
+  }
+  node.mAlive = true;
+  fleet::Output output;
+  node.mState = fleet::Open(node.mSettings, node.mDisk, mNow, Random(), output);
+  Take(aAddress, std::move(output));
+}
+
+void FleetWorld::Found(int aDisks, int aOthers, int aToleratedLosses)
+{
+  mTolerated = aToleratedLosses;
+  for (int i = 1; i <= std::min(3, aDisks); ++i) {
+    mSeeds.push_back("10.0.0." + std::to_string(i) + ":1");
+  }
+  for (int i = 1; i <= aDisks + aOthers; ++i) {
+    Add("10.0.0." + std::to_string(i) + ":1", i <= aDisks);
+  }
+  for (const std::string& address : Addresses()) {
+    Start(address, true);
+  }
+}
+
+void FleetWorld::Wipe(const std::string& aAddress)
+{
+  mNodes.at(aAddress).mDisk = consensus::Recovered();
+}
+
+void FleetWorld::Write(FleetNode& aNode, const consensus::Write& aWrite)
+{
+  for (const wire::LogRecord& record : aWrite.mRecords) {
+    ApplyRecord(aNode.mDisk, record);
+  }
+  if (aWrite.mSnapshot) {
+    aNode.mDisk.mSnapshot = *aWrite.mSnapshot;
+    aNode.mDisk.mEntries.clear();
+    for (const wire::LogRecord& record : aWrite.mRetained) {
+      ApplyRecord(aNode.mDisk, record);
+    }
+  }
+}
+
+void FleetWorld::Take(const std::string& aAddress, fleet::Output aOutput)
+{
+  FleetNode& node = mNodes.at(aAddress);
+  for (const consensus::Write& write : aOutput.mWrites) {
+    Write(node, write);
+    mSyncs.emplace(mNow + kSyncTime, std::make_pair(aAddress, write.mSequence));
+  }
+  for (auto& [to, message] : aOutput.mMessages) {
+    Sent sent{ aAddress, to, std::move(message) };
+    if (mCutOff.count(aAddress) != 0 || mCutOff.count(to) != 0 ||
+        (mLose && mLose(sent))) {
+      continue;
+    }
+    mQueue.emplace(mNow + kTrip, std::move(sent));
+  }
+  for (const fleet::Done& done : aOutput.mDone) {
+    node.mDone[done.mId] = done;
+  }
+  for (const fleet::Note& note : aOutput.mNotes) {
+    node.mNotes.push_back(note.mText);
+  }
+}
+
+void FleetWorld::Advance(Micros aTime)
+{
+  const Micros end = mNow + aTime;
+  while (mNow < end) {
+    mNow += kStepTime;
+    while (!mSyncs.empty() && mSyncs.begin()->first <= mNow) {
+      const auto [address, sequence] = mSyncs.begin()->second;
+      mSyncs.erase(mSyncs.begin());
+      if (mNodes.at(address).mAlive) {
+        fleet::Output output;
+        fleet::Synced(mNodes.at(address).mState, mNow, sequence, output);
+        Take(address, std::move(output));
+      }
+    }
+    while (!mQueue.empty() && mQueue.begin()->first <= mNow) {
+      const Sent sent = std::move(mQueue.begin()->second);
+      mQueue.erase(mQueue.begin());
+      const auto node = mNodes.find(sent.mTo);
+      if (node != mNodes.end() && node->second.mAlive) {
+        fleet::Output output;
+        fleet::Receive(
+          node->second.mState, mNow, Random(), sent.mMessage, output);
+        Take(sent.mTo, std::move(output));
+      }
+    }
+    for (auto& [address, node] : mNodes) {
+      if (node.mAlive && mNow >= fleet::NextTick(node.mState)) {
+        fleet::Output output;
+        fleet::Tick(node.mState, mNow, Random(), output);
+        Take(address, std::move(output));
+      }
+    }
+  }
+}
+
+bool FleetWorld::Until(Micros aMost, const std::function<bool()>& aCondition)
+{
+  const Micros end = mNow + aMost;
+  while (!aCondition()) {
+    if (mNow >= end) {
+      return false;
+    }
+    Advance(kStepTime);
+  }
+  return true;
+}
+
+std::uint64_t FleetWorld::Submit(const std::string& aAddress,
+                                 const wire::CatalogCommand& aCommand)
+{
+  fleet::Output output;
+  const std::uint64_t id = fleet::Submit(
+    mNodes.at(aAddress).mState, mNow, aCommand, 850 * kMillisecond, output);
+  Take(aAddress, std::move(output));
+  return id;
+}
+
+bool FleetWorld::Commit(const std::string& aAddress,
+                        const wire::CatalogCommand& aCommand)
+{
+  const std::uint64_t id = Submit(aAddress, aCommand);
+  FleetNode& node = mNodes.at(aAddress);
+  (void)Until(2 * kSecond, [&] { return node.mDone.count(id) != 0; });
+  const auto found = node.mDone.find(id);
+  return found != node.mDone.end() &&
+         found->second.mEnd == fleet::SubmitEnd::Committed &&
+         found->second.mOutcome.accepted();
+}
+
+std::string FleetWorld::Leader() const
+{
+  for (const auto& [address, node] : mNodes) {
+    if (node.mAlive && mCutOff.count(address) == 0 &&
+        consensus::IsLeader(node.mState.mGroup)) {
+      return address;
+    }
+  }
+  return "";
+}
+
+std::size_t FleetWorld::Voters() const
+{
+  const std::string leader = Leader();
+  if (leader.empty()) {
+    return 0;
+  }
+  const auto& members = mNodes.at(leader).mState.mGroup.mMembership.members();
+  return static_cast<std::size_t>(std::count_if(
+    members.begin(), members.end(), [](const wire::Member& aMember) {
+      return aMember.voter();
+    }));
+}
+
+std::vector<std::string> FleetWorld::Addresses() const
+{
+  std::vector<std::string> addresses;
+  addresses.reserve(mNodes.size());
+  for (const auto& [address, node] : mNodes) {
+    addresses.push_back(address);
+  }
+  return addresses;
+}
+
+wire::CatalogCommand PutPolicyCommand(std::uint64_t aVersion,
+                                      std::uint64_t aBase,
+                                      const std::string& aText)
+{
+  wire::CatalogCommand command;
+  command.mutable_put_policy()->set_version(aVersion);
+  command.mutable_put_policy()->set_base_version(aBase);
+  command.mutable_put_policy()->set_document(aText);
+  return command;
+}
+
+wire::CatalogCommand PutTargetCommand(const std::string& aId,
+                                      std::uint64_t aSequence,
+                                      bool aDraining)
+{
+  wire::CatalogCommand command;
+  wire::TargetRecord& record = *command.mutable_put_target();
+  record.set_id(aId);
+  record.set_service("service");
+  record.set_address("10.9.0.1:80");
+  record.set_slots(4);
+  record.set_sequence(aSequence);
+  record.set_draining(aDraining);
+  return command;
+}
+
+} // namespace geraniumpond::fakes
--- /dev/null
+++ b/tests/fakes/fleet_world.h
@@ -0,0 +1,103 @@
+#pragma once
+
+#include <geraniumpond/fleet.h>
+
+#include <functional>
+#include <map>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+/// \brief Hosts of a fleet around one queue of messages, in virtual time.
+namespace geraniumpond::fakes {
+
+/// \brief One host: its reducer, what its disk holds, and what it was told.
+struct FleetNode
+{
+  fleet::Settings mSettings;
+  fleet::State mState;
+  consensus::Recovered mDisk;
+  bool mAlive = false;
+  /// Ends of submitted commands, by id.
+  std::map<std::uint64_t, fleet::Done> mDone;
+  std::vector<std::string> mNotes;
+};
+
+/// \brief A message on its way.
+struct Sent
+{
+  std::string mFrom;
+  std::string mTo;
+  wire::FleetMessage mMessage;
+};
+
+/// \brief The whole fleet.
+class FleetWorld
+{
+public:
+  explicit FleetWorld(std::uint64_t aSeed = 1);
+
+  /// \brief Adds a host that is not started yet; those with a disk vote.
+  void Add(const std::string& aAddress, bool aDisk);
+
+  /// \brief Gives hosts that are added later other seeds.
+  void SetSeeds(std::vector<std::string> aSeeds) { mSeeds = std::move(aSeeds); }
+
+  /// \brief Starts a host; a founder has its founding disk made.
+  void Start(const std::string& aAddress, bool aFounding);
+
+  /// \brief Adds and starts `aDisks` hosts with a disk and `aOthers` without,
+  /// the first three as seeds.
+  void Found(int aDisks, int aOthers, int aToleratedLosses);
+
+  void Kill(const std::string& aAddress) { mNodes.at(aAddress).mAlive = false; }
+  /// \brief Empties a stopped host's disk.
+  void Wipe(const std::string& aAddress);
+
+  void Advance(Micros aTime);
+  /// \brief Advances until the condition holds; false when it does not in time.
+  bool Until(Micros aMost, const std::function<bool()>& aCondition);
+
+  [[nodiscard]] std::uint64_t Submit(const std::string& aAddress,
+                                     const wire::CatalogCommand& aCommand);
+  /// \brief Submits and waits; true when it was committed and accepted.
+  bool Commit(const std::string& aAddress,
+              const wire::CatalogCommand& aCommand);
+
+  FleetNode& Node(const std::string& aAddress) { return mNodes.at(aAddress); }
+  [[nodiscard]] std::string Leader() const;
+  [[nodiscard]] std::size_t Voters() const;
+  [[nodiscard]] std::vector<std::string> Addresses() const;
+
+  /// Hosts that cannot exchange messages with any other one.
+  std::set<std::string> mCutOff;
+  /// Messages for which it returns true are lost.
+  std::function<bool(const Sent&)> mLose;
+  Micros mNow = kSecond;
+
+private:
+  void Take(const std::string& aAddress, fleet::Output aOutput);
+  void Write(FleetNode& aNode, const consensus::Write& aWrite);
+  std::uint64_t Random() { return mRandom(); }
+
+  std::mt19937_64 mRandom;
+  std::vector<std::string> mSeeds;
+  int mTolerated = 0;
+  std::map<std::string, FleetNode> mNodes;
+  std::multimap<Micros, Sent> mQueue;
+  std::multimap<Micros, std::pair<std::string, std::uint64_t>> mSyncs;
+  std::uint64_t mIncarnation = 0;
+};
+
+/// \brief A change of the policy.
+[[nodiscard]] wire::CatalogCommand PutPolicyCommand(std::uint64_t aVersion,
+                                                    std::uint64_t aBase,
+                                                    const std::string& aText);
+
+/// \brief A target's announcement.
+[[nodiscard]] wire::CatalogCommand PutTargetCommand(const std::string& aId,
+                                                    std::uint64_t aSequence,
+                                                    bool aDraining);
+
+} // namespace geraniumpond::fakes
--- /dev/null
+++ b/tests/fleet_test.cpp
@@ -0,0 +1,368 @@
+#include "fakes/fleet_world.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <algorithm>
+
+namespace geraniumpond::fleet {
+
+using fakes::FleetWorld;
+using fakes::PutPolicyCommand;
+using fakes::PutTargetCommand;
+
+class FleetTest : public CppUnit::TestFixture
+{
+  CPPUNIT_TEST_SUITE(FleetTest);
+  CPPUNIT_TEST(SeedsAtAFirstStartFoundAGroupOfAllDisks);
+  CPPUNIT_TEST(FirstPolicyWithTooFewDisksWaits);
+  CPPUNIT_TEST(CommittedPolicyReachesEveryHostInTime);
+  CPPUNIT_TEST(FollowerThatMissedAPushTakesNoLaterCommandFirst);
+  CPPUNIT_TEST(FollowerFarBehindTakesASnapshot);
+  CPPUNIT_TEST(LeaderLostAnotherOneCommitsWithinSeconds);
+  CPPUNIT_TEST(WipedDiskIsANewMemberAndNothingIsLost);
+  CPPUNIT_TEST(WipedDiskWhoseSeedsDoNotLeadFindsTheLeader);
+  CPPUNIT_TEST(ReplacedHostTakesTheSilentMembersPlace);
+  CPPUNIT_TEST(MemberRemovedWhileCutOffJoinsAgain);
+  CPPUNIT_TEST(CutOffHostAcknowledgesNothing);
+  CPPUNIT_TEST(RacingChangesOnOneBaseHaveOneWinner);
+  CPPUNIT_TEST(ResentChangeIsAcknowledgedAfterRestartsAndSnapshots);
+  CPPUNIT_TEST(AllKilledAtOnceAreBackWithWhatWasAcknowledged);
+  CPPUNIT_TEST(StoppingHostLeavesEveryHostsListAtOnce);
+  CPPUNIT_TEST(CommitsGoOnWhileAnyOneHostIsSlowOrGone);
+  CPPUNIT_TEST_SUITE_END();
+
+public:
+  void SeedsAtAFirstStartFoundAGroupOfAllDisks()
+  {
+    for (const int disks : { 1, 3, 4, 5, 8 }) {
+      FleetWorld world(static_cast<std::uint64_t>(disks));
+      world.Found(disks, 3, 0);
+      CPPUNIT_ASSERT(world.Until(4 * kSecond, [&] {
+        return world.Voters() == static_cast<std::size_t>(disks);
+      }));
+    }
+  }
+
+  void FirstPolicyWithTooFewDisksWaits()
+  {
+    FleetWorld world;
+    world.Found(4, 0, 1);
+    world.Kill("10.0.0.4:1");
+    world.Kill("10.0.0.3:1");
+    // Two of three founders would be a quorum of two: enough for one loss.
+    CPPUNIT_ASSERT(world.Until(4 * kSecond, [&] {
+      return world.Commit("10.0.0.1:1", PutPolicyCommand(1, 0, "first"));
+    }));
+    FleetWorld careful;
+    careful.Found(4, 0, 2);
+    careful.Kill("10.0.0.4:1");
+    CPPUNIT_ASSERT(
+      careful.Until(4 * kSecond, [&] { return !careful.Leader().empty(); }));
+    CPPUNIT_ASSERT(
+      !careful.Commit("10.0.0.1:1", PutPolicyCommand(1, 0, "first")));
+    careful.Start("10.0.0.4:1", true);
+    CPPUNIT_ASSERT(careful.Until(4 * kSecond, [&] {
+      return careful.Commit("10.0.0.1:1", PutPolicyCommand(1, 0, "first"));
+    }));
+  }
+
+  void CommittedPolicyReachesEveryHostInTime()
+  {
+    Begin(4, 11, 1);
+    CPPUNIT_ASSERT(mWorld.Commit("10.0.0.9:1", PutPolicyCommand(7, 1, "next")));
+    mWorld.Advance(600 * kMillisecond);
+    for (const std::string& address : mWorld.Addresses()) {
+      CPPUNIT_ASSERT_EQUAL(std::uint64_t(7), VersionAt(address));
+    }
+  }
+
+  void FollowerThatMissedAPushTakesNoLaterCommandFirst()
+  {
+    Begin(4, 2, 1);
+    const std::string follower = "10.0.0.6:1";
+    // The push of one change is lost, the next one arrives.
+    bool lost = false;
+    mWorld.mLose = [&](const fakes::Sent& aSent) {
+      const bool push = aSent.mTo == follower &&
+                        aSent.mMessage.has_follow_reply() &&
+                        aSent.mMessage.follow_reply().commands_size() > 0;
+      const bool lose = push && !lost;
+      lost = lost || push;
+      return lose;
+    };
+    CPPUNIT_ASSERT(mWorld.Commit("10.0.0.1:1", PutPolicyCommand(2, 1, "two")));
+    CPPUNIT_ASSERT(
+      mWorld.Commit("10.0.0.1:1", PutTargetCommand("t", 1, false)));
+    mWorld.Advance(1500 * kMillisecond);
+    CPPUNIT_ASSERT(lost);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t(2), VersionAt(follower));
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1),
+                         mWorld.Node(follower).mState.mCatalog.mTargets.size());
+  }
+
+  void FollowerFarBehindTakesASnapshot()
+  {
+    Begin(3, 1, 0);
+    mWorld.mCutOff = { "10.0.0.4:1" };
+    const std::string large(300 * 1024, 'x');
+    for (std::uint64_t version = 2; version < 12; ++version) {
+      CPPUNIT_ASSERT(mWorld.Commit(
+        "10.0.0.1:1",
+        PutPolicyCommand(
+          version, version - 1, large + std::to_string(version))));
+    }
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t(1), VersionAt("10.0.0.4:1"));
+    mWorld.mCutOff.clear();
+    CPPUNIT_ASSERT(
+      mWorld.Until(3 * kSecond, [&] { return VersionAt("10.0.0.4:1") == 11; }));
+  }
+
+  void LeaderLostAnotherOneCommitsWithinSeconds()
+  {
+    Begin(4, 2, 1);
+    const std::string lost = mWorld.Leader();
+    mWorld.Kill(lost);
+    const std::string other = "10.0.0.6:1";
+    CPPUNIT_ASSERT(mWorld.Until(4 * kSecond, [&] {
+      return mWorld.Commit(other, PutPolicyCommand(2, 1, "after"));
+    }));
+  }
+
+  void WipedDiskIsANewMemberAndNothingIsLost()
+  {
+    for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+      FleetWorld world(seed);
+      world.Found(4, 2, 1);
+      WaitForVoters(world, 4);
+      CPPUNIT_ASSERT(world.Commit("10.0.0.5:1", PutPolicyCommand(1, 0, "a")));
+      // The one that acknowledged loses its disk; the others lose power.
+      const std::string wiped = seed % 2 == 0 ? world.Leader() : "10.0.0.2:1";
+      for (const std::string& address : world.Addresses()) {
+        world.Kill(address);
+      }
+      world.Wipe(wiped);
+      world.Advance(kSecond);
+      for (const std::string& address : world.Addresses()) {
+        world.Start(address, false);
+      }
+      CPPUNIT_ASSERT(world.Until(8 * kSecond, [&] {
+        const std::vector<std::string> all = world.Addresses();
+        return std::all_of(all.begin(), all.end(), [&](const auto& aAddress) {
+          return world.Node(aAddress).mState.mCatalog.mVersion == 1;
+        });
+      }));
+      WaitForVoters(world, 4);
+    }
+  }
+
+  void WipedDiskWhoseSeedsDoNotLeadFindsTheLeader()
+  {
+    Begin(4, 1, 1);
+    // 10.0.0.4 is no seed; it leads once the others have handed over.
+    CPPUNIT_ASSERT(mWorld.Until(20 * kSecond, [&] {
+      const std::string leader = mWorld.Leader();
+      if (!leader.empty() && leader != "10.0.0.4:1") {
+        mWorld.Kill(leader);
+        mWorld.Advance(2 * kSecond);
+        mWorld.Start(leader, false);
+        mWorld.Advance(kSecond);
+      }
+      return mWorld.Leader() == "10.0.0.4:1";
+    }));
+    mWorld.Kill("10.0.0.1:1");
+    mWorld.Wipe("10.0.0.1:1");
+    mWorld.Start("10.0.0.1:1", false);
+    CPPUNIT_ASSERT(mWorld.Until(8 * kSecond, [&] {
+      return VersionAt("10.0.0.1:1") == 1 && IsVoter("10.0.0.1:1");
+    }));
+  }
+
+  void ReplacedHostTakesTheSilentMembersPlace()
+  {
+    Begin(4, 1, 1);
+    for (int round = 0; round < 3; ++round) {
+      const std::string lost = "10.0.0." + std::to_string(round + 1) + ":1";
+      const std::string next = "10.0.1." + std::to_string(round + 1) + ":1";
+      mWorld.Kill(lost);
+      mWorld.Advance(kSecond);
+      // The seeds of a later start are hosts that are up then.
+      mWorld.SetSeeds({ "10.0.0.4:1" });
+      mWorld.Add(next, true);
+      mWorld.Start(next, false);
+      CPPUNIT_ASSERT(mWorld.Until(10 * kSecond, [&] {
+        return mWorld.Voters() == 4 && IsVoter(next) && !IsVoter(lost);
+      }));
+      const auto version = static_cast<std::uint64_t>(round) + 2;
+      CPPUNIT_ASSERT(mWorld.Commit(
+        "10.0.0.5:1", PutPolicyCommand(version, version - 1, "next")));
+    }
+  }
+
+  void MemberRemovedWhileCutOffJoinsAgain()
+  {
+    Begin(4, 1, 1);
+    const std::string cut = mWorld.Leader();
+    mWorld.mCutOff = { cut };
+    mWorld.Advance(4 * kSecond);
+    mWorld.Add("10.0.1.1:1", true);
+    mWorld.Start("10.0.1.1:1", false);
+    CPPUNIT_ASSERT(mWorld.Until(
+      8 * kSecond, [&] { return IsVoter("10.0.1.1:1") && !IsVoter(cut); }));
+    mWorld.mCutOff.clear();
+    CPPUNIT_ASSERT(mWorld.Until(10 * kSecond, [&] { return IsVoter(cut); }));
+    CPPUNIT_ASSERT_EQUAL(std::size_t(5), mWorld.Voters());
+  }
+
+  void CutOffHostAcknowledgesNothing()
+  {
+    Begin(4, 2, 1);
+    for (const std::string& address :
+         { std::string("10.0.0.6:1"), mWorld.Leader() }) {
+      mWorld.mCutOff = { address };
+      CPPUNIT_ASSERT(!mWorld.Commit(address, PutTargetCommand("t", 5, true)));
+      mWorld.mCutOff.clear();
+      mWorld.Advance(3 * kSecond);
+    }
+  }
+
+  void RacingChangesOnOneBaseHaveOneWinner()
+  {
+    Begin(4, 4, 1);
+    std::vector<std::pair<std::string, std::uint64_t>> submitted;
+    for (int i = 5; i <= 8; ++i) {
+      const std::string address = "10.0.0." + std::to_string(i) + ":1";
+      submitted.emplace_back(
+        address, mWorld.Submit(address, PutPolicyCommand(2, 1, address)));
+    }
+    mWorld.Advance(kSecond);
+    int accepted = 0;
+    std::string winner;
+    for (const auto& [address, id] : submitted) {
+      const Done& done = mWorld.Node(address).mDone.at(id);
+      CPPUNIT_ASSERT(done.mEnd == SubmitEnd::Committed);
+      accepted += done.mOutcome.accepted() ? 1 : 0;
+      winner = done.mOutcome.accepted() ? address : winner;
+    }
+    CPPUNIT_ASSERT_EQUAL(1, accepted);
+    CPPUNIT_ASSERT_EQUAL(winner,
+                         mWorld.Node("10.0.0.8:1").mState.mCatalog.mDocument);
+  }
+
+  void ResentChangeIsAcknowledgedAfterRestartsAndSnapshots()
+  {
+    Begin(3, 1, 0);
+    CPPUNIT_ASSERT(mWorld.Commit("10.0.0.4:1", PutPolicyCommand(2, 1, "two")));
+    for (std::uint64_t i = 1; i <= 300; ++i) {
+      CPPUNIT_ASSERT(mWorld.Commit(
+        "10.0.0.1:1", PutTargetCommand("t" + std::to_string(i), 1, false)));
+    }
+    for (const std::string& address : mWorld.Addresses()) {
+      mWorld.Kill(address);
+    }
+    for (const std::string& address : mWorld.Addresses()) {
+      mWorld.Start(address, false);
+    }
+    CPPUNIT_ASSERT(mWorld.Until(4 * kSecond, [&] {
+      return mWorld.Commit("10.0.0.4:1", PutPolicyCommand(2, 1, "two"));
+    }));
+    CPPUNIT_ASSERT(
+      !mWorld.Commit("10.0.0.4:1", PutPolicyCommand(2, 1, "another two")));
+  }
+
+  void AllKilledAtOnceAreBackWithWhatWasAcknowledged()
+  {
+    Begin(4, 3, 1);
+    CPPUNIT_ASSERT(mWorld.Commit("10.0.0.7:1", PutPolicyCommand(2, 1, "two")));
+    for (const std::string& address : mWorld.Addresses()) {
+      mWorld.Kill(address);
+    }
+    mWorld.Advance(kSecond);
+    for (const std::string& address : mWorld.Addresses()) {
+      mWorld.Start(address, false);
+    }
+    CPPUNIT_ASSERT(
+      mWorld.Until(4 * kSecond, [&] { return VersionAt("10.0.0.7:1") == 2; }));
+  }
+
+  void StoppingHostLeavesEveryHostsListAtOnce()
+  {
+    Begin(4, 4, 1);
+    for (const std::string& address : mWorld.Addresses()) {
+      Output output;
+      SetReady(mWorld.Node(address).mState, mWorld.mNow, true, output);
+    }
+    mWorld.Advance(2 * kSecond);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(8), ReadyAt("10.0.0.5:1"));
+    for (const std::string& address :
+         { std::string("10.0.0.8:1"), mWorld.Leader() }) {
+      Output output;
+      const std::size_t before = ReadyAt("10.0.0.5:1");
+      BeginStop(mWorld.Node(address).mState, mWorld.mNow, output);
+      mWorld.Advance(kSecond);
+      CPPUNIT_ASSERT_EQUAL(before - 1, ReadyAt("10.0.0.5:1"));
+    }
+  }
+
+  void CommitsGoOnWhileAnyOneHostIsSlowOrGone()
+  {
+    Begin(4, 1, 1);
+    std::uint64_t version = 1;
+    for (const std::string& address :
+         { "10.0.0.1:1", "10.0.0.2:1", "10.0.0.3:1", "10.0.0.4:1" }) {
+      mWorld.mCutOff = { address };
+      CPPUNIT_ASSERT(mWorld.Until(5 * kSecond, [&] {
+        return mWorld.Commit("10.0.0.5:1",
+                             PutPolicyCommand(version + 1, version, "x"));
+      }));
+      ++version;
+      mWorld.mCutOff.clear();
+      mWorld.Advance(4 * kSecond);
+    }
+  }
+
+private:
+  static void WaitForVoters(FleetWorld& aWorld, std::size_t aCount)
+  {
+    CPPUNIT_ASSERT(
+      aWorld.Until(10 * kSecond, [&] { return aWorld.Voters() == aCount; }));
+  }
+
+  // A fleet whose disks all vote, with version 1 in force.
+  void Begin(int aDisks, int aOthers, int aTolerated)
+  {
+    mWorld.Found(aDisks, aOthers, aTolerated);
+    WaitForVoters(mWorld, static_cast<std::size_t>(aDisks));
+    CPPUNIT_ASSERT(mWorld.Commit("10.0.0.1:1", PutPolicyCommand(1, 0, "one")));
+    mWorld.Advance(kSecond);
+  }
+
+  std::uint64_t VersionAt(const std::string& aAddress)
+  {
+    return mWorld.Node(aAddress).mState.mCatalog.mVersion;
+  }
+
+  std::size_t ReadyAt(const std::string& aAddress)
+  {
+    return ReadyHosts(mWorld.Node(aAddress).mState, mWorld.mNow).size();
+  }
+
+  bool IsVoter(const std::string& aAddress)
+  {
+    const std::string leader = mWorld.Leader();
+    if (leader.empty()) {
+      return false;
+    }
+    const auto& members =
+      mWorld.Node(leader).mState.mGroup.mMembership.members();
+    return std::any_of(
+      members.begin(), members.end(), [&](const wire::Member& aMember) {
+        return aMember.address() == aAddress && aMember.voter();
+      });
+  }
+
+  FleetWorld mWorld{ 7 };
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(FleetTest);
+
+} // namespace geraniumpond::fleet
--- a/tools/cluster.sh
+++ b/tools/cluster.sh
@@ -60,7 +60,7 @@
   local name=$1
   shift
   "$BIN/geraniumpond" serve --settings "$RUN/$name.ini" "$@" \
-    2>>"$RUN/$name.log" &
+    >>"$RUN/$name.log" 2>&1 &
   PIDS[$name]=$!
 }
 
@@ -71,7 +71,7 @@
   shift 3
   "$BIN/tests/fake_target" --listen "127.0.0.1:$port" --service "$service" \
     --id "$name" --token "$service-target" --data-centre "$dc" \
-    --announce "$(entry_admins)" "$@" 2>>"$RUN/$name.log" &
+    --announce "$(entry_admins)" "$@" >>"$RUN/$name.log" 2>&1 &
   PIDS[$name]=$!
   TARGETS="${TARGETS:+$TARGETS,}127.0.0.1:$port"
   declare -g "PORT_${name//-/_}=$port"
--- a/tools/generate.sh
+++ b/tools/generate.sh
@@ -1,7 +1,10 @@
 #!/usr/bin/env bash
-# Makes the committed message code again after proto/geraniumpond.proto changed.
+# Makes the committed message code again after a file of proto/ changed.
 set -euo pipefail
 cd "$(dirname "$0")/.."
-protoc -I proto --cpp_out=src/wire proto/geraniumpond.proto
-mv src/wire/geraniumpond.pb.h include/geraniumpond/impl/
-sed -i 's|#include "geraniumpond.pb.h"|#include <geraniumpond/impl/geraniumpond.pb.h>|' src/wire/geraniumpond.pb.cc
+for name in geraniumpond fleet; do
+  protoc -I proto --cpp_out=src/wire "proto/$name.proto"
+  mv "src/wire/$name.pb.h" include/geraniumpond/impl/
+  sed -i -E 's|#include "(geraniumpond\|fleet).pb.h"|#include <geraniumpond/impl/\1.pb.h>|' \
+    "src/wire/$name.pb.cc" "include/geraniumpond/impl/$name.pb.h"
+done
