Give clients few addresses across data centres; learn queue pace only in queues

(1) The first request that waited set the pace of dispatches to the time since the start of the clock, so that a queue of two was refused as too long (seen in the grown site's log as a Retry-After of three years). (2) A client was given the hosts of its own data centre alone, and had none when these lost power. (3) After all hosts lost power, elections and reconnects took longer than starting did. Change: the pace counts only between dispatches that both left a queue; five addresses, two of them local, drawn anew for each answer; a member that has heard no leader since its start tries after a quarter of the time, behind the pre-vote; ZeroMQ reconnects within 200 ms and gives a connect 300 ms. Ruled out: all addresses of all data centres (no better, and each dead one costs its holder a request); two or three (equal within noise).

--- a/include/geraniumpond/dispatch.h
+++ b/include/geraniumpond/dispatch.h
@@ -106,6 +106,8 @@
   /// Smoothed time between dispatches while requests wait.
   double mDispatchInterval = 0;
   Micros mDispatchedAt = 0;
+  /// Requests were left waiting at the last dispatch.
+  bool mWasBusy = false;
 };
 
 /// \brief What is learnt of a route's requests.
--- a/include/geraniumpond/gateway.h
+++ b/include/geraniumpond/gateway.h
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <random>
 #include <string>
 #include <string_view>
 #include <variant>
@@ -193,6 +194,8 @@
   std::map<std::uint64_t, Operation> mOperations;
   std::vector<WaitingRead> mReads;
   Micros mHostsCountedAt = 0;
+  /// Draws the hosts of an answer where there are more than places.
+  std::mt19937_64 mShuffle;
   bool mStopping = false;
   Micros mStopAt = 0;
   bool mExited = false;
@@ -216,6 +219,6 @@
 
 /// \brief Addresses that a client of this data centre is given.
 [[nodiscard]] std::vector<std::string>
-AddressesFor(const State& aState, const std::string& aDataCentre, Micros aNow);
+AddressesFor(State& aState, const std::string& aDataCentre, Micros aNow);
 
 } // namespace geraniumpond::gateway
--- a/src/consensus/election.cpp
+++ b/src/consensus/election.cpp
@@ -115,7 +115,12 @@
   const auto width =
     static_cast<std::uint64_t>(rules.mElectionMax - rules.mElectionMin);
   const std::uint64_t spread = Hash64(aState.mId, aRandom) % (width + 1);
-  aState.mElectionAt = aNow + rules.mElectionMin + static_cast<Micros>(spread);
+  const Micros timeout = rules.mElectionMin + static_cast<Micros>(spread);
+  // A member that has heard no leader since its start mostly starts together
+  // with the others; if it does not, the pre-vote keeps it from disturbing.
+  constexpr Micros kFirstDivisor = 4;
+  const bool first = aState.mHeardLeaderAt == 0;
+  aState.mElectionAt = aNow + (first ? timeout / kFirstDivisor : timeout);
 }
 
 void BecomeFollower(State& aState,
--- a/src/dispatch/requests.cpp
+++ b/src/dispatch/requests.cpp
@@ -112,6 +112,19 @@
   Forget(aState, aRequest.mId);
 }
 
+// The pace of dispatches tells how fast a queue moves only while there is one.
+void NoteDispatch(Service& aService, Micros aNow)
+{
+  const bool busy = !aService.mWaiting.empty();
+  if (busy && aService.mWasBusy) {
+    const double interval = static_cast<double>(aNow - aService.mDispatchedAt);
+    aService.mDispatchInterval +=
+      kIntervalGain * (interval - aService.mDispatchInterval);
+  }
+  aService.mWasBusy = busy;
+  aService.mDispatchedAt = aNow;
+}
+
 // True when the end says for certain that the target did not run the request.
 bool DidNotRun(const AttemptEnd& aEnd)
 {
@@ -304,13 +317,7 @@
   aRequest.mHedgeAt = idempotent && aRequest.mSent < aRequest.mMaxAttempts
                         ? aNow + std::max(kHedgeMin, patience)
                         : 0;
-  Service& service = aState.mServices[aRequest.mService];
-  const double interval = static_cast<double>(aNow - service.mDispatchedAt);
-  service.mDispatchedAt = aNow;
-  if (!service.mWaiting.empty()) {
-    service.mDispatchInterval +=
-      kIntervalGain * (interval - service.mDispatchInterval);
-  }
+  NoteDispatch(aState.mServices[aRequest.mService], aNow);
   aOut.emplace_back(SendRequest{ aRequest.mId,
                                  attempt.mNumber,
                                  aTarget.mId,
--- a/src/edge/peers.cpp
+++ b/src/edge/peers.cpp
@@ -6,11 +6,14 @@
 
 namespace {
 
-constexpr int kHeartbeatMs = 500;
-constexpr int kHeartbeatTimeoutMs = 1500;
-constexpr int kReconnectMs = 50;
-constexpr int kReconnectMaxMs = 1000;
-constexpr int kConnectTimeoutMs = 1000;
+// A silent connection is replaced within a second.
+constexpr int kHeartbeatMs = 300;
+constexpr int kHeartbeatTimeoutMs = 900;
+// A host that is back is reached again well within an election.
+constexpr int kReconnectMs = 30;
+constexpr int kReconnectMaxMs = 200;
+// A host without power does not refuse: the connect hangs.
+constexpr int kConnectTimeoutMs = 300;
 constexpr int kLingerMs = 300;
 constexpr int kHighWater = 20000;
 constexpr std::size_t kQueueLimit = 100000;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -14,9 +14,10 @@
 constexpr Micros kCountInterval = 500 * kMillisecond;
 /// Part of the stop's time that is left unused, for the process's own end.
 constexpr Micros kStopReserve = 400 * kMillisecond;
-/// Hosts of a data centre that clients are not sent elsewhere for.
-constexpr std::size_t kEnoughLocal = 2;
-constexpr std::size_t kMaxAddresses = 64;
+/// Addresses that a client is given, and how many of them are in its own data
+/// centre where there are enough.
+constexpr std::size_t kAddresses = 5;
+constexpr std::size_t kLocalAddresses = 2;
 
 constexpr std::array<const char*, 4> kEndNames = {
   "done",
@@ -424,6 +425,7 @@
   state.mDispatch.mDataCentre = aSettings.mFleet.mDataCentre;
   state.mDispatch.mBounds = aSettings.mBounds;
   state.mDispatch.mRandom = aRandom | 1;
+  state.mShuffle.seed(aRandom);
   fleet::Output output;
   state.mFleet =
     fleet::Open(aSettings.mFleet, aRecovered, aNow, aRandom, output);
@@ -459,23 +461,31 @@
   return aState.mFleet.mReady && !aState.mStopping;
 }
 
-std::vector<std::string> AddressesFor(const State& aState,
+// A host that has lost power costs every client that holds its address one
+// request, since a connect to it hangs: few addresses make few such clients.
+// They lie in several data centres, for a client whose own one is lost gets no
+// newer answer. Each answer draws anew, so that load spreads evenly.
+std::vector<std::string> AddressesFor(State& aState,
                                       const std::string& aDataCentre,
                                       Micros aNow)
 {
   std::vector<std::string> local;
-  std::vector<std::string> all;
+  std::vector<std::string> others;
   for (const fleet::Host* host : fleet::ReadyHosts(aState.mFleet, aNow)) {
-    all.push_back(host->mCallerAddress);
-    if (host->mDataCentre == aDataCentre) {
-      local.push_back(host->mCallerAddress);
-    }
-  }
-  std::vector<std::string>& chosen = local.size() >= kEnoughLocal ? local : all;
-  if (chosen.size() > kMaxAddresses) {
-    chosen.resize(kMaxAddresses);
-  }
-  return std::move(chosen);
+    const bool near = host->mDataCentre == aDataCentre;
+    (near ? local : others).push_back(host->mCallerAddress);
+  }
+  std::shuffle(local.begin(), local.end(), aState.mShuffle);
+  std::shuffle(others.begin(), others.end(), aState.mShuffle);
+  const std::size_t near =
+    std::min(local.size(),
+             std::max(kLocalAddresses,
+                      kAddresses - std::min(kAddresses, others.size())));
+  local.resize(near);
+  others.resize(
+    std::min(others.size(), kAddresses - std::min(kAddresses, near)));
+  local.insert(local.end(), others.begin(), others.end());
+  return local;
 }
 
 } // namespace geraniumpond::gateway
