Keep host lists, policies and connections small on large fleets

Each change of one host sent the whole list to every follower; policies of 100 KB went to each host as written. Change: hosts are numbered by change and only what is new is told, with the next report, at once for a host that stops; policies are deflated in the log and on the wire; each host asks a subset of 12 targets of a service first, chosen by rendezvous hashing, nine of them near. The quarter of an election timeout for members without a leader is a rule of the fleet now: under the older control group the set-up of its tests failed with it, which was not traced further.

--- a/include/geraniumpond/catalog.h
+++ b/include/geraniumpond/catalog.h
@@ -32,16 +32,18 @@
   std::deque<std::string> mRemovedOrder;
 };
 
+/// \brief Makes a change out of an operator's text.
+[[nodiscard]] wire::PutPolicy MakeChange(std::uint64_t aVersion,
+                                         std::uint64_t aBaseVersion,
+                                         const std::string& aDocument);
+
+/// \brief The text of a change; Corrupt when it is not whole.
+[[nodiscard]] Result<std::string> DocumentOf(const wire::PutPolicy& aChange);
+
 /// \brief Applies one committed command.
 [[nodiscard]] wire::CatalogOutcome Apply(State& aState,
                                          const wire::CatalogCommand& aCommand);
 
-/// \brief What a change would come to now, without applying it; nothing while
-/// that depends on the base, which only a committed state can tell.
-[[nodiscard]] std::optional<wire::CatalogOutcome> KnownOutcome(
-  const State& aState,
-  const wire::PutPolicy& aChange);
-
 /// \brief True when a target's announcement would change the state.
 [[nodiscard]] bool IsNews(const State& aState,
                           const wire::TargetRecord& aRecord);
--- a/include/geraniumpond/consensus.h
+++ b/include/geraniumpond/consensus.h
@@ -42,6 +42,8 @@
   Micros mHeartbeat = 150 * kMillisecond;
   Micros mElectionMin = 600 * kMillisecond;
   Micros mElectionMax = 1200 * kMillisecond;
+  /// Divides the timeout of members that have heard no leader yet.
+  Micros mFirstDivisor = 1;
   std::size_t mEntriesPerMessage = 256;
   /// Applied entries that make the embedder want a snapshot.
   std::size_t mSnapshotEvery = 1000;
--- a/include/geraniumpond/dispatch.h
+++ b/include/geraniumpond/dispatch.h
@@ -99,6 +99,8 @@
   std::string mName;
   std::string mHealthPath;
   std::vector<std::string> mTargets;
+  /// The targets that this host asks first; all of them where they are few.
+  std::vector<std::string> mSubset;
   std::set<WaitKey> mWaiting;
   ExtraWindow mExtra;
   /// False once a target answered its health path without a report.
@@ -298,6 +300,7 @@
 /// \brief Everything that one host knows of its requests.
 struct State
 {
+  std::string mHostId;
   std::string mDataCentre;
   Bounds mBounds;
   std::uint64_t mRandom = 1;
--- a/include/geraniumpond/fleet.h
+++ b/include/geraniumpond/fleet.h
@@ -44,6 +44,9 @@
   bool mReady = false;
   bool mStopping = false;
   Micros mHeardAt = 0;
+  /// Number of the change that made it as it is, at this control host.
+  std::uint64_t mSequence = 0;
+  bool mGone = false;
 };
 
 /// \brief A host that takes its catalog from this one.
@@ -52,7 +55,7 @@
   Host mHost;
   /// Last index sent to it.
   std::uint64_t mSent = 0;
-  std::uint64_t mHostsDigest = 0;
+  std::uint64_t mHostsSequence = 0;
 };
 
 /// \brief How a submitted command ended.
@@ -127,7 +130,14 @@
   std::map<std::string, Follower> mFollowers;
   /// All hosts by peer address, this one included.
   std::map<std::string, Host> mHosts;
-  std::uint64_t mHostsDigest = 0;
+  /// Numbers changes of hosts at this control host.
+  std::uint64_t mHostsSequence = 0;
+  /// Last change taken from the upstream, and the upstream's incarnation.
+  std::uint64_t mUpstreamSequence = 0;
+  std::uint64_t mUpstreamIncarnation = 0;
+  int mFollowTurn = 0;
+  /// Last change that followers and the own directory were told of.
+  std::uint64_t mHostsTold = 0;
 
   std::vector<std::string> mControlAddresses;
   std::string mUpstream;
--- a/src/catalog/catalog.cpp
+++ b/src/catalog/catalog.cpp
@@ -2,19 +2,28 @@
 
 #include <geraniumpond/hash.h>
 
+#include <Poco/DeflatingStream.h>
+#include <Poco/Exception.h>
+#include <Poco/InflatingStream.h>
+#include <Poco/StreamCopier.h>
+
 #include <algorithm>
+#include <sstream>
 
 namespace geraniumpond::catalog {
 
 namespace {
 
+/// Texts repeat themselves so much that the fastest level is enough.
+constexpr int kFastest = 1;
+
 // Two operators may give one version number to different contents, so that a
 // change is known by its number and its whole text.
 wire::AcceptedChange IdentityOf(const wire::PutPolicy& aChange)
 {
   wire::AcceptedChange identity;
   identity.set_version(aChange.version());
-  identity.set_digest(Hash64(aChange.document()));
+  identity.set_digest(aChange.digest());
   return identity;
 }
 
@@ -55,8 +64,12 @@
   if (aChange.version() <= aState.mVersion) {
     return OutcomeOf(aState, false, "its version is not above the current one");
   }
+  Result<std::string> document = DocumentOf(aChange);
+  if (!document) {
+    return OutcomeOf(aState, false, document.error().mMessage);
+  }
   aState.mVersion = aChange.version();
-  aState.mDocument = aChange.document();
+  aState.mDocument = std::move(document.value());
   aState.mAccepted.push_back(identity);
   if (aState.mAccepted.size() > kAcceptedChanges) {
     aState.mAccepted.pop_front();
@@ -113,13 +126,37 @@
          aRecord.data_centre() != known.data_centre();
 }
 
-std::optional<wire::CatalogOutcome> KnownOutcome(const State& aState,
-                                                 const wire::PutPolicy& aChange)
+wire::PutPolicy MakeChange(std::uint64_t aVersion,
+                           std::uint64_t aBaseVersion,
+                           const std::string& aDocument)
 {
-  if (WasAccepted(aState, IdentityOf(aChange))) {
-    return OutcomeOf(aState, true, "accepted before");
-  }
-  return std::nullopt;
+  wire::PutPolicy change;
+  change.set_version(aVersion);
+  change.set_base_version(aBaseVersion);
+  change.set_digest(Hash64(aDocument));
+  std::ostringstream packed;
+  Poco::DeflatingOutputStream deflater(
+    packed, Poco::DeflatingStreamBuf::STREAM_ZLIB, kFastest);
+  deflater << aDocument;
+  deflater.close();
+  change.set_packed_document(packed.str());
+  return change;
+}
+
+Result<std::string> DocumentOf(const wire::PutPolicy& aChange)
+{
+  std::string document;
+  try {
+    std::istringstream packed(aChange.packed_document());
+    Poco::InflatingInputStream inflater(packed);
+    Poco::StreamCopier::copyToString(inflater, document);
+  } catch (const Poco::Exception& error) {
+    return Fail(ErrorCode::Corrupt, "policy: " + error.displayText());
+  }
+  if (Hash64(document) != aChange.digest()) {
+    return Fail(ErrorCode::Corrupt, "policy: the text is not whole");
+  }
+  return document;
 }
 
 wire::CatalogOutcome Apply(State& aState, const wire::CatalogCommand& aCommand)
--- a/src/consensus/election.cpp
+++ b/src/consensus/election.cpp
@@ -118,9 +118,8 @@
   const Micros timeout = rules.mElectionMin + static_cast<Micros>(spread);
   // A member that has heard no leader since its start mostly starts together
   // with the others; if it does not, the pre-vote keeps it from disturbing.
-  constexpr Micros kFirstDivisor = 4;
   const bool first = aState.mHeardLeaderAt == 0;
-  aState.mElectionAt = aNow + (first ? timeout / kFirstDivisor : timeout);
+  aState.mElectionAt = aNow + timeout / (first ? rules.mFirstDivisor : 1);
 }
 
 void BecomeFollower(State& aState,
--- a/src/dispatch/asking.cpp
+++ b/src/dispatch/asking.cpp
@@ -13,10 +13,11 @@
 
 std::vector<Target*> Usable(State& aState,
                             const Request& aRequest,
+                            const std::vector<std::string>& aIds,
                             bool aSuspects)
 {
   std::vector<Target*> usable;
-  for (const std::string& id : aState.mServices[aRequest.mService].mTargets) {
+  for (const std::string& id : aIds) {
     Target& target = aState.mTargets[id];
     if (target.mSuspect == aSuspects && aRequest.mTried.count(id) == 0 &&
         aRequest.mAsked.count(id) == 0) {
@@ -39,9 +40,13 @@
                                 const Request& aRequest,
                                 std::size_t aCount)
 {
-  std::vector<Target*> all = Usable(aState, aRequest, false);
+  const Service& service = aState.mServices[aRequest.mService];
+  std::vector<Target*> all = Usable(aState, aRequest, service.mSubset, false);
+  if (all.size() < aCount) {
+    all = Usable(aState, aRequest, service.mTargets, false);
+  }
   if (all.empty() && aRequest.mAskRound == 0) {
-    all = Usable(aState, aRequest, true);
+    all = Usable(aState, aRequest, service.mTargets, true);
   }
   Shuffle(aState, all);
   std::stable_partition(all.begin(), all.end(), [&](const Target* aTarget) {
--- a/src/dispatch/targets.cpp
+++ b/src/dispatch/targets.cpp
@@ -1,5 +1,7 @@
 #include "internal.h"
 
+#include <geraniumpond/hash.h>
+
 #include <algorithm>
 #include <limits>
 
@@ -15,6 +17,41 @@
 /// A target that calls itself ill is asked again after this time.
 constexpr Micros kIllPause = 500 * kMillisecond;
 
+/// Targets of a service that one host keeps connections to, and how many of
+/// them lie in other data centres. Each request asks five: twice as many leave
+/// a choice when some are slow, and are still met often enough to stay
+/// connected.
+constexpr std::size_t kSubset = 12;
+constexpr std::size_t kSubsetAway = 3;
+
+// Rendezvous hashing: every target is in the subsets of about as many hosts,
+// and few subsets change when a host or a target comes or goes.
+void ChooseSubset(State& aState, Service& aService)
+{
+  aService.mSubset = aService.mTargets;
+  if (aService.mTargets.size() <= kSubset) {
+    return;
+  }
+  std::vector<std::pair<std::uint64_t, std::string>> near;
+  std::vector<std::pair<std::uint64_t, std::string>> away;
+  for (const std::string& id : aService.mTargets) {
+    const bool isNear = aState.mTargets[id].mDataCentre == aState.mDataCentre;
+    (isNear ? near : away).emplace_back(Hash64(aState.mHostId + id), id);
+  }
+  std::sort(near.begin(), near.end());
+  std::sort(away.begin(), away.end());
+  const std::size_t nearCount = std::min(
+    near.size(),
+    std::max(kSubset - kSubsetAway, kSubset - std::min(kSubset, away.size())));
+  aService.mSubset.clear();
+  for (std::size_t i = 0; i < nearCount; ++i) {
+    aService.mSubset.push_back(near[i].second);
+  }
+  for (std::size_t i = 0; i < away.size() && i < kSubset - nearCount; ++i) {
+    aService.mSubset.push_back(away[i].second);
+  }
+}
+
 void SetProbeRate(State& aState, Micros aNow)
 {
   const double rate = kProbeShare * aState.mBounds.mProbesPerTarget *
@@ -141,6 +178,9 @@
       AddTarget(aState, aNow, record, aOut);
     }
   }
+  for (auto& [name, service] : aState.mServices) {
+    ChooseSubset(aState, service);
+  }
   SetProbeRate(aState, aNow);
 }
 
--- a/src/edge/peers.cpp
+++ b/src/edge/peers.cpp
@@ -15,7 +15,8 @@
 // A host without power does not refuse: the connect hangs.
 constexpr int kConnectTimeoutMs = 300;
 constexpr int kLingerMs = 300;
-constexpr int kHighWater = 20000;
+// What a host that is away has missed it asks for again.
+constexpr int kHighWater = 1000;
 constexpr std::size_t kQueueLimit = 100000;
 constexpr std::int64_t kMaxMessageBytes = 256LL * 1024 * 1024;
 constexpr const char* kWakeAddress = "inproc://wake";
--- a/src/fleet/fleet.cpp
+++ b/src/fleet/fleet.cpp
@@ -10,6 +10,9 @@
 /// the log is kept to a few megabytes.
 constexpr std::size_t kSnapshotEntries = 200;
 constexpr std::size_t kRetainedEntries = 20;
+/// After a loss of all hosts each tenth of a second until there is a leader
+/// costs every client a request.
+constexpr Micros kFirstElectionDivisor = 4;
 
 void LoadRecovered(State& aState, Output& aOut)
 {
@@ -30,16 +33,21 @@
   aOut.mTargetsChanged = true;
 }
 
-Host OwnHost(const State& aState, Micros aNow)
+void RefreshOwnHost(State& aState, Micros aNow)
 {
   const Settings& settings = aState.mSettings;
-  return { settings.mPeerAddress,
-           settings.mCallerAddress,
-           settings.mDataCentre,
-           settings.mIncarnation,
-           aState.mReady,
-           aState.mStopping,
-           aNow };
+  Host& own = aState.mHosts[settings.mPeerAddress];
+  const bool changed = own.mReady != aState.mReady ||
+                       own.mStopping != aState.mStopping ||
+                       own.mPeerAddress.empty();
+  own.mPeerAddress = settings.mPeerAddress;
+  own.mCallerAddress = settings.mCallerAddress;
+  own.mDataCentre = settings.mDataCentre;
+  own.mIncarnation = settings.mIncarnation;
+  own.mReady = aState.mReady;
+  own.mStopping = aState.mStopping;
+  own.mHeardAt = aNow;
+  own.mSequence = changed ? ++aState.mHostsSequence : own.mSequence;
 }
 
 } // namespace
@@ -92,12 +100,15 @@
       aRecovered,
       aNow,
       aRandom);
+    state.mGroup.mRules.mFirstDivisor = kFirstElectionDivisor;
+    state.mGroup.mElectionAt =
+      aNow + (state.mGroup.mElectionAt - aNow) / kFirstElectionDivisor;
     state.mGroup.mRules.mSnapshotEvery = kSnapshotEntries;
     state.mGroup.mRules.mRetained = kRetainedEntries;
     LoadRecovered(state, aOut);
   }
   state.mUpstreamTurn = static_cast<std::size_t>(aRandom % 1021);
-  state.mHosts[aSettings.mPeerAddress] = OwnHost(state, aNow);
+  RefreshOwnHost(state, aNow);
   state.mFollowAt = aNow;
   Tick(state, aNow, aRandom, aOut);
   return state;
@@ -110,7 +121,7 @@
   }
   if (aNow >= aState.mFollowAt) {
     aState.mFollowAt = aNow + kFollowInterval;
-    aState.mHosts[aState.mSettings.mPeerAddress] = OwnHost(aState, aNow);
+    RefreshOwnHost(aState, aNow);
     SendFollows(aState, aNow, aOut);
     UpdateHosts(aState, aNow, aOut);
   }
@@ -162,7 +173,7 @@
     return;
   }
   aState.mReady = aReady;
-  aState.mHosts[aState.mSettings.mPeerAddress] = OwnHost(aState, aNow);
+  RefreshOwnHost(aState, aNow);
   SendFollows(aState, aNow, aOut);
   UpdateHosts(aState, aNow, aOut);
 }
@@ -174,7 +185,7 @@
   }
   aState.mStopping = true;
   aState.mReady = false;
-  aState.mHosts[aState.mSettings.mPeerAddress] = OwnHost(aState, aNow);
+  RefreshOwnHost(aState, aNow);
   SendFollows(aState, aNow, aOut);
   UpdateHosts(aState, aNow, aOut);
   if (consensus::IsLeader(aState.mGroup)) {
@@ -188,7 +199,7 @@
 {
   std::vector<const Host*> hosts;
   for (const auto& [address, host] : aState.mHosts) {
-    const bool fresh = aNow - host.mHeardAt < kHostLease;
+    const bool fresh = !host.mGone && aNow - host.mHeardAt < kHostLease;
     if (host.mReady && !host.mStopping && fresh) {
       hosts.push_back(&host);
     }
--- a/src/fleet/following.cpp
+++ b/src/fleet/following.cpp
@@ -1,7 +1,5 @@
 #include "internal.h"
 
-#include <geraniumpond/hash.h>
-
 #include <algorithm>
 
 namespace geraniumpond::fleet {
@@ -11,6 +9,8 @@
 /// Committed commands kept for followers; whoever lacks more gets a snapshot.
 constexpr std::size_t kRecentCommands = 500;
 constexpr std::uint64_t kRecentBytes = 2 * 1024 * 1024;
+/// Control hosts tell each other of their followers once in so many reports.
+constexpr int kFollowersEvery = 3;
 
 wire::FleetHost ToWire(const Host& aHost, Micros aNow)
 {
@@ -21,6 +21,7 @@
   host.set_incarnation(aHost.mIncarnation);
   host.set_ready(aHost.mReady);
   host.set_stopping(aHost.mStopping);
+  host.set_gone(aHost.mGone);
   const Micros age = std::max<Micros>(0, aNow - aHost.mHeardAt);
   host.set_age_ms(static_cast<std::uint32_t>(age / kMillisecond));
   return host;
@@ -34,48 +35,39 @@
            aHost.incarnation(),
            aHost.ready(),
            aHost.stopping(),
-           aNow - static_cast<Micros>(aHost.age_ms()) * kMillisecond };
+           aNow - static_cast<Micros>(aHost.age_ms()) * kMillisecond,
+           0,
+           aHost.gone() };
 }
 
-// What clients are told depends on these alone; ages are left out, so that the
-// digest stays the same while nothing changes.
-std::uint64_t DigestOf(const std::map<std::string, Host>& aHosts, Micros aNow)
+bool SameState(const Host& aLeft, const Host& aRight)
 {
-  std::uint64_t digest = 0;
-  for (const auto& [address, host] : aHosts) {
-    if (aNow - host.mHeardAt >= kHostLease) {
-      continue;
-    }
-    const std::string text =
-      address + "|" + host.mCallerAddress + "|" + host.mDataCentre + "|" +
-      std::to_string(host.mIncarnation) + (host.mReady ? "r" : "-") +
-      (host.mStopping ? "s" : "-");
-    digest ^= Hash64(text);
-  }
-  return digest;
+  return aLeft.mIncarnation == aRight.mIncarnation &&
+         aLeft.mReady == aRight.mReady && aLeft.mStopping == aRight.mStopping &&
+         aLeft.mGone == aRight.mGone &&
+         aLeft.mCallerAddress == aRight.mCallerAddress;
 }
 
 // The later incarnation wins; within one, whoever heard it last does. An
 // earlier number may still be later in time where a clock was set back.
-void MergeHost(std::map<std::string, Host>& aHosts, const Host& aHost)
+void MergeHost(State& aState, Host aHost)
 {
-  const auto found = aHosts.find(aHost.mPeerAddress);
-  if (found == aHosts.end()) {
-    aHosts[aHost.mPeerAddress] = aHost;
-    return;
-  }
-  Host& known = found->second;
+  Host& known = aState.mHosts[aHost.mPeerAddress];
+  const bool isNew = known.mPeerAddress.empty();
   const bool expired = aHost.mHeardAt - known.mHeardAt >= kHostLease;
-  if (aHost.mIncarnation > known.mIncarnation || expired) {
-    known = aHost;
+  const bool later = isNew || expired ||
+                     aHost.mIncarnation > known.mIncarnation ||
+                     (aHost.mIncarnation == known.mIncarnation &&
+                      aHost.mHeardAt >= known.mHeardAt);
+  if (!later) {
     return;
   }
-  if (aHost.mIncarnation == known.mIncarnation &&
-      aHost.mHeardAt >= known.mHeardAt) {
-    const bool stopping = known.mStopping || aHost.mStopping;
-    known = aHost;
-    known.mStopping = stopping;
+  if (!isNew && aHost.mIncarnation == known.mIncarnation) {
+    aHost.mStopping = aHost.mStopping || known.mStopping;
   }
+  const bool same = !isNew && SameState(known, aHost);
+  aHost.mSequence = same ? known.mSequence : ++aState.mHostsSequence;
+  known = std::move(aHost);
 }
 
 void FillCommands(const State& aState,
@@ -103,16 +95,16 @@
                Follower& aFollower,
                wire::FollowReply& aReply)
 {
-  aReply.set_hosts_digest(aState.mHostsDigest);
-  if (aFollower.mHostsDigest == aState.mHostsDigest) {
-    return;
-  }
-  aFollower.mHostsDigest = aState.mHostsDigest;
+  aReply.set_hosts_sequence(aState.mHostsSequence);
+  aReply.set_hosts_incarnation(aState.mSettings.mIncarnation);
   for (const auto& [address, host] : aState.mHosts) {
-    if (aNow - host.mHeardAt < kHostLease) {
+    const bool news = host.mSequence > aFollower.mHostsSequence;
+    // Whoever asks for all need not hear of those that are gone.
+    if (news && (!host.mGone || aFollower.mHostsSequence > 0)) {
       *aReply.add_hosts() = ToWire(host, aNow);
     }
   }
+  aFollower.mHostsSequence = aState.mHostsSequence;
 }
 
 void SendReply(State& aState,
@@ -156,6 +148,10 @@
       { 2,
         "event=upstream_lost upstream=" + aState.mUpstream + " next=" + next });
   }
+  if (next != aState.mUpstream) {
+    aState.mUpstreamSequence = 0;
+    aState.mUpstreamIncarnation = 0;
+  }
   aState.mUpstream = next;
   aState.mUpstreamSince = aNow;
 }
@@ -166,7 +162,8 @@
   *follow.mutable_host() =
     ToWire(aState.mHosts.at(aState.mSettings.mPeerAddress), aNow);
   follow.set_applied(aState.mApplied);
-  follow.set_hosts_digest(aState.mHostsDigest);
+  follow.set_hosts_sequence(aState.mUpstreamSequence);
+  follow.set_hosts_incarnation(aState.mUpstreamIncarnation);
   return follow;
 }
 
@@ -174,8 +171,13 @@
 {
   wire::Follow follow = OwnFollow(aState, aNow);
   follow.set_votes(true);
+  // Well within a host's lease; a host that stops is told of at once.
+  const bool all = ++aState.mFollowTurn % kFollowersEvery == 0;
   for (const auto& [address, follower] : aState.mFollowers) {
-    *follow.add_followers() = ToWire(follower.mHost, aNow);
+    const Host& host = aState.mHosts[address];
+    if (all || host.mStopping || aNow - host.mHeardAt > kHostLease / 2) {
+      *follow.add_followers() = ToWire(follower.mHost, aNow);
+    }
   }
   for (const std::string& address : aState.mControlAddresses) {
     if (address == aState.mSettings.mPeerAddress) {
@@ -238,8 +240,7 @@
   }
 }
 
-// Hosts that the upstream no longer tells of are gone; the rest is as fresh as
-// the upstream's word.
+// The upstream tells what has changed; the rest is as fresh as its word.
 void TakeHosts(State& aState,
                Micros aNow,
                const wire::FollowReply& aMessage,
@@ -248,20 +249,30 @@
   if (!aMessage.in_touch()) {
     return;
   }
-  if (aMessage.hosts_size() > 0) {
-    const std::string& self = aState.mSettings.mPeerAddress;
+  const std::string& self = aState.mSettings.mPeerAddress;
+  if (aMessage.hosts_incarnation() != aState.mUpstreamIncarnation) {
     const Host own = aState.mHosts[self];
     aState.mHosts.clear();
-    for (const wire::FleetHost& host : aMessage.hosts()) {
-      aState.mHosts[host.peer_address()] = FromWire(host, aNow);
-    }
     aState.mHosts[self] = own;
+    aState.mUpstreamIncarnation = aMessage.hosts_incarnation();
+  }
+  for (const wire::FleetHost& host : aMessage.hosts()) {
+    if (host.peer_address() == self) {
+      continue;
+    }
+    if (host.gone()) {
+      aState.mHosts.erase(host.peer_address());
+    } else {
+      Host& known = aState.mHosts[host.peer_address()];
+      known = FromWire(host, aNow);
+      known.mSequence = ++aState.mHostsSequence;
+    }
     aOut.mHostsChanged = true;
   }
   for (auto& [address, host] : aState.mHosts) {
     host.mHeardAt = aNow;
   }
-  aState.mHostsDigest = aMessage.hosts_digest();
+  aState.mUpstreamSequence = aMessage.hosts_sequence();
 }
 
 } // namespace
@@ -311,9 +322,9 @@
   }
   Host host = FromWire(aMessage.host(), aNow);
   host.mHeardAt = aNow;
-  MergeHost(aState.mHosts, host);
+  MergeHost(aState, host);
   for (const wire::FleetHost& follower : aMessage.followers()) {
-    MergeHost(aState.mHosts, FromWire(follower, aNow));
+    MergeHost(aState, FromWire(follower, aNow));
   }
   // A host at a voter's address may be a new one with an empty disk: what it
   // says of itself counts.
@@ -326,7 +337,9 @@
   Follower& follower = aState.mFollowers[aFrom];
   follower.mHost = host;
   follower.mSent = aMessage.applied();
-  follower.mHostsDigest = aMessage.hosts_digest();
+  const bool ours =
+    aMessage.hosts_incarnation() == aState.mSettings.mIncarnation;
+  follower.mHostsSequence = ours ? aMessage.hosts_sequence() : 0;
   SendReply(aState, aNow, aFrom, follower, aOut);
 }
 
@@ -341,13 +354,13 @@
   if (votes) {
     return;
   }
-  if (aFrom == aState.mUpstream) {
-    TakeUpstreamState(aState, aNow, aMessage, aOut);
-  }
   if (!IsControlMember(aState)) {
     TakeCommands(aState, aMessage, aOut);
   }
-  TakeHosts(aState, aNow, aMessage, aOut);
+  if (aFrom == aState.mUpstream) {
+    TakeUpstreamState(aState, aNow, aMessage, aOut);
+    TakeHosts(aState, aNow, aMessage, aOut);
+  }
 }
 
 void PushToFollowers(State& aState, Micros aNow, Output& aOut)
@@ -378,12 +391,25 @@
       host.mHeardAt = std::max(host.mHeardAt, aNow - kHostLease / 2);
     }
   }
-  const std::uint64_t digest = DigestOf(aState.mHosts, aNow);
-  if (digest == aState.mHostsDigest) {
+  bool stopping = false;
+  const std::uint64_t before = aState.mHostsTold;
+  for (auto& [address, host] : aState.mHosts) {
+    if (!host.mGone && aNow - host.mHeardAt >= kHostLease) {
+      host.mGone = true;
+      host.mSequence = ++aState.mHostsSequence;
+    }
+    stopping = stopping || (host.mStopping && host.mSequence > before);
+  }
+  if (aState.mHostsSequence == before) {
     return;
   }
-  aState.mHostsDigest = digest;
+  aState.mHostsTold = aState.mHostsSequence;
   aOut.mHostsChanged = true;
+  // Followers hear of most changes with their next report's answer; a host
+  // that stops must leave their answers to clients sooner.
+  if (!stopping) {
+    return;
+  }
   for (auto& [address, follower] : aState.mFollowers) {
     if (aNow - follower.mHost.mHeardAt < kHostLease) {
       SendReply(aState, aNow, address, follower, aOut);
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -248,10 +248,9 @@
     return;
   }
   wire::CatalogCommand command;
-  wire::PutPolicy& change = *command.mutable_put_policy();
-  change.set_version(decoded.value().mVersion);
-  change.set_base_version(decoded.value().mBaseVersion);
-  change.set_document(aCall.mDocument);
+  const wire::PutPolicy change = catalog::MakeChange(
+    decoded.value().mVersion, decoded.value().mBaseVersion, aCall.mDocument);
+  *command.mutable_put_policy() = change;
   SubmitFor(aContext,
             { aCall.mOperation,
               OperationKind::PutPolicy,
@@ -422,6 +421,7 @@
 {
   State state;
   state.mSettings = aSettings;
+  state.mDispatch.mHostId = aSettings.mFleet.mPeerAddress;
   state.mDispatch.mDataCentre = aSettings.mFleet.mDataCentre;
   state.mDispatch.mBounds = aSettings.mBounds;
   state.mDispatch.mRandom = aRandom | 1;
--- a/tests/fakes/fleet_world.cpp
+++ b/tests/fakes/fleet_world.cpp
@@ -226,9 +226,7 @@
                                       const std::string& aText)
 {
   wire::CatalogCommand command;
-  command.mutable_put_policy()->set_version(aVersion);
-  command.mutable_put_policy()->set_base_version(aBase);
-  command.mutable_put_policy()->set_document(aText);
+  *command.mutable_put_policy() = catalog::MakeChange(aVersion, aBase, aText);
   return command;
 }
 
--- a/tests/fleet_test.cpp
+++ b/tests/fleet_test.cpp
@@ -3,6 +3,7 @@
 #include <cppunit/extensions/HelperMacros.h>
 
 #include <algorithm>
+#include <random>
 
 namespace geraniumpond::fleet {
 
@@ -104,7 +105,12 @@
   {
     Begin(3, 1, 0);
     mWorld.mCutOff = { "10.0.0.4:1" };
-    const std::string large(300 * 1024, 'x');
+    // Random text, so that its deflated form is large as well.
+    std::mt19937_64 random(5);
+    std::string large;
+    while (large.size() < 300 * 1024) {
+      large += std::to_string(random());
+    }
     for (std::uint64_t version = 2; version < 12; ++version) {
       CPPUNIT_ASSERT(mWorld.Commit(
         "10.0.0.1:1",
