Serve requests that can still be in time first; a fault soak on real processes

Change: of the waiting requests those that can still meet their objective go first. The soak starts real gateways on loopback, kills, stops, pauses, wipes and restarts them by id, and checks what clients, targets and an operator see. A waiting request looks for a free target ten times in the time of its work. Left: the soak has no proxy between hosts and touches no clocks yet.

--- a/src/dispatch/choosing.cpp
+++ b/src/dispatch/choosing.cpp
@@ -13,6 +13,9 @@
 /// Requests that may wait at a target are fewer than its slots: its queue
 /// knows no deadlines, and some targets never answer what overflows it.
 constexpr int kQueuePerSlot = 2;
+/// A waiting request looks for a free target this many times in the time of
+/// its work: each look costs probes.
+constexpr Micros kLooksPerWork = 10;
 /// Work assumed of a route without answers yet, as a share of its objective.
 constexpr double kFirstWork = 0.35;
 
@@ -134,7 +137,9 @@
   aRequest.mAsked.clear();
   aRequest.mAskRound = 0;
   aRequest.mAskedUntil = 0;
-  aRequest.mLookAgainAt = aNow + kLookAgain;
+  const Micros pause =
+    std::max(kLookAgain, NeedOf(aState, aRequest).mWork / kLooksPerWork);
+  aRequest.mLookAgainAt = aNow + pause;
   SetTimer(aState, aRequest);
 }
 
@@ -295,10 +300,20 @@
   if (service == aState.mServices.end()) {
     return;
   }
-  const std::vector<WaitKey> waiting(service->second.mWaiting.begin(),
-                                     service->second.mWaiting.end());
-  for (const WaitKey& key : waiting) {
-    const auto found = aState.mRequests.find(key.mRequest);
+  // Requests that can still meet their objective go first. In order of
+  // deadlines alone, an overload would make every request wait until its
+  // objective is lost.
+  std::vector<std::uint64_t> order;
+  std::vector<std::uint64_t> late;
+  for (const WaitKey& key : service->second.mWaiting) {
+    const Request& request = aState.mRequests.at(key.mRequest);
+    const bool lost =
+      aNow + NeedOf(aState, request).mWork > request.mObjectiveAt;
+    (lost ? late : order).push_back(key.mRequest);
+  }
+  order.insert(order.end(), late.begin(), late.end());
+  for (const std::uint64_t id : order) {
+    const auto found = aState.mRequests.find(id);
     if (found != aState.mRequests.end() && found->second.mWaiting) {
       Serve(aState, aNow, found->second, aOut);
     }
--- a/src/edge/peers.cpp
+++ b/src/edge/peers.cpp
@@ -14,7 +14,7 @@
 constexpr int kReconnectMaxMs = 200;
 // A host without power does not refuse: the connect hangs.
 constexpr int kConnectTimeoutMs = 300;
-constexpr int kLingerMs = 300;
+constexpr int kLingerMs = 100;
 // What a host that is away has missed it asks for again.
 constexpr int kHighWater = 1000;
 constexpr std::size_t kQueueLimit = 100000;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -13,7 +13,7 @@
 /// The number of hosts is taken over at this pace.
 constexpr Micros kCountInterval = 500 * kMillisecond;
 /// Part of the stop's time that is left unused, for the process's own end.
-constexpr Micros kStopReserve = 400 * kMillisecond;
+constexpr Micros kStopReserve = 800 * kMillisecond;
 /// Addresses that a client is given, and how many of them are in its own data
 /// centre where there are enough.
 constexpr std::size_t kAddresses = 5;
--- a/tests/dispatch_test.cpp
+++ b/tests/dispatch_test.cpp
@@ -85,6 +85,7 @@
   CPPUNIT_TEST(UnknownRouteAndMissingPolicyAreToldApart);
   CPPUNIT_TEST(FirstRequestThatWaitsDoesNotSetThePace);
   CPPUNIT_TEST(UrgentRequestsGoBeforeBulkWhereRoomIsShort);
+  CPPUNIT_TEST(OverloadLeavesMostOfWhatFitsInTime);
   CPPUNIT_TEST(HopelessRequestIsRefusedAtOnceWithATimeToReturn);
   CPPUNIT_TEST(DrainingTargetGetsNothingMore);
   CPPUNIT_TEST(TargetWhoseAddressIsTakenIsLeftAlone);
@@ -312,6 +313,58 @@
     CPPUNIT_ASSERT_EQUAL(std::uint64_t(5), sent[0].mRequest);
   }
 
+  // Eight targets of two slots, 130 % of what they can do for 20 s. In order of
+  // deadlines alone every request waits until its objective is lost; the ones
+  // that can still make it go first, and most of what fits is in time.
+  void OverloadLeavesMostOfWhatFitsInTime()
+  {
+    AddTargets(8);
+    std::mt19937_64 random(11);
+    std::exponential_distribution<double> gaps(1.3 * 16 / 0.1);
+    std::map<std::string, int> running;
+    std::multimap<Micros, SendRequest> ends;
+    std::map<std::uint64_t, Micros> arrived;
+    int inTime = 0;
+    int offered = 0;
+    Micros next = mNow;
+    const Micros end = mNow + 20 * kSecond;
+    while (mNow < end) {
+      mNow += kMillisecond;
+      for (; next <= mNow; ++offered) {
+        next += static_cast<Micros>(gaps(random) * kSecond);
+        Arrive("/safe/x");
+        arrived[mLast] = mNow;
+      }
+      while (!ends.empty() && ends.begin()->first <= mNow) {
+        const SendRequest sent = ends.begin()->second;
+        ends.erase(ends.begin());
+        --running[sent.mTarget];
+        inTime +=
+          mNow - arrived[sent.mRequest] <= 300 * kMillisecond ? 1 : 0;
+        End(sent, EndKind::Answered, 200, false);
+      }
+      Tick(mState, mNow, mEffects);
+      for (int round = 0; round < 4; ++round) {
+        Effects effects;
+        std::swap(effects, mEffects);
+        for (const SendRequest& sent : All<SendRequest>(effects)) {
+          // Over two the others wait their turn behind it.
+          const int ahead = running[sent.mTarget]++;
+          const Micros turns = 1 + std::max(0, ahead - 1) / 2;
+          ends.emplace(mNow + turns * 100 * kMillisecond, sent);
+        }
+        for (const ProbeTarget& probe : All<ProbeTarget>(effects)) {
+          const int load = running[probe.mTarget];
+          AnswerProbe(probe.mTarget,
+                      { std::min(load, 2), std::max(0, load - 2), 2, 1 });
+        }
+      }
+    }
+    // 3,200 fit in twenty seconds.
+    CPPUNIT_ASSERT(offered > 4000);
+    CPPUNIT_ASSERT_MESSAGE(std::to_string(inTime), inTime > 3000);
+  }
+
   void HopelessRequestIsRefusedAtOnceWithATimeToReturn()
   {
     Arrive("/safe/x");
--- /dev/null
+++ b/tests/soak/soak.cpp
@@ -0,0 +1,461 @@
+#include "fleet_processes.h"
+#include "stand_ins.h"
+
+#include <Poco/Exception.h>
+#include <Poco/Net/HTTPClientSession.h>
+#include <Poco/Net/HTTPRequest.h>
+#include <Poco/Net/HTTPResponse.h>
+#include <Poco/StreamCopier.h>
+#include <Poco/TemporaryFile.h>
+#include <Poco/File.h>
+
+#include <chrono>
+#include <cstdlib>
+#include <getopt.h>
+#include <iostream>
+#include <random>
+
+/// \brief Runs real gateway processes under faults given from outside, and
+/// checks what clients, targets and an operator see; see docs/SOAK.md.
+namespace geraniumpond::soak {
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+using std::chrono::steady_clock;
+
+struct Options
+{
+  std::string mBinary;
+  std::uint64_t mSeed = 1;
+  int mSeconds = 12;
+  int mDisks = 4;
+  int mOthers = 3;
+  int mPort = 21000;
+  /// A fault of the soak itself, to show that its checks can fail.
+  std::string mPlant;
+};
+
+struct Reply
+{
+  /// 0: no connection; -1: sent, and no whole answer.
+  int mStatus = 0;
+  std::string mBody;
+};
+
+Reply CallHost(const std::string& aAddress,
+               const std::string& aMethod,
+               const std::string& aPath,
+               const std::string& aBody,
+               const std::string& aRequestId)
+{
+  Reply reply;
+  try {
+    const std::size_t colon = aAddress.find(':');
+    Poco::Net::HTTPClientSession session(
+      aAddress.substr(0, colon),
+      static_cast<Poco::UInt16>(std::atoi(aAddress.c_str() + colon + 1)));
+    session.setTimeout(Poco::Timespan(3, 0));
+    Poco::Net::HTTPRequest request(
+      aMethod, aPath, Poco::Net::HTTPMessage::HTTP_1_1);
+    request.setHost("soak.example");
+    request.setContentLength(static_cast<std::streamsize>(aBody.size()));
+    if (!aRequestId.empty()) {
+      request.set("Request-Id", aRequestId);
+      request.set("Patience-Ms", "1500");
+    }
+    session.sendRequest(request) << aBody;
+    reply.mStatus = -1;
+    Poco::Net::HTTPResponse response;
+    std::istream& body = session.receiveResponse(response);
+    Poco::StreamCopier::copyToString(body, reply.mBody);
+    reply.mStatus = response.getStatus();
+    if (response.hasContentLength() &&
+        response.getContentLength() !=
+          static_cast<std::streamsize>(reply.mBody.size())) {
+      reply.mStatus = -1;
+    }
+  } catch (const Poco::Exception&) {
+    // The status says how far it came; a host that is down is no finding.
+  }
+  return reply;
+}
+
+std::string PolicyText(std::uint64_t aVersion, std::uint64_t aBase)
+{
+  return "[policy]\nversion = " + std::to_string(aVersion) +
+         "\nbase = " + std::to_string(aBase) +
+         "\n[service main]\nhealth_path = /health\n"
+         "[route safe]\nhost = soak.example\nprefix = /safe/\nkind = safe\n"
+         "timeout = 1500ms\nobjective = 300ms\nattempts = 2\nbackends = main\n"
+         "[route unsafe]\nhost = soak.example\nprefix = /unsafe/\n"
+         "kind = unsafe\ntimeout = 1500ms\nobjective = 300ms\nattempts = 2\n"
+         "backends = main\n";
+}
+
+/// \brief One run.
+class Soak
+{
+public:
+  explicit Soak(const Options& aOptions)
+    : mOptions(aOptions)
+    , mFolder(Poco::TemporaryFile::tempName())
+    , mFleet(aOptions.mBinary, mFolder, aOptions.mPort)
+    , mTargets(mLedger, 6, aOptions.mPort + 10)
+    , mRandom(aOptions.mSeed)
+  {
+  }
+
+  bool Run()
+  {
+    StartAll();
+    std::vector<std::thread> threads;
+    threads.emplace_back([this] { Announce(); });
+    threads.emplace_back([this] { Operate(); });
+    if (!WaitFirstPolicy()) {
+      mLedger.Violation("no first policy in time");
+    }
+    for (int i = 0; i < 6; ++i) {
+      threads.emplace_back([this, i] { Ask(i); });
+    }
+    const auto end = steady_clock::now() + seconds(mOptions.mSeconds);
+    while (steady_clock::now() < end) {
+      OneFault();
+    }
+    Heal();
+    mStopping = true;
+    for (std::thread& thread : threads) {
+      thread.join();
+    }
+    CheckEnd();
+    return Report();
+  }
+
+private:
+  void StartAll()
+  {
+    for (int i = 0; i < mOptions.mDisks + mOptions.mOthers; ++i) {
+      mFleet.Add(i < mOptions.mDisks);
+    }
+    for (std::size_t i = 0; i < mFleet.Hosts().size(); ++i) {
+      mFleet.Start(i, true);
+    }
+  }
+
+  std::string AnyHost(std::mt19937_64& aRandom, bool aCalls)
+  {
+    const auto& hosts = mFleet.Hosts();
+    const HostProcess& host = hosts[aRandom() % hosts.size()];
+    return aCalls ? host.mCalls : host.mCallers;
+  }
+
+  bool WaitFirstPolicy()
+  {
+    const auto end = steady_clock::now() + seconds(15);
+    while (mAcknowledged == 0 && steady_clock::now() < end) {
+      std::this_thread::sleep_for(milliseconds(50));
+    }
+    return mAcknowledged != 0;
+  }
+
+  // Targets renew themselves; one of them leaves in the middle of the run.
+  void Announce()
+  {
+    std::mt19937_64 random(mOptions.mSeed + 1);
+    const auto targets = mTargets.All();
+    const auto leaveAt = steady_clock::now() + seconds(mOptions.mSeconds / 2);
+    bool left = false;
+    for (int sequence = 1; !mStopping; ++sequence) {
+      for (const auto& [name, address] : targets) {
+        const bool leaves = name == "target-5" && steady_clock::now() > leaveAt;
+        if (leaves && left) {
+          continue;
+        }
+        const std::string body =
+          R"({"service":"main","address":")" + address +
+          R"(","data_centre":"dc-0","slots":4,"draining":)" +
+          (leaves ? "true" : "false") +
+          R"(,"sequence":)" + std::to_string(sequence) + "}";
+        const Reply reply = CallHost(
+          AnyHost(random, true), "PUT", "/targets/" + name, body, "");
+        if (leaves && reply.mStatus == 200) {
+          left = true;
+          mLeftAt = steady_clock::now();
+          mLeft = true;
+        }
+      }
+      if (mLeft && steady_clock::now() - mLeftAt.load() > seconds(2) &&
+          !mTroubled) {
+        mTargets.MustBeIdle("target-5");
+      }
+      std::this_thread::sleep_for(milliseconds(300));
+    }
+  }
+
+  // A change every second; reads must show what was acknowledged before.
+  void Operate()
+  {
+    std::mt19937_64 random(mOptions.mSeed + 2);
+    std::uint64_t version = 1;
+    while (!mStopping) {
+      const std::uint64_t base = mAcknowledged;
+      const Reply put = CallHost(
+        AnyHost(random, true), "PUT", "/policy", PolicyText(version, base), "");
+      if (put.mStatus == 200) {
+        ++mLedger.mChanges;
+        mAcknowledged = version;
+        ++version;
+      } else if (put.mStatus == 409) {
+        mLedger.Violation("a change that nobody raced was refused: " +
+                          put.mBody);
+        return;
+      }
+      for (int i = 0; i < 4; ++i) {
+        const std::uint64_t before =
+          mAcknowledged + (mOptions.mPlant == "read" ? 1 : 0);
+        const Reply read =
+          CallHost(AnyHost(random, true), "GET", "/policy", "", "");
+        if (read.mStatus != 200) {
+          continue;
+        }
+        ++mLedger.mReads;
+        const std::size_t at = read.mBody.find("version = ");
+        const auto shown = std::strtoull(
+          read.mBody.c_str() + (at == std::string::npos ? 0 : at + 10),
+          nullptr,
+          10);
+        if (shown < before) {
+          mLedger.Violation("read " + std::to_string(shown) + " after " +
+                            std::to_string(before) + " was acknowledged");
+        }
+      }
+      std::this_thread::sleep_for(milliseconds(300));
+    }
+  }
+
+  void Ask(int aClient)
+  {
+    std::mt19937_64 random(mOptions.mSeed + 10 +
+                           static_cast<std::uint64_t>(aClient));
+    for (int i = 0; !mStopping; ++i) {
+      const bool unsafe = random() % 3 == 0;
+      const std::string id = std::string(unsafe ? "unsafe" : "safe") + "-" +
+                             std::to_string(aClient) + "-" + std::to_string(i);
+      const Reply reply = CallHost(AnyHost(random, false),
+                                   unsafe ? "POST" : "GET",
+                                   unsafe ? "/unsafe/x" : "/safe/x",
+                                   unsafe ? "body" : "",
+                                   id);
+      Judge(id, reply);
+      if (mOptions.mPlant == "twice" && unsafe && reply.mStatus == 200) {
+        mLedger.Ran(id);
+      }
+      std::this_thread::sleep_for(milliseconds(5));
+    }
+  }
+
+  void Judge(const std::string& aId, const Reply& aReply)
+  {
+    if (aReply.mStatus == 200) {
+      ++mLedger.mAnswered;
+      if (aReply.mBody != "answer to " + aId) {
+        mLedger.Violation("another answer for " + aId + ": " + aReply.mBody);
+      }
+      if (mLedger.Runs(aId) == 0) {
+        mLedger.Violation("answered without a run: " + aId);
+      }
+    } else if (aReply.mStatus == 503) {
+      ++mLedger.mRefused;
+      if (aId.compare(0, 6, "unsafe") == 0) {
+        mLedger.Promised(aId);
+      }
+    } else {
+      ++mLedger.mFailed;
+    }
+  }
+
+  // Losses stay within what is tolerated: one disk host at a time.
+  void OneFault()
+  {
+    const std::size_t count = mFleet.Hosts().size();
+    const std::size_t host = mRandom() % count;
+    const bool disk = mFleet.Hosts()[host].mDisk;
+    const auto pause = milliseconds(100 + mRandom() % 1200);
+    mTroubled = true;
+    switch (mRandom() % 5) {
+      case 0:
+        Say("kill", host);
+        mFleet.Signal(host, SIGKILL);
+        Await(host);
+        std::this_thread::sleep_for(pause);
+        mFleet.Start(host, false);
+        break;
+      case 1:
+        Say("stop", host);
+        mFleet.Signal(host, SIGTERM);
+        Await(host);
+        mFleet.Start(host, false);
+        break;
+      case 2:
+        Say("pause", host);
+        mFleet.Signal(host, SIGSTOP);
+        std::this_thread::sleep_for(pause);
+        mFleet.Signal(host, SIGCONT);
+        break;
+      case 3:
+        Say(disk ? "wipe" : "kill", host);
+        mFleet.Signal(host, SIGKILL);
+        Await(host);
+        mFleet.WipeDisk(host);
+        mFleet.Start(host, false);
+        std::this_thread::sleep_for(seconds(disk ? 4 : 0));
+        break;
+      default: {
+        Say("kill all", host);
+        for (std::size_t i = 0; i < count; ++i) {
+          mFleet.Signal(i, SIGKILL);
+        }
+        for (std::size_t i = 0; i < count; ++i) {
+          Await(i);
+          mFleet.Start(i, false);
+        }
+        std::this_thread::sleep_for(seconds(2));
+        break;
+      }
+    }
+    std::this_thread::sleep_for(milliseconds(1500));
+    mTroubled = false;
+    std::this_thread::sleep_for(pause);
+  }
+
+  void Say(const char* aWhat, std::size_t aHost) const
+  {
+    std::cout << "  " << aWhat << " host-" << aHost << "\n";
+  }
+
+  void Await(std::size_t aHost)
+  {
+    const auto end = steady_clock::now() + seconds(8);
+    while (!mFleet.Reap(aHost)) {
+      if (steady_clock::now() > end) {
+        mLedger.Violation("host-" + std::to_string(aHost) + " did not end");
+        mFleet.Signal(aHost, SIGKILL);
+      }
+      std::this_thread::sleep_for(milliseconds(10));
+    }
+  }
+
+  void Heal() { std::this_thread::sleep_for(seconds(3)); }
+
+  void CheckEnd()
+  {
+    std::mt19937_64 random(mOptions.mSeed + 3);
+    for (std::size_t i = 0; i < mFleet.Hosts().size(); ++i) {
+      if (mFleet.Reap(i)) {
+        mLedger.Violation("host-" + std::to_string(i) + " ended by itself");
+      }
+      const Reply ready =
+        CallHost(mFleet.Hosts()[i].mCalls, "GET", "/ready", "", "");
+      if (ready.mStatus != 200) {
+        mLedger.Violation("host-" + std::to_string(i) + " is not ready");
+      }
+    }
+    const Reply last = CallHost(AnyHost(random, true), "GET", "/policy", "", "");
+    if (last.mStatus != 200) {
+      mLedger.Violation("the policy cannot be read at the end");
+    }
+    mLedger.CheckPromises();
+  }
+
+  bool Report()
+  {
+    const std::vector<std::string> violations = mLedger.Violations();
+    std::cout << "seed " << mOptions.mSeed << ": " << mLedger.mAnswered
+              << " answered, " << mLedger.mRefused << " refused, "
+              << mLedger.mFailed << " failed, " << mLedger.mChanges
+              << " changes, " << mLedger.mReads << " reads, "
+              << violations.size() << " violations\n";
+    for (const std::string& violation : violations) {
+      std::cout << "  VIOLATION " << violation << "\n";
+    }
+    if (mLedger.mAnswered < 50) {
+      std::cout << "  VIOLATION hardly anything was served\n";
+      return false;
+    }
+    if (violations.empty()) {
+      Poco::File(mFolder).remove(true);
+    } else {
+      std::cout << "  logs are kept in " << mFolder << "\n";
+    }
+    return violations.empty();
+  }
+
+  Options mOptions;
+  std::string mFolder;
+  Ledger mLedger;
+  FleetProcesses mFleet;
+  Targets mTargets;
+  std::mt19937_64 mRandom;
+  std::atomic<bool> mStopping{ false };
+  std::atomic<bool> mTroubled{ false };
+  std::atomic<std::uint64_t> mAcknowledged{ 0 };
+  std::atomic<bool> mLeft{ false };
+  std::atomic<steady_clock::time_point> mLeftAt{ steady_clock::time_point() };
+};
+
+} // namespace
+
+int Main(int aCount, char** aWords)
+{
+  Options options;
+  const option rules[] = {
+    { "binary", required_argument, nullptr, 'b' },
+    { "seed", required_argument, nullptr, 's' },
+    { "seconds", required_argument, nullptr, 't' },
+    { "disks", required_argument, nullptr, 'd' },
+    { "others", required_argument, nullptr, 'o' },
+    { "port", required_argument, nullptr, 'p' },
+    { "plant", required_argument, nullptr, 'x' },
+    { nullptr, 0, nullptr, 0 },
+  };
+  int found = 0;
+  while ((found = getopt_long(aCount, aWords, "", rules, nullptr)) != -1) {
+    switch (found) {
+      case 'b':
+        options.mBinary = optarg;
+        break;
+      case 's':
+        options.mSeed = std::strtoull(optarg, nullptr, 10);
+        break;
+      case 't':
+        options.mSeconds = std::atoi(optarg);
+        break;
+      case 'd':
+        options.mDisks = std::atoi(optarg);
+        break;
+      case 'o':
+        options.mOthers = std::atoi(optarg);
+        break;
+      case 'p':
+        options.mPort = std::atoi(optarg);
+        break;
+      case 'x':
+        options.mPlant = optarg;
+        break;
+      default:
+        std::cerr << "usage: soak --binary FILE [--seed N] [--seconds N] "
+                     "[--disks N] [--others N] [--port N] [--plant "
+                     "read|twice]\n";
+        return 2;
+    }
+  }
+  return Soak(options).Run() ? EXIT_SUCCESS : EXIT_FAILURE;
+}
+
+} // namespace geraniumpond::soak
+
+int main(int aCount, char** aWords)
+{
+  return geraniumpond::soak::Main(aCount, aWords);
+}
