Ask no target before a policy is known; log what each choice was made on

Cause: targets that were known before the first policy were probed with an empty path, 'GET HTTP/1.1'. And a request that ended at its deadline had no line that told the load its target was chosen on. Change: newcomers are asked once there is a policy; a line for each send, with slowness, occupancy and the report's age.

--- a/src/dispatch/requests.cpp
+++ b/src/dispatch/requests.cpp
@@ -104,7 +104,7 @@
   Log(aOut,
       aEnd.mStatus < kServerError ? 1 : 2,
       "event=answered status=" + std::to_string(aEnd.mStatus) +
-        Describe(aState, aRequest, aNow) + Describe(aAttempt));
+        Describe(aState, aRequest, aNow) + " target=" + aAttempt.mTarget);
   ++aState.mCounters["answers_delivered"];
   aOut.emplace_back(DeliverAnswer{ aRequest.mId, aAttempt.mNumber });
   RemoveAttempt(aRequest, aAttempt.mNumber);
@@ -320,6 +320,9 @@
                         ? aNow + std::max(kHedgeMin, patience)
                         : 0;
   NoteDispatch(aState.mServices[aRequest.mService], aNow);
+  Log(aOut,
+      1,
+      "event=sent" + Describe(aState, aRequest, aNow) + Describe(attempt));
   aOut.emplace_back(SendRequest{ aRequest.mId,
                                  attempt.mNumber,
                                  aTarget.mId,
--- a/src/dispatch/targets.cpp
+++ b/src/dispatch/targets.cpp
@@ -108,6 +108,10 @@
 // load; targets outside of the subset are met when they are needed.
 void ProbeNewcomers(State& aState, Micros aNow, const Service& aService)
 {
+  // Without a policy nothing is known of a service, its health path neither.
+  if (!aState.mPolicy) {
+    return;
+  }
   for (const std::string& id : aService.mSubset) {
     Target& target = aState.mTargets[id];
     if (!target.mProbing && target.mProbeSentAt == 0) {
@@ -167,6 +171,7 @@
     if (service.mHealthPath.empty()) {
       service.mHealthPath = policy::ServiceRules().mHealthPath;
     }
+    ProbeNewcomers(aState, aNow, service);
   }
   SetProbeRate(aState, aNow);
 }
@@ -203,6 +208,9 @@
     AddTarget(aState, aNow, *record, bulk, aOut);
   }
   for (auto& [name, service] : aState.mServices) {
+    if (service.mHealthPath.empty()) {
+      service.mHealthPath = policy::ServiceRules().mHealthPath;
+    }
     ChooseSubset(aState, service);
     ProbeNewcomers(aState, aNow, service);
   }
--- a/tests/dispatch_test.cpp
+++ b/tests/dispatch_test.cpp
@@ -89,6 +89,7 @@
   CPPUNIT_TEST(HopelessRequestIsRefusedAtOnceWithATimeToReturn);
   CPPUNIT_TEST(DrainingTargetGetsNothingMore);
   CPPUNIT_TEST(TargetWhoseAddressIsTakenIsLeftAlone);
+  CPPUNIT_TEST(TargetsKnownBeforeThePolicyAreNotAsked);
   CPPUNIT_TEST(ProbesStayWithinTheHostsShare);
   CPPUNIT_TEST(SubsetsOfManyHostsHoldEveryTargetAboutEquallyOften);
   CPPUNIT_TEST_SUITE_END();
@@ -339,8 +340,7 @@
         const SendRequest sent = ends.begin()->second;
         ends.erase(ends.begin());
         --running[sent.mTarget];
-        inTime +=
-          mNow - arrived[sent.mRequest] <= 300 * kMillisecond ? 1 : 0;
+        inTime += mNow - arrived[sent.mRequest] <= 300 * kMillisecond ? 1 : 0;
         End(sent, EndKind::Answered, 200, false);
       }
       Tick(mState, mNow, mEffects);
@@ -401,6 +401,22 @@
     CPPUNIT_ASSERT_EQUAL(Name(1), All<SendRequest>(mEffects).back().mTarget);
   }
 
+  // They were once asked for an empty path, which is no sound request.
+  void TargetsKnownBeforeThePolicyAreNotAsked()
+  {
+    mState = State();
+    mState.mBounds = { 0.2, 60, 10 * kSecond, 100 };
+    mTargets[Name(0)] = MakeTarget(Name(0));
+    SetTargets(mState, mNow, mTargets, mEffects);
+    Advance(kSecond);
+    CPPUNIT_ASSERT(All<ProbeTarget>(mEffects).empty());
+    SetPolicy(mState, mNow, MakePolicy());
+    Advance(10 * kMillisecond);
+    const auto probes = All<ProbeTarget>(mEffects);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), probes.size());
+    CPPUNIT_ASSERT_EQUAL(std::string("/health"), probes[0].mPath);
+  }
+
   void ProbesStayWithinTheHostsShare()
   {
     mState.mBounds.mProbesPerTarget = 4;
--- a/tests/soak/fleet_processes.cpp
+++ b/tests/soak/fleet_processes.cpp
@@ -68,8 +68,8 @@
   }
   std::ofstream file(aHost.mFolder + "/host.ini");
   file << "[host]\nid = host-" << aHost.mIndex << "\ndata_centre = dc-"
-       << aHost.mIndex % 3 << "\ndata_folder = "
-       << (aHost.mDisk ? aHost.mFolder + "/disk" : "")
+       << aHost.mIndex % 3
+       << "\ndata_folder = " << (aHost.mDisk ? aHost.mFolder + "/disk" : "")
        << "\n[listen]\ncallers = " << aHost.mCallers
        << "\ncalls = " << aHost.mCalls << "\nhosts = " << aHost.mPeers
        << "\nmetrics = " << ip << ":" << mBasePort + 3
@@ -94,8 +94,7 @@
     throw std::runtime_error("fork failed");
   }
   if (pid == 0) {
-    const int out =
-      ::open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0600);
+    const int out = ::open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0600);
     ::dup2(out, STDOUT_FILENO);
     ::dup2(out, STDERR_FILENO);
     ::execl(mBinary.c_str(),
--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -2,12 +2,12 @@
 #include "stand_ins.h"
 
 #include <Poco/Exception.h>
+#include <Poco/File.h>
 #include <Poco/Net/HTTPClientSession.h>
 #include <Poco/Net/HTTPRequest.h>
 #include <Poco/Net/HTTPResponse.h>
 #include <Poco/StreamCopier.h>
 #include <Poco/TemporaryFile.h>
-#include <Poco/File.h>
 
 #include <chrono>
 #include <cstdlib>
@@ -175,10 +175,10 @@
         const std::string body =
           R"({"service":"main","address":")" + address +
           R"(","data_centre":"dc-0","slots":4,"draining":)" +
-          (leaves ? "true" : "false") +
-          R"(,"sequence":)" + std::to_string(sequence) + "}";
-        const Reply reply = CallHost(
-          AnyHost(random, true), "PUT", "/targets/" + name, body, "");
+          (leaves ? "true" : "false") + R"(,"sequence":)" +
+          std::to_string(sequence) + "}";
+        const Reply reply =
+          CallHost(AnyHost(random, true), "PUT", "/targets/" + name, body, "");
         if (leaves && reply.mStatus == 200) {
           left = true;
           mLeftAt = steady_clock::now();
@@ -361,7 +361,8 @@
         mLedger.Violation("host-" + std::to_string(i) + " is not ready");
       }
     }
-    const Reply last = CallHost(AnyHost(random, true), "GET", "/policy", "", "");
+    const Reply last =
+      CallHost(AnyHost(random, true), "GET", "/policy", "", "");
     if (last.mStatus != 200) {
       mLedger.Violation("the policy cannot be read at the end");
     }
--- a/tests/soak/stand_ins.cpp
+++ b/tests/soak/stand_ins.cpp
@@ -128,11 +128,10 @@
       frontend::MakeResponse(aStatus, "text/plain", aBody);
     const int load = static_cast<int>(mWaiting.size());
     response.mFields.emplace_back("Target-Id", mName);
-    response.mFields.emplace_back(
-      "Target-Load",
-      std::to_string(std::min(load, kSlots)) + "," +
-        std::to_string(std::max(0, load - kSlots)) + "," +
-        std::to_string(kSlots) + ",100");
+    response.mFields.emplace_back("Target-Load",
+                                  std::to_string(std::min(load, kSlots)) + "," +
+                                    std::to_string(std::max(0, load - kSlots)) +
+                                    "," + std::to_string(kSlots) + ",100");
     if (!aId.empty()) {
       response.mFields.emplace_back("Request-Id", aId);
     }
