Ask all control hosts while out of touch

Change: a host whose upstream is out of touch asks all control hosts with each report and follows the first that answers in touch. Ruled out: a shorter patience (a minority's leader steps down after 1.2 s, so that its word counts until then). Measured: the new test failed before (a follower without the change 2 s after its acknowledgement) and passes; 137 unit tests.

--- a/src/fleet/following.cpp
+++ b/src/fleet/following.cpp
@@ -137,34 +137,43 @@
   SendTo(aState, aTo, std::move(message), aOut);
 }
 
+bool HasGoodUpstream(const State& aState, Micros aNow)
+{
+  const Micros goodAt = std::max(aState.mUpstreamGoodAt, aState.mUpstreamSince);
+  return !aState.mUpstream.empty() && aState.mInTouch &&
+         aNow - goodAt <= kUpstreamPatience;
+}
+
+void SetUpstream(State& aState, const std::string& aAddress, Micros aNow)
+{
+  if (aAddress != aState.mUpstream) {
+    aState.mUpstreamSequence = 0;
+    aState.mUpstreamIncarnation = 0;
+  }
+  aState.mUpstream = aAddress;
+  aState.mUpstreamSince = aNow;
+}
+
 // Hosts spread over the control hosts, so that none of them serves all.
 void ChooseUpstream(State& aState, Micros aNow, Output& aOut)
 {
   const auto& control = aState.mControlAddresses;
-  const Micros goodAt = std::max(aState.mUpstreamGoodAt, aState.mUpstreamSince);
-  const bool stays =
-    !aState.mUpstream.empty() && aNow - goodAt <= kUpstreamPatience;
-  if (control.empty() || stays) {
+  if (control.empty() || HasGoodUpstream(aState, aNow)) {
     return;
   }
+  const std::string last = aState.mUpstream;
   std::string next;
   for (std::size_t i = 0; i < control.size(); ++i) {
     next = control[++aState.mUpstreamTurn % control.size()];
-    if (next != aState.mSettings.mPeerAddress) {
+    if (next != aState.mSettings.mPeerAddress && next != last) {
       break;
     }
   }
-  if (!aState.mUpstream.empty()) {
+  if (!last.empty()) {
     aOut.mNotes.push_back(
-      { 2,
-        "event=upstream_lost upstream=" + aState.mUpstream + " next=" + next });
+      { 2, "event=upstream_lost upstream=" + last + " next=" + next });
   }
-  if (next != aState.mUpstream) {
-    aState.mUpstreamSequence = 0;
-    aState.mUpstreamIncarnation = 0;
-  }
-  aState.mUpstream = next;
-  aState.mUpstreamSince = aNow;
+  SetUpstream(aState, next, aNow);
 }
 
 wire::Follow OwnFollow(const State& aState, Micros aNow)
@@ -317,13 +326,20 @@
     return;
   }
   ChooseUpstream(aState, aNow, aOut);
-  if (aState.mUpstream.empty() ||
-      aState.mUpstream == aState.mSettings.mPeerAddress) {
-    return;
+  // Out of touch, all control hosts are asked: half of them may be cut off
+  // from the others, and the first one in touch that answers is followed.
+  std::vector<std::string> asked = { aState.mUpstream };
+  if (!aState.mInTouch) {
+    asked = aState.mControlAddresses;
+  }
+  for (const std::string& address : asked) {
+    if (address.empty() || address == aState.mSettings.mPeerAddress) {
+      continue;
+    }
+    wire::FleetMessage message;
+    *message.mutable_follow() = OwnFollow(aState, aNow);
+    SendTo(aState, address, std::move(message), aOut);
   }
-  wire::FleetMessage message;
-  *message.mutable_follow() = OwnFollow(aState, aNow);
-  SendTo(aState, aState.mUpstream, std::move(message), aOut);
 }
 
 void TakeFollow(State& aState,
@@ -375,6 +391,9 @@
   if (!IsControlMember(aState)) {
     TakeCommands(aState, aMessage, aOut);
   }
+  if (!aState.mInTouch && aMessage.in_touch()) {
+    SetUpstream(aState, aFrom, aNow);
+  }
   if (aFrom == aState.mUpstream) {
     TakeUpstreamState(aState, aNow, aMessage, aOut);
     TakeHosts(aState, aNow, aMessage, aOut);
--- a/tests/fleet_test.cpp
+++ b/tests/fleet_test.cpp
@@ -29,6 +29,7 @@
   CPPUNIT_TEST(ResentChangeIsAcknowledgedAfterRestartsAndSnapshots);
   CPPUNIT_TEST(AllKilledAtOnceAreBackWithWhatWasAcknowledged);
   CPPUNIT_TEST(StoppingHostLeavesEveryHostsListAtOnce);
+  CPPUNIT_TEST(FollowersOfAMinorityFindTheMajorityInTime);
   CPPUNIT_TEST(EveryHostKnowsAllOthersThoughMessagesAreLost);
   CPPUNIT_TEST(HostsOutOfTouchKeepCountingTheOthers);
   CPPUNIT_TEST(CommitsGoOnWhileAnyOneHostIsSlowOrGone);
@@ -311,6 +312,29 @@
     }
   }
 
+  // With one control host asked after the other it took up to four seconds.
+  void FollowersOfAMinorityFindTheMajorityInTime()
+  {
+    Begin(5, 20, 2);
+    const std::set<std::string> minority = { "10.0.0.1:1", "10.0.0.2:1" };
+    mWorld.mLose = [&](const fakes::Sent& aSent) {
+      const bool control = mWorld.Node(aSent.mFrom).mSettings.mControl &&
+                           mWorld.Node(aSent.mTo).mSettings.mControl;
+      return control &&
+             minority.count(aSent.mFrom) != minority.count(aSent.mTo);
+    };
+    CPPUNIT_ASSERT(mWorld.Until(5 * kSecond, [&] {
+      return mWorld.Commit("10.0.0.9:1", PutPolicyCommand(2, 1, "two"));
+    }));
+    mWorld.Advance(2 * kSecond);
+    for (const std::string& address : mWorld.Addresses()) {
+      if (minority.count(address) == 0) {
+        CPPUNIT_ASSERT_EQUAL_MESSAGE(
+          address, std::uint64_t(2), VersionAt(address));
+      }
+    }
+  }
+
   void EveryHostKnowsAllOthersThoughMessagesAreLost()
   {
     std::mt19937_64 random(3);
