Look at a slow request's target again before a second attempt

Change: after 1.25 times the expected time the target is asked how it is, and others with it; a second attempt starts only where it has become slower, does not answer, or is overdue at three times.

--- a/src/dispatch/asking.cpp
+++ b/src/dispatch/asking.cpp
@@ -149,4 +149,23 @@
   return patience > 0;
 }
 
+void AskRunning(State& aState,
+                Micros aNow,
+                Request& aRequest,
+                Effects& aOut)
+{
+  for (const Attempt& attempt : aRequest.mAttempts) {
+    const auto found = aState.mTargets.find(attempt.mTarget);
+    if (found == aState.mTargets.end() || found->second.mProbing ||
+        !budget::Take(aState.mProbeBudget, aNow, 1)) {
+      continue;
+    }
+    Probe(aState, aNow, found->second, aOut);
+    aRequest.mAsked.insert(attempt.mTarget);
+    aRequest.mAskedUntil =
+      std::max(aRequest.mAskedUntil, aNow + kAskPatienceMin);
+  }
+  SetTimer(aState, aRequest);
+}
+
 } // namespace geraniumpond::dispatch
--- a/src/dispatch/choosing.cpp
+++ b/src/dispatch/choosing.cpp
@@ -13,6 +13,12 @@
 /// Requests that may wait at a target are fewer than its slots: its queue
 /// knows no deadlines, and some targets never answer what overflows it.
 constexpr int kQueuePerSlot = 2;
+/// A target has become slow when its work takes this many times as long as it
+/// did at the choice.
+constexpr double kSlowedDown = 1.8;
+/// After this many times the expected time a target counts as stuck whatever
+/// it says of itself.
+constexpr Micros kOverdue = 3;
 /// A waiting request looks for a free target this many times in the time of
 /// its work: each look costs probes.
 constexpr Micros kLooksPerWork = 10;
@@ -154,6 +160,26 @@
   SetTimer(aState, aRequest);
 }
 
+// Targets change their speed while they work. One that answers and is as fast
+// as it was has a long piece of work: a second attempt would not end sooner.
+bool LooksStuck(const State& aState, const Request& aRequest, Micros aNow)
+{
+  return std::any_of(
+    aRequest.mAttempts.begin(),
+    aRequest.mAttempts.end(),
+    [&](const Attempt& aAttempt) {
+      const auto found = aState.mTargets.find(aAttempt.mTarget);
+      if (found == aState.mTargets.end() || !IsFresh(found->second, aNow)) {
+        return true;
+      }
+      const bool slower = found->second.mReport->mSlowness >
+                          kSlowedDown * std::max(1.0, aAttempt.mSlowness);
+      const bool overdue =
+        aNow - aAttempt.mSentAt > kOverdue * aAttempt.mExpected;
+      return slower || overdue;
+    });
+}
+
 void SendOut(State& aState,
              Micros aNow,
              Request& aRequest,
@@ -192,7 +218,8 @@
   const bool hedging = aRequest.mHedging;
   switch (choice.mVerdict) {
     case Verdict::Send:
-      if (hedging && !HasFreeSlot(*choice.mTarget, aNow)) {
+      if (hedging && (!HasFreeSlot(*choice.mTarget, aNow) ||
+                      !LooksStuck(aState, aRequest, aNow))) {
         StopHedging(aState, aNow, aRequest);
         return;
       }
--- a/src/dispatch/internal.h
+++ b/src/dispatch/internal.h
@@ -60,6 +60,11 @@
 /// \brief Asks targets for a request; true when any answer is waited for.
 bool Ask(State& aState, Micros aNow, Request& aRequest, Effects& aOut);
 void Probe(State& aState, Micros aNow, Target& aTarget, Effects& aOut);
+/// \brief Asks the targets that work on a request how they are.
+void AskRunning(State& aState,
+                Micros aNow,
+                Request& aRequest,
+                Effects& aOut);
 void Suspect(State& aState,
              Micros aNow,
              Target& aTarget,
--- a/src/dispatch/requests.cpp
+++ b/src/dispatch/requests.cpp
@@ -7,9 +7,9 @@
 
 namespace {
 
-/// A second attempt starts when the first has taken this many times as long as
-/// expected: one in some hundred does by chance.
-constexpr double kHedgeFactor = 2.2;
+/// After this many times the expected time a request's target is asked how it
+/// is: about one in six takes so long by chance, and asking costs little.
+constexpr double kSecondLook = 1.25;
 constexpr Micros kHedgeMin = 30 * kMillisecond;
 /// Targets that could not be reached before a request is given up.
 constexpr int kMaxUnreached = 4;
@@ -315,7 +315,7 @@
   aRequest.mHedging = false;
   const bool idempotent = policy::IsIdempotent(aRequest.mKind);
   const auto patience =
-    static_cast<Micros>(kHedgeFactor * static_cast<double>(attempt.mExpected));
+    static_cast<Micros>(kSecondLook * static_cast<double>(attempt.mExpected));
   aRequest.mHedgeAt = idempotent && aRequest.mSent < aRequest.mMaxAttempts
                         ? aNow + std::max(kHedgeMin, patience)
                         : 0;
@@ -523,6 +523,7 @@
     request.mHedgeAt = 0;
     ++aState.mCounters["hedges_considered"];
     StartWaiting(aState, aNow, request, aOut);
+    AskRunning(aState, aNow, request, aOut);
   }
   Pump(aState, aNow, service, aOut);
   const auto still = aState.mRequests.find(aRequest);
--- a/tests/dispatch_test.cpp
+++ b/tests/dispatch_test.cpp
@@ -82,6 +82,8 @@
   CPPUNIT_TEST(ClientThatLeftEndsIdempotentWorkOnly);
   CPPUNIT_TEST(DeadlinePassedIsAnsweredAtOnce);
   CPPUNIT_TEST(SlowAnswerIsRacedByASecondTargetOnlyWhereIdempotent);
+  CPPUNIT_TEST(TargetThatBecameSlowIsLeftForAnotherInTime);
+  CPPUNIT_TEST(LongWorkAtATargetAsFastAsBeforeIsNotRepeated);
   CPPUNIT_TEST(UnknownRouteAndMissingPolicyAreToldApart);
   CPPUNIT_TEST(FirstRequestThatWaitsDoesNotSetThePace);
   CPPUNIT_TEST(UrgentRequestsGoBeforeBulkWhereRoomIsShort);
@@ -278,6 +280,31 @@
     CPPUNIT_ASSERT_EQUAL(first.mAttempt, cancels[0].mAttempt);
   }
 
+  // Work is expected to take 105 ms of an objective of 300.
+  void TargetThatBecameSlowIsLeftForAnotherInTime()
+  {
+    AddTargets(5);
+    const SendRequest first = ArriveAndSend("/safe/x");
+    Advance(150 * kMillisecond);
+    AnswerProbe(first.mTarget, { 1, 0, 2, 7 });
+    AnswerProbes();
+    const auto all = All<SendRequest>(mEffects);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(2), all.size());
+    CPPUNIT_ASSERT(all[1].mTarget != first.mTarget);
+  }
+
+  void LongWorkAtATargetAsFastAsBeforeIsNotRepeated()
+  {
+    AddTargets(5);
+    const SendRequest first = ArriveAndSend("/safe/x");
+    for (int i = 0; i < 12; ++i) {
+      Advance(20 * kMillisecond);
+      AnswerProbe(first.mTarget, { 1, 0, 2, 1 });
+      AnswerProbes();
+    }
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), All<SendRequest>(mEffects).size());
+  }
+
   void UnknownRouteAndMissingPolicyAreToldApart()
   {
     Arrive("/nowhere/x");
