Ask control hosts briefly while out of touch

Change: such a report asks only whether its receiver is in touch; the first that is is followed, and sends the catalog. Measured: the test of followers of a minority passes as before; 139 unit tests.

--- a/src/dispatch/asking.cpp
+++ b/src/dispatch/asking.cpp
@@ -149,10 +149,7 @@
   return patience > 0;
 }
 
-void AskRunning(State& aState,
-                Micros aNow,
-                Request& aRequest,
-                Effects& aOut)
+void AskRunning(State& aState, Micros aNow, Request& aRequest, Effects& aOut)
 {
   for (const Attempt& attempt : aRequest.mAttempts) {
     const auto found = aState.mTargets.find(attempt.mTarget);
--- a/src/dispatch/internal.h
+++ b/src/dispatch/internal.h
@@ -61,10 +61,7 @@
 bool Ask(State& aState, Micros aNow, Request& aRequest, Effects& aOut);
 void Probe(State& aState, Micros aNow, Target& aTarget, Effects& aOut);
 /// \brief Asks the targets that work on a request how they are.
-void AskRunning(State& aState,
-                Micros aNow,
-                Request& aRequest,
-                Effects& aOut);
+void AskRunning(State& aState, Micros aNow, Request& aRequest, Effects& aOut);
 void Suspect(State& aState,
              Micros aNow,
              Target& aTarget,
--- a/src/fleet/following.cpp
+++ b/src/fleet/following.cpp
@@ -187,6 +187,38 @@
   return follow;
 }
 
+void SendFollow(State& aState,
+                Micros aNow,
+                const std::string& aAddress,
+                bool aBrief,
+                Output& aOut)
+{
+  if (aAddress.empty() || aAddress == aState.mSettings.mPeerAddress) {
+    return;
+  }
+  wire::FleetMessage message;
+  wire::Follow& follow = *message.mutable_follow();
+  follow = OwnFollow(aState, aNow);
+  follow.set_brief(aBrief);
+  SendTo(aState, aAddress, std::move(message), aOut);
+}
+
+void ReplyBriefly(State& aState,
+                  Micros aNow,
+                  const std::string& aTo,
+                  Output& aOut)
+{
+  wire::FleetMessage message;
+  wire::FollowReply& reply = *message.mutable_follow_reply();
+  reply.set_brief(true);
+  reply.set_in_touch(IsInTouch(aState, aNow));
+  reply.set_leader_address(aState.mLeaderAddress);
+  for (const std::string& address : aState.mControlAddresses) {
+    reply.add_control_addresses(address);
+  }
+  SendTo(aState, aTo, std::move(message), aOut);
+}
+
 void SendToControlHosts(State& aState, Micros aNow, Output& aOut)
 {
   wire::Follow follow = OwnFollow(aState, aNow);
@@ -326,20 +358,16 @@
     return;
   }
   ChooseUpstream(aState, aNow, aOut);
-  // Out of touch, all control hosts are asked: half of them may be cut off
-  // from the others, and the first one in touch that answers is followed.
-  std::vector<std::string> asked = { aState.mUpstream };
+  // Out of touch, all control hosts are asked whether they are in touch: half
+  // of them may be cut off from the others. The first that answers so is
+  // followed; none sends its catalog before.
   if (!aState.mInTouch) {
-    asked = aState.mControlAddresses;
-  }
-  for (const std::string& address : asked) {
-    if (address.empty() || address == aState.mSettings.mPeerAddress) {
-      continue;
+    for (const std::string& address : aState.mControlAddresses) {
+      SendFollow(aState, aNow, address, true, aOut);
     }
-    wire::FleetMessage message;
-    *message.mutable_follow() = OwnFollow(aState, aNow);
-    SendTo(aState, address, std::move(message), aOut);
+    return;
   }
+  SendFollow(aState, aNow, aState.mUpstream, false, aOut);
 }
 
 void TakeFollow(State& aState,
@@ -365,6 +393,10 @@
     aState.mFollowers.erase(aFrom);
     return;
   }
+  if (aMessage.brief()) {
+    ReplyBriefly(aState, aNow, aFrom, aOut);
+    return;
+  }
   Follower& follower = aState.mFollowers[aFrom];
   if (follower.mHost.mIncarnation != host.mIncarnation) {
     follower = Follower();
@@ -393,6 +425,13 @@
   }
   if (!aState.mInTouch && aMessage.in_touch()) {
     SetUpstream(aState, aFrom, aNow);
+    TakeUpstreamState(aState, aNow, aMessage, aOut);
+    if (aMessage.brief()) {
+      SendFollow(aState, aNow, aFrom, false, aOut);
+    }
+  }
+  if (aMessage.brief()) {
+    return;
   }
   if (aFrom == aState.mUpstream) {
     TakeUpstreamState(aState, aNow, aMessage, aOut);
