--- a/tests/fakes/fleet_world.cpp
+++ b/tests/fakes/fleet_world.cpp
@@ -59,7 +59,7 @@
   node.mAlive = true;
   fleet::Output output;
   node.mState = fleet::Open(node.mSettings, node.mDisk, mNow, Random(), output);
-  Take(aAddress, std::move(output));
+  Take(aAddress, output);
 }
 
 void FleetWorld::Found(int aDisks, int aOthers, int aToleratedLosses)
@@ -95,15 +95,15 @@
   }
 }
 
-void FleetWorld::Take(const std::string& aAddress, fleet::Output aOutput)
+void FleetWorld::Take(const std::string& aAddress, const fleet::Output& aOutput)
 {
   FleetNode& node = mNodes.at(aAddress);
   for (const consensus::Write& write : aOutput.mWrites) {
     Write(node, write);
     mSyncs.emplace(mNow + kSyncTime, std::make_pair(aAddress, write.mSequence));
   }
-  for (auto& [to, message] : aOutput.mMessages) {
-    Sent sent{ aAddress, to, std::move(message) };
+  for (const auto& [to, message] : aOutput.mMessages) {
+    Sent sent{ aAddress, to, message };
     if (mCutOff.count(aAddress) != 0 || mCutOff.count(to) != 0 ||
         (mLose && mLose(sent))) {
       continue;
@@ -129,7 +129,7 @@
       if (mNodes.at(address).mAlive) {
         fleet::Output output;
         fleet::Synced(mNodes.at(address).mState, mNow, sequence, output);
-        Take(address, std::move(output));
+        Take(address, output);
       }
     }
     while (!mQueue.empty() && mQueue.begin()->first <= mNow) {
@@ -140,14 +140,14 @@
         fleet::Output output;
         fleet::Receive(
           node->second.mState, mNow, Random(), sent.mMessage, output);
-        Take(sent.mTo, std::move(output));
+        Take(sent.mTo, output);
       }
     }
     for (auto& [address, node] : mNodes) {
       if (node.mAlive && mNow >= fleet::NextTick(node.mState)) {
         fleet::Output output;
         fleet::Tick(node.mState, mNow, Random(), output);
-        Take(address, std::move(output));
+        Take(address, output);
       }
     }
   }
@@ -171,7 +171,7 @@
   fleet::Output output;
   const std::uint64_t id = fleet::Submit(
     mNodes.at(aAddress).mState, mNow, aCommand, 850 * kMillisecond, output);
-  Take(aAddress, std::move(output));
+  Take(aAddress, output);
   return id;
 }
 
--- a/tests/fakes/fleet_world.h
+++ b/tests/fakes/fleet_world.h
@@ -77,7 +77,7 @@
   Micros mNow = kSecond;
 
 private:
-  void Take(const std::string& aAddress, fleet::Output aOutput);
+  void Take(const std::string& aAddress, const fleet::Output& aOutput);
   void Write(FleetNode& aNode, const consensus::Write& aWrite);
   std::uint64_t Random() { return mRandom(); }
 
