Serve nothing older than the group's word after a start; read large policies from the leader

A host with a link of 2.4 Mbit/s needs 1.2 s for a document of 350 KB; a reader waits for one second. Change: a voter is in touch only while it has applied what its leader had committed, a leader once an entry of its own term is committed. A policy from disk is in force after the group's word, or after a second without it. A host whose link needs more than 100 ms for the document sends its reader to the leader (307). Measured: FollowersAreToldNothingOldAfterAllHostsWereKilled failed before and passes; four tests for the gateway's reducer; 144 unit tests.

--- a/include/geraniumpond/consensus.h
+++ b/include/geraniumpond/consensus.h
@@ -109,6 +109,8 @@
   Micros mElectionAt = 0;
   Micros mHeartbeatAt = 0;
   Micros mHeardLeaderAt = 0;
+  /// What the leader had committed when it was last heard.
+  std::uint64_t mLeaderCommit = 0;
   std::set<std::string> mVotes;
   std::map<std::string, Progress> mProgress;
   std::uint64_t mRound = 0;
@@ -182,6 +184,10 @@
 /// \brief True while this member leads and a quorum has confirmed it lately.
 [[nodiscard]] bool IsLeader(const State& aState) noexcept;
 
+/// \brief True when this member has applied all that was committed when it last
+/// heard its leader; a new leader has once an entry of its own term commits.
+[[nodiscard]] bool IsCurrent(const State& aState) noexcept;
+
 /// \brief Earliest time at which Tick() has something to do.
 [[nodiscard]] Micros NextTick(const State& aState) noexcept;
 
--- a/include/geraniumpond/fleet.h
+++ b/include/geraniumpond/fleet.h
@@ -148,6 +148,8 @@
   Micros mUpstreamGoodAt = 0;
   std::size_t mUpstreamTurn = 0;
   std::string mLeaderAddress;
+  /// At a voter: when it last held all that its leader had committed.
+  Micros mCurrentAt = 0;
   bool mInTouch = false;
 
   std::uint64_t mLastSubmit = 0;
--- a/include/geraniumpond/gateway.h
+++ b/include/geraniumpond/gateway.h
@@ -30,6 +30,8 @@
   fleet::Settings mFleet;
   dispatch::Bounds mBounds;
   PolicyDecoder mDecodePolicy = nullptr;
+  /// Speed of the host's own link, in bytes a second.
+  double mLinkBytesPerSecond = 125e6;
   /// How long clients keep an answer of the directory.
   Micros mAnswerKeep = 1200 * kMillisecond;
   /// Some clients keep it this many times as long.
@@ -197,6 +199,9 @@
   Micros mMostHostsAt = 0;
   /// Draws the hosts of an answer where there are more than places.
   std::mt19937_64 mShuffle;
+  /// A policy read from disk is not in force before this time, unless the
+  /// group's word comes sooner; 0 when none is held back.
+  Micros mHoldPolicyUntil = 0;
   bool mStopping = false;
   Micros mStopAt = 0;
   bool mExited = false;
@@ -218,6 +223,10 @@
 /// \brief True while clients may be sent here.
 [[nodiscard]] bool IsReady(const State& aState) noexcept;
 
+/// \brief Peer address of the host that a reader of the policy should ask
+/// instead; empty when this host answers itself.
+[[nodiscard]] std::string PolicyReader(const State& aState, Micros aNow);
+
 /// \brief Addresses that a client of this data centre is given.
 [[nodiscard]] std::vector<std::string>
 AddressesFor(State& aState, const std::string& aDataCentre, Micros aNow);
--- a/include/geraniumpond/gateway_settings.h
+++ b/include/geraniumpond/gateway_settings.h
@@ -29,6 +29,9 @@
   bool mFounding = false;
   int mToleratedLosses = 0;
 
+  /// Speed of the host's own link, in megabits a second.
+  double mLinkMbps = 0;
+
   Micros mAnswerKeep = 0;
   Micros mStopGrace = 0;
   double mExtraRatio = 0;
--- a/src/config/gateway_settings.cpp
+++ b/src/config/gateway_settings.cpp
@@ -23,6 +23,7 @@
     { "listen", "calls", ValueType::AddressList, nullptr },
     { "listen", "hosts", ValueType::Address, nullptr },
     { "listen", "metrics", ValueType::Address, nullptr },
+    { "listen", "link_mbps", ValueType::Decimal, "1000", 0.001, 1e6 },
     { "fleet", "seeds", ValueType::AddressList, nullptr },
     { "fleet", "founding", ValueType::Boolean, "no" },
     { "fleet", "tolerated_losses", ValueType::Integer, "0", 0, 100 },
@@ -56,6 +57,7 @@
   aOut.mCallerAddress = aSection.Text("callers");
   aOut.mPeerAddress = aSection.Text("hosts");
   aOut.mMetricsAddress = aSection.Text("metrics");
+  aOut.mLinkMbps = aSection.Decimal("link_mbps");
   const std::vector<std::string> calls = aSection.List("calls");
   const std::set<std::string> unique(calls.begin(), calls.end());
   aOut.mCallAddresses.assign(unique.begin(), unique.end());
--- a/src/consensus/consensus.cpp
+++ b/src/consensus/consensus.cpp
@@ -294,6 +294,16 @@
   return aState.mRole == Role::Leader && !aState.mFailed;
 }
 
+// Until an entry of the leader's own term commits nobody knows how much of the
+// earlier log had been committed, the leader included.
+bool IsCurrent(const State& aState) noexcept
+{
+  if (aState.mFailed || TermAt(aState, aState.mCommit) != aState.mTerm) {
+    return false;
+  }
+  return aState.mRole == Role::Leader || aState.mCommit >= aState.mLeaderCommit;
+}
+
 Micros NextTick(const State& aState) noexcept
 {
   if (aState.mFailed || aState.mRole == Role::Learner) {
--- a/src/consensus/replication.cpp
+++ b/src/consensus/replication.cpp
@@ -176,6 +176,7 @@
                        Output& aOut)
 {
   const wire::AppendRequest& request = aMessage.append_request();
+  aState.mLeaderCommit = request.commit();
   const std::uint64_t prev = request.prev_index();
   const bool covered = prev <= aState.mSnapshot.index();
   if (!covered && TermAt(aState, prev) != request.prev_term()) {
--- a/src/fleet/fleet.cpp
+++ b/src/fleet/fleet.cpp
@@ -230,9 +230,11 @@
 {
   if (IsControlMember(aState) &&
       aState.mGroup.mRole != consensus::Role::Learner) {
-    return consensus::IsLeader(aState.mGroup) ||
-           (!aState.mGroup.mLeader.empty() &&
-            aNow - aState.mGroup.mHeardLeaderAt < kLeaderPatience);
+    // A voter that is behind would hand an older catalog to its followers.
+    return (consensus::IsLeader(aState.mGroup) &&
+            consensus::IsCurrent(aState.mGroup)) ||
+           (!aState.mGroup.mLeader.empty() && aState.mCurrentAt > 0 &&
+            aNow - aState.mCurrentAt < kLeaderPatience);
   }
   return aState.mInTouch &&
          aNow - aState.mUpstreamHeardAt < kUpstreamPatience + kFollowInterval;
--- a/src/fleet/group.cpp
+++ b/src/fleet/group.cpp
@@ -327,6 +327,10 @@
   }
   consensus::Output raft;
   consensus::Receive(aState.mGroup, aNow, aRandom, aMessage, raft);
+  if (aState.mGroup.mHeardLeaderAt == aNow &&
+      consensus::IsCurrent(aState.mGroup)) {
+    aState.mCurrentAt = aNow;
+  }
   Perform(aState, aNow, std::move(raft), aOut);
 }
 
--- a/src/frontend/gateway_process.cpp
+++ b/src/frontend/gateway_process.cpp
@@ -22,6 +22,8 @@
 constexpr Micros kLongestWait = 50 * kMillisecond;
 /// Deadlines handed to targets end this much before the client's.
 constexpr Micros kAnswerTrip = 2 * kMillisecond;
+constexpr double kBytesPerMegabit = 125000;
+constexpr int kTemporaryRedirect = 307;
 
 Micros SteadyNow()
 {
@@ -208,6 +210,7 @@
   settings.mBounds.mExtraWindow = mSettings.mExtraWindow;
   settings.mBounds.mProbesPerTarget = mSettings.mProbesPerTarget;
   settings.mDecodePolicy = mDialect.mDecodePolicy;
+  settings.mLinkBytesPerSecond = mSettings.mLinkMbps * kBytesPerMegabit;
   settings.mAnswerKeep = mSettings.mAnswerKeep;
   settings.mStopGrace = mSettings.mStopGrace;
   return settings;
@@ -449,7 +452,7 @@
   } else if (auto* put = std::get_if<CallPutPolicy>(&call)) {
     Post(gateway::PutPolicy{ aExchange, std::move(put->mDocument) });
   } else if (std::holds_alternative<CallReadPolicy>(call)) {
-    Post(gateway::ReadPolicy{ aExchange });
+    TakeRead(aExchange, aRequest);
   } else if (const auto* resolve = std::get_if<CallResolve>(&call)) {
     const std::vector<std::string> addresses =
       gateway::AddressesFor(mState, resolve->mDataCentre, mNow);
@@ -476,6 +479,31 @@
   }
 }
 
+// All hosts take calls at the same ports: the other host's address is its IP
+// and the port that this call came to.
+void GatewayProcess::TakeRead(std::uint64_t aExchange,
+                              const HttpRequest& aRequest)
+{
+  const std::string reader = gateway::PolicyReader(mState, mNow);
+  const std::string* host = FindField(aRequest.mFields, "Host");
+  const std::size_t port =
+    host == nullptr ? std::string::npos : host->rfind(':');
+  if (reader.empty() || port == std::string::npos) {
+    Post(gateway::ReadPolicy{ aExchange });
+    return;
+  }
+  const std::string location = "http://" + reader.substr(0, reader.rfind(':')) +
+                               host->substr(port) + aRequest.mTarget;
+  edge::WriteLog(1,
+                 "event=policy_read outcome=redirected policy=" +
+                   std::to_string(mState.mFleet.mCatalog.mVersion) +
+                   " location=" + location);
+  HttpResponse response =
+    MakeResponse(kTemporaryRedirect, "text/plain", "the leader answers\n");
+  response.mFields.emplace_back("Location", location);
+  AnswerCall(aExchange, response);
+}
+
 std::string GatewayProcess::MetricsText()
 {
   std::map<std::string, double> gauges;
--- a/src/frontend/gateway_process.h
+++ b/src/frontend/gateway_process.h
@@ -73,6 +73,7 @@
   void TakeInbox();
   void TickConnections();
   void TakeCall(std::uint64_t aExchange, const HttpRequest& aRequest);
+  void TakeRead(std::uint64_t aExchange, const HttpRequest& aRequest);
   void AnswerCall(std::uint64_t aExchange, const HttpResponse& aResponse);
   [[nodiscard]] std::string MetricsText();
   [[nodiscard]] Micros Now() const;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -18,6 +18,13 @@
 /// centre where there are enough.
 constexpr std::size_t kAddresses = 5;
 constexpr std::size_t kLocalAddresses = 2;
+/// How long a host that starts waits for the group's word before it serves by
+/// the policy on its disk: an election after all hosts were lost takes less.
+constexpr Micros kRecoveredPolicyHold = 1 * kSecond;
+/// A policy that takes longer than this to leave over the own link is read from
+/// the leader: operators wait a second for an answer, and the link also carries
+/// clients' answers, which would wait behind it.
+constexpr Micros kLongestDocumentTime = 100 * kMillisecond;
 
 constexpr std::array<const char*, 4> kEndNames = {
   "done",
@@ -72,7 +79,7 @@
 {
   State& state = aContext.mState;
   const catalog::State& catalog = state.mFleet.mCatalog;
-  if (catalog.mVersion == 0) {
+  if (catalog.mVersion == 0 || state.mHoldPolicyUntil != 0) {
     return;
   }
   Result<policy::TrafficPolicy> decoded =
@@ -178,6 +185,23 @@
   AnswerReads(aContext);
 }
 
+// The disk may hold an older policy than the group has committed. A request that
+// it knows no route for would be denied for good; one that is refused meanwhile
+// comes back.
+void ReleaseHeldPolicy(Context& aContext)
+{
+  State& state = aContext.mState;
+  const bool held = state.mHoldPolicyUntil != 0;
+  if (!held || (aContext.mNow < state.mHoldPolicyUntil &&
+                !fleet::IsInTouch(state.mFleet, aContext.mNow))) {
+    return;
+  }
+  state.mHoldPolicyUntil = 0;
+  fleet::Output output;
+  output.mPolicyChanged = true;
+  TakeFleet(aContext, std::move(output));
+}
+
 void SubmitFor(Context& aContext,
                const Operation& aOperation,
                const wire::CatalogCommand& aCommand)
@@ -434,6 +458,9 @@
   state.mFleet =
     fleet::Open(aSettings.mFleet, aRecovered, aNow, aRandom, output);
   Context context{ state, aNow, aOut };
+  if (state.mFleet.mCatalog.mVersion != 0) {
+    state.mHoldPolicyUntil = aNow + kRecoveredPolicyHold;
+  }
   TakeFleet(context, std::move(output));
   return state;
 }
@@ -443,6 +470,7 @@
   Effects effects;
   Context context{ aState, aEvent.mNow, effects };
   std::visit(Taker{ context, aEvent.mRandom }, aEvent.mBody);
+  ReleaseHeldPolicy(context);
   ContinueStop(context);
   return effects;
 }
@@ -454,6 +482,9 @@
   for (const WaitingRead& read : aState.mReads) {
     next = std::min(next, read.mGiveUpAt);
   }
+  if (aState.mHoldPolicyUntil != 0) {
+    next = std::min(next, aState.mHoldPolicyUntil);
+  }
   if (aState.mStopping) {
     next = std::min(next, LastMoment(aState));
   }
@@ -465,6 +496,20 @@
   return aState.mFleet.mReady && !aState.mStopping;
 }
 
+// Hosts with a disk answer reads themselves: their links are the fast ones, and
+// a leader that is out of reach must not take the others with it.
+std::string PolicyReader(const State& aState, Micros aNow)
+{
+  const fleet::State& fleet = aState.mFleet;
+  const double seconds = static_cast<double>(fleet.mCatalog.mDocument.size()) /
+                         std::max(1.0, aState.mSettings.mLinkBytesPerSecond);
+  const bool slow = seconds * kSecond > kLongestDocumentTime;
+  const bool elsewhere = slow && !fleet.mSettings.mControl &&
+                         fleet::IsInTouch(fleet, aNow) &&
+                         fleet.mLeaderAddress != fleet.mSettings.mPeerAddress;
+  return elsewhere ? fleet.mLeaderAddress : "";
+}
+
 // A host that has lost power costs every client that holds its address one
 // request, since a connect to it hangs: few addresses make few such clients.
 // They lie in several data centres, for a client whose own one is lost gets no
--- a/tests/fleet_test.cpp
+++ b/tests/fleet_test.cpp
@@ -28,6 +28,7 @@
   CPPUNIT_TEST(RacingChangesOnOneBaseHaveOneWinner);
   CPPUNIT_TEST(ResentChangeIsAcknowledgedAfterRestartsAndSnapshots);
   CPPUNIT_TEST(AllKilledAtOnceAreBackWithWhatWasAcknowledged);
+  CPPUNIT_TEST(FollowersAreToldNothingOldAfterAllHostsWereKilled);
   CPPUNIT_TEST(StoppingHostLeavesEveryHostsListAtOnce);
   CPPUNIT_TEST(FollowersOfAMinorityFindTheMajorityInTime);
   CPPUNIT_TEST(EveryHostKnowsAllOthersThoughMessagesAreLost);
@@ -293,6 +294,42 @@
       mWorld.Until(4 * kSecond, [&] { return VersionAt("10.0.0.7:1") == 2; }));
   }
 
+  void FollowersAreToldNothingOldAfterAllHostsWereKilled()
+  {
+    Begin(3, 6, 1);
+    // A snapshot holds the first policy, the log behind it the second one.
+    for (int target = 0; target < 230; ++target) {
+      CPPUNIT_ASSERT(mWorld.Commit(
+        "10.0.0.1:1", PutTargetCommand("t" + std::to_string(target), 1, false)));
+    }
+    CPPUNIT_ASSERT(mWorld.Commit("10.0.0.1:1", PutPolicyCommand(2, 1, "two")));
+    for (const std::string& address : mWorld.Addresses()) {
+      mWorld.Kill(address);
+    }
+    mWorld.Advance(kSecond);
+    for (const std::string& address : mWorld.Addresses()) {
+      mWorld.Start(address, false);
+    }
+    // The new leader commits nothing for a while, so that it holds no more than
+    // what its disk knew to be committed.
+    const Micros restarted = mWorld.mNow;
+    mWorld.mLose = [&](const fakes::Sent& aSent) {
+      return mWorld.mNow < restarted + 800 * kMillisecond &&
+             aSent.mMessage.has_consensus() &&
+             aSent.mMessage.consensus().append_reply().success();
+    };
+    for (int step = 0; step < 400; ++step) {
+      mWorld.Advance(10 * kMillisecond);
+      for (int host = 4; host <= 9; ++host) {
+        const std::string address = "10.0.0." + std::to_string(host) + ":1";
+        CPPUNIT_ASSERT_MESSAGE(address, VersionAt(address) != 1);
+      }
+    }
+    for (const std::string& address : mWorld.Addresses()) {
+      CPPUNIT_ASSERT_EQUAL(std::uint64_t(2), VersionAt(address));
+    }
+  }
+
   void StoppingHostLeavesEveryHostsListAtOnce()
   {
     Begin(4, 4, 1);
@@ -364,7 +401,7 @@
   {
     Begin(4, 1, 1);
     std::uint64_t version = 1;
-    for (const std::string& address :
+    for (const char* address :
          { "10.0.0.1:1", "10.0.0.2:1", "10.0.0.3:1", "10.0.0.4:1" }) {
       mWorld.mCutOff = { address };
       CPPUNIT_ASSERT(mWorld.Until(5 * kSecond, [&] {
--- /dev/null
+++ b/tests/gateway_test.cpp
@@ -0,0 +1,138 @@
+#include <geraniumpond/gateway.h>
+
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace geraniumpond::gateway {
+
+namespace {
+
+constexpr Micros kStart = 1000 * kSecond;
+constexpr const char* kSelf = "10.0.0.9:7000";
+constexpr const char* kLeader = "10.0.0.1:7000";
+
+Result<policy::TrafficPolicy> DecodeAnything(std::string_view)
+{
+  policy::TrafficPolicy decoded;
+  decoded.mVersion = 1;
+  return decoded;
+}
+
+Settings MakeSettings(double aLinkBytesPerSecond)
+{
+  Settings settings;
+  settings.mFleet.mPeerAddress = kSelf;
+  settings.mFleet.mCallerAddress = "10.0.0.9:80";
+  settings.mFleet.mSeeds = { kLeader };
+  settings.mDecodePolicy = DecodeAnything;
+  settings.mLinkBytesPerSecond = aLinkBytesPerSecond;
+  return settings;
+}
+
+catalog::State CatalogWith(std::size_t aDocumentBytes)
+{
+  catalog::State catalog;
+  wire::CatalogCommand command;
+  *command.mutable_put_policy() =
+    catalog::MakeChange(1, 0, std::string(aDocumentBytes, 'x'));
+  CPPUNIT_ASSERT(catalog::Apply(catalog, command).accepted());
+  return catalog;
+}
+
+Event FromUpstream(Micros aNow, bool aInTouch, std::size_t aDocumentBytes)
+{
+  Event event;
+  event.mNow = aNow;
+  PeerMessage message;
+  message.mMessage.set_from_address(kLeader);
+  wire::FollowReply& reply = *message.mMessage.mutable_follow_reply();
+  reply.set_in_touch(aInTouch);
+  reply.set_leader_address(kLeader);
+  reply.add_control_addresses(kLeader);
+  reply.set_snapshot(catalog::Save(CatalogWith(aDocumentBytes)));
+  reply.set_snapshot_index(5);
+  event.mBody = std::move(message);
+  return event;
+}
+
+} // namespace
+
+class GatewayTest : public CppUnit::TestFixture
+{
+  CPPUNIT_TEST_SUITE(GatewayTest);
+  CPPUNIT_TEST(LargePolicyIsReadFromTheLeaderWhereTheOwnLinkIsSlow);
+  CPPUNIT_TEST(SmallPolicyIsReadHere);
+  CPPUNIT_TEST(LargePolicyIsReadHereWhileTheLeaderIsNotKnown);
+  CPPUNIT_TEST(PolicyFromDiskWaitsForTheGroupButNotForLong);
+  CPPUNIT_TEST_SUITE_END();
+
+public:
+  void LargePolicyIsReadFromTheLeaderWhereTheOwnLinkIsSlow()
+  {
+    const State slow = Follower(kSlowLink, true, kLargeDocument);
+    CPPUNIT_ASSERT_EQUAL(std::string(kLeader), PolicyReader(slow, kStart));
+    const State fast = Follower(kFastLink, true, kLargeDocument);
+    CPPUNIT_ASSERT_EQUAL(std::string(), PolicyReader(fast, kStart));
+  }
+
+  void SmallPolicyIsReadHere()
+  {
+    const State state = Follower(kSlowLink, true, 4000);
+    CPPUNIT_ASSERT_EQUAL(std::string(), PolicyReader(state, kStart));
+  }
+
+  void LargePolicyIsReadHereWhileTheLeaderIsNotKnown()
+  {
+    const State state = Follower(kSlowLink, false, kLargeDocument);
+    CPPUNIT_ASSERT_EQUAL(std::string(), PolicyReader(state, kStart));
+  }
+
+  void PolicyFromDiskWaitsForTheGroupButNotForLong()
+  {
+    Settings settings = MakeSettings(kFastLink);
+    settings.mFleet.mControl = true;
+    settings.mFleet.mSeeds = { kSelf, kLeader, "10.0.0.2:7000" };
+    consensus::Recovered recovered;
+    recovered.mHard.set_storage(consensus::kFoundingStorage);
+    recovered.mSnapshot.set_index(5);
+    recovered.mSnapshot.set_term(1);
+    recovered.mSnapshot.set_state(catalog::Save(CatalogWith(100)));
+    *recovered.mSnapshot.mutable_membership() =
+      fleet::FoundingMembers(settings.mFleet.mSeeds);
+    Effects effects;
+    State state = Open(settings, recovered, kStart, 1, effects);
+    CPPUNIT_ASSERT(!IsReady(state));
+    CPPUNIT_ASSERT(!state.mDispatch.mPolicy);
+    Pass(state, kStart + 900 * kMillisecond);
+    CPPUNIT_ASSERT(!state.mDispatch.mPolicy);
+    Pass(state, kStart + 1000 * kMillisecond);
+    CPPUNIT_ASSERT(state.mDispatch.mPolicy);
+    CPPUNIT_ASSERT(IsReady(state));
+  }
+
+private:
+  static void Pass(State& aState, Micros aNow)
+  {
+    Event event;
+    event.mNow = aNow;
+    event.mBody = TimePassed{};
+    (void)Step(aState, event);
+  }
+
+  static constexpr std::size_t kLargeDocument = 350000;
+  /// 2.4 and 100 megabits a second.
+  static constexpr double kSlowLink = 300e3;
+  static constexpr double kFastLink = 12.5e6;
+
+  State Follower(double aLink, bool aInTouch, std::size_t aDocumentBytes)
+  {
+    Effects effects;
+    State state =
+      Open(MakeSettings(aLink), consensus::Recovered(), kStart, 1, effects);
+    (void)Step(state, FromUpstream(kStart, aInTouch, aDocumentBytes));
+    return state;
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(GatewayTest);
+
+} // namespace geraniumpond::gateway
