Tell waiting hosts at once when the control group is back

Change: a control host remembers who asked while it was out of touch and answers again when it is back; the first commit of a term is told at once. Found by it: a resend of a keyed call was refused as unknown when the record came before the news of its owner's start (NodeTest, ResendWhileTheFirstRuns..., 409 in place of 200). An owner that was never heard of is not lost; its record is waited for. Ruled out: asking more often (139 hosts to five control hosts of a quarter core). Measured: HostsOutOfTouchFollowAsSoonAsTheGroupIsBack failed before and passes; 145 unit tests.

--- a/include/geraniumpond/fleet.h
+++ b/include/geraniumpond/fleet.h
@@ -129,6 +129,9 @@
   std::uint64_t mLogBytes = 0;
 
   std::map<std::string, Follower> mFollowers;
+  /// Hosts that asked while this one was out of touch; told when it no longer
+  /// is.
+  std::set<std::string> mAskedWhileOut;
   /// All hosts by peer address, this one included.
   std::map<std::string, Host> mHosts;
   /// Numbers changes of hosts at this control host.
--- a/src/consensus/replication.cpp
+++ b/src/consensus/replication.cpp
@@ -166,6 +166,11 @@
 {
   const std::uint64_t match = QuorumMatch(aState);
   if (match > aState.mCommit && TermAt(aState, match) == aState.mTerm) {
+    // The first commit of a term tells all members how much of the log had been
+    // committed before; they serve nothing until they hear of it.
+    if (aState.mCommit < aState.mTermStart) {
+      aState.mHeartbeatAt = 0;
+    }
     CommitTo(aState, match, aOut);
     StepDownIfRemoved(aState, aOut);
   }
--- a/src/fleet/fleet.cpp
+++ b/src/fleet/fleet.cpp
@@ -135,6 +135,7 @@
     UpdateHosts(aState, aNow, aOut);
   }
   RetryPending(aState, aNow, aOut);
+  TellThoseWhoAsked(aState, aNow, aOut);
 }
 
 void Receive(State& aState,
@@ -167,6 +168,7 @@
       aOut.mNotes.push_back({ 2, "event=message_unknown from=" + from });
       break;
   }
+  TellThoseWhoAsked(aState, aNow, aOut);
 }
 
 void Synced(State& aState, Micros aNow, std::uint64_t aSequence, Output& aOut)
@@ -174,6 +176,7 @@
   consensus::Output raft;
   consensus::Synced(aState.mGroup, aSequence, raft);
   Perform(aState, aNow, std::move(raft), aOut);
+  TellThoseWhoAsked(aState, aNow, aOut);
 }
 
 void SetReady(State& aState, Micros aNow, bool aReady, Output& aOut)
--- a/src/fleet/following.cpp
+++ b/src/fleet/following.cpp
@@ -394,6 +394,9 @@
     return;
   }
   if (aMessage.brief()) {
+    if (!IsInTouch(aState, aNow)) {
+      aState.mAskedWhileOut.insert(aFrom);
+    }
     ReplyBriefly(aState, aNow, aFrom, aOut);
     return;
   }
@@ -439,6 +442,17 @@
   }
 }
 
+void TellThoseWhoAsked(State& aState, Micros aNow, Output& aOut)
+{
+  if (aState.mAskedWhileOut.empty() || !IsInTouch(aState, aNow)) {
+    return;
+  }
+  for (const std::string& address : aState.mAskedWhileOut) {
+    ReplyBriefly(aState, aNow, address, aOut);
+  }
+  aState.mAskedWhileOut.clear();
+}
+
 void PushToFollowers(State& aState, Micros aNow, Output& aOut)
 {
   for (auto it = aState.mFollowers.begin(); it != aState.mFollowers.end();) {
--- a/src/fleet/internal.h
+++ b/src/fleet/internal.h
@@ -66,6 +66,9 @@
                      Output& aOut);
 /// \brief Sends followers what was committed since their last message.
 void PushToFollowers(State& aState, Micros aNow, Output& aOut);
+/// \brief Answers hosts again that asked while this one was out of touch, once
+/// it is back: their next report may be an interval away.
+void TellThoseWhoAsked(State& aState, Micros aNow, Output& aOut);
 void UpdateHosts(State& aState, Micros aNow, Output& aOut);
 /// \brief Remembers a committed command for followers.
 void Remember(State& aState, std::uint64_t aIndex, const std::string& aCommand);
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -185,9 +185,9 @@
   AnswerReads(aContext);
 }
 
-// The disk may hold an older policy than the group has committed. A request that
-// it knows no route for would be denied for good; one that is refused meanwhile
-// comes back.
+// The disk may hold an older policy than the group has committed. A request
+// that it knows no route for would be denied for good; one that is refused
+// meanwhile comes back.
 void ReleaseHeldPolicy(Context& aContext)
 {
   State& state = aContext.mState;
--- a/src/node/keys.cpp
+++ b/src/node/keys.cpp
@@ -20,8 +20,10 @@
 {
   const wire::Fact* host = membership::Find(
     aState.mDirectory, { wire::FACT_HOST, "", aRecord.owner() });
-  return host == nullptr || host->gone() ||
-         host->incarnation() != aRecord.owner_incarnation();
+  // A claim may be committed before the news of its owner's start arrives: an
+  // owner that was never heard of is not lost, its record is waited for.
+  return host != nullptr &&
+         (host->gone() || host->incarnation() != aRecord.owner_incarnation());
 }
 
 template<class Body>
--- a/tests/fleet_test.cpp
+++ b/tests/fleet_test.cpp
@@ -29,6 +29,7 @@
   CPPUNIT_TEST(ResentChangeIsAcknowledgedAfterRestartsAndSnapshots);
   CPPUNIT_TEST(AllKilledAtOnceAreBackWithWhatWasAcknowledged);
   CPPUNIT_TEST(FollowersAreToldNothingOldAfterAllHostsWereKilled);
+  CPPUNIT_TEST(HostsOutOfTouchFollowAsSoonAsTheGroupIsBack);
   CPPUNIT_TEST(StoppingHostLeavesEveryHostsListAtOnce);
   CPPUNIT_TEST(FollowersOfAMinorityFindTheMajorityInTime);
   CPPUNIT_TEST(EveryHostKnowsAllOthersThoughMessagesAreLost);
@@ -300,7 +301,8 @@
     // A snapshot holds the first policy, the log behind it the second one.
     for (int target = 0; target < 230; ++target) {
       CPPUNIT_ASSERT(mWorld.Commit(
-        "10.0.0.1:1", PutTargetCommand("t" + std::to_string(target), 1, false)));
+        "10.0.0.1:1",
+        PutTargetCommand("t" + std::to_string(target), 1, false)));
     }
     CPPUNIT_ASSERT(mWorld.Commit("10.0.0.1:1", PutPolicyCommand(2, 1, "two")));
     for (const std::string& address : mWorld.Addresses()) {
@@ -330,6 +332,29 @@
     }
   }
 
+  void HostsOutOfTouchFollowAsSoonAsTheGroupIsBack()
+  {
+    Begin(3, 6, 1);
+    for (const std::string& address : mWorld.Addresses()) {
+      mWorld.Kill(address);
+    }
+    mWorld.Advance(kSecond);
+    for (const std::string& address : mWorld.Addresses()) {
+      mWorld.Start(address, false);
+    }
+    CPPUNIT_ASSERT(mWorld.Until(3 * kSecond, [&] {
+      const std::string leader = mWorld.Leader();
+      return !leader.empty() &&
+             IsInTouch(mWorld.Node(leader).mState, mWorld.mNow);
+    }));
+    // A few trips; reports alone would come up to 400 ms later.
+    mWorld.Advance(40 * kMillisecond);
+    for (const std::string& address : mWorld.Addresses()) {
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(
+        address, std::uint64_t(1), VersionAt(address));
+    }
+  }
+
   void StoppingHostLeavesEveryHostsListAtOnce()
   {
     Begin(4, 4, 1);
