Ask as many targets as find one with room nearly always

Change: a service's share of probes that find a target with room is smoothed; so many are asked, four to eight, that 2 % of the choices find none.

--- a/include/geraniumpond/dispatch.h
+++ b/include/geraniumpond/dispatch.h
@@ -105,6 +105,8 @@
   ExtraWindow mExtra;
   /// False once a target answered its health path without a report.
   bool mTellsLoad = true;
+  /// Smoothed share of probes that found a target with room.
+  double mRoomShare = 0.5;
   /// Smoothed time between dispatches while requests wait.
   double mDispatchInterval = 0;
   Micros mDispatchedAt = 0;
--- a/src/dispatch/asking.cpp
+++ b/src/dispatch/asking.cpp
@@ -1,6 +1,7 @@
 #include "internal.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace geraniumpond::dispatch {
 
@@ -10,6 +11,9 @@
 /// with each failure in a row.
 constexpr Micros kProbeAgainMin = 200 * kMillisecond;
 constexpr Micros kProbeAgainMax = 1600 * kMillisecond;
+/// Share of choices that may find no target with room at the first asking; a
+/// second one costs a round trip.
+constexpr double kMissed = 0.02;
 
 std::vector<Target*> Usable(State& aState,
                             const Request& aRequest,
@@ -58,8 +62,16 @@
   return all;
 }
 
+// As many as leave only kMissed of the choices without a target that has room.
+std::size_t WantedAnswers(const Service& aService)
+{
+  const double share = std::clamp(aService.mRoomShare, 0.05, 0.95);
+  const double count = std::ceil(std::log(kMissed) / std::log(1 - share));
+  return std::clamp(static_cast<std::size_t>(count), kAskMin, kAskMax);
+}
+
 // Fewer are asked as the probe budget runs low; what is known counts then.
-std::size_t AskCount(State& aState, Micros aNow)
+std::size_t AskCount(const State& aState, const Service& aService, Micros aNow)
 {
   const budget::TokenBucket& bucket = aState.mProbeBudget;
   const double gained =
@@ -67,7 +79,7 @@
   const double level =
     std::min(bucket.mBurst, bucket.mLevel + gained) / bucket.mBurst;
   if (level > 0.3) {
-    return kAsk;
+    return WantedAnswers(aService);
   }
   return level > 0.1 ? 3 : 2;
 }
@@ -128,7 +140,8 @@
     return false;
   }
   Micros patience = 0;
-  for (Target* target : Candidates(aState, aRequest, AskCount(aState, aNow))) {
+  for (Target* target :
+       Candidates(aState, aRequest, AskCount(aState, service, aNow))) {
     aRequest.mAsked.insert(target->mId);
     if (IsFresh(*target, aNow)) {
       continue;
--- a/src/dispatch/cost.cpp
+++ b/src/dispatch/cost.cpp
@@ -14,6 +14,8 @@
 constexpr double kColdFactor = 2;
 /// Targets slow each other's work down when nearly all slots are taken.
 constexpr double kCrowdedShare = 0.8;
+/// Reports of up to this slowness count as usual.
+constexpr double kUsualSlowness = 1.5;
 constexpr double kCrowdedFactor = 1.7;
 /// A failing target is ranked as many times dearer at a failure share of 1.
 constexpr double kFailureWeight = 8;
@@ -90,6 +92,13 @@
   return static_cast<Micros>(time);
 }
 
+bool TellsOfRoom(const Report& aReport) noexcept
+{
+  const int occupancy = aReport.mRunning + aReport.mWaiting;
+  return aReport.mSlowness <= kUsualSlowness &&
+         occupancy + 1 <= kCrowdedShare * aReport.mSlots;
+}
+
 double CostOf(const Target& aTarget, const Need& aNeed, Micros aNow) noexcept
 {
   double cost = static_cast<double>(ExpectedTime(aTarget, aNeed, aNow));
--- a/src/dispatch/internal.h
+++ b/src/dispatch/internal.h
@@ -5,10 +5,10 @@
 /// \brief Steps that the dispatch sources share.
 namespace geraniumpond::dispatch {
 
-/// \brief Targets asked for their load before a request is sent. A target's
-/// speed changes several times a second, and every third one may be slow:
-/// five answers leave one choice in two hundred without a good one.
-constexpr std::size_t kAsk = 8;
+/// \brief Fewest and most targets asked for their load before a request is
+/// sent; between them as many as find an idle one nearly always.
+constexpr std::size_t kAskMin = 4;
+constexpr std::size_t kAskMax = 8;
 /// \brief Rounds of asking before a request waits or takes what there is.
 constexpr int kAskRounds = 2;
 /// \brief A report this young still tells the load; a few trips between data
@@ -40,6 +40,9 @@
 [[nodiscard]] Micros ExpectedTime(const Target& aTarget,
                                   const Need& aNeed,
                                   Micros aNow) noexcept;
+/// \brief True when a report tells of a target that works as usual and would
+/// not be crowded by one more request.
+[[nodiscard]] bool TellsOfRoom(const Report& aReport) noexcept;
 /// \brief What a choice is ranked by: the expected time, made dearer for
 /// targets that fail, and for answers that cross between data centres.
 [[nodiscard]] double CostOf(const Target& aTarget,
--- a/src/dispatch/targets.cpp
+++ b/src/dispatch/targets.cpp
@@ -16,6 +16,8 @@
 constexpr double kProbeShare = 0.8;
 /// Probes that may be saved up, in seconds of the steady rate.
 constexpr double kProbeBurstSeconds = 3;
+/// Smoothing of the share of targets with room: some ten requests' probes.
+constexpr double kRoomGain = 0.02;
 /// Newcomers are met after this pause, by hosts whose subsets hold them still:
 /// while a deployment starts, subsets change with each announcement.
 constexpr Micros kMeetPause = 2 * kSecond;
@@ -256,6 +258,8 @@
     if (aEnd.mReport) {
       target.mReport = aEnd.mReport;
       target.mReportAt = aNow;
+      double& share = aState.mServices[service].mRoomShare;
+      share += kRoomGain * ((TellsOfRoom(*aEnd.mReport) ? 1 : 0) - share);
     } else {
       aState.mServices[service].mTellsLoad = false;
     }
