Refuse a request that found no room while its client can still come back

Change: a late request without room is refused at half of its time, and its last look comes in time for that.

--- a/src/dispatch/choosing.cpp
+++ b/src/dispatch/choosing.cpp
@@ -19,6 +19,10 @@
 /// 0.90, 0.59, 0.37 without this condition, 0.88, 0.60, 0.43 with two,
 /// 0.84, 0.61, 0.46 with three.
 constexpr int kRoomForLate = 2;
+/// A late request that found no room is refused while this share of its time is
+/// left: enough for its client to come back and be served elsewhere, where a
+/// refusal at the end of the time leaves nothing to do.
+constexpr double kKeptForReturn = 0.5;
 /// A late request looks for room this many times less often than others.
 constexpr Micros kLatePause = 12;
 /// A target has become slow when its work takes this many times as long as it
@@ -113,6 +117,15 @@
   return static_cast<int>(std::count_if(targets.begin(), targets.end(), has));
 }
 
+// When a request that found no room is refused.
+Micros GiveUpAt(const Request& aRequest, const Need& aNeed)
+{
+  const Micros whole = aRequest.mDeadline - aRequest.mArrivedAt;
+  const auto kept =
+    static_cast<Micros>(kKeptForReturn * static_cast<double>(whole));
+  return aRequest.mDeadline - std::max(kept, aNeed.mWork + kLookAgain);
+}
+
 // With its objective lost a request takes only room that others leave: a slot
 // that it held would make one more request late. A slow target would hold its
 // slot for many times the work.
@@ -135,10 +148,8 @@
       return { Verdict::Send, aBest };
     }
   }
-  if (left > aNeed.mWork + kLookAgain) {
-    return { Verdict::LookAgain, nullptr };
-  }
-  return { Verdict::Hopeless, nullptr };
+  const bool goesOn = aNow < GiveUpAt(aRequest, aNeed);
+  return { goesOn ? Verdict::LookAgain : Verdict::Hopeless, nullptr };
 }
 
 // A request waits for a target that meets its objective as long as one may
@@ -174,11 +185,15 @@
   aRequest.mAsked.clear();
   aRequest.mAskRound = 0;
   aRequest.mAskedUntil = 0;
-  const Micros work = NeedOf(aState, aRequest).mWork;
-  const bool late = aNow + work > aRequest.mObjectiveAt;
+  const Need need = NeedOf(aState, aRequest);
+  const bool late = aNow + need.mWork > aRequest.mObjectiveAt;
   const Micros pause =
-    std::max(kLookAgain, work / kLooksPerWork) * (late ? kLatePause : 1);
-  aRequest.mLookAgainAt = aNow + pause;
+    std::max(kLookAgain, need.mWork / kLooksPerWork) * (late ? kLatePause : 1);
+  // The last look comes in time for a refusal that leaves time to come back.
+  const Micros giveUpAt = GiveUpAt(aRequest, need);
+  aRequest.mLookAgainAt = aNow + kLookAgain < giveUpAt
+                            ? std::min(aNow + pause, giveUpAt)
+                            : aNow + pause;
   SetTimer(aState, aRequest);
 }
 
--- a/tests/dispatch_test.cpp
+++ b/tests/dispatch_test.cpp
@@ -89,6 +89,7 @@
   CPPUNIT_TEST(UrgentRequestsGoBeforeBulkWhereRoomIsShort);
   CPPUNIT_TEST(OverloadLeavesMostOfWhatFitsInTime);
   CPPUNIT_TEST(HopelessRequestIsRefusedAtOnceWithATimeToReturn);
+  CPPUNIT_TEST(RequestThatFindsNoRoomIsRefusedWithTimeToComeBack);
   CPPUNIT_TEST(DrainingTargetGetsNothingMore);
   CPPUNIT_TEST(TargetWhoseAddressIsTakenIsLeftAlone);
   CPPUNIT_TEST(TargetsKnownBeforeThePolicyAreNotAsked);
@@ -406,6 +407,31 @@
     CPPUNIT_ASSERT(replies[0].mRetryAfter > 0);
   }
 
+  void RequestThatFindsNoRoomIsRefusedWithTimeToComeBack()
+  {
+    AddTargets(3);
+    const Micros arrivedAt = mNow;
+    Arrive("/safe/x");
+    while (All<ReplyToClient>(mEffects).empty() && mNow < arrivedAt + kSecond) {
+      for (const auto& [id, record] : mTargets) {
+        if (mState.mTargets[id].mProbing) {
+          AnswerProbe(id, { 2, 2, 2, 1 });
+        }
+      }
+      Advance(kMillisecond);
+    }
+    const auto replies = All<ReplyToClient>(mEffects);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), replies.size());
+    CPPUNIT_ASSERT_EQUAL(503, replies[0].mStatus);
+    CPPUNIT_ASSERT(replies[0].mRetryAfter > 0);
+    CPPUNIT_ASSERT(All<SendRequest>(mEffects).empty());
+    // Half of the second that the route allows.
+    const Micros held = mNow - arrivedAt;
+    CPPUNIT_ASSERT_MESSAGE(std::to_string(held),
+                           held > 300 * kMillisecond &&
+                             held < 550 * kMillisecond);
+  }
+
   void DrainingTargetGetsNothingMore()
   {
     AddTargets(2);
