Let large answers take turns on a slow link

Change: answers that would take over 50 ms of the own link start only while all of them together take less than 400 ms of it; others wait at the host, and get no second attempt meanwhile. Measured: LargeAnswersTakeTurnsOnASlowLink fails where the check of the link is taken out (run so, since the code before has no such setting).

--- a/include/geraniumpond/dispatch.h
+++ b/include/geraniumpond/dispatch.h
@@ -129,6 +129,8 @@
   std::string mTarget;
   Micros mSentAt = 0;
   Micros mExpected = 0;
+  /// Bytes of its answer that count as large on the host's own link; else 0.
+  double mLargeBytes = 0;
   /// What the choice was made on, for the log.
   double mSlowness = 1;
   int mOccupancy = 0;
@@ -294,6 +296,8 @@
   Micros mExtraWindow = 10 * kSecond;
   /// Probes per target and second.
   double mProbesPerTarget = 10;
+  /// Speed of the host's own link, in bytes a second.
+  double mLinkBytesPerSecond = 125e6;
 };
 
 /// \brief Counters that the metrics address shows.
@@ -316,6 +320,8 @@
   std::set<std::pair<Micros, std::uint64_t>> mTimers;
   std::set<std::pair<Micros, std::string>> mProbeTimers;
   std::uint64_t mLastAttempt = 0;
+  /// Sum of the running attempts' mLargeBytes.
+  double mLargeBytes = 0;
   Counters mCounters;
 };
 
--- a/src/dispatch/choosing.cpp
+++ b/src/dispatch/choosing.cpp
@@ -157,6 +157,10 @@
 Choice Choose(State& aState, const Request& aRequest, Micros aNow)
 {
   const Need need = NeedOf(aState, aRequest);
+  if (!FitsLink(aState, need)) {
+    const bool goesOn = aNow < GiveUpAt(aRequest, need);
+    return { goesOn ? Verdict::LookAgain : Verdict::Hopeless, nullptr };
+  }
   const bool tells = aState.mServices[aRequest.mService].mTellsLoad;
   const bool more = tells && aRequest.mAskRound < kAskRounds;
   Target* best = Best(aState, aRequest, need, aNow, tells);
--- a/src/dispatch/cost.cpp
+++ b/src/dispatch/cost.cpp
@@ -27,6 +27,12 @@
 constexpr double kCrossingShare = 0.3;
 constexpr double kCrossingBytes = 20000;
 constexpr double kCrossingMax = 6;
+/// An answer that takes longer than this on the own link is a large one.
+constexpr Micros kSmallAnswerTime = 50 * kMillisecond;
+/// Large answers that are on their way together take no longer than this on the
+/// own link, unless one alone does: probes, policies and other answers wait
+/// behind them.
+constexpr Micros kLargeAnswersTime = 400 * kMillisecond;
 /// A trip to another data centre and back.
 constexpr Micros kCrossingTime = 3 * kMillisecond;
 
@@ -112,6 +118,22 @@
   return cost * (1 + kFailureWeight * FailureShare(aTarget, aNow));
 }
 
+double LargeBytes(const State& aState, const Need& aNeed) noexcept
+{
+  const double small = aState.mBounds.mLinkBytesPerSecond *
+                       static_cast<double>(kSmallAnswerTime) / kSecond;
+  return aNeed.mAnswerBytes > small ? aNeed.mAnswerBytes : 0;
+}
+
+bool FitsLink(const State& aState, const Need& aNeed) noexcept
+{
+  const double bytes = LargeBytes(aState, aNeed);
+  const double most = aState.mBounds.mLinkBytesPerSecond *
+                      static_cast<double>(kLargeAnswersTime) / kSecond;
+  return bytes == 0 || aState.mLargeBytes == 0 ||
+         aState.mLargeBytes + bytes <= most;
+}
+
 double FailureShare(const Target& aTarget, Micros aNow) noexcept
 {
   const double age = static_cast<double>(aNow - aTarget.mFailedAt);
--- a/src/dispatch/internal.h
+++ b/src/dispatch/internal.h
@@ -51,6 +51,13 @@
 [[nodiscard]] double FailureShare(const Target& aTarget, Micros aNow) noexcept;
 void NoteResult(Target& aTarget, bool aFailed, Micros aNow) noexcept;
 
+/// \brief Bytes of an answer that take a noticeable time on the own link; 0 for
+/// a small answer.
+[[nodiscard]] double LargeBytes(const State& aState,
+                                const Need& aNeed) noexcept;
+/// \brief False while other large answers on their way fill the own link.
+[[nodiscard]] bool FitsLink(const State& aState, const Need& aNeed) noexcept;
+
 // --- extra.cpp: the budget of arrivals beyond the first
 void CountRequest(ExtraWindow& aWindow, const Bounds& aBounds, Micros aNow);
 /// \brief Takes one extra arrival out of this host's share, if there is one.
--- a/src/dispatch/requests.cpp
+++ b/src/dispatch/requests.cpp
@@ -256,6 +256,7 @@
     if (target != aState.mTargets.end()) {
       target->second.mRunning = std::max(0, target->second.mRunning - 1);
     }
+    aState.mLargeBytes -= attempt.mLargeBytes;
     aOut.emplace_back(CancelAttempt{ aRequest.mId, attempt.mNumber });
   }
   aRequest.mAttempts.clear();
@@ -308,6 +309,8 @@
   attempt.mSlowness = aTarget.mReport ? aTarget.mReport->mSlowness : 0;
   attempt.mOccupancy = Occupancy(aTarget, aNow);
   attempt.mReportAge = aTarget.mReport ? aNow - aTarget.mReportAt : -1;
+  attempt.mLargeBytes = LargeBytes(aState, need);
+  aState.mLargeBytes += attempt.mLargeBytes;
   ++aTarget.mRunning;
   ++aTarget.mSentSince;
   ++aRequest.mSent;
@@ -442,6 +445,7 @@
   Request& request = found->second;
   const Attempt attempt = *known;
   JudgeTarget(aState, aNow, attempt, aEnd, aOut);
+  aState.mLargeBytes -= attempt.mLargeBytes;
   RemoveAttempt(request, attempt.mNumber);
   if (request.mDetached) {
     EndDetached(aState, aNow, request, aEnd, aOut);
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -452,6 +452,7 @@
   state.mDispatch.mHostId = aSettings.mFleet.mPeerAddress;
   state.mDispatch.mDataCentre = aSettings.mFleet.mDataCentre;
   state.mDispatch.mBounds = aSettings.mBounds;
+  state.mDispatch.mBounds.mLinkBytesPerSecond = aSettings.mLinkBytesPerSecond;
   state.mDispatch.mRandom = aRandom | 1;
   state.mShuffle.seed(aRandom);
   fleet::Output output;
--- a/tests/dispatch_test.cpp
+++ b/tests/dispatch_test.cpp
@@ -90,6 +90,7 @@
   CPPUNIT_TEST(OverloadLeavesMostOfWhatFitsInTime);
   CPPUNIT_TEST(HopelessRequestIsRefusedAtOnceWithATimeToReturn);
   CPPUNIT_TEST(RequestThatFindsNoRoomIsRefusedWithTimeToComeBack);
+  CPPUNIT_TEST(LargeAnswersTakeTurnsOnASlowLink);
   CPPUNIT_TEST(DrainingTargetGetsNothingMore);
   CPPUNIT_TEST(TargetWhoseAddressIsTakenIsLeftAlone);
   CPPUNIT_TEST(TargetsKnownBeforeThePolicyAreNotAsked);
@@ -432,6 +433,29 @@
                              held < 550 * kMillisecond);
   }
 
+  void LargeAnswersTakeTurnsOnASlowLink()
+  {
+    mState.mBounds.mLinkBytesPerSecond = 300e3;
+    AddTargets(4);
+    const SendRequest learnt = ArriveAndSend("/bulk/x");
+    EndWithBytes(learnt, 90000);
+    const SendRequest running = ArriveAndSend("/bulk/x");
+    // A second large one waits, a small one does not.
+    mEffects.clear();
+    Arrive("/bulk/x");
+    AnswerProbes();
+    CPPUNIT_ASSERT(All<SendRequest>(mEffects).empty());
+    const SendRequest small = ArriveAndSend("/safe/x");
+    EndWithBytes(small, 500);
+    mEffects.clear();
+    EndWithBytes(running, 90000);
+    for (int step = 0; step < 100; ++step) {
+      Advance(kMillisecond);
+      AnswerProbes();
+    }
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), All<SendRequest>(mEffects).size());
+  }
+
   void DrainingTargetGetsNothingMore()
   {
     AddTargets(2);
@@ -597,6 +621,18 @@
     TakeEnd(mState, mNow, end, mEffects);
   }
 
+  void EndWithBytes(const SendRequest& aSent, std::uint64_t aBytes)
+  {
+    Advance(50 * kMillisecond);
+    AttemptEnd end;
+    end.mRequest = aSent.mRequest;
+    end.mAttempt = aSent.mAttempt;
+    end.mKind = EndKind::Answered;
+    end.mStatus = 200;
+    end.mBytes = aBytes;
+    TakeEnd(mState, mNow, end, mEffects);
+  }
+
   void Advance(Micros aTime)
   {
     const Micros end = mNow + aTime;
