Tell followers of many commits together

Change: the first commit after a quiet time is pushed at once, others with the next push 100 ms later.

--- a/include/geraniumpond/fleet.h
+++ b/include/geraniumpond/fleet.h
@@ -129,6 +129,10 @@
   std::uint64_t mLogBytes = 0;
 
   std::map<std::string, Follower> mFollowers;
+  /// When followers were last told of commits, and when they are next; 0 for
+  /// not at all.
+  Micros mPushedAt = 0;
+  Micros mPushAt = 0;
   /// Hosts that asked while this one was out of touch; told when it no longer
   /// is.
   std::set<std::string> mAskedWhileOut;
--- a/src/fleet/fleet.cpp
+++ b/src/fleet/fleet.cpp
@@ -134,6 +134,9 @@
     SendFollows(aState, aNow, aOut);
     UpdateHosts(aState, aNow, aOut);
   }
+  if (aState.mPushAt != 0 && aNow >= aState.mPushAt) {
+    PushToFollowers(aState, aNow, aOut);
+  }
   RetryPending(aState, aNow, aOut);
   TellThoseWhoAsked(aState, aNow, aOut);
 }
@@ -249,6 +252,9 @@
   if (IsControlMember(aState)) {
     next = std::min(next, consensus::NextTick(aState.mGroup));
   }
+  if (aState.mPushAt != 0) {
+    next = std::min(next, aState.mPushAt);
+  }
   return next;
 }
 
--- a/src/fleet/following.cpp
+++ b/src/fleet/following.cpp
@@ -11,6 +11,9 @@
 constexpr std::uint64_t kRecentBytes = 2 * 1024 * 1024;
 /// A snapshot that was not taken is sent again after this time.
 constexpr Micros kSnapshotRetry = 1500 * kMillisecond;
+/// Pause between messages that tell followers of commits: a small part of the
+/// two seconds in which a change must be in force.
+constexpr Micros kPushPause = 100 * kMillisecond;
 /// Control hosts tell each other of their followers once in so many reports.
 constexpr int kFollowersEvery = 3;
 
@@ -453,8 +456,16 @@
   aState.mAskedWhileOut.clear();
 }
 
+// The first commit after a quiet time is told at once, others with the next
+// push: followers are many, and a fleet's targets announce themselves together.
 void PushToFollowers(State& aState, Micros aNow, Output& aOut)
 {
+  if (aNow < aState.mPushedAt + kPushPause) {
+    aState.mPushAt = aState.mPushedAt + kPushPause;
+    return;
+  }
+  aState.mPushedAt = aNow;
+  aState.mPushAt = 0;
   for (auto it = aState.mFollowers.begin(); it != aState.mFollowers.end();) {
     if (aNow - it->second.mHost.mHeardAt > kHostLease) {
       it = aState.mFollowers.erase(it);
--- a/tests/fleet_test.cpp
+++ b/tests/fleet_test.cpp
@@ -17,6 +17,7 @@
   CPPUNIT_TEST(SeedsAtAFirstStartFoundAGroupOfAllDisks);
   CPPUNIT_TEST(FirstPolicyWithTooFewDisksWaits);
   CPPUNIT_TEST(CommittedPolicyReachesEveryHostInTime);
+  CPPUNIT_TEST(FollowersHearOfManyCommitsTogether);
   CPPUNIT_TEST(FollowerThatMissedAPushTakesNoLaterCommandFirst);
   CPPUNIT_TEST(FollowerFarBehindTakesASnapshot);
   CPPUNIT_TEST(LeaderLostAnotherOneCommitsWithinSeconds);
@@ -82,6 +83,36 @@
     }
   }
 
+  // A fleet's targets announce themselves within seconds: a message for each to
+  // every follower kept the leader busy until it lost its lead.
+  void FollowersHearOfManyCommitsTogether()
+  {
+    Begin(3, 20, 1);
+    int pushes = 0;
+    mWorld.mLose = [&](const fakes::Sent& aSent) {
+      pushes += aSent.mMessage.has_follow_reply() &&
+                    aSent.mMessage.follow_reply().commands_size() > 0
+                  ? 1
+                  : 0;
+      return false;
+    };
+    const Micros start = mWorld.mNow;
+    for (int target = 0; target < 200; ++target) {
+      (void)mWorld.Submit(
+        "10.0.0.9:1", PutTargetCommand("t" + std::to_string(target), 1, false));
+      mWorld.Advance(5 * kMillisecond);
+    }
+    mWorld.Advance(300 * kMillisecond);
+    for (const std::string& address : mWorld.Addresses()) {
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(
+        address,
+        std::size_t(200),
+        mWorld.Node(address).mState.mCatalog.mTargets.size());
+    }
+    const auto tenths = (mWorld.mNow - start) / (100 * kMillisecond);
+    CPPUNIT_ASSERT_MESSAGE(std::to_string(pushes), pushes <= 20 * (tenths + 8));
+  }
+
   void FollowerThatMissedAPushTakesNoLaterCommandFirst()
   {
     Begin(4, 2, 1);
