Keep the followers of a lost control host in the list; log who is taken for gone

Change: a host whose teller is silent has 1.8 s more; a follower is told of with the next report, not with every third. Lines for hosts taken for gone and for changed lists.

--- a/include/geraniumpond/fleet.h
+++ b/include/geraniumpond/fleet.h
@@ -44,6 +44,8 @@
   bool mReady = false;
   bool mStopping = false;
   Micros mHeardAt = 0;
+  /// At a control host: who told of it last; itself when it reports here.
+  std::string mToldBy;
   /// Number of the change that made it as it is, at this control host.
   std::uint64_t mSequence = 0;
   bool mGone = false;
@@ -57,6 +59,8 @@
   std::uint64_t mSent = 0;
   std::uint64_t mHostsSequence = 0;
   Micros mSnapshotAt = 0;
+  /// The other control hosts have been told of it.
+  bool mTold = false;
 };
 
 /// \brief How a submitted command ended.
--- a/src/fleet/fleet.cpp
+++ b/src/fleet/fleet.cpp
@@ -56,7 +56,8 @@
 {
   const bool follows =
     !IsControlMember(aState) || aState.mGroup.mRole == consensus::Role::Learner;
-  return !aHost.mGone && (follows || aNow - aHost.mHeardAt < kHostLease);
+  return !aHost.mGone &&
+         (follows || aNow - aHost.mHeardAt < LeaseOf(aState, aHost, aNow));
 }
 
 } // namespace
--- a/src/fleet/following.cpp
+++ b/src/fleet/following.cpp
@@ -41,6 +41,7 @@
            aHost.ready(),
            aHost.stopping(),
            aNow - static_cast<Micros>(aHost.age_ms()) * kMillisecond,
+           "",
            0,
            aHost.gone() };
 }
@@ -228,9 +229,11 @@
   follow.set_votes(true);
   // Well within a host's lease; a host that stops is told of at once.
   const bool all = ++aState.mFollowTurn % kFollowersEvery == 0;
-  for (const auto& [address, follower] : aState.mFollowers) {
+  for (auto& [address, follower] : aState.mFollowers) {
     const Host& host = aState.mHosts[address];
-    if (all || host.mStopping || aNow - host.mHeardAt > kHostLease / 2) {
+    const bool overdue = aNow - host.mHeardAt > kHostLease / 2;
+    if (all || host.mStopping || overdue || !follower.mTold) {
+      follower.mTold = true;
       *follow.add_followers() = ToWire(follower.mHost, aNow);
     }
   }
@@ -328,6 +331,13 @@
     }
     aOut.mHostsChanged = true;
   }
+  if (aMessage.hosts_size() > 0) {
+    aOut.mNotes.push_back(
+      { 1,
+        "event=hosts_changed changes=" + std::to_string(aMessage.hosts_size()) +
+          " known=" + std::to_string(aState.mHosts.size()) +
+          " upstream=" + aState.mUpstream });
+  }
   for (auto& [address, host] : aState.mHosts) {
     host.mHeardAt = aNow;
   }
@@ -384,9 +394,12 @@
   }
   Host host = FromWire(aMessage.host(), aNow);
   host.mHeardAt = aNow;
+  host.mToldBy = aState.mSettings.mPeerAddress;
   MergeHost(aState, host);
   for (const wire::FleetHost& follower : aMessage.followers()) {
-    MergeHost(aState, FromWire(follower, aNow));
+    Host told = FromWire(follower, aNow);
+    told.mToldBy = aFrom;
+    MergeHost(aState, std::move(told));
   }
   // A host at a voter's address may be a new one with an empty disk: what it
   // says of itself counts.
@@ -478,6 +491,19 @@
   }
 }
 
+// The followers of a control host that fell silent need time to find another
+// one and to be told of by it; their own silence says nothing before.
+Micros LeaseOf(const State& aState, const Host& aHost, Micros aNow)
+{
+  const auto teller = aState.mHosts.find(aHost.mToldBy);
+  const bool silent = teller != aState.mHosts.end() &&
+                      teller->first != aState.mSettings.mPeerAddress &&
+                      teller->first != aHost.mPeerAddress &&
+                      (teller->second.mGone ||
+                       aNow - teller->second.mHeardAt > 2 * kFollowInterval);
+  return silent ? kHostLease + kMoveTime : kHostLease;
+}
+
 void UpdateHosts(State& aState, Micros aNow, Output& aOut)
 {
   const bool follows =
@@ -495,9 +521,13 @@
   bool stopping = false;
   const std::uint64_t before = aState.mHostsTold;
   for (auto& [address, host] : aState.mHosts) {
-    if (!host.mGone && aNow - host.mHeardAt >= kHostLease) {
+    if (!host.mGone && aNow - host.mHeardAt >= LeaseOf(aState, host, aNow)) {
       host.mGone = true;
       host.mSequence = ++aState.mHostsSequence;
+      aOut.mNotes.push_back(
+        { 2,
+          "event=host_gone host=" + address + " silent_ms=" +
+            std::to_string((aNow - host.mHeardAt) / kMillisecond) });
     }
     stopping = stopping || (host.mStopping && host.mSequence > before);
   }
--- a/src/fleet/internal.h
+++ b/src/fleet/internal.h
@@ -12,6 +12,9 @@
 /// \brief Silence after which another control host is followed: a report and
 /// its answer lost in a row.
 constexpr Micros kUpstreamPatience = 1000 * kMillisecond;
+/// \brief Time in which a host whose control host fell silent has found another
+/// one and the others know: its patience, a report, and a report on it.
+constexpr Micros kMoveTime = kUpstreamPatience + 2 * kFollowInterval;
 /// \brief A control host that has not heard its leader for this long is out of
 /// touch; an election takes up to twice as long.
 constexpr Micros kLeaderPatience = 1000 * kMillisecond;
@@ -69,6 +72,10 @@
 /// \brief Answers hosts again that asked while this one was out of touch, once
 /// it is back: their next report may be an interval away.
 void TellThoseWhoAsked(State& aState, Micros aNow, Output& aOut);
+/// \brief Silence after which a control host takes a host for gone.
+[[nodiscard]] Micros LeaseOf(const State& aState,
+                             const Host& aHost,
+                             Micros aNow);
 void UpdateHosts(State& aState, Micros aNow, Output& aOut);
 /// \brief Remembers a committed command for followers.
 void Remember(State& aState, std::uint64_t aIndex, const std::string& aCommand);
--- a/tests/fleet_test.cpp
+++ b/tests/fleet_test.cpp
@@ -35,6 +35,7 @@
   CPPUNIT_TEST(FollowersOfAMinorityFindTheMajorityInTime);
   CPPUNIT_TEST(EveryHostKnowsAllOthersThoughMessagesAreLost);
   CPPUNIT_TEST(HostsOutOfTouchKeepCountingTheOthers);
+  CPPUNIT_TEST(FollowersOfALostControlHostStayKnown);
   CPPUNIT_TEST(CommitsGoOnWhileAnyOneHostIsSlowOrGone);
   CPPUNIT_TEST_SUITE_END();
 
@@ -453,6 +454,29 @@
     }
   }
 
+  void FollowersOfALostControlHostStayKnown()
+  {
+    // At any point between the reports.
+    for (int offset = 0; offset < 8; ++offset) {
+      mWorld = FleetWorld(static_cast<std::uint64_t>(offset + 1));
+      Begin(4, 11, 1);
+      mWorld.Advance(3 * kSecond + offset * 150 * kMillisecond);
+      const std::string dead =
+        "10.0.0." + std::to_string(1 + offset % 4) + ":1";
+      mWorld.Kill(dead);
+      for (int step = 0; step < 500; ++step) {
+        mWorld.Advance(10 * kMillisecond);
+        for (const std::string& address : mWorld.Addresses()) {
+          CPPUNIT_ASSERT_MESSAGE(
+            dead + " lost, seen at " + address + " after " +
+              std::to_string(step * 10) + " ms",
+            address == dead ||
+              LiveHosts(mWorld.Node(address).mState, mWorld.mNow) >= 14);
+        }
+      }
+    }
+  }
+
   void CommitsGoOnWhileAnyOneHostIsSlowOrGone()
   {
     Begin(4, 1, 1);
