Split large sources by job

Change: attempts' ends, the list of hosts, calls beside requests, and where clients and readers are sent have sources of their own; one constant stood twice. Behaviour stays as it is.

--- a/src/dispatch/cost.cpp
+++ b/src/dispatch/cost.cpp
@@ -14,8 +14,6 @@
 constexpr double kColdFactor = 2;
 /// Targets slow each other's work down when nearly all slots are taken.
 constexpr double kCrowdedShare = 0.8;
-/// Reports of up to this slowness count as usual.
-constexpr double kUsualSlowness = 1.5;
 constexpr double kCrowdedFactor = 1.7;
 /// A failing target is ranked as many times dearer at a failure share of 1.
 constexpr double kFailureWeight = 8;
--- /dev/null
+++ b/src/dispatch/ends.cpp
@@ -0,0 +1,191 @@
+#include "internal.h"
+
+#include <algorithm>
+
+// What follows from the end of an attempt.
+namespace geraniumpond::dispatch {
+
+namespace {
+
+/// Smoothing of what is learnt of a route.
+constexpr double kWorkGain = 0.08;
+constexpr int kServerError = 500;
+constexpr int kNotSuccess = 300;
+
+Attempt* FindAttempt(Request& aRequest, std::uint64_t aNumber)
+{
+  const auto found = std::find_if(
+    aRequest.mAttempts.begin(),
+    aRequest.mAttempts.end(),
+    [&](const Attempt& aAttempt) { return aAttempt.mNumber == aNumber; });
+  return found == aRequest.mAttempts.end() ? nullptr : &*found;
+}
+
+void RemoveAttempt(Request& aRequest, std::uint64_t aNumber)
+{
+  aRequest.mAttempts.erase(std::remove_if(aRequest.mAttempts.begin(),
+                                          aRequest.mAttempts.end(),
+                                          [&](const Attempt& aAttempt) {
+                                            return aAttempt.mNumber == aNumber;
+                                          }),
+                           aRequest.mAttempts.end());
+}
+
+void TakeReport(Target& aTarget, const Report& aReport, Micros aNow)
+{
+  aTarget.mReport = aReport;
+  aTarget.mReportAt = aNow;
+}
+
+void Learn(State& aState,
+           const Request& aRequest,
+           const Attempt& aAttempt,
+           const AttemptEnd& aEnd,
+           Micros aNow)
+{
+  if (aAttempt.mSlowness > kUsualSlowness || aEnd.mStatus >= kNotSuccess) {
+    return;
+  }
+  RouteStatistics& learnt = aState.mStatistics[aRequest.mRoute];
+  const double took = static_cast<double>(aNow - aAttempt.mSentAt);
+  if (learnt.mWork <= 0) {
+    learnt.mWork = took;
+    learnt.mAnswerBytes = static_cast<double>(aEnd.mBytes);
+    return;
+  }
+  // A single straggler must not double the estimate.
+  const double bounded = std::min(took, 3 * learnt.mWork);
+  learnt.mWork += kWorkGain * (bounded - learnt.mWork);
+  learnt.mAnswerBytes +=
+    kWorkGain * (static_cast<double>(aEnd.mBytes) - learnt.mAnswerBytes);
+}
+
+void Deliver(State& aState,
+             Micros aNow,
+             Request& aRequest,
+             const Attempt& aAttempt,
+             const AttemptEnd& aEnd,
+             Effects& aOut)
+{
+  Log(aOut,
+      aEnd.mStatus < kServerError ? 1 : 2,
+      "event=answered status=" + std::to_string(aEnd.mStatus) +
+        Describe(aState, aRequest, aNow) + " target=" + aAttempt.mTarget);
+  ++aState.mCounters["answers_delivered"];
+  aOut.emplace_back(DeliverAnswer{ aRequest.mId, aAttempt.mNumber });
+  RemoveAttempt(aRequest, aAttempt.mNumber);
+  CancelAttempts(aState, aRequest, aOut);
+  Forget(aState, aRequest.mId);
+}
+
+// True when the end says for certain that the target did not run the request.
+bool DidNotRun(const AttemptEnd& aEnd)
+{
+  return aEnd.mKind == EndKind::NotSent ||
+         (aEnd.mKind == EndKind::Answered && aEnd.mNotRun);
+}
+
+void JudgeTarget(State& aState,
+                 Micros aNow,
+                 const Attempt& aAttempt,
+                 const AttemptEnd& aEnd,
+                 Effects& aOut)
+{
+  const auto found = aState.mTargets.find(aAttempt.mTarget);
+  if (found == aState.mTargets.end()) {
+    return;
+  }
+  Target& target = found->second;
+  target.mRunning = std::max(0, target.mRunning - 1);
+  if (aEnd.mReport) {
+    TakeReport(target, *aEnd.mReport, aNow);
+    target.mSentSince = 0;
+  } else {
+    target.mSentSince = std::max(0, target.mSentSince - 1);
+  }
+  if (aEnd.mMisdirected) {
+    Suspect(aState, aNow, target, "address_taken", aOut);
+    return;
+  }
+  if (aEnd.mKind == EndKind::NotSent) {
+    Suspect(aState, aNow, target, "unreachable", aOut);
+    return;
+  }
+  const bool failed = aEnd.mKind == EndKind::Broken ||
+                      (aEnd.mStatus >= kServerError && !aEnd.mNotRun);
+  NoteResult(target, failed, aNow);
+  if (!failed) {
+    target.mUnreached = 0;
+  }
+}
+
+void EndDetached(State& aState,
+                 Micros aNow,
+                 Request& aRequest,
+                 const AttemptEnd& aEnd,
+                 Effects& aOut)
+{
+  Log(aOut,
+      1,
+      "event=detached_ended status=" + std::to_string(aEnd.mStatus) +
+        Describe(aState, aRequest, aNow));
+  if (aRequest.mAttempts.empty()) {
+    Forget(aState, aRequest.mId);
+  }
+}
+
+} // namespace
+
+void TakeEnd(State& aState, Micros aNow, const AttemptEnd& aEnd, Effects& aOut)
+{
+  const auto found = aState.mRequests.find(aEnd.mRequest);
+  Attempt* known = found == aState.mRequests.end()
+                     ? nullptr
+                     : FindAttempt(found->second, aEnd.mAttempt);
+  if (known == nullptr) {
+    ++aState.mCounters["ends_unknown"];
+    return;
+  }
+  Request& request = found->second;
+  const Attempt attempt = *known;
+  JudgeTarget(aState, aNow, attempt, aEnd, aOut);
+  aState.mLargeBytes -= attempt.mLargeBytes;
+  RemoveAttempt(request, attempt.mNumber);
+  if (request.mDetached) {
+    EndDetached(aState, aNow, request, aEnd, aOut);
+    return;
+  }
+  const std::string service = request.mService;
+  if (aEnd.mKind == EndKind::NotSent) {
+    --request.mSent;
+    ++request.mUnreached;
+  }
+  if (DidNotRun(aEnd)) {
+    TryElsewhere(aState,
+                 aNow,
+                 request,
+                 aEnd.mReason.empty() ? "target_refused" : aEnd.mReason,
+                 aOut);
+  } else {
+    request.mMayHaveRun = true;
+    const bool failed =
+      aEnd.mKind == EndKind::Broken || aEnd.mStatus >= kServerError;
+    const bool again =
+      failed && policy::IsIdempotent(request.mKind) &&
+      (request.mSent < request.mMaxAttempts || !request.mAttempts.empty());
+    if (!failed || (aEnd.mKind == EndKind::Answered && !again)) {
+      Learn(aState, request, attempt, aEnd, aNow);
+      Deliver(aState, aNow, request, attempt, aEnd, aOut);
+    } else {
+      TryElsewhere(aState,
+                   aNow,
+                   request,
+                   aEnd.mKind == EndKind::Broken ? "answer_broken"
+                                                 : "target_failed",
+                   aOut);
+    }
+  }
+  Pump(aState, aNow, service, aOut);
+}
+
+} // namespace geraniumpond::dispatch
--- a/src/dispatch/internal.h
+++ b/src/dispatch/internal.h
@@ -21,6 +21,9 @@
 /// small part of the shortest work.
 constexpr Micros kLookAgain = 15 * kMillisecond;
 
+/// \brief Reports of up to this slowness tell of a target that works as usual.
+constexpr double kUsualSlowness = 1.5;
+
 // --- cost.cpp: what a choice of target comes to
 
 /// \brief What a request needs of its target.
@@ -118,6 +121,10 @@
                   Request& aRequest,
                   const std::string& aWhy,
                   Effects& aOut);
+/// \brief A request as log lines have it.
+[[nodiscard]] std::string Describe(const State& aState,
+                                   const Request& aRequest,
+                                   Micros aNow);
 void Log(Effects& aOut, int aLevel, std::string aText);
 [[nodiscard]] std::string Milliseconds(Micros aTime);
 
--- a/src/dispatch/requests.cpp
+++ b/src/dispatch/requests.cpp
@@ -13,46 +13,13 @@
 constexpr Micros kHedgeMin = 30 * kMillisecond;
 /// Targets that could not be reached before a request is given up.
 constexpr int kMaxUnreached = 4;
-/// Smoothing of what is learnt of a route.
-constexpr double kWorkGain = 0.08;
-/// Work is learnt where targets say they are about as fast as usual.
-constexpr double kUsualSlowness = 1.5;
+/// Smoothing of the pace of dispatches.
 constexpr double kIntervalGain = 0.2;
 constexpr int kUnavailable = 503;
 constexpr int kBadGateway = 502;
 constexpr int kGatewayTimeout = 504;
-constexpr int kServerError = 500;
 constexpr Micros kNoPolicyRetry = 500 * kMillisecond;
 
-Attempt* FindAttempt(Request& aRequest, std::uint64_t aNumber)
-{
-  const auto found = std::find_if(
-    aRequest.mAttempts.begin(),
-    aRequest.mAttempts.end(),
-    [&](const Attempt& aAttempt) { return aAttempt.mNumber == aNumber; });
-  return found == aRequest.mAttempts.end() ? nullptr : &*found;
-}
-
-void RemoveAttempt(Request& aRequest, std::uint64_t aNumber)
-{
-  aRequest.mAttempts.erase(std::remove_if(aRequest.mAttempts.begin(),
-                                          aRequest.mAttempts.end(),
-                                          [&](const Attempt& aAttempt) {
-                                            return aAttempt.mNumber == aNumber;
-                                          }),
-                           aRequest.mAttempts.end());
-}
-
-std::string Describe(const State& aState, const Request& aRequest, Micros aNow)
-{
-  return " request=" + aRequest.mClientRequestId + " route=" + aRequest.mRoute +
-         " service=" + aRequest.mService +
-         " sent=" + std::to_string(aRequest.mSent) +
-         " took_ms=" + Milliseconds(aNow - aRequest.mArrivedAt) +
-         " left_ms=" + Milliseconds(aRequest.mDeadline - aNow) + " policy=" +
-         std::to_string(aState.mPolicy ? aState.mPolicy->mVersion : 0);
-}
-
 std::string Describe(const Attempt& aAttempt)
 {
   char load[96];
@@ -65,53 +32,6 @@
   return " target=" + aAttempt.mTarget + load;
 }
 
-void TakeReport(Target& aTarget, const Report& aReport, Micros aNow)
-{
-  aTarget.mReport = aReport;
-  aTarget.mReportAt = aNow;
-}
-
-void Learn(State& aState,
-           const Request& aRequest,
-           const Attempt& aAttempt,
-           const AttemptEnd& aEnd,
-           Micros aNow)
-{
-  if (aAttempt.mSlowness > kUsualSlowness || aEnd.mStatus >= 300) {
-    return;
-  }
-  RouteStatistics& learnt = aState.mStatistics[aRequest.mRoute];
-  const double took = static_cast<double>(aNow - aAttempt.mSentAt);
-  if (learnt.mWork <= 0) {
-    learnt.mWork = took;
-    learnt.mAnswerBytes = static_cast<double>(aEnd.mBytes);
-    return;
-  }
-  // A single straggler must not double the estimate.
-  const double bounded = std::min(took, 3 * learnt.mWork);
-  learnt.mWork += kWorkGain * (bounded - learnt.mWork);
-  learnt.mAnswerBytes +=
-    kWorkGain * (static_cast<double>(aEnd.mBytes) - learnt.mAnswerBytes);
-}
-
-void Deliver(State& aState,
-             Micros aNow,
-             Request& aRequest,
-             const Attempt& aAttempt,
-             const AttemptEnd& aEnd,
-             Effects& aOut)
-{
-  Log(aOut,
-      aEnd.mStatus < kServerError ? 1 : 2,
-      "event=answered status=" + std::to_string(aEnd.mStatus) +
-        Describe(aState, aRequest, aNow) + " target=" + aAttempt.mTarget);
-  ++aState.mCounters["answers_delivered"];
-  aOut.emplace_back(DeliverAnswer{ aRequest.mId, aAttempt.mNumber });
-  RemoveAttempt(aRequest, aAttempt.mNumber);
-  CancelAttempts(aState, aRequest, aOut);
-  Forget(aState, aRequest.mId);
-}
-
 // The pace of dispatches tells how fast a queue moves only while there is one.
 void NoteDispatch(Service& aService, Micros aNow)
 {
@@ -125,62 +45,6 @@
   aService.mDispatchedAt = aNow;
 }
 
-// True when the end says for certain that the target did not run the request.
-bool DidNotRun(const AttemptEnd& aEnd)
-{
-  return aEnd.mKind == EndKind::NotSent ||
-         (aEnd.mKind == EndKind::Answered && aEnd.mNotRun);
-}
-
-void JudgeTarget(State& aState,
-                 Micros aNow,
-                 const Attempt& aAttempt,
-                 const AttemptEnd& aEnd,
-                 Effects& aOut)
-{
-  const auto found = aState.mTargets.find(aAttempt.mTarget);
-  if (found == aState.mTargets.end()) {
-    return;
-  }
-  Target& target = found->second;
-  target.mRunning = std::max(0, target.mRunning - 1);
-  if (aEnd.mReport) {
-    TakeReport(target, *aEnd.mReport, aNow);
-    target.mSentSince = 0;
-  } else {
-    target.mSentSince = std::max(0, target.mSentSince - 1);
-  }
-  if (aEnd.mMisdirected) {
-    Suspect(aState, aNow, target, "address_taken", aOut);
-    return;
-  }
-  if (aEnd.mKind == EndKind::NotSent) {
-    Suspect(aState, aNow, target, "unreachable", aOut);
-    return;
-  }
-  const bool failed = aEnd.mKind == EndKind::Broken ||
-                      (aEnd.mStatus >= kServerError && !aEnd.mNotRun);
-  NoteResult(target, failed, aNow);
-  if (!failed) {
-    target.mUnreached = 0;
-  }
-}
-
-void EndDetached(State& aState,
-                 Micros aNow,
-                 Request& aRequest,
-                 const AttemptEnd& aEnd,
-                 Effects& aOut)
-{
-  Log(aOut,
-      1,
-      "event=detached_ended status=" + std::to_string(aEnd.mStatus) +
-        Describe(aState, aRequest, aNow));
-  if (aRequest.mAttempts.empty()) {
-    Forget(aState, aRequest.mId);
-  }
-}
-
 void Expire(State& aState, Micros aNow, Request& aRequest, Effects& aOut)
 {
   if (aRequest.mSent == 0 ||
@@ -205,6 +69,16 @@
 
 } // namespace
 
+std::string Describe(const State& aState, const Request& aRequest, Micros aNow)
+{
+  return " request=" + aRequest.mClientRequestId + " route=" + aRequest.mRoute +
+         " service=" + aRequest.mService +
+         " sent=" + std::to_string(aRequest.mSent) +
+         " took_ms=" + Milliseconds(aNow - aRequest.mArrivedAt) +
+         " left_ms=" + Milliseconds(aRequest.mDeadline - aNow) + " policy=" +
+         std::to_string(aState.mPolicy ? aState.mPolicy->mVersion : 0);
+}
+
 std::string Milliseconds(Micros aTime)
 {
   char text[32];
@@ -432,58 +306,6 @@
   Pump(aState, aNow, added.mService, aOut);
 }
 
-void TakeEnd(State& aState, Micros aNow, const AttemptEnd& aEnd, Effects& aOut)
-{
-  const auto found = aState.mRequests.find(aEnd.mRequest);
-  Attempt* known = found == aState.mRequests.end()
-                     ? nullptr
-                     : FindAttempt(found->second, aEnd.mAttempt);
-  if (known == nullptr) {
-    ++aState.mCounters["ends_unknown"];
-    return;
-  }
-  Request& request = found->second;
-  const Attempt attempt = *known;
-  JudgeTarget(aState, aNow, attempt, aEnd, aOut);
-  aState.mLargeBytes -= attempt.mLargeBytes;
-  RemoveAttempt(request, attempt.mNumber);
-  if (request.mDetached) {
-    EndDetached(aState, aNow, request, aEnd, aOut);
-    return;
-  }
-  const std::string service = request.mService;
-  if (aEnd.mKind == EndKind::NotSent) {
-    --request.mSent;
-    ++request.mUnreached;
-  }
-  if (DidNotRun(aEnd)) {
-    TryElsewhere(aState,
-                 aNow,
-                 request,
-                 aEnd.mReason.empty() ? "target_refused" : aEnd.mReason,
-                 aOut);
-  } else {
-    request.mMayHaveRun = true;
-    const bool failed =
-      aEnd.mKind == EndKind::Broken || aEnd.mStatus >= kServerError;
-    const bool again =
-      failed && policy::IsIdempotent(request.mKind) &&
-      (request.mSent < request.mMaxAttempts || !request.mAttempts.empty());
-    if (!failed || (aEnd.mKind == EndKind::Answered && !again)) {
-      Learn(aState, request, attempt, aEnd, aNow);
-      Deliver(aState, aNow, request, attempt, aEnd, aOut);
-    } else {
-      TryElsewhere(aState,
-                   aNow,
-                   request,
-                   aEnd.mKind == EndKind::Broken ? "answer_broken"
-                                                 : "target_failed",
-                   aOut);
-    }
-  }
-  Pump(aState, aNow, service, aOut);
-}
-
 void ClientLeft(State& aState,
                 Micros aNow,
                 std::uint64_t aRequest,
--- a/src/fleet/internal.h
+++ b/src/fleet/internal.h
@@ -72,13 +72,36 @@
 /// \brief Answers hosts again that asked while this one was out of touch, once
 /// it is back: their next report may be an interval away.
 void TellThoseWhoAsked(State& aState, Micros aNow, Output& aOut);
+/// \brief Remembers a committed command for followers.
+void Remember(State& aState, std::uint64_t aIndex, const std::string& aCommand);
+
+/// \brief Tells a follower what it lacks.
+void SendReply(State& aState,
+               Micros aNow,
+               const std::string& aTo,
+               Follower& aFollower,
+               Output& aOut);
+
+// --- hosts.cpp: the list of hosts
+[[nodiscard]] wire::FleetHost ToWire(const Host& aHost, Micros aNow);
+[[nodiscard]] Host FromWire(const wire::FleetHost& aHost, Micros aNow);
+void MergeHost(State& aState, Host aHost);
+/// \brief Puts the changes that a follower has not heard of into a reply.
+void FillHosts(const State& aState,
+               Micros aNow,
+               Follower& aFollower,
+               wire::FollowReply& aReply);
+/// \brief Takes the changes that the upstream tells.
+void TakeHosts(State& aState,
+               Micros aNow,
+               const wire::FollowReply& aMessage,
+               Output& aOut);
 /// \brief Silence after which a control host takes a host for gone.
 [[nodiscard]] Micros LeaseOf(const State& aState,
                              const Host& aHost,
                              Micros aNow);
+/// \brief At a control host: notes who is gone, and tells of those that stop.
 void UpdateHosts(State& aState, Micros aNow, Output& aOut);
-/// \brief Remembers a committed command for followers.
-void Remember(State& aState, std::uint64_t aIndex, const std::string& aCommand);
 
 // --- fleet.cpp
 void SendTo(State& aState,
--- a/src/frontend/gateway_process.cpp
+++ b/src/frontend/gateway_process.cpp
@@ -23,7 +23,6 @@
 /// Deadlines handed to targets end this much before the client's.
 constexpr Micros kAnswerTrip = 2 * kMillisecond;
 constexpr double kBytesPerMegabit = 125000;
-constexpr int kTemporaryRedirect = 307;
 
 Micros SteadyNow()
 {
@@ -297,16 +296,6 @@
   mCallerServer->BeginStop();
 }
 
-template<class Body>
-void GatewayProcess::Post(Body aBody)
-{
-  gateway::Event event;
-  event.mNow = mNow;
-  event.mRandom = NextRandom();
-  event.mBody = std::move(aBody);
-  Perform(gateway::Step(mState, event));
-}
-
 void GatewayProcess::Perform(gateway::Effects aEffects)
 {
   for (gateway::Effect& effect : aEffects) {
@@ -441,86 +430,6 @@
   Post(std::move(aEnd));
 }
 
-void GatewayProcess::TakeCall(std::uint64_t aExchange,
-                              const HttpRequest& aRequest)
-{
-  Call call = mDialect.mReadCall(aRequest);
-  if (auto* announce = std::get_if<CallAnnounce>(&call)) {
-    Post(gateway::Announce{ aExchange, std::move(announce->mRecord) });
-  } else if (auto* withdraw = std::get_if<CallWithdraw>(&call)) {
-    Post(gateway::Withdraw{ aExchange, std::move(withdraw->mTarget) });
-  } else if (auto* put = std::get_if<CallPutPolicy>(&call)) {
-    Post(gateway::PutPolicy{ aExchange, std::move(put->mDocument) });
-  } else if (std::holds_alternative<CallReadPolicy>(call)) {
-    TakeRead(aExchange, aRequest);
-  } else if (const auto* resolve = std::get_if<CallResolve>(&call)) {
-    const std::vector<std::string> addresses =
-      gateway::AddressesFor(mState, resolve->mDataCentre, mNow);
-    AnswerCall(aExchange,
-               addresses.empty()
-                 ? MakeResponse(503, "text/plain", "no host is ready\n")
-                 : mDialect.mWriteAddresses(addresses, mSettings.mAnswerKeep));
-  } else if (std::holds_alternative<CallReady>(call)) {
-    const bool ready = gateway::IsReady(mState);
-    AnswerCall(aExchange,
-               MakeResponse(
-                 ready ? 200 : 503, "text/plain", ready ? "ready\n" : "not\n"));
-  } else if (std::holds_alternative<CallMetrics>(call)) {
-    AnswerCall(aExchange, MakeResponse(200, "text/plain", MetricsText()));
-  } else {
-    const auto& invalid = std::get<CallInvalid>(call);
-    edge::WriteLog(
-      2,
-      "event=call_refused status=" + std::to_string(invalid.mStatus) +
-        " reason=\"" + invalid.mReason + "\"");
-    AnswerCall(
-      aExchange,
-      MakeResponse(invalid.mStatus, "text/plain", invalid.mReason + "\n"));
-  }
-}
-
-// All hosts take calls at the same ports: the other host's address is its IP
-// and the port that this call came to.
-void GatewayProcess::TakeRead(std::uint64_t aExchange,
-                              const HttpRequest& aRequest)
-{
-  const std::string reader = gateway::PolicyReader(mState, mNow);
-  const std::string* host = FindField(aRequest.mFields, "Host");
-  const std::size_t port =
-    host == nullptr ? std::string::npos : host->rfind(':');
-  if (reader.empty() || port == std::string::npos) {
-    Post(gateway::ReadPolicy{ aExchange });
-    return;
-  }
-  const std::string location = "http://" + reader.substr(0, reader.rfind(':')) +
-                               host->substr(port) + aRequest.mTarget;
-  edge::WriteLog(1,
-                 "event=policy_read outcome=redirected policy=" +
-                   std::to_string(mState.mFleet.mCatalog.mVersion) +
-                   " location=" + location);
-  HttpResponse response =
-    MakeResponse(kTemporaryRedirect, "text/plain", "the leader answers\n");
-  response.mFields.emplace_back("Location", location);
-  AnswerCall(aExchange, response);
-}
-
-std::string GatewayProcess::MetricsText()
-{
-  std::map<std::string, double> gauges;
-  gauges["requests_running"] =
-    static_cast<double>(dispatch::RunningRequests(mState.mDispatch));
-  gauges["targets"] = static_cast<double>(mState.mDispatch.mTargets.size());
-  gauges["hosts"] = mState.mDispatch.mHosts;
-  gauges["policy_version"] =
-    static_cast<double>(mState.mFleet.mCatalog.mVersion);
-  gauges["catalog_index"] = static_cast<double>(mState.mFleet.mApplied);
-  gauges["target_connections"] = static_cast<double>(mTargets.Connections());
-  gauges["client_connections"] =
-    static_cast<double>(mCallerServer->Connections());
-  gauges["in_touch"] = fleet::IsInTouch(mState.mFleet, mNow) ? 1 : 0;
-  return mMetrics.Text(mState.mDispatch.mCounters, gauges);
-}
-
 void GatewayProcess::TakeInbox()
 {
   Inbox inbox;
--- a/src/frontend/gateway_process.h
+++ b/src/frontend/gateway_process.h
@@ -113,4 +113,14 @@
   std::unique_ptr<edge::Peers> mPeers;
 };
 
+template<class Body>
+void GatewayProcess::Post(Body aBody)
+{
+  gateway::Event event;
+  event.mNow = mNow;
+  event.mRandom = NextRandom();
+  event.mBody = std::move(aBody);
+  Perform(gateway::Step(mState, event));
+}
+
 } // namespace geraniumpond::frontend
