--- a/tests/fakes/dispatch_world.cpp
+++ b/tests/fakes/dispatch_world.cpp
@@ -83,7 +83,7 @@
   for (std::size_t host = 0; host < mHosts.size(); ++host) {
     dispatch::Effects effects;
     dispatch::SetTargets(mHosts[host], mNow, mRecords, effects);
-    Perform(host, std::move(effects));
+    Perform(host, effects);
   }
 }
 
@@ -127,7 +127,7 @@
       if (dispatch::NextTick(mHosts[host]) <= mNow) {
         dispatch::Effects effects;
         dispatch::Tick(mHosts[host], mNow, effects);
-        Perform(host, std::move(effects));
+        Perform(host, effects);
       }
     }
   }
@@ -138,7 +138,8 @@
   mQueue.emplace(mNow + aDelay, std::move(aWhat));
 }
 
-void DispatchWorld::Perform(std::size_t aHost, dispatch::Effects aEffects)
+void DispatchWorld::Perform(std::size_t aHost,
+                            const dispatch::Effects& aEffects)
 {
   for (const dispatch::Effect& effect : aEffects) {
     if (const auto* probe = std::get_if<dispatch::ProbeTarget>(&effect)) {
@@ -154,7 +155,7 @@
         end.mReport = ReportOf(mTargets.at(target));
         dispatch::Effects effects;
         dispatch::TakeProbe(mHosts[aHost], mNow, end, effects);
-        Perform(aHost, std::move(effects));
+        Perform(aHost, effects);
       });
     } else if (const auto* send = std::get_if<dispatch::SendRequest>(&effect)) {
       ++mTally.mSends;
@@ -200,7 +201,7 @@
   mClientOf[arrival.mId] = aClient;
   dispatch::Effects effects;
   dispatch::Arrive(mHosts[host], mNow, arrival, effects);
-  Perform(host, std::move(effects));
+  Perform(host, effects);
 }
 
 void DispatchWorld::EndClient(std::uint64_t aRequest,
@@ -271,7 +272,7 @@
     end.mReport = report;
     dispatch::Effects effects;
     dispatch::TakeEnd(mHosts[job.mHost], mNow, end, effects);
-    Perform(job.mHost, std::move(effects));
+    Perform(job.mHost, effects);
   });
 }
 
--- a/tests/fakes/dispatch_world.h
+++ b/tests/fakes/dispatch_world.h
@@ -94,7 +94,7 @@
   void Announce(int aCount);
   void Run(Micros aUntil);
   void Later(Micros aDelay, std::function<void()> aWhat);
-  void Perform(std::size_t aHost, dispatch::Effects aEffects);
+  void Perform(std::size_t aHost, const dispatch::Effects& aEffects);
   void StartClient();
   void SendClient(std::uint64_t aClient);
   void EndClient(std::uint64_t aRequest, int aStatus, Micros aRetryAfter);
