Stay until answers are sent when a host stops

Ruled out: the drain of kept connections, which ends only connections without unsent bytes. Change: the process says with each tick whether answers wait to be sent or a connection's end has not been taken; the host stays meanwhile, up to 0.3 s before the grace time's end. Its last line says whether any was cut.

--- a/include/geraniumpond/gateway.h
+++ b/include/geraniumpond/gateway.h
@@ -43,7 +43,10 @@
 // -------------------------------------------------------------------- events
 
 struct TimePassed
-{};
+{
+  /// Bytes of answers wait for a client or for the link.
+  bool mSending = false;
+};
 
 struct PeerMessage
 {
@@ -204,6 +207,7 @@
   Micros mHoldPolicyUntil = 0;
   bool mStopping = false;
   Micros mStopAt = 0;
+  bool mSending = false;
   bool mExited = false;
 };
 
--- a/src/frontend/gateway_process.cpp
+++ b/src/frontend/gateway_process.cpp
@@ -463,7 +463,8 @@
   mNow = Now();
   TakeInbox();
   if (mNow >= gateway::NextTick(mState) || mState.mStopping) {
-    Post(gateway::TimePassed{});
+    const bool sending = mState.mStopping && mCallerServer->Sending();
+    Post(gateway::TimePassed{ sending });
   }
   TickConnections();
   return !mExited;
--- a/src/frontend/http_server.cpp
+++ b/src/frontend/http_server.cpp
@@ -121,7 +121,10 @@
   }
 
   [[nodiscard]] std::uint64_t Id() const noexcept { return mId; }
-  [[nodiscard]] std::size_t Unsent() const { return mSocket.Unsent(); }
+  [[nodiscard]] bool Sending() const
+  {
+    return mSocket.Unsent() > 0 || mDraining;
+  }
 
 private:
   struct Pending
@@ -309,7 +312,7 @@
 {
   return std::any_of(
     mConnections.begin(), mConnections.end(), [](const auto& aEntry) {
-      return aEntry.second->Unsent() > 0;
+      return aEntry.second->Sending();
     });
 }
 
--- a/src/frontend/http_server.h
+++ b/src/frontend/http_server.h
@@ -56,7 +56,8 @@
   {
     return mConnections.size();
   }
-  /// \brief True while bytes of an answer wait to be sent.
+  /// \brief True while bytes of an answer wait to be sent, or a client has not
+  /// yet taken the end of its connection.
   [[nodiscard]] bool Sending() const;
 
   void OnReadable() override;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -14,6 +14,8 @@
 constexpr Micros kCountInterval = 500 * kMillisecond;
 /// Part of the stop's time that is left unused, for the process's own end.
 constexpr Micros kStopReserve = 800 * kMillisecond;
+/// The same while answers are still being sent: what is left then is lost.
+constexpr Micros kSendingReserve = 300 * kMillisecond;
 /// How long a host that starts waits for the group's word before it serves by
 /// the policy on its disk: an election after all hosts were lost takes less.
 constexpr Micros kRecoveredPolicyHold = 1 * kSecond;
@@ -306,7 +308,8 @@
 
 Micros LastMoment(const State& aState)
 {
-  return aState.mStopAt + aState.mSettings.mStopGrace - kStopReserve;
+  return aState.mStopAt + aState.mSettings.mStopGrace -
+         (aState.mSending ? kSendingReserve : kStopReserve);
 }
 
 void ContinueStop(Context& aContext)
@@ -315,14 +318,17 @@
   if (!state.mStopping || state.mExited) {
     return;
   }
+  // A request has ended for the reducer when its answer is handed over; a
+  // large one takes seconds on a slow link.
   const bool idle = dispatch::RunningRequests(state.mDispatch) == 0 &&
-                    state.mOperations.empty();
+                    state.mOperations.empty() && !state.mSending;
   if ((aContext.mNow >= QuietFrom(state) && idle) ||
       aContext.mNow >= LastMoment(state)) {
     state.mExited = true;
     aContext.Log(1,
                  "event=stopped requests_cut=" +
-                   std::to_string(dispatch::RunningRequests(state.mDispatch)));
+                   std::to_string(dispatch::RunningRequests(state.mDispatch)) +
+                   " answers_cut=" + (state.mSending ? "yes" : "no"));
     aContext.mOut.emplace_back(ExitProcess{});
   }
 }
@@ -375,7 +381,11 @@
   Context& mContext;
   std::uint64_t mRandom;
 
-  void operator()(const TimePassed&) { TakeTime(mContext, mRandom); }
+  void operator()(const TimePassed& aEvent)
+  {
+    mContext.mState.mSending = aEvent.mSending;
+    TakeTime(mContext, mRandom);
+  }
   void operator()(const PeerMessage& aEvent)
   {
     fleet::Output output;
--- /dev/null
+++ b/tests/gateway_stop_test.cpp
@@ -0,0 +1,218 @@
+#include "frontend/gateway_process.h"
+#include "frontend/own_dialect.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <Poco/File.h>
+#include <Poco/Net/HTTPClientSession.h>
+#include <Poco/Net/HTTPRequest.h>
+#include <Poco/Net/HTTPRequestHandler.h>
+#include <Poco/Net/HTTPRequestHandlerFactory.h>
+#include <Poco/Net/HTTPResponse.h>
+#include <Poco/Net/HTTPServer.h>
+#include <Poco/Net/HTTPServerRequest.h>
+#include <Poco/Net/HTTPServerResponse.h>
+#include <Poco/StreamCopier.h>
+#include <Poco/TemporaryFile.h>
+
+#include <atomic>
+#include <chrono>
+#include <sstream>
+#include <thread>
+
+namespace geraniumpond::frontend {
+
+namespace {
+
+namespace net = Poco::Net;
+using std::chrono::milliseconds;
+using std::chrono::steady_clock;
+
+constexpr std::size_t kAnswerBytes = 24 * 1024 * 1024;
+constexpr const char* kPolicy = "[policy]\n"
+                                "version = 1\n"
+                                "base = 0\n"
+                                "\n"
+                                "[service s]\n"
+                                "health_path = /health\n"
+                                "\n"
+                                "[route r]\n"
+                                "host = h.example\n"
+                                "prefix = /\n"
+                                "kind = download\n"
+                                "timeout = 20s\n"
+                                "objective = 10s\n"
+                                "attempts = 1\n"
+                                "backends = s:1\n";
+
+/// \brief Answers its health path, and everything else with a large body.
+class LargeAnswers : public net::HTTPRequestHandler
+{
+public:
+  void handleRequest(net::HTTPServerRequest& aRequest,
+                     net::HTTPServerResponse& aResponse) override
+  {
+    aResponse.set("Target-Id", "t1");
+    aResponse.set("Target-Load", "0,0,4,100");
+    if (aRequest.getURI() == "/health") {
+      aResponse.setContentLength(0);
+      aResponse.send();
+      return;
+    }
+    aResponse.set("Request-Id", aRequest.get("Request-Id", ""));
+    const std::string body(kAnswerBytes, 'x');
+    aResponse.sendBuffer(body.data(), body.size());
+  }
+};
+
+class LargeAnswersFactory : public net::HTTPRequestHandlerFactory
+{
+public:
+  net::HTTPRequestHandler* createRequestHandler(
+    const net::HTTPServerRequest&) override
+  {
+    return new LargeAnswers;
+  }
+};
+
+std::string FreeAddress()
+{
+  net::ServerSocket socket(net::SocketAddress("127.0.0.1", 0));
+  return socket.address().toString();
+}
+
+int CallHost(const std::string& aAddress,
+             const std::string& aMethod,
+             const std::string& aPath,
+             const std::string& aBody)
+{
+  const net::SocketAddress address(aAddress);
+  net::HTTPClientSession session(address);
+  session.setTimeout(Poco::Timespan(1, 0));
+  net::HTTPRequest request(aMethod, aPath, "HTTP/1.1");
+  request.setContentLength(static_cast<std::streamsize>(aBody.size()));
+  session.sendRequest(request) << aBody;
+  net::HTTPResponse response;
+  std::ostringstream text;
+  Poco::StreamCopier::copyStream(session.receiveResponse(response), text);
+  return response.getStatus();
+}
+
+} // namespace
+
+/// \brief A gateway host on loopback with one target, and a client that reads
+/// slowly while the host stops.
+class GatewayStopTest : public CppUnit::TestFixture
+{
+  CPPUNIT_TEST_SUITE(GatewayStopTest);
+  CPPUNIT_TEST(LargeAnswerToASlowReaderIsWholeThoughTheHostStops);
+  CPPUNIT_TEST_SUITE_END();
+
+public:
+  void setUp() override
+  {
+    mFolder = Poco::TemporaryFile::tempName();
+    Poco::File(mFolder).createDirectories();
+    mSettings.mId = "h1";
+    mSettings.mDataFolder = mFolder;
+    mSettings.mFounding = true;
+    mSettings.mCallerAddress = FreeAddress();
+    mSettings.mPeerAddress = FreeAddress();
+    mSettings.mCallAddresses = { FreeAddress() };
+    mSettings.mMetricsAddress = FreeAddress();
+    mSettings.mSeeds = { mSettings.mPeerAddress };
+    mSettings.mStopGrace = 6 * kSecond;
+    mSettings.mAnswerKeep = 100 * kMillisecond;
+    mSettings.mLinkMbps = 1000;
+    mSettings.mProbesPerTarget = 10;
+  }
+
+  void tearDown() override { Poco::File(mFolder).remove(true); }
+
+  void LargeAnswerToASlowReaderIsWholeThoughTheHostStops()
+  {
+    net::HTTPServer target(
+      new LargeAnswersFactory, net::ServerSocket(0), new net::HTTPServerParams);
+    target.start();
+    std::thread host([this] { Run(); });
+    Announce("127.0.0.1:" + std::to_string(target.port()));
+    const std::size_t taken = ReadSlowly();
+    host.join();
+    target.stopAll(true);
+    CPPUNIT_ASSERT_EQUAL(kAnswerBytes, taken);
+  }
+
+private:
+  void Run()
+  {
+    GatewayProcess process(mSettings, OwnDialect());
+    const bool started = static_cast<bool>(process.Start());
+    bool stopping = false;
+    while (started && process.RunOnce()) {
+      if (mStop && !stopping) {
+        stopping = true;
+        process.RequestStop();
+      }
+    }
+  }
+
+  // The host takes calls once its group of one has elected itself.
+  void Announce(const std::string& aTarget) const
+  {
+    const std::string& host = mSettings.mCallAddresses.front();
+    const std::string record = R"({"service":"s","address":")" + aTarget +
+                               R"(","slots":4,"sequence":1})";
+    CPPUNIT_ASSERT(Accepted(host, "/policy", kPolicy));
+    CPPUNIT_ASSERT(Accepted(host, "/targets/t1", record));
+  }
+
+  static bool Accepted(const std::string& aHost,
+                       const std::string& aPath,
+                       const std::string& aBody)
+  {
+    const auto end = steady_clock::now() + std::chrono::seconds(10);
+    while (steady_clock::now() < end) {
+      try {
+        if (CallHost(aHost, "PUT", aPath, aBody) == 200) {
+          return true;
+        }
+      } catch (const Poco::Exception&) {
+        // It does not listen yet.
+      }
+      std::this_thread::sleep_for(milliseconds(20));
+    }
+    return false;
+  }
+
+  // Reads for two seconds, so that the host would be idle long before the end.
+  std::size_t ReadSlowly()
+  {
+    const net::SocketAddress address(mSettings.mCallerAddress);
+    net::HTTPClientSession session(address);
+    net::HTTPRequest request("GET", "/large", "HTTP/1.1");
+    request.setHost("h.example");
+    request.set("Request-Id", "q1");
+    session.sendRequest(request);
+    net::HTTPResponse response;
+    std::istream& body = session.receiveResponse(response);
+    CPPUNIT_ASSERT_EQUAL(200, static_cast<int>(response.getStatus()));
+    mStop = true;
+    constexpr int kSteps = 40;
+    std::string part(kAnswerBytes / kSteps, '\0');
+    std::size_t taken = 0;
+    while (body.read(part.data(), static_cast<std::streamsize>(part.size())) ||
+           body.gcount() > 0) {
+      taken += static_cast<std::size_t>(body.gcount());
+      std::this_thread::sleep_for(milliseconds(50));
+    }
+    return taken;
+  }
+
+  std::string mFolder;
+  GatewaySettings mSettings;
+  std::atomic<bool> mStop{ false };
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(GatewayStopTest);
+
+} // namespace geraniumpond::frontend
