Know a target's incarnation by its id and its time of birth

Cause: an instance may start again under the id that it had. It then counts its announcements anew and knows nothing of a drain; records, drains and connections were known by id alone, so that it stayed out for good, or was taken for the earlier one. Ruled out: the address as a part of the identity, which may be the same. Change: catalog records and removals carry the time of birth; a later birth replaces, a late word of an earlier one changes nothing. Inside a host one incarnation is one target: connections, failures, warm-up and requests in flight end with it, and what cannot be repeated is not. Requests still name the target's own id. Heartbeats are read with strict types: a missing or mistyped field, an unknown state, a time of birth that is no whole number names no target (400, counted and logged). An incarnation that would change its service or address, and targets of services that no policy names, are left alone; a removal without a birth does not end an incarnation that tells its own. Where the field is not said the id stays the identity.

--- a/include/geraniumpond/catalog.h
+++ b/include/geraniumpond/catalog.h
@@ -30,7 +30,9 @@
   std::string mDocument;
   std::deque<wire::AcceptedChange> mAccepted;
   std::map<std::string, wire::TargetRecord> mTargets;
-  std::set<std::string> mRemoved;
+  /// Time of birth of the last incarnation that was removed, by id.
+  std::map<std::string, std::uint64_t> mRemoved;
+  /// The ids of mRemoved, first removed first.
   std::deque<std::string> mRemovedOrder;
 };
 
@@ -46,6 +48,11 @@
 [[nodiscard]] wire::CatalogOutcome Apply(State& aState,
                                          const wire::CatalogCommand& aCommand);
 
+/// \brief True when an incarnation or a later one of its id has been removed.
+[[nodiscard]] bool IsRemoved(const State& aState,
+                             const std::string& aId,
+                             std::uint64_t aBornMs);
+
 /// \brief True when a target's announcement would change the state.
 [[nodiscard]] bool IsNews(const State& aState,
                           const wire::TargetRecord& aRecord);
--- a/include/geraniumpond/dispatch.h
+++ b/include/geraniumpond/dispatch.h
@@ -38,7 +38,10 @@
 /// \brief One target as this host sees it.
 struct Target
 {
+  /// One incarnation: nothing that was known of an earlier one counts.
   std::string mId;
+  /// The id that it announced, by which requests name it.
+  std::string mName;
   std::string mService;
   std::string mAddress;
   std::string mDataCentre;
@@ -187,6 +190,8 @@
   std::uint64_t mRequest = 0;
   std::uint64_t mAttempt = 0;
   std::string mTarget;
+  /// The id by which the target knows itself.
+  std::string mTargetName;
   std::string mAddress;
   /// Until when the target may work on it.
   Micros mDeadline = 0;
--- a/include/geraniumpond/gateway.h
+++ b/include/geraniumpond/gateway.h
@@ -74,7 +74,7 @@
 struct Withdraw
 {
   std::uint64_t mOperation = 0;
-  std::string mTarget;
+  wire::RemoveTarget mRemoval;
 };
 
 struct PutPolicy
--- a/src/catalog/catalog.cpp
+++ b/src/catalog/catalog.cpp
@@ -85,31 +85,54 @@
     return OutcomeOf(aState, true, "known");
   }
   wire::TargetRecord& known = aState.mTargets[aRecord.id()];
-  // An incarnation that has begun to leave never comes back.
-  const bool draining = known.draining() || aRecord.draining();
+  // An incarnation that has begun to leave never comes back; a later one under
+  // its id knows nothing of that.
+  const bool same = known.born_ms() == aRecord.born_ms();
+  const bool draining = (same && known.draining()) || aRecord.draining();
   known = aRecord;
   known.set_draining(draining);
   return OutcomeOf(aState, true, "noted");
 }
 
-wire::CatalogOutcome ApplyRemoval(State& aState, const std::string& aId)
+void NoteRemoved(State& aState, const std::string& aId, std::uint64_t aBornMs)
 {
-  aState.mTargets.erase(aId);
-  if (aState.mRemoved.insert(aId).second) {
+  const auto [entry, added] = aState.mRemoved.emplace(aId, aBornMs);
+  entry->second = std::max(entry->second, aBornMs);
+  if (added) {
     aState.mRemovedOrder.push_back(aId);
   }
   if (aState.mRemovedOrder.size() > kRemovedTargets) {
     aState.mRemoved.erase(aState.mRemovedOrder.front());
     aState.mRemovedOrder.pop_front();
   }
-  return OutcomeOf(aState, true, "removed");
+}
+
+wire::CatalogOutcome ApplyRemoval(State& aState,
+                                  const wire::RemoveTarget& aRemoval)
+{
+  const auto found = aState.mTargets.find(aRemoval.id());
+  const bool later = found != aState.mTargets.end() &&
+                     found->second.born_ms() > aRemoval.born_ms();
+  if (found != aState.mTargets.end() && !later) {
+    aState.mTargets.erase(found);
+  }
+  NoteRemoved(aState, aRemoval.id(), aRemoval.born_ms());
+  return OutcomeOf(aState, true, later ? "a later one stays" : "removed");
 }
 
 } // namespace
 
+bool IsRemoved(const State& aState,
+               const std::string& aId,
+               std::uint64_t aBornMs)
+{
+  const auto found = aState.mRemoved.find(aId);
+  return found != aState.mRemoved.end() && aBornMs <= found->second;
+}
+
 bool IsNews(const State& aState, const wire::TargetRecord& aRecord)
 {
-  if (aState.mRemoved.count(aRecord.id()) != 0) {
+  if (IsRemoved(aState, aRecord.id(), aRecord.born_ms())) {
     return false;
   }
   const auto found = aState.mTargets.find(aRecord.id());
@@ -117,14 +140,20 @@
     return true;
   }
   const wire::TargetRecord& known = found->second;
+  // A later incarnation counts its announcements anew.
+  if (aRecord.born_ms() != known.born_ms()) {
+    return aRecord.born_ms() > known.born_ms();
+  }
   if (aRecord.sequence() <= known.sequence()) {
     return false;
   }
-  return (aRecord.draining() && !known.draining()) ||
-         aRecord.address() != known.address() ||
-         aRecord.service() != known.service() ||
-         aRecord.slots() != known.slots() ||
-         aRecord.data_centre() != known.data_centre();
+  // An incarnation stays where it is and what it is: who says otherwise is
+  // another writer.
+  const bool same = aRecord.address() == known.address() &&
+                    aRecord.service() == known.service();
+  return same && ((aRecord.draining() && !known.draining()) ||
+                  aRecord.slots() != known.slots() ||
+                  aRecord.data_centre() != known.data_centre());
 }
 
 wire::PutPolicy MakeChange(std::uint64_t aVersion,
@@ -168,7 +197,7 @@
     case wire::CatalogCommand::kPutTarget:
       return ApplyTarget(aState, aCommand.put_target());
     case wire::CatalogCommand::kRemoveTarget:
-      return ApplyRemoval(aState, aCommand.remove_target().id());
+      return ApplyRemoval(aState, aCommand.remove_target());
     case wire::CatalogCommand::kReadBarrier:
       return OutcomeOf(aState, true, "read");
     case wire::CatalogCommand::BODY_NOT_SET:
@@ -190,7 +219,9 @@
     *snapshot.add_targets() = record;
   }
   for (const std::string& id : aState.mRemovedOrder) {
-    snapshot.add_removed_targets(id);
+    wire::RemoveTarget& removed = *snapshot.add_removed();
+    removed.set_id(id);
+    removed.set_born_ms(aState.mRemoved.at(id));
   }
   return snapshot.SerializeAsString();
 }
@@ -217,8 +248,10 @@
     state.mTargets[record.id()] = record;
   }
   for (const std::string& id : snapshot.removed_targets()) {
-    state.mRemoved.insert(id);
-    state.mRemovedOrder.push_back(id);
+    NoteRemoved(state, id, 0);
+  }
+  for (const wire::RemoveTarget& removed : snapshot.removed()) {
+    NoteRemoved(state, removed.id(), removed.born_ms());
   }
   return state;
 }
--- a/src/dispatch/requests.cpp
+++ b/src/dispatch/requests.cpp
@@ -203,6 +203,7 @@
   aOut.emplace_back(SendRequest{ aRequest.mId,
                                  attempt.mNumber,
                                  aTarget.mId,
+                                 aTarget.mName,
                                  aTarget.mAddress,
                                  aRequest.mDeadline,
                                  !idempotent });
--- a/src/dispatch/targets.cpp
+++ b/src/dispatch/targets.cpp
@@ -86,14 +86,25 @@
   aState.mTargets.erase(aId);
 }
 
+// An id may be used again by a later start; without a time of birth the id is
+// the incarnation.
+std::string IncarnationOf(const wire::TargetRecord& aRecord)
+{
+  return aRecord.born_ms() == 0
+           ? aRecord.id()
+           : aRecord.id() + "/" + std::to_string(aRecord.born_ms());
+}
+
 void AddTarget(State& aState,
                Micros aNow,
                const wire::TargetRecord& aRecord,
                bool aBulk,
                Effects& aOut)
 {
-  Target& target = aState.mTargets[aRecord.id()];
-  target.mId = aRecord.id();
+  const std::string id = IncarnationOf(aRecord);
+  Target& target = aState.mTargets[id];
+  target.mId = id;
+  target.mName = aRecord.id();
   target.mService = aRecord.service();
   target.mAddress = aRecord.address();
   target.mDataCentre = aRecord.data_centre();
@@ -113,8 +124,9 @@
 // load; targets outside of the subset are met when they are needed.
 void ProbeNewcomers(State& aState, Micros aNow, const Service& aService)
 {
-  // Without a policy nothing is known of a service, its health path neither.
-  if (!aState.mPolicy) {
+  // Nothing is known of a service that no policy names, its health path
+  // neither.
+  if (!aState.mPolicy || aState.mPolicy->mServices.count(aService.mName) == 0) {
     return;
   }
   for (const std::string& id : aService.mSubset) {
@@ -195,8 +207,9 @@
 {
   std::vector<std::string> gone;
   for (const auto& [id, target] : aState.mTargets) {
-    const auto found = aTargets.find(id);
-    if (found == aTargets.end() || found->second.draining() ||
+    const auto found = aTargets.find(target.mName);
+    if (found == aTargets.end() || IncarnationOf(found->second) != id ||
+        found->second.draining() ||
         found->second.address() != target.mAddress ||
         found->second.service() != target.mService) {
       gone.push_back(id);
@@ -207,7 +220,8 @@
   }
   std::vector<const wire::TargetRecord*> fresh;
   for (const auto& [id, record] : aTargets) {
-    if (!record.draining() && aState.mTargets.count(id) == 0) {
+    if (!record.draining() &&
+        aState.mTargets.count(IncarnationOf(record)) == 0) {
       fresh.push_back(&record);
     }
   }
@@ -245,7 +259,7 @@
   const std::string service = target.mService;
   target.mProbing = false;
   const bool other =
-    !aEnd.mAnsweredBy.empty() && aEnd.mAnsweredBy != target.mId;
+    !aEnd.mAnsweredBy.empty() && aEnd.mAnsweredBy != target.mName;
   if (!aEnd.mAnswered) {
     Suspect(aState, aNow, target, "probe_unanswered", aOut);
   } else if (other) {
--- a/src/frontend/dialect.h
+++ b/src/frontend/dialect.h
@@ -37,7 +37,7 @@
 };
 struct CallWithdraw
 {
-  std::string mTarget;
+  wire::RemoveTarget mRemoval;
 };
 struct CallPutPolicy
 {
--- a/src/frontend/gateway_calls.cpp
+++ b/src/frontend/gateway_calls.cpp
@@ -18,7 +18,7 @@
   if (auto* announce = std::get_if<CallAnnounce>(&call)) {
     Post(gateway::Announce{ aExchange, std::move(announce->mRecord) });
   } else if (auto* withdraw = std::get_if<CallWithdraw>(&call)) {
-    Post(gateway::Withdraw{ aExchange, std::move(withdraw->mTarget) });
+    Post(gateway::Withdraw{ aExchange, std::move(withdraw->mRemoval) });
   } else if (auto* put = std::get_if<CallPutPolicy>(&call)) {
     Post(gateway::PutPolicy{ aExchange, std::move(put->mDocument) });
   } else if (std::holds_alternative<CallReadPolicy>(call)) {
@@ -39,6 +39,7 @@
     AnswerCall(aExchange, MakeResponse(200, "text/plain", MetricsText()));
   } else {
     const auto& invalid = std::get<CallInvalid>(call);
+    ++mState.mDispatch.mCounters["calls_refused"];
     edge::WriteLog(
       2,
       "event=call_refused status=" + std::to_string(invalid.mStatus) +
--- a/src/frontend/gateway_process.cpp
+++ b/src/frontend/gateway_process.cpp
@@ -334,7 +334,7 @@
   shipment.mAddress = aEffect.mAddress;
   shipment.mBytes = RequestBytes(request,
                                  mDialect.mNames,
-                                 aEffect.mTarget,
+                                 aEffect.mTargetName,
                                  aEffect.mDeadline - mNow - kAnswerTrip);
   shipment.mRequestId = id == nullptr ? "" : *id;
   shipment.mHeadOnly = request.mMethod == "HEAD";
--- a/src/frontend/own_dialect.cpp
+++ b/src/frontend/own_dialect.cpp
@@ -37,16 +37,30 @@
   record.set_draining(body->optValue<bool>("draining", false));
   record.set_sequence(body->getValue<Poco::UInt64>("sequence"));
   record.set_warm_up_ms(body->optValue<unsigned>("warm_up_ms", 0));
+  record.set_born_ms(body->optValue<Poco::UInt64>("born_ms", 0));
   return record;
 }
 
+// A target may say which of its incarnations leaves.
+wire::RemoveTarget RemovalOf(const std::string& aId, const std::string& aBody)
+{
+  wire::RemoveTarget removal;
+  removal.set_id(aId);
+  if (!aBody.empty()) {
+    Poco::JSON::Parser parser;
+    const Object::Ptr body = parser.parse(aBody).extract<Object::Ptr>();
+    removal.set_born_ms(body->optValue<Poco::UInt64>("born_ms", 0));
+  }
+  return removal;
+}
+
 Call ReadTargetCall(const HttpRequest& aRequest, const std::string& aId)
 {
   if (aRequest.mMethod == "PUT") {
     return CallAnnounce{ RecordOf(aId, aRequest.mBody) };
   }
   if (aRequest.mMethod == "DELETE") {
-    return CallWithdraw{ aId };
+    return CallWithdraw{ RemovalOf(aId, aRequest.mBody) };
   }
   return CallInvalid{ 405, "targets take PUT and DELETE" };
 }
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -229,16 +229,28 @@
 
 void TakeWithdraw(Context& aContext, const Withdraw& aCall)
 {
-  if (aContext.mState.mFleet.mCatalog.mRemoved.count(aCall.mTarget) != 0) {
+  const catalog::State& catalog = aContext.mState.mFleet.mCatalog;
+  const wire::RemoveTarget& removal = aCall.mRemoval;
+  if (catalog::IsRemoved(catalog, removal.id(), removal.born_ms())) {
     aContext.mOut.emplace_back(
       AnswerOperation{ aCall.mOperation, OperationEnd::Done, "", "" });
     return;
   }
+  // Whoever tells its birth says which incarnation leaves: a removal without
+  // it comes from elsewhere, and acknowledging it would bind every host.
+  const auto known = catalog.mTargets.find(removal.id());
+  if (known != catalog.mTargets.end() && removal.born_ms() == 0 &&
+      known->second.born_ms() != 0) {
+    Answer(aContext,
+           { aCall.mOperation, OperationEnd::Invalid, "no time of birth", "" },
+           NameOf(OperationKind::Withdraw));
+    return;
+  }
   wire::CatalogCommand command;
-  command.mutable_remove_target()->set_id(aCall.mTarget);
+  *command.mutable_remove_target() = removal;
   SubmitFor(
     aContext,
-    { aCall.mOperation, OperationKind::Withdraw, "target=" + aCall.mTarget },
+    { aCall.mOperation, OperationKind::Withdraw, "target=" + removal.id() },
     command);
 }
 
--- /dev/null
+++ b/tests/catalog_test.cpp
@@ -0,0 +1,131 @@
+#include <geraniumpond/catalog.h>
+
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace geraniumpond::catalog {
+
+/// \brief Incarnations of one target as the catalog tells them apart.
+class CatalogTest : public CppUnit::TestFixture
+{
+  CPPUNIT_TEST_SUITE(CatalogTest);
+  CPPUNIT_TEST(TargetStartedAgainUnderItsIdKnowsNothingOfBefore);
+  CPPUNIT_TEST(LateWordOfAnEarlierIncarnationChangesNothing);
+  CPPUNIT_TEST(RemovalOfAnEarlierIncarnationLeavesTheLaterOne);
+  CPPUNIT_TEST(RemovedIncarnationStaysRemovedAndALaterOneComes);
+  CPPUNIT_TEST(TargetThatDoesNotTellItsBirthIsKnownByItsId);
+  CPPUNIT_TEST(IncarnationChangesNeitherServiceNorAddress);
+  CPPUNIT_TEST(SnapshotKeepsIncarnationsApart);
+  CPPUNIT_TEST_SUITE_END();
+
+public:
+  void TargetStartedAgainUnderItsIdKnowsNothingOfBefore()
+  {
+    Announce(kEarly, 90, true);
+    Announce(kLate, 1, false);
+    const wire::TargetRecord& record = mState.mTargets.at("t");
+    CPPUNIT_ASSERT(!record.draining());
+    CPPUNIT_ASSERT_EQUAL(kLate, record.born_ms());
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t(1), record.sequence());
+  }
+
+  void LateWordOfAnEarlierIncarnationChangesNothing()
+  {
+    Announce(kLate, 1, false);
+    Announce(kEarly, 91, true);
+    CPPUNIT_ASSERT(!mState.mTargets.at("t").draining());
+    CPPUNIT_ASSERT_EQUAL(kLate, mState.mTargets.at("t").born_ms());
+  }
+
+  void RemovalOfAnEarlierIncarnationLeavesTheLaterOne()
+  {
+    Announce(kLate, 1, false);
+    Remove(kEarly);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), mState.mTargets.count("t"));
+    Announce(kLate, 2, true);
+    CPPUNIT_ASSERT(mState.mTargets.at("t").draining());
+  }
+
+  void RemovedIncarnationStaysRemovedAndALaterOneComes()
+  {
+    Announce(kEarly, 1, false);
+    Remove(kEarly);
+    Announce(kEarly, 9, false);
+    CPPUNIT_ASSERT(mState.mTargets.empty());
+    Announce(kLate, 1, false);
+    CPPUNIT_ASSERT_EQUAL(kLate, mState.mTargets.at("t").born_ms());
+  }
+
+  void TargetThatDoesNotTellItsBirthIsKnownByItsId()
+  {
+    Announce(0, 1, false);
+    Remove(0);
+    Announce(0, 2, false);
+    CPPUNIT_ASSERT(mState.mTargets.empty());
+  }
+
+  void IncarnationChangesNeitherServiceNorAddress()
+  {
+    Announce(kEarly, 1, false);
+    wire::CatalogCommand command = Announcement(kEarly, 2, false);
+    command.mutable_put_target()->set_service("other");
+    (void)Apply(mState, command);
+    command = Announcement(kEarly, 3, false);
+    command.mutable_put_target()->set_address("10.9.9.9:80");
+    (void)Apply(mState, command);
+    CPPUNIT_ASSERT_EQUAL(std::string("s"), mState.mTargets.at("t").service());
+    CPPUNIT_ASSERT_EQUAL(std::string("10.9.0.1:80"),
+                         mState.mTargets.at("t").address());
+  }
+
+  void SnapshotKeepsIncarnationsApart()
+  {
+    Announce(kEarly, 1, false);
+    Remove(kEarly);
+    const std::string bytes = Save(mState);
+    mState = Load(bytes).value();
+    CPPUNIT_ASSERT_EQUAL(bytes, Save(mState));
+    Announce(kEarly, 2, false);
+    CPPUNIT_ASSERT(mState.mTargets.empty());
+    Announce(kLate, 1, false);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), mState.mTargets.size());
+  }
+
+private:
+  static constexpr std::uint64_t kEarly = 1790000000000;
+  static constexpr std::uint64_t kLate = 1790000060000;
+
+  static wire::CatalogCommand Announcement(std::uint64_t aBornMs,
+                                           std::uint64_t aSequence,
+                                           bool aDraining)
+  {
+    wire::CatalogCommand command;
+    wire::TargetRecord& record = *command.mutable_put_target();
+    record.set_id("t");
+    record.set_service("s");
+    record.set_address("10.9.0.1:80");
+    record.set_slots(4);
+    record.set_born_ms(aBornMs);
+    record.set_sequence(aSequence);
+    record.set_draining(aDraining);
+    return command;
+  }
+
+  void Announce(std::uint64_t aBornMs, std::uint64_t aSequence, bool aDraining)
+  {
+    (void)Apply(mState, Announcement(aBornMs, aSequence, aDraining));
+  }
+
+  void Remove(std::uint64_t aBornMs)
+  {
+    wire::CatalogCommand command;
+    command.mutable_remove_target()->set_id("t");
+    command.mutable_remove_target()->set_born_ms(aBornMs);
+    (void)Apply(mState, command);
+  }
+
+  State mState;
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(CatalogTest);
+
+} // namespace geraniumpond::catalog
--- a/tests/dispatch_test.cpp
+++ b/tests/dispatch_test.cpp
@@ -92,6 +92,8 @@
   CPPUNIT_TEST(RequestThatFindsNoRoomIsRefusedWithTimeToComeBack);
   CPPUNIT_TEST(LargeAnswersTakeTurnsOnASlowLink);
   CPPUNIT_TEST(DrainingTargetGetsNothingMore);
+  CPPUNIT_TEST(TargetStartedAgainUnderItsIdIsANewOne);
+  CPPUNIT_TEST(TargetsOfServicesThatNoPolicyNamesAreLeftAlone);
   CPPUNIT_TEST(TargetWhoseAddressIsTakenIsLeftAlone);
   CPPUNIT_TEST(TargetsKnownBeforeThePolicyAreNotAsked);
   CPPUNIT_TEST(ProbesStayWithinTheHostsShare);
@@ -468,6 +470,42 @@
     }
   }
 
+  // What was sent to the earlier incarnation is not known to have run or not.
+  void TargetStartedAgainUnderItsIdIsANewOne()
+  {
+    AddTargets(1);
+    const SendRequest before = ArriveAndSend("/unsafe/x");
+    CPPUNIT_ASSERT_EQUAL(Name(0), before.mTargetName);
+    mState.mTargets.at(before.mTarget).mFailureShare = 1;
+    mTargets[Name(0)].set_born_ms(1790000060000);
+    mTargets[Name(0)].set_warm_up_ms(3000);
+    SetTargets(mState, mNow, mTargets, mEffects);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(0), mState.mTargets.count(before.mTarget));
+    const std::string again = mState.mServices["service"].mTargets.at(0);
+    mEffects.clear();
+    End(before, EndKind::Broken, 0, false);
+    CPPUNIT_ASSERT(All<SendRequest>(mEffects).empty());
+    CPPUNIT_ASSERT_EQUAL(502, All<ReplyToClient>(mEffects).at(0).mStatus);
+    const Target& target = mState.mTargets.at(again);
+    CPPUNIT_ASSERT_EQUAL(0, target.mRunning);
+    CPPUNIT_ASSERT_EQUAL(0.0, target.mFailureShare);
+    CPPUNIT_ASSERT(target.mWarmAt > mNow);
+    Arrive("/safe/x");
+    AnswerProbe(again, { 0, 0, 2, 1 }, Name(0));
+    const SendRequest after = All<SendRequest>(mEffects).back();
+    CPPUNIT_ASSERT_EQUAL(again, after.mTarget);
+    CPPUNIT_ASSERT_EQUAL(Name(0), after.mTargetName);
+  }
+
+  void TargetsOfServicesThatNoPolicyNamesAreLeftAlone()
+  {
+    mTargets[Name(0)] = MakeTarget(Name(0));
+    mTargets[Name(0)].set_service("unnamed");
+    SetTargets(mState, mNow, mTargets, mEffects);
+    Advance(5 * kSecond);
+    CPPUNIT_ASSERT(All<ProbeTarget>(mEffects).empty());
+  }
+
   void TargetWhoseAddressIsTakenIsLeftAlone()
   {
     AddTargets(2);
@@ -573,12 +611,19 @@
   }
 
   void AnswerProbe(const std::string& aTarget, const Report& aReport)
+  {
+    AnswerProbe(aTarget, aReport, aTarget);
+  }
+
+  void AnswerProbe(const std::string& aTarget,
+                   const Report& aReport,
+                   const std::string& aName)
   {
     ProbeEnd end;
     end.mTarget = aTarget;
     end.mAnswered = true;
     end.mHealthy = true;
-    end.mAnsweredBy = aTarget;
+    end.mAnsweredBy = aName;
     end.mReport = aReport;
     TakeProbe(mState, mNow, end, mEffects);
   }
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -62,6 +62,10 @@
 "max_body_bytes":67108864,"header_timeout":"3000ms",
 "idle_timeout":"15000ms"}}]})";
 
+constexpr const char* kBeat =
+  R"({"service":"s","address":"10.0.0.1:80","zone":"z","version":"v1","slots":2,
+"state":"ready","warmup_left":"0ms","sequence":4})";
+
 } // namespace
 
 class PlatformTest : public CppUnit::TestFixture
@@ -70,6 +74,8 @@
   CPPUNIT_TEST(PolicyDocumentIsDecodedOnce);
   CPPUNIT_TEST(InvalidPolicyDocumentsAreRefusedWithAReason);
   CPPUNIT_TEST(CallsAreRead);
+  CPPUNIT_TEST(TimeOfBirthIsReadWhereItIsSaid);
+  CPPUNIT_TEST(HeartbeatOfAnotherWriterNamesNoTarget);
   CPPUNIT_TEST(BadCallsAreInvalid);
   CPPUNIT_TEST(EndsBecomeTheStatusesThatCallersAct);
   CPPUNIT_TEST(NamesOfThePlatformStandInItsFolderAlone);
@@ -158,6 +164,74 @@
                          std::get<frontend::CallResolve>(resolve).mDataCentre);
   }
 
+  void TimeOfBirthIsReadWhereItIsSaid()
+  {
+    const frontend::Call announce =
+      Read("POST",
+           "/v1/rpc?call=instances.heartbeat&of=i-1",
+           Replaced(kBeat, "{", "{\"born\":1790000000123,"));
+    CPPUNIT_ASSERT_EQUAL(
+      std::uint64_t(1790000000123),
+      std::get<frontend::CallAnnounce>(announce).mRecord.born_ms());
+    const frontend::Call withdraw =
+      Read("POST",
+           "/v1/rpc?call=instances.deregister&of=i-1",
+           R"({"born":1790000000123})");
+    const auto& removal = std::get<frontend::CallWithdraw>(withdraw).mRemoval;
+    CPPUNIT_ASSERT_EQUAL(std::string("i-1"), removal.id());
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t(1790000000123), removal.born_ms());
+  }
+
+  void HeartbeatOfAnotherWriterNamesNoTarget()
+  {
+    const char* path = "/v1/rpc?call=instances.heartbeat&of=i-1";
+    CPPUNIT_ASSERT(std::holds_alternative<frontend::CallAnnounce>(
+      Read("POST", path, kBeat)));
+    const std::pair<std::string, std::string> changes[] = {
+      { "\"service\":\"s\",", "" },
+      { "\"service\":\"s\"", "\"service\":7" },
+      { "\"service\":\"s\"", "\"service\":\"\"" },
+      { "\"address\":\"10.0.0.1:80\",", "" },
+      { "\"address\":\"10.0.0.1:80\"", "\"address\":[1]" },
+      { "10.0.0.1:80", "somewhere" },
+      { "10.0.0.1:80", "name.example:80" },
+      { "10.0.0.1:80", "10.0.0.1:0" },
+      { "10.0.0.1:80", "10.0.0.1:70000" },
+      { "\"zone\":\"z\",", "" },
+      { "\"zone\":\"z\"", "\"zone\":null" },
+      { "\"slots\":2,", "" },
+      { "\"slots\":2", "\"slots\":\"2\"" },
+      { "\"slots\":2", "\"slots\":2.5" },
+      { "\"slots\":2", "\"slots\":0" },
+      { "\"slots\":2", "\"slots\":-2" },
+      { "\"slots\":2", "\"slots\":true" },
+      { "\"state\":\"ready\",", "" },
+      { "\"ready\"", "\"well\"" },
+      { "\"ready\"", "1" },
+      { "\"0ms\"", "0" },
+      { "\"0ms\"", "\"soon\"" },
+      { "\"sequence\":4", "\"sequence\":\"4\"" },
+      { "\"sequence\":4", "\"sequence\":-4" },
+      { ",\"sequence\":4", "" },
+      { "{", "{\"born\":\"1790000000123\"," },
+      { "{", "{\"born\":1790000000123.5," },
+      { "{", "{\"born\":null," },
+      { "{", "[" },
+      { "}", "" },
+    };
+    for (const auto& [from, to] : changes) {
+      const std::string body = Replaced(kBeat, from, to);
+      CPPUNIT_ASSERT_MESSAGE(body,
+                             std::holds_alternative<frontend::CallInvalid>(
+                               Read("POST", path, body)));
+    }
+    for (const std::string& body :
+         { std::string("\xff\xfe\x00{", 4), std::string("null") }) {
+      CPPUNIT_ASSERT(std::holds_alternative<frontend::CallInvalid>(
+        Read("POST", path, body)));
+    }
+  }
+
   void BadCallsAreInvalid()
   {
     const std::pair<std::string, std::string> calls[] = {
