Answer a host on the connection that it opened

Cause: hosts had a connection each way. A connect that began before its peer was powered hangs until it is given up, so that a voter which was up first could not answer the votes of those that came after it (leader 0.23 to 0.6 s after the second voter's start). Ruled out: a still shorter connect timeout, which a trip between regions forbids. Change: whoever was heard in the last 0.9 s is answered on its own connection; else, or where that has closed, on one of ours.

--- a/src/edge/peers.cpp
+++ b/src/edge/peers.cpp
@@ -1,21 +1,26 @@
 #include "peers.h"
 
+#include <chrono>
 #include <zmq.hpp>
 
 namespace geraniumpond::edge {
 
 namespace {
 
+using Clock = std::chrono::steady_clock;
+
 // A silent connection is replaced within a second.
 constexpr int kHeartbeatMs = 300;
 constexpr int kHeartbeatTimeoutMs = 900;
 // A host that is back is reached again well within an election.
 constexpr int kReconnectMs = 30;
 constexpr int kReconnectMaxMs = 200;
-// A host without power does not refuse: the connect hangs, and what is meant for
-// it waits when it is back. A trip between regions and back takes 70 ms.
+// A host without power does not refuse: the connect hangs, and what is meant
+// for it waits when it is back. A trip between regions and back takes 70 ms.
 constexpr int kConnectTimeoutMs = 100;
 constexpr int kLingerMs = 100;
+// Connections are proved by heartbeats within this time.
+constexpr std::chrono::milliseconds kHeardLately{ kHeartbeatTimeoutMs };
 // What a host that is away has missed it asks for again.
 constexpr int kHighWater = 1000;
 constexpr std::size_t kQueueLimit = 100000;
@@ -39,11 +44,19 @@
 
 struct Peers::Sockets
 {
+  explicit Sockets(std::string aOwnAddress)
+    : mOwnAddress(std::move(aOwnAddress))
+  {
+  }
+
+  std::string mOwnAddress;
   zmq::context_t mContext{ 1 };
   zmq::socket_t mIn{ mContext, zmq::socket_type::router };
   zmq::socket_t mWakeOut{ mContext, zmq::socket_type::pair };
   zmq::socket_t mWakeIn{ mContext, zmq::socket_type::pair };
   std::map<std::string, zmq::socket_t> mOut;
+  /// When a peer was last heard on the connection that it opened.
+  std::map<std::string, Clock::time_point> mHeardAt;
 
   zmq::socket_t& To(const std::string& aAddress)
   {
@@ -53,16 +66,73 @@
     }
     zmq::socket_t socket(mContext, zmq::socket_type::dealer);
     SetOptions(socket);
+    socket.set(zmq::sockopt::routing_id, mOwnAddress);
     socket.connect("tcp://" + aAddress);
     return mOut.emplace(aAddress, std::move(socket)).first->second;
   }
+
+  // True when the message has gone out on a connection that the peer opened. A
+  // peer that has just started is heard at once, while an own connect that
+  // began before it was there hangs until it is given up.
+  bool Return(const std::string& aAddress, const std::string& aBytes)
+  {
+    const auto heard = mHeardAt.find(aAddress);
+    if (heard == mHeardAt.end() ||
+        Clock::now() - heard->second > kHeardLately) {
+      return false;
+    }
+    try {
+      const auto head =
+        mIn.send(zmq::buffer(aAddress),
+                 zmq::send_flags::sndmore | zmq::send_flags::dontwait);
+      return head && mIn.send(zmq::buffer(aBytes), zmq::send_flags::dontwait);
+    } catch (const zmq::error_t&) {
+      // It has closed that connection.
+      mHeardAt.erase(heard);
+      return false;
+    }
+  }
+
+  std::vector<zmq::pollitem_t> PollItems()
+  {
+    std::vector<zmq::pollitem_t> items = {
+      { mIn.handle(), 0, ZMQ_POLLIN, 0 }, { mWakeIn.handle(), 0, ZMQ_POLLIN, 0 }
+    };
+    for (auto& [address, socket] : mOut) {
+      items.push_back({ socket.handle(), 0, ZMQ_POLLIN, 0 });
+    }
+    return items;
+  }
+
+  template<class Take>
+  void Receive(const Take& aTake)
+  {
+    zmq::message_t message;
+    std::string from;
+    while (mIn.recv(message, zmq::recv_flags::dontwait)) {
+      if (message.more()) {
+        from = message.to_string();
+        continue;
+      }
+      mHeardAt[from] = Clock::now();
+      aTake(message);
+    }
+    for (auto& [address, socket] : mOut) {
+      while (socket.recv(message, zmq::recv_flags::dontwait)) {
+        aTake(message);
+      }
+    }
+  }
 };
 
 Peers::Peers(const std::string& aListen, Handler aHandler)
   : mHandler(std::move(aHandler))
-  , mSockets(std::make_unique<Sockets>())
+  , mSockets(std::make_unique<Sockets>(aListen))
 {
   SetOptions(mSockets->mIn);
+  // Unreachable peers are told of; one that connects anew takes its place over.
+  mSockets->mIn.set(zmq::sockopt::router_mandatory, true);
+  mSockets->mIn.set(zmq::sockopt::router_handover, true);
   mSockets->mIn.bind("tcp://" + aListen);
   mSockets->mWakeIn.bind(kWakeAddress);
   mSockets->mWakeOut.connect(kWakeAddress);
@@ -105,6 +175,9 @@
     queue.swap(mQueue);
   }
   for (const auto& [address, bytes] : queue) {
+    if (mSockets->Return(address, bytes)) {
+      continue;
+    }
     // A peer that is away long enough to fill its queue loses messages; every
     // protocol above repairs that.
     (void)mSockets->To(address).send(zmq::buffer(bytes),
@@ -114,22 +187,15 @@
 
 void Peers::Run()
 {
-  zmq::pollitem_t items[] = {
-    { mSockets->mIn.handle(), 0, ZMQ_POLLIN, 0 },
-    { mSockets->mWakeIn.handle(), 0, ZMQ_POLLIN, 0 },
-  };
   while (true) {
-    zmq::poll(items, 2, std::chrono::milliseconds(-1));
-    zmq::message_t message;
-    while (mSockets->mWakeIn.recv(message, zmq::recv_flags::dontwait)) {
+    zmq::poll(mSockets->PollItems(), std::chrono::milliseconds(-1));
+    zmq::message_t woken;
+    while (mSockets->mWakeIn.recv(woken, zmq::recv_flags::dontwait)) {
     }
     SendQueued();
-    while (mSockets->mIn.recv(message, zmq::recv_flags::dontwait)) {
-      if (message.more()) {
-        continue;
-      }
-      mHandler({ static_cast<const char*>(message.data()), message.size() });
-    }
+    mSockets->Receive([this](const zmq::message_t& aMessage) {
+      mHandler({ static_cast<const char*>(aMessage.data()), aMessage.size() });
+    });
     const std::lock_guard<std::mutex> lock(mMutex);
     if (mStopping && mQueue.empty()) {
       return;
--- a/src/edge/peers.h
+++ b/src/edge/peers.h
@@ -12,10 +12,11 @@
 
 namespace geraniumpond::edge {
 
-/// \brief Messages between hosts over ZeroMQ: one socket in, one per peer out.
+/// \brief Messages between hosts over ZeroMQ: one socket in, one out per peer
+/// that has not connected here itself.
 ///
-/// Each direction has a connection of its own, with heartbeats that replace a
-/// connection that has gone silent.
+/// A peer that was heard lately is answered on the connection that it opened;
+/// heartbeats replace a connection that has gone silent.
 class Peers
 {
 public:
