Let requests wait for the first policy while a host starts

Hypothesis: after a loss of all hosts clients are back before the group has a leader. A request that is refused returns after a third of its time and is late; one that waits a little is mostly in time. Change: within a second of a start a request without a policy waits up to a quarter of its time, then is refused with 100 to 300 ms as the time to come back (500 before); later it is refused at once as before. Its time counts from its arrival.

--- a/include/geraniumpond/dispatch.h
+++ b/include/geraniumpond/dispatch.h
@@ -174,6 +174,25 @@
   bool mDetached = false;
 };
 
+/// \brief A client's request has been read as a whole.
+struct Arrival
+{
+  std::uint64_t mId = 0;
+  std::string mClientRequestId;
+  std::string mHostName;
+  std::string mPath;
+  /// Time that the client waits; 0 when it does not say.
+  Micros mPatience = 0;
+};
+
+/// \brief A request that came before the first policy.
+struct Unrouted
+{
+  Arrival mArrival;
+  Micros mArrivedAt = 0;
+  Micros mGiveUpAt = 0;
+};
+
 // ------------------------------------------------------------------- effects
 
 /// \brief Ask a target for its health and load.
@@ -240,17 +259,6 @@
 
 // -------------------------------------------------------------------- events
 
-/// \brief A client's request has been read as a whole.
-struct Arrival
-{
-  std::uint64_t mId = 0;
-  std::string mClientRequestId;
-  std::string mHostName;
-  std::string mPath;
-  /// Time that the client waits; 0 when it does not say.
-  Micros mPatience = 0;
-};
-
 /// \brief How a probe ended.
 struct ProbeEnd
 {
@@ -322,6 +330,9 @@
   std::map<std::string, RouteStatistics> mStatistics;
   budget::TokenBucket mProbeBudget;
   std::unordered_map<std::uint64_t, Request> mRequests;
+  std::map<std::uint64_t, Unrouted> mUnrouted;
+  /// Without a policy, one is expected until then: the host starts.
+  Micros mPolicyExpectedUntil = 0;
   std::set<std::pair<Micros, std::uint64_t>> mTimers;
   std::set<std::pair<Micros, std::string>> mProbeTimers;
   std::uint64_t mLastAttempt = 0;
@@ -345,6 +356,10 @@
 void SetHosts(State& aState, Micros aNow, int aHosts);
 
 void Arrive(State& aState, Micros aNow, const Arrival& aArrival, Effects& aOut);
+
+/// \brief Takes the requests that came before the first policy, once there is
+/// one and the targets are known.
+void AdmitUnrouted(State& aState, Micros aNow, Effects& aOut);
 void TakeProbe(State& aState, Micros aNow, const ProbeEnd& aEnd, Effects& aOut);
 void TakeEnd(State& aState, Micros aNow, const AttemptEnd& aEnd, Effects& aOut);
 
--- a/src/dispatch/internal.h
+++ b/src/dispatch/internal.h
@@ -97,7 +97,29 @@
 /// \brief When a refused client should come back.
 [[nodiscard]] Micros RetryAfter(State& aState, Micros aExpectedWait);
 
+// --- unrouted.cpp: requests that come before the first policy
+/// \brief Lets a request wait for the first policy, or refuses it.
+void HoldUnrouted(State& aState,
+                  Micros aNow,
+                  const Arrival& aArrival,
+                  Effects& aOut);
+void ExpireUnrouted(State& aState, Micros aNow, Effects& aOut);
+[[nodiscard]] Micros NextUnroutedTime(const State& aState) noexcept;
+
 // --- requests.cpp: one request's steps
+/// \brief Finds a request's route and lets it wait for a target.
+void Admit(State& aState,
+           Micros aNow,
+           Micros aArrivedAt,
+           const Arrival& aArrival,
+           Effects& aOut);
+/// \brief Answers a request here that has not been admitted.
+void RefuseArrival(State& aState,
+                   const Arrival& aArrival,
+                   int aStatus,
+                   Micros aRetryAfter,
+                   const std::string& aReason,
+                   Effects& aOut);
 void SendTo(State& aState,
             Micros aNow,
             Request& aRequest,
--- a/src/dispatch/requests.cpp
+++ b/src/dispatch/requests.cpp
@@ -15,10 +15,10 @@
 constexpr int kMaxUnreached = 4;
 /// Smoothing of the pace of dispatches.
 constexpr double kIntervalGain = 0.2;
+constexpr int kNotFound = 404;
 constexpr int kUnavailable = 503;
 constexpr int kBadGateway = 502;
 constexpr int kGatewayTimeout = 504;
-constexpr Micros kNoPolicyRetry = 500 * kMillisecond;
 
 std::string Describe(const Attempt& aAttempt)
 {
@@ -248,27 +248,44 @@
   Pump(aState, aNow, aRequest.mService, aOut);
 }
 
+void RefuseArrival(State& aState,
+                   const Arrival& aArrival,
+                   int aStatus,
+                   Micros aRetryAfter,
+                   const std::string& aReason,
+                   Effects& aOut)
+{
+  Log(aOut,
+      2,
+      "event=refused status=" + std::to_string(aStatus) + " reason=" + aReason +
+        " request=" + aArrival.mClientRequestId +
+        " host=" + aArrival.mHostName + " policy=" +
+        std::to_string(aState.mPolicy ? aState.mPolicy->mVersion : 0));
+  ++aState.mCounters["replies_" + std::to_string(aStatus) + "_" + aReason];
+  aOut.emplace_back(
+    ReplyToClient{ aArrival.mId, aStatus, aRetryAfter, aReason });
+}
+
 void Arrive(State& aState, Micros aNow, const Arrival& aArrival, Effects& aOut)
 {
   ++aState.mCounters["requests"];
-  const auto reply = [&](int aStatus, Micros aRetry, const std::string& aWhy) {
-    Log(aOut,
-        2,
-        "event=refused status=" + std::to_string(aStatus) + " reason=" + aWhy +
-          " request=" + aArrival.mClientRequestId +
-          " host=" + aArrival.mHostName + " policy=" +
-          std::to_string(aState.mPolicy ? aState.mPolicy->mVersion : 0));
-    ++aState.mCounters["replies_" + std::to_string(aStatus) + "_" + aWhy];
-    aOut.emplace_back(ReplyToClient{ aArrival.mId, aStatus, aRetry, aWhy });
-  };
   if (!aState.mPolicy) {
-    reply(kUnavailable, kNoPolicyRetry, "no_policy_yet");
+    HoldUnrouted(aState, aNow, aArrival, aOut);
     return;
   }
+  Admit(aState, aNow, aNow, aArrival, aOut);
+}
+
+void Admit(State& aState,
+           Micros aNow,
+           Micros aArrivedAt,
+           const Arrival& aArrival,
+           Effects& aOut)
+{
   const policy::Route* route =
     policy::FindRoute(*aState.mPolicy, aArrival.mHostName, aArrival.mPath);
   if (route == nullptr) {
-    reply(404, 0, "no_route");
+    RefuseArrival(aState, aArrival, kNotFound, 0, "no_route", aOut);
     return;
   }
   Request request;
@@ -279,16 +296,18 @@
   request.mKind = route->mKind;
   request.mPriority = route->mPriority;
   request.mMaxAttempts = route->mAttempts;
-  request.mArrivedAt = aNow;
-  request.mObjectiveAt = aNow + route->mObjective;
-  request.mDeadline = aNow + route->mTimeout;
+  request.mArrivedAt = aArrivedAt;
+  request.mObjectiveAt = aArrivedAt + route->mObjective;
+  request.mDeadline = aArrivedAt + route->mTimeout;
   if (aArrival.mPatience > 0) {
-    request.mDeadline = std::min(request.mDeadline, aNow + aArrival.mPatience);
+    request.mDeadline =
+      std::min(request.mDeadline, aArrivedAt + aArrival.mPatience);
   }
   Service& service = aState.mServices[request.mService];
   CountRequest(service.mExtra, aState.mBounds, aNow);
   if (service.mTargets.empty()) {
-    reply(kUnavailable, RetryAfter(aState, 0), "no_target");
+    RefuseArrival(
+      aState, aArrival, kUnavailable, RetryAfter(aState, 0), "no_target", aOut);
     return;
   }
   const Micros wait = ExpectedWait(service, request);
@@ -312,6 +331,7 @@
                 std::uint64_t aRequest,
                 Effects& aOut)
 {
+  aState.mUnrouted.erase(aRequest);
   const auto found = aState.mRequests.find(aRequest);
   if (found == aState.mRequests.end()) {
     return;
@@ -361,7 +381,7 @@
 
 std::size_t RunningRequests(const State& aState) noexcept
 {
-  return aState.mRequests.size();
+  return aState.mRequests.size() + aState.mUnrouted.size();
 }
 
 } // namespace geraniumpond::dispatch
--- a/src/dispatch/targets.cpp
+++ b/src/dispatch/targets.cpp
@@ -3,7 +3,6 @@
 #include <geraniumpond/hash.h>
 
 #include <algorithm>
-#include <limits>
 
 namespace geraniumpond::dispatch {
 
@@ -294,11 +293,12 @@
     aState.mProbeTimers.erase(aState.mProbeTimers.begin());
     FireProbe(aState, aNow, target, aOut);
   }
+  ExpireUnrouted(aState, aNow, aOut);
 }
 
 Micros NextTick(const State& aState) noexcept
 {
-  Micros next = std::numeric_limits<Micros>::max();
+  Micros next = NextUnroutedTime(aState);
   if (!aState.mTimers.empty()) {
     next = std::min(next, aState.mTimers.begin()->first);
   }
--- /dev/null
+++ b/src/dispatch/unrouted.cpp
@@ -0,0 +1,76 @@
+#include "internal.h"
+
+#include <algorithm>
+#include <limits>
+#include <utility>
+
+// Requests that come while a host starts. After a loss of all hosts clients are
+// back before the group has a leader: one that is refused returns after a third
+// of its time and is late, one that waits a little is mostly in time.
+namespace geraniumpond::dispatch {
+
+namespace {
+
+/// Share of its time that a request waits for the first policy: what is left is
+/// enough for its work, or for its client to come back.
+constexpr double kHeldShare = 0.25;
+/// When a refused client should come back: a host that starts has its policy a
+/// few tenths of a second later.
+constexpr Micros kStartingRetry = 200 * kMillisecond;
+constexpr Micros kNoPolicyRetry = 500 * kMillisecond;
+
+} // namespace
+
+void HoldUnrouted(State& aState,
+                  Micros aNow,
+                  const Arrival& aArrival,
+                  Effects& aOut)
+{
+  const auto share =
+    static_cast<Micros>(kHeldShare * static_cast<double>(aArrival.mPatience));
+  const Micros giveUpAt = std::min(aNow + share, aState.mPolicyExpectedUntil);
+  if (giveUpAt <= aNow) {
+    RefuseArrival(aState, aArrival, 503, kNoPolicyRetry, "no_policy_yet", aOut);
+    return;
+  }
+  aState.mUnrouted[aArrival.mId] = { aArrival, aNow, giveUpAt };
+}
+
+void ExpireUnrouted(State& aState, Micros aNow, Effects& aOut)
+{
+  for (auto it = aState.mUnrouted.begin(); it != aState.mUnrouted.end();) {
+    if (aNow < it->second.mGiveUpAt) {
+      ++it;
+      continue;
+    }
+    RefuseArrival(aState,
+                  it->second.mArrival,
+                  503,
+                  RetryAfter(aState, kStartingRetry),
+                  "no_policy_yet",
+                  aOut);
+    it = aState.mUnrouted.erase(it);
+  }
+}
+
+Micros NextUnroutedTime(const State& aState) noexcept
+{
+  Micros next = std::numeric_limits<Micros>::max();
+  for (const auto& [id, unrouted] : aState.mUnrouted) {
+    next = std::min(next, unrouted.mGiveUpAt);
+  }
+  return next;
+}
+
+void AdmitUnrouted(State& aState, Micros aNow, Effects& aOut)
+{
+  if (!aState.mPolicy) {
+    return;
+  }
+  const auto held = std::exchange(aState.mUnrouted, {});
+  for (const auto& [id, unrouted] : held) {
+    Admit(aState, aNow, unrouted.mArrivedAt, unrouted.mArrival, aOut);
+  }
+}
+
+} // namespace geraniumpond::dispatch
--- a/src/fleet/fleet.cpp
+++ b/src/fleet/fleet.cpp
@@ -11,9 +11,11 @@
 constexpr std::size_t kSnapshotEntries = 200;
 constexpr std::size_t kRetainedEntries = 20;
 /// After a loss of all hosts each tenth of a second until there is a leader
-/// costs every client a request: a voter that starts asks for votes after 20 to
-/// 40 ms, a few trips and syncs of a disk.
-constexpr Micros kFirstElectionDivisor = 32;
+/// costs every client a request: a voter that starts asks for votes after 9 to
+/// 19 ms, and again after 37 to 75 ms, in which an election with four syncs of
+/// a disk of 5 ms ends.
+constexpr Micros kFirstAskDivisor = 64;
+constexpr Micros kFirstElectionDivisor = 16;
 
 void LoadRecovered(State& aState, Output& aOut)
 {
@@ -111,7 +113,7 @@
       aRandom);
     state.mGroup.mRules.mFirstDivisor = kFirstElectionDivisor;
     state.mGroup.mElectionAt =
-      aNow + (state.mGroup.mElectionAt - aNow) / kFirstElectionDivisor;
+      aNow + (state.mGroup.mElectionAt - aNow) / kFirstAskDivisor;
     state.mGroup.mRules.mSnapshotEvery = kSnapshotEntries;
     state.mGroup.mRules.mRetained = kRetainedEntries;
     LoadRecovered(state, aOut);
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -19,6 +19,8 @@
 /// How long a host that starts waits for the group's word before it serves by
 /// the policy on its disk: an election after all hosts were lost takes less.
 constexpr Micros kRecoveredPolicyHold = 1 * kSecond;
+/// How long after a start requests may wait for the first policy.
+constexpr Micros kPolicyExpected = 1 * kSecond;
 
 constexpr std::array<const char*, 4> kEndNames = {
   "done",
@@ -163,6 +165,11 @@
       state.mDispatch, aContext.mNow, state.mFleet.mCatalog.mTargets, effects);
     Append(aContext.mOut, std::move(effects));
   }
+  if (aFleet.mPolicyChanged) {
+    dispatch::Effects effects;
+    dispatch::AdmitUnrouted(state.mDispatch, aContext.mNow, effects);
+    Append(aContext.mOut, std::move(effects));
+  }
   for (const fleet::Note& note : aFleet.mNotes) {
     aContext.Log(note.mLevel, note.mText);
   }
@@ -468,6 +475,7 @@
   state.mDispatch.mBounds = aSettings.mBounds;
   state.mDispatch.mBounds.mLinkBytesPerSecond = aSettings.mLinkBytesPerSecond;
   state.mDispatch.mRandom = aRandom | 1;
+  state.mDispatch.mPolicyExpectedUntil = aNow + kPolicyExpected;
   state.mShuffle.seed(aRandom);
   fleet::Output output;
   state.mFleet =
--- a/tests/dispatch_test.cpp
+++ b/tests/dispatch_test.cpp
@@ -85,6 +85,8 @@
   CPPUNIT_TEST(TargetThatBecameSlowIsLeftForAnotherInTime);
   CPPUNIT_TEST(LongWorkAtATargetAsFastAsBeforeIsNotRepeated);
   CPPUNIT_TEST(UnknownRouteAndMissingPolicyAreToldApart);
+  CPPUNIT_TEST(RequestsBeforeTheFirstPolicyWaitForItALittle);
+  CPPUNIT_TEST(RequestsWithoutAPolicyAreRefusedAtOnceWhenNoneIsExpected);
   CPPUNIT_TEST(FirstRequestThatWaitsDoesNotSetThePace);
   CPPUNIT_TEST(UrgentRequestsGoBeforeBulkWhereRoomIsShort);
   CPPUNIT_TEST(OverloadLeavesMostOfWhatFitsInTime);
@@ -318,6 +320,47 @@
     CPPUNIT_ASSERT_EQUAL(503, All<ReplyToClient>(mEffects).back().mStatus);
   }
 
+  // Clients of a host that starts: those that can still be in time wait for the
+  // first policy, and no longer than a quarter of their time.
+  void RequestsBeforeTheFirstPolicyWaitForItALittle()
+  {
+    const auto policy = std::exchange(mState.mPolicy, nullptr);
+    AddTargets(2);
+    mState.mPolicyExpectedUntil = mNow + kSecond;
+    ArriveWithPatience("/safe/x", 400 * kMillisecond);
+    const std::uint64_t brief = mLast;
+    ArriveWithPatience("/unsafe/x", kSecond);
+    const std::uint64_t patient = mLast;
+    Advance(90 * kMillisecond);
+    CPPUNIT_ASSERT(All<ReplyToClient>(mEffects).empty());
+    Advance(20 * kMillisecond);
+    const auto replies = All<ReplyToClient>(mEffects);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), replies.size());
+    CPPUNIT_ASSERT_EQUAL(brief, replies[0].mRequest);
+    CPPUNIT_ASSERT_EQUAL(503, replies[0].mStatus);
+    CPPUNIT_ASSERT(replies[0].mRetryAfter > 0);
+    Advance(90 * kMillisecond);
+    SetPolicy(mState, mNow, policy);
+    AdmitUnrouted(mState, mNow, mEffects);
+    AnswerProbes();
+    const auto sent = All<SendRequest>(mEffects);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), sent.size());
+    CPPUNIT_ASSERT_EQUAL(patient, sent[0].mRequest);
+    // Its time counts from its arrival.
+    CPPUNIT_ASSERT_EQUAL(mNow + 800 * kMillisecond, sent[0].mDeadline);
+  }
+
+  void RequestsWithoutAPolicyAreRefusedAtOnceWhenNoneIsExpected()
+  {
+    mState.mPolicy = nullptr;
+    ArriveWithPatience("/safe/x", kSecond);
+    CPPUNIT_ASSERT_EQUAL(503, All<ReplyToClient>(mEffects).at(0).mStatus);
+    mState.mPolicyExpectedUntil = mNow + kSecond;
+    ArriveWithPatience("/safe/x", kSecond);
+    ClientLeft(mState, mNow, mLast, mEffects);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(0), RunningRequests(mState));
+  }
+
   // The first request that waited once set the pace to the time since the
   // clock's start, and whoever waited behind it was refused.
   void FirstRequestThatWaitsDoesNotSetThePace()
@@ -600,9 +643,12 @@
     mEffects.clear();
   }
 
-  void Arrive(const std::string& aPath)
+  void Arrive(const std::string& aPath) { ArriveWithPatience(aPath, 0); }
+
+  void ArriveWithPatience(const std::string& aPath, Micros aPatience)
   {
     Arrival arrival;
+    arrival.mPatience = aPatience;
     arrival.mId = ++mLast;
     arrival.mClientRequestId = "r" + std::to_string(mLast);
     arrival.mHostName = "host";
