Let no receive mark end a host; close connections that are not used

A socket that connects by itself, with a receive mark and heartbeats: while its queue stands at the mark nothing is read, heartbeats among it; the connection is given up, a new one is joined to the full queue, and the next read resumes a connection that was never stopped. Change: no receive mark, so that nothing is ever stopped. Connections on which nothing was sent for 10 s are closed; they were kept for each address ever heard of (1,135 descriptors at one host) and looked at on each wake-up.

--- a/src/edge/peers.cpp
+++ b/src/edge/peers.cpp
@@ -23,8 +23,17 @@
 constexpr std::chrono::milliseconds kHeardLately{ kHeartbeatTimeoutMs };
 // What a host that is away has missed it asks for again.
 constexpr int kHighWater = 1000;
+// A receive mark stops the reading of a connection, heartbeats included, while
+// the reader is behind: the library then gives the connection up, joins the
+// full queue to a new one and ends the process when the reader goes on (with a
+// mark of 1,000 after a pause of 0.9 s; three control hosts of 476 in a calm
+// minute). Without one nothing stops; the reader only hands messages over, and
+// the inbox behind it is bounded.
+constexpr int kNoReceiveMark = 0;
 constexpr std::size_t kQueueLimit = 100000;
 constexpr std::int64_t kMaxMessageBytes = 256LL * 1024 * 1024;
+// Unused connections are looked for this often within their time.
+constexpr int kLooksPerUnused = 4;
 constexpr const char* kWakeAddress = "inproc://wake";
 
 void SetOptions(zmq::socket_t& aSocket)
@@ -36,7 +45,7 @@
   aSocket.set(zmq::sockopt::connect_timeout, kConnectTimeoutMs);
   aSocket.set(zmq::sockopt::linger, kLingerMs);
   aSocket.set(zmq::sockopt::sndhwm, kHighWater);
-  aSocket.set(zmq::sockopt::rcvhwm, kHighWater);
+  aSocket.set(zmq::sockopt::rcvhwm, kNoReceiveMark);
   aSocket.set(zmq::sockopt::maxmsgsize, kMaxMessageBytes);
 }
 
@@ -54,7 +63,12 @@
   zmq::socket_t mIn{ mContext, zmq::socket_type::router };
   zmq::socket_t mWakeOut{ mContext, zmq::socket_type::pair };
   zmq::socket_t mWakeIn{ mContext, zmq::socket_type::pair };
-  std::map<std::string, zmq::socket_t> mOut;
+  struct Connection
+  {
+    zmq::socket_t mSocket;
+    Clock::time_point mSentAt;
+  };
+  std::map<std::string, Connection> mOut;
   /// When a peer was last heard on the connection that it opened.
   std::map<std::string, Clock::time_point> mHeardAt;
 
@@ -62,13 +76,28 @@
   {
     const auto found = mOut.find(aAddress);
     if (found != mOut.end()) {
-      return found->second;
+      found->second.mSentAt = Clock::now();
+      return found->second.mSocket;
     }
     zmq::socket_t socket(mContext, zmq::socket_type::dealer);
     SetOptions(socket);
     socket.set(zmq::sockopt::routing_id, mOwnAddress);
     socket.connect("tcp://" + aAddress);
-    return mOut.emplace(aAddress, std::move(socket)).first->second;
+    Connection connection{ std::move(socket), Clock::now() };
+    return mOut.emplace(aAddress, std::move(connection)).first->second.mSocket;
+  }
+
+  // Each wake-up looks at all of them, and each keeps heartbeats going: in a
+  // fleet of 476 hosts a control host had 1,135 descriptors without this.
+  void CloseUnused(std::chrono::milliseconds aUnused)
+  {
+    const Clock::time_point now = Clock::now();
+    for (auto it = mOut.begin(); it != mOut.end();) {
+      it = now - it->second.mSentAt > aUnused ? mOut.erase(it) : std::next(it);
+    }
+    for (auto it = mHeardAt.begin(); it != mHeardAt.end();) {
+      it = now - it->second > kHeardLately ? mHeardAt.erase(it) : std::next(it);
+    }
   }
 
   // True when the message has gone out on a connection that the peer opened. A
@@ -98,8 +127,8 @@
     std::vector<zmq::pollitem_t> items = {
       { mIn.handle(), 0, ZMQ_POLLIN, 0 }, { mWakeIn.handle(), 0, ZMQ_POLLIN, 0 }
     };
-    for (auto& [address, socket] : mOut) {
-      items.push_back({ socket.handle(), 0, ZMQ_POLLIN, 0 });
+    for (auto& [address, connection] : mOut) {
+      items.push_back({ connection.mSocket.handle(), 0, ZMQ_POLLIN, 0 });
     }
     return items;
   }
@@ -117,16 +146,19 @@
       mHeardAt[from] = Clock::now();
       aTake(message);
     }
-    for (auto& [address, socket] : mOut) {
-      while (socket.recv(message, zmq::recv_flags::dontwait)) {
+    for (auto& [address, connection] : mOut) {
+      while (connection.mSocket.recv(message, zmq::recv_flags::dontwait)) {
         aTake(message);
       }
     }
   }
 };
 
-Peers::Peers(const std::string& aListen, Handler aHandler)
+Peers::Peers(const std::string& aListen,
+             Handler aHandler,
+             std::chrono::milliseconds aUnused)
   : mHandler(std::move(aHandler))
+  , mUnused(aUnused)
   , mSockets(std::make_unique<Sockets>(aListen))
 {
   SetOptions(mSockets->mIn);
@@ -187,9 +219,14 @@
 
 void Peers::Run()
 {
+  Clock::time_point closeAt = Clock::now() + mUnused / kLooksPerUnused;
   while (true) {
     std::vector<zmq::pollitem_t> items = mSockets->PollItems();
-    zmq::poll(items, std::chrono::milliseconds(-1));
+    zmq::poll(items, mUnused / kLooksPerUnused);
+    if (Clock::now() >= closeAt) {
+      mSockets->CloseUnused(mUnused);
+      closeAt = Clock::now() + mUnused / kLooksPerUnused;
+    }
     zmq::message_t woken;
     while (mSockets->mWakeIn.recv(woken, zmq::recv_flags::dontwait)) {
     }
@@ -197,6 +234,7 @@
     mSockets->Receive([this](const zmq::message_t& aMessage) {
       mHandler({ static_cast<const char*>(aMessage.data()), aMessage.size() });
     });
+    mOpened = mSockets->mOut.size();
     const std::lock_guard<std::mutex> lock(mMutex);
     if (mStopping && mQueue.empty()) {
       return;
--- a/src/edge/peers.h
+++ b/src/edge/peers.h
@@ -1,5 +1,8 @@
 #pragma once
 
+#include <atomic>
+#include <chrono>
+#include <cstddef>
 #include <deque>
 #include <functional>
 #include <map>
@@ -16,14 +19,20 @@
 /// that has not connected here itself.
 ///
 /// A peer that was heard lately is answered on the connection that it opened;
-/// heartbeats replace a connection that has gone silent.
+/// heartbeats replace a connection that has gone silent. Connections of this
+/// host's own are closed when nothing was sent on them for a while.
 class Peers
 {
 public:
   /// Takes one message; called by the thread of this object.
   using Handler = std::function<void(std::string_view)>;
 
-  Peers(const std::string& aListen, Handler aHandler);
+  /// \brief Time without a message after which an own connection is closed.
+  static constexpr std::chrono::milliseconds kUnused{ 10000 };
+
+  Peers(const std::string& aListen,
+        Handler aHandler,
+        std::chrono::milliseconds aUnused = kUnused);
   Peers(const Peers&) = delete;
   Peers& operator=(const Peers&) = delete;
   ~Peers();
@@ -31,6 +40,9 @@
   /// \brief Queues a message; never blocks.
   void Send(const std::string& aAddress, std::string aMessage);
 
+  /// \brief Connections that this host opened itself.
+  [[nodiscard]] std::size_t Connections() const noexcept { return mOpened; }
+
 private:
   struct Sockets;
 
@@ -39,6 +51,8 @@
   void SendQueued();
 
   Handler mHandler;
+  std::chrono::milliseconds mUnused;
+  std::atomic<std::size_t> mOpened{ 0 };
   std::unique_ptr<Sockets> mSockets;
   std::mutex mMutex;
   std::deque<std::pair<std::string, std::string>> mQueue;
--- a/tests/peers_test.cpp
+++ b/tests/peers_test.cpp
@@ -4,6 +4,7 @@
 
 #include <Poco/Net/ServerSocket.h>
 
+#include <atomic>
 #include <chrono>
 #include <zmq.hpp>
 
@@ -25,6 +26,8 @@
 {
   CPPUNIT_TEST_SUITE(PeersTest);
   CPPUNIT_TEST(PeerThatConnectedIsAnsweredWithoutAConnectBack);
+  CPPUNIT_TEST(ReaderThatStoodStillTakesAllThatCameMeanwhile);
+  CPPUNIT_TEST(ConnectionThatIsNoLongerUsedIsClosed);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -59,6 +62,57 @@
     CPPUNIT_ASSERT(peer.recv(answer, zmq::recv_flags::none));
     CPPUNIT_ASSERT_EQUAL(std::string("answer"), answer.to_string());
   }
+
+  // The connection is given up and made again while its queue is full: with a
+  // receive mark the library ends the process when the reader goes on.
+  void ReaderThatStoodStillTakesAllThatCameMeanwhile()
+  {
+    constexpr int kMessages = 3000;
+    zmq::context_t context{ 1 };
+    zmq::socket_t peer(context, zmq::socket_type::router);
+    const std::string address = FreeAddress();
+    const std::string own = FreeAddress();
+    peer.set(zmq::sockopt::sndhwm, 0);
+    peer.set(zmq::sockopt::linger, 0);
+    peer.set(zmq::sockopt::rcvtimeo, 3000);
+    peer.bind("tcp://" + address);
+    std::atomic<int> heard{ 0 };
+    Peers peers(own, [&](std::string_view) {
+      if (heard++ == 0) {
+        std::this_thread::sleep_for(std::chrono::milliseconds(2500));
+      }
+    });
+    peers.Send(address, "here");
+    zmq::message_t from;
+    zmq::message_t body;
+    CPPUNIT_ASSERT(peer.recv(from, zmq::recv_flags::none));
+    CPPUNIT_ASSERT(peer.recv(body, zmq::recv_flags::none));
+    for (int i = 0; i < kMessages; ++i) {
+      peer.send(zmq::buffer(own), zmq::send_flags::sndmore);
+      peer.send(zmq::buffer(std::string("word")), zmq::send_flags::none);
+    }
+    for (int wait = 0; wait < 500 && heard < kMessages; ++wait) {
+      std::this_thread::sleep_for(std::chrono::milliseconds(10));
+    }
+    CPPUNIT_ASSERT_EQUAL(kMessages, heard.load());
+  }
+
+  // A host speaks to few others at a time, but to many over its life.
+  void ConnectionThatIsNoLongerUsedIsClosed()
+  {
+    Peers peers(
+      FreeAddress(), [](std::string_view) {}, std::chrono::milliseconds(200));
+    peers.Send(FreeAddress(), "to a host that is not there");
+    peers.Send(FreeAddress(), "to another one");
+    for (int wait = 0; wait < 200 && peers.Connections() != 2; ++wait) {
+      std::this_thread::sleep_for(std::chrono::milliseconds(5));
+    }
+    CPPUNIT_ASSERT_EQUAL(std::size_t(2), peers.Connections());
+    for (int wait = 0; wait < 400 && peers.Connections() != 0; ++wait) {
+      std::this_thread::sleep_for(std::chrono::milliseconds(5));
+    }
+    CPPUNIT_ASSERT_EQUAL(std::size_t(0), peers.Connections());
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(PeersTest);
