Ask for the group in quick turns; do not wait for a control host that is silent

Cause: after a loss of power a host asked one of its seeds, the next one 0.1 s later, and waited 0.3 s for the control host of its own data centre, which may not be back. Ruled out: all at once as before (470 hosts, 1,400 questions a round, 0.4 s of each seed's time before any is answered). A control host's place is told only where it was heard within two reports; one that cannot be followed yet is waited for no longer.

--- a/src/fleet/following.cpp
+++ b/src/fleet/following.cpp
@@ -208,7 +208,7 @@
   wire::FollowReply& reply = *message.mutable_follow_reply();
   reply.set_refer_to(referral);
   ++aState.mTraffic.mReferrals;
-  WriteControlWord(aState, reply);
+  WriteControlWord(aState, aNow, reply);
   Follower once;
   once.mSent = aMessage.applied();
   if (once.mSent >= aState.mRecentBase) {
@@ -337,7 +337,7 @@
   wire::FollowReply& reply = *message.mutable_follow_reply();
   FillCommands(aState, aNow, aFollower, reply);
   reply.set_in_touch(IsInTouch(aState, aNow));
-  WriteControlWord(aState, reply);
+  WriteControlWord(aState, aNow, reply);
   for (const std::string& address : aState.mRoute) {
     reply.add_route(address);
   }
--- a/src/fleet/internal.h
+++ b/src/fleet/internal.h
@@ -113,7 +113,9 @@
 /// \brief True for a member of the group that holds the catalog by itself.
 [[nodiscard]] bool Votes(const State& aState) noexcept;
 /// \brief Puts the group's addresses and their date into a reply.
-void WriteControlWord(const State& aState, wire::FollowReply& aReply);
+void WriteControlWord(const State& aState,
+                      Micros aNow,
+                      wire::FollowReply& aReply);
 /// \brief Takes the group's addresses unless newer ones are known; true when
 /// they changed.
 [[nodiscard]] bool TakeControlWord(State& aState,
--- a/src/fleet/upstream.cpp
+++ b/src/fleet/upstream.cpp
@@ -30,13 +30,14 @@
 /// Time for the control host of the own data centre to answer before another
 /// one is taken: a fleet that starts is some 78 askers at each, and as many
 /// snapshots.
-constexpr Micros kOfferWait = 300 * kMillisecond;
+constexpr Micros kOfferWait = 150 * kMillisecond;
 /// A host that was taken has this time to answer with its catalog before
 /// another offer is taken: a snapshot on a slow link.
 constexpr Micros kAnswerWait = 500 * kMillisecond;
-/// Pause before the next host is asked who is in touch: of 470 hosts that start
-/// together each asks one, and the others only where that one is silent.
-constexpr Micros kAskStep = 100 * kMillisecond;
+/// Pause before the next host is asked who is in touch: a few trips, so that a
+/// host that is not back yet costs its askers little; questions are answered
+/// after all else, so that those of 470 hosts delay nothing.
+constexpr Micros kAskStep = 30 * kMillisecond;
 /// Longest pause after all have been asked. They tell askers by themselves as
 /// soon as they are in touch; to ask again is for those that have restarted.
 constexpr Micros kMostAskPause = 4 * kFollowInterval;
@@ -312,6 +313,10 @@
   } else if (offers && !aState.mInTouch) {
     TakeOffer(aState, aNow, aFrom, aMessage, aOut);
   }
+  // The better one cannot be followed yet; whoever could is not kept waiting.
+  if (!offers && aFrom == aState.mUpstream && aState.mAcceptAt != 0) {
+    aState.mAcceptAt = aNow;
+  }
   const bool news = TakeControlWord(aState, aMessage);
   if (news && !aState.mInTouch && aState.mAcceptedAt == 0) {
     aState.mAskAt = aNow;
--- a/src/fleet/whereabouts.cpp
+++ b/src/fleet/whereabouts.cpp
@@ -38,6 +38,18 @@
          kMaybeRestarted * lease;
 }
 
+// Askers prefer a control host of their own data centre: one that is silent is
+// not worth their waiting.
+std::string PlaceIfHeard(const State& aState,
+                         const std::string& aAddress,
+                         Micros aNow)
+{
+  const auto found = aState.mHosts.find(aAddress);
+  const bool heard = found != aState.mHosts.end() && !found->second.mGone &&
+                     aNow - found->second.mHeardAt < 2 * kFollowInterval;
+  return heard ? found->second.mDataCentre : "";
+}
+
 std::vector<std::string> SilentHosts(const State& aState, Micros aNow)
 {
   std::vector<std::string> silent;
@@ -73,16 +85,16 @@
          aState.mGroup.mRole != consensus::Role::Learner;
 }
 
-void WriteControlWord(const State& aState, wire::FollowReply& aReply)
+void WriteControlWord(const State& aState,
+                      Micros aNow,
+                      wire::FollowReply& aReply)
 {
   aReply.set_leader_address(aState.mLeaderAddress);
   aReply.set_control_term(aState.mControlDate.mTerm);
   aReply.set_control_index(aState.mControlDate.mIndex);
   for (const std::string& address : aState.mControlAddresses) {
-    const auto host = aState.mHosts.find(address);
     aReply.add_control_addresses(address);
-    aReply.add_control_data_centres(
-      host == aState.mHosts.end() ? "" : host->second.mDataCentre);
+    aReply.add_control_data_centres(PlaceIfHeard(aState, address, aNow));
   }
 }
 
@@ -114,7 +126,7 @@
   const auto& route = aState.mRoute;
   const bool above = std::count(route.begin(), route.end(), aTo) != 0;
   reply.set_in_touch(!learns && !above && IsInTouch(aState, aNow));
-  WriteControlWord(aState, reply);
+  WriteControlWord(aState, aNow, reply);
   SendTo(aState, aTo, std::move(message), aOut);
 }
 
