--- a/tests/gateway_stop_test.cpp
+++ b/tests/gateway_stop_test.cpp
@@ -17,6 +17,7 @@
 
 #include <atomic>
 #include <chrono>
+#include <memory>
 #include <sstream>
 #include <thread>
 
@@ -135,6 +136,13 @@
       new LargeAnswersFactory, net::ServerSocket(0), new net::HTTPServerParams);
     target.start();
     std::thread host([this] { Run(); });
+    // A check that fails must say so: an unjoined thread ends the process.
+    const std::shared_ptr<void> joins(nullptr, [&](void*) {
+      mStop = true;
+      if (host.joinable()) {
+        host.join();
+      }
+    });
     Announce("127.0.0.1:" + std::to_string(target.port()));
     const std::size_t taken = ReadSlowly();
     host.join();
