Log and count what is there of the control group

Cause: from the logs of the incident nobody can tell a group that has no majority from one whose elections do not end, or from one that lost what it had acknowledged: a start does not say what the disk held, nor an election how many votes it had of how many voters. Change: a line at each start (member, voters, policy, end of the log), one while there is no leader or less is tolerated than the settings say, with the time, and one when that ends; gauges voters, voters_answering, losses_tolerated on each control host. The simulated fleet drops what was not synced at a loss of power, and no longer tells a restarted host of the syncs of its earlier life. Measured: GroupThatToleratesLessIsLoggedAndCounted and DiskAtAStartIsLogged.

--- a/include/geraniumpond/fleet.h
+++ b/include/geraniumpond/fleet.h
@@ -163,6 +163,24 @@
   std::uint64_t mUpstreamsLeft = 0;
 };
 
+/// \brief Voters of the control group, as one control host sees them.
+struct GroupHealth
+{
+  int mVoters = 0;
+  int mAnswering = 0;
+  /// Voters that may still be lost while a majority answers; negative where
+  /// none does.
+  int mTolerated = 0;
+};
+
+/// \brief Since when the group tolerates less than it should, and when that was
+/// last logged; 0 for not at all.
+struct GroupWatch
+{
+  Micros mWeakSince = 0;
+  Micros mToldAt = 0;
+};
+
 /// \brief Everything that one host knows of its fleet.
 struct State
 {
@@ -252,6 +270,7 @@
 
   Micros mFollowAt = 0;
   Micros mJoinAt = 0;
+  GroupWatch mGroupWatch;
   bool mReady = false;
   bool mStopping = false;
 };
@@ -307,6 +326,9 @@
 /// \brief True while the control group's leader is heard, directly or not.
 [[nodiscard]] bool IsInTouch(const State& aState, Micros aNow);
 
+/// \brief How much of the control group is there; all zero without a disk.
+[[nodiscard]] GroupHealth HealthOf(const State& aState, Micros aNow);
+
 /// \brief True for the address of a host known to be in the own data centre.
 [[nodiscard]] bool IsNear(const State& aState, const std::string& aAddress);
 
--- a/src/fleet/fleet.cpp
+++ b/src/fleet/fleet.cpp
@@ -124,6 +124,7 @@
     state.mGroup.mRules.mSnapshotEvery = kSnapshotEntries;
     state.mGroup.mRules.mRetained = kRetainedEntries;
     LoadRecovered(state, aOut);
+    NoteOpened(state, aOut);
   }
   state.mUpstreamTurn = static_cast<std::size_t>(aRandom % 1021);
   RefreshOwnHost(state, aNow);
@@ -142,6 +143,9 @@
     RefreshOwnHost(aState, aNow);
     SendFollows(aState, aNow, aOut);
     UpdateHosts(aState, aNow, aOut);
+    if (IsControlMember(aState)) {
+      WatchGroup(aState, aNow, aOut);
+    }
   }
   if (aState.mPushAt != 0 && aNow >= aState.mPushAt) {
     PushToFollowers(aState, aNow, aOut);
--- /dev/null
+++ b/src/fleet/group_health.cpp
@@ -0,0 +1,125 @@
+#include "internal.h"
+
+#include <algorithm>
+
+// What of the control group is there, and what may still be lost of it. Without
+// these lines a group that cannot elect, one whose elections do not end and one
+// that lost what it had acknowledged look the same from outside: a host that is
+// out of touch.
+namespace geraniumpond::fleet {
+
+namespace {
+
+/// A voter that was not heard for this long does not count as answering: two
+/// reports in a row are missing.
+constexpr Micros kAnswersWithin = 2 * kFollowInterval;
+/// A weakness that lasts shorter is a restart or an election, not worth a line.
+constexpr Micros kWeakFor = 1 * kSecond;
+/// Pace of the lines while a weakness lasts.
+constexpr Micros kWeakLinePause = 5 * kSecond;
+
+// The leader hears members themselves; others hear the hosts at their
+// addresses.
+bool Answers(const State& aState, const wire::Member& aMember, Micros aNow)
+{
+  const consensus::State& group = aState.mGroup;
+  if (aMember.id() == group.mId) {
+    return !group.mFailed;
+  }
+  if (consensus::IsLeader(group)) {
+    const auto progress = group.mProgress.find(aMember.id());
+    return progress != group.mProgress.end() &&
+           aNow - progress->second.mHeardAt < kAnswersWithin;
+  }
+  const auto host = aState.mHosts.find(aMember.address());
+  return host != aState.mHosts.end() && !host->second.mGone &&
+         aNow - host->second.mHeardAt < kAnswersWithin;
+}
+
+std::string Describe(const GroupHealth& aHealth)
+{
+  return " voters=" + std::to_string(aHealth.mVoters) +
+         " answering=" + std::to_string(aHealth.mAnswering) +
+         " tolerated=" + std::to_string(aHealth.mTolerated);
+}
+
+// What the last election of this member ended with, and how far its log goes.
+std::string DescribeElection(const consensus::State& aGroup)
+{
+  const std::uint64_t last = consensus::LastIndex(aGroup);
+  return std::string(" role=") + consensus::ToString(aGroup.mRole) +
+         " term=" + std::to_string(aGroup.mTerm) +
+         " elections=" + std::to_string(aGroup.mElections) +
+         " votes=" + std::to_string(aGroup.mVotes.size()) +
+         " last_index=" + std::to_string(last) + " last_term=" +
+         std::to_string(consensus::TermAt(aGroup, last).value_or(0));
+}
+
+bool SpeaksForGroup(const State& aState)
+{
+  return consensus::IsLeader(aState.mGroup) || aState.mGroup.mLeader.empty();
+}
+
+} // namespace
+
+GroupHealth HealthOf(const State& aState, Micros aNow)
+{
+  GroupHealth health;
+  for (const wire::Member& member : aState.mGroup.mMembership.members()) {
+    if (member.voter()) {
+      ++health.mVoters;
+      health.mAnswering += Answers(aState, member, aNow) ? 1 : 0;
+    }
+  }
+  health.mTolerated = health.mAnswering - (health.mVoters / 2 + 1);
+  return health;
+}
+
+void NoteOpened(const State& aState, Output& aOut)
+{
+  const consensus::State& group = aState.mGroup;
+  const GroupHealth health = HealthOf(aState, group.mOpenedAt);
+  aOut.mNotes.push_back(
+    { 1,
+      "event=group_opened member=" + group.mId +
+        " voters=" + std::to_string(health.mVoters) + " policy=" +
+        std::to_string(aState.mCatalog.mVersion) + DescribeElection(group) });
+}
+
+void WatchGroup(State& aState, Micros aNow, Output& aOut)
+{
+  const GroupHealth health = HealthOf(aState, aNow);
+  GroupWatch& watch = aState.mGroupWatch;
+  const bool weak = SpeaksForGroup(aState) &&
+                    (consensus::IsLeader(aState.mGroup)
+                       ? health.mTolerated < aState.mSettings.mToleratedLosses
+                       : Votes(aState));
+  if (!weak) {
+    if (watch.mToldAt != 0) {
+      aOut.mNotes.push_back(
+        { 1,
+          "event=group_strong after_ms=" +
+            std::to_string((aNow - watch.mWeakSince) / kMillisecond) +
+            Describe(health) });
+    }
+    watch = GroupWatch();
+    return;
+  }
+  watch.mWeakSince = watch.mWeakSince == 0 ? aNow : watch.mWeakSince;
+  const bool due = watch.mToldAt == 0 || aNow - watch.mToldAt >= kWeakLinePause;
+  if (aNow - watch.mWeakSince < kWeakFor || !due) {
+    return;
+  }
+  watch.mToldAt = aNow;
+  aOut.mNotes.push_back(
+    { 2,
+      std::string("event=") +
+        (consensus::IsLeader(aState.mGroup) ? "group_weak"
+                                            : "group_leaderless") +
+        " for_ms=" + std::to_string((aNow - watch.mWeakSince) / kMillisecond) +
+        Describe(health) +
+        " wanted=" + std::to_string(aState.mSettings.mToleratedLosses) +
+        DescribeElection(aState.mGroup) });
+}
+
+} // namespace geraniumpond::fleet
--- a/src/frontend/gateway_calls.cpp
+++ b/src/frontend/gateway_calls.cpp
@@ -94,6 +94,12 @@
   gauges["hosts_behind"] = static_cast<double>(fleet.mBehind.size());
   gauges["relays_above"] = static_cast<double>(fleet.mRoute.size());
   gauges["commands_pending"] = static_cast<double>(fleet.mPending.size());
+  if (fleet.mSettings.mControl) {
+    const fleet::GroupHealth health = fleet::HealthOf(fleet, mNow);
+    gauges["voters"] = health.mVoters;
+    gauges["voters_answering"] = health.mAnswering;
+    gauges["losses_tolerated"] = health.mTolerated;
+  }
   gauges["peer_connections"] = static_cast<double>(mPeers->Connections());
   dispatch::Counters counters = mState.mDispatch.mCounters;
   counters["snapshots_sent"] = traffic.mSnapshotsSent;
--- a/tests/fakes/fleet_world.cpp
+++ b/tests/fakes/fleet_world.cpp
@@ -24,6 +24,20 @@
   }
 }
 
+void ApplyWrite(consensus::Recovered& aDisk, const consensus::Write& aWrite)
+{
+  for (const wire::LogRecord& record : aWrite.mRecords) {
+    ApplyRecord(aDisk, record);
+  }
+  if (aWrite.mSnapshot) {
+    aDisk.mSnapshot = *aWrite.mSnapshot;
+    aDisk.mEntries.clear();
+    for (const wire::LogRecord& record : aWrite.mRetained) {
+      ApplyRecord(aDisk, record);
+    }
+  }
+}
+
 } // namespace
 
 FleetWorld::FleetWorld(std::uint64_t aSeed)
@@ -66,6 +80,9 @@
         fleet::FoundingMembers(mSeeds);
     }
   }
+  // What a killed process had written is on the disk by its next start.
+  node.mSyncedDisk = node.mDisk;
+  node.mUnsynced.clear();
   node.mAlive = true;
   node.mInbox = fleet::Inbox();
   node.mBusyUntil = mNow;
@@ -113,22 +130,35 @@
   }
 }
 
+void FleetWorld::Stop(const std::string& aAddress)
+{
+  fleet::Output output;
+  fleet::BeginStop(mNodes.at(aAddress).mState, mNow, output);
+  Take(aAddress, output);
+}
+
+void FleetWorld::LosePower(const std::string& aAddress)
+{
+  FleetNode& node = mNodes.at(aAddress);
+  node.mAlive = false;
+  node.mUnsynced.clear();
+  node.mDisk = node.mSyncedDisk;
+}
+
 void FleetWorld::Wipe(const std::string& aAddress)
 {
-  mNodes.at(aAddress).mDisk = consensus::Recovered();
+  FleetNode& node = mNodes.at(aAddress);
+  node.mUnsynced.clear();
+  node.mDisk = consensus::Recovered();
+  node.mSyncedDisk = consensus::Recovered();
 }
 
-void FleetWorld::Write(FleetNode& aNode, const consensus::Write& aWrite)
+void FleetWorld::Sync(FleetNode& aNode, std::uint64_t aSequence)
 {
-  for (const wire::LogRecord& record : aWrite.mRecords) {
-    ApplyRecord(aNode.mDisk, record);
-  }
-  if (aWrite.mSnapshot) {
-    aNode.mDisk.mSnapshot = *aWrite.mSnapshot;
-    aNode.mDisk.mEntries.clear();
-    for (const wire::LogRecord& record : aWrite.mRetained) {
-      ApplyRecord(aNode.mDisk, record);
-    }
+  while (!aNode.mUnsynced.empty() &&
+         aNode.mUnsynced.front().mSequence <= aSequence) {
+    ApplyWrite(aNode.mSyncedDisk, aNode.mUnsynced.front());
+    aNode.mUnsynced.pop_front();
   }
 }
 
@@ -136,8 +166,11 @@
 {
   FleetNode& node = mNodes.at(aAddress);
   for (const consensus::Write& write : aOutput.mWrites) {
-    Write(node, write);
-    mSyncs.emplace(mNow + kSyncTime, std::make_pair(aAddress, write.mSequence));
+    ApplyWrite(node.mDisk, write);
+    node.mUnsynced.push_back(write);
+    mSyncs.emplace(
+      mNow + kSyncTime,
+      PendingSync{ aAddress, node.mSettings.mIncarnation, write.mSequence });
   }
   for (const auto& [to, message] : aOutput.mMessages) {
     Sent sent{ aAddress, to, message };
@@ -189,12 +222,14 @@
   while (mNow < end) {
     mNow += kStepTime;
     while (!mSyncs.empty() && mSyncs.begin()->first <= mNow) {
-      const auto [address, sequence] = mSyncs.begin()->second;
+      const PendingSync sync = mSyncs.begin()->second;
       mSyncs.erase(mSyncs.begin());
-      if (mNodes.at(address).mAlive) {
+      FleetNode& node = mNodes.at(sync.mAddress);
+      if (node.mAlive && node.mSettings.mIncarnation == sync.mIncarnation) {
+        Sync(node, sync.mSequence);
         fleet::Output output;
-        fleet::Synced(mNodes.at(address).mState, mNow, sequence, output);
-        Take(address, output);
+        fleet::Synced(node.mState, mNow, sync.mSequence, output);
+        Take(sync.mAddress, output);
       }
     }
     while (!mQueue.empty() && mQueue.begin()->first <= mNow) {
@@ -262,17 +297,20 @@
   return "";
 }
 
-std::size_t FleetWorld::Voters() const
+std::vector<std::string> FleetWorld::VoterAddresses() const
 {
+  std::vector<std::string> voters;
   const std::string leader = Leader();
   if (leader.empty()) {
-    return 0;
+    return voters;
   }
   const auto& members = mNodes.at(leader).mState.mGroup.mMembership.members();
-  return static_cast<std::size_t>(std::count_if(
-    members.begin(), members.end(), [](const wire::Member& aMember) {
-      return aMember.voter();
-    }));
+  for (const wire::Member& member : members) {
+    if (member.voter()) {
+      voters.push_back(member.address());
+    }
+  }
+  return voters;
 }
 
 std::vector<std::string> FleetWorld::Addresses() const
--- a/tests/fakes/fleet_world.h
+++ b/tests/fakes/fleet_world.h
@@ -3,6 +3,7 @@
 #include <geraniumpond/fleet.h>
 #include <geraniumpond/fleet_inbox.h>
 
+#include <deque>
 #include <functional>
 #include <map>
 #include <random>
@@ -19,6 +20,9 @@
   fleet::Settings mSettings;
   fleet::State mState;
   consensus::Recovered mDisk;
+  /// The part of it that is synced: what outlives a loss of power.
+  consensus::Recovered mSyncedDisk;
+  std::deque<consensus::Write> mUnsynced;
   bool mAlive = false;
   /// Ends of submitted commands, by id.
   std::map<std::uint64_t, fleet::Done> mDone;
@@ -36,6 +40,14 @@
   wire::FleetMessage mMessage;
 };
 
+/// \brief A write that reaches a host's disk later.
+struct PendingSync
+{
+  std::string mAddress;
+  std::uint64_t mIncarnation = 0;
+  std::uint64_t mSequence = 0;
+};
+
 /// \brief Time that messages take of a host; none by default.
 struct Work
 {
@@ -75,6 +87,10 @@
   void FoundSpread(int aDataCentres, int aOthers, int aToleratedLosses);
 
   void Kill(const std::string& aAddress) { mNodes.at(aAddress).mAlive = false; }
+  /// \brief Tells a host to stop; it runs on until it is killed.
+  void Stop(const std::string& aAddress);
+  /// \brief Ends a host at once; what its disk had not synced is gone.
+  void LosePower(const std::string& aAddress);
   /// \brief Empties a stopped host's disk.
   void Wipe(const std::string& aAddress);
 
@@ -90,7 +106,9 @@
 
   FleetNode& Node(const std::string& aAddress) { return mNodes.at(aAddress); }
   [[nodiscard]] std::string Leader() const;
-  [[nodiscard]] std::size_t Voters() const;
+  /// \brief Voters as the leader counts them; none without one.
+  [[nodiscard]] std::size_t Voters() const { return VoterAddresses().size(); }
+  [[nodiscard]] std::vector<std::string> VoterAddresses() const;
   [[nodiscard]] std::vector<std::string> Addresses() const;
 
   /// Hosts that cannot exchange messages with any other one.
@@ -105,7 +123,7 @@
   void TakeArrived(const std::string& aAddress, FleetNode& aNode);
   [[nodiscard]] bool IsFree(const FleetNode& aNode) const;
   void Charge(FleetNode& aNode, const wire::FleetMessage& aMessage);
-  void Write(FleetNode& aNode, const consensus::Write& aWrite);
+  void Sync(FleetNode& aNode, std::uint64_t aSequence);
   std::uint64_t Random() { return mRandom(); }
 
   std::mt19937_64 mRandom;
@@ -113,7 +131,7 @@
   int mTolerated = 0;
   std::map<std::string, FleetNode> mNodes;
   std::multimap<Micros, Sent> mQueue;
-  std::multimap<Micros, std::pair<std::string, std::uint64_t>> mSyncs;
+  std::multimap<Micros, PendingSync> mSyncs;
   std::uint64_t mIncarnation = 0;
 };
 
--- /dev/null
+++ b/tests/fleet_members_test.cpp
@@ -0,0 +1,285 @@
+#include "fakes/fleet_world.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <algorithm>
+
+namespace geraniumpond::fleet {
+
+using fakes::FleetWorld;
+using fakes::PutPolicyCommand;
+
+namespace {
+
+/// A host that was told to stop ends after this time.
+constexpr Micros kStopTime = 4 * kSecond;
+/// In this time all hosts serve again after the last fault.
+constexpr Micros kBackTime = 8 * kSecond;
+/// In this time a group is whole again after a voter fell silent for good.
+constexpr Micros kWholeTime = 4 * kSecond;
+
+std::string Founder(int aNumber)
+{
+  return "10.0.0." + std::to_string(aNumber) + ":1";
+}
+
+constexpr const char* kNewcomer = "10.0.1.1:1";
+constexpr const char* kFollower = "10.0.0.5:1";
+
+} // namespace
+
+// What users saw: a change of the policy was acknowledged; then all hosts lost
+// power and one control host its disk. From there on no host knew a policy, or
+// some acted on an older one, and the change could not be read back.
+//
+// Order of events: three control hosts, one loss tolerated. A fourth one joins
+// and becomes a voter; one of the three is told to stop and goes for good, as
+// planned; a change is acknowledged by the three that are left; all lose power,
+// one of the three its disk.
+//
+// Cause: nobody takes a voter that stopped for good out of the group. Four
+// voters are counted, two are there: no majority, for ever.
+//
+// Evidence: the leader's log has two changes of members, the newcomer's, and
+// none after the stop; after the loss every control host counts four voters,
+// collects two votes of the three that it needs, and holds the change at the
+// end of its log.
+class FleetMembersTest : public CppUnit::TestFixture
+{
+  CPPUNIT_TEST_SUITE(FleetMembersTest);
+  CPPUNIT_TEST(GroupThatToleratesLessIsLoggedAndCounted);
+  CPPUNIT_TEST(DiskAtAStartIsLogged);
+  CPPUNIT_TEST_SUITE_END();
+
+public:
+  void HostReplacedAsPlannedThenOneDiskAndAllPowerLostKeepsTheChange()
+  {
+    for (int leaves = 1; leaves <= 3; ++leaves) {
+      for (const std::string& wiped : OthersThan(leaves)) {
+        FleetWorld world = Replaced(leaves);
+        CPPUNIT_ASSERT(world.Commit(kFollower, PutPolicyCommand(2, 1, "two")));
+        LoseAllPower(world, leaves, wiped);
+        AssertServes(world, leaves, 2, "wiped " + wiped);
+      }
+    }
+  }
+
+  void HostReplacedAsPlannedThenOneDiskLostKeepsCommitting()
+  {
+    for (const std::string& wiped : OthersThan(1)) {
+      FleetWorld world = Replaced(1);
+      CPPUNIT_ASSERT(world.Commit(kFollower, PutPolicyCommand(2, 1, "two")));
+      world.LosePower(wiped);
+      world.Wipe(wiped);
+      world.Advance(kSecond);
+      world.Start(wiped, false);
+      AssertServes(world, 1, 2, "wiped " + wiped);
+      CPPUNIT_ASSERT(world.Commit(kFollower, PutPolicyCommand(3, 2, "three")));
+    }
+  }
+
+  void ChangeSentJustBeforeTheLossIsKeptIfItWasAcknowledged()
+  {
+    for (int ms = 5; ms <= 400; ms += 79) {
+      for (const std::string& wiped : OthersThan(1)) {
+        FleetWorld world = Replaced(1);
+        const std::uint64_t id =
+          world.Submit(kFollower, PutPolicyCommand(2, 1, "two"));
+        world.Advance(ms * kMillisecond);
+        const auto& done = world.Node(kFollower).mDone;
+        const bool acknowledged = done.count(id) != 0;
+        LoseAllPower(world, 1, wiped);
+        AssertServes(world,
+                     1,
+                     acknowledged ? 2 : 1,
+                     "wiped " + wiped + " after ms " + std::to_string(ms));
+      }
+    }
+  }
+
+  void HostsReplacedInARowLeaveAWholeGroup()
+  {
+    for (const int count : { 2, 4 }) {
+      FleetWorld world = Founded();
+      std::vector<std::string> control = { Founder(1), Founder(2), Founder(3) };
+      for (int i = 0; i < count; ++i) {
+        const std::string next = "10.0.1." + std::to_string(i + 1) + ":1";
+        world.SetSeeds(control);
+        Join(world, next);
+        Leave(world, control.front());
+        control.erase(control.begin());
+        control.push_back(next);
+      }
+      CPPUNIT_ASSERT(world.Commit(kFollower, PutPolicyCommand(2, 1, "two")));
+      CPPUNIT_ASSERT_EQUAL(std::size_t(3), world.Voters());
+      for (const std::string& address : control) {
+        CPPUNIT_ASSERT_MESSAGE(address, IsVoter(world, address));
+      }
+    }
+  }
+
+  void VoterThatStopsLeavesBeforeItExits()
+  {
+    for (int leaves = 1; leaves <= 3; ++leaves) {
+      FleetWorld world = Founded();
+      Join(world, kNewcomer);
+      world.Stop(Founder(leaves));
+      CPPUNIT_ASSERT(world.Until(kStopTime, [&] {
+        return world.Voters() == 3 && !IsVoter(world, Founder(leaves));
+      }));
+    }
+  }
+
+  void VoterSilentForGoodLeavesWhereOthersAreEnough()
+  {
+    for (int lost = 1; lost <= 3; ++lost) {
+      FleetWorld world = Founded();
+      Join(world, kNewcomer);
+      world.Kill(Founder(lost));
+      CPPUNIT_ASSERT(world.Until(kWholeTime, [&] {
+        return world.Voters() == 3 && !IsVoter(world, Founder(lost));
+      }));
+    }
+  }
+
+  void GroupThatToleratesLessIsLoggedAndCounted()
+  {
+    FleetWorld world = Founded();
+    const std::string leader = world.Leader();
+    const fleet::State& state = world.Node(leader).mState;
+    CPPUNIT_ASSERT_EQUAL(1, HealthOf(state, world.mNow).mTolerated);
+    world.Kill(leader == Founder(3) ? Founder(2) : Founder(3));
+    world.Advance(3 * kSecond);
+    const GroupHealth health = HealthOf(state, world.mNow);
+    CPPUNIT_ASSERT_EQUAL(3, health.mVoters);
+    CPPUNIT_ASSERT_EQUAL(2, health.mAnswering);
+    CPPUNIT_ASSERT_EQUAL(0, health.mTolerated);
+    CPPUNIT_ASSERT(HasNote(world, leader, "event=group_weak"));
+    world.Kill(leader == Founder(1) ? Founder(2) : Founder(1));
+    world.Advance(5 * kSecond);
+    CPPUNIT_ASSERT_EQUAL(-1, HealthOf(state, world.mNow).mTolerated);
+    CPPUNIT_ASSERT(HasNote(world, leader, "event=group_leaderless"));
+  }
+
+  void DiskAtAStartIsLogged()
+  {
+    FleetWorld world = Founded();
+    CPPUNIT_ASSERT(HasNote(world, Founder(1), "event=group_opened"));
+    world.Kill(Founder(1));
+    world.Wipe(Founder(1));
+    world.Start(Founder(1), false);
+    CPPUNIT_ASSERT(HasNote(world, Founder(1), "/disk"));
+    CPPUNIT_ASSERT(HasNote(world, Founder(1), "voters=0"));
+  }
+
+private:
+  // Three control hosts and four others; the first version is in force.
+  static FleetWorld Founded()
+  {
+    FleetWorld world(7);
+    world.Found(3, 4, 1);
+    CPPUNIT_ASSERT(
+      world.Until(10 * kSecond, [&] { return world.Voters() == 3; }));
+    CPPUNIT_ASSERT(world.Commit(kFollower, PutPolicyCommand(1, 0, "one")));
+    world.Advance(kSecond);
+    return world;
+  }
+
+  static void Join(FleetWorld& aWorld, const std::string& aAddress)
+  {
+    aWorld.Add(aAddress, true);
+    aWorld.Start(aAddress, false);
+    CPPUNIT_ASSERT(
+      aWorld.Until(10 * kSecond, [&] { return IsVoter(aWorld, aAddress); }));
+  }
+
+  static void Leave(FleetWorld& aWorld, const std::string& aAddress)
+  {
+    aWorld.Stop(aAddress);
+    aWorld.Advance(kStopTime);
+    aWorld.Kill(aAddress);
+    aWorld.Advance(kSecond);
+  }
+
+  static FleetWorld Replaced(int aLeaves)
+  {
+    FleetWorld world = Founded();
+    Join(world, kNewcomer);
+    Leave(world, Founder(aLeaves));
+    return world;
+  }
+
+  static std::vector<std::string> OthersThan(int aLeaves)
+  {
+    std::vector<std::string> others = { kNewcomer };
+    for (int i = 1; i <= 3; ++i) {
+      if (i != aLeaves) {
+        others.push_back(Founder(i));
+      }
+    }
+    return others;
+  }
+
+  static std::vector<std::string> Left(const FleetWorld& aWorld, int aLeaves)
+  {
+    std::vector<std::string> left = aWorld.Addresses();
+    left.erase(std::find(left.begin(), left.end(), Founder(aLeaves)));
+    return left;
+  }
+
+  static void LoseAllPower(FleetWorld& aWorld,
+                           int aLeaves,
+                           const std::string& aWiped)
+  {
+    const std::vector<std::string> left = Left(aWorld, aLeaves);
+    for (const std::string& address : left) {
+      aWorld.LosePower(address);
+    }
+    aWorld.Wipe(aWiped);
+    aWorld.Advance(kSecond);
+    for (const std::string& address : left) {
+      aWorld.Start(address, false);
+    }
+  }
+
+  // All hosts that are left are in touch, with a version or a later one, and it
+  // can be read back.
+  static void AssertServes(FleetWorld& aWorld,
+                           int aLeaves,
+                           std::uint64_t aVersion,
+                           const std::string& aCase)
+  {
+    const std::vector<std::string> left = Left(aWorld, aLeaves);
+    const bool all = aWorld.Until(kBackTime, [&] {
+      return std::all_of(left.begin(), left.end(), [&](const auto& aHost) {
+        const State& state = aWorld.Node(aHost).mState;
+        return state.mCatalog.mVersion >= aVersion &&
+               IsInTouch(state, aWorld.mNow);
+      });
+    });
+    CPPUNIT_ASSERT_MESSAGE(aCase, all);
+    wire::CatalogCommand read;
+    read.mutable_read_barrier();
+    CPPUNIT_ASSERT_MESSAGE(aCase, aWorld.Commit(kFollower, read));
+  }
+
+  static bool IsVoter(const FleetWorld& aWorld, const std::string& aAddress)
+  {
+    const std::vector<std::string> voters = aWorld.VoterAddresses();
+    return std::count(voters.begin(), voters.end(), aAddress) != 0;
+  }
+
+  static bool HasNote(FleetWorld& aWorld,
+                      const std::string& aAddress,
+                      const std::string& aText)
+  {
+    const auto& notes = aWorld.Node(aAddress).mNotes;
+    return std::any_of(notes.begin(), notes.end(), [&](const auto& aNote) {
+      return aNote.find(aText) != std::string::npos;
+    });
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(FleetMembersTest);
+
+} // namespace geraniumpond::fleet
