Take voters that left out of the group; let newcomers in at once

Cause: a voter that stopped or was lost for good was taken out only when another host joined. With four voters, one of them gone, one more loss, which the settings tolerate, left two of four: no majority, for ever. Ruled out: removing every voter that stops or is silent (with three voters and one loss tolerated the group would be two, and the loss of one more disk would leave it stuck for good; of five with one away four tolerate no more than five). Change: the leader makes a voter that stops, or is silent for 2.5 s, a learner as soon as the rest tolerates more without it and less is tolerated than the settings say; one whose disk was replaced, or that is silent for 8 s, in any case; never below two voters more than twice the losses, less one. A learner that answers is a voter again. A newcomer no longer waits for another one's silence, nor is anybody taken out before it has its vote. A leader that stops hands over to a voter that stays, and tries again while it leads. A host that stops does not ask to join. Requests to join that name no disk, or another one's id, are refused, counted and logged.

--- a/include/geraniumpond/consensus.h
+++ b/include/geraniumpond/consensus.h
@@ -177,8 +177,12 @@
   const wire::Membership& aNext,
   Output& aOut);
 
-/// \brief Hands leadership to the most advanced voter.
-void Transfer(State& aState, Micros aNow, Output& aOut);
+/// \brief Hands leadership to the most advanced voter of those that are not
+/// excepted.
+void Transfer(State& aState,
+              Micros aNow,
+              Output& aOut,
+              const std::set<std::string>& aExcept = {});
 
 /// \brief Notes that all writes up to a sequence are on disk.
 void Synced(State& aState, std::uint64_t aSequence, Output& aOut);
--- a/include/geraniumpond/fleet.h
+++ b/include/geraniumpond/fleet.h
@@ -161,6 +161,8 @@
   /// Upstreams that fell silent, and such that gave way to a better one.
   std::uint64_t mUpstreamsLost = 0;
   std::uint64_t mUpstreamsLeft = 0;
+  /// Requests to join that this leader refused.
+  std::uint64_t mJoinsRefused = 0;
 };
 
 /// \brief Voters of the control group, as one control host sees them.
@@ -270,6 +272,10 @@
 
   Micros mFollowAt = 0;
   Micros mJoinAt = 0;
+  /// At a leader that stops: when it tries again to hand over its lead.
+  Micros mHandOverAt = 0;
+  /// When a refused request to join was last logged.
+  Micros mJoinRefusedAt = 0;
   GroupWatch mGroupWatch;
   bool mReady = false;
   bool mStopping = false;
--- a/src/consensus/replication.cpp
+++ b/src/consensus/replication.cpp
@@ -290,7 +290,10 @@
   return entry.index();
 }
 
-void Transfer(State& aState, Micros aNow, Output& aOut)
+void Transfer(State& aState,
+              Micros aNow,
+              Output& aOut,
+              const std::set<std::string>& aExcept)
 {
   if (aState.mRole != Role::Leader) {
     return;
@@ -300,12 +303,15 @@
     const Progress& progress = aState.mProgress[member.id()];
     const bool live = aNow - progress.mHeardAt < aState.mRules.mElectionMin;
     if (member.voter() && member.id() != aState.mId && live &&
-        progress.mMatch + 1 > best) {
+        aExcept.count(member.id()) == 0 && progress.mMatch + 1 > best) {
       best = progress.mMatch + 1;
       aState.mTransferTo = member.id();
       aState.mTransferUntil = aNow + aState.mRules.mElectionMin;
     }
   }
+  if (best == 0) {
+    return;
+  }
   if (best == LastIndex(aState) + 1) {
     SendTransfer(aState, aOut);
     aState.mTransferTo.clear();
--- a/src/fleet/fleet.cpp
+++ b/src/fleet/fleet.cpp
@@ -218,11 +218,7 @@
   RefreshOwnHost(aState, aNow);
   SendFollows(aState, aNow, aOut);
   UpdateHosts(aState, aNow, aOut);
-  if (consensus::IsLeader(aState.mGroup)) {
-    consensus::Output raft;
-    consensus::Transfer(aState.mGroup, aNow, raft);
-    Perform(aState, aNow, std::move(raft), aOut);
-  }
+  HandOverLead(aState, aNow, aOut);
 }
 
 std::vector<const Host*> ReadyHosts(const State& aState, Micros aNow)
--- a/src/fleet/internal.h
+++ b/src/fleet/internal.h
@@ -29,13 +29,21 @@
                    std::uint64_t aRandom,
                    const wire::ConsensusMessage& aMessage,
                    Output& aOut);
+[[nodiscard]] std::string LeaderAddress(const State& aState);
+void ApplyCommand(State& aState, const std::string& aCommand, Output& aOut);
+
+// --- members.cpp: who belongs to the control group
+
+/// \brief At the leader: takes in who has caught up and out who has left; at
+/// others: asks to be taken in.
+void KeepMembers(State& aState, Micros aNow, Output& aOut);
 void TakeJoin(State& aState,
               Micros aNow,
               const std::string& aFrom,
               const wire::Member& aJoiner,
               Output& aOut);
-[[nodiscard]] std::string LeaderAddress(const State& aState);
-void ApplyCommand(State& aState, const std::string& aCommand, Output& aOut);
+/// \brief At a leader that stops: hands the lead to a voter that stays.
+void HandOverLead(State& aState, Micros aNow, Output& aOut);
 
 // --- group_health.cpp: what of the control group is there
 
--- /dev/null
+++ b/src/fleet/members.cpp
@@ -0,0 +1,388 @@
+#include "internal.h"
+
+#include <algorithm>
+
+// Who belongs to the control group. A voter that is gone still counts towards
+// the majority: with four voters, one of them gone for good, the loss of one
+// more left two of four, and nothing could be committed or read ever again (all
+// 12 plays of the smallest such day; none with the rules below). So the leader
+// takes out voters that are gone as soon as the rest would tolerate more losses
+// without them, and never below the number that the tolerated losses need.
+//
+// One change at a time, each committed by the majority before and after it; a
+// voter is made a learner first, so that one that was only cut off or restarted
+// has its vote back as soon as it answers.
+namespace geraniumpond::fleet {
+
+namespace {
+
+constexpr Micros kJoinInterval = 300 * kMillisecond;
+/// A voter must have been silent for this long to be taken out. Shorter than
+/// any bound on how long a lost host may stay unreplaced, longer than an
+/// election, so that a slow host is not taken for a lost one.
+constexpr Micros kSilentAfter = 2500 * kMillisecond;
+/// Time for a member's first answer to a new leader: some heartbeats.
+constexpr Micros kFirstAnswer = 700 * kMillisecond;
+/// A member that has been silent for longer is taken out though the group can do
+/// with it, so that members that are gone do not add up: longer than a host
+/// takes to restart, and than most cuts.
+constexpr Micros kForgetAfter = 8 * kSecond;
+/// A leader that stops and still leads tries again after this time: an election
+/// takes less.
+constexpr Micros kHandOverPause = 1 * kSecond;
+/// A learner must have answered within this time to become a voter.
+constexpr Micros kPromoteWithin = 1 * kSecond;
+/// A member that hears no leader for this long asks to join: the others may
+/// have removed it while it was cut off.
+constexpr Micros kRejoinAfter = 2 * kSecond;
+/// A learner becomes a voter when it lacks no more than this many entries.
+constexpr std::uint64_t kCaughtUp = 10;
+/// Pace of lines on refused requests to join: each joiner asks three times a
+/// second.
+constexpr Micros kRefusalLinePause = 5 * kSecond;
+
+int VoterCount(const wire::Membership& aMembers)
+{
+  return static_cast<int>(
+    std::count_if(aMembers.members().begin(),
+                  aMembers.members().end(),
+                  [](const wire::Member& aMember) { return aMember.voter(); }));
+}
+
+// With 2n+1 voters n disks can be lost, and a majority is left that holds all
+// that was committed; with fewer the group would be stuck for good.
+int LeastVoters(const State& aState)
+{
+  return 2 * aState.mSettings.mToleratedLosses + 1;
+}
+
+/// \brief What the leader knows of one member.
+struct MemberView
+{
+  /// Time since it answered.
+  Micros mSilent = 0;
+  /// The host was told to stop.
+  bool mStopping = false;
+  /// Another member has its address: the disk of this one is gone.
+  bool mReplaced = false;
+};
+
+// Member of a later disk at the same address; joiners are added at the end.
+bool IsReplaced(const wire::Membership& aMembers, const wire::Member& aMember)
+{
+  bool after = false;
+  for (const wire::Member& other : aMembers.members()) {
+    if (after && other.address() == aMember.address() && other.voter()) {
+      return true;
+    }
+    after = after || other.id() == aMember.id();
+  }
+  return false;
+}
+
+// A leader that was elected just now has heard no answer of its term yet: the
+// reports that the hosts at the members' addresses send count from before.
+Micros SilenceOf(const State& aState, const wire::Member& aMember, Micros aNow)
+{
+  const auto progress = aState.mGroup.mProgress.find(aMember.id());
+  if (aMember.id() == aState.mGroup.mId ||
+      progress == aState.mGroup.mProgress.end()) {
+    return 0;
+  }
+  const Micros silent = aNow - progress->second.mHeardAt;
+  const auto host = aState.mHosts.find(aMember.address());
+  const bool answered = progress->second.mMatch > 0;
+  if (answered || silent < kFirstAnswer || host == aState.mHosts.end()) {
+    return silent;
+  }
+  return std::max(silent, aNow - host->second.mHeardAt);
+}
+
+MemberView ViewOf(const State& aState, const wire::Member& aMember, Micros aNow)
+{
+  const auto host = aState.mHosts.find(aMember.address());
+  MemberView view;
+  view.mSilent = SilenceOf(aState, aMember, aNow);
+  view.mStopping = host != aState.mHosts.end() && host->second.mStopping;
+  view.mReplaced = IsReplaced(aState.mGroup.mMembership, aMember);
+  return view;
+}
+
+bool HasLeft(const MemberView& aView)
+{
+  return aView.mStopping || aView.mReplaced || aView.mSilent > kSilentAfter;
+}
+
+bool IsForgotten(const MemberView& aView)
+{
+  return aView.mReplaced || aView.mSilent > kForgetAfter;
+}
+
+void Change(State& aState,
+            Micros aNow,
+            const wire::Membership& aNext,
+            const std::string& aWhy,
+            Output& aOut)
+{
+  consensus::Output raft;
+  const Result<std::uint64_t> index =
+    consensus::ChangeMembership(aState.mGroup, aNow, aNext, raft);
+  if (!index) {
+    return;
+  }
+  aOut.mNotes.push_back({ 1,
+                          "event=members_change why=" + aWhy +
+                            " voters=" + std::to_string(VoterCount(aNext)) +
+                            " index=" + std::to_string(index.value()) });
+  Perform(aState, aNow, std::move(raft), aOut);
+}
+
+wire::Membership Without(const wire::Membership& aMembers,
+                         const std::string& aId)
+{
+  wire::Membership next;
+  for (const wire::Member& member : aMembers.members()) {
+    if (member.id() != aId) {
+      *next.add_members() = member;
+    }
+  }
+  return next;
+}
+
+wire::Membership WithVote(const wire::Membership& aMembers,
+                          const std::string& aId,
+                          bool aVoter)
+{
+  wire::Membership next = aMembers;
+  for (wire::Member& member : *next.mutable_members()) {
+    if (member.id() == aId) {
+      member.set_voter(aVoter);
+    }
+  }
+  return next;
+}
+
+// A learner that has caught up becomes a voter.
+bool PromoteLearner(State& aState, Micros aNow, Output& aOut)
+{
+  const consensus::State& group = aState.mGroup;
+  for (const wire::Member& member : group.mMembership.members()) {
+    const auto progress = group.mProgress.find(member.id());
+    const MemberView view = ViewOf(aState, member, aNow);
+    if (member.voter() || progress == group.mProgress.end() ||
+        progress->second.mMatch == 0 || view.mSilent > kPromoteWithin ||
+        view.mStopping || view.mReplaced ||
+        progress->second.mMatch + kCaughtUp < group.mCommit) {
+      continue;
+    }
+    Change(aState,
+           aNow,
+           WithVote(group.mMembership, member.id(), true),
+           "caught_up member=" + member.id(),
+           aOut);
+    return true;
+  }
+  return false;
+}
+
+// Whether fewer voters tolerate more. Of five with one gone two more may be
+// lost, of four as well, and the one may come back: it stays. Of four with one
+// gone none may be lost, of three one may: it goes.
+bool IsShrinkingWorthIt(const State& aState, int aVoters, int aLeft)
+{
+  const int there = aVoters - aLeft;
+  const int least = std::max(LeastVoters(aState), there);
+  const int now = there - (aVoters / 2 + 1);
+  const int then = there - (least / 2 + 1);
+  return now < aState.mSettings.mToleratedLosses && then > now;
+}
+
+const char* WhyGone(const MemberView& aView)
+{
+  if (aView.mReplaced) {
+    return "replaced";
+  }
+  return aView.mStopping ? "stopping" : "silent";
+}
+
+// A voter that has left becomes a learner. A disk that is gone comes first, and
+// needs no other reason.
+bool DemoteGone(State& aState, Micros aNow, Output& aOut)
+{
+  const consensus::State& group = aState.mGroup;
+  const int voters = VoterCount(group.mMembership);
+  const wire::Member* gone = nullptr;
+  MemberView seen;
+  int left = 0;
+  for (const wire::Member& member : group.mMembership.members()) {
+    const MemberView view = ViewOf(aState, member, aNow);
+    if (!member.voter() || member.id() == group.mId || !HasLeft(view)) {
+      continue;
+    }
+    ++left;
+    if (gone == nullptr || (IsForgotten(view) && !IsForgotten(seen))) {
+      gone = &member;
+      seen = view;
+    }
+  }
+  if (gone == nullptr || voters - 1 < LeastVoters(aState) ||
+      !(IsForgotten(seen) || IsShrinkingWorthIt(aState, voters, left))) {
+    return false;
+  }
+  Change(aState,
+         aNow,
+         WithVote(group.mMembership, gone->id(), false),
+         std::string(WhyGone(seen)) + " member=" + gone->id(),
+         aOut);
+  return true;
+}
+
+// A learner counts for nothing, but is told of every entry.
+bool RemoveGoneLearner(State& aState, Micros aNow, Output& aOut)
+{
+  const wire::Membership& members = aState.mGroup.mMembership;
+  for (const wire::Member& member : members.members()) {
+    const MemberView view = ViewOf(aState, member, aNow);
+    if (!member.voter() && IsForgotten(view)) {
+      Change(aState,
+             aNow,
+             Without(members, member.id()),
+             "forgotten member=" + member.id(),
+             aOut);
+      return true;
+    }
+  }
+  return false;
+}
+
+void AskToJoin(State& aState, Micros aNow, Output& aOut)
+{
+  if (aNow < aState.mJoinAt || aState.mGroup.mFailed || aState.mStopping) {
+    return;
+  }
+  aState.mJoinAt = aNow + kJoinInterval;
+  for (const std::string& address : ControlAndSeeds(aState)) {
+    if (address == aState.mSettings.mPeerAddress) {
+      continue;
+    }
+    wire::FleetMessage message;
+    wire::Member& member = *message.mutable_join();
+    member.set_id(aState.mGroup.mId);
+    member.set_address(aState.mSettings.mPeerAddress);
+    member.set_storage(aState.mGroup.mStorage);
+    SendTo(aState, address, std::move(message), aOut);
+  }
+}
+
+// A joiner may know other hosts than the leader. Only what it sends itself is
+// passed on, so that no request goes around in circles.
+void ForwardJoin(State& aState,
+                 const wire::Member& aJoiner,
+                 const std::string& aFrom,
+                 Output& aOut)
+{
+  const std::string& leader = aState.mLeaderAddress;
+  if (leader.empty() || leader == aState.mSettings.mPeerAddress ||
+      aFrom != aJoiner.address()) {
+    return;
+  }
+  wire::FleetMessage message;
+  *message.mutable_join() = aJoiner;
+  SendTo(aState, leader, std::move(message), aOut);
+}
+
+// What is wrong with a request to join; empty when nothing is.
+std::string FaultOf(const wire::Member& aJoiner)
+{
+  if (aJoiner.storage().empty() || aJoiner.address().empty()) {
+    return "no disk or address named";
+  }
+  if (aJoiner.id() != MemberId(aJoiner.address(), aJoiner.storage())) {
+    return "id is not of this disk and address";
+  }
+  return "";
+}
+
+void RefuseJoin(State& aState,
+                Micros aNow,
+                const wire::Member& aJoiner,
+                const std::string& aFault,
+                Output& aOut)
+{
+  ++aState.mTraffic.mJoinsRefused;
+  if (aState.mJoinRefusedAt != 0 &&
+      aNow - aState.mJoinRefusedAt < kRefusalLinePause) {
+    return;
+  }
+  aState.mJoinRefusedAt = aNow;
+  aOut.mNotes.push_back({ 2,
+                          "event=join_refused member=" + aJoiner.id() +
+                            " reason=\"" + aFault + "\"" });
+}
+
+} // namespace
+
+void KeepMembers(State& aState, Micros aNow, Output& aOut)
+{
+  const consensus::State& group = aState.mGroup;
+  if (!consensus::IsLeader(group)) {
+    const bool leaderless = aNow - group.mHeardLeaderAt > kRejoinAfter;
+    if (group.mRole == consensus::Role::Learner || leaderless) {
+      AskToJoin(aState, aNow, aOut);
+    }
+    return;
+  }
+  if (aState.mStopping && aNow >= aState.mHandOverAt) {
+    HandOverLead(aState, aNow, aOut);
+  }
+  // Newcomers first: the group is never smaller than it must be.
+  (void)(PromoteLearner(aState, aNow, aOut) || DemoteGone(aState, aNow, aOut) ||
+         RemoveGoneLearner(aState, aNow, aOut));
+}
+
+void TakeJoin(State& aState,
+              Micros aNow,
+              const std::string& aFrom,
+              const wire::Member& aJoiner,
+              Output& aOut)
+{
+  if (!consensus::IsLeader(aState.mGroup)) {
+    ForwardJoin(aState, aJoiner, aFrom, aOut);
+    return;
+  }
+  const wire::Membership& members = aState.mGroup.mMembership;
+  for (const wire::Member& member : members.members()) {
+    if (member.id() == aJoiner.id()) {
+      return;
+    }
+  }
+  const std::string fault = FaultOf(aJoiner);
+  if (!fault.empty()) {
+    RefuseJoin(aState, aNow, aJoiner, fault, aOut);
+    return;
+  }
+  wire::Membership next = members;
+  wire::Member& added = *next.add_members();
+  added = aJoiner;
+  added.set_voter(false);
+  Change(aState, aNow, next, "joined member=" + aJoiner.id(), aOut);
+}
+
+void HandOverLead(State& aState, Micros aNow, Output& aOut)
+{
+  if (!consensus::IsLeader(aState.mGroup)) {
+    return;
+  }
+  aState.mHandOverAt = aNow + kHandOverPause;
+  std::set<std::string> leaving;
+  for (const wire::Member& member : aState.mGroup.mMembership.members()) {
+    if (ViewOf(aState, member, aNow).mStopping) {
+      leaving.insert(member.id());
+    }
+  }
+  consensus::Output raft;
+  consensus::Transfer(aState.mGroup, aNow, raft, leaving);
+  Perform(aState, aNow, std::move(raft), aOut);
+}
+
+} // namespace geraniumpond::fleet
--- a/src/frontend/gateway_calls.cpp
+++ b/src/frontend/gateway_calls.cpp
@@ -108,6 +108,7 @@
   counters["referrals"] = traffic.mReferrals;
   counters["upstreams_lost"] = traffic.mUpstreamsLost;
   counters["upstreams_left"] = traffic.mUpstreamsLeft;
+  counters["joins_refused"] = traffic.mJoinsRefused;
   {
     const std::lock_guard<std::mutex> lock(mInboxMutex);
     gauges["peer_messages_waiting"] = static_cast<double>(mPeerInbox.Waiting());
--- a/tests/fleet_members_test.cpp
+++ b/tests/fleet_members_test.cpp
@@ -53,6 +53,15 @@
   CPPUNIT_TEST(HostsReplacedInARowLeaveAWholeGroup);
   CPPUNIT_TEST(VoterThatStopsLeavesBeforeItExits);
   CPPUNIT_TEST(VoterSilentForGoodLeavesWhereOthersAreEnough);
+  CPPUNIT_TEST(GroupNeverShrinksBelowWhatLossesNeed);
+  CPPUNIT_TEST(VoterThatIsNotMissedKeepsItsVoteForAWhile);
+  CPPUNIT_TEST(RestartedVotersAreVotersAgain);
+  CPPUNIT_TEST(TwoHostsReplacedAtOnceLeaveAWholeGroup);
+  CPPUNIT_TEST(HostReplacedWhileTheLeaderIsCutOffLeavesAWholeGroup);
+  CPPUNIT_TEST(LearnerThatNeverCatchesUpIsForgotten);
+  CPPUNIT_TEST(HostBackWithItsDiskAfterItWasForgottenJoinsAgain);
+  CPPUNIT_TEST(JoinThatNamesNoDiskOrAnothersIsRefused);
+  CPPUNIT_TEST(StoppingHostDoesNotJoinAgain);
   CPPUNIT_TEST(GroupThatToleratesLessIsLoggedAndCounted);
   CPPUNIT_TEST(DiskAtAStartIsLogged);
   CPPUNIT_TEST_SUITE_END();
@@ -148,6 +157,168 @@
     }
   }
 
+  // With two voters the loss of one disk would leave the group stuck for good.
+  void GroupNeverShrinksBelowWhatLossesNeed()
+  {
+    for (const bool planned : { false, true }) {
+      FleetWorld world = Founded();
+      const std::string lost = Founder(2);
+      if (planned) {
+        world.Stop(lost);
+        world.Advance(kStopTime);
+      }
+      world.Kill(lost);
+      world.Advance(60 * kSecond);
+      CPPUNIT_ASSERT_EQUAL(std::size_t(3), world.Voters());
+      // The one that comes in its place makes the group whole.
+      world.SetSeeds({ Founder(1), Founder(3) });
+      Join(world, kNewcomer);
+      CPPUNIT_ASSERT(world.Until(kWholeTime, [&] {
+        return world.Voters() == 3 && !IsVoter(world, lost);
+      }));
+    }
+  }
+
+  // Of five with one away as many more may be lost as of four.
+  void VoterThatIsNotMissedKeepsItsVoteForAWhile()
+  {
+    FleetWorld world(7);
+    world.Found(5, 2, 1);
+    CPPUNIT_ASSERT(
+      world.Until(10 * kSecond, [&] { return world.Voters() == 5; }));
+    world.Advance(kSecond);
+    const std::string lost =
+      world.Leader() == Founder(2) ? Founder(3) : Founder(2);
+    world.Kill(lost);
+    world.Advance(6 * kSecond);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(5), world.Voters());
+    CPPUNIT_ASSERT(world.Until(kWholeTime, [&] {
+      return world.Voters() == 4 && !IsVoter(world, lost);
+    }));
+    world.Start(lost, false);
+    CPPUNIT_ASSERT(
+      world.Until(kWholeTime, [&] { return IsVoter(world, lost); }));
+  }
+
+  void RestartedVotersAreVotersAgain()
+  {
+    for (const int disks : { 3, 4, 6 }) {
+      FleetWorld world(7);
+      world.Found(disks, 3, disks == 6 ? 2 : 1);
+      const auto voters = static_cast<std::size_t>(disks);
+      CPPUNIT_ASSERT(
+        world.Until(10 * kSecond, [&] { return world.Voters() == voters; }));
+      for (int i = 1; i <= disks; ++i) {
+        world.Stop(Founder(i));
+        world.Advance(kStopTime);
+        world.Kill(Founder(i));
+        world.Advance(kSecond);
+        world.Start(Founder(i), false);
+        CPPUNIT_ASSERT_MESSAGE(
+          std::to_string(disks),
+          world.Until(kWholeTime, [&] { return world.Voters() == voters; }));
+      }
+    }
+  }
+
+  void TwoHostsReplacedAtOnceLeaveAWholeGroup()
+  {
+    FleetWorld world = Founded();
+    Join(world, kNewcomer);
+    Join(world, "10.0.1.2:1");
+    world.Stop(Founder(1));
+    world.Stop(Founder(2));
+    CPPUNIT_ASSERT(world.Until(kStopTime, [&] {
+      return world.Voters() == 3 && !IsVoter(world, Founder(1)) &&
+             !IsVoter(world, Founder(2));
+    }));
+    world.Kill(Founder(1));
+    world.Kill(Founder(2));
+    CPPUNIT_ASSERT(world.Commit("10.0.0.6:1", PutPolicyCommand(2, 1, "two")));
+  }
+
+  void HostReplacedWhileTheLeaderIsCutOffLeavesAWholeGroup()
+  {
+    FleetWorld world = Founded();
+    const std::string cut = world.Leader();
+    const std::string leaves = cut == Founder(1) ? Founder(2) : Founder(1);
+    Join(world, kNewcomer);
+    world.mCutOff = { cut };
+    world.Stop(leaves);
+    world.Advance(kStopTime);
+    world.Kill(leaves);
+    world.mCutOff.clear();
+    CPPUNIT_ASSERT(world.Until(kBackTime, [&] {
+      return world.Voters() == 3 && !IsVoter(world, leaves);
+    }));
+    CPPUNIT_ASSERT(world.Commit(kFollower, PutPolicyCommand(2, 1, "two")));
+  }
+
+  void LearnerThatNeverCatchesUpIsForgotten()
+  {
+    FleetWorld world = Founded();
+    world.mLose = [](const fakes::Sent& aSent) {
+      return aSent.mTo == kNewcomer;
+    };
+    world.Add(kNewcomer, true);
+    world.Start(kNewcomer, false);
+    world.Advance(2 * kSecond);
+    CPPUNIT_ASSERT_EQUAL(4, Members(world));
+    CPPUNIT_ASSERT_EQUAL(std::size_t(3), world.Voters());
+    world.Kill(kNewcomer);
+    CPPUNIT_ASSERT(
+      world.Until(40 * kSecond, [&] { return Members(world) == 3; }));
+  }
+
+  void HostBackWithItsDiskAfterItWasForgottenJoinsAgain()
+  {
+    FleetWorld world = Replaced(1);
+    CPPUNIT_ASSERT(
+      world.Until(40 * kSecond, [&] { return Members(world) == 3; }));
+    CPPUNIT_ASSERT(world.Commit(kFollower, PutPolicyCommand(2, 1, "two")));
+    world.Start(Founder(1), false);
+    CPPUNIT_ASSERT(world.Until(kBackTime, [&] {
+      return IsVoter(world, Founder(1)) &&
+             world.Node(Founder(1)).mState.mCatalog.mVersion == 2;
+    }));
+  }
+
+  void JoinThatNamesNoDiskOrAnothersIsRefused()
+  {
+    FleetWorld world = Founded();
+    const std::string leader = world.Leader();
+    for (const char* storage : { "", "disk2" }) {
+      wire::FleetMessage message;
+      message.set_from_address(kNewcomer);
+      wire::Member& joiner = *message.mutable_join();
+      joiner.set_id(MemberId(kNewcomer, "disk1"));
+      joiner.set_address(kNewcomer);
+      joiner.set_storage(storage);
+      fleet::Output output;
+      fleet::Receive(world.Node(leader).mState, world.mNow, 1, message, output);
+      CPPUNIT_ASSERT(output.mWrites.empty());
+    }
+    const State& state = world.Node(leader).mState;
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t(2), state.mTraffic.mJoinsRefused);
+    CPPUNIT_ASSERT_EQUAL(3, Members(world));
+  }
+
+  void StoppingHostDoesNotJoinAgain()
+  {
+    FleetWorld world = Founded();
+    Join(world, kNewcomer);
+    const std::string leaves = Founder(2);
+    world.Stop(leaves);
+    bool joins = false;
+    world.mLose = [&](const fakes::Sent& aSent) {
+      joins = joins || (aSent.mFrom == leaves && aSent.mMessage.has_join());
+      return false;
+    };
+    world.Advance(10 * kSecond);
+    CPPUNIT_ASSERT(!joins);
+    CPPUNIT_ASSERT(!IsVoter(world, leaves));
+  }
+
   void GroupThatToleratesLessIsLoggedAndCounted()
   {
     FleetWorld world = Founded();
@@ -275,6 +446,12 @@
     return std::count(voters.begin(), voters.end(), aAddress) != 0;
   }
 
+  static int Members(FleetWorld& aWorld)
+  {
+    const std::string leader = aWorld.Leader();
+    return aWorld.Node(leader).mState.mGroup.mMembership.members_size();
+  }
+
   static bool HasNote(FleetWorld& aWorld,
                       const std::string& aAddress,
                       const std::string& aText)
