Serve no policy from disk before the group's word

Cause: what users saw of the incident: two hosts with a disk ran requests by version 19, five seconds after a start, while 23 was acknowledged. A policy that was read from disk was in force after a second without the group's word, however long the group stayed away. Ruled out: a longer time; no time is right where the group may be away for longer. Change: it is in force with the group's word, and not before. Hosts without a disk have always waited so. The test that held the promise of a second is replaced by one that asks for none in 60 s, and for the policy at once with a leader's word. Measured: PolicyFromDiskWaitsForTheGroup fails before and passes.

--- a/include/geraniumpond/gateway.h
+++ b/include/geraniumpond/gateway.h
@@ -202,9 +202,8 @@
   Micros mMostHostsAt = 0;
   /// Draws the hosts of an answer where there are more than places.
   std::mt19937_64 mShuffle;
-  /// A policy read from disk is not in force before this time, unless the
-  /// group's word comes sooner; 0 when none is held back.
-  Micros mHoldPolicyUntil = 0;
+  /// A policy read from disk is not in force before the group's word.
+  bool mHoldsPolicy = false;
   bool mStopping = false;
   Micros mStopAt = 0;
   bool mSending = false;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -16,9 +16,6 @@
 constexpr Micros kStopReserve = 800 * kMillisecond;
 /// The same while answers are still being sent: what is left then is lost.
 constexpr Micros kSendingReserve = 300 * kMillisecond;
-/// How long a host that starts waits for the group's word before it serves by
-/// the policy on its disk: an election after all hosts were lost takes less.
-constexpr Micros kRecoveredPolicyHold = 1 * kSecond;
 /// How long after a start requests may wait for the first policy.
 constexpr Micros kPolicyExpected = 1 * kSecond;
 
@@ -75,7 +72,7 @@
 {
   State& state = aContext.mState;
   const catalog::State& catalog = state.mFleet.mCatalog;
-  if (catalog.mVersion == 0 || state.mHoldPolicyUntil != 0) {
+  if (catalog.mVersion == 0 || state.mHoldsPolicy) {
     return;
   }
   Result<policy::TrafficPolicy> decoded =
@@ -186,18 +183,16 @@
   AnswerReads(aContext);
 }
 
-// The disk may hold an older policy than the group has committed. A request
-// that it knows no route for would be denied for good; one that is refused
-// meanwhile comes back.
+// The disk may hold an older policy than the group has acknowledged: its
+// requests would be denied or run where they no longer should, for as long as
+// the group is away. One that is refused comes back, mostly to another host.
 void ReleaseHeldPolicy(Context& aContext)
 {
   State& state = aContext.mState;
-  const bool held = state.mHoldPolicyUntil != 0;
-  if (!held || (aContext.mNow < state.mHoldPolicyUntil &&
-                !fleet::IsInTouch(state.mFleet, aContext.mNow))) {
+  if (!state.mHoldsPolicy || !fleet::IsInTouch(state.mFleet, aContext.mNow)) {
     return;
   }
-  state.mHoldPolicyUntil = 0;
+  state.mHoldsPolicy = false;
   fleet::Output output;
   output.mPolicyChanged = true;
   TakeFleet(aContext, std::move(output));
@@ -481,9 +476,7 @@
   state.mFleet =
     fleet::Open(aSettings.mFleet, aRecovered, aNow, aRandom, output);
   Context context{ state, aNow, aOut };
-  if (state.mFleet.mCatalog.mVersion != 0) {
-    state.mHoldPolicyUntil = aNow + kRecoveredPolicyHold;
-  }
+  state.mHoldsPolicy = state.mFleet.mCatalog.mVersion != 0;
   TakeFleet(context, std::move(output));
   return state;
 }
@@ -505,9 +498,6 @@
   for (const WaitingRead& read : aState.mReads) {
     next = std::min(next, read.mGiveUpAt);
   }
-  if (aState.mHoldPolicyUntil != 0) {
-    next = std::min(next, aState.mHoldPolicyUntil);
-  }
   if (aState.mStopping) {
     next = std::min(next, LastMoment(aState));
   }
--- a/tests/gateway_test.cpp
+++ b/tests/gateway_test.cpp
@@ -62,7 +62,7 @@
   CPPUNIT_TEST(LargePolicyIsReadFromTheLeaderWhereTheOwnLinkIsSlow);
   CPPUNIT_TEST(SmallPolicyIsReadHere);
   CPPUNIT_TEST(LargePolicyIsReadHereWhileTheLeaderIsNotKnown);
-  CPPUNIT_TEST(PolicyFromDiskWaitsForTheGroupButNotForLong);
+  CPPUNIT_TEST(PolicyFromDiskWaitsForTheGroup);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -86,7 +86,7 @@
     CPPUNIT_ASSERT_EQUAL(std::string(), PolicyReader(state, kStart));
   }
 
-  void PolicyFromDiskWaitsForTheGroupButNotForLong()
+  void PolicyFromDiskWaitsForTheGroup()
   {
     Settings settings = MakeSettings(kFastLink);
     settings.mFleet.mControl = true;
@@ -102,9 +102,14 @@
     State state = Open(settings, recovered, kStart, 1, effects);
     CPPUNIT_ASSERT(!IsReady(state));
     CPPUNIT_ASSERT(!state.mDispatch.mPolicy);
-    Pass(state, kStart + 900 * kMillisecond);
-    CPPUNIT_ASSERT(!state.mDispatch.mPolicy);
-    Pass(state, kStart + 1000 * kMillisecond);
+    // However long the group is away: what it acknowledged last may not be on
+    // this disk.
+    for (const Micros away : { 1, 8, 60 }) {
+      Pass(state, kStart + away * kSecond);
+      CPPUNIT_ASSERT(!state.mDispatch.mPolicy);
+      CPPUNIT_ASSERT(!IsReady(state));
+    }
+    HearLeader(state, kStart + 61 * kSecond);
     CPPUNIT_ASSERT(state.mDispatch.mPolicy);
     CPPUNIT_ASSERT(IsReady(state));
   }
@@ -118,6 +123,25 @@
     (void)Step(aState, event);
   }
 
+  // An empty append of a leader that has committed what the disk holds.
+  static void HearLeader(State& aState, Micros aNow)
+  {
+    Event event;
+    event.mNow = aNow;
+    PeerMessage message;
+    message.mMessage.set_from_address(kLeader);
+    wire::ConsensusMessage& raft = *message.mMessage.mutable_consensus();
+    raft.set_from(fleet::MemberId(kLeader, consensus::kFoundingStorage));
+    raft.set_from_storage(consensus::kFoundingStorage);
+    raft.set_to(fleet::MemberId(kSelf, consensus::kFoundingStorage));
+    raft.set_term(1);
+    raft.mutable_append_request()->set_prev_index(5);
+    raft.mutable_append_request()->set_prev_term(1);
+    raft.mutable_append_request()->set_commit(5);
+    event.mBody = std::move(message);
+    (void)Step(aState, event);
+  }
+
   static constexpr std::size_t kLargeDocument = 350000;
   /// 2.4 and 100 megabits a second.
   static constexpr double kSlowLink = 300e3;
