--- a/tests/fakes/fleet_world.cpp
+++ b/tests/fakes/fleet_world.cpp
@@ -216,32 +216,47 @@
   }
 }
 
+void FleetWorld::SyncDue()
+{
+  while (!mSyncs.empty() && mSyncs.begin()->first <= mNow) {
+    const PendingSync sync = mSyncs.begin()->second;
+    mSyncs.erase(mSyncs.begin());
+    FleetNode& node = mNodes.at(sync.mAddress);
+    if (!node.mAlive || node.mSettings.mIncarnation != sync.mIncarnation) {
+      continue;
+    }
+    if (mStalled.count(sync.mAddress) + mFrozen.count(sync.mAddress) != 0) {
+      mSyncs.emplace(mNow + kStepTime, sync);
+      continue;
+    }
+    Sync(node, sync.mSequence);
+    fleet::Output output;
+    fleet::Synced(node.mState, mNow, sync.mSequence, output);
+    Take(sync.mAddress, output);
+  }
+}
+
 void FleetWorld::Advance(Micros aTime)
 {
   const Micros end = mNow + aTime;
   while (mNow < end) {
     mNow += kStepTime;
-    while (!mSyncs.empty() && mSyncs.begin()->first <= mNow) {
-      const PendingSync sync = mSyncs.begin()->second;
-      mSyncs.erase(mSyncs.begin());
-      FleetNode& node = mNodes.at(sync.mAddress);
-      if (node.mAlive && node.mSettings.mIncarnation == sync.mIncarnation) {
-        Sync(node, sync.mSequence);
-        fleet::Output output;
-        fleet::Synced(node.mState, mNow, sync.mSequence, output);
-        Take(sync.mAddress, output);
-      }
-    }
+    SyncDue();
     while (!mQueue.empty() && mQueue.begin()->first <= mNow) {
       const Sent sent = std::move(mQueue.begin()->second);
       mQueue.erase(mQueue.begin());
       const auto node = mNodes.find(sent.mTo);
       if (node != mNodes.end() && node->second.mAlive) {
         (void)node->second.mInbox.Put(sent.mMessage.SerializeAsString());
-        TakeArrived(sent.mTo, node->second);
+        if (mFrozen.count(sent.mTo) == 0) {
+          TakeArrived(sent.mTo, node->second);
+        }
       }
     }
     for (auto& [address, node] : mNodes) {
+      if (mFrozen.count(address) != 0) {
+        continue;
+      }
       if (node.mAlive && IsFree(node) && mNow >= fleet::NextTick(node.mState)) {
         fleet::Output output;
         fleet::Tick(node.mState, mNow, Random(), output);
--- a/tests/fakes/fleet_world.h
+++ b/tests/fakes/fleet_world.h
@@ -104,6 +104,10 @@
   bool Commit(const std::string& aAddress,
               const wire::CatalogCommand& aCommand);
 
+  [[nodiscard]] bool Has(const std::string& aAddress) const
+  {
+    return mNodes.count(aAddress) != 0;
+  }
   FleetNode& Node(const std::string& aAddress) { return mNodes.at(aAddress); }
   [[nodiscard]] std::string Leader() const;
   /// \brief Voters as the leader counts them; none without one.
@@ -113,6 +117,10 @@
 
   /// Hosts that cannot exchange messages with any other one.
   std::set<std::string> mCutOff;
+  /// Hosts that do nothing; what is sent to them waits.
+  std::set<std::string> mFrozen;
+  /// Hosts whose disks answer nothing.
+  std::set<std::string> mStalled;
   /// Messages for which it returns true are lost.
   std::function<bool(const Sent&)> mLose;
   Micros mNow = kSecond;
@@ -124,6 +132,7 @@
   [[nodiscard]] bool IsFree(const FleetNode& aNode) const;
   void Charge(FleetNode& aNode, const wire::FleetMessage& aMessage);
   void Sync(FleetNode& aNode, std::uint64_t aSequence);
+  void SyncDue();
   std::uint64_t Random() { return mRandom(); }
 
   std::mt19937_64 mRandom;
