Forget hosts that have been gone for a minute

Cause: found by looking for what else is kept for a host that has left: a gone host stayed in every other one's list until its process ended, some 200 bytes each, looked at with each report. Change: it is dropped 60 s after it was heard last, twice the time in which control hosts look for it. Measured: HostsThatAreGoneAreForgotten fails before and passes.

--- a/src/fleet/fleet.cpp
+++ b/src/fleet/fleet.cpp
@@ -143,6 +143,7 @@
     RefreshOwnHost(aState, aNow);
     SendFollows(aState, aNow, aOut);
     UpdateHosts(aState, aNow, aOut);
+    ForgetGoneHosts(aState, aNow);
     if (IsControlMember(aState)) {
       WatchGroup(aState, aNow, aOut);
     }
--- a/src/fleet/hosts.cpp
+++ b/src/fleet/hosts.cpp
@@ -12,6 +12,10 @@
 /// Control hosts tell each other of all their followers once in so many
 /// reports; of changes at once.
 constexpr int kShareAllEvery = 3;
+/// A host that is gone is remembered for this long, so that all have heard of
+/// it and a late word of it does not bring it back: twice the time in which
+/// control hosts look for it.
+constexpr Micros kRememberGone = 60 * kSecond;
 /// What another control host tells of is older by its pace.
 constexpr Micros kSharedLease = kHostLease + kShareAllEvery * kFollowInterval;
 
@@ -324,6 +328,17 @@
   aState.mHostsShared = aState.mHostsSequence;
 }
 
+// Fleets replace their hosts: without an end each that ever was costs every
+// other one some 200 bytes, and a look at each report.
+void ForgetGoneHosts(State& aState, Micros aNow)
+{
+  for (auto it = aState.mHosts.begin(); it != aState.mHosts.end();) {
+    const Host& host = it->second;
+    const bool forgotten = host.mGone && aNow - host.mHeardAt > kRememberGone;
+    it = forgotten ? aState.mHosts.erase(it) : std::next(it);
+  }
+}
+
 void UpdateHosts(State& aState, Micros aNow, Output& aOut)
 {
   if (!Votes(aState)) {
--- a/src/fleet/internal.h
+++ b/src/fleet/internal.h
@@ -177,6 +177,8 @@
 [[nodiscard]] Micros LeaseOf(const State& aState,
                              const Host& aHost,
                              Micros aNow);
+/// \brief Drops hosts that have been gone for long.
+void ForgetGoneHosts(State& aState, Micros aNow);
 /// \brief At a control host: notes who is gone, and tells of those that stop.
 void UpdateHosts(State& aState, Micros aNow, Output& aOut);
 
--- a/src/fleet/members.cpp
+++ b/src/fleet/members.cpp
@@ -23,8 +23,8 @@
 constexpr Micros kSilentAfter = 2500 * kMillisecond;
 /// Time for a member's first answer to a new leader: some heartbeats.
 constexpr Micros kFirstAnswer = 700 * kMillisecond;
-/// A member that has been silent for longer is taken out though the group can do
-/// with it, so that members that are gone do not add up: longer than a host
+/// A member that has been silent for longer is taken out though the group can
+/// do with it, so that members that are gone do not add up: longer than a host
 /// takes to restart, and than most cuts.
 constexpr Micros kForgetAfter = 8 * kSecond;
 /// A leader that stops and still leads tries again after this time: an election
--- a/src/fleet/whereabouts.cpp
+++ b/src/fleet/whereabouts.cpp
@@ -50,8 +50,8 @@
   return heard ? found->second.mDataCentre : "";
 }
 
-// Those that stopped are among them: most are started again, and their seeds may
-// have gone meanwhile.
+// Those that stopped are among them: most are started again, and their seeds
+// may have gone meanwhile.
 std::vector<std::string> SilentHosts(const State& aState, Micros aNow)
 {
   std::vector<std::string> silent;
--- a/tests/fleet_members_test.cpp
+++ b/tests/fleet_members_test.cpp
@@ -62,6 +62,7 @@
   CPPUNIT_TEST(HostBackWithItsDiskAfterItWasForgottenJoinsAgain);
   CPPUNIT_TEST(JoinThatNamesNoDiskOrAnothersIsRefused);
   CPPUNIT_TEST(StoppingHostDoesNotJoinAgain);
+  CPPUNIT_TEST(HostsThatAreGoneAreForgotten);
   CPPUNIT_TEST(GroupThatToleratesLessIsLoggedAndCounted);
   CPPUNIT_TEST(DiskAtAStartIsLogged);
   CPPUNIT_TEST_SUITE_END();
@@ -319,6 +320,22 @@
     CPPUNIT_ASSERT(!IsVoter(world, leaves));
   }
 
+  void HostsThatAreGoneAreForgotten()
+  {
+    FleetWorld world = Founded();
+    const std::string gone = "10.0.0.7:1";
+    world.Kill(gone);
+    world.Advance(10 * kSecond);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), KnownAt(world, kFollower, gone));
+    world.Advance(60 * kSecond);
+    for (const std::string& address : world.Addresses()) {
+      if (address != gone) {
+        CPPUNIT_ASSERT_EQUAL_MESSAGE(
+          address, std::size_t(0), KnownAt(world, address, gone));
+      }
+    }
+  }
+
   void GroupThatToleratesLessIsLoggedAndCounted()
   {
     FleetWorld world = Founded();
@@ -446,6 +463,13 @@
     return std::count(voters.begin(), voters.end(), aAddress) != 0;
   }
 
+  static std::size_t KnownAt(FleetWorld& aWorld,
+                             const std::string& aAddress,
+                             const std::string& aHost)
+  {
+    return aWorld.Node(aAddress).mState.mHosts.count(aHost);
+  }
+
   static int Members(FleetWorld& aWorld)
   {
     const std::string leader = aWorld.Leader();
