--- a/bench/member_search.cpp
+++ b/bench/member_search.cpp
@@ -5,9 +5,12 @@
 //   member_search --seconds N             as many as fit
 //   member_search --show S                one seed's smallest part, with logs
 //   member_search --file F                a schedule that was written down
+//   member_search --times N               how long until a group is whole again
+//                                         after a voter left, over N seeds
 #include "fakes/fleet_schedule.h"
 #include "fakes/options.h"
 
+#include <algorithm>
 #include <chrono>
 #include <fstream>
 #include <iostream>
@@ -26,11 +29,70 @@
   return 1;
 }
 
+/// \brief How a voter leaves.
+enum class Leaving
+{
+  Stops,
+  FallsSilent
+};
+
+// Time until a group of one voter more than it needs is whole without the one
+// that left; a minute where it never is.
+Micros TimeUntilWhole(std::uint64_t aSeed, int aTolerated, Leaving aLeaving)
+{
+  const int disks = 2 * aTolerated + 2;
+  fakes::FleetWorld world(aSeed);
+  world.Found(disks, 4, aTolerated);
+  const auto voters = static_cast<std::size_t>(disks);
+  (void)world.Until(10 * kSecond, [&] { return world.Voters() == voters; });
+  world.Advance(2 * kSecond);
+  const int number = 1 + static_cast<int>(aSeed % voters);
+  const std::string leaves = "10.0.0." + std::to_string(number) + ":1";
+  if (aLeaving == Leaving::Stops) {
+    world.Stop(leaves);
+  } else {
+    world.LosePower(leaves);
+  }
+  const Micros start = world.mNow;
+  (void)world.Until(60 * kSecond, [&] {
+    const std::string leader = world.Leader();
+    const auto whole = [&](const fleet::State& aState) {
+      const consensus::State& group = aState.mGroup;
+      return leader != leaves && group.mCommit >= group.mMembershipIndex &&
+             world.Voters() == voters - 1 &&
+             fleet::HealthOf(aState, world.mNow).mTolerated >= aTolerated;
+    };
+    return !leader.empty() && whole(world.Node(leader).mState);
+  });
+  return world.mNow - start;
+}
+
+void PrintTimes(std::uint64_t aSeeds)
+{
+  for (const Leaving leaving : { Leaving::Stops, Leaving::FallsSilent }) {
+    for (const int tolerated : { 1, 2 }) {
+      std::vector<Micros> times;
+      for (std::uint64_t seed = 1; seed <= aSeeds; ++seed) {
+        times.push_back(TimeUntilWhole(seed, tolerated, leaving));
+      }
+      std::sort(times.begin(), times.end());
+      std::cout << (leaving == Leaving::Stops ? "stops" : "falls silent")
+                << ", voters " << 2 * tolerated + 2 << ": median_ms "
+                << times[times.size() / 2] / kMillisecond << " longest_ms "
+                << times.back() / kMillisecond << "\n";
+    }
+  }
+}
+
 } // namespace
 
 int main(int aCount, char** aArguments)
 {
   const fakes::Options options = fakes::ParseOptions(aCount, aArguments);
+  if (options.Number("times", 0) > 0) {
+    PrintTimes(static_cast<std::uint64_t>(options.Number("times", 0)));
+    return 0;
+  }
   if (!options.Text("file").empty()) {
     std::ifstream file(options.Text("file"));
     const Result<fakes::FleetSchedule> schedule =
