Wait for the leader's word at a learner with a policy on its disk

Cause: found by reading the change of members for what it makes new: a voter that lost its vote while it was away starts as a learner, which is in touch through an upstream at once, while its catalog comes from a log that lags behind. The policy on its disk was in force then; and one that joins put each older policy in force that its log went through. Change: a host with a disk puts no policy in force before it has held all that its leader had committed.

--- a/include/geraniumpond/fleet.h
+++ b/include/geraniumpond/fleet.h
@@ -332,6 +332,10 @@
 /// \brief True while the control group's leader is heard, directly or not.
 [[nodiscard]] bool IsInTouch(const State& aState, Micros aNow);
 
+/// \brief True once this host has held all that the group had committed when it
+/// was heard; from then on its catalog only moves forward.
+[[nodiscard]] bool HasGroupsWord(const State& aState, Micros aNow);
+
 /// \brief How much of the control group is there; all zero without a disk.
 [[nodiscard]] GroupHealth HealthOf(const State& aState, Micros aNow);
 
--- a/include/geraniumpond/gateway.h
+++ b/include/geraniumpond/gateway.h
@@ -202,7 +202,7 @@
   Micros mMostHostsAt = 0;
   /// Draws the hosts of an answer where there are more than places.
   std::mt19937_64 mShuffle;
-  /// A policy read from disk is not in force before the group's word.
+  /// A policy from the own disk or log is not in force before the group's word.
   bool mHoldsPolicy = false;
   bool mStopping = false;
   Micros mStopAt = 0;
--- a/src/fleet/fleet.cpp
+++ b/src/fleet/fleet.cpp
@@ -257,6 +257,14 @@
          aNow - aState.mUpstreamHeardAt < kUpstreamPatience + kFollowInterval;
 }
 
+// A learner is in touch through an upstream, while its catalog comes from the
+// log, which may lag behind.
+bool HasGroupsWord(const State& aState, Micros aNow)
+{
+  const bool learns = IsControlMember(aState) && !Votes(aState);
+  return learns ? aState.mCurrentAt > 0 : IsInTouch(aState, aNow);
+}
+
 bool IsNear(const State& aState, const std::string& aAddress)
 {
   const auto found = aState.mHosts.find(aAddress);
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -183,13 +183,15 @@
   AnswerReads(aContext);
 }
 
-// The disk may hold an older policy than the group has acknowledged: its
-// requests would be denied or run where they no longer should, for as long as
-// the group is away. One that is refused comes back, mostly to another host.
+// The disk may hold an older policy than the group has acknowledged, and a log
+// that catches up goes through older ones: requests would be denied or run
+// where they no longer should, for as long as the group is away. One that is
+// refused comes back, mostly to another host.
 void ReleaseHeldPolicy(Context& aContext)
 {
   State& state = aContext.mState;
-  if (!state.mHoldsPolicy || !fleet::IsInTouch(state.mFleet, aContext.mNow)) {
+  if (!state.mHoldsPolicy ||
+      !fleet::HasGroupsWord(state.mFleet, aContext.mNow)) {
     return;
   }
   state.mHoldsPolicy = false;
@@ -476,7 +478,7 @@
   state.mFleet =
     fleet::Open(aSettings.mFleet, aRecovered, aNow, aRandom, output);
   Context context{ state, aNow, aOut };
-  state.mHoldsPolicy = state.mFleet.mCatalog.mVersion != 0;
+  state.mHoldsPolicy = aSettings.mFleet.mControl;
   TakeFleet(context, std::move(output));
   return state;
 }
--- a/tests/gateway_test.cpp
+++ b/tests/gateway_test.cpp
@@ -47,6 +47,8 @@
   wire::FollowReply& reply = *message.mMessage.mutable_follow_reply();
   reply.set_in_touch(aInTouch);
   reply.set_leader_address(kLeader);
+  reply.set_control_term(1);
+  reply.set_control_index(5);
   reply.add_control_addresses(kLeader);
   reply.set_snapshot(catalog::Save(CatalogWith(aDocumentBytes)));
   reply.set_snapshot_index(5);
@@ -63,6 +65,7 @@
   CPPUNIT_TEST(SmallPolicyIsReadHere);
   CPPUNIT_TEST(LargePolicyIsReadHereWhileTheLeaderIsNotKnown);
   CPPUNIT_TEST(PolicyFromDiskWaitsForTheGroup);
+  CPPUNIT_TEST(PolicyOnALearnersDiskWaitsForTheLeaderNotForAnUpstream);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -88,18 +91,7 @@
 
   void PolicyFromDiskWaitsForTheGroup()
   {
-    Settings settings = MakeSettings(kFastLink);
-    settings.mFleet.mControl = true;
-    settings.mFleet.mSeeds = { kSelf, kLeader, "10.0.0.2:7000" };
-    consensus::Recovered recovered;
-    recovered.mHard.set_storage(consensus::kFoundingStorage);
-    recovered.mSnapshot.set_index(5);
-    recovered.mSnapshot.set_term(1);
-    recovered.mSnapshot.set_state(catalog::Save(CatalogWith(100)));
-    *recovered.mSnapshot.mutable_membership() =
-      fleet::FoundingMembers(settings.mFleet.mSeeds);
-    Effects effects;
-    State state = Open(settings, recovered, kStart, 1, effects);
+    State state = RestartedControlHost(true);
     CPPUNIT_ASSERT(!IsReady(state));
     CPPUNIT_ASSERT(!state.mDispatch.mPolicy);
     // However long the group is away: what it acknowledged last may not be on
@@ -114,7 +106,36 @@
     CPPUNIT_ASSERT(IsReady(state));
   }
 
+  // A host that lost its vote while it was away is a learner at its start: an
+  // upstream is in touch before the log has caught up.
+  void PolicyOnALearnersDiskWaitsForTheLeaderNotForAnUpstream()
+  {
+    State state = RestartedControlHost(false);
+    (void)Step(state, FromUpstream(kStart + kSecond, true, 100));
+    CPPUNIT_ASSERT(!state.mDispatch.mPolicy);
+    HearLeader(state, kStart + 2 * kSecond);
+    CPPUNIT_ASSERT(state.mDispatch.mPolicy);
+  }
+
 private:
+  // A host with a disk that holds a policy, as a voter or as a learner.
+  static State RestartedControlHost(bool aVotes)
+  {
+    Settings settings = MakeSettings(kFastLink);
+    settings.mFleet.mControl = true;
+    settings.mFleet.mSeeds = { kSelf, kLeader, "10.0.0.2:7000" };
+    consensus::Recovered recovered;
+    recovered.mHard.set_storage(consensus::kFoundingStorage);
+    recovered.mSnapshot.set_index(5);
+    recovered.mSnapshot.set_term(1);
+    recovered.mSnapshot.set_state(catalog::Save(CatalogWith(100)));
+    wire::Membership& members = *recovered.mSnapshot.mutable_membership();
+    members = fleet::FoundingMembers(settings.mFleet.mSeeds);
+    members.mutable_members(0)->set_voter(aVotes);
+    Effects effects;
+    return Open(settings, recovered, kStart, 1, effects);
+  }
+
   static void Pass(State& aState, Micros aNow)
   {
     Event event;
