--- a/bench/member_search.cpp
+++ b/bench/member_search.cpp
@@ -3,6 +3,7 @@
 //
 //   member_search --seeds N [--first S]   a fixed range of seeds
 //   member_search --seconds N             as many as fit
+//   member_search --plant sync|size       a planted fault that must be found
 //   member_search --show S                one seed's smallest part, with logs
 //   member_search --file F                a schedule that was written down
 //   member_search --times N               how long until a group is whole again
@@ -19,6 +20,13 @@
 
 using namespace geraniumpond;
 
+fakes::FleetSchedule MakeSchedule(std::uint64_t aSeed, fakes::FleetPlant aPlant)
+{
+  fakes::FleetSchedule schedule = fakes::MakeFleetSchedule(aSeed);
+  schedule.mPlant = aPlant;
+  return schedule;
+}
+
 int Report(std::uint64_t aSeed, const std::string& aFault)
 {
   std::cout << "seed " << aSeed << ": " << aFault << "\n";
@@ -115,6 +123,13 @@
   const auto seeds = static_cast<std::uint64_t>(options.Number("seeds", 0));
   const auto seconds = options.Number("seconds", 10);
   const auto start = std::chrono::steady_clock::now();
+  const std::optional<fakes::FleetPlant> plant =
+    fakes::PlantOf(options.Text("plant", "none"));
+  if (!plant) {
+    std::cerr << "--plant: one of none, sync, size\n";
+    return 2;
+  }
+  const bool planted = *plant != fakes::FleetPlant::None;
   std::uint64_t played = 0;
   int broken = 0;
   const auto goesOn = [&] {
@@ -125,9 +140,13 @@
   for (; goesOn(); ++played) {
     const std::uint64_t seed = first + played;
     const std::string fault =
-      fakes::PlayFleetSchedule(fakes::MakeFleetSchedule(seed));
+      fakes::PlayFleetSchedule(MakeSchedule(seed, *plant));
+    if (planted && !fault.empty()) {
+      std::cout << "found at seed " << seed << ": " << fault << std::endl;
+      return 0;
+    }
     broken += fault.empty() ? 0 : Report(seed, fault);
   }
   std::cout << "schedules " << played << ", broken " << broken << std::endl;
-  return broken == 0 ? 0 : 1;
+  return broken == 0 && !planted ? 0 : 1;
 }
--- /dev/null
+++ b/tests/fakes/fleet_player.cpp
@@ -0,0 +1,552 @@
+#include "fakes/fleet_schedule.h"
+
+#include <algorithm>
+#include <functional>
+#include <ostream>
+
+// Plays a schedule of faults in the simulated fleet, with changes of the policy
+// all along, and checks what is promised.
+namespace geraniumpond::fakes {
+
+namespace {
+
+using fleet::State;
+
+/// A host that was told to stop ends after this time.
+constexpr Micros kStopTime = 4 * kSecond;
+/// After the last fault all hosts serve, what was acknowledged can be read, and
+/// the group tolerates what its settings say within this time: 8 s as promised
+/// for serving, 4 s for a voter that is gone.
+constexpr Micros kSettleTime = 12 * kSecond;
+/// What is promised at any time is looked at in this pace.
+constexpr Micros kLookPause = 20 * kMillisecond;
+/// Settings name a control host's successor this long after it has gone.
+constexpr Micros kSeedLag = 3 * kSecond;
+constexpr Micros kChangePause = 300 * kMillisecond;
+/// \brief A change of the policy that was sent and has not ended.
+struct SentChange
+{
+  std::string mHost;
+  std::uint64_t mIncarnation = 0;
+  std::uint64_t mId = 0;
+  std::uint64_t mVersion = 0;
+};
+
+/// \brief Plays one schedule.
+class Player
+{
+public:
+  Player(const FleetSchedule& aSchedule, std::ostream* aLog)
+    : mSchedule(aSchedule)
+    , mWorld(aSchedule.mSeed)
+    , mLog(aLog)
+  {
+  }
+
+  std::string Play()
+  {
+    const bool heedless = mSchedule.mPlant == FleetPlant::Size;
+    mWorld.mForgetsSynced = mSchedule.mPlant == FleetPlant::Sync;
+    mWorld.Found(
+      mSchedule.mDisks, mSchedule.mOthers, heedless ? 0 : mSchedule.mTolerated);
+    const auto disks = static_cast<std::size_t>(mSchedule.mDisks);
+    if (!mWorld.Until(10 * kSecond, [&] { return mWorld.Voters() == disks; })) {
+      return "no group was founded";
+    }
+    // The last founder counts once its vote is committed everywhere.
+    mWorld.Advance(kSecond);
+    for (const FleetStep& step : mSchedule.mSteps) {
+      Log("schedule", ToString(step.mFault));
+      Take(step);
+      Pass(step.mPause);
+      if (!mFault.empty()) {
+        return mFault;
+      }
+    }
+    Settle();
+    return mFault;
+  }
+
+private:
+  FleetNode& Node(const std::string& aAddress) { return mWorld.Node(aAddress); }
+
+  // --- time
+
+  void Pass(Micros aTime)
+  {
+    const Micros end = mWorld.mNow + aTime;
+    while (mWorld.mNow < end && mFault.empty()) {
+      while (!mLater.empty() && mLater.begin()->first <= mWorld.mNow) {
+        const std::function<void()> action = mLater.begin()->second;
+        mLater.erase(mLater.begin());
+        action();
+      }
+      ChangePolicy();
+      mWorld.Advance(kLookPause);
+      TakeEnds();
+      LogNotes();
+      Look();
+    }
+  }
+
+  void After(Micros aTime, std::function<void()> aAction)
+  {
+    mLater.emplace(mWorld.mNow + aTime, std::move(aAction));
+  }
+
+  void Log(const std::string& aWho, const std::string& aWhat)
+  {
+    if (mLog != nullptr) {
+      *mLog << mWorld.mNow / kMillisecond << " ms " << aWho << " " << aWhat
+            << "\n";
+    }
+  }
+
+  void LogNotes()
+  {
+    for (const std::string& address : mWorld.Addresses()) {
+      for (const std::string& note : Node(address).mNotes) {
+        Log(address, note);
+      }
+      Node(address).mNotes.clear();
+    }
+  }
+
+  // --- hosts
+
+  std::vector<std::string> Hosts(bool aControl, bool aRunning)
+  {
+    std::vector<std::string> hosts;
+    for (const std::string& address : mWorld.Addresses()) {
+      const FleetNode& node = Node(address);
+      if (mRemoved.count(address) == 0 &&
+          (node.mSettings.mControl || !aControl) &&
+          (node.mAlive || !aRunning)) {
+        hosts.push_back(address);
+      }
+    }
+    return hosts;
+  }
+
+  // A running control host that is not about to go.
+  std::string PickControl(std::uint64_t aPick)
+  {
+    std::vector<std::string> hosts = Hosts(true, true);
+    hosts.erase(std::remove_if(hosts.begin(),
+                               hosts.end(),
+                               [&](const std::string& aHost) {
+                                 return mBusy.count(aHost) != 0;
+                               }),
+                hosts.end());
+    return hosts.empty() ? "" : hosts[aPick % hosts.size()];
+  }
+
+  void StartAgain(const std::string& aAddress)
+  {
+    mBusy.erase(aAddress);
+    if (mRemoved.count(aAddress) == 0 && !Node(aAddress).mAlive) {
+      Log(aAddress, "starts");
+      mWorld.Start(aAddress, false);
+      mVersions.erase(aAddress);
+    }
+  }
+
+  void AddControl()
+  {
+    mWorld.SetSeeds(ListedControl(mNewcomers));
+    const std::string address = "10.0.1." + std::to_string(++mNewcomers) + ":1";
+    mWorld.Add(address, true);
+    mWorld.Start(address, false);
+  }
+
+  // --- disks
+
+  // Voters whose disk is gone, as the leader counts them; nothing is known
+  // without a leader that has committed its members.
+  int DisksMissing()
+  {
+    const std::string leader = mWorld.Leader();
+    if (leader.empty()) {
+      return mDisksLost;
+    }
+    const consensus::State& group = Node(leader).mState.mGroup;
+    if (group.mCommit < std::max(group.mMembershipIndex, group.mTermStart)) {
+      return mDisksLost;
+    }
+    const int least = 2 * mSchedule.mTolerated + 1;
+    int missing = std::max(0, least - static_cast<int>(mWorld.Voters()));
+    for (const wire::Member& member : group.mMembership.members()) {
+      const bool there =
+        mRemoved.count(member.address()) == 0 &&
+        Node(member.address()).mDisk.mHard.storage() == member.storage();
+      missing += member.voter() && !there ? 1 : 0;
+    }
+    mDisksLost = missing;
+    return missing;
+  }
+
+  bool MayLoseDisk() { return DisksMissing() < mSchedule.mTolerated; }
+
+  // --- steps
+
+  void Take(const FleetStep& aStep)
+  {
+    switch (aStep.mFault) {
+      case FleetFault::Restart:
+        Restart(PickControl(aStep.mPick), aStep.mFor);
+        break;
+      case FleetFault::ReplacePlanned:
+        ReplacePlanned(PickControl(aStep.mPick), aStep.mFor);
+        break;
+      case FleetFault::ReplaceLost:
+        ReplaceLost(PickControl(aStep.mPick), aStep.mFor);
+        break;
+      case FleetFault::LoseDisk:
+        Down(PickControl(aStep.mPick), aStep.mFor, true, true);
+        break;
+      case FleetFault::Kill: {
+        const std::vector<std::string> hosts = Hosts(false, true);
+        if (!hosts.empty()) {
+          const std::string& host = hosts[aStep.mPick % hosts.size()];
+          Down(mBusy.count(host) == 0 ? host : "", aStep.mFor, false, false);
+        }
+        break;
+      }
+      case FleetFault::LosePower:
+        Down(PickControl(aStep.mPick), aStep.mFor, true, false);
+        break;
+      case FleetFault::LoseAllPower:
+        LoseAllPower(aStep.mFor, "");
+        break;
+      case FleetFault::LoseAllPowerAndADisk:
+        LoseAllPower(aStep.mFor, MayLoseDisk() ? PickControl(aStep.mPick) : "");
+        break;
+      case FleetFault::Cut:
+        Cut(PickControl(aStep.mPick), aStep.mFor);
+        break;
+      case FleetFault::CutHalves:
+        CutHalves(aStep.mPick, aStep.mFor);
+        break;
+      case FleetFault::Freeze:
+        Freeze(PickControl(aStep.mPick), aStep.mFor);
+        break;
+      case FleetFault::StallDisk:
+        StallDisk(PickControl(aStep.mPick), aStep.mFor);
+        break;
+      case FleetFault::Reseed:
+        Reseed(aStep.mPick);
+        break;
+      case FleetFault::Settle:
+        Settle();
+        break;
+    }
+  }
+
+  void Restart(const std::string& aHost, Micros aFor)
+  {
+    if (aHost.empty()) {
+      return;
+    }
+    Log(aHost, "is told to stop");
+    mBusy.insert(aHost);
+    mWorld.Stop(aHost);
+    After(kStopTime, [this, aHost, aFor] {
+      mWorld.Kill(aHost);
+      After(aFor, [this, aHost] { StartAgain(aHost); });
+    });
+  }
+
+  // The last step waits while its disk is still needed.
+  void Remove(const std::string& aHost)
+  {
+    const bool voter = IsVoter(aHost);
+    if (voter && !MayLoseDisk()) {
+      After(kSecond, [this, aHost] { Remove(aHost); });
+      return;
+    }
+    mDisksLost += voter ? 1 : 0;
+    Log(aHost, "goes for good");
+    mWorld.Kill(aHost);
+    mRemoved.insert(aHost);
+    mBusy.erase(aHost);
+    After(kSeedLag, [this] { Reseed(0); });
+  }
+
+  bool IsVoter(const std::string& aHost)
+  {
+    const std::vector<std::string> voters = mWorld.VoterAddresses();
+    return voters.empty() ||
+           std::count(voters.begin(), voters.end(), aHost) != 0;
+  }
+
+  void ReplacePlanned(const std::string& aHost, Micros aFor)
+  {
+    if (aHost.empty()) {
+      return;
+    }
+    mBusy.insert(aHost);
+    AddControl();
+    After(std::max(kSecond, aFor), [this, aHost] {
+      if (Node(aHost).mAlive) {
+        Log(aHost, "is told to stop");
+        mWorld.Stop(aHost);
+      }
+      After(kStopTime, [this, aHost] { Remove(aHost); });
+    });
+  }
+
+  void ReplaceLost(const std::string& aHost, Micros aFor)
+  {
+    if (aHost.empty() || !MayLoseDisk()) {
+      return;
+    }
+    ++mDisksLost;
+    Log(aHost, "goes for good");
+    mWorld.LosePower(aHost);
+    mRemoved.insert(aHost);
+    After(aFor, [this] { AddControl(); });
+    After(kSeedLag, [this] { Reseed(0); });
+  }
+
+  void Down(const std::string& aHost, Micros aFor, bool aPower, bool aDisk)
+  {
+    if (aHost.empty() || (aDisk && !MayLoseDisk())) {
+      return;
+    }
+    Log(aHost, aDisk ? "loses its disk" : "goes down");
+    mBusy.insert(aHost);
+    if (aPower) {
+      mWorld.LosePower(aHost);
+    } else {
+      mWorld.Kill(aHost);
+    }
+    if (aDisk) {
+      ++mDisksLost;
+      mWorld.Wipe(aHost);
+    }
+    After(aFor, [this, aHost] { StartAgain(aHost); });
+  }
+
+  void LoseAllPower(Micros aFor, const std::string& aWiped)
+  {
+    for (const std::string& address : Hosts(false, true)) {
+      mWorld.LosePower(address);
+      After(aFor, [this, address] { StartAgain(address); });
+    }
+    if (!aWiped.empty()) {
+      Log(aWiped, "loses its disk");
+      ++mDisksLost;
+      mWorld.Wipe(aWiped);
+    }
+  }
+
+  void Cut(const std::string& aHost, Micros aFor)
+  {
+    Log(aHost, "is cut off");
+    mWorld.mCutOff.insert(aHost);
+    After(aFor, [this, aHost] { mWorld.mCutOff.erase(aHost); });
+  }
+
+  void CutHalves(std::uint64_t aPick, Micros aFor)
+  {
+    std::set<std::string> half;
+    for (const std::string& address : Hosts(true, false)) {
+      if ((aPick >>= 1) % 2 == 0) {
+        half.insert(address);
+      }
+    }
+    mWorld.mLose = [this, half](const Sent& aSent) {
+      const bool between = Node(aSent.mFrom).mSettings.mControl &&
+                           mWorld.Has(aSent.mTo) &&
+                           Node(aSent.mTo).mSettings.mControl;
+      return between && half.count(aSent.mFrom) != half.count(aSent.mTo);
+    };
+    After(aFor, [this] { mWorld.mLose = nullptr; });
+  }
+
+  void Freeze(const std::string& aHost, Micros aFor)
+  {
+    Log(aHost, "freezes");
+    mWorld.mFrozen.insert(aHost);
+    After(aFor, [this, aHost] { mWorld.mFrozen.erase(aHost); });
+  }
+
+  void StallDisk(const std::string& aHost, Micros aFor)
+  {
+    Log(aHost, "has its disk stalled");
+    mWorld.mStalled.insert(aHost);
+    After(aFor, [this, aHost] { mWorld.mStalled.erase(aHost); });
+  }
+
+  // Three of the control hosts that have not gone for good, running or not:
+  // what settings name.
+  std::vector<std::string> ListedControl(std::uint64_t aPick)
+  {
+    const std::vector<std::string> control = Hosts(true, false);
+    std::vector<std::string> seeds;
+    for (std::size_t i = 0; i < std::min<std::size_t>(3, control.size()); ++i) {
+      seeds.push_back(control[(aPick + i) % control.size()]);
+    }
+    return seeds;
+  }
+
+  void Reseed(std::uint64_t aPick) { mWorld.Reseed(ListedControl(aPick)); }
+
+  // --- changes of the policy all along
+
+  void ChangePolicy()
+  {
+    if (mSent || mWorld.mNow < mChangeAt) {
+      return;
+    }
+    mChangeAt = mWorld.mNow + kChangePause;
+    const std::vector<std::string> hosts = Hosts(false, true);
+    if (hosts.empty()) {
+      return;
+    }
+    const std::string& host = hosts[++mTurn % hosts.size()];
+    if (mWorld.mFrozen.count(host) != 0) {
+      return;
+    }
+    const std::uint64_t base = Node(host).mState.mCatalog.mVersion;
+    const std::uint64_t version = ++mLastVersion;
+    const std::uint64_t id = mWorld.Submit(
+      host, PutPolicyCommand(version, base, std::to_string(version)));
+    mSent = { host, Node(host).mSettings.mIncarnation, id, version };
+  }
+
+  void TakeEnds()
+  {
+    if (!mSent) {
+      return;
+    }
+    const FleetNode& node = Node(mSent->mHost);
+    if (!node.mAlive || node.mSettings.mIncarnation != mSent->mIncarnation) {
+      mSent.reset();
+      return;
+    }
+    const auto done = node.mDone.find(mSent->mId);
+    if (done == node.mDone.end()) {
+      return;
+    }
+    const fleet::Done& end = done->second;
+    if (end.mEnd == fleet::SubmitEnd::Committed && end.mOutcome.accepted()) {
+      mAcknowledged = std::max(mAcknowledged, mSent->mVersion);
+    }
+    mSent.reset();
+  }
+
+  // --- checks
+
+  // A host's version never goes back within one life of its process.
+  void Look()
+  {
+    for (const std::string& address : Hosts(false, true)) {
+      const std::uint64_t version = Node(address).mState.mCatalog.mVersion;
+      std::uint64_t& known = mVersions[address];
+      if (version < known) {
+        mFault = address + " went back from version " + std::to_string(known) +
+                 " to " + std::to_string(version);
+      }
+      known = version;
+    }
+  }
+
+  void EndFaults()
+  {
+    Log("schedule", "faults end");
+    mWorld.mCutOff.clear();
+    mWorld.mLose = nullptr;
+    mWorld.mFrozen.clear();
+    mWorld.mStalled.clear();
+    // Stops and starts that are under way come to their end.
+    const Micros end = mWorld.mNow + kStopTime + 3 * kSecond;
+    while (!mLater.empty() && mWorld.mNow < end && mFault.empty()) {
+      Pass(kLookPause);
+    }
+  }
+
+  // The one case that decisions/0007 leaves out: every seed that the host was
+  // started with has gone for good, and it has known no other one since.
+  bool IsBeyondReach(const std::string& aAddress)
+  {
+    const State& state = Node(aAddress).mState;
+    const std::vector<std::string>& seeds = state.mSettings.mSeeds;
+    return state.mControlDate.mTerm == 0 &&
+           std::all_of(seeds.begin(), seeds.end(), [&](const auto& aSeed) {
+             return mRemoved.count(aSeed) != 0;
+           });
+  }
+
+  std::string Missing()
+  {
+    const std::string leader = mWorld.Leader();
+    if (leader.empty()) {
+      return "there is no leader";
+    }
+    for (const std::string& address : Hosts(false, true)) {
+      const State& state = Node(address).mState;
+      if (IsBeyondReach(address)) {
+        continue;
+      }
+      if (!fleet::IsInTouch(state, mWorld.mNow) && !state.mStopping) {
+        return address + " is out of touch";
+      }
+      if (state.mCatalog.mVersion < mAcknowledged) {
+        return address + " has version " +
+               std::to_string(state.mCatalog.mVersion) + " of " +
+               std::to_string(mAcknowledged);
+      }
+    }
+    const fleet::GroupHealth health =
+      fleet::HealthOf(Node(leader).mState, mWorld.mNow);
+    if (health.mTolerated < mSchedule.mTolerated) {
+      return "the group of " + std::to_string(health.mVoters) + ", " +
+             std::to_string(health.mAnswering) + " there, tolerates " +
+             std::to_string(health.mTolerated);
+    }
+    return "";
+  }
+
+  void Settle()
+  {
+    EndFaults();
+    const Micros end = mWorld.mNow + kSettleTime;
+    std::string missing = Missing();
+    while (!missing.empty() && mWorld.mNow < end && mFault.empty()) {
+      Pass(kLookPause);
+      missing = Missing();
+    }
+    if (mFault.empty() && !missing.empty()) {
+      mFault = missing;
+    }
+  }
+
+  const FleetSchedule& mSchedule;
+  FleetWorld mWorld;
+  std::ostream* mLog = nullptr;
+  std::string mFault;
+  std::multimap<Micros, std::function<void()>> mLater;
+  std::set<std::string> mRemoved;
+  /// Hosts that a step has in hand.
+  std::set<std::string> mBusy;
+  int mNewcomers = 0;
+  int mDisksLost = 0;
+
+  std::optional<SentChange> mSent;
+  Micros mChangeAt = 0;
+  std::size_t mTurn = 0;
+  std::uint64_t mLastVersion = 0;
+  std::uint64_t mAcknowledged = 0;
+  std::map<std::string, std::uint64_t> mVersions;
+};
+
+} // namespace
+
+std::string PlayFleetSchedule(const FleetSchedule& aSchedule,
+                              std::ostream* aLog)
+{
+  return Player(aSchedule, aLog).Play();
+}
+
+} // namespace geraniumpond::fakes
--- a/tests/fakes/fleet_schedule.h
+++ b/tests/fakes/fleet_schedule.h
@@ -5,6 +5,7 @@
 #include <geraniumpond/result.h>
 
 #include <iosfwd>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -48,6 +49,19 @@
 /// \brief Lower-case name of a fault.
 [[nodiscard]] const char* ToString(FleetFault aFault) noexcept;
 
+/// \brief A fault of the fleet itself, to show that the checks find it.
+enum class FleetPlant
+{
+  None,
+  /// A loss of power takes what a disk had synced last.
+  Sync,
+  /// Hosts think that no loss need be tolerated.
+  Size,
+};
+
+/// \brief The plant of a name; nothing for an unknown one.
+[[nodiscard]] std::optional<FleetPlant> PlantOf(const std::string& aName);
+
 /// \brief One step of a schedule.
 struct FleetStep
 {
@@ -65,6 +79,7 @@
   int mDisks = 3;
   int mOthers = 3;
   int mTolerated = 1;
+  FleetPlant mPlant = FleetPlant::None;
   std::vector<FleetStep> mSteps;
 };
 
--- a/tests/fakes/fleet_world.cpp
+++ b/tests/fakes/fleet_world.cpp
@@ -143,6 +143,9 @@
   node.mAlive = false;
   node.mUnsynced.clear();
   node.mDisk = node.mSyncedDisk;
+  if (mForgetsSynced && !node.mDisk.mEntries.empty()) {
+    node.mDisk.mEntries.pop_back();
+  }
 }
 
 void FleetWorld::Wipe(const std::string& aAddress)
--- a/tests/fakes/fleet_world.h
+++ b/tests/fakes/fleet_world.h
@@ -123,6 +123,8 @@
   std::set<std::string> mStalled;
   /// Messages for which it returns true are lost.
   std::function<bool(const Sent&)> mLose;
+  /// A planted fault: a loss of power takes what was synced last.
+  bool mForgetsSynced = false;
   Micros mNow = kSecond;
   Work mWork;
 
