--- a/src/fleet/members.cpp
+++ b/src/fleet/members.cpp
@@ -6,9 +6,9 @@
 // the majority: with four voters, one of them gone for good, the loss of one
 // more left two of four, and nothing could be committed or read ever again (12
 // of 200 random schedules of faults around simulated groups broke a promise; of
-// 10,800 with the rules below none did). So the leader takes out voters that are
-// gone as soon as the rest would tolerate more losses without them, and never
-// below the number that the tolerated losses need.
+// 10,800 with the rules below none did). So the leader takes out voters that
+// are gone as soon as the rest would tolerate more losses without them, and
+// never below the number that the tolerated losses need.
 //
 // One change at a time, each committed by the majority before and after it; a
 // voter is made a learner first, so that one that was only cut off or restarted
