--- a/tests/fleet_members_test.cpp
+++ b/tests/fleet_members_test.cpp
@@ -24,7 +24,9 @@
 }
 
 constexpr const char* kNewcomer = "10.0.1.1:1";
+/// A host without a disk beside three that have one, and beside six.
 constexpr const char* kFollower = "10.0.0.5:1";
+constexpr const char* kReader = "10.0.0.8:1";
 
 } // namespace
 
@@ -51,6 +53,7 @@
   CPPUNIT_TEST(HostReplacedAsPlannedThenOneDiskLostKeepsCommitting);
   CPPUNIT_TEST(ChangeSentJustBeforeTheLossIsKeptIfItWasAcknowledged);
   CPPUNIT_TEST(HostsReplacedInARowLeaveAWholeGroup);
+  CPPUNIT_TEST(TwoOfSixReplacedThenTwoDisksLostKeepsTheChange);
   CPPUNIT_TEST(VoterThatStopsLeavesBeforeItExits);
   CPPUNIT_TEST(VoterSilentForGoodLeavesWhereOthersAreEnough);
   CPPUNIT_TEST(GroupNeverShrinksBelowWhatLossesNeed);
@@ -134,6 +137,37 @@
     }
   }
 
+  // Two losses tolerated: six voters became eight, two of them gone; the loss
+  // of two disks left four of the five that are needed.
+  void TwoOfSixReplacedThenTwoDisksLostKeepsTheChange()
+  {
+    FleetWorld world(7);
+    world.Found(6, 3, 2);
+    CPPUNIT_ASSERT(
+      world.Until(10 * kSecond, [&] { return world.Voters() == 6; }));
+    CPPUNIT_ASSERT(world.Commit(kReader, PutPolicyCommand(1, 0, "one")));
+    world.SetSeeds({ Founder(3), Founder(4), Founder(5) });
+    Join(world, "10.0.1.1:1");
+    Join(world, "10.0.1.2:1");
+    Leave(world, Founder(1));
+    Leave(world, Founder(2));
+    CPPUNIT_ASSERT(world.Commit(kReader, PutPolicyCommand(2, 1, "two")));
+    for (const std::string& wiped : { Founder(3), Founder(6) }) {
+      world.LosePower(wiped);
+      world.Wipe(wiped);
+    }
+    world.Advance(kSecond);
+    for (const std::string& wiped : { Founder(3), Founder(6) }) {
+      world.Start(wiped, false);
+    }
+    wire::CatalogCommand read;
+    read.mutable_read_barrier();
+    CPPUNIT_ASSERT(
+      world.Until(kBackTime, [&] { return world.Commit(kReader, read); }));
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t(2),
+                         world.Node(kReader).mState.mCatalog.mVersion);
+  }
+
   void VoterThatStopsLeavesBeforeItExits()
   {
     for (int leaves = 1; leaves <= 3; ++leaves) {
