--- a/src/fleet/members.cpp
+++ b/src/fleet/members.cpp
@@ -114,7 +114,8 @@
   return aView.mStopping || aView.mReplaced || aView.mSilent > kSilentAfter;
 }
 
-bool IsForgotten(const MemberView& aView)
+// Its disk is gone, or it was silent for so long that it will hardly come back.
+bool CanBeDropped(const MemberView& aView)
 {
   return aView.mReplaced || aView.mSilent > kForgetAfter;
 }
@@ -186,9 +187,9 @@
   return false;
 }
 
-// Whether fewer voters tolerate more. Of five with one gone two more may be
-// lost, of four as well, and the one may come back: it stays. Of four with one
-// gone none may be lost, of three one may: it goes.
+// Whether fewer voters tolerate more. Of five with one gone one more may be
+// lost, of four one as well, and the gone one may come back: it stays. Of four
+// with one gone none may be lost, of three one may: it goes.
 bool IsShrinkingWorthIt(const State& aState, int aVoters, int aLeft)
 {
   const int there = aVoters - aLeft;
@@ -221,13 +222,13 @@
       continue;
     }
     ++left;
-    if (gone == nullptr || (IsForgotten(view) && !IsForgotten(seen))) {
+    if (gone == nullptr || (CanBeDropped(view) && !CanBeDropped(seen))) {
       gone = &member;
       seen = view;
     }
   }
   if (gone == nullptr || voters - 1 < LeastVoters(aState) ||
-      !(IsForgotten(seen) || IsShrinkingWorthIt(aState, voters, left))) {
+      !(CanBeDropped(seen) || IsShrinkingWorthIt(aState, voters, left))) {
     return false;
   }
   Change(aState,
@@ -244,7 +245,7 @@
   const wire::Membership& members = aState.mGroup.mMembership;
   for (const wire::Member& member : members.members()) {
     const MemberView view = ViewOf(aState, member, aNow);
-    if (!member.voter() && IsForgotten(view)) {
+    if (!member.voter() && CanBeDropped(view)) {
       Change(aState,
              aNow,
              Without(members, member.id()),
