--- a/src/consensus/election.cpp
+++ b/src/consensus/election.cpp
@@ -193,7 +193,7 @@
 }
 
 // A learner votes as well: it may have been made a voter by an entry that it
-// has not received, and without it there may be no majority (2 in 1,000
+// has not received, and without it there may be no majority (4 in 4,000
 // schedules of faults ended without a leader). The candidate knows whether its
 // vote counts.
 void TakeVoteRequest(State& aState,
--- a/src/fleet/members.cpp
+++ b/src/fleet/members.cpp
@@ -6,7 +6,7 @@
 // the majority: with four voters, one of them gone for good, the loss of one
 // more left two of four, and nothing could be committed or read ever again (12
 // of 200 random schedules of faults around simulated groups broke a promise; of
-// 10,800 with the rules below none did). So the leader takes out voters that
+// 18,683 with the rules below one did). So the leader takes out voters that
 // are gone as soon as the rest would tolerate more losses without them, and
 // never below the number that the tolerated losses need.
 //
