Log which requests ask for the same, and each answer that broke

Whether the requests under which targets ended were one request that came again, or many that were at work there, they could not tell; and `try_elsewhere` did not name the target that broke.

Change: a request has an identity: a digest of host name, path, method, body and of the fields that tell who asks (`requests/caller_fields`); what changes with each try is left out. All lines of a request have it. `attempt_broken` says which target broke which request, and why; the counter `attempts_broken` counts them. No decision depends on it.

Tests: RequestDigestTest.

--- a/include/geraniumpond/dispatch.h
+++ b/include/geraniumpond/dispatch.h
@@ -195,6 +195,8 @@
 {
   std::uint64_t mId = 0;
   std::string mClientRequestId;
+  /// Equal for requests that ask for the same, whoever sends them and when.
+  std::uint64_t mIdentity = 0;
   std::string mRoute;
   std::string mService;
   policy::RouteKind mKind = policy::RouteKind::Safe;
@@ -231,6 +233,9 @@
   std::string mClientRequestId;
   std::string mHostName;
   std::string mPath;
+  /// Of what it holds beside host name and path, but for what changes with each
+  /// try.
+  std::uint64_t mContentDigest = 0;
   /// Time that the client waits; 0 when it does not say.
   Micros mPatience = 0;
 };
--- a/include/geraniumpond/gateway_settings.h
+++ b/include/geraniumpond/gateway_settings.h
@@ -39,6 +39,9 @@
   Micros mExtraWindow = 0;
   double mProbesPerTarget = 0;
 
+  /// Fields of a request that tell who asks.
+  std::vector<std::string> mCallerFields;
+
   std::string mLogFormat;
   std::string mLogLevel;
 };
--- a/src/config/gateway_settings.cpp
+++ b/src/config/gateway_settings.cpp
@@ -33,6 +33,10 @@
     { "bounds", "extra_floor", ValueType::Decimal, "20", 0, 1e6 },
     { "bounds", "extra_window", ValueType::Duration, "10s" },
     { "bounds", "probes_per_target", ValueType::Decimal, "10", 0, 1e6 },
+    { "requests",
+      "caller_fields",
+      ValueType::OptionalText,
+      "Authorization, Cookie" },
     { "log", "format", ValueType::Choice, "text", 0, 0, "text json" },
     { "log",
       "level",
@@ -81,6 +85,11 @@
   aOut.mProbesPerTarget = aSection.Decimal("probes_per_target");
 }
 
+void ReadRequests(const Section& aSection, GatewaySettings& aOut)
+{
+  aOut.mCallerFields = aSection.List("caller_fields");
+}
+
 void ReadLog(const Section& aSection, GatewaySettings& aOut)
 {
   aOut.mLogFormat = aSection.Text("format");
@@ -95,7 +104,8 @@
   Checked<GatewaySettings> result;
   // Sections that are left out have their defaults, and miss required keys.
   std::string text(aText);
-  for (const char* name : { "host", "listen", "fleet", "bounds", "log" }) {
+  for (const char* name :
+       { "host", "listen", "fleet", "bounds", "requests", "log" }) {
     const std::string title = std::string("[") + name + "]";
     if (text.find(title) == std::string::npos) {
       text += "\n" + title + "\n";
@@ -115,6 +125,8 @@
       ReadFleet(section, result.mValue);
     } else if (section.mType == "bounds") {
       ReadBounds(section, result.mValue);
+    } else if (section.mType == "requests") {
+      ReadRequests(section, result.mValue);
     } else {
       ReadLog(section, result.mValue);
     }
--- a/src/dispatch/ends.cpp
+++ b/src/dispatch/ends.cpp
@@ -142,6 +142,20 @@
   }
 }
 
+void NoteBroken(State& aState,
+                Micros aNow,
+                const Request& aRequest,
+                const Attempt& aAttempt,
+                const AttemptEnd& aEnd,
+                Effects& aOut)
+{
+  ++aState.mCounters["attempts_broken"];
+  Log(aOut,
+      1,
+      "event=attempt_broken why=" + aEnd.mReason +
+        Describe(aState, aRequest, aNow) + " target=" + aAttempt.mTarget);
+}
+
 void EndDetached(State& aState,
                  Micros aNow,
                  Request& aRequest,
@@ -174,6 +188,9 @@
   JudgeTarget(aState, aNow, attempt, aEnd, aOut);
   aState.mLargeBytes -= attempt.mLargeBytes;
   RemoveAttempt(request, attempt.mNumber);
+  if (aEnd.mKind == EndKind::Broken) {
+    NoteBroken(aState, aNow, request, attempt, aEnd, aOut);
+  }
   if (request.mDetached) {
     EndDetached(aState, aNow, request, aEnd, aOut);
     return;
--- a/src/dispatch/internal.h
+++ b/src/dispatch/internal.h
@@ -190,5 +190,6 @@
                                    Micros aNow);
 void Log(Effects& aOut, int aLevel, std::string aText);
 [[nodiscard]] std::string Milliseconds(Micros aTime);
+[[nodiscard]] std::string Hexadecimal(std::uint64_t aWord);
 
 } // namespace geraniumpond::dispatch
--- a/src/dispatch/requests.cpp
+++ b/src/dispatch/requests.cpp
@@ -1,5 +1,7 @@
 #include "internal.h"
 
+#include <geraniumpond/hash.h>
+
 #include <algorithm>
 #include <cstdio>
 
@@ -45,6 +47,12 @@
   aService.mDispatchedAt = aNow;
 }
 
+std::uint64_t IdentityOf(const Arrival& aArrival)
+{
+  return Hash64(aArrival.mPath,
+                Hash64(aArrival.mHostName, aArrival.mContentDigest));
+}
+
 void Expire(State& aState, Micros aNow, Request& aRequest, Effects& aOut)
 {
   if (aRequest.mSent == 0 ||
@@ -71,14 +79,23 @@
 
 std::string Describe(const State& aState, const Request& aRequest, Micros aNow)
 {
-  return " request=" + aRequest.mClientRequestId + " route=" + aRequest.mRoute +
-         " service=" + aRequest.mService +
+  return " request=" + aRequest.mClientRequestId +
+         " identity=" + Hexadecimal(aRequest.mIdentity) +
+         " route=" + aRequest.mRoute + " service=" + aRequest.mService +
          " sent=" + std::to_string(aRequest.mSent) +
          " took_ms=" + Milliseconds(aNow - aRequest.mArrivedAt) +
          " left_ms=" + Milliseconds(aRequest.mDeadline - aNow) + " policy=" +
          std::to_string(aState.mPolicy ? aState.mPolicy->mVersion : 0);
 }
 
+std::string Hexadecimal(std::uint64_t aWord)
+{
+  char text[32];
+  std::snprintf(
+    text, sizeof(text), "%016llx", static_cast<unsigned long long>(aWord));
+  return text;
+}
+
 std::string Milliseconds(Micros aTime)
 {
   char text[32];
@@ -293,6 +310,7 @@
   Request request;
   request.mId = aArrival.mId;
   request.mClientRequestId = aArrival.mClientRequestId;
+  request.mIdentity = IdentityOf(aArrival);
   request.mRoute = route->mName;
   request.mService = policy::PickBackend(*route, NextPoint(aState));
   request.mKind = route->mKind;
--- a/src/frontend/gateway_process.cpp
+++ b/src/frontend/gateway_process.cpp
@@ -1,5 +1,7 @@
 #include "gateway_process.h"
 
+#include "request_digest.h"
+
 #include "edge/logging.h"
 
 #include <Poco/NumberParser.h>
@@ -80,6 +82,8 @@
     arrival.mClientRequestId = id == nullptr ? "" : *id;
     arrival.mHostName = *FindField(aRequest.mFields, "Host");
     arrival.mPath = aRequest.mTarget;
+    arrival.mContentDigest =
+      ContentDigest(aRequest, mProcess.mSettings.mCallerFields);
     const std::string* patience = FindField(aRequest.mFields, names.mPatience);
     Poco::Int64 milliseconds = 0;
     if (patience != nullptr &&
--- /dev/null
+++ b/src/frontend/request_digest.cpp
@@ -0,0 +1,19 @@
+#include "request_digest.h"
+
+#include <geraniumpond/hash.h>
+
+namespace geraniumpond::frontend {
+
+std::uint64_t ContentDigest(const HttpRequest& aRequest,
+                            const std::vector<std::string>& aCallerFields)
+{
+  std::uint64_t digest = Hash64(aRequest.mMethod);
+  for (const std::string& name : aCallerFields) {
+    const std::string* value = FindField(aRequest.mFields, name);
+    // A field that is missing is told apart from one that is empty.
+    digest = Hash64(value == nullptr ? "" : "=" + *value, digest);
+  }
+  return Hash64(aRequest.mBody, digest);
+}
+
+} // namespace geraniumpond::frontend
--- /dev/null
+++ b/tests/request_digest_test.cpp
@@ -0,0 +1,73 @@
+#include "frontend/request_digest.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace geraniumpond::frontend {
+
+namespace {
+
+HttpRequest MakeRequest()
+{
+  HttpRequest request;
+  request.mMethod = "POST";
+  request.mTarget = "/signatures";
+  request.mFields = { { "Host", "permits.example" },
+                      { "Request-Id", "1" },
+                      { "authorization", "Bearer anna" } };
+  request.mBody = "signed";
+  return request;
+}
+
+} // namespace
+
+class RequestDigestTest : public CppUnit::TestFixture
+{
+  CPPUNIT_TEST_SUITE(RequestDigestTest);
+  CPPUNIT_TEST(LaterTryHasTheSameDigest);
+  CPPUNIT_TEST(OtherMethodBodyOrCallerHasAnother);
+  CPPUNIT_TEST(CallerIsToldByTheFieldsThatAreNamed);
+  CPPUNIT_TEST_SUITE_END();
+
+public:
+  void LaterTryHasTheSameDigest()
+  {
+    HttpRequest later = MakeRequest();
+    later.mFields[1].second = "2";
+    later.mFields.emplace_back("Deadline-Ms", "700");
+    later.mFields.emplace_back("Connection", "close");
+    CPPUNIT_ASSERT_EQUAL(DigestOf(MakeRequest()), DigestOf(later));
+  }
+
+  void OtherMethodBodyOrCallerHasAnother()
+  {
+    HttpRequest method = MakeRequest();
+    method.mMethod = "PUT";
+    HttpRequest body = MakeRequest();
+    body.mBody = "withdrawn";
+    HttpRequest caller = MakeRequest();
+    caller.mFields[2].second = "Bearer omar";
+    HttpRequest nobody = MakeRequest();
+    nobody.mFields.pop_back();
+    for (const HttpRequest& other : { method, body, caller, nobody }) {
+      CPPUNIT_ASSERT(DigestOf(MakeRequest()) != DigestOf(other));
+    }
+  }
+
+  void CallerIsToldByTheFieldsThatAreNamed()
+  {
+    HttpRequest other = MakeRequest();
+    other.mFields[2].second = "Bearer omar";
+    CPPUNIT_ASSERT_EQUAL(ContentDigest(MakeRequest(), { "Cookie" }),
+                         ContentDigest(other, { "Cookie" }));
+  }
+
+private:
+  static std::uint64_t DigestOf(const HttpRequest& aRequest)
+  {
+    return ContentDigest(aRequest, { "Authorization", "Cookie" });
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(RequestDigestTest);
+
+} // namespace geraniumpond::frontend
