--- a/tests/fakes/fleet_world.cpp
+++ b/tests/fakes/fleet_world.cpp
@@ -1,5 +1,7 @@
 #include "fakes/fleet_world.h"
 
+#include "fakes/disk.h"
+
 #include <algorithm>
 
 namespace geraniumpond::fakes {
@@ -10,34 +12,6 @@
 constexpr Micros kSyncTime = 1000;
 constexpr Micros kStepTime = 2 * kMillisecond;
 
-void ApplyRecord(consensus::Recovered& aDisk, const wire::LogRecord& aRecord)
-{
-  if (aRecord.has_hard_state()) {
-    aDisk.mHard = aRecord.hard_state();
-  } else if (aRecord.has_entry()) {
-    aDisk.mEntries.push_back(aRecord.entry());
-  } else {
-    while (!aDisk.mEntries.empty() &&
-           aDisk.mEntries.back().index() >= aRecord.truncate_from()) {
-      aDisk.mEntries.pop_back();
-    }
-  }
-}
-
-void ApplyWrite(consensus::Recovered& aDisk, const consensus::Write& aWrite)
-{
-  for (const wire::LogRecord& record : aWrite.mRecords) {
-    ApplyRecord(aDisk, record);
-  }
-  if (aWrite.mSnapshot) {
-    aDisk.mSnapshot = *aWrite.mSnapshot;
-    aDisk.mEntries.clear();
-    for (const wire::LogRecord& record : aWrite.mRetained) {
-      ApplyRecord(aDisk, record);
-    }
-  }
-}
-
 } // namespace
 
 FleetWorld::FleetWorld(std::uint64_t aSeed)
@@ -73,12 +47,7 @@
   const bool seed = std::count(mSeeds.begin(), mSeeds.end(), aAddress) != 0;
   if (node.mSettings.mControl && node.mDisk.mHard.storage().empty()) {
     const bool founds = aFounding && seed;
-    node.mDisk.mHard.set_storage(founds ? consensus::kFoundingStorage
-                                        : "disk" + std::to_string(Random()));
-    if (founds) {
-      *node.mDisk.mSnapshot.mutable_membership() =
-        fleet::FoundingMembers(mSeeds);
-    }
+    node.mDisk = FreshDisk(mSeeds, founds, founds ? 0 : Random());
   }
   // What a killed process had written is on the disk by its next start.
   node.mSyncedDisk = node.mDisk;
--- /dev/null
+++ b/tests/fakes/gateway_world.cpp
@@ -0,0 +1,526 @@
+#include "fakes/gateway_world.h"
+
+#include "fakes/disk.h"
+
+#include <algorithm>
+#include <sstream>
+
+namespace geraniumpond::fakes {
+
+namespace {
+
+/// One way between any two of hosts and targets.
+constexpr Micros kTrip = 1500;
+constexpr Micros kSyncTime = kMillisecond;
+constexpr Micros kStep = kMillisecond;
+constexpr Micros kRenewal = 1500 * kMillisecond;
+constexpr double kWorkSpread = 0.3;
+constexpr const char* kService = "service";
+
+std::string PolicyDocument(const GatewayLoad& aLoad)
+{
+  std::ostringstream text;
+  text << aLoad.mIdempotent << " " << aLoad.mAttempts << " " << aLoad.mTimeout
+       << " " << aLoad.mObjective;
+  return text.str();
+}
+
+Result<policy::TrafficPolicy> DecodePolicy(std::string_view aDocument)
+{
+  std::istringstream text{ std::string(aDocument) };
+  bool idempotent = true;
+  policy::TrafficPolicy made;
+  made.mVersion = 1;
+  policy::Route route;
+  route.mName = "route";
+  route.mHostName = "host";
+  route.mPathPrefix = "/";
+  text >> idempotent >> route.mAttempts >> route.mTimeout >> route.mObjective;
+  route.mKind =
+    idempotent ? policy::RouteKind::Safe : policy::RouteKind::Unsafe;
+  route.mPriority = 1;
+  route.mBackends = { { kService, 1 } };
+  made.mRoutes = { route };
+  made.mServices[kService] = { kService, "/health", 1000 };
+  return made;
+}
+
+std::string DataCentre(int aIndex, const GatewayLoad& aLoad)
+{
+  return "dc" + std::to_string(aIndex % aLoad.mDataCentres);
+}
+
+} // namespace
+
+GatewayWorld::GatewayWorld(const GatewayLoad& aLoad, std::uint64_t aSeed)
+  : mLoad(aLoad)
+  , mRandom(aSeed)
+{
+  AddHosts();
+  for (int i = 0; i < mLoad.mTargets; ++i) {
+    const std::string address = "10.9.0." + std::to_string(i) + ":80";
+    mTargets[address].mDataCentre = DataCentre(i, mLoad);
+  }
+}
+
+void GatewayWorld::AddHosts()
+{
+  const int count = mLoad.mControlHosts + mLoad.mOtherHosts;
+  std::vector<std::string> seeds;
+  for (int i = 0; i < count; ++i) {
+    const std::string ip =
+      "10.0." + std::to_string(i / 200) + "." + std::to_string(i % 200 + 1);
+    Host host;
+    fleet::Settings& fleet = host.mSettings.mFleet;
+    fleet.mPeerAddress = ip + ":7";
+    fleet.mCallerAddress = ip + ":80";
+    fleet.mDataCentre = DataCentre(i, mLoad);
+    fleet.mControl = i < mLoad.mControlHosts;
+    fleet.mToleratedLosses = (mLoad.mControlHosts - 1) / 2;
+    if (fleet.mControl && seeds.size() < 3) {
+      seeds.push_back(fleet.mPeerAddress);
+    }
+    host.mSettings.mBounds = { 0.2, 60, 10 * kSecond, 60 };
+    host.mSettings.mDecodePolicy = DecodePolicy;
+    mHostByAddress[fleet.mPeerAddress] = mHosts.size();
+    mHosts.push_back(std::move(host));
+  }
+  for (Host& host : mHosts) {
+    host.mSettings.mFleet.mSeeds = seeds;
+    if (host.mSettings.mFleet.mControl) {
+      const bool seed = std::count(seeds.begin(),
+                                   seeds.end(),
+                                   host.mSettings.mFleet.mPeerAddress) != 0;
+      host.mDisk = FreshDisk(seeds, seed, mRandom());
+    }
+  }
+}
+
+void GatewayWorld::StartHost(std::size_t aHost)
+{
+  Host& host = mHosts[aHost];
+  host.mSettings.mFleet.mIncarnation = ++mLast;
+  host.mAlive = true;
+  ++host.mLife;
+  gateway::Effects effects;
+  host.mState =
+    gateway::Open(host.mSettings, host.mDisk, mNow, mRandom(), effects);
+  Perform(aHost, std::move(effects));
+}
+
+// Clients of a host that was killed have no answer.
+void GatewayWorld::KillHost(std::size_t aHost)
+{
+  mHosts[aHost].mAlive = false;
+  for (auto it = mClients.begin(); it != mClients.end();) {
+    if (it->first.first != aHost) {
+      ++it;
+      continue;
+    }
+    mTally.mFailed += it->second.mCounted ? 1 : 0;
+    it = mClients.erase(it);
+  }
+}
+
+std::size_t GatewayWorld::LeaderHost() const
+{
+  for (std::size_t i = 0; i < mHosts.size(); ++i) {
+    const fleet::State& fleet = mHosts[i].mState.mFleet;
+    if (mHosts[i].mAlive && fleet.mSettings.mControl &&
+        consensus::IsLeader(fleet.mGroup)) {
+      return i;
+    }
+  }
+  return mHosts.size();
+}
+
+std::vector<std::string> GatewayWorld::TargetAddresses() const
+{
+  std::vector<std::string> addresses;
+  for (const auto& [address, target] : mTargets) {
+    addresses.push_back(address);
+  }
+  return addresses;
+}
+
+void GatewayWorld::Settle()
+{
+  for (std::size_t i = 0; i < mHosts.size(); ++i) {
+    StartHost(i);
+  }
+  Advance(2 * kSecond);
+  Post(0, gateway::PutPolicy{ ++mLast, PolicyDocument(mLoad) });
+  for (auto& [address, target] : mTargets) {
+    StartTarget(address);
+  }
+  Advance(6 * kSecond);
+}
+
+void GatewayWorld::Later(Micros aDelay, std::function<void()> aWhat)
+{
+  mQueue.emplace(mNow + aDelay, std::move(aWhat));
+}
+
+void GatewayWorld::Advance(Micros aTime)
+{
+  const Micros end = mNow + aTime;
+  while (mNow < end) {
+    mNow += kStep;
+    while (!mQueue.empty() && mQueue.begin()->first <= mNow) {
+      const std::function<void()> what = std::move(mQueue.begin()->second);
+      mQueue.erase(mQueue.begin());
+      what();
+    }
+    for (std::size_t host = 0; host < mHosts.size(); ++host) {
+      if (mHosts[host].mAlive &&
+          gateway::NextTick(mHosts[host].mState) <= mNow) {
+        Post(host, gateway::TimePassed{});
+      }
+    }
+  }
+}
+
+std::size_t GatewayWorld::AnyHost()
+{
+  std::vector<std::size_t> alive;
+  for (std::size_t i = 0; i < mHosts.size(); ++i) {
+    if (mHosts[i].mAlive) {
+      alive.push_back(i);
+    }
+  }
+  return alive.at(mRandom() % alive.size());
+}
+
+template<class Body>
+void GatewayWorld::Post(std::size_t aHost, Body aBody)
+{
+  if (!mHosts[aHost].mAlive) {
+    return;
+  }
+  gateway::Event event;
+  event.mNow = mNow;
+  event.mRandom = mRandom();
+  event.mBody = std::move(aBody);
+  Perform(aHost, gateway::Step(mHosts[aHost].mState, event));
+}
+
+void GatewayWorld::Perform(std::size_t aHost, gateway::Effects aEffects)
+{
+  for (gateway::Effect& effect : aEffects) {
+    std::visit([&](auto& aOne) { PerformOne(aHost, aOne); }, effect);
+  }
+}
+
+// ------------------------------------------------------------------- targets
+
+void GatewayWorld::StartTarget(const std::string& aAddress)
+{
+  FakeTarget& target = mTargets[aAddress];
+  target.mAlive = true;
+  target.mId = aAddress + "#" + std::to_string(++target.mStarts);
+  Announce(aAddress);
+}
+
+void GatewayWorld::Announce(const std::string& aAddress)
+{
+  const FakeTarget& target = mTargets[aAddress];
+  if (!target.mAlive) {
+    return;
+  }
+  gateway::Announce call;
+  call.mOperation = ++mLast;
+  call.mRecord.set_id(target.mId);
+  call.mRecord.set_service(kService);
+  call.mRecord.set_address(aAddress);
+  call.mRecord.set_data_centre(target.mDataCentre);
+  call.mRecord.set_slots(static_cast<unsigned>(mLoad.mSlots));
+  call.mRecord.set_sequence(++mLast);
+  Post(AnyHost(), std::move(call));
+  const int start = target.mStarts;
+  Later(kRenewal, [this, aAddress, start] {
+    if (mTargets[aAddress].mStarts == start) {
+      Announce(aAddress);
+    }
+  });
+}
+
+void GatewayWorld::EndTarget(const std::string& aAddress)
+{
+  FakeTarget& target = mTargets[aAddress];
+  target.mAlive = false;
+  target.mRunning = 0;
+  target.mWaiting.clear();
+  std::vector<std::uint64_t> lost;
+  for (const auto& [id, job] : mJobs) {
+    if (job.mTarget == aAddress) {
+      lost.push_back(id);
+    }
+  }
+  for (const std::uint64_t id : lost) {
+    dispatch::AttemptEnd end;
+    end.mKind = dispatch::EndKind::Broken;
+    end.mReason = "reset";
+    EndJob(id, end);
+  }
+  Later(mLoad.mRestart, [this, aAddress] {
+    if (!mTargets[aAddress].mAlive) {
+      StartTarget(aAddress);
+    }
+  });
+}
+
+dispatch::Report GatewayWorld::ReportOf(const FakeTarget& aTarget) const
+{
+  dispatch::Report report;
+  report.mRunning = aTarget.mRunning;
+  report.mWaiting = static_cast<int>(aTarget.mWaiting.size());
+  report.mSlots = mLoad.mSlots;
+  return report;
+}
+
+void GatewayWorld::ArriveAtTarget(std::uint64_t aJob)
+{
+  const auto found = mJobs.find(aJob);
+  if (found == mJobs.end()) {
+    return;
+  }
+  Job& job = found->second;
+  FakeTarget& target = mTargets.at(job.mTarget);
+  dispatch::AttemptEnd end;
+  if (!target.mAlive) {
+    end.mKind = dispatch::EndKind::NotSent;
+    end.mReason = "connect_failed";
+    EndJob(aJob, end);
+    return;
+  }
+  mArrivals.push_back({ mNow,
+                        mHosts[job.mHost].mSettings.mFleet.mPeerAddress,
+                        target.mId,
+                        job.mPath });
+  end.mKind = dispatch::EndKind::Answered;
+  end.mNotRun = true;
+  if (job.mSend.mTargetName != target.mId) {
+    end.mMisdirected = true;
+    end.mStatus = 421;
+    EndJob(aJob, end);
+  } else if (target.mRunning < mLoad.mSlots) {
+    StartJob(aJob);
+  } else if (static_cast<int>(target.mWaiting.size()) < mLoad.mQueue) {
+    target.mWaiting.push_back(aJob);
+  } else {
+    end.mStatus = 503;
+    end.mReport = ReportOf(target);
+    EndJob(aJob, end);
+  }
+}
+
+void GatewayWorld::StartJob(std::uint64_t aJob)
+{
+  Job& job = mJobs.at(aJob);
+  job.mRunning = true;
+  ++mTargets.at(job.mTarget).mRunning;
+  if (mHarmful.count(job.mPath) != 0) {
+    Later(mLoad.mEndsAfter, [this, aJob] {
+      const auto still = mJobs.find(aJob);
+      if (still != mJobs.end()) {
+        mEnds[still->second.mPath].push_back(mNow);
+        EndTarget(still->second.mTarget);
+      }
+    });
+    return;
+  }
+  std::lognormal_distribution<double> spread(-kWorkSpread * kWorkSpread / 2,
+                                             kWorkSpread);
+  const double work = static_cast<double>(mLoad.mWork) * spread(mRandom);
+  Later(static_cast<Micros>(work), [this, aJob] { FinishJob(aJob); });
+}
+
+void GatewayWorld::FinishJob(std::uint64_t aJob)
+{
+  const auto found = mJobs.find(aJob);
+  if (found == mJobs.end()) {
+    return;
+  }
+  FakeTarget& target = mTargets.at(found->second.mTarget);
+  --target.mRunning;
+  StartNext(target);
+  dispatch::AttemptEnd end;
+  end.mKind = dispatch::EndKind::Answered;
+  end.mStatus = 200;
+  end.mReport = ReportOf(target);
+  EndJob(aJob, end);
+}
+
+void GatewayWorld::StartNext(FakeTarget& aTarget)
+{
+  while (!aTarget.mWaiting.empty() && aTarget.mRunning < mLoad.mSlots) {
+    const std::uint64_t next = aTarget.mWaiting.front();
+    aTarget.mWaiting.pop_front();
+    if (mJobs.count(next) != 0) {
+      StartJob(next);
+    }
+  }
+}
+
+void GatewayWorld::EndJob(std::uint64_t aJob, dispatch::AttemptEnd aEnd)
+{
+  const Job job = mJobs.at(aJob);
+  mJobs.erase(aJob);
+  aEnd.mRequest = job.mSend.mRequest;
+  aEnd.mAttempt = job.mSend.mAttempt;
+  Later(kTrip, [this, host = job.mHost, aEnd] { ReportEnd(host, aEnd); });
+}
+
+void GatewayWorld::ReportEnd(std::size_t aHost, dispatch::AttemptEnd aEnd)
+{
+  Post(aHost, std::move(aEnd));
+}
+
+// ------------------------------------------------------------------- clients
+
+void GatewayWorld::StartClients(Micros aFor)
+{
+  std::exponential_distribution<double> gaps(mLoad.mPerSecond);
+  Micros at = 0;
+  while (at < aFor) {
+    Later(at, [this] { SendRequest("/" + std::to_string(++mLast), true); });
+    at += static_cast<Micros>(gaps(mRandom) * kSecond);
+  }
+}
+
+void GatewayWorld::AskAgainAndAgain(const std::string& aPath,
+                                    Micros aGap,
+                                    Micros aFor)
+{
+  for (Micros at = 0; at < aFor; at += aGap) {
+    Later(at, [this, aPath] { Ask(aPath); });
+  }
+}
+
+void GatewayWorld::Ask(const std::string& aPath)
+{
+  SendRequest(aPath, false);
+}
+
+void GatewayWorld::SendRequest(const std::string& aPath, bool aCounted)
+{
+  const std::size_t host = AnyHost();
+  dispatch::Arrival arrival;
+  arrival.mId = ++mLast;
+  arrival.mClientRequestId = std::to_string(arrival.mId);
+  arrival.mHostName = "host";
+  arrival.mPath = aPath;
+  arrival.mPatience = mLoad.mTimeout;
+  mClients[{ host, arrival.mId }] = { aPath, aCounted };
+  mTally.mOffered += aCounted ? 1 : 0;
+  Post(host, std::move(arrival));
+}
+
+void GatewayWorld::EndClient(std::size_t aHost,
+                             std::uint64_t aRequest,
+                             int aStatus)
+{
+  const auto found = mClients.find({ aHost, aRequest });
+  if (found == mClients.end()) {
+    return;
+  }
+  const Client client = found->second;
+  mClients.erase(found);
+  if (!client.mCounted) {
+    return;
+  }
+  if (aStatus == 200) {
+    ++mTally.mServed;
+  } else {
+    ++(aStatus == 503 ? mTally.mRefused : mTally.mFailed);
+  }
+}
+
+// ------------------------------------------------------------------- effects
+
+void GatewayWorld::PerformOne(std::size_t aHost, dispatch::ProbeTarget& aEffect)
+{
+  Later(2 * kTrip, [this, aHost, probe = aEffect] {
+    const FakeTarget& target = mTargets.at(probe.mAddress);
+    dispatch::ProbeEnd end;
+    end.mTarget = probe.mTarget;
+    if (target.mAlive) {
+      end.mAnswered = true;
+      end.mHealthy = true;
+      end.mAnsweredBy = target.mId;
+      end.mReport = ReportOf(target);
+    }
+    Post(aHost, std::move(end));
+  });
+}
+
+void GatewayWorld::PerformOne(std::size_t aHost, dispatch::SendRequest& aEffect)
+{
+  const auto client = mClients.find({ aHost, aEffect.mRequest });
+  Job job;
+  job.mHost = aHost;
+  job.mSend = aEffect;
+  job.mPath = client == mClients.end() ? "" : client->second.mPath;
+  job.mTarget = aEffect.mAddress;
+  const std::uint64_t id = ++mLast;
+  mJobs[id] = std::move(job);
+  Later(kTrip, [this, id] { ArriveAtTarget(id); });
+}
+
+void GatewayWorld::PerformOne(std::size_t aHost,
+                              dispatch::CancelAttempt& aEffect)
+{
+  const auto found =
+    std::find_if(mJobs.begin(), mJobs.end(), [&](const auto& aEntry) {
+      return aEntry.second.mHost == aHost &&
+             aEntry.second.mSend.mAttempt == aEffect.mAttempt;
+    });
+  if (found == mJobs.end()) {
+    return;
+  }
+  FakeTarget& target = mTargets.at(found->second.mTarget);
+  const bool running = found->second.mRunning;
+  mJobs.erase(found);
+  if (running) {
+    --target.mRunning;
+    StartNext(target);
+  }
+}
+
+void GatewayWorld::PerformOne(std::size_t aHost,
+                              dispatch::DeliverAnswer& aEffect)
+{
+  EndClient(aHost, aEffect.mRequest, 200);
+}
+
+void GatewayWorld::PerformOne(std::size_t aHost,
+                              dispatch::ReplyToClient& aEffect)
+{
+  EndClient(aHost, aEffect.mRequest, aEffect.mStatus);
+}
+
+void GatewayWorld::PerformOne(std::size_t, gateway::SendPeer& aEffect)
+{
+  const auto found = mHostByAddress.find(aEffect.mAddress);
+  if (found == mHostByAddress.end()) {
+    return;
+  }
+  Later(kTrip, [this, to = found->second, message = aEffect.mMessage] {
+    Post(to, gateway::PeerMessage{ message });
+  });
+}
+
+void GatewayWorld::PerformOne(std::size_t aHost, gateway::Persist& aEffect)
+{
+  Host& host = mHosts[aHost];
+  ApplyWrite(host.mDisk, aEffect.mWrite);
+  const std::uint64_t life = host.mLife;
+  const std::uint64_t sequence = aEffect.mWrite.mSequence;
+  Later(kSyncTime, [this, aHost, life, sequence] {
+    if (mHosts[aHost].mLife == life) {
+      Post(aHost, gateway::DiskSynced{ sequence });
+    }
+  });
+}
+
+} // namespace geraniumpond::fakes
--- /dev/null
+++ b/tests/fakes/gateway_world.h
@@ -0,0 +1,172 @@
+#pragma once
+
+#include <geraniumpond/gateway.h>
+
+#include <deque>
+#include <functional>
+#include <map>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+/// \brief Whole gateway hosts, targets that may end, and clients, in virtual
+/// time.
+namespace geraniumpond::fakes {
+
+/// \brief The deployment and what its clients do.
+struct GatewayLoad
+{
+  int mControlHosts = 4;
+  int mOtherHosts = 11;
+  int mDataCentres = 4;
+  int mTargets = 16;
+  int mSlots = 4;
+  int mQueue = 16;
+  double mPerSecond = 140;
+  Micros mWork = 90 * kMillisecond;
+  Micros mObjective = 250 * kMillisecond;
+  Micros mTimeout = 800 * kMillisecond;
+  bool mIdempotent = true;
+  int mAttempts = 2;
+  /// From the end of a target to its next start, under another id.
+  Micros mRestart = 5 * kSecond;
+  /// From the start of a harmful request to the end of its target.
+  Micros mEndsAfter = 50 * kMillisecond;
+};
+
+/// \brief A request reached a target.
+struct TargetArrival
+{
+  Micros mAt = 0;
+  std::string mHost;
+  std::string mTarget;
+  std::string mPath;
+};
+
+/// \brief What clients got.
+struct GatewayTally
+{
+  int mOffered = 0;
+  int mServed = 0;
+  int mRefused = 0;
+  int mFailed = 0;
+};
+
+/// \brief The whole deployment.
+class GatewayWorld
+{
+public:
+  GatewayWorld(const GatewayLoad& aLoad, std::uint64_t aSeed);
+  GatewayWorld(const GatewayWorld&) = delete;
+  GatewayWorld& operator=(const GatewayWorld&) = delete;
+
+  /// \brief Waits until each host has the policy and all targets.
+  void Settle();
+  void Advance(Micros aTime);
+  void Later(Micros aDelay, std::function<void()> aWhat);
+
+  /// \brief Clients ask for paths of their own, at the load's pace.
+  void StartClients(Micros aFor);
+  /// \brief A client asks for `aPath` each `aGap`, at any host.
+  void AskAgainAndAgain(const std::string& aPath, Micros aGap, Micros aFor);
+  void Ask(const std::string& aPath);
+
+  /// \brief Each target that begins to run a request for this path ends.
+  void MakeHarmful(const std::string& aPath) { mHarmful.insert(aPath); }
+  void MakeHarmless(const std::string& aPath) { mHarmful.erase(aPath); }
+  void EndTarget(const std::string& aAddress);
+
+  void KillHost(std::size_t aHost);
+  void StartHost(std::size_t aHost);
+  [[nodiscard]] std::size_t LeaderHost() const;
+  [[nodiscard]] std::size_t Hosts() const noexcept { return mHosts.size(); }
+  [[nodiscard]] const gateway::State& At(std::size_t aHost) const
+  {
+    return mHosts.at(aHost).mState;
+  }
+
+  [[nodiscard]] std::vector<std::string> TargetAddresses() const;
+  [[nodiscard]] Micros Now() const noexcept { return mNow; }
+
+  /// All requests that reached a target, refused ones included.
+  std::vector<TargetArrival> mArrivals;
+  /// When a target ended under a harmful request, by its path.
+  std::map<std::string, std::vector<Micros>> mEnds;
+  /// Of the clients of StartClients().
+  GatewayTally mTally;
+
+private:
+  struct Host
+  {
+    gateway::Settings mSettings;
+    gateway::State mState;
+    consensus::Recovered mDisk;
+    bool mAlive = false;
+    std::uint64_t mLife = 0;
+  };
+  struct Job
+  {
+    std::size_t mHost = 0;
+    dispatch::SendRequest mSend;
+    std::string mPath;
+    std::string mTarget;
+    bool mRunning = false;
+  };
+  struct FakeTarget
+  {
+    std::string mId;
+    std::string mDataCentre;
+    bool mAlive = false;
+    int mStarts = 0;
+    int mRunning = 0;
+    std::deque<std::uint64_t> mWaiting;
+  };
+  struct Client
+  {
+    std::string mPath;
+    bool mCounted = false;
+  };
+
+  void AddHosts();
+  void StartTarget(const std::string& aAddress);
+  void Announce(const std::string& aAddress);
+  template<class Body>
+  void Post(std::size_t aHost, Body aBody);
+  void Perform(std::size_t aHost, gateway::Effects aEffects);
+  void PerformOne(std::size_t aHost, dispatch::ProbeTarget& aEffect);
+  void PerformOne(std::size_t aHost, dispatch::SendRequest& aEffect);
+  void PerformOne(std::size_t aHost, dispatch::CancelAttempt& aEffect);
+  void PerformOne(std::size_t aHost, dispatch::DeliverAnswer& aEffect);
+  void PerformOne(std::size_t aHost, dispatch::ReplyToClient& aEffect);
+  void PerformOne(std::size_t, dispatch::LogLine&) {}
+  void PerformOne(std::size_t, gateway::AnswerOperation&) {}
+  void PerformOne(std::size_t aHost, gateway::SendPeer& aEffect);
+  void PerformOne(std::size_t aHost, gateway::Persist& aEffect);
+  void PerformOne(std::size_t, gateway::ExitProcess&) {}
+  void EndClient(std::size_t aHost, std::uint64_t aRequest, int aStatus);
+  void SendRequest(const std::string& aPath, bool aCounted);
+  void ArriveAtTarget(std::uint64_t aJob);
+  void StartJob(std::uint64_t aJob);
+  void FinishJob(std::uint64_t aJob);
+  void StartNext(FakeTarget& aTarget);
+  void EndJob(std::uint64_t aJob, dispatch::AttemptEnd aEnd);
+  void ReportEnd(std::size_t aHost, dispatch::AttemptEnd aEnd);
+  [[nodiscard]] dispatch::Report ReportOf(const FakeTarget& aTarget) const;
+  [[nodiscard]] std::size_t AnyHost();
+
+  GatewayLoad mLoad;
+  std::mt19937_64 mRandom;
+  Micros mNow = 1000 * kSecond;
+  std::vector<Host> mHosts;
+  std::map<std::string, std::size_t> mHostByAddress;
+  std::map<std::string, FakeTarget> mTargets;
+  std::map<std::uint64_t, Job> mJobs;
+  /// Waiting clients, by host and request.
+  std::map<std::pair<std::size_t, std::uint64_t>, Client> mClients;
+  std::multimap<Micros, std::function<void()>> mQueue;
+  std::set<std::string> mHarmful;
+  std::uint64_t mLast = 0;
+};
+
+} // namespace geraniumpond::fakes
