Let hosts tell each other short-lived facts

Cause: what one host learns of a request or a target ended with it. Between hosts there were the policy, the targets and the hosts themselves, each by a protocol of its own; nothing for facts that count for minutes.

Weighed: commands of the control group (durable, but a commit and a message to every host for each crash, and none without a leader); fields of the reports (a report that waits is replaced by a later one, so that facts get lost); a part of its own. The last one: facts go along the tree of relays both ways and between all control hosts at the top, are sent again until acknowledged, and need no leader. Nothing is sent while there is nothing to tell.

Known by all hosts rather than by a disk: it outlives the loss of any host, and a fleet that lost all hosts at once learns anew.

--- a/include/geraniumpond/fleet.h
+++ b/include/geraniumpond/fleet.h
@@ -2,6 +2,7 @@
 
 #include <geraniumpond/catalog.h>
 #include <geraniumpond/consensus.h>
+#include <geraniumpond/gossip.h>
 #include <geraniumpond/time.h>
 
 #include <cstdint>
@@ -115,6 +116,8 @@
   std::vector<consensus::Write> mWrites;
   std::vector<Done> mDone;
   std::vector<Note> mNotes;
+  /// Facts that other hosts told.
+  std::vector<gossip::Item> mNews;
   bool mPolicyChanged = false;
   bool mTargetsChanged = false;
   bool mHostsChanged = false;
@@ -268,6 +271,8 @@
   std::map<std::uint64_t, Pending> mPending;
   std::map<std::uint64_t, Waiter> mWaiters;
 
+  gossip::State mGossip;
+
   Traffic mTraffic;
 
   Micros mFollowAt = 0;
@@ -313,6 +318,9 @@
                                    Micros aPatience,
                                    Output& aOut);
 
+/// \brief Tells the fleet a fact; what others tell comes in Output::mNews.
+void Tell(State& aState, Micros aNow, gossip::Item aItem, Output& aOut);
+
 /// \brief Notes that all writes up to a sequence are on disk.
 void Synced(State& aState, Micros aNow, std::uint64_t aSequence, Output& aOut);
 
--- a/src/fleet/fleet.cpp
+++ b/src/fleet/fleet.cpp
@@ -126,6 +126,7 @@
     LoadRecovered(state, aOut);
     NoteOpened(state, aOut);
   }
+  state.mGossip.mIncarnation = aSettings.mIncarnation;
   state.mUpstreamTurn = static_cast<std::size_t>(aRandom % 1021);
   RefreshOwnHost(state, aNow);
   state.mFollowAt = aNow;
@@ -156,6 +157,7 @@
   AskWhoIsInTouch(aState, aNow, aOut);
   RetryPending(aState, aNow, aOut);
   TellThoseWhoAsked(aState, aNow, aOut);
+  TellNeighbours(aState, aNow, aOut);
 }
 
 void Receive(State& aState,
@@ -184,11 +186,15 @@
     case wire::FleetMessage::kJoin:
       TakeJoin(aState, aNow, from, aMessage.join(), aOut);
       break;
+    case wire::FleetMessage::kGossip:
+      TakeGossip(aState, aNow, from, aMessage.gossip(), aOut);
+      break;
     case wire::FleetMessage::BODY_NOT_SET:
       aOut.mNotes.push_back({ 2, "event=message_unknown from=" + from });
       break;
   }
   TellThoseWhoAsked(aState, aNow, aOut);
+  TellNeighbours(aState, aNow, aOut);
 }
 
 void Synced(State& aState, Micros aNow, std::uint64_t aSequence, Output& aOut)
@@ -288,6 +294,8 @@
       return "command_end";
     case wire::FleetMessage::kJoin:
       return "join";
+    case wire::FleetMessage::kGossip:
+      return "gossip";
     case wire::FleetMessage::BODY_NOT_SET:
       break;
   }
@@ -303,6 +311,7 @@
   if (aState.mPushAt != 0) {
     next = std::min(next, aState.mPushAt);
   }
+  next = std::min(next, gossip::NextTick(aState.mGossip));
   return std::min(next, NextUpstreamTime(aState));
 }
 
--- a/src/fleet/following.cpp
+++ b/src/fleet/following.cpp
@@ -228,10 +228,14 @@
     return;
   }
   Follower& follower = aState.mFollowers[aFrom];
-  if (follower.mHost.mIncarnation != host.mIncarnation) {
+  const bool isNew = follower.mHost.mIncarnation != host.mIncarnation;
+  if (isNew) {
     follower = Follower();
   }
   follower.mHost = host;
+  if (isNew) {
+    KeepNeighbours(aState);
+  }
   follower.mSent = aMessage.applied();
   follower.mCompact = aMessage.compact();
   const bool ours =
--- a/src/fleet/internal.h
+++ b/src/fleet/internal.h
@@ -204,6 +204,17 @@
 /// gone.
 void TellOfHosts(State& aState, Micros aNow, Output& aOut);
 
+// --- neighbours.cpp: with whom a host exchanges facts
+void TakeGossip(State& aState,
+                Micros aNow,
+                const std::string& aFrom,
+                const wire::Gossip& aMessage,
+                Output& aOut);
+/// \brief Looks who the neighbours are.
+void KeepNeighbours(State& aState);
+/// \brief Tells neighbours the facts that they lack.
+void TellNeighbours(State& aState, Micros aNow, Output& aOut);
+
 // --- fleet.cpp
 void SendTo(State& aState,
             const std::string& aAddress,
--- /dev/null
+++ b/src/gossip/gossip.cpp
@@ -0,0 +1,264 @@
+#include <geraniumpond/gossip.h>
+
+#include <algorithm>
+#include <limits>
+
+namespace geraniumpond::gossip {
+
+namespace {
+
+/// Pause between two messages to one neighbour: facts come in bursts.
+constexpr Micros kSendPause = 20 * kMillisecond;
+/// A message without an acknowledgement is sent again after this time, which
+/// doubles up to the second one.
+constexpr Micros kResendMin = 300 * kMillisecond;
+constexpr Micros kResendMax = 5 * kSecond;
+constexpr int kMostItems = 128;
+constexpr Micros kExpireInterval = 1 * kSecond;
+
+constexpr std::array<KindRules, kKinds> kRules = {
+  KindRules{ "request_crash", 600 * kSecond, 30 * kSecond, 1024 },
+  KindRules{ "request_answered", 600 * kSecond, 3 * kSecond, 1024 },
+};
+
+void Remove(State& aState, const ItemKey& aKey)
+{
+  const auto found = aState.mEntries.find(aKey);
+  aState.mBySequence.erase(found->second.mSequence);
+  --aState.mCounts[static_cast<std::size_t>(aKey.first)];
+  aState.mEntries.erase(found);
+}
+
+void DropOldest(State& aState, Kind aKind)
+{
+  const ItemKey* oldest = nullptr;
+  Micros seenAt = std::numeric_limits<Micros>::max();
+  for (const auto& [key, entry] : aState.mEntries) {
+    if (key.first == aKind && entry.mItem.mSeenAt < seenAt) {
+      oldest = &key;
+      seenAt = entry.mItem.mSeenAt;
+    }
+  }
+  if (oldest != nullptr) {
+    ++aState.mDropped;
+    Remove(aState, ItemKey(*oldest));
+  }
+}
+
+bool IsNews(const State& aState, const Item& aItem)
+{
+  const auto found = aState.mEntries.find({ aItem.mKind, aItem.mKey });
+  if (found == aState.mEntries.end()) {
+    return true;
+  }
+  const Item& known = found->second.mItem;
+  const Micros later = aItem.mSeenAt - known.mSeenAt;
+  return aItem.mValue == known.mValue ? later > RulesOf(aItem.mKind).mRefresh
+                                      : later > 0;
+}
+
+bool Take(State& aState, Micros aNow, Item aItem, const std::string& aFrom)
+{
+  const KindRules& rules = RulesOf(aItem.mKind);
+  if (aNow - aItem.mSeenAt > rules.mLifetime || !IsNews(aState, aItem)) {
+    return false;
+  }
+  const ItemKey key(aItem.mKind, aItem.mKey);
+  if (aState.mEntries.count(key) != 0) {
+    Remove(aState, key);
+  } else if (aState.mCounts[static_cast<std::size_t>(aItem.mKind)] >=
+             rules.mMost) {
+    DropOldest(aState, aItem.mKind);
+  }
+  const std::uint64_t sequence = ++aState.mSequence;
+  aState.mEntries[key] = { std::move(aItem), sequence, aFrom };
+  aState.mBySequence[sequence] = key;
+  ++aState.mCounts[static_cast<std::size_t>(key.first)];
+  return true;
+}
+
+wire::GossipItem ToWire(const Item& aItem, Micros aNow)
+{
+  wire::GossipItem item;
+  item.set_kind(static_cast<std::uint32_t>(aItem.mKind));
+  item.set_key(aItem.mKey);
+  item.set_value(aItem.mValue);
+  item.set_age_ms(static_cast<std::uint32_t>(
+    std::max<Micros>(0, aNow - aItem.mSeenAt) / kMillisecond));
+  return item;
+}
+
+Item FromWire(const wire::GossipItem& aItem, Micros aNow)
+{
+  return { static_cast<Kind>(aItem.kind()),
+           aItem.key(),
+           aItem.value(),
+           aNow - static_cast<Micros>(aItem.age_ms()) * kMillisecond };
+}
+
+// What a neighbour told needs no way back.
+wire::Gossip WhatItLacks(const State& aState,
+                         const std::string& aNeighbour,
+                         const Link& aLink,
+                         Micros aNow)
+{
+  wire::Gossip message;
+  message.set_sender(aState.mIncarnation);
+  message.set_up_to(aState.mSequence);
+  for (auto it = aState.mBySequence.upper_bound(aLink.mAcknowledged);
+       it != aState.mBySequence.end();
+       ++it) {
+    const Entry& entry = aState.mEntries.at(it->second);
+    if (entry.mFrom == aNeighbour) {
+      continue;
+    }
+    *message.add_items() = ToWire(entry.mItem, aNow);
+    if (message.items_size() == kMostItems) {
+      message.set_up_to(it->first);
+      break;
+    }
+  }
+  return message;
+}
+
+bool IsTold(const State& aState, const Link& aLink)
+{
+  return aLink.mAcknowledged >= aState.mSequence;
+}
+
+void Tell(State& aState,
+          Micros aNow,
+          const std::string& aNeighbour,
+          Link& aLink,
+          Output& aOut)
+{
+  if (IsTold(aState, aLink) || aNow < aLink.mSendAt) {
+    return;
+  }
+  wire::Gossip message = WhatItLacks(aState, aNeighbour, aLink, aNow);
+  if (message.items_size() == 0) {
+    aLink.mAcknowledged = message.up_to();
+    return;
+  }
+  const bool again = aLink.mUnderWay != 0;
+  aLink.mPause =
+    again ? std::min(kResendMax, 2 * aLink.mPause) : Micros(kResendMin);
+  aLink.mUnderWay = message.up_to();
+  aLink.mSendAt = aNow + aLink.mPause;
+  ++aState.mMessagesSent;
+  aOut.mMessages.emplace_back(aNeighbour, std::move(message));
+}
+
+void TakeAcknowledgement(State& aState,
+                         Micros aNow,
+                         const std::string& aFrom,
+                         const wire::Gossip& aMessage)
+{
+  const auto link = aState.mLinks.find(aFrom);
+  if (link == aState.mLinks.end() ||
+      aMessage.taken_from() != aState.mIncarnation ||
+      aMessage.taken_up_to() > aState.mSequence) {
+    return;
+  }
+  Link& known = link->second;
+  known.mAcknowledged = std::max(known.mAcknowledged, aMessage.taken_up_to());
+  if (known.mAcknowledged >= known.mUnderWay) {
+    known.mUnderWay = 0;
+    known.mSendAt = std::min(known.mSendAt, aNow + kSendPause);
+  }
+}
+
+void Expire(State& aState, Micros aNow)
+{
+  if (aNow < aState.mExpireAt) {
+    return;
+  }
+  aState.mExpireAt = aNow + kExpireInterval;
+  std::vector<ItemKey> old;
+  for (const auto& [key, entry] : aState.mEntries) {
+    if (aNow - entry.mItem.mSeenAt > RulesOf(key.first).mLifetime) {
+      old.push_back(key);
+    }
+  }
+  for (const ItemKey& key : old) {
+    Remove(aState, key);
+  }
+}
+
+} // namespace
+
+const KindRules& RulesOf(Kind aKind) noexcept
+{
+  return kRules[static_cast<std::size_t>(aKind)];
+}
+
+bool Note(State& aState, Micros aNow, Item aItem)
+{
+  return Take(aState, aNow, std::move(aItem), "");
+}
+
+void SetNeighbours(State& aState,
+                   const std::map<std::string, std::uint64_t>& aNeighbours)
+{
+  for (auto it = aState.mLinks.begin(); it != aState.mLinks.end();) {
+    it = aNeighbours.count(it->first) == 0 ? aState.mLinks.erase(it)
+                                           : std::next(it);
+  }
+  for (const auto& [address, incarnation] : aNeighbours) {
+    Link& link = aState.mLinks[address];
+    if (link.mIncarnation != incarnation) {
+      link = Link();
+      link.mIncarnation = incarnation;
+    }
+  }
+}
+
+void Receive(State& aState,
+             Micros aNow,
+             const std::string& aFrom,
+             const wire::Gossip& aMessage,
+             Output& aOut)
+{
+  TakeAcknowledgement(aState, aNow, aFrom, aMessage);
+  if (aMessage.items_size() == 0) {
+    return;
+  }
+  for (const wire::GossipItem& item : aMessage.items()) {
+    // Hosts of a later version may tell of more kinds.
+    if (item.kind() >= kKinds) {
+      continue;
+    }
+    Item told = FromWire(item, aNow);
+    if (Take(aState, aNow, told, aFrom)) {
+      aOut.mNews.push_back(std::move(told));
+    }
+  }
+  wire::Gossip reply;
+  reply.set_taken_from(aMessage.sender());
+  reply.set_taken_up_to(aMessage.up_to());
+  aOut.mMessages.emplace_back(aFrom, std::move(reply));
+}
+
+void Tick(State& aState, Micros aNow, Output& aOut)
+{
+  Expire(aState, aNow);
+  for (auto& [address, link] : aState.mLinks) {
+    Tell(aState, aNow, address, link, aOut);
+  }
+}
+
+Micros NextTick(const State& aState) noexcept
+{
+  if (aState.mEntries.empty()) {
+    return std::numeric_limits<Micros>::max();
+  }
+  Micros next = aState.mExpireAt;
+  for (const auto& [address, link] : aState.mLinks) {
+    if (!IsTold(aState, link)) {
+      next = std::min(next, link.mSendAt);
+    }
+  }
+  return next;
+}
+
+} // namespace geraniumpond::gossip
--- /dev/null
+++ b/tests/gossip_test.cpp
@@ -0,0 +1,229 @@
+#include <geraniumpond/gossip.h>
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <deque>
+#include <functional>
+#include <memory>
+
+namespace geraniumpond::gossip {
+
+namespace {
+
+constexpr Micros kStart = 1000 * kSecond;
+
+Item Crash(const std::string& aKey, Micros aSeenAt = kStart)
+{
+  return { Kind::RequestCrash, aKey, "v1", aSeenAt };
+}
+
+/// \brief Hosts in a line, and what is on its way between them.
+struct Line
+{
+  explicit Line(std::size_t aHosts)
+    : mStates(aHosts)
+  {
+    for (std::size_t i = 0; i < aHosts; ++i) {
+      mStates[i].mIncarnation = 100 + i;
+    }
+    Join();
+  }
+
+  static std::string Name(std::size_t aHost) { return std::to_string(aHost); }
+
+  void Join()
+  {
+    for (std::size_t i = 0; i < mStates.size(); ++i) {
+      std::map<std::string, std::uint64_t> neighbours;
+      for (const std::size_t other : { i - 1, i + 1 }) {
+        if (other < mStates.size()) {
+          neighbours[Name(other)] = mStates[other].mIncarnation;
+        }
+      }
+      SetNeighbours(mStates[i], neighbours);
+    }
+  }
+
+  void Send(std::size_t aFrom, const Output& aOutput)
+  {
+    for (const auto& [to, message] : aOutput.mMessages) {
+      ++mSent;
+      if (!mLose || !mLose()) {
+        mUnderWay.push_back({ aFrom, std::stoul(to), message });
+      }
+    }
+  }
+
+  // One step of time, and one trip of what was under way.
+  void Step()
+  {
+    mNow += 10 * kMillisecond;
+    for (std::size_t i = 0; i < mStates.size(); ++i) {
+      Output output;
+      Tick(mStates[i], mNow, output);
+      Send(i, output);
+    }
+    const auto arrived = std::exchange(mUnderWay, {});
+    for (const auto& [from, to, message] : arrived) {
+      Output output;
+      Receive(mStates[to], mNow, Name(from), message, output);
+      Send(to, output);
+    }
+  }
+
+  void Steps(int aCount)
+  {
+    for (int i = 0; i < aCount; ++i) {
+      Step();
+    }
+  }
+
+  [[nodiscard]] bool Has(std::size_t aHost, const std::string& aKey) const
+  {
+    return mStates[aHost].mEntries.count({ Kind::RequestCrash, aKey }) != 0;
+  }
+
+  struct Message
+  {
+    std::size_t mFrom;
+    std::size_t mTo;
+    wire::Gossip mMessage;
+  };
+
+  Micros mNow = kStart;
+  std::vector<State> mStates;
+  std::deque<Message> mUnderWay;
+  std::function<bool()> mLose;
+  int mSent = 0;
+};
+
+} // namespace
+
+class GossipTest : public CppUnit::TestFixture
+{
+  CPPUNIT_TEST_SUITE(GossipTest);
+  CPPUNIT_TEST(FactReachesAllHostsInATripAStep);
+  CPPUNIT_TEST(FactReachesAllHostsThoughHalfOfTheMessagesAreLost);
+  CPPUNIT_TEST(NothingIsSentOnceAllHaveIt);
+  CPPUNIT_TEST(HostThatStartsAnewIsToldAgain);
+  CPPUNIT_TEST(LatestObservationCounts);
+  CPPUNIT_TEST(OldFactIsForgottenByAllAtAboutTheSameTime);
+  CPPUNIT_TEST(OldestGoesFirstWhereThereAreTooMany);
+  CPPUNIT_TEST(ManyFactsGoInSeveralMessages);
+  CPPUNIT_TEST(KindOfALaterVersionIsLeftOut);
+  CPPUNIT_TEST_SUITE_END();
+
+public:
+  void FactReachesAllHostsInATripAStep()
+  {
+    Line line(6);
+    CPPUNIT_ASSERT(Note(line.mStates[0], line.mNow, Crash("a")));
+    line.Steps(6);
+    for (std::size_t i = 0; i < 6; ++i) {
+      CPPUNIT_ASSERT(line.Has(i, "a"));
+    }
+  }
+
+  void FactReachesAllHostsThoughHalfOfTheMessagesAreLost()
+  {
+    Line line(6);
+    int count = 0;
+    line.mLose = [&count] { return ++count % 2 == 0; };
+    (void)Note(line.mStates[0], line.mNow, Crash("a"));
+    (void)Note(line.mStates[5], line.mNow, Crash("b"));
+    line.Steps(1000);
+    for (std::size_t i = 0; i < 6; ++i) {
+      CPPUNIT_ASSERT(line.Has(i, "a") && line.Has(i, "b"));
+    }
+  }
+
+  void NothingIsSentOnceAllHaveIt()
+  {
+    Line line(6);
+    (void)Note(line.mStates[0], line.mNow, Crash("a"));
+    line.Steps(100);
+    const int sent = line.mSent;
+    // One message and its acknowledgement a step.
+    CPPUNIT_ASSERT_EQUAL(10, sent);
+    line.Steps(1000);
+    CPPUNIT_ASSERT_EQUAL(sent, line.mSent);
+  }
+
+  void HostThatStartsAnewIsToldAgain()
+  {
+    Line line(3);
+    (void)Note(line.mStates[0], line.mNow, Crash("a"));
+    line.Steps(100);
+    line.mStates[2] = State();
+    line.mStates[2].mIncarnation = 999;
+    line.Join();
+    line.Steps(2);
+    CPPUNIT_ASSERT(line.Has(2, "a"));
+  }
+
+  void LatestObservationCounts()
+  {
+    State state;
+    CPPUNIT_ASSERT(Note(state, kStart, Crash("a", kStart - 20 * kSecond)));
+    Item other = Crash("a", kStart - 30 * kSecond);
+    other.mValue = "v0";
+    CPPUNIT_ASSERT(!Note(state, kStart, other));
+    other.mSeenAt = kStart - 10 * kSecond;
+    CPPUNIT_ASSERT(Note(state, kStart, other));
+    const Entry& entry = state.mEntries.at({ Kind::RequestCrash, "a" });
+    CPPUNIT_ASSERT_EQUAL(std::string("v0"), entry.mItem.mValue);
+  }
+
+  void OldFactIsForgottenByAllAtAboutTheSameTime()
+  {
+    const Micros lifetime = RulesOf(Kind::RequestCrash).mLifetime;
+    Line line(3);
+    (void)Note(
+      line.mStates[0], line.mNow, Crash("a", kStart - lifetime + 5 * kSecond));
+    line.Steps(300);
+    CPPUNIT_ASSERT(line.Has(0, "a") && line.Has(2, "a"));
+    line.Steps(400);
+    CPPUNIT_ASSERT(!line.Has(0, "a") && !line.Has(2, "a"));
+  }
+
+  void OldestGoesFirstWhereThereAreTooMany()
+  {
+    const std::size_t most = RulesOf(Kind::RequestCrash).mMost;
+    State state;
+    for (std::size_t i = 0; i <= most; ++i) {
+      const Micros at = kStart + static_cast<Micros>(i);
+      CPPUNIT_ASSERT(Note(state, at, Crash(std::to_string(i), at)));
+    }
+    CPPUNIT_ASSERT_EQUAL(most, state.mEntries.size());
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t(1), state.mDropped);
+    CPPUNIT_ASSERT(state.mEntries.count({ Kind::RequestCrash, "0" }) == 0);
+  }
+
+  void ManyFactsGoInSeveralMessages()
+  {
+    Line line(2);
+    for (int i = 0; i < 500; ++i) {
+      (void)Note(line.mStates[0], line.mNow, Crash(std::to_string(i)));
+    }
+    line.Steps(50);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(500), line.mStates[1].mEntries.size());
+  }
+
+  void KindOfALaterVersionIsLeftOut()
+  {
+    State state;
+    wire::Gossip message;
+    message.set_sender(7);
+    message.set_up_to(3);
+    message.add_items()->set_kind(kKinds);
+    Output output;
+    Receive(state, kStart, "1", message, output);
+    CPPUNIT_ASSERT(state.mEntries.empty());
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t(3),
+                         output.mMessages.at(0).second.taken_up_to());
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(GossipTest);
+
+} // namespace geraniumpond::gossip
