Refuse a request under which three targets have ended, at every host

What callers saw: over half of the checks and signatures refused for seconds, again and again, since one request that came back at any host ended every target of its service.

Cause: evidence was each host's own. A request that comes again is a new attempt, and each of 15 hosts sent it to two targets. Its class: a bound over all hosts that each host keeps from its own view alone.

Change: - A broken answer alone is no evidence: the target is asked at once. If its address refuses, or is another incarnation's, the target has ended, and what it had is suspected; once for each incarnation. - Hosts tell each other of such ends, and of answers to suspected requests. An answer clears; a crash within ten seconds of an answer does not count, so that many targets may end at once without a request that is often asked being refused. - From the first end a request is sent once, to one target; from the third it is refused at once, by every host, with 503 (it has not run) and without Retry-After. Each try keeps it refused; after ten minutes without one, or once no target runs a release that ended under it, it is tried with care. - Bounded: 1,024 records, those with least evidence go first.

--- a/include/geraniumpond/dispatch.h
+++ b/include/geraniumpond/dispatch.h
@@ -1,7 +1,9 @@
 #pragma once
 
 #include <geraniumpond/budget.h>
+#include <geraniumpond/gossip.h>
 #include <geraniumpond/policy.h>
+#include <geraniumpond/quarantine.h>
 #include <geraniumpond/time.h>
 
 #include <array>
@@ -36,6 +38,13 @@
   double mSlowness = 1;
 };
 
+/// \brief A request whose answer broke at a target that may have ended.
+struct OpenEnd
+{
+  std::uint64_t mIdentity = 0;
+  Micros mBrokenAt = 0;
+};
+
 /// \brief One target as this host sees it.
 struct Target
 {
@@ -46,6 +55,8 @@
   std::string mService;
   std::string mAddress;
   std::string mDataCentre;
+  /// Version of its program; empty where it does not say.
+  std::string mRelease;
   int mSlots = 1;
   /// Works at full speed from then on.
   Micros mWarmAt = 0;
@@ -69,6 +80,10 @@
   /// Smoothed share of requests that failed there, as of mFailedAt.
   double mFailureShare = 0;
   Micros mFailedAt = 0;
+
+  /// Its address refused, or was another one's, when it was asked last.
+  bool mEnded = false;
+  std::vector<OpenEnd> mOpenEnds;
 };
 
 /// \brief Requests and extra attempts of one service in the last seconds.
@@ -124,6 +139,8 @@
   std::string mName;
   std::string mHealthPath;
   std::vector<std::string> mTargets;
+  /// Releases that they run.
+  std::set<std::string> mReleases;
   /// The targets that this host asks first; all of them where they are few.
   std::vector<std::string> mSubset;
   /// Targets that told their load lately, each once; some have gone since.
@@ -297,6 +314,12 @@
   std::string mReason;
 };
 
+/// \brief Tell the other hosts a fact.
+struct TellFleet
+{
+  gossip::Item mItem;
+};
+
 /// \brief A line for the log.
 struct LogLine
 {
@@ -309,6 +332,7 @@
                             CancelAttempt,
                             DeliverAnswer,
                             ReplyToClient,
+                            TellFleet,
                             LogLine>;
 using Effects = std::vector<Effect>;
 
@@ -319,6 +343,8 @@
 {
   std::string mTarget;
   bool mAnswered = false;
+  /// Nobody listens at its address.
+  bool mRefused = false;
   bool mHealthy = false;
   /// Id of the target that answered; empty when it does not say.
   std::string mAnsweredBy;
@@ -343,6 +369,8 @@
   std::uint64_t mAttempt = 0;
   EndKind mKind = EndKind::Broken;
   int mStatus = 0;
+  /// Nobody listens at the target's address.
+  bool mRefused = false;
   /// The target states that it did not run the request.
   bool mNotRun = false;
   /// Another target has the address now.
@@ -393,6 +421,8 @@
   std::uint64_t mLastAttempt = 0;
   /// Sum of the running attempts' mLargeBytes.
   double mLargeBytes = 0;
+  /// Requests under which targets ended.
+  quarantine::State mQuarantine;
   Counters mCounters;
 };
 
@@ -418,6 +448,12 @@
 void TakeProbe(State& aState, Micros aNow, const ProbeEnd& aEnd, Effects& aOut);
 void TakeEnd(State& aState, Micros aNow, const AttemptEnd& aEnd, Effects& aOut);
 
+/// \brief Takes a fact that another host tells.
+void TakeGossip(State& aState,
+                Micros aNow,
+                const gossip::Item& aItem,
+                Effects& aOut);
+
 /// \brief The client closed its connection before its answer was complete.
 void ClientLeft(State& aState,
                 Micros aNow,
--- a/src/dispatch/choosing.cpp
+++ b/src/dispatch/choosing.cpp
@@ -367,6 +367,22 @@
 {
   Service& service = aState.mServices[aRequest.mService];
   const bool extra = aRequest.mSent > 0;
+  const quarantine::Verdict verdict =
+    JudgeRequest(aState, aRequest.mIdentity, aRequest.mService, aNow);
+  if (aRequest.mHedging && verdict != quarantine::Verdict::Clear) {
+    StopHedging(aState, aNow, aRequest);
+    return;
+  }
+  if (verdict == quarantine::Verdict::Quarantined) {
+    Refuse(aState,
+           aNow,
+           aRequest.mId,
+           aRequest.mMayHaveRun ? 502 : 503,
+           0,
+           "quarantined",
+           aOut);
+    return;
+  }
   if (extra &&
       !TakeExtra(service.mExtra, aState.mBounds, aState.mHosts, aNow)) {
     ++aState.mCounters["extra_over_budget"];
--- /dev/null
+++ b/src/dispatch/crashes.cpp
@@ -0,0 +1,263 @@
+#include "internal.h"
+
+#include <algorithm>
+#include <cstdlib>
+
+// Which targets ended, and under which requests. A broken answer alone says
+// little: links are cut, connections reset and idle ones closed. So the target
+// is asked at once: if its address refuses, or another incarnation answers
+// there, it has ended, and every request that it had is suspected.
+namespace geraniumpond::dispatch {
+
+namespace {
+
+/// A target that has neither refused nor answered by then is out of reach.
+constexpr Micros kOpenEndTime = 3 * kSecond;
+constexpr std::size_t kMostOpenEnds = 64;
+/// An answer is told to other hosts again after this time: well within that
+/// for which it counts.
+constexpr Micros kAnswerPace = 5 * kSecond;
+/// The fleet is told that a quarantined request is still asked for.
+constexpr Micros kTriedPace = 60 * kSecond;
+constexpr std::size_t kIdentityDigits = 16;
+
+void LogVerdict(const State& aState,
+                std::uint64_t aIdentity,
+                quarantine::Verdict aVerdict,
+                Effects& aOut)
+{
+  std::string targets;
+  for (const quarantine::Crash& crash :
+       aState.mQuarantine.mRecords.at(aIdentity).mCrashes) {
+    targets += (targets.empty() ? "" : ",") + crash.mTarget;
+  }
+  Log(aOut,
+      2,
+      std::string("event=request_") + quarantine::ToString(aVerdict) +
+        " identity=" + Hexadecimal(aIdentity) + " targets=" + targets);
+}
+
+// Of all releases: who is told of a crash need not know the service yet.
+quarantine::Verdict JudgeAnywhere(const State& aState,
+                                  std::uint64_t aIdentity,
+                                  Micros aNow)
+{
+  std::set<std::string> releases;
+  const auto found = aState.mQuarantine.mRecords.find(aIdentity);
+  if (found != aState.mQuarantine.mRecords.end()) {
+    for (const quarantine::Crash& crash : found->second.mCrashes) {
+      releases.insert(crash.mRelease);
+    }
+  }
+  return quarantine::Judge(aState.mQuarantine, aIdentity, aNow, releases);
+}
+
+void AddCrash(State& aState,
+              Micros aNow,
+              std::uint64_t aIdentity,
+              const quarantine::Crash& aCrash,
+              Effects& aOut)
+{
+  const quarantine::Verdict before = JudgeAnywhere(aState, aIdentity, aNow);
+  quarantine::Expire(aState.mQuarantine, aNow);
+  quarantine::NoteCrash(aState.mQuarantine, aIdentity, aCrash);
+  const quarantine::Verdict after = JudgeAnywhere(aState, aIdentity, aNow);
+  if (after != before) {
+    LogVerdict(aState, aIdentity, after, aOut);
+  }
+}
+
+gossip::Item ItemOf(std::uint64_t aIdentity, const quarantine::Crash& aCrash)
+{
+  return { gossip::Kind::RequestCrash,
+           Hexadecimal(aIdentity) + "/" + aCrash.mTarget,
+           aCrash.mRelease,
+           aCrash.mAt };
+}
+
+void TellAnswer(State& aState,
+                std::uint64_t aIdentity,
+                Micros aAt,
+                Effects& aOut)
+{
+  const auto found = aState.mQuarantine.mRecords.find(aIdentity);
+  if (found == aState.mQuarantine.mRecords.end() ||
+      aAt < found->second.mAnsweredAt + kAnswerPace) {
+    return;
+  }
+  quarantine::NoteAnswer(aState.mQuarantine, aIdentity, aAt);
+  aOut.emplace_back(TellFleet{
+    { gossip::Kind::RequestAnswered, Hexadecimal(aIdentity), "", aAt } });
+}
+
+void ConfirmEnd(State& aState,
+                Micros aNow,
+                const Target& aTarget,
+                std::uint64_t aIdentity,
+                Effects& aOut)
+{
+  ++aState.mCounters["requests_at_ended_targets"];
+  const quarantine::Crash crash{ aTarget.mId, aTarget.mRelease, aNow };
+  AddCrash(aState, aNow, aIdentity, crash, aOut);
+  aOut.emplace_back(TellFleet{ ItemOf(aIdentity, crash) });
+  const Micros answered = quarantine::LastAnswer(aState.mQuarantine, aIdentity);
+  if (answered != 0) {
+    TellAnswer(aState, aIdentity, answered, aOut);
+  }
+}
+
+std::uint64_t ReadIdentity(const std::string& aText)
+{
+  return std::strtoull(aText.substr(0, kIdentityDigits).c_str(), nullptr, 16);
+}
+
+} // namespace
+
+void NoteBroken(State& aState,
+                Micros aNow,
+                const Request& aRequest,
+                const Attempt& aAttempt,
+                const AttemptEnd& aEnd,
+                Effects& aOut)
+{
+  ++aState.mCounters["attempts_broken"];
+  Log(aOut,
+      1,
+      "event=attempt_broken why=" + aEnd.mReason +
+        Describe(aState, aRequest, aNow) + " target=" + aAttempt.mTarget);
+  const auto found = aState.mTargets.find(aAttempt.mTarget);
+  if (found == aState.mTargets.end()) {
+    // It was leaving, and has left.
+    return;
+  }
+  Target& target = found->second;
+  if (target.mEnded) {
+    ConfirmEnd(aState, aNow, target, aRequest.mIdentity, aOut);
+    return;
+  }
+  if (target.mOpenEnds.size() < kMostOpenEnds) {
+    target.mOpenEnds.push_back({ aRequest.mIdentity, aNow });
+  }
+  if (!target.mProbing) {
+    Probe(aState, aNow, target, aOut);
+  }
+}
+
+void NoteTargetEnded(State& aState, Micros aNow, Target& aTarget, Effects& aOut)
+{
+  const std::vector<OpenEnd> ends = std::exchange(aTarget.mOpenEnds, {});
+  if (!aTarget.mEnded) {
+    ++aState.mCounters["targets_ended"];
+    Log(aOut,
+        2,
+        "event=target_ended target=" + aTarget.mId + " service=" +
+          aTarget.mService + " requests=" + std::to_string(ends.size()));
+  }
+  aTarget.mEnded = true;
+  for (const OpenEnd& end : ends) {
+    if (aNow - end.mBrokenAt <= kOpenEndTime) {
+      ConfirmEnd(aState, aNow, aTarget, end.mIdentity, aOut);
+    }
+  }
+}
+
+bool NoteTargetSilent(State& aState,
+                      Micros aNow,
+                      Target& aTarget,
+                      Effects& aOut)
+{
+  // A probe that was under way broke together with what else was there.
+  const bool asked =
+    std::any_of(aTarget.mOpenEnds.begin(),
+                aTarget.mOpenEnds.end(),
+                [&](const OpenEnd& aEnd) {
+                  return aEnd.mBrokenAt >= aTarget.mProbeSentAt &&
+                         aNow - aEnd.mBrokenAt <= kOpenEndTime;
+                });
+  if (asked) {
+    Probe(aState, aNow, aTarget, aOut);
+  }
+  return asked;
+}
+
+void NoteTargetLives(Target& aTarget)
+{
+  aTarget.mEnded = false;
+  auto& ends = aTarget.mOpenEnds;
+  ends.erase(std::remove_if(ends.begin(),
+                            ends.end(),
+                            [&](const OpenEnd& aEnd) {
+                              return aEnd.mBrokenAt <= aTarget.mProbeSentAt;
+                            }),
+             ends.end());
+}
+
+void NoteAnswered(State& aState,
+                  Micros aNow,
+                  std::uint64_t aIdentity,
+                  Effects& aOut)
+{
+  quarantine::RememberAnswer(aState.mQuarantine, aIdentity, aNow);
+  TellAnswer(aState, aIdentity, aNow, aOut);
+}
+
+quarantine::Verdict JudgeRequest(const State& aState,
+                                 std::uint64_t aIdentity,
+                                 const std::string& aService,
+                                 Micros aNow)
+{
+  if (aState.mQuarantine.mRecords.empty()) {
+    return quarantine::Verdict::Clear;
+  }
+  return quarantine::Judge(aState.mQuarantine,
+                           aIdentity,
+                           aNow,
+                           aState.mServices.at(aService).mReleases);
+}
+
+void NoteTried(State& aState,
+               Micros aNow,
+               std::uint64_t aIdentity,
+               Effects& aOut)
+{
+  for (quarantine::Crash& crash :
+       aState.mQuarantine.mRecords.at(aIdentity).mCrashes) {
+    if (aNow - crash.mAt > kTriedPace) {
+      crash.mAt = aNow;
+      aOut.emplace_back(TellFleet{ ItemOf(aIdentity, crash) });
+    }
+  }
+}
+
+void TakeGossip(State& aState,
+                Micros aNow,
+                const gossip::Item& aItem,
+                Effects& aOut)
+{
+  if (aItem.mKey.size() < kIdentityDigits) {
+    return;
+  }
+  const std::uint64_t identity = ReadIdentity(aItem.mKey);
+  switch (aItem.mKind) {
+    case gossip::Kind::RequestCrash: {
+      const std::size_t target =
+        std::min(kIdentityDigits + 1, aItem.mKey.size());
+      AddCrash(aState,
+               aNow,
+               identity,
+               { aItem.mKey.substr(target), aItem.mValue, aItem.mSeenAt },
+               aOut);
+      const Micros answered =
+        quarantine::LastAnswer(aState.mQuarantine, identity);
+      if (answered != 0) {
+        TellAnswer(aState, identity, answered, aOut);
+      }
+      break;
+    }
+    case gossip::Kind::RequestAnswered:
+      quarantine::NoteAnswer(aState.mQuarantine, identity, aItem.mSeenAt);
+      break;
+  }
+}
+
+} // namespace geraniumpond::dispatch
--- a/src/dispatch/ends.cpp
+++ b/src/dispatch/ends.cpp
@@ -127,10 +127,14 @@
     target.mSentSince = std::max(0, target.mSentSince - 1);
   }
   if (aEnd.mMisdirected) {
+    NoteTargetEnded(aState, aNow, target, aOut);
     Suspect(aState, aNow, target, "address_taken", aOut);
     return;
   }
   if (aEnd.mKind == EndKind::NotSent) {
+    if (aEnd.mRefused) {
+      NoteTargetEnded(aState, aNow, target, aOut);
+    }
     Suspect(aState, aNow, target, "unreachable", aOut);
     return;
   }
@@ -142,20 +146,6 @@
   }
 }
 
-void NoteBroken(State& aState,
-                Micros aNow,
-                const Request& aRequest,
-                const Attempt& aAttempt,
-                const AttemptEnd& aEnd,
-                Effects& aOut)
-{
-  ++aState.mCounters["attempts_broken"];
-  Log(aOut,
-      1,
-      "event=attempt_broken why=" + aEnd.mReason +
-        Describe(aState, aRequest, aNow) + " target=" + aAttempt.mTarget);
-}
-
 void EndDetached(State& aState,
                  Micros aNow,
                  Request& aRequest,
@@ -190,6 +180,8 @@
   RemoveAttempt(request, attempt.mNumber);
   if (aEnd.mKind == EndKind::Broken) {
     NoteBroken(aState, aNow, request, attempt, aEnd, aOut);
+  } else if (!DidNotRun(aEnd) && aEnd.mStatus < kServerError) {
+    NoteAnswered(aState, aNow, request.mIdentity, aOut);
   }
   if (request.mDetached) {
     EndDetached(aState, aNow, request, aEnd, aOut);
--- a/src/dispatch/internal.h
+++ b/src/dispatch/internal.h
@@ -109,6 +109,40 @@
 /// \brief When a refused client should come back.
 [[nodiscard]] Micros RetryAfter(State& aState, Micros aExpectedWait);
 
+// --- crashes.cpp: targets that end, and the requests that they had
+void NoteBroken(State& aState,
+                Micros aNow,
+                const Request& aRequest,
+                const Attempt& aAttempt,
+                const AttemptEnd& aEnd,
+                Effects& aOut);
+/// \brief The target's address refuses, or is another one's now.
+void NoteTargetEnded(State& aState,
+                     Micros aNow,
+                     Target& aTarget,
+                     Effects& aOut);
+/// \brief A probe was not answered; true where it is repeated at once.
+bool NoteTargetSilent(State& aState,
+                      Micros aNow,
+                      Target& aTarget,
+                      Effects& aOut);
+/// \brief The target has answered a probe.
+void NoteTargetLives(Target& aTarget);
+/// \brief A target has answered a request.
+void NoteAnswered(State& aState,
+                  Micros aNow,
+                  std::uint64_t aIdentity,
+                  Effects& aOut);
+/// \brief A quarantined request was refused.
+void NoteTried(State& aState,
+               Micros aNow,
+               std::uint64_t aIdentity,
+               Effects& aOut);
+[[nodiscard]] quarantine::Verdict JudgeRequest(const State& aState,
+                                               std::uint64_t aIdentity,
+                                               const std::string& aService,
+                                               Micros aNow);
+
 // --- learning.cpp: what answers and reports tell of a service
 /// \brief How many times as long work takes that starts beside so many others.
 [[nodiscard]] double StretchAt(const LoadCurve& aCurve,
--- a/src/dispatch/requests.cpp
+++ b/src/dispatch/requests.cpp
@@ -338,6 +338,18 @@
       aState, aArrival, kUnavailable, RetryAfter(aState, 0), "no_target", aOut);
     return;
   }
+  const quarantine::Verdict verdict =
+    JudgeRequest(aState, request.mIdentity, request.mService, aNow);
+  if (verdict == quarantine::Verdict::Quarantined) {
+    // It will not be served in its client's time: nothing is said of coming
+    // back.
+    NoteTried(aState, aNow, request.mIdentity, aOut);
+    RefuseArrival(aState, aArrival, kUnavailable, 0, "quarantined", aOut);
+    return;
+  }
+  if (verdict == quarantine::Verdict::Suspected) {
+    request.mMaxAttempts = 1;
+  }
   const Micros wait = ExpectedWait(service, request);
   Request& added = aState.mRequests[request.mId] = std::move(request);
   if (aNow + wait + NeedOf(aState, added).mWork > added.mDeadline) {
--- a/src/dispatch/targets.cpp
+++ b/src/dispatch/targets.cpp
@@ -58,6 +58,14 @@
   }
 }
 
+void NoteReleases(const State& aState, Service& aService)
+{
+  aService.mReleases.clear();
+  for (const std::string& id : aService.mTargets) {
+    aService.mReleases.insert(aState.mTargets.at(id).mRelease);
+  }
+}
+
 void SetProbeRate(State& aState, Micros aNow)
 {
   const double rate = kProbeShare * aState.mBounds.mProbesPerTarget *
@@ -107,6 +115,7 @@
   target.mService = aRecord.service();
   target.mAddress = aRecord.address();
   target.mDataCentre = aRecord.data_centre();
+  target.mRelease = aRecord.release();
   target.mSlots = std::max<int>(1, static_cast<int>(aRecord.slots()));
   target.mWarmAt =
     aNow + static_cast<Micros>(aRecord.warm_up_ms()) * kMillisecond;
@@ -237,6 +246,7 @@
       service.mHealthPath = policy::ServiceRules().mHealthPath;
     }
     ChooseSubset(aState, service);
+    NoteReleases(aState, service);
     ProbeNewcomers(aState, aNow, service);
   }
   SetProbeRate(aState, aNow);
@@ -277,13 +287,21 @@
   target.mProbing = false;
   const bool other =
     !aEnd.mAnsweredBy.empty() && aEnd.mAnsweredBy != target.mName;
-  if (!aEnd.mAnswered) {
-    Suspect(aState, aNow, target, "probe_unanswered", aOut);
+  if (!aEnd.mAnswered && aEnd.mRefused) {
+    NoteTargetEnded(aState, aNow, target, aOut);
+    Suspect(aState, aNow, target, "probe_refused", aOut);
+  } else if (!aEnd.mAnswered) {
+    if (!NoteTargetSilent(aState, aNow, target, aOut)) {
+      Suspect(aState, aNow, target, "probe_unanswered", aOut);
+    }
   } else if (other) {
+    NoteTargetEnded(aState, aNow, target, aOut);
     Suspect(aState, aNow, target, "address_taken", aOut);
   } else if (!aEnd.mHealthy) {
+    NoteTargetLives(target);
     Suspect(aState, aNow, target, "says_ill", aOut);
   } else {
+    NoteTargetLives(target);
     target.mProbeTime += (aNow - target.mProbeSentAt - target.mProbeTime) / 4;
     Revive(target, aOut);
     if (aEnd.mReport) {
--- a/src/frontend/own_dialect.cpp
+++ b/src/frontend/own_dialect.cpp
@@ -38,6 +38,7 @@
   record.set_sequence(body->getValue<Poco::UInt64>("sequence"));
   record.set_warm_up_ms(body->optValue<unsigned>("warm_up_ms", 0));
   record.set_born_ms(body->optValue<Poco::UInt64>("born_ms", 0));
+  record.set_release(body->optValue<std::string>("release", ""));
   return record;
 }
 
--- a/src/frontend/target_pool.cpp
+++ b/src/frontend/target_pool.cpp
@@ -6,6 +6,7 @@
 #include <Poco/StringTokenizer.h>
 
 #include <algorithm>
+#include <cerrno>
 #include <limits>
 #include <netinet/tcp.h>
 #include <utility>
@@ -108,7 +109,7 @@
     if (mConnecting) {
       const int error = mSocket.ConnectError();
       if (error != 0) {
-        Fail("connect_failed");
+        Fail("connect_failed", error == ECONNREFUSED);
         return;
       }
       mConnecting = false;
@@ -321,7 +322,7 @@
     mPool.mSink.OnAttempt(std::move(end), std::move(aResponse));
   }
 
-  void Fail(const char* aReason)
+  void Fail(const char* aReason, bool aRefused = false)
   {
     const Job job = std::exchange(mJob, Job::None);
     if (job == Job::Attempt) {
@@ -337,12 +338,14 @@
       }
       dispatch::ProbeEnd end;
       end.mTarget = mTarget;
+      end.mRefused = aRefused;
       mPool.mSink.OnProbe(end);
     } else if (job == Job::Attempt) {
       dispatch::AttemptEnd end;
       end.mRequest = mRequest;
       end.mAttempt = mAttempt;
       end.mKind = sent ? dispatch::EndKind::Broken : dispatch::EndKind::NotSent;
+      end.mRefused = aRefused;
       end.mReason = aReason;
       mPool.mSink.OnAttempt(std::move(end), HttpResponse());
     }
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -15,10 +15,24 @@
 /// How long after a start requests may wait for the first policy.
 constexpr Micros kPolicyExpected = 1 * kSecond;
 
-void Append(Effects& aOut, dispatch::Effects aEffects)
+void Append(Context& aContext, dispatch::Effects aEffects)
 {
   for (dispatch::Effect& effect : aEffects) {
-    std::visit([&](auto& aOne) { aOut.emplace_back(std::move(aOne)); }, effect);
+    if (auto* tell = std::get_if<dispatch::TellFleet>(&effect)) {
+      fleet::Output output;
+      fleet::Tell(
+        aContext.mState.mFleet, aContext.mNow, std::move(tell->mItem), output);
+      TakeFleet(aContext, std::move(output));
+      continue;
+    }
+    std::visit(
+      [&](auto& aOne) {
+        using One = std::decay_t<decltype(aOne)>;
+        if constexpr (!std::is_same_v<One, dispatch::TellFleet>) {
+          aContext.mOut.emplace_back(std::move(aOne));
+        }
+      },
+      effect);
   }
 }
 
@@ -65,12 +79,17 @@
     dispatch::Effects effects;
     dispatch::SetTargets(
       state.mDispatch, aContext.mNow, state.mFleet.mCatalog.mTargets, effects);
-    Append(aContext.mOut, std::move(effects));
+    Append(aContext, std::move(effects));
   }
   if (aFleet.mPolicyChanged) {
     dispatch::Effects effects;
     dispatch::AdmitUnrouted(state.mDispatch, aContext.mNow, effects);
-    Append(aContext.mOut, std::move(effects));
+    Append(aContext, std::move(effects));
+  }
+  for (const gossip::Item& item : aFleet.mNews) {
+    dispatch::Effects effects;
+    dispatch::TakeGossip(state.mDispatch, aContext.mNow, item, effects);
+    Append(aContext, std::move(effects));
   }
   for (const fleet::Note& note : aFleet.mNotes) {
     aContext.Log(note.mLevel, note.mText);
@@ -187,7 +206,7 @@
   State& state = aContext.mState;
   dispatch::Effects effects;
   dispatch::Tick(state.mDispatch, aContext.mNow, effects);
-  Append(aContext.mOut, std::move(effects));
+  Append(aContext, std::move(effects));
   fleet::Output output;
   fleet::Tick(state.mFleet, aContext.mNow, aRandom, output);
   TakeFleet(aContext, std::move(output));
@@ -199,7 +218,7 @@
 {
   dispatch::Effects effects;
   aFunction(effects);
-  Append(aContext.mOut, std::move(effects));
+  Append(aContext, std::move(effects));
 }
 
 /// \brief Takes each kind of event.
--- /dev/null
+++ b/src/quarantine/quarantine.cpp
@@ -0,0 +1,158 @@
+#include <geraniumpond/quarantine.h>
+
+#include <algorithm>
+#include <array>
+
+namespace geraniumpond::quarantine {
+
+namespace {
+
+/// Different targets that end under a quarantined request: one or two may be
+/// the bad luck of a request and its second attempt.
+constexpr int kCrashes = 3;
+constexpr Micros kLifetime = 600 * kSecond;
+/// A crash so soon after an answer does not count: long beside the time in
+/// which hosts hear of each other's answers.
+constexpr Micros kAnswerCounts = 10 * kSecond;
+constexpr std::size_t kMostRecords = 1024;
+constexpr std::size_t kMostAnswers = 4096;
+constexpr std::size_t kMostCrashes = 16;
+
+constexpr std::array<const char*, 3> kVerdictNames = {
+  "clear",
+  "suspected",
+  "quarantined",
+};
+
+bool Counts(const Record& aRecord, const Crash& aCrash)
+{
+  return aRecord.mAnsweredAt == 0 ||
+         aCrash.mAt > aRecord.mAnsweredAt + kAnswerCounts;
+}
+
+// What is known least against goes first, of such the oldest: many that each
+// met one crash must not push out one that met three.
+void DropOne(State& aState)
+{
+  const auto rank = [](const Record& aRecord) {
+    const Micros at =
+      aRecord.mCrashes.empty() ? 0 : aRecord.mCrashes.back().mAt;
+    return std::make_pair(aRecord.mCrashes.size(), at);
+  };
+  const auto least =
+    std::min_element(aState.mRecords.begin(),
+                     aState.mRecords.end(),
+                     [&](const auto& aLeft, const auto& aRight) {
+                       return rank(aLeft.second) < rank(aRight.second);
+                     });
+  aState.mRecords.erase(least);
+  ++aState.mDropped;
+}
+
+Record& RecordOf(State& aState, std::uint64_t aIdentity)
+{
+  const auto found = aState.mRecords.find(aIdentity);
+  if (found != aState.mRecords.end()) {
+    return found->second;
+  }
+  if (aState.mRecords.size() >= kMostRecords) {
+    DropOne(aState);
+  }
+  return aState.mRecords[aIdentity];
+}
+
+bool IsOld(const Record& aRecord, Micros aNow)
+{
+  const bool crashed = std::any_of(
+    aRecord.mCrashes.begin(), aRecord.mCrashes.end(), [&](const Crash& aCrash) {
+      return aNow - aCrash.mAt <= kLifetime;
+    });
+  return !crashed && aNow - aRecord.mAnsweredAt > kLifetime;
+}
+
+} // namespace
+
+const char* ToString(Verdict aVerdict) noexcept
+{
+  return kVerdictNames[static_cast<std::size_t>(aVerdict)];
+}
+
+void NoteCrash(State& aState, std::uint64_t aIdentity, const Crash& aCrash)
+{
+  std::vector<Crash>& crashes = RecordOf(aState, aIdentity).mCrashes;
+  const auto same =
+    std::find_if(crashes.begin(), crashes.end(), [&](const Crash& aKnown) {
+      return aKnown.mTarget == aCrash.mTarget;
+    });
+  if (same != crashes.end()) {
+    same->mAt = std::max(same->mAt, aCrash.mAt);
+    return;
+  }
+  if (crashes.size() >= kMostCrashes) {
+    crashes.erase(crashes.begin());
+  }
+  crashes.push_back(aCrash);
+}
+
+void NoteAnswer(State& aState, std::uint64_t aIdentity, Micros aAt)
+{
+  Record& record = RecordOf(aState, aIdentity);
+  record.mAnsweredAt = std::max(record.mAnsweredAt, aAt);
+}
+
+void RememberAnswer(State& aState, std::uint64_t aIdentity, Micros aNow)
+{
+  RecentAnswers& answers = aState.mAnswers;
+  if (aNow >= answers.mTurnAt ||
+      answers.mHalves[answers.mCurrent].size() >= kMostAnswers) {
+    answers.mCurrent = 1 - answers.mCurrent;
+    answers.mHalves[answers.mCurrent].clear();
+    answers.mTurnAt = aNow + kAnswerCounts;
+  }
+  answers.mHalves[answers.mCurrent][aIdentity] = aNow;
+}
+
+Micros LastAnswer(const State& aState, std::uint64_t aIdentity)
+{
+  Micros last = 0;
+  for (const auto& half : aState.mAnswers.mHalves) {
+    const auto found = half.find(aIdentity);
+    last = found == half.end() ? last : std::max(last, found->second);
+  }
+  return last;
+}
+
+Verdict Judge(const State& aState,
+              std::uint64_t aIdentity,
+              Micros aNow,
+              const std::set<std::string>& aReleases)
+{
+  const auto found = aState.mRecords.find(aIdentity);
+  if (found == aState.mRecords.end()) {
+    return Verdict::Clear;
+  }
+  int current = 0;
+  int gone = 0;
+  for (const Crash& crash : found->second.mCrashes) {
+    if (aNow - crash.mAt > kLifetime || !Counts(found->second, crash)) {
+      continue;
+    }
+    const bool runs =
+      crash.mRelease.empty() || aReleases.count(crash.mRelease) != 0;
+    ++(runs ? current : gone);
+  }
+  const int count = current + std::min(gone, kCrashes - 1);
+  if (count == 0) {
+    return Verdict::Clear;
+  }
+  return count < kCrashes ? Verdict::Suspected : Verdict::Quarantined;
+}
+
+void Expire(State& aState, Micros aNow)
+{
+  for (auto it = aState.mRecords.begin(); it != aState.mRecords.end();) {
+    it = IsOld(it->second, aNow) ? aState.mRecords.erase(it) : std::next(it);
+  }
+}
+
+} // namespace geraniumpond::quarantine
--- a/tests/fakes/gateway_world.cpp
+++ b/tests/fakes/gateway_world.cpp
@@ -289,6 +289,7 @@
   dispatch::AttemptEnd end;
   if (!target.mAlive) {
     end.mKind = dispatch::EndKind::NotSent;
+    end.mRefused = true;
     end.mReason = "connect_failed";
     EndJob(aJob, end);
     return;
@@ -450,6 +451,7 @@
       end.mAnsweredBy = target.mId;
       end.mReport = ReportOf(target);
     }
+    end.mRefused = !target.mAlive;
     Post(aHost, std::move(end));
   });
 }
