--- /dev/null
+++ b/bench/harmful_bench.cpp
@@ -0,0 +1,100 @@
+#include "fakes/gateway_world.h"
+
+#include <cstdio>
+#include <utility>
+
+/// \brief What one request costs that ends each target that runs it and comes
+/// again at any host, by the number of hosts.
+namespace {
+
+using geraniumpond::kMillisecond;
+using geraniumpond::kSecond;
+using geraniumpond::Micros;
+using geraniumpond::fakes::GatewayLoad;
+using geraniumpond::fakes::GatewayWorld;
+
+constexpr const char* kHarmful = "/harmful";
+constexpr std::size_t kEnds = 3;
+
+std::size_t HostsThatRefuse(const GatewayWorld& aWorld)
+{
+  geraniumpond::dispatch::Arrival arrival;
+  arrival.mHostName = "host";
+  arrival.mPath = kHarmful;
+  const std::uint64_t identity = geraniumpond::dispatch::IdentityOf(arrival);
+  std::size_t count = 0;
+  for (std::size_t host = 0; host < aWorld.Hosts(); ++host) {
+    const geraniumpond::dispatch::State& state = aWorld.At(host).mDispatch;
+    const auto service = state.mServices.find("service");
+    count += service != state.mServices.end() &&
+                 geraniumpond::quarantine::Judge(state.mQuarantine,
+                                                 identity,
+                                                 aWorld.Now(),
+                                                 service->second.mReleases) ==
+                   geraniumpond::quarantine::Verdict::Quarantined
+               ? 1
+               : 0;
+  }
+  return count;
+}
+
+// From the third end until 99 of 100 hosts refuse; negative for never.
+Micros TimeUntilRefused(GatewayWorld& aWorld, Micros aMost)
+{
+  const Micros until = aWorld.Now() + aMost;
+  while (aWorld.Now() < until) {
+    aWorld.Advance(kMillisecond);
+    const auto& ends = aWorld.mEnds[kHarmful];
+    if (ends.size() >= kEnds &&
+        100 * HostsThatRefuse(aWorld) >= 99 * aWorld.Hosts()) {
+      return aWorld.Now() - ends[kEnds - 1];
+    }
+  }
+  return -1;
+}
+
+void Play(int aControlHosts, int aHosts, int aTargets, Micros aGap)
+{
+  GatewayLoad load;
+  load.mControlHosts = aControlHosts;
+  load.mOtherHosts = aHosts - aControlHosts;
+  load.mTargets = aTargets;
+  load.mPerSecond = 9.0 * aTargets;
+  GatewayWorld world(load, 7);
+  world.Settle();
+  const Micros end = world.Now() + 22 * kSecond;
+  world.StartClients(20 * kSecond);
+  world.MakeHarmful(kHarmful);
+  world.AskAgainAndAgain(kHarmful, aGap, 20 * kSecond);
+  const Micros refused = TimeUntilRefused(world, 5 * kSecond);
+  world.Advance(end - world.Now());
+  std::printf("%6d %8d %8lld %6zu %10.1f %10.4f %12.0f\n",
+              aHosts,
+              aTargets,
+              static_cast<long long>(aGap / kMillisecond),
+              world.mEnds[kHarmful].size(),
+              static_cast<double>(refused) / kMillisecond,
+              world.mTally.mServed / static_cast<double>(world.mTally.mOffered),
+              static_cast<double>(world.mGossipBytes) / aHosts);
+  std::fflush(stdout);
+}
+
+} // namespace
+
+int main()
+{
+  std::printf("%6s %8s %8s %6s %10s %10s %12s\n",
+              "hosts",
+              "targets",
+              "gap_ms",
+              "ended",
+              "refused_ms",
+              "served",
+              "bytes a host");
+  for (const Micros gap : { 400, 100, 20 }) {
+    Play(4, 19, 20, gap * kMillisecond);
+    Play(6, 100, 100, gap * kMillisecond);
+    Play(6, 476, 200, gap * kMillisecond);
+  }
+  return 0;
+}
--- a/include/geraniumpond/dispatch.h
+++ b/include/geraniumpond/dispatch.h
@@ -440,6 +440,9 @@
 /// \brief Notes how many hosts share the bounds.
 void SetHosts(State& aState, Micros aNow, int aHosts);
 
+/// \brief Equal for requests that ask for the same.
+[[nodiscard]] std::uint64_t IdentityOf(const Arrival& aArrival);
+
 void Arrive(State& aState, Micros aNow, const Arrival& aArrival, Effects& aOut);
 
 /// \brief Takes the requests that came before the first policy, once there is
--- a/src/dispatch/requests.cpp
+++ b/src/dispatch/requests.cpp
@@ -47,12 +47,6 @@
   aService.mDispatchedAt = aNow;
 }
 
-std::uint64_t IdentityOf(const Arrival& aArrival)
-{
-  return Hash64(aArrival.mPath,
-                Hash64(aArrival.mHostName, aArrival.mContentDigest));
-}
-
 void Expire(State& aState, Micros aNow, Request& aRequest, Effects& aOut)
 {
   if (aRequest.mSent == 0 ||
@@ -77,6 +71,12 @@
 
 } // namespace
 
+std::uint64_t IdentityOf(const Arrival& aArrival)
+{
+  return Hash64(aArrival.mPath,
+                Hash64(aArrival.mHostName, aArrival.mContentDigest));
+}
+
 std::string Describe(const State& aState, const Request& aRequest, Micros aNow)
 {
   return " request=" + aRequest.mClientRequestId +
--- a/src/fleet/neighbours.cpp
+++ b/src/fleet/neighbours.cpp
@@ -12,10 +12,15 @@
   return found == aState.mHosts.end() ? 0 : found->second.mIncarnation;
 }
 
+// While the group has no leader nobody is followed: whoever asks control hosts
+// for one exchanges facts with them.
 std::map<std::string, std::uint64_t> Neighbours(const State& aState)
 {
   std::map<std::string, std::uint64_t> neighbours;
-  if (IsControlMember(aState)) {
+  for (const std::string& address : aState.mAskedWhileOut) {
+    neighbours[address] = IncarnationOf(aState, address);
+  }
+  if (IsControlMember(aState) || !aState.mInTouch) {
     for (const std::string& address : aState.mControlAddresses) {
       neighbours[address] = IncarnationOf(aState, address);
     }
--- a/src/gossip/gossip.cpp
+++ b/src/gossip/gossip.cpp
@@ -168,6 +168,16 @@
   }
 }
 
+// What it told in an earlier life it has forgotten.
+void ForgetSource(State& aState, const std::string& aNeighbour)
+{
+  for (auto& [key, entry] : aState.mEntries) {
+    if (entry.mFrom == aNeighbour) {
+      entry.mFrom.clear();
+    }
+  }
+}
+
 void Expire(State& aState, Micros aNow)
 {
   if (aNow < aState.mExpireAt) {
@@ -209,6 +219,7 @@
     if (link.mIncarnation != incarnation) {
       link = Link();
       link.mIncarnation = incarnation;
+      ForgetSource(aState, address);
     }
   }
 }
--- a/tests/fakes/gateway_world.cpp
+++ b/tests/fakes/gateway_world.cpp
@@ -13,7 +13,12 @@
 constexpr Micros kTrip = 1500;
 constexpr Micros kSyncTime = kMillisecond;
 constexpr Micros kStep = kMillisecond;
+constexpr Micros kDrainTime = 2 * kSecond;
+/// After these a host gives up a probe, and a connect.
+constexpr Micros kProbePatience = 400 * kMillisecond;
+constexpr Micros kConnectPatience = 300 * kMillisecond;
 constexpr Micros kRenewal = 1500 * kMillisecond;
+constexpr Micros kReturnPause = 100 * kMillisecond;
 constexpr double kWorkSpread = 0.3;
 constexpr const char* kService = "service";
 
@@ -122,6 +127,23 @@
   }
 }
 
+void GatewayWorld::BreakJobs(const std::string& aAddress,
+                             dispatch::EndKind aKind)
+{
+  std::vector<std::uint64_t> broken;
+  for (const auto& [id, job] : mJobs) {
+    if (job.mTarget == aAddress) {
+      broken.push_back(id);
+    }
+  }
+  for (const std::uint64_t id : broken) {
+    dispatch::AttemptEnd end;
+    end.mKind = aKind;
+    end.mReason = "reset";
+    EndJob(id, end);
+  }
+}
+
 std::size_t GatewayWorld::LeaderHost() const
 {
   for (std::size_t i = 0; i < mHosts.size(); ++i) {
@@ -235,10 +257,12 @@
   call.mRecord.set_data_centre(target.mDataCentre);
   call.mRecord.set_slots(static_cast<unsigned>(mLoad.mSlots));
   call.mRecord.set_sequence(++mLast);
+  call.mRecord.set_draining(target.mDraining);
+  call.mRecord.set_release(target.mRelease);
   Post(AnyHost(), std::move(call));
   const int start = target.mStarts;
   Later(kRenewal, [this, aAddress, start] {
-    if (mTargets[aAddress].mStarts == start) {
+    if (mTargets[aAddress].mStarts == start && !mTargets[aAddress].mDraining) {
       Announce(aAddress);
     }
   });
@@ -250,18 +274,8 @@
   target.mAlive = false;
   target.mRunning = 0;
   target.mWaiting.clear();
-  std::vector<std::uint64_t> lost;
-  for (const auto& [id, job] : mJobs) {
-    if (job.mTarget == aAddress) {
-      lost.push_back(id);
-    }
-  }
-  for (const std::uint64_t id : lost) {
-    dispatch::AttemptEnd end;
-    end.mKind = dispatch::EndKind::Broken;
-    end.mReason = "reset";
-    EndJob(id, end);
-  }
+  target.mDraining = false;
+  BreakJobs(aAddress, dispatch::EndKind::Broken);
   Later(mLoad.mRestart, [this, aAddress] {
     if (!mTargets[aAddress].mAlive) {
       StartTarget(aAddress);
@@ -269,6 +283,34 @@
   });
 }
 
+void GatewayWorld::SilenceTarget(const std::string& aAddress, Micros aFor)
+{
+  FakeTarget& target = mTargets[aAddress];
+  target.mSilent = true;
+  target.mRunning = 0;
+  target.mWaiting.clear();
+  for (auto it = mJobs.begin(); it != mJobs.end();) {
+    it = it->second.mTarget == aAddress ? mJobs.erase(it) : std::next(it);
+  }
+  Later(aFor, [this, aAddress] { mTargets[aAddress].mSilent = false; });
+}
+
+void GatewayWorld::ResetConnections(const std::string& aAddress)
+{
+  FakeTarget& target = mTargets[aAddress];
+  target.mRunning = 0;
+  target.mWaiting.clear();
+  BreakJobs(aAddress, dispatch::EndKind::Broken);
+}
+
+void GatewayWorld::ReplaceTarget(const std::string& aAddress)
+{
+  mTargets[aAddress].mDraining = true;
+  mTargets[aAddress].mRelease = "v2";
+  Announce(aAddress);
+  Later(kDrainTime, [this, aAddress] { EndTarget(aAddress); });
+}
+
 dispatch::Report GatewayWorld::ReportOf(const FakeTarget& aTarget) const
 {
   dispatch::Report report;
@@ -287,6 +329,17 @@
   Job& job = found->second;
   FakeTarget& target = mTargets.at(job.mTarget);
   dispatch::AttemptEnd end;
+  if (target.mSilent) {
+    Later(kConnectPatience, [this, aJob] {
+      if (mJobs.count(aJob) != 0) {
+        dispatch::AttemptEnd late;
+        late.mKind = dispatch::EndKind::NotSent;
+        late.mReason = "connect_timeout";
+        EndJob(aJob, late);
+      }
+    });
+    return;
+  }
   if (!target.mAlive) {
     end.mKind = dispatch::EndKind::NotSent;
     end.mRefused = true;
@@ -324,8 +377,9 @@
     Later(mLoad.mEndsAfter, [this, aJob] {
       const auto still = mJobs.find(aJob);
       if (still != mJobs.end()) {
+        const std::string address = still->second.mTarget;
         mEnds[still->second.mPath].push_back(mNow);
-        EndTarget(still->second.mTarget);
+        EndTarget(address);
       }
     });
     return;
@@ -347,7 +401,7 @@
   StartNext(target);
   dispatch::AttemptEnd end;
   end.mKind = dispatch::EndKind::Answered;
-  end.mStatus = 200;
+  end.mStatus = std::bernoulli_distribution(mErrorShare)(mRandom) ? 500 : 200;
   end.mReport = ReportOf(target);
   EndJob(aJob, end);
 }
@@ -374,7 +428,10 @@
 
 void GatewayWorld::ReportEnd(std::size_t aHost, dispatch::AttemptEnd aEnd)
 {
+  const auto key = std::make_pair(aHost, aEnd.mAttempt);
+  mStatuses[key] = aEnd.mStatus;
   Post(aHost, std::move(aEnd));
+  mStatuses.erase(key);
 }
 
 // ------------------------------------------------------------------- clients
@@ -384,39 +441,41 @@
   std::exponential_distribution<double> gaps(mLoad.mPerSecond);
   Micros at = 0;
   while (at < aFor) {
-    Later(at, [this] { SendRequest("/" + std::to_string(++mLast), true); });
+    Later(at, [this] {
+      SendRequest({ "/" + std::to_string(++mLast), true, mLoad.mReturns });
+    });
     at += static_cast<Micros>(gaps(mRandom) * kSecond);
   }
 }
 
 void GatewayWorld::AskAgainAndAgain(const std::string& aPath,
                                     Micros aGap,
-                                    Micros aFor)
+                                    Micros aFor,
+                                    bool aCounted)
 {
   for (Micros at = 0; at < aFor; at += aGap) {
-    Later(at, [this, aPath] { Ask(aPath); });
+    Later(at, [this, aPath, aCounted] {
+      SendRequest({ aPath, aCounted, aCounted ? mLoad.mReturns : 0 });
+    });
   }
 }
 
-void GatewayWorld::Ask(const std::string& aPath)
-{
-  SendRequest(aPath, false);
-}
-
-void GatewayWorld::SendRequest(const std::string& aPath, bool aCounted)
+void GatewayWorld::SendRequest(Client aClient)
 {
   const std::size_t host = AnyHost();
   dispatch::Arrival arrival;
   arrival.mId = ++mLast;
   arrival.mClientRequestId = std::to_string(arrival.mId);
   arrival.mHostName = "host";
-  arrival.mPath = aPath;
+  arrival.mPath = aClient.mPath;
   arrival.mPatience = mLoad.mTimeout;
-  mClients[{ host, arrival.mId }] = { aPath, aCounted };
-  mTally.mOffered += aCounted ? 1 : 0;
+  const bool first = aClient.mReturns == mLoad.mReturns;
+  mTally.mOffered += aClient.mCounted && first ? 1 : 0;
+  mClients[{ host, arrival.mId }] = std::move(aClient);
   Post(host, std::move(arrival));
 }
 
+// What may have run comes back only where it may be repeated.
 void GatewayWorld::EndClient(std::size_t aHost,
                              std::uint64_t aRequest,
                              int aStatus)
@@ -425,12 +484,16 @@
   if (found == mClients.end()) {
     return;
   }
-  const Client client = found->second;
+  Client client = std::move(found->second);
   mClients.erase(found);
   if (!client.mCounted) {
     return;
   }
-  if (aStatus == 200) {
+  const bool again = aStatus == 503 || (aStatus >= 500 && mLoad.mIdempotent);
+  if (again && client.mReturns > 0) {
+    --client.mReturns;
+    Later(kReturnPause, [this, client] { SendRequest(client); });
+  } else if (aStatus == 200) {
     ++mTally.mServed;
   } else {
     ++(aStatus == 503 ? mTally.mRefused : mTally.mFailed);
@@ -441,17 +504,19 @@
 
 void GatewayWorld::PerformOne(std::size_t aHost, dispatch::ProbeTarget& aEffect)
 {
-  Later(2 * kTrip, [this, aHost, probe = aEffect] {
+  const bool silent = mTargets.at(aEffect.mAddress).mSilent;
+  const Micros patience = silent ? kProbePatience : 2 * kTrip;
+  Later(patience, [this, aHost, silent, probe = aEffect] {
     const FakeTarget& target = mTargets.at(probe.mAddress);
     dispatch::ProbeEnd end;
     end.mTarget = probe.mTarget;
-    if (target.mAlive) {
+    if (target.mAlive && !silent) {
       end.mAnswered = true;
       end.mHealthy = true;
       end.mAnsweredBy = target.mId;
       end.mReport = ReportOf(target);
     }
-    end.mRefused = !target.mAlive;
+    end.mRefused = !target.mAlive && !silent;
     Post(aHost, std::move(end));
   });
 }
@@ -492,19 +557,27 @@
 void GatewayWorld::PerformOne(std::size_t aHost,
                               dispatch::DeliverAnswer& aEffect)
 {
-  EndClient(aHost, aEffect.mRequest, 200);
+  EndClient(aHost, aEffect.mRequest, mStatuses.at({ aHost, aEffect.mAttempt }));
 }
 
 void GatewayWorld::PerformOne(std::size_t aHost,
                               dispatch::ReplyToClient& aEffect)
 {
+  const auto client = mClients.find({ aHost, aEffect.mRequest });
+  const bool counted = client != mClients.end() && client->second.mCounted;
+  mTally.mQuarantined += counted && aEffect.mReason == "quarantined" ? 1 : 0;
   EndClient(aHost, aEffect.mRequest, aEffect.mStatus);
 }
 
-void GatewayWorld::PerformOne(std::size_t, gateway::SendPeer& aEffect)
+void GatewayWorld::PerformOne(std::size_t aHost, gateway::SendPeer& aEffect)
 {
+  if (aEffect.mMessage.has_gossip()) {
+    ++mGossipMessages;
+    mGossipBytes += aEffect.mMessage.ByteSizeLong();
+  }
   const auto found = mHostByAddress.find(aEffect.mAddress);
-  if (found == mHostByAddress.end()) {
+  if (found == mHostByAddress.end() || mCutOff.count(aHost) != 0 ||
+      mCutOff.count(found->second) != 0) {
     return;
   }
   Later(kTrip, [this, to = found->second, message = aEffect.mMessage] {
--- a/tests/fakes/gateway_world.h
+++ b/tests/fakes/gateway_world.h
@@ -29,6 +29,8 @@
   Micros mTimeout = 800 * kMillisecond;
   bool mIdempotent = true;
   int mAttempts = 2;
+  /// How often a client comes back that was refused or failed.
+  int mReturns = 1;
   /// From the end of a target to its next start, under another id.
   Micros mRestart = 5 * kSecond;
   /// From the start of a harmful request to the end of its target.
@@ -51,6 +53,8 @@
   int mServed = 0;
   int mRefused = 0;
   int mFailed = 0;
+  /// Answers that refused a request as quarantined.
+  int mQuarantined = 0;
 };
 
 /// \brief The whole deployment.
@@ -69,14 +73,27 @@
   /// \brief Clients ask for paths of their own, at the load's pace.
   void StartClients(Micros aFor);
   /// \brief A client asks for `aPath` each `aGap`, at any host.
-  void AskAgainAndAgain(const std::string& aPath, Micros aGap, Micros aFor);
-  void Ask(const std::string& aPath);
+  void AskAgainAndAgain(const std::string& aPath,
+                        Micros aGap,
+                        Micros aFor,
+                        bool aCounted = false);
 
   /// \brief Each target that begins to run a request for this path ends.
   void MakeHarmful(const std::string& aPath) { mHarmful.insert(aPath); }
   void MakeHarmless(const std::string& aPath) { mHarmful.erase(aPath); }
+  /// \brief The target's process ends; another one starts later.
   void EndTarget(const std::string& aAddress);
-
+  /// \brief The target neither answers nor refuses for a while.
+  void SilenceTarget(const std::string& aAddress, Micros aFor);
+  /// \brief The target's connections break; it lives on.
+  void ResetConnections(const std::string& aAddress);
+  /// \brief The target says that it leaves, serves on for a while, and ends.
+  void ReplaceTarget(const std::string& aAddress);
+  /// Share of their requests that targets answer with an error.
+  double mErrorShare = 0;
+
+  /// Hosts that cannot exchange messages with any other one.
+  std::set<std::size_t> mCutOff;
   void KillHost(std::size_t aHost);
   void StartHost(std::size_t aHost);
   [[nodiscard]] std::size_t LeaderHost() const;
@@ -93,8 +110,11 @@
   std::vector<TargetArrival> mArrivals;
   /// When a target ended under a harmful request, by its path.
   std::map<std::string, std::vector<Micros>> mEnds;
-  /// Of the clients of StartClients().
+  /// Of clients that are counted.
   GatewayTally mTally;
+  /// Facts that hosts told each other, acknowledgements included.
+  std::uint64_t mGossipMessages = 0;
+  std::uint64_t mGossipBytes = 0;
 
 private:
   struct Host
@@ -118,6 +138,9 @@
     std::string mId;
     std::string mDataCentre;
     bool mAlive = false;
+    bool mSilent = false;
+    bool mDraining = false;
+    std::string mRelease = "v1";
     int mStarts = 0;
     int mRunning = 0;
     std::deque<std::uint64_t> mWaiting;
@@ -126,6 +149,7 @@
   {
     std::string mPath;
     bool mCounted = false;
+    int mReturns = 0;
   };
 
   void AddHosts();
@@ -145,7 +169,8 @@
   void PerformOne(std::size_t aHost, gateway::Persist& aEffect);
   void PerformOne(std::size_t, gateway::ExitProcess&) {}
   void EndClient(std::size_t aHost, std::uint64_t aRequest, int aStatus);
-  void SendRequest(const std::string& aPath, bool aCounted);
+  void SendRequest(Client aClient);
+  void BreakJobs(const std::string& aAddress, dispatch::EndKind aKind);
   void ArriveAtTarget(std::uint64_t aJob);
   void StartJob(std::uint64_t aJob);
   void FinishJob(std::uint64_t aJob);
@@ -164,6 +189,8 @@
   std::map<std::uint64_t, Job> mJobs;
   /// Waiting clients, by host and request.
   std::map<std::pair<std::size_t, std::uint64_t>, Client> mClients;
+  /// Status of the answer that a host is told of, by host and attempt.
+  std::map<std::pair<std::size_t, std::uint64_t>, int> mStatuses;
   std::multimap<Micros, std::function<void()>> mQueue;
   std::set<std::string> mHarmful;
   std::uint64_t mLast = 0;
--- a/tests/gossip_test.cpp
+++ b/tests/gossip_test.cpp
@@ -106,6 +106,7 @@
   CPPUNIT_TEST(FactReachesAllHostsThoughHalfOfTheMessagesAreLost);
   CPPUNIT_TEST(NothingIsSentOnceAllHaveIt);
   CPPUNIT_TEST(HostThatStartsAnewIsToldAgain);
+  CPPUNIT_TEST(HostThatStartsAnewIsToldWhatItHadTold);
   CPPUNIT_TEST(LatestObservationCounts);
   CPPUNIT_TEST(OldFactIsForgottenByAllAtAboutTheSameTime);
   CPPUNIT_TEST(OldestGoesFirstWhereThereAreTooMany);
@@ -161,6 +162,18 @@
     CPPUNIT_ASSERT(line.Has(2, "a"));
   }
 
+  void HostThatStartsAnewIsToldWhatItHadTold()
+  {
+    Line line(2);
+    (void)Note(line.mStates[1], line.mNow, Crash("a"));
+    line.Steps(100);
+    line.mStates[1] = State();
+    line.mStates[1].mIncarnation = 999;
+    line.Join();
+    line.Steps(2);
+    CPPUNIT_ASSERT(line.Has(1, "a"));
+  }
+
   void LatestObservationCounts()
   {
     State state;
--- a/tests/harmful_request_test.cpp
+++ b/tests/harmful_request_test.cpp
@@ -12,10 +12,13 @@
 using fakes::GatewayWorld;
 
 constexpr const char* kHarmful = "/harmful";
+constexpr const char* kOften = "/often";
 /// Time in which hosts that can reach each other hear of what happened.
 constexpr Micros kContact = 3 * kSecond;
 constexpr std::size_t kEnds = 3;
 constexpr std::ptrdiff_t kLaterArrivals = 3;
+constexpr Micros kTime = 20 * kSecond;
+constexpr Micros kAgain = 400 * kMillisecond;
 
 // Arrivals later than the time of contact after the third end.
 std::ptrdiff_t LaterArrivals(const GatewayWorld& aWorld)
@@ -33,6 +36,38 @@
                        });
 }
 
+void PlayHarmful(GatewayWorld& aWorld)
+{
+  aWorld.Settle();
+  aWorld.StartClients(kTime);
+  aWorld.MakeHarmful(kHarmful);
+  aWorld.AskAgainAndAgain(kHarmful, kAgain, kTime);
+  aWorld.Advance(kTime + 2 * kSecond);
+  CPPUNIT_ASSERT(aWorld.mEnds[kHarmful].size() >= kEnds);
+}
+
+// One request that all clients ask for, beside others.
+void PlayInnocent(GatewayWorld& aWorld,
+                  const std::function<void(GatewayWorld&)>& aTrouble)
+{
+  aWorld.Settle();
+  aWorld.StartClients(kTime);
+  aWorld.AskAgainAndAgain(kOften, 10 * kMillisecond, kTime, true);
+  for (const Micros at : { 5, 10, 15 }) {
+    aWorld.Later(at * kSecond, [&aWorld, aTrouble] { aTrouble(aWorld); });
+  }
+  aWorld.Advance(kTime + 4 * kSecond);
+}
+
+void ForHalfOfTheTargets(GatewayWorld& aWorld,
+                         const std::function<void(const std::string&)>& aWhat)
+{
+  const std::vector<std::string> all = aWorld.TargetAddresses();
+  for (std::size_t i = 0; i < all.size(); i += 2) {
+    aWhat(all[i]);
+  }
+}
+
 } // namespace
 
 class HarmfulRequestTest : public CppUnit::TestFixture
@@ -40,6 +75,16 @@
   CPPUNIT_TEST_SUITE(HarmfulRequestTest);
   CPPUNIT_TEST(RequestUnderWhichThreeTargetsEndedIsNotPassedOnByAnyHost);
   CPPUNIT_TEST(UnsafeRequestUnderWhichThreeTargetsEndedIsNotPassedOnByAnyHost);
+  CPPUNIT_TEST(RequestIsRefusedThoughTheGroupHasNoLeader);
+  CPPUNIT_TEST(RequestIsRefusedByADataCentreThatIsCutOffAfterItsOwnThree);
+  CPPUNIT_TEST(RequestIsRefusedByAHostThatHasJustStarted);
+  CPPUNIT_TEST(RequestIsRefusedAfterAllControlHostsWereKilled);
+  CPPUNIT_TEST(NoInnocentIsRefusedThoughHalfOfTheTargetsEndAtOnce);
+  CPPUNIT_TEST(NoInnocentIsRefusedThoughHalfOfTheTargetsLosePower);
+  CPPUNIT_TEST(NoInnocentIsRefusedThoughConnectionsAreReset);
+  CPPUNIT_TEST(NoInnocentIsRefusedThoughAReleaseReplacesTargets);
+  CPPUNIT_TEST(NoInnocentIsRefusedThoughTargetsFailHalfOfTheRequests);
+  CPPUNIT_TEST(NoInnocentIsRefusedBesideAHarmfulRequest);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -63,16 +108,151 @@
     CPPUNIT_ASSERT_LESSEQUAL(kLaterArrivals, LaterArrivals(world));
   }
 
+  void RequestIsRefusedThoughTheGroupHasNoLeader()
+  {
+    GatewayWorld world(GatewayLoad(), 5);
+    world.Settle();
+    // Of four control hosts two are left, and cannot agree.
+    world.KillHost(2);
+    world.KillHost(3);
+    world.Advance(4 * kSecond);
+    CPPUNIT_ASSERT_EQUAL(world.Hosts(), world.LeaderHost());
+    AskHarmful(world);
+    CPPUNIT_ASSERT_LESSEQUAL(kLaterArrivals, LaterArrivals(world));
+  }
+
+  // The others and the data centre that is cut off each learn for themselves.
+  void RequestIsRefusedByADataCentreThatIsCutOffAfterItsOwnThree()
+  {
+    GatewayWorld world(GatewayLoad(), 6);
+    world.Settle();
+    for (std::size_t host = 0; host < world.Hosts(); host += 4) {
+      world.mCutOff.insert(host);
+    }
+    AskHarmful(world);
+    world.mCutOff.clear();
+    world.Advance(6 * kSecond);
+    world.mArrivals.clear();
+    AskHarmful(world);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(0), HarmfulArrivals(world));
+  }
+
+  void RequestIsRefusedByAHostThatHasJustStarted()
+  {
+    GatewayWorld world(GatewayLoad(), 7);
+    PlayHarmful(world);
+    world.KillHost(9);
+    world.Advance(4 * kSecond);
+    world.StartHost(9);
+    world.Advance(kContact);
+    for (std::size_t host = 0; host < world.Hosts(); ++host) {
+      if (host != 9) {
+        world.KillHost(host);
+      }
+    }
+    world.mArrivals.clear();
+    AskHarmful(world);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(0), HarmfulArrivals(world));
+  }
+
+  void RequestIsRefusedAfterAllControlHostsWereKilled()
+  {
+    GatewayWorld world(GatewayLoad(), 8);
+    PlayHarmful(world);
+    for (std::size_t host = 0; host < 4; ++host) {
+      world.KillHost(host);
+    }
+    world.Advance(kSecond);
+    for (std::size_t host = 0; host < 4; ++host) {
+      world.StartHost(host);
+    }
+    world.Advance(kContact);
+    world.mArrivals.clear();
+    AskHarmful(world);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(0), HarmfulArrivals(world));
+  }
+
+  void NoInnocentIsRefusedThoughHalfOfTheTargetsEndAtOnce()
+  {
+    AssertNoInnocentIsRefused([](GatewayWorld& aWorld) {
+      ForHalfOfTheTargets(
+        aWorld, [&](const std::string& aOne) { aWorld.EndTarget(aOne); });
+    });
+  }
+
+  void NoInnocentIsRefusedThoughHalfOfTheTargetsLosePower()
+  {
+    AssertNoInnocentIsRefused([](GatewayWorld& aWorld) {
+      ForHalfOfTheTargets(aWorld, [&](const std::string& aOne) {
+        aWorld.SilenceTarget(aOne, 3 * kSecond);
+      });
+    });
+  }
+
+  void NoInnocentIsRefusedThoughConnectionsAreReset()
+  {
+    AssertNoInnocentIsRefused([](GatewayWorld& aWorld) {
+      ForHalfOfTheTargets(aWorld, [&](const std::string& aOne) {
+        aWorld.ResetConnections(aOne);
+      });
+    });
+  }
+
+  void NoInnocentIsRefusedThoughAReleaseReplacesTargets()
+  {
+    AssertNoInnocentIsRefused([](GatewayWorld& aWorld) {
+      Micros at = 0;
+      ForHalfOfTheTargets(aWorld, [&](const std::string& aOne) {
+        at += 300 * kMillisecond;
+        aWorld.Later(at, [&aWorld, aOne] { aWorld.ReplaceTarget(aOne); });
+      });
+    });
+  }
+
+  void NoInnocentIsRefusedThoughTargetsFailHalfOfTheRequests()
+  {
+    AssertNoInnocentIsRefused(
+      [](GatewayWorld& aWorld) { aWorld.mErrorShare = 0.5; });
+  }
+
+  void NoInnocentIsRefusedBesideAHarmfulRequest()
+  {
+    GatewayWorld world(GatewayLoad(), 9);
+    world.MakeHarmful(kHarmful);
+    PlayInnocent(world, [](GatewayWorld& aWorld) {
+      aWorld.AskAgainAndAgain(kHarmful, kAgain, kSecond);
+    });
+    CPPUNIT_ASSERT(world.mEnds[kHarmful].size() >= kEnds);
+    // Each refusal is of the harmful one, whose clients are not counted.
+    CPPUNIT_ASSERT_EQUAL(0, world.mTally.mQuarantined);
+  }
+
 private:
-  static void PlayHarmful(GatewayWorld& aWorld)
+  static void AskHarmful(GatewayWorld& aWorld)
   {
-    constexpr Micros kTime = 20 * kSecond;
-    aWorld.Settle();
-    aWorld.StartClients(kTime);
     aWorld.MakeHarmful(kHarmful);
-    aWorld.AskAgainAndAgain(kHarmful, 400 * kMillisecond, kTime);
+    aWorld.AskAgainAndAgain(kHarmful, kAgain, kTime);
     aWorld.Advance(kTime + 2 * kSecond);
-    CPPUNIT_ASSERT(aWorld.mEnds[kHarmful].size() >= kEnds);
+  }
+
+  static std::size_t HarmfulArrivals(const GatewayWorld& aWorld)
+  {
+    return static_cast<std::size_t>(
+      std::count_if(aWorld.mArrivals.begin(),
+                    aWorld.mArrivals.end(),
+                    [](const fakes::TargetArrival& aArrival) {
+                      return aArrival.mPath == kHarmful;
+                    }));
+  }
+
+  static void AssertNoInnocentIsRefused(
+    const std::function<void(GatewayWorld&)>& aTrouble)
+  {
+    for (const std::uint64_t seed : { 11, 12, 13 }) {
+      GatewayWorld world(GatewayLoad(), seed);
+      PlayInnocent(world, aTrouble);
+      CPPUNIT_ASSERT_EQUAL(0, world.mTally.mQuarantined);
+    }
   }
 };
 
