List quarantined requests with their evidence; let operators release them

An operator could not see which request a fleet refuses, nor end it before its time. `GET /quarantine` and `DELETE /quarantine/IDENTITY` at the addresses for calls, `geraniumpond quarantine list` and `release`; gauges requests_suspected, requests_quarantined and facts, counters of what was dropped. A release is told to all hosts; crashes after it count as before.

A body's digest is made as its bytes come, so that a large one holds up nobody.

--- a/include/geraniumpond/dispatch.h
+++ b/include/geraniumpond/dispatch.h
@@ -457,6 +457,13 @@
                 const gossip::Item& aItem,
                 Effects& aOut);
 
+/// \brief An operator lets a suspected or quarantined request go, at all hosts;
+/// false when it is neither.
+bool ReleaseRequest(State& aState,
+                    Micros aNow,
+                    std::uint64_t aIdentity,
+                    Effects& aOut);
+
 /// \brief The client closed its connection before its answer was complete.
 void ClientLeft(State& aState,
                 Micros aNow,
--- a/include/geraniumpond/gateway.h
+++ b/include/geraniumpond/gateway.h
@@ -88,6 +88,13 @@
   std::uint64_t mOperation = 0;
 };
 
+/// \brief An operator lets a quarantined request go.
+struct ReleaseRequest
+{
+  std::uint64_t mOperation = 0;
+  std::uint64_t mIdentity = 0;
+};
+
 struct StopRequested
 {};
 
@@ -107,6 +114,7 @@
                Withdraw,
                PutPolicy,
                ReadPolicy,
+               ReleaseRequest,
                StopRequested>
     mBody;
 };
--- a/include/geraniumpond/hash.h
+++ b/include/geraniumpond/hash.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <memory>
 #include <string>
 #include <string_view>
 
@@ -10,6 +11,23 @@
 [[nodiscard]] std::uint64_t Hash64(std::string_view aText,
                                    std::uint64_t aSeed = 0) noexcept;
 
+/// \brief The same of a text that comes in pieces.
+class Hasher
+{
+public:
+  Hasher();
+  ~Hasher();
+  Hasher(Hasher&& aOther) noexcept;
+  Hasher& operator=(Hasher&& aOther) noexcept;
+
+  void Add(std::string_view aPiece) noexcept;
+  [[nodiscard]] std::uint64_t Digest() const noexcept;
+
+private:
+  struct Pieces;
+  std::unique_ptr<Pieces> mPieces;
+};
+
 /// \brief Lower-case hexadecimal SHA-256 of a text.
 [[nodiscard]] std::string Sha256Hex(std::string_view aText);
 
--- a/include/geraniumpond/quarantine.h
+++ b/include/geraniumpond/quarantine.h
@@ -49,6 +49,8 @@
   std::vector<Crash> mCrashes;
   /// Last answer of a target; 0 for none.
   Micros mAnsweredAt = 0;
+  /// An operator let it go; crashes up to then do not count.
+  Micros mReleasedAt = 0;
 };
 
 /// \brief When requests were answered lately, in two halves of that time.
@@ -74,6 +76,9 @@
 /// \brief Notes that a target has answered the request.
 void NoteAnswer(State& aState, std::uint64_t aIdentity, Micros aAt);
 
+/// \brief Notes that an operator lets the request go.
+void NoteRelease(State& aState, std::uint64_t aIdentity, Micros aAt);
+
 /// \brief Remembers an answer of this host, in case of a crash.
 void RememberAnswer(State& aState, std::uint64_t aIdentity, Micros aNow);
 /// \brief When this host answered the request last; 0 if not lately.
@@ -86,6 +91,9 @@
                             Micros aNow,
                             const std::set<std::string>& aReleases);
 
+/// \brief What of a record counts against its request now, oldest first.
+[[nodiscard]] std::vector<Crash> Evidence(const Record& aRecord, Micros aNow);
+
 /// \brief Forgets what is old.
 void Expire(State& aState, Micros aNow);
 
--- a/src/cli/commands.h
+++ b/src/cli/commands.h
@@ -59,6 +59,7 @@
 ExitCode RunDiff(const Arguments& aArguments);
 ExitCode RunDrain(const Arguments& aArguments);
 ExitCode RunUndrain(const Arguments& aArguments);
+ExitCode RunQuarantine(const Arguments& aArguments);
 ExitCode RunReport(const Arguments& aArguments);
 ExitCode RunReplay(const Arguments& aArguments);
 
--- a/src/core/hash.cpp
+++ b/src/core/hash.cpp
@@ -12,6 +12,34 @@
   return XXH3_64bits_withSeed(aText.data(), aText.size(), aSeed);
 }
 
+struct Hasher::Pieces
+{
+  std::unique_ptr<XXH3_state_t, decltype(&XXH3_freeState)> mState{
+    XXH3_createState(),
+    XXH3_freeState
+  };
+};
+
+Hasher::Hasher()
+  : mPieces(std::make_unique<Pieces>())
+{
+  XXH3_64bits_reset(mPieces->mState.get());
+}
+
+Hasher::~Hasher() = default;
+Hasher::Hasher(Hasher&& aOther) noexcept = default;
+Hasher& Hasher::operator=(Hasher&& aOther) noexcept = default;
+
+void Hasher::Add(std::string_view aPiece) noexcept
+{
+  XXH3_64bits_update(mPieces->mState.get(), aPiece.data(), aPiece.size());
+}
+
+std::uint64_t Hasher::Digest() const noexcept
+{
+  return XXH3_64bits_digest(mPieces->mState.get());
+}
+
 std::string Sha256Hex(std::string_view aText)
 {
   Poco::SHA2Engine engine(Poco::SHA2Engine::SHA_256);
--- a/src/dispatch/crashes.cpp
+++ b/src/dispatch/crashes.cpp
@@ -20,6 +20,8 @@
 /// The fleet is told that a quarantined request is still asked for.
 constexpr Micros kTriedPace = 60 * kSecond;
 constexpr std::size_t kIdentityDigits = 16;
+/// Value of an answer that an operator vouches for.
+constexpr const char* kReleased = "released";
 
 void LogVerdict(const State& aState,
                 std::uint64_t aIdentity,
@@ -229,6 +231,23 @@
   }
 }
 
+bool ReleaseRequest(State& aState,
+                    Micros aNow,
+                    std::uint64_t aIdentity,
+                    Effects& aOut)
+{
+  if (JudgeAnywhere(aState, aIdentity, aNow) == quarantine::Verdict::Clear) {
+    return false;
+  }
+  quarantine::NoteRelease(aState.mQuarantine, aIdentity, aNow);
+  Log(aOut, 2, "event=request_released identity=" + Hexadecimal(aIdentity));
+  aOut.emplace_back(TellFleet{ { gossip::Kind::RequestAnswered,
+                                 Hexadecimal(aIdentity),
+                                 kReleased,
+                                 aNow } });
+  return true;
+}
+
 void TakeGossip(State& aState,
                 Micros aNow,
                 const gossip::Item& aItem,
@@ -255,7 +274,11 @@
       break;
     }
     case gossip::Kind::RequestAnswered:
-      quarantine::NoteAnswer(aState.mQuarantine, identity, aItem.mSeenAt);
+      if (aItem.mValue == kReleased) {
+        quarantine::NoteRelease(aState.mQuarantine, identity, aItem.mSeenAt);
+      } else {
+        quarantine::NoteAnswer(aState.mQuarantine, identity, aItem.mSeenAt);
+      }
       break;
   }
 }
--- a/src/frontend/dialect.h
+++ b/src/frontend/dialect.h
@@ -53,6 +53,13 @@
 {};
 struct CallMetrics
 {};
+/// \brief Which requests are suspected or quarantined, and why.
+struct CallQuarantine
+{};
+struct CallRelease
+{
+  std::uint64_t mIdentity = 0;
+};
 struct CallInvalid
 {
   int mStatus = 404;
@@ -66,7 +73,9 @@
                           CallReadPolicy,
                           CallResolve,
                           CallReady,
-                          CallMetrics>;
+                          CallMetrics,
+                          CallQuarantine,
+                          CallRelease>;
 
 /// \brief How one deployment's parties speak: names and free functions.
 struct Dialect
--- a/src/frontend/gateway_calls.cpp
+++ b/src/frontend/gateway_calls.cpp
@@ -1,4 +1,5 @@
 #include "gateway_process.h"
+#include "quarantine_calls.h"
 
 #include "edge/logging.h"
 
@@ -35,6 +36,14 @@
     AnswerCall(aExchange,
                MakeResponse(
                  ready ? 200 : 503, "text/plain", ready ? "ready\n" : "not\n"));
+  } else if (std::holds_alternative<CallQuarantine>(call)) {
+    AnswerCall(
+      aExchange,
+      MakeResponse(200,
+                   "application/json",
+                   QuarantineText(mState.mDispatch.mQuarantine, mNow)));
+  } else if (const auto* release = std::get_if<CallRelease>(&call)) {
+    Post(gateway::ReleaseRequest{ aExchange, release->mIdentity });
   } else if (std::holds_alternative<CallMetrics>(call)) {
     AnswerCall(aExchange, MakeResponse(200, "text/plain", MetricsText()));
   } else {
@@ -100,6 +109,8 @@
     gauges["voters_answering"] = health.mAnswering;
     gauges["losses_tolerated"] = health.mTolerated;
   }
+  CountVerdicts(mState.mDispatch.mQuarantine, mNow, gauges);
+  gauges["facts"] = static_cast<double>(fleet.mGossip.mEntries.size());
   gauges["peer_connections"] = static_cast<double>(mPeers->Connections());
   dispatch::Counters counters = mState.mDispatch.mCounters;
   counters["snapshots_sent"] = traffic.mSnapshotsSent;
@@ -109,6 +120,8 @@
   counters["upstreams_lost"] = traffic.mUpstreamsLost;
   counters["upstreams_left"] = traffic.mUpstreamsLeft;
   counters["joins_refused"] = traffic.mJoinsRefused;
+  counters["facts_dropped"] = fleet.mGossip.mDropped;
+  counters["suspicions_dropped"] = mState.mDispatch.mQuarantine.mDropped;
   {
     const std::lock_guard<std::mutex> lock(mInboxMutex);
     gauges["peer_messages_waiting"] = static_cast<double>(mPeerInbox.Waiting());
--- a/src/frontend/http_message.cpp
+++ b/src/frontend/http_message.cpp
@@ -228,11 +228,29 @@
   if (mRequest.mBody.size() > aLimits.mMaxBodyBytes) {
     return Refuse(413, "body too large");
   }
+  HashBody();
   return body;
 }
 
+// As it comes: a large body that is hashed as a whole would hold up others.
+void RequestReader::HashBody()
+{
+  const std::string& body = mRequest.mBody;
+  if (body.size() == mHashed) {
+    return;
+  }
+  if (!mHasher) {
+    mHasher.emplace();
+  }
+  mHasher->Add(std::string_view(body).substr(mHashed));
+  mHashed = body.size();
+}
+
 HttpRequest RequestReader::Take()
 {
+  mRequest.mBodyDigest = mHasher ? mHasher->Digest() : 0;
+  mHasher.reset();
+  mHashed = 0;
   mHaveHead = false;
   mWantsContinue = false;
   return std::move(mRequest);
--- a/src/frontend/http_message.h
+++ b/src/frontend/http_message.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <geraniumpond/hash.h>
 #include <geraniumpond/policy.h>
 
 #include <cstdint>
@@ -33,6 +34,8 @@
   std::string mTarget;
   HeaderFields mFields;
   std::string mBody;
+  /// Of the body.
+  std::uint64_t mBodyDigest = 0;
   bool mKeepAlive = true;
 };
 
@@ -118,9 +121,13 @@
   [[nodiscard]] ReadStatus ReadHead(std::string& aBuffer,
                                     const policy::RequestLimits& aLimits);
   [[nodiscard]] ReadStatus StartBody(const policy::RequestLimits& aLimits);
+  void HashBody();
 
   HttpRequest mRequest;
   BodyReader mBody;
+  /// Of the part of a body that is here; none without one.
+  std::optional<Hasher> mHasher;
+  std::size_t mHashed = 0;
   bool mHaveHead = false;
   bool mWantsContinue = false;
   int mFaultStatus = 400;
--- a/src/frontend/own_dialect.cpp
+++ b/src/frontend/own_dialect.cpp
@@ -1,5 +1,7 @@
 #include "own_dialect.h"
 
+#include "quarantine_calls.h"
+
 #include <geraniumpond/policy_file.h>
 
 #include <Poco/JSON/Object.h>
@@ -94,6 +96,9 @@
   if (path == "/metrics") {
     return CallMetrics{};
   }
+  if (std::optional<Call> call = ReadQuarantineCall(aRequest.mMethod, path)) {
+    return *call;
+  }
   return CallInvalid{ 404, "no such call" };
 }
 
--- a/src/frontend/request_digest.cpp
+++ b/src/frontend/request_digest.cpp
@@ -13,7 +13,7 @@
     // A field that is missing is told apart from one that is empty.
     digest = Hash64(value == nullptr ? "" : "=" + *value, digest);
   }
-  return Hash64(aRequest.mBody, digest);
+  return Hash64(std::to_string(aRequest.mBodyDigest), digest);
 }
 
 } // namespace geraniumpond::frontend
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -279,6 +279,17 @@
   {
     TakeReadPolicy(mContext, aEvent);
   }
+  void operator()(const ReleaseRequest& aEvent)
+  {
+    AnswerOperation answer{ aEvent.mOperation, OperationEnd::Done, "", "" };
+    Dispatch(mContext, [&](dispatch::Effects& aOut) {
+      const bool released = dispatch::ReleaseRequest(
+        mContext.mState.mDispatch, mContext.mNow, aEvent.mIdentity, aOut);
+      answer.mEnd = released ? OperationEnd::Done : OperationEnd::Invalid;
+      answer.mReason = released ? "" : "no such request is suspected";
+    });
+    mContext.mOut.emplace_back(std::move(answer));
+  }
   void operator()(const StopRequested&) { TakeStop(mContext); }
 };
 
--- a/src/quarantine/quarantine.cpp
+++ b/src/quarantine/quarantine.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <array>
+#include <iterator>
 
 namespace geraniumpond::quarantine {
 
@@ -24,10 +25,12 @@
   "quarantined",
 };
 
-bool Counts(const Record& aRecord, const Crash& aCrash)
+bool Counts(const Record& aRecord, const Crash& aCrash, Micros aNow)
 {
-  return aRecord.mAnsweredAt == 0 ||
-         aCrash.mAt > aRecord.mAnsweredAt + kAnswerCounts;
+  const bool answered = aRecord.mAnsweredAt != 0 &&
+                        aCrash.mAt <= aRecord.mAnsweredAt + kAnswerCounts;
+  return !answered && aCrash.mAt > aRecord.mReleasedAt &&
+         aNow - aCrash.mAt <= kLifetime;
 }
 
 // What is known least against goes first, of such the oldest: many that each
@@ -63,11 +66,12 @@
 
 bool IsOld(const Record& aRecord, Micros aNow)
 {
+  const Micros heardAt = std::max(aRecord.mAnsweredAt, aRecord.mReleasedAt);
   const bool crashed = std::any_of(
     aRecord.mCrashes.begin(), aRecord.mCrashes.end(), [&](const Crash& aCrash) {
       return aNow - aCrash.mAt <= kLifetime;
     });
-  return !crashed && aNow - aRecord.mAnsweredAt > kLifetime;
+  return !crashed && aNow - heardAt > kLifetime;
 }
 
 } // namespace
@@ -100,6 +104,12 @@
   record.mAnsweredAt = std::max(record.mAnsweredAt, aAt);
 }
 
+void NoteRelease(State& aState, std::uint64_t aIdentity, Micros aAt)
+{
+  Record& record = RecordOf(aState, aIdentity);
+  record.mReleasedAt = std::max(record.mReleasedAt, aAt);
+}
+
 void RememberAnswer(State& aState, std::uint64_t aIdentity, Micros aNow)
 {
   RecentAnswers& answers = aState.mAnswers;
@@ -122,6 +132,17 @@
   return last;
 }
 
+std::vector<Crash> Evidence(const Record& aRecord, Micros aNow)
+{
+  std::vector<Crash> evidence;
+  std::copy_if(
+    aRecord.mCrashes.begin(),
+    aRecord.mCrashes.end(),
+    std::back_inserter(evidence),
+    [&](const Crash& aCrash) { return Counts(aRecord, aCrash, aNow); });
+  return evidence;
+}
+
 Verdict Judge(const State& aState,
               std::uint64_t aIdentity,
               Micros aNow,
@@ -133,10 +154,7 @@
   }
   int current = 0;
   int gone = 0;
-  for (const Crash& crash : found->second.mCrashes) {
-    if (aNow - crash.mAt > kLifetime || !Counts(found->second, crash)) {
-      continue;
-    }
+  for (const Crash& crash : Evidence(found->second, aNow)) {
     const bool runs =
       crash.mRelease.empty() || aReleases.count(crash.mRelease) != 0;
     ++(runs ? current : gone);
--- a/tests/fakes/gateway_world.cpp
+++ b/tests/fakes/gateway_world.cpp
@@ -113,6 +113,15 @@
   Perform(aHost, std::move(effects));
 }
 
+void GatewayWorld::ReleaseRequest(std::size_t aHost, const std::string& aPath)
+{
+  dispatch::Arrival arrival;
+  arrival.mHostName = "host";
+  arrival.mPath = aPath;
+  Post(aHost,
+       gateway::ReleaseRequest{ ++mLast, dispatch::IdentityOf(arrival) });
+}
+
 // Clients of a host that was killed have no answer.
 void GatewayWorld::KillHost(std::size_t aHost)
 {
--- a/tests/fakes/gateway_world.h
+++ b/tests/fakes/gateway_world.h
@@ -80,6 +80,8 @@
 
   /// \brief Each target that begins to run a request for this path ends.
   void MakeHarmful(const std::string& aPath) { mHarmful.insert(aPath); }
+  /// \brief An operator lets the request for this path go, at one host.
+  void ReleaseRequest(std::size_t aHost, const std::string& aPath);
   void MakeHarmless(const std::string& aPath) { mHarmful.erase(aPath); }
   /// \brief The target's process ends; another one starts later.
   void EndTarget(const std::string& aAddress);
--- a/tests/harmful_request_test.cpp
+++ b/tests/harmful_request_test.cpp
@@ -79,6 +79,8 @@
   CPPUNIT_TEST(RequestIsRefusedByADataCentreThatIsCutOffAfterItsOwnThree);
   CPPUNIT_TEST(RequestIsRefusedByAHostThatHasJustStarted);
   CPPUNIT_TEST(RequestIsRefusedAfterAllControlHostsWereKilled);
+  CPPUNIT_TEST(RequestThatAnOperatorReleasesIsServedByAllHosts);
+  CPPUNIT_TEST(RequestThatIsReleasedAndStillHarmfulIsRefusedAgain);
   CPPUNIT_TEST(NoInnocentIsRefusedThoughHalfOfTheTargetsEndAtOnce);
   CPPUNIT_TEST(NoInnocentIsRefusedThoughHalfOfTheTargetsLosePower);
   CPPUNIT_TEST(NoInnocentIsRefusedThoughConnectionsAreReset);
@@ -172,6 +174,30 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t(0), HarmfulArrivals(world));
   }
 
+  void RequestThatAnOperatorReleasesIsServedByAllHosts()
+  {
+    GatewayWorld world(GatewayLoad(), 14);
+    PlayHarmful(world);
+    world.MakeHarmless(kHarmful);
+    world.ReleaseRequest(5, kHarmful);
+    world.Advance(kSecond);
+    world.mTally = {};
+    world.AskAgainAndAgain(kHarmful, 100 * kMillisecond, 5 * kSecond, true);
+    world.Advance(6 * kSecond);
+    CPPUNIT_ASSERT_EQUAL(50, world.mTally.mServed);
+  }
+
+  void RequestThatIsReleasedAndStillHarmfulIsRefusedAgain()
+  {
+    GatewayWorld world(GatewayLoad(), 15);
+    PlayHarmful(world);
+    world.ReleaseRequest(5, kHarmful);
+    world.Advance(kSecond);
+    world.mEnds.clear();
+    AskHarmful(world);
+    CPPUNIT_ASSERT_EQUAL(kEnds, world.mEnds[kHarmful].size());
+  }
+
   void NoInnocentIsRefusedThoughHalfOfTheTargetsEndAtOnce()
   {
     AssertNoInnocentIsRefused([](GatewayWorld& aWorld) {
--- a/tests/http_test.cpp
+++ b/tests/http_test.cpp
@@ -1,6 +1,8 @@
 #include "frontend/http_message.h"
 #include "frontend/target_pool.h"
 
+#include <geraniumpond/hash.h>
+
 #include <cppunit/extensions/HelperMacros.h>
 
 namespace geraniumpond::frontend {
@@ -40,6 +42,7 @@
         const HttpRequest request = reader.Take();
         CPPUNIT_ASSERT_EQUAL(std::string("/a/b?c=d"), request.mTarget);
         CPPUNIT_ASSERT_EQUAL(std::string("hello"), request.mBody);
+        CPPUNIT_ASSERT_EQUAL(Hash64("hello"), request.mBodyDigest);
         CPPUNIT_ASSERT(buffer.empty());
       }
     }
--- a/tests/quarantine_test.cpp
+++ b/tests/quarantine_test.cpp
@@ -35,6 +35,7 @@
   CPPUNIT_TEST(RequestIsSuspectedFromTheFirstAndRefusedFromTheThirdTarget);
   CPPUNIT_TEST(SameTargetCountsOnce);
   CPPUNIT_TEST(AnsweredRequestIsCleared);
+  CPPUNIT_TEST(ReleasedRequestIsJudgedByWhatComesAfter);
   CPPUNIT_TEST(CrashesBesideARecentAnswerDoNotCount);
   CPPUNIT_TEST(RequestThatTurnsHarmfulIsFoundAfterItsLastAnswer);
   CPPUNIT_TEST(RequestIsTriedAgainOnceItsReleaseIsGone);
@@ -73,6 +74,17 @@
     CPPUNIT_ASSERT(JudgeAt(state, kStart + kSecond) == Verdict::Clear);
   }
 
+  void ReleasedRequestIsJudgedByWhatComesAfter()
+  {
+    State state;
+    Meet(state, kRequest, 3);
+    NoteRelease(state, kRequest, kStart + kSecond);
+    const Micros later = kStart + 2 * kSecond;
+    CPPUNIT_ASSERT(JudgeAt(state, later) == Verdict::Clear);
+    NoteCrash(state, kRequest, At("t9", later));
+    CPPUNIT_ASSERT(JudgeAt(state, later) == Verdict::Suspected);
+  }
+
   void CrashesBesideARecentAnswerDoNotCount()
   {
     State state;
