Spend no floor of extra attempts before the number of hosts is known

Cause: extra arrivals are bounded by a share of the requests and a fixed number that hosts divide. A host that has just started knows itself alone, and took the whole fixed number for itself; after a loss of all hosts each did.

Change: until three seconds after its start a host spends by its requests alone.

Also: tests count extra arrivals; the state is passed in place of three of its parts.

--- a/include/geraniumpond/dispatch.h
+++ b/include/geraniumpond/dispatch.h
@@ -407,6 +407,8 @@
   Bounds mBounds;
   std::uint64_t mRandom = 1;
   int mHosts = 1;
+  /// False while the number of hosts may be that of those heard of so far.
+  bool mKnowsHosts = true;
   std::shared_ptr<const policy::TrafficPolicy> mPolicy;
   std::unordered_map<std::string, Target> mTargets;
   std::map<std::string, Service> mServices;
--- a/include/geraniumpond/gateway.h
+++ b/include/geraniumpond/gateway.h
@@ -206,6 +206,7 @@
   dispatch::State mDispatch;
   std::map<std::uint64_t, Operation> mOperations;
   std::vector<WaitingRead> mReads;
+  Micros mStartedAt = 0;
   Micros mHostsCountedAt = 0;
   Micros mMostHostsAt = 0;
   /// Draws the hosts of an answer where there are more than places.
--- a/src/dispatch/choosing.cpp
+++ b/src/dispatch/choosing.cpp
@@ -383,8 +383,7 @@
            aOut);
     return;
   }
-  if (extra &&
-      !TakeExtra(service.mExtra, aState.mBounds, aState.mHosts, aNow)) {
+  if (extra && !TakeExtra(aState, service.mExtra, aNow)) {
     ++aState.mCounters["extra_over_budget"];
     if (aRequest.mHedging) {
       StopHedging(aState, aNow, aRequest);
--- a/src/dispatch/extra.cpp
+++ b/src/dispatch/extra.cpp
@@ -34,20 +34,19 @@
   ++Current(aWindow, aBounds.mExtraWindow, aNow).mRequests;
 }
 
-bool TakeExtra(ExtraWindow& aWindow,
-               const Bounds& aBounds,
-               int aHosts,
-               Micros aNow)
+bool TakeExtra(const State& aState, ExtraWindow& aWindow, Micros aNow)
 {
-  ExtraWindow::Slice& current = Current(aWindow, aBounds.mExtraWindow, aNow);
+  const Bounds& bounds = aState.mBounds;
+  ExtraWindow::Slice& current = Current(aWindow, bounds.mExtraWindow, aNow);
   int requests = 0;
   int extra = 0;
   for (const ExtraWindow::Slice& slice : aWindow.mSlices) {
     requests += slice.mRequests;
     extra += slice.mExtra;
   }
-  const double allowed = kSpent * (aBounds.mExtraRatio * requests +
-                                   aBounds.mExtraFloor / std::max(1, aHosts));
+  const double floor =
+    aState.mKnowsHosts ? bounds.mExtraFloor / std::max(1, aState.mHosts) : 0;
+  const double allowed = kSpent * (bounds.mExtraRatio * requests + floor);
   if (extra + 1 > allowed) {
     return false;
   }
--- a/src/dispatch/internal.h
+++ b/src/dispatch/internal.h
@@ -71,9 +71,8 @@
 // --- extra.cpp: the budget of arrivals beyond the first
 void CountRequest(ExtraWindow& aWindow, const Bounds& aBounds, Micros aNow);
 /// \brief Takes one extra arrival out of this host's share, if there is one.
-[[nodiscard]] bool TakeExtra(ExtraWindow& aWindow,
-                             const Bounds& aBounds,
-                             int aHosts,
+[[nodiscard]] bool TakeExtra(const State& aState,
+                             ExtraWindow& aWindow,
                              Micros aNow);
 
 // --- asking.cpp: reports of load at the moment of choice
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -8,6 +8,9 @@
 
 /// The number of hosts is taken over at this pace.
 constexpr Micros kCountInterval = 500 * kMillisecond;
+/// Hosts that start together have all been heard of by then: they report at a
+/// pace of 0.4 s, and a list goes over a few relays.
+constexpr Micros kLearnHosts = 3 * kSecond;
 /// Part of the stop's time that is left unused, for the process's own end.
 constexpr Micros kStopReserve = 800 * kMillisecond;
 /// The same while answers are still being sent: what is left then is lost.
@@ -189,6 +192,7 @@
     return;
   }
   state.mHostsCountedAt = aContext.mNow;
+  state.mDispatch.mKnowsHosts = aContext.mNow >= state.mStartedAt + kLearnHosts;
   const int hosts = fleet::LiveHosts(state.mFleet, aContext.mNow);
   const Micros window = state.mSettings.mBounds.mExtraWindow;
   if (hosts >= state.mDispatch.mHosts) {
@@ -308,6 +312,8 @@
   state.mDispatch.mBounds = aSettings.mBounds;
   state.mDispatch.mBounds.mLinkBytesPerSecond = aSettings.mLinkBytesPerSecond;
   state.mDispatch.mRandom = aRandom | 1;
+  state.mDispatch.mKnowsHosts = false;
+  state.mStartedAt = aNow;
   state.mDispatch.mPolicyExpectedUntil = aNow + kPolicyExpected;
   state.mShuffle.seed(aRandom);
   fleet::Output output;
--- a/tests/fakes/gateway_world.cpp
+++ b/tests/fakes/gateway_world.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <sstream>
+#include <utility>
 
 namespace geraniumpond::fakes {
 
@@ -359,7 +360,8 @@
   mArrivals.push_back({ mNow,
                         mHosts[job.mHost].mSettings.mFleet.mPeerAddress,
                         target.mId,
-                        job.mPath });
+                        job.mPath,
+                        job.mExtra });
   end.mKind = dispatch::EndKind::Answered;
   end.mNotRun = true;
   if (job.mSend.mTargetName != target.mId) {
@@ -501,6 +503,7 @@
   const bool again = aStatus == 503 || (aStatus >= 500 && mLoad.mIdempotent);
   if (again && client.mReturns > 0) {
     --client.mReturns;
+    client.mSent = false;
     Later(kReturnPause, [this, client] { SendRequest(client); });
   } else if (aStatus == 200) {
     ++mTally.mServed;
@@ -536,7 +539,10 @@
   Job job;
   job.mHost = aHost;
   job.mSend = aEffect;
-  job.mPath = client == mClients.end() ? "" : client->second.mPath;
+  if (client != mClients.end()) {
+    job.mPath = client->second.mPath;
+    job.mExtra = std::exchange(client->second.mSent, true);
+  }
   job.mTarget = aEffect.mAddress;
   const std::uint64_t id = ++mLast;
   mJobs[id] = std::move(job);
--- a/tests/fakes/gateway_world.h
+++ b/tests/fakes/gateway_world.h
@@ -44,6 +44,8 @@
   std::string mHost;
   std::string mTarget;
   std::string mPath;
+  /// Not the first arrival of its request.
+  bool mExtra = false;
 };
 
 /// \brief What clients got.
@@ -133,6 +135,7 @@
     dispatch::SendRequest mSend;
     std::string mPath;
     std::string mTarget;
+    bool mExtra = false;
     bool mRunning = false;
   };
   struct FakeTarget
@@ -152,6 +155,7 @@
     std::string mPath;
     bool mCounted = false;
     int mReturns = 0;
+    bool mSent = false;
   };
 
   void AddHosts();
