Ask again whether a target has ended where its probe was sent before

Cause, found by reading: a probe that was sent before an answer broke, and was answered before its target ended, left the broken answer unexplained: the end of that target counted against nobody.

Change: whatever answer a probe gets, answers that broke after it was sent are asked about once more. Such probes are charged to the budget of probes.

--- a/src/dispatch/crashes.cpp
+++ b/src/dispatch/crashes.cpp
@@ -108,6 +108,13 @@
   }
 }
 
+// Whether a target has ended is worth a probe beyond the budget; it is charged.
+void AskNow(State& aState, Micros aNow, Target& aTarget, Effects& aOut)
+{
+  (void)budget::Take(aState.mProbeBudget, aNow, 1);
+  Probe(aState, aNow, aTarget, aOut);
+}
+
 std::uint64_t ReadIdentity(const std::string& aText)
 {
   return std::strtoull(aText.substr(0, kIdentityDigits).c_str(), nullptr, 16);
@@ -141,7 +148,7 @@
     target.mOpenEnds.push_back({ aRequest.mIdentity, aNow });
   }
   if (!target.mProbing) {
-    Probe(aState, aNow, target, aOut);
+    AskNow(aState, aNow, target, aOut);
   }
 }
 
@@ -163,26 +170,25 @@
   }
 }
 
-bool NoteTargetSilent(State& aState,
+bool AskAboutOpenEnds(State& aState,
                       Micros aNow,
                       Target& aTarget,
                       Effects& aOut)
 {
-  // A probe that was under way broke together with what else was there.
-  const bool asked =
+  const bool open =
     std::any_of(aTarget.mOpenEnds.begin(),
                 aTarget.mOpenEnds.end(),
                 [&](const OpenEnd& aEnd) {
-                  return aEnd.mBrokenAt >= aTarget.mProbeSentAt &&
+                  return aEnd.mBrokenAt > aTarget.mProbeSentAt &&
                          aNow - aEnd.mBrokenAt <= kOpenEndTime;
                 });
-  if (asked) {
-    Probe(aState, aNow, aTarget, aOut);
+  if (open) {
+    AskNow(aState, aNow, aTarget, aOut);
   }
-  return asked;
+  return open;
 }
 
-void NoteTargetLives(Target& aTarget)
+void NoteTargetLives(State& aState, Micros aNow, Target& aTarget, Effects& aOut)
 {
   aTarget.mEnded = false;
   auto& ends = aTarget.mOpenEnds;
@@ -192,6 +198,7 @@
                               return aEnd.mBrokenAt <= aTarget.mProbeSentAt;
                             }),
              ends.end());
+  (void)AskAboutOpenEnds(aState, aNow, aTarget, aOut);
 }
 
 void NoteAnswered(State& aState,
--- a/src/dispatch/internal.h
+++ b/src/dispatch/internal.h
@@ -120,13 +120,17 @@
                      Micros aNow,
                      Target& aTarget,
                      Effects& aOut);
-/// \brief A probe was not answered; true where it is repeated at once.
-bool NoteTargetSilent(State& aState,
+/// \brief The target has answered a probe.
+void NoteTargetLives(State& aState,
+                     Micros aNow,
+                     Target& aTarget,
+                     Effects& aOut);
+/// \brief Asks again where answers broke after the last probe was sent; true
+/// when it does.
+bool AskAboutOpenEnds(State& aState,
                       Micros aNow,
                       Target& aTarget,
                       Effects& aOut);
-/// \brief The target has answered a probe.
-void NoteTargetLives(Target& aTarget);
 /// \brief A target has answered a request.
 void NoteAnswered(State& aState,
                   Micros aNow,
--- a/src/dispatch/targets.cpp
+++ b/src/dispatch/targets.cpp
@@ -291,17 +291,15 @@
     NoteTargetEnded(aState, aNow, target, aOut);
     Suspect(aState, aNow, target, "probe_refused", aOut);
   } else if (!aEnd.mAnswered) {
-    if (!NoteTargetSilent(aState, aNow, target, aOut)) {
+    if (!AskAboutOpenEnds(aState, aNow, target, aOut)) {
       Suspect(aState, aNow, target, "probe_unanswered", aOut);
     }
   } else if (other) {
     NoteTargetEnded(aState, aNow, target, aOut);
     Suspect(aState, aNow, target, "address_taken", aOut);
   } else if (!aEnd.mHealthy) {
-    NoteTargetLives(target);
     Suspect(aState, aNow, target, "says_ill", aOut);
   } else {
-    NoteTargetLives(target);
     target.mProbeTime += (aNow - target.mProbeSentAt - target.mProbeTime) / 4;
     Revive(target, aOut);
     if (aEnd.mReport) {
@@ -313,6 +311,9 @@
       aState.mServices[service].mTellsLoad = false;
     }
   }
+  if (aEnd.mAnswered && !other) {
+    NoteTargetLives(aState, aNow, target, aOut);
+  }
   Pump(aState, aNow, service, aOut);
 }
 
--- /dev/null
+++ b/tests/crashes_test.cpp
@@ -0,0 +1,210 @@
+#include <geraniumpond/dispatch.h>
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <optional>
+
+namespace geraniumpond::dispatch {
+
+namespace {
+
+constexpr Micros kStart = 1000 * kSecond;
+constexpr Micros kTrip = 3 * kMillisecond;
+
+std::shared_ptr<const policy::TrafficPolicy> MakePolicy()
+{
+  auto made = std::make_shared<policy::TrafficPolicy>();
+  made->mVersion = 1;
+  policy::Route route;
+  route.mName = "route";
+  route.mHostName = "host";
+  route.mPathPrefix = "/";
+  route.mKind = policy::RouteKind::Unsafe;
+  route.mTimeout = kSecond;
+  route.mObjective = kSecond;
+  route.mAttempts = 1;
+  route.mPriority = 1;
+  route.mBackends = { { "service", 1 } };
+  made->mRoutes = { route };
+  made->mServices["service"] = { "service", "/health", 100 };
+  policy::BuildIndex(*made);
+  return made;
+}
+
+template<class Kind>
+std::vector<Kind> All(const Effects& aEffects)
+{
+  std::vector<Kind> found;
+  for (const Effect& effect : aEffects) {
+    if (const auto* one = std::get_if<Kind>(&effect)) {
+      found.push_back(*one);
+    }
+  }
+  return found;
+}
+
+} // namespace
+
+class CrashesTest : public CppUnit::TestFixture
+{
+  CPPUNIT_TEST_SUITE(CrashesTest);
+  CPPUNIT_TEST(BrokenAnswerOfATargetThatAnswersIsNoCrash);
+  CPPUNIT_TEST(BrokenAnswerOfATargetThatRefusesIsACrash);
+  CPPUNIT_TEST(BrokenAnswerWhoseAddressIsTakenIsACrash);
+  CPPUNIT_TEST(BrokenAnswerOfASilentTargetIsNoCrash);
+  CPPUNIT_TEST(BrokenAnswerOfATargetThatLeftIsNoCrash);
+  CPPUNIT_TEST(ProbeThatBrokeWithTheAnswerIsSentAgain);
+  CPPUNIT_TEST(AllRequestsOfATargetThatEndedAreTold);
+  CPPUNIT_TEST_SUITE_END();
+
+public:
+  void setUp() override
+  {
+    mNow = kStart;
+    mState = State();
+    mState.mRandom = 7;
+    SetPolicy(mState, mNow, MakePolicy());
+    wire::TargetRecord record;
+    record.set_id("t");
+    record.set_service("service");
+    record.set_address("10.0.0.1:80");
+    record.set_slots(4);
+    record.set_sequence(1);
+    Effects effects;
+    SetTargets(mState, mNow, { { "t", record } }, effects);
+  }
+
+  void BrokenAnswerOfATargetThatAnswersIsNoCrash()
+  {
+    Break(Send("/a"));
+    const Effects effects = EndProbe(Answer::Healthy);
+    CPPUNIT_ASSERT(All<TellFleet>(effects).empty());
+    // Nor does its end say anything of it later.
+    CPPUNIT_ASSERT(All<TellFleet>(EndProbe(Answer::Refused)).empty());
+  }
+
+  void BrokenAnswerOfATargetThatRefusesIsACrash()
+  {
+    const Effects broken = Break(Send("/a"));
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), All<ProbeTarget>(broken).size());
+    const auto told = All<TellFleet>(EndProbe(Answer::Refused));
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), told.size());
+    CPPUNIT_ASSERT(told[0].mItem.mKind == gossip::Kind::RequestCrash);
+  }
+
+  void BrokenAnswerWhoseAddressIsTakenIsACrash()
+  {
+    Break(Send("/a"));
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1),
+                         All<TellFleet>(EndProbe(Answer::Other)).size());
+  }
+
+  void BrokenAnswerOfASilentTargetIsNoCrash()
+  {
+    Break(Send("/a"));
+    CPPUNIT_ASSERT(All<TellFleet>(EndProbe(Answer::None)).empty());
+    mNow += 4 * kSecond;
+    CPPUNIT_ASSERT(All<TellFleet>(EndProbe(Answer::Refused)).empty());
+  }
+
+  void BrokenAnswerOfATargetThatLeftIsNoCrash()
+  {
+    const SendRequest sent = Send("/a");
+    Effects effects;
+    SetTargets(mState, mNow, {}, effects);
+    CPPUNIT_ASSERT(All<TellFleet>(Break(sent)).empty());
+    CPPUNIT_ASSERT(All<TellFleet>(EndProbe(Answer::Refused)).empty());
+  }
+
+  void ProbeThatBrokeWithTheAnswerIsSentAgain()
+  {
+    const SendRequest sent = Send("/a");
+    (void)Ask("/b");
+    CPPUNIT_ASSERT(mState.mTargets.at("t").mProbing);
+    CPPUNIT_ASSERT(All<ProbeTarget>(Break(sent)).empty());
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1),
+                         All<ProbeTarget>(EndProbe(Answer::None)).size());
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1),
+                         All<TellFleet>(EndProbe(Answer::Refused)).size());
+  }
+
+  void AllRequestsOfATargetThatEndedAreTold()
+  {
+    const SendRequest first = Send("/a");
+    const SendRequest second = Send("/b");
+    const SendRequest third = Send("/c");
+    Break(first);
+    Break(second);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(2),
+                         All<TellFleet>(EndProbe(Answer::Refused)).size());
+    // Its end is seen on another connection a moment later.
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), All<TellFleet>(Break(third)).size());
+  }
+
+private:
+  enum class Answer
+  {
+    None,
+    Refused,
+    Other,
+    Healthy
+  };
+
+  Effects Ask(const std::string& aPath)
+  {
+    // Reports grow old between requests, so that each asks anew.
+    mNow += 100 * kMillisecond;
+    Arrival arrival;
+    arrival.mId = ++mLast;
+    arrival.mHostName = "host";
+    arrival.mPath = aPath;
+    arrival.mPatience = kSecond;
+    Effects effects;
+    Arrive(mState, mNow, arrival, effects);
+    return effects;
+  }
+
+  SendRequest Send(const std::string& aPath)
+  {
+    (void)Ask(aPath);
+    const auto sends = All<SendRequest>(EndProbe(Answer::Healthy));
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), sends.size());
+    return sends[0];
+  }
+
+  Effects Break(const SendRequest& aSent)
+  {
+    mNow += kTrip;
+    AttemptEnd end;
+    end.mRequest = aSent.mRequest;
+    end.mAttempt = aSent.mAttempt;
+    end.mKind = EndKind::Broken;
+    end.mReason = "reset";
+    Effects effects;
+    TakeEnd(mState, mNow, end, effects);
+    return effects;
+  }
+
+  Effects EndProbe(Answer aAnswer)
+  {
+    mNow += kTrip;
+    ProbeEnd end;
+    end.mTarget = "t";
+    end.mAnswered = aAnswer == Answer::Healthy || aAnswer == Answer::Other;
+    end.mHealthy = end.mAnswered;
+    end.mRefused = aAnswer == Answer::Refused;
+    end.mAnsweredBy = aAnswer == Answer::Other ? "u" : "t";
+    end.mReport = Report{ 0, 0, 4, 1 };
+    Effects effects;
+    TakeProbe(mState, mNow, end, effects);
+    return effects;
+  }
+
+  Micros mNow = kStart;
+  State mState;
+  std::uint64_t mLast = 0;
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(CrashesTest);
+
+} // namespace geraniumpond::dispatch
