Read the processor's clock while the process is late, not for each message

Change: histograms are found once; processor time by kind of work is measured from the first wait of 50 ms until waits are short again, which is when lines show it. Items are counted always.

--- a/src/frontend/gateway_process.cpp
+++ b/src/frontend/gateway_process.cpp
@@ -392,6 +392,7 @@
   }
   TickConnections();
   mLoad.NoteWork(Work::Time, 1);
+  mLoad.EndRound();
   if (const std::optional<std::string> line = mLoad.TakeLine(mNow)) {
     edge::WriteLog(2, *line);
   }
--- a/src/frontend/load_watch.cpp
+++ b/src/frontend/load_watch.cpp
@@ -13,6 +13,8 @@
 /// Waits that are worth a line: a heartbeat of the control group is late then.
 constexpr Micros kLate = 150 * kMillisecond;
 constexpr Micros kLinePause = 500 * kMillisecond;
+/// From a wait of this length on, processor time is told apart by kind of work.
+constexpr Micros kTimedFrom = 50 * kMillisecond;
 
 constexpr std::array<const char*, 4> kWaitNames = {
   "loop",
@@ -44,25 +46,42 @@
 }
 
 LoadWatch::LoadWatch(Metrics& aMetrics)
-  : mMetrics(aMetrics)
-  , mProcessorTime(ThreadTime())
+  : mProcessorTime(ThreadTime())
 {
+  for (std::size_t i = 0; i < kWaits; ++i) {
+    mSeries[i] = &aMetrics.Find("wait", kWaitNames[i]);
+  }
 }
 
 void LoadWatch::NoteWait(Wait aWait, Micros aTime)
 {
-  mMetrics.Observe("wait", ToString(aWait), aTime);
+  Metrics::Observe(*mSeries[static_cast<std::size_t>(aWait)], aTime);
+  mLongestOfRound = std::max(mLongestOfRound, aTime);
   Micros& longest = mLongest[static_cast<std::size_t>(aWait)];
   longest = std::max(longest, aTime);
 }
 
 void LoadWatch::NoteWork(Work aWork, std::uint64_t aItems)
 {
-  const Micros now = ThreadTime();
   Done& done = mDone[static_cast<std::size_t>(aWork)];
   done.mItems += aItems;
-  done.mTime += now - mProcessorTime;
-  mProcessorTime = now;
+  if (mTimesWork) {
+    const Micros now = ThreadTime();
+    done.mTime += now - mProcessorTime;
+    mProcessorTime = now;
+  }
+}
+
+// To read the processor's clock is a system call, which many small messages
+// would pay for each; so it is read while the process is late.
+void LoadWatch::EndRound()
+{
+  const bool late = mLongestOfRound >= kTimedFrom;
+  if (late && !mTimesWork) {
+    mProcessorTime = ThreadTime();
+  }
+  mTimesWork = late;
+  mLongestOfRound = 0;
 }
 
 std::optional<std::string> LoadWatch::TakeLine(Micros aNow)
--- a/src/frontend/load_watch.h
+++ b/src/frontend/load_watch.h
@@ -54,6 +54,9 @@
   /// \brief What the thread did since the last call was of this kind.
   void NoteWork(Work aWork, std::uint64_t aItems);
 
+  /// \brief A round of the loop is over.
+  void EndRound();
+
   /// \brief A line for the log where something waited for too long since the
   /// last one; a bounded number of them.
   [[nodiscard]] std::optional<std::string> TakeLine(Micros aNow);
@@ -62,20 +65,25 @@
   void Count(dispatch::Counters& aCounters) const;
 
 private:
-  static constexpr std::size_t kWaits = 4;
-  static constexpr std::size_t kWorks = 7;
+  static constexpr std::size_t kWaits =
+    static_cast<std::size_t>(Wait::Disk) + 1;
+  static constexpr std::size_t kWorks =
+    static_cast<std::size_t>(Work::Time) + 1;
   struct Done
   {
     std::uint64_t mItems = 0;
     Micros mTime = 0;
   };
 
-  Metrics& mMetrics;
+  std::array<Metrics::Series*, kWaits> mSeries{};
   std::array<Micros, kWaits> mLongest{};
+  /// Processor time is told apart by kind of work.
+  bool mTimesWork = false;
   std::array<Done, kWorks> mDone{};
   /// The same at the last line.
   std::array<Done, kWorks> mDoneBefore{};
   Micros mProcessorTime = 0;
+  Micros mLongestOfRound = 0;
   Micros mLineAt = 0;
 };
 
--- a/src/frontend/metrics.cpp
+++ b/src/frontend/metrics.cpp
@@ -14,9 +14,8 @@
 
 } // namespace
 
-void Metrics::Observe(const std::string& aName,
-                      const std::string& aLabel,
-                      Micros aDuration)
+Metrics::Series& Metrics::Find(const std::string& aName,
+                               const std::string& aLabel)
 {
   const auto key = std::make_pair(aName, aLabel);
   auto found = mSeries.find(key);
@@ -26,10 +25,22 @@
     };
     found = mSeries.emplace(key, std::move(series)).first;
   }
+  return found->second;
+}
+
+void Metrics::Observe(Series& aSeries, Micros aDuration)
+{
   const double seconds = static_cast<double>(aDuration) / kSecond;
-  found->second.mHistogram(seconds);
-  found->second.mSum += seconds;
-  ++found->second.mCount;
+  aSeries.mHistogram(seconds);
+  aSeries.mSum += seconds;
+  ++aSeries.mCount;
+}
+
+void Metrics::Observe(const std::string& aName,
+                      const std::string& aLabel,
+                      Micros aDuration)
+{
+  Observe(Find(aName, aLabel), aDuration);
 }
 
 std::string Metrics::Text(const dispatch::Counters& aCounters,
--- a/src/frontend/metrics.h
+++ b/src/frontend/metrics.h
@@ -14,22 +14,14 @@
 /// \brief Latency histograms of one process, in the text form of Prometheus.
 class Metrics
 {
-public:
-  /// \brief Adds a duration to the histogram `aName{label="aLabel"}`.
-  void Observe(const std::string& aName,
-               const std::string& aLabel,
-               Micros aDuration);
-
-  /// \brief Histograms and counters as text.
-  [[nodiscard]] std::string Text(
-    const dispatch::Counters& aCounters,
-    const std::map<std::string, double>& aGauges) const;
-
 private:
   using Axis =
     boost::histogram::axis::regular<double,
                                     boost::histogram::axis::transform::log>;
   using Histogram = decltype(boost::histogram::make_histogram(Axis()));
+
+public:
+  /// \brief One histogram; stays where it is.
   struct Series
   {
     Histogram mHistogram;
@@ -37,6 +29,22 @@
     std::uint64_t mCount = 0;
   };
 
+  /// \brief The histogram `aName{label="aLabel"}`.
+  [[nodiscard]] Series& Find(const std::string& aName,
+                             const std::string& aLabel);
+  static void Observe(Series& aSeries, Micros aDuration);
+
+  /// \brief Adds a duration to the histogram `aName{label="aLabel"}`.
+  void Observe(const std::string& aName,
+               const std::string& aLabel,
+               Micros aDuration);
+
+  /// \brief Histograms and counters as text.
+  [[nodiscard]] std::string Text(
+    const dispatch::Counters& aCounters,
+    const std::map<std::string, double>& aGauges) const;
+
+private:
   std::map<std::pair<std::string, std::string>, Series> mSeries;
 };
 
--- a/tests/load_watch_test.cpp
+++ b/tests/load_watch_test.cpp
@@ -11,6 +11,7 @@
   CPPUNIT_TEST(ShortWaitsAreNotLogged);
   CPPUNIT_TEST(LongWaitIsLoggedOnceWithWhatTheLoopDid);
   CPPUNIT_TEST(WorkIsCountedByKind);
+  CPPUNIT_TEST(ProcessorTimeIsToldApartWhileTheProcessIsLate);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -43,7 +44,33 @@
     CPPUNIT_ASSERT(counters.count("work_replies_microseconds") == 1);
   }
 
+  void ProcessorTimeIsToldApartWhileTheProcessIsLate()
+  {
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t(0), TimeOfRound(kMillisecond));
+    (void)TimeOfRound(100 * kMillisecond);
+    CPPUNIT_ASSERT(TimeOfRound(kMillisecond) > 0);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t(0), TimeOfRound(kMillisecond));
+  }
+
 private:
+  // Processor time that one round of work on replies is charged with.
+  std::uint64_t TimeOfRound(Micros aWait)
+  {
+    dispatch::Counters before;
+    mWatch.Count(before);
+    mWatch.NoteWait(Wait::Loop, aWait);
+    volatile double sum = 0;
+    for (int i = 0; i < 1000000; ++i) {
+      sum = sum + i;
+    }
+    mWatch.NoteWork(Work::Replies, 1);
+    mWatch.EndRound();
+    dispatch::Counters after;
+    mWatch.Count(after);
+    return after.at("work_replies_microseconds") -
+           before.at("work_replies_microseconds");
+  }
+
   Metrics mMetrics;
   LoadWatch mWatch{ mMetrics };
 };
