--- a/tests/dispatch_work_test.cpp
+++ b/tests/dispatch_work_test.cpp
@@ -1,8 +1,8 @@
 #include "fakes/dispatch_world.h"
+#include "fakes/processor_time.h"
 
 #include <cppunit/extensions/HelperMacros.h>
 
-#include <ctime>
 #include <string>
 
 namespace geraniumpond::dispatch {
@@ -12,18 +12,11 @@
 using fakes::DispatchLoad;
 using fakes::DispatchTally;
 using fakes::DispatchWorld;
+using fakes::ProcessorSeconds;
 
 /// Requests a second of a host that many clients come to at once.
 constexpr double kMany = 100;
 
-double ProcessorSeconds()
-{
-  timespec time{};
-  (void)::clock_gettime(CLOCK_THREAD_CPUTIME_ID, &time);
-  return static_cast<double>(time.tv_sec) +
-         static_cast<double>(time.tv_nsec) / 1e9;
-}
-
 // Microseconds of processor time for each request at one host.
 double WorkOfARequest(int aTargets, double aPerSecond)
 {
--- a/tests/fleet_work_test.cpp
+++ b/tests/fleet_work_test.cpp
@@ -1,24 +1,18 @@
 #include "fakes/fleet_world.h"
+#include "fakes/processor_time.h"
 #include "fleet/internal.h"
 
 #include <cppunit/extensions/HelperMacros.h>
 
-#include <ctime>
 #include <string>
 
 namespace geraniumpond::fleet {
 
 namespace {
 
-constexpr int kReports = 2000;
+using fakes::ProcessorSeconds;
 
-double ProcessorSeconds()
-{
-  timespec time{};
-  (void)::clock_gettime(CLOCK_THREAD_CPUTIME_ID, &time);
-  return static_cast<double>(time.tv_sec) +
-         static_cast<double>(time.tv_nsec) / 1e9;
-}
+constexpr int kReports = 2000;
 
 // Microseconds of processor time of a control host for a report that says
 // nothing new, in a fleet of many hosts.
--- a/tests/gateway_stop_test.cpp
+++ b/tests/gateway_stop_test.cpp
@@ -1,3 +1,4 @@
+#include "fakes/free_address.h"
 #include "frontend/gateway_process.h"
 #include "frontend/own_dialect.h"
 
@@ -25,6 +26,8 @@
 
 namespace {
 
+using fakes::FreeAddress;
+
 namespace net = Poco::Net;
 using std::chrono::milliseconds;
 using std::chrono::steady_clock;
@@ -80,12 +83,6 @@
   }
 };
 
-std::string FreeAddress()
-{
-  net::ServerSocket socket(net::SocketAddress("127.0.0.1", 0));
-  return socket.address().toString();
-}
-
 int CallHost(const std::string& aAddress,
              const std::string& aMethod,
              const std::string& aPath,
--- a/tests/http_server_test.cpp
+++ b/tests/http_server_test.cpp
@@ -1,3 +1,4 @@
+#include "fakes/free_address.h"
 #include "frontend/http_server.h"
 
 #include <cppunit/extensions/HelperMacros.h>
@@ -13,6 +14,8 @@
 
 namespace {
 
+using fakes::FreeAddress;
+
 namespace net = Poco::Net;
 
 constexpr int kClients = 60;
@@ -32,12 +35,6 @@
   int mMalformed = 0;
 };
 
-std::string FreeAddress()
-{
-  net::ServerSocket socket(net::SocketAddress("127.0.0.1", 0));
-  return socket.address().toString();
-}
-
 } // namespace
 
 /// \brief A server whose loop comes late to what clients have done.
--- a/tests/peers_test.cpp
+++ b/tests/peers_test.cpp
@@ -1,4 +1,5 @@
 #include "edge/peers.h"
+#include "fakes/free_address.h"
 
 #include <cppunit/extensions/HelperMacros.h>
 
@@ -12,12 +13,7 @@
 
 namespace {
 
-std::string FreeAddress()
-{
-  const Poco::Net::ServerSocket socket(
-    Poco::Net::SocketAddress("127.0.0.1", 0));
-  return socket.address().toString();
-}
+using fakes::FreeAddress;
 
 } // namespace
 
