--- a/include/geraniumpond/dispatch.h
+++ b/include/geraniumpond/dispatch.h
@@ -38,6 +38,22 @@
   double mSlowness = 1;
 };
 
+/// \brief What an answer says of the requests a second that its target takes
+/// from all hosts together.
+struct LimitWord
+{
+  enum class Kind
+  {
+    /// Nothing: there is no limit.
+    Silent,
+    Named,
+    /// What it names is no rate.
+    Unreadable
+  };
+  Kind mKind = Kind::Silent;
+  double mPerSecond = 0;
+};
+
 /// \brief A request whose answer broke at a target that may have ended.
 struct OpenEnd
 {
@@ -81,6 +97,11 @@
   double mFailureShare = 0;
   Micros mFailedAt = 0;
 
+  /// Requests a second that it takes from all hosts together, as it named them
+  /// last, and when that was seen.
+  std::optional<double> mLimit;
+  Micros mLimitAt = 0;
+
   /// Its address refused, or was another one's, when it was asked last.
   bool mEnded = false;
   std::vector<OpenEnd> mOpenEnds;
@@ -349,6 +370,7 @@
   /// Id of the target that answered; empty when it does not say.
   std::string mAnsweredBy;
   std::optional<Report> mReport;
+  LimitWord mLimit;
 };
 
 /// \brief How an attempt ended.
@@ -377,6 +399,7 @@
   bool mMisdirected = false;
   std::uint64_t mBytes = 0;
   std::optional<Report> mReport;
+  LimitWord mLimit;
   std::string mReason;
 };
 
--- a/src/dispatch/ends.cpp
+++ b/src/dispatch/ends.cpp
@@ -126,6 +126,9 @@
   } else {
     target.mSentSince = std::max(0, target.mSentSince - 1);
   }
+  if (aEnd.mKind == EndKind::Answered && !aEnd.mMisdirected) {
+    TakeLimit(aState, aNow, target, aEnd.mLimit, aAttempt.mSentAt, aOut);
+  }
   if (aEnd.mMisdirected) {
     NoteTargetEnded(aState, aNow, target, aOut);
     Suspect(aState, aNow, target, "address_taken", aOut);
--- a/src/dispatch/internal.h
+++ b/src/dispatch/internal.h
@@ -146,6 +146,15 @@
                                                const std::string& aService,
                                                Micros aNow);
 
+// --- limits.cpp: rates that targets name for all hosts together
+/// \brief Takes what an answer to something that was sent at `aSentAt` says.
+void TakeLimit(State& aState,
+               Micros aNow,
+               Target& aTarget,
+               const LimitWord& aWord,
+               Micros aSentAt,
+               Effects& aOut);
+
 // --- learning.cpp: what answers and reports tell of a service
 /// \brief How many times as long work takes that starts beside so many others.
 [[nodiscard]] double StretchAt(const LoadCurve& aCurve,
--- a/src/dispatch/targets.cpp
+++ b/src/dispatch/targets.cpp
@@ -312,6 +312,10 @@
     }
   }
   if (aEnd.mAnswered && !other) {
+    // A target may name its limit to requests alone: silence says nothing.
+    if (aEnd.mLimit.mKind != LimitWord::Kind::Silent) {
+      TakeLimit(aState, aNow, target, aEnd.mLimit, target.mProbeSentAt, aOut);
+    }
     NoteTargetLives(aState, aNow, target, aOut);
   }
   Pump(aState, aNow, service, aOut);
--- a/src/frontend/dialect.h
+++ b/src/frontend/dialect.h
@@ -28,6 +28,9 @@
   std::string mTargetId;
   /// In an answer: running, waiting, slots, and percent of the usual time.
   std::string mLoad;
+  /// In an answer: requests a second that the target takes from all hosts
+  /// together.
+  std::string mLimit;
 };
 
 /// \brief Calls that hosts, targets and operators make beside requests.
--- a/src/frontend/own_dialect.cpp
+++ b/src/frontend/own_dialect.cpp
@@ -153,6 +153,7 @@
   dialect.mNames.mNotRun = "Not-Run";
   dialect.mNames.mTargetId = "Target-Id";
   dialect.mNames.mLoad = "Target-Load";
+  dialect.mNames.mLimit = "Target-Limit";
   dialect.mReadCall = ReadCall;
   dialect.mWriteEnd = WriteEnd;
   dialect.mWriteAddresses = WriteAddresses;
--- a/src/frontend/target_pool.cpp
+++ b/src/frontend/target_pool.cpp
@@ -7,6 +7,7 @@
 
 #include <algorithm>
 #include <cerrno>
+#include <cmath>
 #include <limits>
 #include <netinet/tcp.h>
 #include <utility>
@@ -59,6 +60,26 @@
   return report;
 }
 
+dispatch::LimitWord ReadLimit(const HeaderFields& aFields,
+                              const std::string& aName)
+{
+  using Kind = dispatch::LimitWord::Kind;
+  const std::string* value = FindField(aFields, aName);
+  if (aName.empty() || value == nullptr) {
+    return {};
+  }
+  double perSecond = 0;
+  const auto named =
+    std::count_if(aFields.begin(), aFields.end(), [&](const auto& aField) {
+      return SameName(aField.first, aName);
+    });
+  const bool sound = named == 1 &&
+                     Poco::NumberParser::tryParseFloat(*value, perSecond) &&
+                     std::isfinite(perSecond) && perSecond >= 0;
+  return sound ? dispatch::LimitWord{ Kind::Named, perSecond }
+               : dispatch::LimitWord{ Kind::Unreadable, 0 };
+}
+
 /// \brief One connection to one target; carries one exchange at a time.
 class TargetPool::Connection : public Handler
 {
@@ -303,6 +324,7 @@
       end.mHealthy = aResponse.mStatus == kHealthy;
       end.mAnsweredBy = by == nullptr ? "" : *by;
       end.mReport = report;
+      end.mLimit = ReadLimit(aResponse.mFields, names.mLimit);
       mPool.mSink.OnProbe(end);
       return;
     }
@@ -316,6 +338,7 @@
                   FindField(aResponse.mFields, names.mNotRun) != nullptr;
     end.mBytes = aResponse.mBody.size();
     end.mReport = report;
+    end.mLimit = ReadLimit(aResponse.mFields, names.mLimit);
     if (end.mNotRun) {
       end.mReason = end.mMisdirected ? "address_taken" : "target_refused";
     }
