--- a/tests/fakes/gateway_world.cpp
+++ b/tests/fakes/gateway_world.cpp
@@ -249,6 +249,7 @@
 {
   FakeTarget& target = mTargets[aAddress];
   target.mAlive = true;
+  target.mLimit = 0;
   target.mId = aAddress + "#" + std::to_string(++target.mStarts);
   Announce(aAddress);
 }
@@ -321,6 +322,17 @@
   Later(kDrainTime, [this, aAddress] { EndTarget(aAddress); });
 }
 
+void GatewayWorld::SetLimit(const std::string& aAddress, double aPerSecond)
+{
+  mTargets.at(aAddress).mLimit = aPerSecond;
+}
+
+dispatch::LimitWord GatewayWorld::LimitOf(const FakeTarget& aTarget)
+{
+  using Kind = dispatch::LimitWord::Kind;
+  return { aTarget.mLimit > 0 ? Kind::Named : Kind::Silent, aTarget.mLimit };
+}
+
 dispatch::Report GatewayWorld::ReportOf(const FakeTarget& aTarget) const
 {
   dispatch::Report report;
@@ -432,6 +444,9 @@
 {
   const Job job = mJobs.at(aJob);
   mJobs.erase(aJob);
+  if (aEnd.mKind == dispatch::EndKind::Answered) {
+    aEnd.mLimit = LimitOf(mTargets.at(job.mTarget));
+  }
   aEnd.mRequest = job.mSend.mRequest;
   aEnd.mAttempt = job.mSend.mAttempt;
   Later(kTrip, [this, host = job.mHost, aEnd] { ReportEnd(host, aEnd); });
@@ -527,6 +542,7 @@
       end.mHealthy = true;
       end.mAnsweredBy = target.mId;
       end.mReport = ReportOf(target);
+      end.mLimit = mProbesNameLimits ? LimitOf(target) : dispatch::LimitWord();
     }
     end.mRefused = !target.mAlive && !silent;
     Post(aHost, std::move(end));
--- a/tests/fakes/gateway_world.h
+++ b/tests/fakes/gateway_world.h
@@ -93,6 +93,12 @@
   void ResetConnections(const std::string& aAddress);
   /// \brief The target says that it leaves, serves on for a while, and ends.
   void ReplaceTarget(const std::string& aAddress);
+  /// \brief From now on the target names this limit in its answers to requests;
+  /// 0 ends it.
+  void SetLimit(const std::string& aAddress, double aPerSecond);
+  /// Answers of the health path name limits as well.
+  bool mProbesNameLimits = false;
+
   /// Share of their requests that targets answer with an error.
   double mErrorShare = 0;
 
@@ -146,6 +152,8 @@
     bool mSilent = false;
     bool mDraining = false;
     std::string mRelease = "v1";
+    /// Requests a second that it names as its limit; 0 for none.
+    double mLimit = 0;
     int mStarts = 0;
     int mRunning = 0;
     std::deque<std::uint64_t> mWaiting;
@@ -184,6 +192,7 @@
   void EndJob(std::uint64_t aJob, dispatch::AttemptEnd aEnd);
   void ReportEnd(std::size_t aHost, dispatch::AttemptEnd aEnd);
   [[nodiscard]] dispatch::Report ReportOf(const FakeTarget& aTarget) const;
+  [[nodiscard]] static dispatch::LimitWord LimitOf(const FakeTarget& aTarget);
   [[nodiscard]] std::size_t AnyHost();
 
   GatewayLoad mLoad;
