Divide a rate among hosts, none of which asks another

A part of its own: few holders, drawn by rendezvous hashing, with a part of about one request a second each, so that parts stay usable at any number of hosts; whoever comes to hold a part waits until the others have heard, whoever loses one ends at once.

RateShareTest, 8 of 8: the sum at 1 to 476 hosts and rates of 0.5 to 5,000, what is saved up, hand-over, hosts that come and go, a rate of nothing.

--- /dev/null
+++ b/src/rate_share/rate_share.cpp
@@ -0,0 +1,112 @@
+#include <geraniumpond/rate_share.h>
+
+#include <geraniumpond/hash.h>
+
+#include <algorithm>
+#include <cmath>
+
+namespace geraniumpond::rate_share {
+
+namespace {
+
+/// Requests a second of a holder; more hosts hold a part of a larger rate.
+constexpr double kHolderRate = 1;
+/// Rates below this are taken for it: somebody must see that they have ended.
+constexpr double kLeastRate = 0.1;
+/// Time in which hosts hear of one that came, left or stopped.
+constexpr Micros kHandover = 2 * kSecond;
+/// What a holder saves at most: work comes in clumps.
+constexpr double kSavedRequests = 1.5;
+constexpr double kSavedSeconds = 0.1;
+constexpr Micros kUnusedTime = 2 * kSecond;
+
+std::uint64_t Weight(std::uint64_t aHost, std::uint64_t aName) noexcept
+{
+  std::uint64_t word = (aHost ^ aName) * 0xff51afd7ed558ccdULL;
+  word = (word ^ (word >> 33)) * 0xc4ceb9fe1a85ec53ULL;
+  return word ^ (word >> 33);
+}
+
+// How many hosts come before the own one in the order of this name.
+std::size_t RankOf(const Members& aMembers, std::uint64_t aName) noexcept
+{
+  const std::uint64_t own = Weight(aMembers.mOwn, aName);
+  return static_cast<std::size_t>(std::count_if(
+    aMembers.mDigests.begin(),
+    aMembers.mDigests.end(),
+    [&](std::uint64_t aHost) { return Weight(aHost, aName) > own; }));
+}
+
+double PartOf(const Members& aMembers,
+              const std::string& aName,
+              double aPerSecond)
+{
+  const auto& hosts = aMembers.mDigests;
+  if (std::find(hosts.begin(), hosts.end(), aMembers.mOwn) == hosts.end()) {
+    return 0;
+  }
+  const double rate = std::max(kLeastRate, aPerSecond);
+  const double holders = std::clamp(
+    std::ceil(rate / kHolderRate), 1.0, static_cast<double>(hosts.size()));
+  const bool holds =
+    static_cast<double>(RankOf(aMembers, Hash64(aName))) < holders;
+  return holds ? rate / holders : 0;
+}
+
+} // namespace
+
+Members MakeMembers(const std::vector<std::string>& aHosts,
+                    const std::string& aOwn)
+{
+  Members members;
+  members.mOwn = Hash64(aOwn);
+  for (const std::string& host : aHosts) {
+    members.mDigests.push_back(Hash64(host));
+  }
+  return members;
+}
+
+void Divide(Share& aShare,
+            const Members& aMembers,
+            const std::string& aName,
+            double aPerSecond,
+            Micros aNow)
+{
+  const double part = PartOf(aMembers, aName, aPerSecond);
+  if (part > 0 && aShare.mPart == 0) {
+    // Nobody held a part of a rate that was not divided before.
+    aShare.mFrom = aShare.mDivided ? aNow + kHandover : aNow;
+    aShare.mTakenAt = aShare.mFrom;
+    aShare.mBucket = budget::TokenBucket();
+    aShare.mBucket.mLevel = 0;
+    aShare.mBucket.mUpdatedAt = aShare.mFrom;
+  }
+  (void)budget::Take(aShare.mBucket, std::max(aNow, aShare.mFrom), 0);
+  aShare.mDivided = true;
+  aShare.mPart = part;
+  aShare.mBucket.mPerSecond = part;
+  aShare.mBucket.mBurst = std::max(kSavedRequests, part * kSavedSeconds);
+}
+
+bool HasRoom(const Share& aShare, Micros aNow) noexcept
+{
+  if (aShare.mPart <= 0 || aNow < aShare.mFrom) {
+    return false;
+  }
+  const double seconds =
+    static_cast<double>(aNow - aShare.mBucket.mUpdatedAt) / kSecond;
+  return aShare.mBucket.mLevel + seconds * aShare.mPart >= 1;
+}
+
+bool IsUnused(const Share& aShare, Micros aNow) noexcept
+{
+  return HasRoom(aShare, aNow) && aNow - aShare.mTakenAt >= kUnusedTime;
+}
+
+void Take(Share& aShare, Micros aNow)
+{
+  aShare.mTakenAt = aNow;
+  (void)budget::Take(aShare.mBucket, aNow, 1);
+}
+
+} // namespace geraniumpond::rate_share
--- /dev/null
+++ b/tests/rate_share_test.cpp
@@ -0,0 +1,172 @@
+#include <geraniumpond/rate_share.h>
+
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace geraniumpond::rate_share {
+
+namespace {
+
+constexpr Micros kStart = 1000 * kSecond;
+
+std::vector<std::string> Hosts(int aCount)
+{
+  std::vector<std::string> hosts;
+  hosts.reserve(static_cast<std::size_t>(aCount));
+  for (int i = 0; i < aCount; ++i) {
+    hosts.push_back("10.0.0." + std::to_string(i) + ":7");
+  }
+  return hosts;
+}
+
+std::vector<Share> DivideAmong(const std::vector<std::string>& aHosts,
+                               double aPerSecond)
+{
+  std::vector<Share> shares(aHosts.size());
+  for (std::size_t i = 0; i < aHosts.size(); ++i) {
+    Divide(shares[i], MakeMembers(aHosts, aHosts[i]), "t", aPerSecond, kStart);
+  }
+  return shares;
+}
+
+// Requests that a host sends which always has work, a step a millisecond.
+int SentIn(Share& aShare, Micros aFrom, Micros aTime)
+{
+  int sent = 0;
+  for (Micros now = aFrom; now < aFrom + aTime; now += kMillisecond) {
+    if (HasRoom(aShare, now)) {
+      Take(aShare, now);
+      ++sent;
+    }
+  }
+  return sent;
+}
+
+} // namespace
+
+class RateShareTest : public CppUnit::TestFixture
+{
+  CPPUNIT_TEST_SUITE(RateShareTest);
+  CPPUNIT_TEST(PartsOfAllHostsAddUpToTheRate);
+  CPPUNIT_TEST(SumOfWhatHostsSendIsTheRateWhateverTheirNumber);
+  CPPUNIT_TEST(LittleIsSavedUpInAQuietTime);
+  CPPUNIT_TEST(HostThatIsNotAmongTheMembersHoldsNothing);
+  CPPUNIT_TEST(HolderThatLosesItsPartEndsAtOnceAndTheNextOneWaits);
+  CPPUNIT_TEST(HoldersStayWhereOthersComeAndGo);
+  CPPUNIT_TEST(RateOfNothingIsStillTriedNowAndThen);
+  CPPUNIT_TEST(PartThatIsNotUsedIsSeen);
+  CPPUNIT_TEST_SUITE_END();
+
+public:
+  void PartsOfAllHostsAddUpToTheRate()
+  {
+    for (const int count : { 1, 2, 19, 476 }) {
+      for (const double rate : { 0.5, 1.0, 3.4, 50.0, 5000.0 }) {
+        double sum = 0;
+        for (const Share& share : DivideAmong(Hosts(count), rate)) {
+          sum += share.mPart;
+        }
+        CPPUNIT_ASSERT_DOUBLES_EQUAL(rate, sum, 1e-6 * rate);
+      }
+    }
+  }
+
+  void SumOfWhatHostsSendIsTheRateWhateverTheirNumber()
+  {
+    for (const int count : { 1, 19, 476 }) {
+      for (const double rate : { 0.5, 3.4, 50.0 }) {
+        double sent = 0;
+        for (Share& share : DivideAmong(Hosts(count), rate)) {
+          sent += SentIn(share, kStart, 20 * kSecond);
+        }
+        CPPUNIT_ASSERT_LESSEQUAL(20 * rate + 1, sent);
+        CPPUNIT_ASSERT_GREATER(0.8 * 20 * rate - 1, sent);
+      }
+    }
+  }
+
+  void LittleIsSavedUpInAQuietTime()
+  {
+    for (const double rate : { 0.5, 3.4, 50.0 }) {
+      double sent = 0;
+      for (Share& share : DivideAmong(Hosts(476), rate)) {
+        sent += SentIn(share, kStart + 600 * kSecond, 4 * kSecond);
+      }
+      CPPUNIT_ASSERT_LESSEQUAL(1.5 * 4 * rate + 5, sent);
+    }
+  }
+
+  void HostThatIsNotAmongTheMembersHoldsNothing()
+  {
+    Share share;
+    Divide(share, MakeMembers(Hosts(3), "other"), "t", 100, kStart);
+    CPPUNIT_ASSERT(!HasRoom(share, kStart + kSecond));
+    Divide(share, Members(), "t", 100, kStart);
+    CPPUNIT_ASSERT(!HasRoom(share, kStart + kSecond));
+  }
+
+  void HolderThatLosesItsPartEndsAtOnceAndTheNextOneWaits()
+  {
+    const std::vector<std::string> all = Hosts(19);
+    std::vector<Share> shares = DivideAmong(all, 1.0);
+    std::size_t holder = 0;
+    while (shares[holder].mPart == 0) {
+      ++holder;
+    }
+    std::vector<std::string> left = all;
+    left.erase(left.begin() + static_cast<std::ptrdiff_t>(holder));
+    const Micros later = kStart + 10 * kSecond;
+    Micros first = 0;
+    for (std::size_t i = 0; i < all.size(); ++i) {
+      Divide(shares[i], MakeMembers(left, all[i]), "t", 1.0, later);
+      for (Micros now = later; shares[i].mPart > 0 && first == 0;
+           now += kMillisecond) {
+        first = HasRoom(shares[i], now) ? now : 0;
+      }
+    }
+    CPPUNIT_ASSERT(!HasRoom(shares[holder], later));
+    CPPUNIT_ASSERT(first >= later + 2 * kSecond);
+  }
+
+  void HoldersStayWhereOthersComeAndGo()
+  {
+    const std::vector<std::string> all = Hosts(100);
+    const std::vector<std::string> fewer(all.begin(), all.begin() + 95);
+    int moved = 0;
+    for (int name = 0; name < 100; ++name) {
+      for (const std::string& host : fewer) {
+        Share share;
+        const std::string text = std::to_string(name);
+        Divide(share, MakeMembers(all, host), text, 1.0, kStart);
+        const bool before = share.mPart > 0;
+        Divide(share, MakeMembers(fewer, host), text, 1.0, kStart);
+        moved += before != (share.mPart > 0) ? 1 : 0;
+      }
+    }
+    // One of twenty names had its holder among those that went.
+    CPPUNIT_ASSERT_LESSEQUAL(15, moved);
+  }
+
+  void RateOfNothingIsStillTriedNowAndThen()
+  {
+    std::vector<Share> shares = DivideAmong(Hosts(19), 0);
+    int sent = 0;
+    for (Share& share : shares) {
+      sent += SentIn(share, kStart, 60 * kSecond);
+    }
+    CPPUNIT_ASSERT(sent > 0 && sent <= 7);
+  }
+
+  void PartThatIsNotUsedIsSeen()
+  {
+    Share share;
+    Divide(share, MakeMembers(Hosts(1), Hosts(1)[0]), "t", 1.0, kStart);
+    CPPUNIT_ASSERT(!IsUnused(share, kStart + kSecond));
+    CPPUNIT_ASSERT(IsUnused(share, kStart + 2 * kSecond));
+    Take(share, kStart + 2 * kSecond);
+    CPPUNIT_ASSERT(!IsUnused(share, kStart + 3 * kSecond));
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(RateShareTest);
+
+} // namespace geraniumpond::rate_share
