Keep within the limit that a target names, over all hosts together

What callers saw: nothing at the time; the target had asked for less since it was in need, and got what it got before.

Cause: no host read the limit; and had each kept to it, 15 of them would have sent 15 times as much. The class is that of the request that ends targets: a bound over all hosts that each host keeps from its own view alone.

Change: hosts tell each other what a target names, and divide it (rate_share.h). Each send to a target goes through one place that takes of the part, whichever way a request came there. Targets of which a host holds no part are not asked; those of which it holds one are asked first. A limit ends with the first success that names none; a part left unused for two seconds is tried, so that somebody sees the end. Where no target may take a request from this host, it is refused at once.

Ruled out: second attempts and tries elsewhere as a way around it (the same place counts them).

--- a/include/geraniumpond/dispatch.h
+++ b/include/geraniumpond/dispatch.h
@@ -4,6 +4,7 @@
 #include <geraniumpond/gossip.h>
 #include <geraniumpond/policy.h>
 #include <geraniumpond/quarantine.h>
+#include <geraniumpond/rate_share.h>
 #include <geraniumpond/time.h>
 
 #include <array>
@@ -98,9 +99,11 @@
   Micros mFailedAt = 0;
 
   /// Requests a second that it takes from all hosts together, as it named them
-  /// last, and when that was seen.
+  /// last, and when any host saw it.
   std::optional<double> mLimit;
   Micros mLimitAt = 0;
+  /// This host's part of the limit.
+  rate_share::Share mShare;
 
   /// Its address refused, or was another one's, when it was asked last.
   bool mEnded = false;
@@ -162,6 +165,8 @@
   std::vector<std::string> mTargets;
   /// Releases that they run.
   std::set<std::string> mReleases;
+  /// Those with a limit of which this host holds a part.
+  std::vector<std::string> mHeld;
   /// The targets that this host asks first; all of them where they are few.
   std::vector<std::string> mSubset;
   /// Targets that told their load lately, each once; some have gone since.
@@ -448,6 +453,10 @@
   double mLargeBytes = 0;
   /// Requests under which targets ended.
   quarantine::State mQuarantine;
+  /// The hosts that divide limits; none while they are not known.
+  rate_share::Members mSharers;
+  /// Limits of targets that this host has not heard of yet.
+  std::map<std::string, gossip::Item> mEarlyLimits;
   Counters mCounters;
 };
 
@@ -465,6 +474,12 @@
 /// \brief Notes how many hosts share the bounds.
 void SetHosts(State& aState, Micros aNow, int aHosts);
 
+/// \brief True while any target names a limit.
+[[nodiscard]] bool HasLimits(const State& aState) noexcept;
+
+/// \brief Notes the hosts among which limits of targets are divided.
+void SetSharers(State& aState, Micros aNow, rate_share::Members aSharers);
+
 /// \brief Equal for requests that ask for the same.
 [[nodiscard]] std::uint64_t IdentityOf(const Arrival& aArrival);
 
--- a/include/geraniumpond/gossip.h
+++ b/include/geraniumpond/gossip.h
@@ -32,8 +32,11 @@
   RequestCrash,
   /// Key: a request's identity; a target has answered it.
   RequestAnswered,
+  /// Key: a target; value: the rate that it takes from all hosts, empty for no
+  /// limit.
+  TargetLimit,
 };
-constexpr std::size_t kKinds = 2;
+constexpr std::size_t kKinds = 3;
 
 /// \brief How long facts of a kind are believed, and how many are kept.
 struct KindRules
--- a/src/dispatch/asking.cpp
+++ b/src/dispatch/asking.cpp
@@ -14,8 +14,11 @@
 /// Share of choices that may find no target with room at the first asking; a
 /// second one costs a round trip.
 constexpr double kMissed = 0.02;
+/// Targets with a limit that are asked before others.
+constexpr std::size_t kHeldAsked = 2;
 
 std::vector<Target*> Usable(State& aState,
+                            Micros aNow,
                             const Request& aRequest,
                             const std::vector<std::string>& aIds,
                             bool aSuspects)
@@ -23,8 +26,8 @@
   std::vector<Target*> usable;
   for (const std::string& id : aIds) {
     Target& target = aState.mTargets[id];
-    if (target.mSuspect == aSuspects && aRequest.mTried.count(id) == 0 &&
-        aRequest.mAsked.count(id) == 0) {
+    if (target.mSuspect == aSuspects && HasRoomInLimit(target, aNow) &&
+        aRequest.mTried.count(id) == 0 && aRequest.mAsked.count(id) == 0) {
       usable.push_back(&target);
     }
   }
@@ -38,24 +41,49 @@
   }
 }
 
+// A part of a limit that is not used now is lost to all hosts, while the other
+// targets are there for any of them.
+void PutHeldFirst(State& aState,
+                  Micros aNow,
+                  const Request& aRequest,
+                  std::vector<Target*>& aTargets)
+{
+  const Service& service = aState.mServices[aRequest.mService];
+  std::vector<Target*> held =
+    Usable(aState, aNow, aRequest, service.mHeld, false);
+  if (held.empty()) {
+    return;
+  }
+  Shuffle(aState, held);
+  held.resize(std::min(held.size(), kHeldAsked));
+  for (Target* target : held) {
+    aTargets.erase(std::remove(aTargets.begin(), aTargets.end(), target),
+                   aTargets.end());
+  }
+  aTargets.insert(aTargets.begin(), held.begin(), held.end());
+}
+
 // Targets of the own data centre first, in random order. Where there are many
 // of them some places go to others all the same, so that load spreads.
 std::vector<Target*> Candidates(State& aState,
+                                Micros aNow,
                                 const Request& aRequest,
                                 std::size_t aCount)
 {
   const Service& service = aState.mServices[aRequest.mService];
-  std::vector<Target*> all = Usable(aState, aRequest, service.mSubset, false);
+  std::vector<Target*> all =
+    Usable(aState, aNow, aRequest, service.mSubset, false);
   if (all.empty() && aRequest.mAsked.empty()) {
-    all = Usable(aState, aRequest, service.mTargets, false);
+    all = Usable(aState, aNow, aRequest, service.mTargets, false);
   }
   if (all.empty() && aRequest.mAskRound == 0) {
-    all = Usable(aState, aRequest, service.mTargets, true);
+    all = Usable(aState, aNow, aRequest, service.mTargets, true);
   }
   Shuffle(aState, all);
   std::stable_partition(all.begin(), all.end(), [&](const Target* aTarget) {
     return aTarget->mDataCentre == aState.mDataCentre;
   });
+  PutHeldFirst(aState, aNow, aRequest, all);
   if (all.size() > aCount) {
     all.resize(aCount);
   }
@@ -141,7 +169,7 @@
   }
   Micros patience = 0;
   for (Target* target :
-       Candidates(aState, aRequest, AskCount(aState, service, aNow))) {
+       Candidates(aState, aNow, aRequest, AskCount(aState, service, aNow))) {
     aRequest.mAsked.insert(target->mId);
     if (IsFresh(*target, aNow)) {
       continue;
--- a/src/dispatch/choosing.cpp
+++ b/src/dispatch/choosing.cpp
@@ -124,7 +124,8 @@
   Target* best = nullptr;
   double bestCost = std::numeric_limits<double>::max();
   for (Target* target : aTargets) {
-    if (target->mSuspect || aRequest.mTried.count(target->mId) != 0) {
+    if (target->mSuspect || !HasRoomInLimit(*target, aNow) ||
+        aRequest.mTried.count(target->mId) != 0) {
       continue;
     }
     const double cost = CostOf(*target, aNeed, aNow);
@@ -161,7 +162,8 @@
     aState.mServices.at(aRequest.mService).mTargets;
   return std::any_of(
     targets.begin(), targets.end(), [&](const std::string& aId) {
-      return aRequest.mTried.count(aId) == 0;
+      return aRequest.mTried.count(aId) == 0 &&
+             MayEverTake(aState.mTargets.at(aId));
     });
 }
 
@@ -169,7 +171,7 @@
 std::size_t RoomSeen(const Look& aLook, const Need& aNeed, Micros aNow)
 {
   const auto has = [&](const Target* aTarget) {
-    return !aTarget->mSuspect &&
+    return !aTarget->mSuspect && HasRoomInLimit(*aTarget, aNow) &&
            IsUncrowded(*aTarget, aNeed.mService->mCurve, aNow) &&
            aTarget->mReport->mSlowness <= kUsualSlowness;
   };
@@ -183,7 +185,8 @@
   const auto& subset = aState.mServices.at(aRequest.mService).mSubset;
   return static_cast<std::size_t>(
     std::count_if(subset.begin(), subset.end(), [&](const std::string& aId) {
-      return !aState.mTargets.at(aId).mSuspect;
+      const Target& target = aState.mTargets.at(aId);
+      return !target.mSuspect && MayEverTake(target);
     }));
 }
 
@@ -270,6 +273,25 @@
   return { Verdict::Hopeless, nullptr };
 }
 
+// A target whose limit has been left unused: only an answer tells that it has
+// ended.
+Target* UnusedTarget(const Look& aLook,
+                     const Request& aRequest,
+                     const Need& aNeed,
+                     Micros aNow)
+{
+  const auto found = std::find_if(
+    aLook.mFresh.begin(), aLook.mFresh.end(), [&](const Target* aTarget) {
+      return aTarget->mLimit && !aTarget->mSuspect &&
+             rate_share::IsUnused(aTarget->mShare, aNow) &&
+             aRequest.mTried.count(aTarget->mId) == 0 &&
+             HasFreeSlot(*aTarget, aNow) &&
+             aNow + ExpectedTime(*aTarget, aNeed, aNow) <=
+               aRequest.mObjectiveAt;
+    });
+  return found == aLook.mFresh.end() ? nullptr : *found;
+}
+
 // A request waits for a target that meets its objective as long as one may
 // turn up in time: targets change their speed several times a second.
 Choice Choose(State& aState, Look& aLook, const Request& aRequest, Micros aNow)
@@ -279,6 +301,9 @@
     const bool goesOn = aNow < GiveUpAt(aRequest, need);
     return { goesOn ? Verdict::LookAgain : Verdict::Hopeless, nullptr };
   }
+  if (Target* unused = UnusedTarget(aLook, aRequest, need, aNow)) {
+    return { Verdict::Send, unused };
+  }
   const Service& service = *need.mService;
   const bool tells = service.mTellsLoad;
   // A late request asks once: those in time need the probes.
--- a/src/dispatch/crashes.cpp
+++ b/src/dispatch/crashes.cpp
@@ -260,6 +260,10 @@
                 const gossip::Item& aItem,
                 Effects& aOut)
 {
+  if (aItem.mKind == gossip::Kind::TargetLimit) {
+    TakeLimitGossip(aState, aNow, aItem, aOut);
+    return;
+  }
   if (aItem.mKey.size() < kIdentityDigits) {
     return;
   }
@@ -287,6 +291,8 @@
         quarantine::NoteAnswer(aState.mQuarantine, identity, aItem.mSeenAt);
       }
       break;
+    case gossip::Kind::TargetLimit:
+      break;
   }
 }
 
--- a/src/dispatch/ends.cpp
+++ b/src/dispatch/ends.cpp
@@ -107,6 +107,22 @@
          (aEnd.mKind == EndKind::Answered && aEnd.mNotRun);
 }
 
+// What stands in for an answer of the target may name none: only a success
+// tells that there is no limit.
+void NoteLimit(State& aState,
+               Micros aNow,
+               Target& aTarget,
+               const Attempt& aAttempt,
+               const AttemptEnd& aEnd,
+               Effects& aOut)
+{
+  if (aEnd.mLimit.mKind != LimitWord::Kind::Silent) {
+    TakeLimit(aState, aNow, aTarget, aEnd.mLimit, aOut);
+  } else if (!aEnd.mNotRun && aEnd.mStatus < kNotSuccess) {
+    TakeNoLimit(aState, aNow, aTarget, aAttempt.mSentAt, aOut);
+  }
+}
+
 void JudgeTarget(State& aState,
                  Micros aNow,
                  const Attempt& aAttempt,
@@ -127,7 +143,7 @@
     target.mSentSince = std::max(0, target.mSentSince - 1);
   }
   if (aEnd.mKind == EndKind::Answered && !aEnd.mMisdirected) {
-    TakeLimit(aState, aNow, target, aEnd.mLimit, aAttempt.mSentAt, aOut);
+    NoteLimit(aState, aNow, target, aAttempt, aEnd, aOut);
   }
   if (aEnd.mMisdirected) {
     NoteTargetEnded(aState, aNow, target, aOut);
--- a/src/dispatch/internal.h
+++ b/src/dispatch/internal.h
@@ -147,13 +147,30 @@
                                                Micros aNow);
 
 // --- limits.cpp: rates that targets name for all hosts together
-/// \brief Takes what an answer to something that was sent at `aSentAt` says.
+/// \brief An answer names a limit, or what is none.
 void TakeLimit(State& aState,
                Micros aNow,
                Target& aTarget,
                const LimitWord& aWord,
-               Micros aSentAt,
                Effects& aOut);
+/// \brief A request that was sent at `aSentAt` succeeded, and its answer names
+/// no limit.
+void TakeNoLimit(State& aState,
+                 Micros aNow,
+                 Target& aTarget,
+                 Micros aSentAt,
+                 Effects& aOut);
+/// \brief Another host tells of a limit, or of its end.
+void TakeLimitGossip(State& aState,
+                     Micros aNow,
+                     const gossip::Item& aItem,
+                     Effects& aOut);
+/// \brief Takes what was told of a target before it was known.
+void TakeEarlyLimit(State& aState, Micros aNow, Target& aTarget, Effects& aOut);
+/// \brief True unless its limit leaves no room for a request of this host now.
+[[nodiscard]] bool HasRoomInLimit(const Target& aTarget, Micros aNow) noexcept;
+/// \brief True unless this host holds no part of its limit.
+[[nodiscard]] bool MayEverTake(const Target& aTarget) noexcept;
 
 // --- learning.cpp: what answers and reports tell of a service
 /// \brief How many times as long work takes that starts beside so many others.
--- a/src/dispatch/limits.cpp
+++ b/src/dispatch/limits.cpp
@@ -1,19 +1,86 @@
 #include "internal.h"
 
+#include <algorithm>
+#include <charconv>
+#include <cmath>
 #include <cstdio>
 
 // A target in need names a rate that it takes from all hosts together, in each
-// of its answers for as long as it is in need.
+// of its answers for as long as it is in need. Hosts tell each other, and
+// divide it: each way to the target goes through SendTo(), which takes of the
+// part.
 namespace geraniumpond::dispatch {
 
 namespace {
 
+/// A rate that differs by less than this share is not told to other hosts.
+constexpr double kSameRate = 0.05;
+
+std::string RateText(double aPerSecond)
+{
+  char text[32];
+  std::snprintf(text, sizeof(text), "%.3f", aPerSecond);
+  return text;
+}
+
 std::string Describe(const Target& aTarget)
 {
-  char limit[32];
-  std::snprintf(limit, sizeof(limit), "%.3f", aTarget.mLimit.value_or(0));
   return " target=" + aTarget.mId + " service=" + aTarget.mService +
-         " per_second=" + limit;
+         " per_second=" + RateText(aTarget.mLimit.value_or(0)) +
+         " part=" + RateText(aTarget.mShare.mPart);
+}
+
+void NoteHeld(Service& aService, const Target& aTarget)
+{
+  auto& held = aService.mHeld;
+  held.erase(std::remove(held.begin(), held.end(), aTarget.mId), held.end());
+  if (aTarget.mLimit && aTarget.mShare.mPart > 0) {
+    held.push_back(aTarget.mId);
+  }
+}
+
+void DivideLimit(State& aState, Micros aNow, Target& aTarget)
+{
+  if (!aTarget.mLimit) {
+    aTarget.mShare = rate_share::Share();
+  } else if (!aState.mSharers.mDigests.empty()) {
+    rate_share::Divide(
+      aTarget.mShare, aState.mSharers, aTarget.mId, *aTarget.mLimit, aNow);
+  }
+  NoteHeld(aState.mServices[aTarget.mService], aTarget);
+}
+
+void SetLimit(State& aState,
+              Micros aNow,
+              Target& aTarget,
+              std::optional<double> aLimit,
+              Effects& aOut)
+{
+  const bool ended = aTarget.mLimit && !aLimit;
+  if (ended) {
+    Log(aOut, 1, "event=limit_ended" + Describe(aTarget));
+  }
+  aTarget.mLimit = aLimit;
+  DivideLimit(aState, aNow, aTarget);
+  if (aLimit) {
+    Log(aOut, 1, "event=limit_named" + Describe(aTarget));
+  }
+  ++aState.mCounters[ended ? "limits_ended" : "limits_named"];
+}
+
+void TellLimit(const Target& aTarget, Effects& aOut)
+{
+  aOut.emplace_back(
+    TellFleet{ { gossip::Kind::TargetLimit,
+                 aTarget.mId,
+                 aTarget.mLimit ? RateText(*aTarget.mLimit) : "",
+                 aTarget.mLimitAt } });
+}
+
+bool IsAboutTheSame(const Target& aTarget, double aPerSecond)
+{
+  return aTarget.mLimit && std::abs(*aTarget.mLimit - aPerSecond) <=
+                             kSameRate * std::max(1.0, aPerSecond);
 }
 
 } // namespace
@@ -22,7 +89,6 @@
                Micros aNow,
                Target& aTarget,
                const LimitWord& aWord,
-               Micros aSentAt,
                Effects& aOut)
 {
   if (aWord.mKind == LimitWord::Kind::Unreadable) {
@@ -30,21 +96,88 @@
     Log(aOut, 2, "event=limit_unreadable target=" + aTarget.mId);
     return;
   }
-  if (aWord.mKind == LimitWord::Kind::Silent) {
-    // An answer to what was sent before the limit was named may be older.
-    if (aTarget.mLimit && aSentAt > aTarget.mLimitAt) {
-      Log(aOut, 1, "event=limit_ended" + Describe(aTarget));
-      aTarget.mLimit.reset();
-      aTarget.mLimitAt = aNow;
-    }
+  aTarget.mLimitAt = aNow;
+  if (!IsAboutTheSame(aTarget, aWord.mPerSecond)) {
+    SetLimit(aState, aNow, aTarget, aWord.mPerSecond, aOut);
+  }
+  TellLimit(aTarget, aOut);
+}
+
+// An answer to what was sent before the limit was named may be older.
+void TakeNoLimit(State& aState,
+                 Micros aNow,
+                 Target& aTarget,
+                 Micros aSentAt,
+                 Effects& aOut)
+{
+  if (aTarget.mLimit && aSentAt > aTarget.mLimitAt) {
+    aTarget.mLimitAt = aNow;
+    SetLimit(aState, aNow, aTarget, std::nullopt, aOut);
+    TellLimit(aTarget, aOut);
+  }
+}
+
+void TakeLimitGossip(State& aState,
+                     Micros aNow,
+                     const gossip::Item& aItem,
+                     Effects& aOut)
+{
+  const auto found = aState.mTargets.find(aItem.mKey);
+  if (found == aState.mTargets.end()) {
+    aState.mEarlyLimits[aItem.mKey] = aItem;
     return;
   }
-  const bool isNew = aTarget.mLimit != aWord.mPerSecond;
-  aTarget.mLimit = aWord.mPerSecond;
-  aTarget.mLimitAt = aNow;
-  if (isNew) {
-    ++aState.mCounters["limits_named"];
-    Log(aOut, 1, "event=limit_named" + Describe(aTarget));
+  Target& target = found->second;
+  const char* end = aItem.mValue.data() + aItem.mValue.size();
+  double perSecond = 0;
+  const bool named =
+    std::from_chars(aItem.mValue.data(), end, perSecond).ec == std::errc();
+  if (aItem.mSeenAt <= target.mLimitAt) {
+    return;
+  }
+  target.mLimitAt = aItem.mSeenAt;
+  if (named && !IsAboutTheSame(target, perSecond)) {
+    SetLimit(aState, aNow, target, perSecond, aOut);
+  } else if (!named && target.mLimit) {
+    SetLimit(aState, aNow, target, std::nullopt, aOut);
+  }
+}
+
+void TakeEarlyLimit(State& aState, Micros aNow, Target& aTarget, Effects& aOut)
+{
+  const auto found = aState.mEarlyLimits.find(aTarget.mId);
+  if (found != aState.mEarlyLimits.end()) {
+    const gossip::Item item = std::move(found->second);
+    aState.mEarlyLimits.erase(found);
+    TakeLimitGossip(aState, aNow, item, aOut);
+  }
+}
+
+bool HasRoomInLimit(const Target& aTarget, Micros aNow) noexcept
+{
+  return !aTarget.mLimit || rate_share::HasRoom(aTarget.mShare, aNow);
+}
+
+bool MayEverTake(const Target& aTarget) noexcept
+{
+  return !aTarget.mLimit || aTarget.mShare.mPart > 0;
+}
+
+bool HasLimits(const State& aState) noexcept
+{
+  return std::any_of(
+    aState.mTargets.begin(), aState.mTargets.end(), [](const auto& aEntry) {
+      return aEntry.second.mLimit.has_value();
+    });
+}
+
+void SetSharers(State& aState, Micros aNow, rate_share::Members aSharers)
+{
+  aState.mSharers = std::move(aSharers);
+  for (auto& [id, target] : aState.mTargets) {
+    if (target.mLimit) {
+      DivideLimit(aState, aNow, target);
+    }
   }
 }
 
--- a/src/dispatch/requests.cpp
+++ b/src/dispatch/requests.cpp
@@ -204,6 +204,9 @@
   attempt.mReportAge = aTarget.mReport ? aNow - aTarget.mReportAt : -1;
   attempt.mLargeBytes = LargeBytes(aState, need);
   aState.mLargeBytes += attempt.mLargeBytes;
+  if (aTarget.mLimit) {
+    rate_share::Take(aTarget.mShare, aNow);
+  }
   ++aTarget.mRunning;
   ++aTarget.mSentSince;
   ++aRequest.mSent;
--- a/src/dispatch/targets.cpp
+++ b/src/dispatch/targets.cpp
@@ -85,8 +85,10 @@
 void RemoveTarget(State& aState, const std::string& aId, Effects& aOut)
 {
   Target& target = aState.mTargets[aId];
-  std::vector<std::string>& list = aState.mServices[target.mService].mTargets;
-  list.erase(std::remove(list.begin(), list.end(), aId), list.end());
+  Service& service = aState.mServices[target.mService];
+  for (std::vector<std::string>* list : { &service.mTargets, &service.mHeld }) {
+    list->erase(std::remove(list->begin(), list->end(), aId), list->end());
+  }
   Log(aOut,
       1,
       "event=target_removed target=" + aId + " service=" + target.mService);
@@ -126,6 +128,7 @@
       "event=target_added target=" + target.mId +
         " service=" + target.mService + " address=" + target.mAddress +
         " sequence=" + std::to_string(aRecord.sequence()));
+  TakeEarlyLimit(aState, aNow, target, aOut);
 }
 
 // The first probe opens a connection and learns whether a target tells its
@@ -314,7 +317,7 @@
   if (aEnd.mAnswered && !other) {
     // A target may name its limit to requests alone: silence says nothing.
     if (aEnd.mLimit.mKind != LimitWord::Kind::Silent) {
-      TakeLimit(aState, aNow, target, aEnd.mLimit, target.mProbeSentAt, aOut);
+      TakeLimit(aState, aNow, target, aEnd.mLimit, aOut);
     }
     NoteTargetLives(aState, aNow, target, aOut);
   }
--- a/src/frontend/gateway_calls.cpp
+++ b/src/frontend/gateway_calls.cpp
@@ -3,6 +3,8 @@
 
 #include "edge/logging.h"
 
+#include <algorithm>
+
 // Calls of targets, operators and directory clients.
 namespace geraniumpond::frontend {
 
@@ -90,6 +92,10 @@
   gauges["requests_running"] =
     static_cast<double>(dispatch::RunningRequests(mState.mDispatch));
   gauges["targets"] = static_cast<double>(mState.mDispatch.mTargets.size());
+  gauges["targets_limited"] = static_cast<double>(std::count_if(
+    mState.mDispatch.mTargets.begin(),
+    mState.mDispatch.mTargets.end(),
+    [](const auto& aOne) { return aOne.second.mLimit.has_value(); }));
   gauges["hosts"] = mState.mDispatch.mHosts;
   gauges["policy_version"] =
     static_cast<double>(mState.mFleet.mCatalog.mVersion);
--- a/src/frontend/target_pool.cpp
+++ b/src/frontend/target_pool.cpp
@@ -3,10 +3,12 @@
 #include <Poco/Exception.h>
 #include <Poco/Net/SocketAddress.h>
 #include <Poco/NumberParser.h>
+#include <Poco/String.h>
 #include <Poco/StringTokenizer.h>
 
 #include <algorithm>
 #include <cerrno>
+#include <charconv>
 #include <cmath>
 #include <limits>
 #include <netinet/tcp.h>
@@ -68,13 +70,15 @@
   if (aName.empty() || value == nullptr) {
     return {};
   }
+  const std::string text = Poco::trim(*value);
+  const char* end = text.data() + text.size();
   double perSecond = 0;
+  const auto read = std::from_chars(text.data(), end, perSecond);
   const auto named =
     std::count_if(aFields.begin(), aFields.end(), [&](const auto& aField) {
       return SameName(aField.first, aName);
     });
-  const bool sound = named == 1 &&
-                     Poco::NumberParser::tryParseFloat(*value, perSecond) &&
+  const bool sound = named == 1 && read.ec == std::errc() && read.ptr == end &&
                      std::isfinite(perSecond) && perSecond >= 0;
   return sound ? dispatch::LimitWord{ Kind::Named, perSecond }
                : dispatch::LimitWord{ Kind::Unreadable, 0 };
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -182,6 +182,22 @@
   }
 }
 
+// Limits of targets are divided among the hosts that take clients.
+void CountSharers(Context& aContext)
+{
+  State& state = aContext.mState;
+  rate_share::Members sharers;
+  if (state.mDispatch.mKnowsHosts && dispatch::HasLimits(state.mDispatch)) {
+    std::vector<std::string> hosts;
+    for (const fleet::Host* host :
+         fleet::ReadyHosts(state.mFleet, aContext.mNow)) {
+      hosts.push_back(host->mPeerAddress);
+    }
+    sharers = rate_share::MakeMembers(hosts, state.mDispatch.mHostId);
+  }
+  dispatch::SetSharers(state.mDispatch, aContext.mNow, std::move(sharers));
+}
+
 // Bounds that all hosts share hold over a window: within one the largest number
 // counts, so that hosts which are lost for a moment, or out of sight, do not
 // make the others take their shares.
@@ -193,6 +209,7 @@
   }
   state.mHostsCountedAt = aContext.mNow;
   state.mDispatch.mKnowsHosts = aContext.mNow >= state.mStartedAt + kLearnHosts;
+  CountSharers(aContext);
   const int hosts = fleet::LiveHosts(state.mFleet, aContext.mNow);
   const Micros window = state.mSettings.mBounds.mExtraWindow;
   if (hosts >= state.mDispatch.mHosts) {
--- a/src/gossip/gossip.cpp
+++ b/src/gossip/gossip.cpp
@@ -19,6 +19,7 @@
 constexpr std::array<KindRules, kKinds> kRules = {
   KindRules{ "request_crash", 600 * kSecond, 30 * kSecond, 1024 },
   KindRules{ "request_answered", 600 * kSecond, 3 * kSecond, 1024 },
+  KindRules{ "target_limit", 600 * kSecond, 60 * kSecond, 4096 },
 };
 
 void Remove(State& aState, const ItemKey& aKey)
--- a/tests/fakes/gateway_world.cpp
+++ b/tests/fakes/gateway_world.cpp
@@ -102,6 +102,23 @@
   }
 }
 
+template<class Body>
+void GatewayWorld::Post(std::size_t aHost, Body aBody)
+{
+  if (!mHosts[aHost].mAlive) {
+    return;
+  }
+  if (mFrozen.count(aHost) != 0) {
+    mDeferred[aHost].push_back([this, aHost, aBody] { Post(aHost, aBody); });
+    return;
+  }
+  gateway::Event event;
+  event.mNow = mNow;
+  event.mRandom = mRandom();
+  event.mBody = std::move(aBody);
+  Perform(aHost, gateway::Step(mHosts[aHost].mState, event));
+}
+
 void GatewayWorld::StartHost(std::size_t aHost)
 {
   Host& host = mHosts[aHost];
@@ -114,6 +131,19 @@
   Perform(aHost, std::move(effects));
 }
 
+void GatewayWorld::StopHost(std::size_t aHost)
+{
+  Post(aHost, gateway::StopRequested{});
+}
+
+void GatewayWorld::ThawHost(std::size_t aHost)
+{
+  mFrozen.erase(aHost);
+  for (const auto& event : std::exchange(mDeferred[aHost], {})) {
+    event();
+  }
+}
+
 void GatewayWorld::ReleaseRequest(std::size_t aHost, const std::string& aPath)
 {
   dispatch::Arrival arrival;
@@ -127,6 +157,8 @@
 void GatewayWorld::KillHost(std::size_t aHost)
 {
   mHosts[aHost].mAlive = false;
+  mFrozen.erase(aHost);
+  mDeferred.erase(aHost);
   for (auto it = mClients.begin(); it != mClients.end();) {
     if (it->first.first != aHost) {
       ++it;
@@ -204,7 +236,7 @@
       what();
     }
     for (std::size_t host = 0; host < mHosts.size(); ++host) {
-      if (mHosts[host].mAlive &&
+      if (mHosts[host].mAlive && mFrozen.count(host) == 0 &&
           gateway::NextTick(mHosts[host].mState) <= mNow) {
         Post(host, gateway::TimePassed{});
       }
@@ -223,19 +255,6 @@
   return alive.at(mRandom() % alive.size());
 }
 
-template<class Body>
-void GatewayWorld::Post(std::size_t aHost, Body aBody)
-{
-  if (!mHosts[aHost].mAlive) {
-    return;
-  }
-  gateway::Event event;
-  event.mNow = mNow;
-  event.mRandom = mRandom();
-  event.mBody = std::move(aBody);
-  Perform(aHost, gateway::Step(mHosts[aHost].mState, event));
-}
-
 void GatewayWorld::Perform(std::size_t aHost, gateway::Effects aEffects)
 {
   for (gateway::Effect& effect : aEffects) {
@@ -454,10 +473,8 @@
 
 void GatewayWorld::ReportEnd(std::size_t aHost, dispatch::AttemptEnd aEnd)
 {
-  const auto key = std::make_pair(aHost, aEnd.mAttempt);
-  mStatuses[key] = aEnd.mStatus;
+  mStatuses[{ aHost, aEnd.mAttempt }] = aEnd.mStatus;
   Post(aHost, std::move(aEnd));
-  mStatuses.erase(key);
 }
 
 // ------------------------------------------------------------------- clients
--- a/tests/fakes/gateway_world.h
+++ b/tests/fakes/gateway_world.h
@@ -106,6 +106,10 @@
   std::set<std::size_t> mCutOff;
   void KillHost(std::size_t aHost);
   void StartHost(std::size_t aHost);
+  void StopHost(std::size_t aHost);
+  /// \brief The host does nothing; what comes meanwhile waits.
+  void FreezeHost(std::size_t aHost) { mFrozen.insert(aHost); }
+  void ThawHost(std::size_t aHost);
   [[nodiscard]] std::size_t LeaderHost() const;
   [[nodiscard]] std::size_t Hosts() const noexcept { return mHosts.size(); }
   [[nodiscard]] const gateway::State& At(std::size_t aHost) const
@@ -208,6 +212,8 @@
   std::map<std::pair<std::size_t, std::uint64_t>, int> mStatuses;
   std::multimap<Micros, std::function<void()>> mQueue;
   std::set<std::string> mHarmful;
+  std::set<std::size_t> mFrozen;
+  std::map<std::size_t, std::vector<std::function<void()>>> mDeferred;
   std::uint64_t mLast = 0;
 };
 
--- a/tests/http_test.cpp
+++ b/tests/http_test.cpp
@@ -20,6 +20,7 @@
   CPPUNIT_TEST(BytesThatAreNoResponseAreMalformed);
   CPPUNIT_TEST(SerializedResponseHasItsLengthAndNoHopFields);
   CPPUNIT_TEST(LoadIsReadWhereItIsSound);
+  CPPUNIT_TEST(LimitIsReadWhereItIsSound);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -190,6 +191,30 @@
                          text);
   }
 
+  void LimitIsReadWhereItIsSound()
+  {
+    using Kind = dispatch::LimitWord::Kind;
+    const auto read = [](const HeaderFields& aFields) {
+      return ReadLimit(aFields, "Target-Limit");
+    };
+    CPPUNIT_ASSERT(read({ { "Other", "1" } }).mKind == Kind::Silent);
+    for (const std::string text : { "3.4", " 3.4", "3.40", "34e-1" }) {
+      const dispatch::LimitWord word = read({ { "target-limit", text } });
+      CPPUNIT_ASSERT_MESSAGE(text, word.mKind == Kind::Named);
+      CPPUNIT_ASSERT_DOUBLES_EQUAL(3.4, word.mPerSecond, 1e-9);
+    }
+    CPPUNIT_ASSERT(read({ { "Target-Limit", "0" } }).mKind == Kind::Named);
+    CPPUNIT_ASSERT(read({ { "Target-Limit", "1e300" } }).mKind == Kind::Named);
+    for (const std::string text :
+         { "", "-1", "few", "nan", "inf", "-inf", "1e999", "3,4", "3 4" }) {
+      CPPUNIT_ASSERT_MESSAGE(
+        text, read({ { "Target-Limit", text } }).mKind == Kind::Unreadable);
+    }
+    const HeaderFields twice = { { "Target-Limit", "3" },
+                                 { "Target-Limit", "4" } };
+    CPPUNIT_ASSERT(read(twice).mKind == Kind::Unreadable);
+  }
+
   void LoadIsReadWhereItIsSound()
   {
     const auto full = ParseLoad("3, 1,8,250");
--- a/tests/target_limit_test.cpp
+++ b/tests/target_limit_test.cpp
@@ -59,6 +59,16 @@
 {
   CPPUNIT_TEST_SUITE(TargetLimitTest);
   CPPUNIT_TEST(TargetThatNamesALimitGetsNoMoreFromAllHostsTogether);
+  CPPUNIT_TEST(LimitHoldsOverAHundredHostsWhoseSharesAreSmall);
+  CPPUNIT_TEST(LimitIsUsedWhileWorkWaits);
+  CPPUNIT_TEST(LimitHoldsWhileHostsThatHoldItStopFreezeAndComeBack);
+  CPPUNIT_TEST(LimitHoldsWhileAllHostsStartAnew);
+  CPPUNIT_TEST(LimitIsKnownToAllHostsAtOnce);
+  CPPUNIT_TEST(LimitEndsAtAllHostsSoonAfterItIsNamedNoMore);
+  CPPUNIT_TEST(LimitThatTheHealthPathNamesTooIsTheSame);
+  CPPUNIT_TEST(NextIncarnationStartsWithoutALimit);
+  CPPUNIT_TEST(HostThatStartsHearsOfLimitsItHasNotSeen);
+  CPPUNIT_TEST(RequestIsRefusedAtOnceWhereNoTargetMayTakeIt);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -66,17 +76,222 @@
   {
     for (const double limit : { 0.5, 3.4, 10.0 }) {
       GatewayWorld world(GatewayLoad(), 31);
-      world.Settle();
-      world.StartClients(20 * kSecond);
-      world.Advance(2 * kSecond);
-      const std::string target = world.TargetAddresses().front();
-      world.SetLimit(target, limit);
-      const Micros from = world.Now() + kContact;
-      world.Advance(18 * kSecond);
-      CPPUNIT_ASSERT_LESSEQUAL(Allowed(limit),
-                               MostArrivals(world, target, from, world.Now()));
+      AssertHolds(world, limit, [](GatewayWorld&) {});
     }
   }
+
+  void LimitHoldsOverAHundredHostsWhoseSharesAreSmall()
+  {
+    GatewayLoad load;
+    load.mOtherHosts = 96;
+    load.mPerSecond = 400;
+    GatewayWorld world(load, 32);
+    AssertHolds(world, 3.4, [](GatewayWorld&) {});
+  }
+
+  void LimitIsUsedWhileWorkWaits()
+  {
+    GatewayWorld world(Overload(), 33);
+    AssertHolds(world, 3.4, [](GatewayWorld&) {});
+    const double seconds = 18 - 3;
+    CPPUNIT_ASSERT_GREATER(0.8 * 3.4 * seconds, mArrived);
+  }
+
+  void LimitHoldsWhileHostsThatHoldItStopFreezeAndComeBack()
+  {
+    for (const std::uint64_t seed : { 34, 35, 36 }) {
+      GatewayWorld world(Overload(), seed);
+      AssertHolds(world, 3.4, [](GatewayWorld& aWorld) {
+        Micros at = 0;
+        for (const std::size_t host : Holders(aWorld)) {
+          at += 1500 * kMillisecond;
+          aWorld.Later(at, [&aWorld, host] { Disturb(aWorld, host); });
+        }
+      });
+    }
+  }
+
+  void LimitHoldsWhileAllHostsStartAnew()
+  {
+    GatewayWorld world(Overload(), 37);
+    AssertHolds(world, 3.4, [](GatewayWorld& aWorld) {
+      aWorld.Later(2 * kSecond, [&aWorld] {
+        for (std::size_t host = 0; host < aWorld.Hosts(); ++host) {
+          aWorld.KillHost(host);
+          aWorld.StartHost(host);
+        }
+      });
+    });
+  }
+
+  void LimitIsKnownToAllHostsAtOnce()
+  {
+    GatewayWorld world(GatewayLoad(), 38);
+    Start(world);
+    world.SetLimit(Target(world), 3.4);
+    world.Advance(500 * kMillisecond);
+    CPPUNIT_ASSERT_EQUAL(world.Hosts(), HostsThatKnow(world));
+  }
+
+  void LimitEndsAtAllHostsSoonAfterItIsNamedNoMore()
+  {
+    GatewayWorld world(GatewayLoad(), 39);
+    Start(world);
+    world.SetLimit(Target(world), 3.4);
+    world.Advance(5 * kSecond);
+    world.SetLimit(Target(world), 0);
+    world.Advance(3 * kSecond);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(0), HostsThatKnow(world));
+  }
+
+  void LimitThatTheHealthPathNamesTooIsTheSame()
+  {
+    GatewayWorld world(GatewayLoad(), 40);
+    world.mProbesNameLimits = true;
+    AssertHolds(world, 3.4, [](GatewayWorld&) {});
+    world.SetLimit(Target(world), 0);
+    world.StartClients(4 * kSecond);
+    world.Advance(4 * kSecond);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(0), HostsThatKnow(world));
+  }
+
+  void NextIncarnationStartsWithoutALimit()
+  {
+    GatewayWorld world(GatewayLoad(), 41);
+    Start(world);
+    world.SetLimit(Target(world), 3.4);
+    world.Advance(2 * kSecond);
+    world.EndTarget(Target(world));
+    world.Advance(8 * kSecond);
+    for (std::size_t host = 0; host < world.Hosts(); ++host) {
+      const auto& targets = world.At(host).mDispatch.mTargets;
+      const auto next = targets.find(Target(world) + "#2");
+      CPPUNIT_ASSERT(next != targets.end() && !next->second.mLimit);
+    }
+  }
+
+  void HostThatStartsHearsOfLimitsItHasNotSeen()
+  {
+    GatewayWorld world(GatewayLoad(), 42);
+    Start(world);
+    world.SetLimit(Target(world), 3.4);
+    world.Advance(2 * kSecond);
+    world.KillHost(9);
+    world.Advance(kSecond);
+    world.StartHost(9);
+    world.Advance(1500 * kMillisecond);
+    CPPUNIT_ASSERT_EQUAL(world.Hosts(), HostsThatKnow(world));
+  }
+
+  void RequestIsRefusedAtOnceWhereNoTargetMayTakeIt()
+  {
+    GatewayLoad load;
+    load.mTargets = 1;
+    load.mPerSecond = 100;
+    load.mReturns = 0;
+    GatewayWorld world(load, 43);
+    Start(world);
+    world.SetLimit(Target(world), 2.0);
+    world.Advance(5 * kSecond);
+    // Of 15 hosts two hold a part; none of the others lets anybody wait.
+    for (std::size_t host = 0; host < world.Hosts(); ++host) {
+      const dispatch::State& state = world.At(host).mDispatch;
+      const bool holds = !state.mServices.at("service").mHeld.empty();
+      CPPUNIT_ASSERT(holds || state.mRequests.empty());
+    }
+  }
+
+private:
+  // More work than the targets without a limit can do.
+  static GatewayLoad Overload()
+  {
+    GatewayLoad load;
+    load.mTargets = 6;
+    load.mPerSecond = 300;
+    return load;
+  }
+
+  static std::string Target(const GatewayWorld& aWorld)
+  {
+    return aWorld.TargetAddresses().front();
+  }
+
+  static void Start(GatewayWorld& aWorld)
+  {
+    aWorld.Settle();
+    aWorld.StartClients(20 * kSecond);
+    aWorld.Advance(2 * kSecond);
+  }
+
+  static std::size_t HostsThatKnow(const GatewayWorld& aWorld)
+  {
+    std::size_t count = 0;
+    for (std::size_t host = 0; host < aWorld.Hosts(); ++host) {
+      count += dispatch::HasLimits(aWorld.At(host).mDispatch) ? 1 : 0;
+    }
+    return count;
+  }
+
+  static std::vector<std::size_t> Holders(const GatewayWorld& aWorld)
+  {
+    std::vector<std::size_t> holders;
+    for (std::size_t host = 0; host < aWorld.Hosts(); ++host) {
+      const dispatch::State& state = aWorld.At(host).mDispatch;
+      if (!state.mServices.at("service").mHeld.empty()) {
+        holders.push_back(host);
+      }
+    }
+    return holders;
+  }
+
+  // Stopped and started anew, frozen, cut off, or killed, by turns.
+  static void Disturb(GatewayWorld& aWorld, std::size_t aHost)
+  {
+    switch (aHost % 4) {
+      case 0:
+        aWorld.StopHost(aHost);
+        aWorld.Later(6 * kSecond, [&aWorld, aHost] {
+          aWorld.KillHost(aHost);
+          aWorld.StartHost(aHost);
+        });
+        break;
+      case 1:
+        aWorld.FreezeHost(aHost);
+        aWorld.Later(4 * kSecond, [&aWorld, aHost] { aWorld.ThawHost(aHost); });
+        break;
+      case 2:
+        aWorld.mCutOff.insert(aHost);
+        aWorld.Later(5 * kSecond,
+                     [&aWorld, aHost] { aWorld.mCutOff.erase(aHost); });
+        break;
+      default:
+        aWorld.KillHost(aHost);
+        aWorld.Later(kSecond, [&aWorld, aHost] { aWorld.StartHost(aHost); });
+    }
+  }
+
+  void AssertHolds(GatewayWorld& aWorld,
+                   double aLimit,
+                   const std::function<void(GatewayWorld&)>& aTrouble)
+  {
+    Start(aWorld);
+    const std::string target = Target(aWorld);
+    aWorld.SetLimit(target, aLimit);
+    const Micros from = aWorld.Now() + kContact;
+    aWorld.Advance(kContact);
+    aTrouble(aWorld);
+    aWorld.Advance(15 * kSecond);
+    CPPUNIT_ASSERT_LESSEQUAL(Allowed(aLimit),
+                             MostArrivals(aWorld, target, from, aWorld.Now()));
+    mArrived = static_cast<double>(
+      std::count_if(aWorld.mArrivals.begin(),
+                    aWorld.mArrivals.end(),
+                    [&](const TargetArrival& aArrival) {
+                      return IsAt(aArrival, target) && aArrival.mAt >= from;
+                    }));
+  }
+
+  double mArrived = 0;
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(TargetLimitTest);
