Search schedules of faults around whole hosts, harmful requests and limits among them

bench/gateway_search draws hosts, targets, load and three to twelve faults by seed (harmful requests, limits, targets that end alone or together, fall silent, are reset, replaced or fail; hosts killed, stopped, frozen, cut off; the control group or all killed), plays them in virtual time, and checks: few arrivals of harmful requests, limits, extra arrivals, nothing runs twice or after a refusal, and all is served in the calm afterwards. Arrivals from hosts that were disturbed within the time of contact do not count for the first two, as the users have it.

--- /dev/null
+++ b/bench/gateway_search.cpp
@@ -0,0 +1,77 @@
+// A seeded search for schedules of faults around whole gateway hosts after
+// which a promise is broken: requests that end targets, limits that targets
+// name, targets and hosts that end, fall silent, freeze, are cut off or
+// replaced.
+//
+//   gateway_search --seeds N [--first S]   a range of seeds
+//   gateway_search --show S                one seed's smallest part
+//   gateway_search --plant facts           hosts hear of no facts; ends with 1
+//                                          where that is found
+#include "fakes/gateway_schedule.h"
+#include "fakes/options.h"
+
+#include <algorithm>
+#include <iostream>
+
+namespace {
+
+using namespace geraniumpond;
+
+fakes::GatewaySchedule MakeSchedule(std::uint64_t aSeed, bool aLosesFacts)
+{
+  fakes::GatewaySchedule schedule = fakes::MakeGatewaySchedule(aSeed);
+  schedule.mLosesFacts = aLosesFacts;
+  return schedule;
+}
+
+int Show(std::uint64_t aSeed, bool aLosesFacts)
+{
+  const fakes::GatewaySchedule whole = MakeSchedule(aSeed, aLosesFacts);
+  const fakes::GatewayOutcome outcome = fakes::PlayGatewaySchedule(whole);
+  if (outcome.mBroken.empty()) {
+    std::cout << "nothing broken\n" << fakes::Describe(whole) << std::flush;
+    return 0;
+  }
+  const fakes::GatewaySchedule smallest = fakes::ShrinkGatewaySchedule(whole);
+  std::cout << "broken: " << fakes::PlayGatewaySchedule(smallest).mBroken
+            << "\n"
+            << fakes::Describe(smallest) << std::flush;
+  return 1;
+}
+
+int Search(std::uint64_t aFirst, std::uint64_t aSeeds, bool aLosesFacts)
+{
+  int broken = 0;
+  long innocents = 0;
+  long offered = 0;
+  std::size_t ends = 0;
+  for (std::uint64_t seed = aFirst; seed < aFirst + aSeeds; ++seed) {
+    const fakes::GatewayOutcome outcome =
+      fakes::PlayGatewaySchedule(MakeSchedule(seed, aLosesFacts));
+    innocents += outcome.mInnocents;
+    offered += outcome.mOffered;
+    ends = std::max(ends, outcome.mMostEnds);
+    if (!outcome.mBroken.empty()) {
+      ++broken;
+      std::cout << "seed " << seed << ": " << outcome.mBroken << std::endl;
+    }
+  }
+  std::cout << aSeeds << " seeds, " << broken << " broken; " << innocents
+            << " of " << offered << " innocent requests refused; at most "
+            << ends << " targets ended under one request" << std::endl;
+  return broken == 0 ? 0 : 1;
+}
+
+} // namespace
+
+int main(int aCount, char** aWords)
+{
+  const fakes::Options options = fakes::ParseOptions(aCount, aWords);
+  const bool plant = options.Text("plant") == "facts";
+  if (!options.Text("show").empty()) {
+    return Show(static_cast<std::uint64_t>(options.Number("show", 1)), plant);
+  }
+  return Search(static_cast<std::uint64_t>(options.Number("first", 1)),
+                static_cast<std::uint64_t>(options.Number("seeds", 60)),
+                plant);
+}
--- /dev/null
+++ b/tests/fakes/gateway_schedule.cpp
@@ -0,0 +1,460 @@
+#include "fakes/gateway_schedule.h"
+
+#include <algorithm>
+#include <array>
+#include <cstdio>
+#include <map>
+#include <utility>
+
+namespace geraniumpond::fakes {
+
+namespace {
+
+/// Time in which hosts that were not disturbed hear of each other.
+constexpr Micros kContact = 3 * kSecond;
+constexpr Micros kFaultTime = 24 * kSecond;
+/// From the last fault until all must be well, and for how long that is seen.
+constexpr Micros kRecover = 12 * kSecond;
+constexpr Micros kCalm = 5 * kSecond;
+constexpr std::size_t kEnds = 3;
+constexpr std::size_t kLaterArrivals = 3;
+constexpr Micros kLimitWindow = 4 * kSecond;
+constexpr Micros kExtraWindow = 10 * kSecond;
+constexpr double kExtraRatio = 0.2;
+constexpr double kExtraFloor = 60;
+constexpr double kServedInCalm = 0.98;
+
+constexpr std::array<const char*, 14> kFaultNames = {
+  "harmful",        "limit",        "target_ends",     "targets_end",
+  "target_silent",  "target_reset", "target_replaced", "targets_fail",
+  "host_killed",    "host_stopped", "host_frozen",     "host_cut",
+  "control_killed", "all_killed",
+};
+
+/// \brief When hosts and the group were disturbed, and what targets named.
+struct Record
+{
+  /// By host; the group's own is beyond the last one.
+  std::map<std::size_t, std::vector<std::pair<Micros, Micros>>> mDisturbed;
+  /// By target address: from when, until when, and the rate.
+  std::map<std::string, std::vector<std::pair<Micros, Micros>>> mLimits;
+  std::map<std::string, double> mRates;
+};
+
+constexpr std::size_t kGroup = static_cast<std::size_t>(-1);
+
+bool IsDisturbed(const Record& aRecord, std::size_t aHost, Micros aAt)
+{
+  for (const std::size_t who : { aHost, kGroup }) {
+    const auto found = aRecord.mDisturbed.find(who);
+    if (found == aRecord.mDisturbed.end()) {
+      continue;
+    }
+    for (const auto& [from, until] : found->second) {
+      if (aAt >= from && aAt <= until + kContact) {
+        return true;
+      }
+    }
+  }
+  return false;
+}
+
+std::string HarmfulPath(std::size_t aWhich)
+{
+  return "/harmful" + std::to_string(aWhich % 2);
+}
+
+/// \brief Plays the steps of a schedule in a world.
+class Player
+{
+public:
+  explicit Player(const GatewaySchedule& aSchedule)
+    : mSchedule(aSchedule)
+    , mWorld(aSchedule.mLoad, aSchedule.mSeed)
+  {
+    mWorld.mLosesFacts = aSchedule.mLosesFacts;
+  }
+
+  GatewayOutcome Play()
+  {
+    mWorld.Settle();
+    mStart = mWorld.Now();
+    mWorld.StartClients(kFaultTime + kRecover + kCalm);
+    for (const GatewayStep& step : mSchedule.mSteps) {
+      mWorld.Later(step.mAt, [this, step] { Do(step); });
+    }
+    mWorld.Advance(kFaultTime + kRecover);
+    const GatewayTally before = mWorld.mTally;
+    mWorld.Advance(kCalm + 2 * kSecond);
+    GatewayOutcome outcome;
+    outcome.mInnocents = mWorld.mTally.mQuarantined;
+    outcome.mOffered = mWorld.mTally.mOffered;
+    for (const auto& [path, ends] : mWorld.mEnds) {
+      outcome.mMostEnds = std::max(outcome.mMostEnds, ends.size());
+    }
+    for (const std::string& broken :
+         { mWorld.mBroken.empty() ? std::string() : mWorld.mBroken.front(),
+           HarmfulFault(),
+           LimitFault(),
+           ExtraFault(),
+           CalmFault(before) }) {
+      outcome.mBroken = outcome.mBroken.empty() ? broken : outcome.mBroken;
+    }
+    return outcome;
+  }
+
+private:
+  std::size_t HostOf(const GatewayStep& aStep) const
+  {
+    return aStep.mWhich % mWorld.Hosts();
+  }
+
+  std::string TargetOf(std::size_t aWhich) const
+  {
+    const std::vector<std::string> all = mWorld.TargetAddresses();
+    return all[aWhich % all.size()];
+  }
+
+  bool IsControl(std::size_t aHost) const
+  {
+    return aHost < static_cast<std::size_t>(mSchedule.mLoad.mControlHosts);
+  }
+
+  void NoteDisturbed(std::size_t aHost, Micros aUntil)
+  {
+    mRecord.mDisturbed[aHost].emplace_back(mWorld.Now(), aUntil);
+    if (aHost != kGroup && IsControl(aHost)) {
+      mRecord.mDisturbed[kGroup].emplace_back(mWorld.Now(), aUntil);
+    }
+  }
+
+  void Do(const GatewayStep& aStep)
+  {
+    const Micros until = mWorld.Now() + aStep.mFor;
+    switch (aStep.mFault) {
+      case GatewayFault::Harmful:
+      case GatewayFault::Limit:
+      case GatewayFault::TargetEnds:
+      case GatewayFault::TargetsEnd:
+      case GatewayFault::TargetSilent:
+      case GatewayFault::TargetReset:
+      case GatewayFault::TargetReplaced:
+      case GatewayFault::TargetsFail:
+        DoToTargets(aStep, until);
+        break;
+      case GatewayFault::HostKilled:
+      case GatewayFault::HostStopped:
+      case GatewayFault::HostFrozen:
+      case GatewayFault::HostCut:
+        NoteDisturbed(HostOf(aStep), until);
+        DoToHost(aStep, HostOf(aStep));
+        break;
+      case GatewayFault::ControlKilled:
+      case GatewayFault::AllKilled:
+        DoToHosts(aStep, until);
+        break;
+    }
+  }
+
+  void DoToTargets(const GatewayStep& aStep, Micros aUntil)
+  {
+    const std::string target = TargetOf(aStep.mWhich);
+    const auto gap = static_cast<Micros>(kSecond / std::max(0.1, aStep.mRate));
+    switch (aStep.mFault) {
+      case GatewayFault::Harmful:
+        mWorld.MakeHarmful(HarmfulPath(aStep.mWhich));
+        mWorld.AskAgainAndAgain(HarmfulPath(aStep.mWhich), gap, aStep.mFor);
+        break;
+      case GatewayFault::Limit:
+        StartLimit(aStep, target, aUntil);
+        break;
+      case GatewayFault::TargetEnds:
+        mWorld.EndTarget(target);
+        break;
+      case GatewayFault::TargetsEnd:
+        for (std::size_t i = 0; i < mWorld.TargetAddresses().size(); i += 3) {
+          mWorld.EndTarget(TargetOf(aStep.mWhich + i));
+        }
+        break;
+      case GatewayFault::TargetSilent:
+        mWorld.SilenceTarget(target, aStep.mFor);
+        break;
+      case GatewayFault::TargetReset:
+        mWorld.ResetConnections(target);
+        break;
+      case GatewayFault::TargetReplaced:
+        mWorld.ReplaceTarget(target);
+        break;
+      default:
+        mWorld.mErrorShare = 0.3;
+        mWorld.Later(aStep.mFor, [this] { mWorld.mErrorShare = 0; });
+    }
+  }
+
+  // The first answer names it a little later; a target has one limit in a day.
+  void StartLimit(const GatewayStep& aStep,
+                  const std::string& aTarget,
+                  Micros aUntil)
+  {
+    if (mRecord.mRates.count(aTarget) != 0) {
+      return;
+    }
+    mWorld.SetLimit(aTarget, aStep.mRate);
+    mRecord.mLimits[aTarget].emplace_back(mWorld.Now() + kContact, aUntil);
+    mRecord.mRates[aTarget] = aStep.mRate;
+    mWorld.Later(aStep.mFor, [this, aTarget] { mWorld.SetLimit(aTarget, 0); });
+  }
+
+  void DoToHost(const GatewayStep& aStep, std::size_t aHost)
+  {
+    switch (aStep.mFault) {
+      case GatewayFault::HostStopped:
+        mWorld.StopHost(aHost);
+        break;
+      case GatewayFault::HostFrozen:
+        mWorld.FreezeHost(aHost);
+        mWorld.Later(aStep.mFor, [this, aHost] { mWorld.ThawHost(aHost); });
+        return;
+      case GatewayFault::HostCut:
+        mWorld.mCutOff.insert(aHost);
+        mWorld.Later(aStep.mFor,
+                     [this, aHost] { mWorld.mCutOff.erase(aHost); });
+        return;
+      default:
+        mWorld.KillHost(aHost);
+    }
+    mWorld.Later(aStep.mFor, [this, aHost] {
+      mWorld.KillHost(aHost);
+      mWorld.StartHost(aHost);
+    });
+  }
+
+  void DoToHosts(const GatewayStep& aStep, Micros aUntil)
+  {
+    const bool all = aStep.mFault == GatewayFault::AllKilled;
+    NoteDisturbed(kGroup, aUntil);
+    for (std::size_t host = 0; host < mWorld.Hosts(); ++host) {
+      if (all || IsControl(host)) {
+        mWorld.KillHost(host);
+        mWorld.Later(aStep.mFor, [this, host] {
+          mWorld.KillHost(host);
+          mWorld.StartHost(host);
+        });
+      }
+    }
+  }
+
+  // Arrivals of hosts that were disturbed lately do not count.
+  bool Counts(const TargetArrival& aArrival) const
+  {
+    return !IsDisturbed(mRecord, aArrival.mHostIndex, aArrival.mAt);
+  }
+
+  std::string HarmfulFault() const
+  {
+    for (const auto& [path, ends] : mWorld.mEnds) {
+      if (ends.size() < kEnds) {
+        continue;
+      }
+      // A fleet that was lost as a whole learns anew.
+      const Micros from = ends[kEnds - 1] + kContact;
+      const std::string& asked = path;
+      const auto later = static_cast<std::size_t>(
+        std::count_if(mWorld.mArrivals.begin(),
+                      mWorld.mArrivals.end(),
+                      [&](const TargetArrival& aArrival) {
+                        return aArrival.mPath == asked && aArrival.mAt > from &&
+                               Counts(aArrival);
+                      }));
+      if (later > kLaterArrivals) {
+        return "harmful request " + path + " arrived " + std::to_string(later) +
+               " times later";
+      }
+    }
+    return "";
+  }
+
+  std::string LimitFault() const
+  {
+    for (const auto& [address, spans] : mRecord.mLimits) {
+      const double rate = mRecord.mRates.at(address);
+      const double allowed =
+        1.5 * rate * static_cast<double>(kLimitWindow) / kSecond + 5;
+      for (const auto& [from, until] : spans) {
+        const double most = MostArrivals(address, from, until);
+        if (most > allowed) {
+          char text[128];
+          std::snprintf(text,
+                        sizeof(text),
+                        "%s named %.1f a second and got %.0f, allowed %.0f",
+                        address.c_str(),
+                        rate,
+                        most,
+                        allowed);
+          return text;
+        }
+      }
+    }
+    return "";
+  }
+
+  double MostArrivals(const std::string& aAddress,
+                      Micros aFrom,
+                      Micros aUntil) const
+  {
+    std::vector<Micros> times;
+    for (const TargetArrival& arrival : mWorld.mArrivals) {
+      const bool here =
+        arrival.mTarget.compare(0, aAddress.size() + 1, aAddress + "#") == 0;
+      // A limit is one incarnation's.
+      if (here && arrival.mLimited && arrival.mAt >= aFrom &&
+          arrival.mAt <= aUntil && Counts(arrival)) {
+        times.push_back(arrival.mAt);
+      }
+    }
+    std::size_t most = 0;
+    std::size_t first = 0;
+    for (std::size_t i = 0; i < times.size(); ++i) {
+      while (times[i] - times[first] > kLimitWindow) {
+        ++first;
+      }
+      most = std::max(most, i - first + 1);
+    }
+    return static_cast<double>(most);
+  }
+
+  std::string ExtraFault() const
+  {
+    double most = 0;
+    double extra = 0;
+    double requests = 0;
+    std::size_t first = 0;
+    const std::vector<TargetArrival>& all = mWorld.mArrivals;
+    for (const TargetArrival& arrival : all) {
+      ++(arrival.mExtra ? extra : requests);
+      while (arrival.mAt - all[first].mAt > kExtraWindow) {
+        --(all[first].mExtra ? extra : requests);
+        ++first;
+      }
+      most = std::max(most, extra - kExtraRatio * requests);
+    }
+    return most > kExtraFloor
+             ? "extra arrivals beyond the share: " + std::to_string(most)
+             : "";
+  }
+
+  std::string CalmFault(const GatewayTally& aBefore) const
+  {
+    const int ended = mWorld.mTally.mServed + mWorld.mTally.mRefused +
+                      mWorld.mTally.mFailed - aBefore.mServed -
+                      aBefore.mRefused - aBefore.mFailed;
+    const int served = mWorld.mTally.mServed - aBefore.mServed;
+    return served < kServedInCalm * ended
+             ? "served in the calm after all faults: " +
+                 std::to_string(served) + " of " + std::to_string(ended)
+             : "";
+  }
+
+  GatewaySchedule mSchedule;
+  GatewayWorld mWorld;
+  Record mRecord;
+  Micros mStart = 0;
+};
+
+GatewayLoad DrawLoad(std::mt19937_64& aRandom)
+{
+  GatewayLoad load;
+  load.mControlHosts = 4 + static_cast<int>(aRandom() % 3);
+  load.mOtherHosts = static_cast<int>(aRandom() % 30);
+  load.mTargets = 6 + static_cast<int>(aRandom() % 20);
+  load.mIdempotent = aRandom() % 3 != 0;
+  const double room =
+    load.mTargets * load.mSlots * kSecond / static_cast<double>(load.mWork);
+  load.mPerSecond = std::min(
+    400.0, room * (0.15 + 0.4 * static_cast<double>(aRandom() % 100) / 100));
+  return load;
+}
+
+} // namespace
+
+const char* ToString(GatewayFault aFault) noexcept
+{
+  return kFaultNames[static_cast<std::size_t>(aFault)];
+}
+
+GatewaySchedule MakeGatewaySchedule(std::uint64_t aSeed)
+{
+  std::mt19937_64 random(aSeed);
+  GatewaySchedule schedule;
+  schedule.mSeed = aSeed;
+  schedule.mLoad = DrawLoad(random);
+  const std::size_t count = 3 + random() % 10;
+  for (std::size_t i = 0; i < count; ++i) {
+    GatewayStep step;
+    // Two of the kinds are drawn more often: they are what this looks for.
+    const std::size_t kind = random() % (kFaultNames.size() + 6);
+    step.mFault =
+      kind < kFaultNames.size()
+        ? static_cast<GatewayFault>(kind)
+        : (kind % 2 == 0 ? GatewayFault::Harmful : GatewayFault::Limit);
+    step.mAt = static_cast<Micros>(random() % 16000) * kMillisecond;
+    step.mFor = (500 + static_cast<Micros>(random() % 7500)) * kMillisecond;
+    step.mWhich = random();
+    step.mRate = 0.5 + static_cast<double>(random() % 100) / 10;
+    schedule.mSteps.push_back(step);
+  }
+  std::sort(schedule.mSteps.begin(),
+            schedule.mSteps.end(),
+            [](const GatewayStep& aLeft, const GatewayStep& aRight) {
+              return aLeft.mAt < aRight.mAt;
+            });
+  return schedule;
+}
+
+GatewayOutcome PlayGatewaySchedule(const GatewaySchedule& aSchedule)
+{
+  return Player(aSchedule).Play();
+}
+
+GatewaySchedule ShrinkGatewaySchedule(GatewaySchedule aSchedule)
+{
+  for (std::size_t i = 0; i < aSchedule.mSteps.size();) {
+    GatewaySchedule fewer = aSchedule;
+    fewer.mSteps.erase(fewer.mSteps.begin() + static_cast<std::ptrdiff_t>(i));
+    if (PlayGatewaySchedule(fewer).mBroken.empty()) {
+      ++i;
+    } else {
+      aSchedule = std::move(fewer);
+    }
+  }
+  return aSchedule;
+}
+
+std::string Describe(const GatewaySchedule& aSchedule)
+{
+  char line[160];
+  std::snprintf(line,
+                sizeof(line),
+                "seed %llu hosts %d+%d targets %d per_second %.0f %s\n",
+                static_cast<unsigned long long>(aSchedule.mSeed),
+                aSchedule.mLoad.mControlHosts,
+                aSchedule.mLoad.mOtherHosts,
+                aSchedule.mLoad.mTargets,
+                aSchedule.mLoad.mPerSecond,
+                aSchedule.mLoad.mIdempotent ? "safe" : "unsafe");
+  std::string text = line;
+  for (const GatewayStep& step : aSchedule.mSteps) {
+    std::snprintf(line,
+                  sizeof(line),
+                  "  %6.2f s %-16s for %5.2f s which %llu rate %.1f\n",
+                  static_cast<double>(step.mAt) / kSecond,
+                  ToString(step.mFault),
+                  static_cast<double>(step.mFor) / kSecond,
+                  static_cast<unsigned long long>(step.mWhich),
+                  step.mRate);
+    text += line;
+  }
+  return text;
+}
+
+} // namespace geraniumpond::fakes
--- a/tests/fakes/gateway_world.cpp
+++ b/tests/fakes/gateway_world.cpp
@@ -244,7 +244,7 @@
   }
 }
 
-std::size_t GatewayWorld::AnyHost()
+std::optional<std::size_t> GatewayWorld::AnyHost()
 {
   std::vector<std::size_t> alive;
   for (std::size_t i = 0; i < mHosts.size(); ++i) {
@@ -252,6 +252,9 @@
       alive.push_back(i);
     }
   }
+  if (alive.empty()) {
+    return std::nullopt;
+  }
   return alive.at(mRandom() % alive.size());
 }
 
@@ -289,7 +292,9 @@
   call.mRecord.set_sequence(++mLast);
   call.mRecord.set_draining(target.mDraining);
   call.mRecord.set_release(target.mRelease);
-  Post(AnyHost(), std::move(call));
+  if (const std::optional<std::size_t> host = AnyHost()) {
+    Post(*host, std::move(call));
+  }
   const int start = target.mStarts;
   Later(kRenewal, [this, aAddress, start] {
     if (mTargets[aAddress].mStarts == start && !mTargets[aAddress].mDraining) {
@@ -392,7 +397,9 @@
                         mHosts[job.mHost].mSettings.mFleet.mPeerAddress,
                         target.mId,
                         job.mPath,
-                        job.mExtra });
+                        job.mExtra,
+                        target.mLimit > 0,
+                        job.mHost });
   end.mKind = dispatch::EndKind::Answered;
   end.mNotRun = true;
   if (job.mSend.mTargetName != target.mId) {
@@ -410,9 +417,24 @@
   }
 }
 
+void GatewayWorld::NoteRun(const Job& aJob)
+{
+  if (mLoad.mIdempotent) {
+    return;
+  }
+  const auto key = std::make_pair(aJob.mHost, aJob.mSend.mRequest);
+  if (++mRuns[key] > 1) {
+    mBroken.push_back("ran twice: " + aJob.mPath);
+  }
+  if (mRefused.count(key) != 0) {
+    mBroken.push_back("ran after it was refused: " + aJob.mPath);
+  }
+}
+
 void GatewayWorld::StartJob(std::uint64_t aJob)
 {
   Job& job = mJobs.at(aJob);
+  NoteRun(job);
   job.mRunning = true;
   ++mTargets.at(job.mTarget).mRunning;
   if (mHarmful.count(job.mPath) != 0) {
@@ -505,15 +527,20 @@
 
 void GatewayWorld::SendRequest(Client aClient)
 {
-  const std::size_t host = AnyHost();
+  const bool first = aClient.mReturns == mLoad.mReturns;
+  mTally.mOffered += aClient.mCounted && first ? 1 : 0;
+  const std::optional<std::size_t> alive = AnyHost();
+  if (!alive) {
+    mTally.mFailed += aClient.mCounted ? 1 : 0;
+    return;
+  }
+  const std::size_t host = *alive;
   dispatch::Arrival arrival;
   arrival.mId = ++mLast;
   arrival.mClientRequestId = std::to_string(arrival.mId);
   arrival.mHostName = "host";
   arrival.mPath = aClient.mPath;
   arrival.mPatience = mLoad.mTimeout;
-  const bool first = aClient.mReturns == mLoad.mReturns;
-  mTally.mOffered += aClient.mCounted && first ? 1 : 0;
   mClients[{ host, arrival.mId }] = std::move(aClient);
   Post(host, std::move(arrival));
 }
@@ -611,7 +638,14 @@
 void GatewayWorld::PerformOne(std::size_t aHost,
                               dispatch::ReplyToClient& aEffect)
 {
-  const auto client = mClients.find({ aHost, aEffect.mRequest });
+  const auto key = std::make_pair(aHost, aEffect.mRequest);
+  if (aEffect.mStatus == 503 && !mLoad.mIdempotent) {
+    mRefused.insert(key);
+    if (mRuns.count(key) != 0) {
+      mBroken.push_back("refused though it ran: " + aEffect.mReason);
+    }
+  }
+  const auto client = mClients.find(key);
   const bool counted = client != mClients.end() && client->second.mCounted;
   mTally.mQuarantined += counted && aEffect.mReason == "quarantined" ? 1 : 0;
   EndClient(aHost, aEffect.mRequest, aEffect.mStatus);
@@ -620,6 +654,9 @@
 void GatewayWorld::PerformOne(std::size_t aHost, gateway::SendPeer& aEffect)
 {
   if (aEffect.mMessage.has_gossip()) {
+    if (mLosesFacts) {
+      return;
+    }
     ++mGossipMessages;
     mGossipBytes += aEffect.mMessage.ByteSizeLong();
   }
--- a/tests/fakes/gateway_world.h
+++ b/tests/fakes/gateway_world.h
@@ -5,6 +5,7 @@
 #include <deque>
 #include <functional>
 #include <map>
+#include <optional>
 #include <random>
 #include <set>
 #include <string>
@@ -46,6 +47,9 @@
   std::string mPath;
   /// Not the first arrival of its request.
   bool mExtra = false;
+  /// Its target names a limit.
+  bool mLimited = false;
+  std::size_t mHostIndex = 0;
 };
 
 /// \brief What clients got.
@@ -104,6 +108,8 @@
 
   /// Hosts that cannot exchange messages with any other one.
   std::set<std::size_t> mCutOff;
+  /// A planted fault: no fact reaches another host.
+  bool mLosesFacts = false;
   void KillHost(std::size_t aHost);
   void StartHost(std::size_t aHost);
   void StopHost(std::size_t aHost);
@@ -126,6 +132,9 @@
   std::map<std::string, std::vector<Micros>> mEnds;
   /// Of clients that are counted.
   GatewayTally mTally;
+  /// Promises that were broken: a request that may not be repeated ran twice,
+  /// or ran though its client was told that it did not.
+  std::vector<std::string> mBroken;
   /// Facts that hosts told each other, acknowledgements included.
   std::uint64_t mGossipMessages = 0;
   std::uint64_t mGossipBytes = 0;
@@ -191,13 +200,15 @@
   void BreakJobs(const std::string& aAddress, dispatch::EndKind aKind);
   void ArriveAtTarget(std::uint64_t aJob);
   void StartJob(std::uint64_t aJob);
+  void NoteRun(const Job& aJob);
   void FinishJob(std::uint64_t aJob);
   void StartNext(FakeTarget& aTarget);
   void EndJob(std::uint64_t aJob, dispatch::AttemptEnd aEnd);
   void ReportEnd(std::size_t aHost, dispatch::AttemptEnd aEnd);
   [[nodiscard]] dispatch::Report ReportOf(const FakeTarget& aTarget) const;
   [[nodiscard]] static dispatch::LimitWord LimitOf(const FakeTarget& aTarget);
-  [[nodiscard]] std::size_t AnyHost();
+  /// \brief A host that is alive; none where all are gone.
+  [[nodiscard]] std::optional<std::size_t> AnyHost();
 
   GatewayLoad mLoad;
   std::mt19937_64 mRandom;
@@ -208,6 +219,10 @@
   std::map<std::uint64_t, Job> mJobs;
   /// Waiting clients, by host and request.
   std::map<std::pair<std::size_t, std::uint64_t>, Client> mClients;
+  /// How often requests that may not be repeated ran, and those whose clients
+  /// were told that they did not; by host and request.
+  std::map<std::pair<std::size_t, std::uint64_t>, int> mRuns;
+  std::set<std::pair<std::size_t, std::uint64_t>> mRefused;
   /// Status of the answer that a host is told of, by host and attempt.
   std::map<std::pair<std::size_t, std::uint64_t>, int> mStatuses;
   std::multimap<Micros, std::function<void()>> mQueue;
