Part choosing a target from letting requests wait

It now says which target a request goes to; waiting.cpp when each waiting request is looked at, sent or refused.

--- a/src/dispatch/choosing.cpp
+++ b/src/dispatch/choosing.cpp
@@ -1,4 +1,4 @@
-#include "internal.h"
+#include "choice.h"
 
 #include <algorithm>
 #include <cmath>
@@ -6,6 +6,7 @@
 #include <map>
 #include <utility>
 
+// Which target a waiting request goes to, or what else is to be done with it.
 namespace geraniumpond::dispatch {
 
 namespace {
@@ -27,85 +28,12 @@
 /// left: enough for its client to come back and be served elsewhere, where a
 /// refusal at the end of the time leaves nothing to do.
 constexpr double kKeptForReturn = 0.5;
-/// A late request looks for room this many times less often than others.
-constexpr Micros kLatePause = 12;
-/// A target has become slow when its work takes this many times as long as it
-/// did at the choice.
-constexpr double kSlowedDown = 1.8;
-/// After this many times the expected time a target counts as stuck whatever
-/// it says of itself.
-constexpr Micros kOverdue = 3;
-/// A waiting request looks for a free target this many times in the time of
-/// its work: each look costs probes.
-constexpr Micros kLooksPerWork = 10;
-/// A refused client comes back after about this part of the time that it has
-/// left, so that as much is left for its work.
-constexpr Micros kReturnShare = 3;
 /// Where more of the targets asked have room, one may be filled beyond the
 /// number with which it does most work: the next request finds another.
 constexpr double kAmpleRoom = 0.6;
 /// Work assumed of a route without answers yet, as a share of its objective.
 constexpr double kFirstWork = 0.35;
 
-/// \brief What is to be done with a waiting request.
-enum class Verdict
-{
-  Send,
-  AskMore,
-  LookAgain,
-  Hopeless,
-  NoTarget
-};
-
-/// \brief What all waiting requests of a service share while they are served in
-/// turn at one moment.
-struct Look
-{
-  /// Targets whose report is fresh.
-  std::vector<Target*> mFresh;
-  /// The cheapest of them for a first attempt, by work and bytes of the answer;
-  /// void once a request was sent to one.
-  std::map<std::pair<Micros, double>, Target*> mBest;
-};
-
-struct Choice
-{
-  Verdict mVerdict = Verdict::LookAgain;
-  Target* mTarget = nullptr;
-};
-
-bool IsAsking(const State& aState, const Request& aRequest, Micros aNow)
-{
-  if (aNow >= aRequest.mAskedUntil) {
-    return false;
-  }
-  return std::any_of(aRequest.mAsked.begin(),
-                     aRequest.mAsked.end(),
-                     [&](const std::string& aId) {
-                       const auto found = aState.mTargets.find(aId);
-                       return found != aState.mTargets.end() &&
-                              found->second.mProbing;
-                     });
-}
-
-// Targets whose report is fresh. A service may have a thousand, and each
-// waiting request is looked at whenever one answers: to walk through all of
-// them took a host with many requests milliseconds for each.
-std::vector<Target*> FreshTargets(State& aState, Service& aService, Micros aNow)
-{
-  std::vector<Target*> fresh;
-  std::deque<std::string> reported;
-  for (std::string& id : aService.mReported) {
-    const auto found = aState.mTargets.find(id);
-    if (found != aState.mTargets.end() && IsFresh(found->second, aNow)) {
-      fresh.push_back(&found->second);
-      reported.push_back(std::move(id));
-    }
-  }
-  aService.mReported = std::move(reported);
-  return fresh;
-}
-
 std::vector<Target*> AllTargets(State& aState, const Service& aService)
 {
   std::vector<Target*> all;
@@ -190,15 +118,6 @@
     }));
 }
 
-// When a request that found no room is refused.
-Micros GiveUpAt(const Request& aRequest, const Need& aNeed)
-{
-  const Micros whole = aRequest.mDeadline - aRequest.mArrivedAt;
-  const auto kept =
-    static_cast<Micros>(kKeptForReturn * static_cast<double>(whole));
-  return aRequest.mDeadline - std::max(kept, aNeed.mWork + kLookAgain);
-}
-
 double LateServed(const Service& aService, Micros aNow)
 {
   const double age = static_cast<double>(aNow - aService.mLateAt);
@@ -292,6 +211,16 @@
   return found == aLook.mFresh.end() ? nullptr : *found;
 }
 
+} // namespace
+
+Micros GiveUpAt(const Request& aRequest, const Need& aNeed)
+{
+  const Micros whole = aRequest.mDeadline - aRequest.mArrivedAt;
+  const auto kept =
+    static_cast<Micros>(kKeptForReturn * static_cast<double>(whole));
+  return aRequest.mDeadline - std::max(kept, aNeed.mWork + kLookAgain);
+}
+
 // A request waits for a target that meets its objective as long as one may
 // turn up in time: targets change their speed several times a second.
 Choice Choose(State& aState, Look& aLook, const Request& aRequest, Micros aNow)
@@ -337,161 +266,6 @@
   return LateChoice(aState, aLook, aRequest, need, best, aNow);
 }
 
-void LookLater(State& aState, Micros aNow, Request& aRequest)
-{
-  aRequest.mAsked.clear();
-  aRequest.mAskRound = 0;
-  aRequest.mAskedUntil = 0;
-  const Need need = NeedOf(aState, aRequest);
-  const bool late = aNow + need.mWork > aRequest.mObjectiveAt;
-  const Micros pause =
-    std::max(kLookAgain, need.mWork / kLooksPerWork) * (late ? kLatePause : 1);
-  // The last look comes in time for a refusal that leaves time to come back.
-  const Micros giveUpAt = GiveUpAt(aRequest, need);
-  aRequest.mLookAgainAt =
-    aNow < giveUpAt ? std::min(aNow + pause, giveUpAt) : aNow + pause;
-  SetTimer(aState, aRequest);
-}
-
-// The first attempt still works: a second one starts only where a target is
-// free now.
-void StopHedging(State& aState, Micros aNow, Request& aRequest)
-{
-  StopWaiting(aState, aRequest);
-  aRequest.mHedging = false;
-  const Need need = NeedOf(aState, aRequest);
-  aRequest.mHedgeAt = aNow + std::max(4 * kLookAgain, need.mWork / 2);
-  SetTimer(aState, aRequest);
-}
-
-// Targets change their speed while they work. One that answers and is as fast
-// as it was has a long piece of work: a second attempt would not end sooner.
-bool LooksStuck(const State& aState, const Request& aRequest, Micros aNow)
-{
-  return std::any_of(
-    aRequest.mAttempts.begin(),
-    aRequest.mAttempts.end(),
-    [&](const Attempt& aAttempt) {
-      const auto found = aState.mTargets.find(aAttempt.mTarget);
-      if (found == aState.mTargets.end() || !IsFresh(found->second, aNow)) {
-        return true;
-      }
-      const bool slower = found->second.mReport->mSlowness >
-                          kSlowedDown * std::max(1.0, aAttempt.mSlowness);
-      const bool overdue =
-        aNow - aAttempt.mSentAt > kOverdue * aAttempt.mExpected;
-      return slower || overdue;
-    });
-}
-
-void SendOut(State& aState,
-             Micros aNow,
-             Request& aRequest,
-             Target& aTarget,
-             Effects& aOut)
-{
-  Service& service = aState.mServices[aRequest.mService];
-  const bool extra = aRequest.mSent > 0;
-  const quarantine::Verdict verdict =
-    JudgeRequest(aState, aRequest.mIdentity, aRequest.mService, aNow);
-  if (aRequest.mHedging && verdict != quarantine::Verdict::Clear) {
-    StopHedging(aState, aNow, aRequest);
-    return;
-  }
-  if (verdict == quarantine::Verdict::Quarantined) {
-    Refuse(aState,
-           aNow,
-           aRequest.mId,
-           aRequest.mMayHaveRun ? 502 : 503,
-           0,
-           "quarantined",
-           aOut);
-    return;
-  }
-  if (extra && !TakeExtra(aState, service.mExtra, aNow)) {
-    ++aState.mCounters["extra_over_budget"];
-    if (aRequest.mHedging) {
-      StopHedging(aState, aNow, aRequest);
-      return;
-    }
-    Refuse(aState,
-           aNow,
-           aRequest.mId,
-           aRequest.mMayHaveRun ? 502 : 503,
-           RetryAfter(aState, 0),
-           "extra_attempts_spent",
-           aOut);
-    return;
-  }
-  StopWaiting(aState, aRequest);
-  SendTo(aState, aNow, aRequest, aTarget, aOut);
-}
-
-// In time it cannot be any more: it comes back when others may have gone.
-Micros ReturnTime(const Request& aRequest, Micros aNow)
-{
-  return (aRequest.mDeadline - aNow) / kReturnShare;
-}
-
-// One waiting request: sent, refused, or left to wait.
-void Serve(State& aState,
-           Micros aNow,
-           Look& aLook,
-           Request& aRequest,
-           Effects& aOut)
-{
-  if (IsAsking(aState, aRequest, aNow)) {
-    return;
-  }
-  const Choice choice = Choose(aState, aLook, aRequest, aNow);
-  const bool hedging = aRequest.mHedging;
-  switch (choice.mVerdict) {
-    case Verdict::Send:
-      if (hedging && (!HasFreeSlot(*choice.mTarget, aNow) ||
-                      !LooksStuck(aState, aRequest, aNow))) {
-        StopHedging(aState, aNow, aRequest);
-        return;
-      }
-      SendOut(aState, aNow, aRequest, *choice.mTarget, aOut);
-      aLook.mBest.clear();
-      return;
-    case Verdict::AskMore:
-      if (aNow < aRequest.mLookAgainAt) {
-        return;
-      }
-      if (Ask(aState, aNow, aRequest, aOut)) {
-        SetTimer(aState, aRequest);
-        return;
-      }
-      Serve(aState, aNow, aLook, aRequest, aOut);
-      return;
-    case Verdict::LookAgain:
-      if (hedging) {
-        StopHedging(aState, aNow, aRequest);
-        return;
-      }
-      LookLater(aState, aNow, aRequest);
-      return;
-    case Verdict::Hopeless:
-    case Verdict::NoTarget:
-      if (hedging) {
-        StopHedging(aState, aNow, aRequest);
-        return;
-      }
-      Refuse(aState,
-             aNow,
-             aRequest.mId,
-             aRequest.mMayHaveRun ? 502 : 503,
-             RetryAfter(aState, ReturnTime(aRequest, aNow)),
-             choice.mVerdict == Verdict::Hopeless ? "deadline_out_of_reach"
-                                                  : "no_target",
-             aOut);
-      return;
-  }
-}
-
-} // namespace
-
 Need NeedOf(const State& aState, const Request& aRequest)
 {
   Need need;
@@ -508,76 +282,4 @@
   return need;
 }
 
-Micros ExpectedWait(const Service& aService, const Request& aRequest)
-{
-  const WaitKey own{ aRequest.mPriority, aRequest.mDeadline, aRequest.mId };
-  const auto ahead = std::distance(aService.mWaiting.begin(),
-                                   aService.mWaiting.lower_bound(own));
-  return static_cast<Micros>(static_cast<double>(ahead) *
-                             aService.mDispatchInterval);
-}
-
-Micros RetryAfter(State& aState, Micros aExpectedWait)
-{
-  // Clients that were refused together must not come back together.
-  constexpr Micros kLeast = 100 * kMillisecond;
-  const Micros middle = std::max(kLeast, aExpectedWait);
-  return middle / 2 +
-         static_cast<Micros>(NextPoint(aState) * static_cast<double>(middle));
-}
-
-void StartWaiting(State& aState, Micros aNow, Request& aRequest, Effects& aOut)
-{
-  Service& service = aState.mServices[aRequest.mService];
-  aRequest.mWaiting = true;
-  aRequest.mAsked.clear();
-  aRequest.mAskRound = 0;
-  aRequest.mLookAgainAt = 0;
-  service.mWaiting.insert(
-    { aRequest.mPriority, aRequest.mDeadline, aRequest.mId });
-  Ask(aState, aNow, aRequest, aOut);
-  SetTimer(aState, aRequest);
-}
-
-void StopWaiting(State& aState, Request& aRequest)
-{
-  if (!aRequest.mWaiting) {
-    return;
-  }
-  aRequest.mWaiting = false;
-  aState.mServices[aRequest.mService].mWaiting.erase(
-    { aRequest.mPriority, aRequest.mDeadline, aRequest.mId });
-}
-
-void Pump(State& aState,
-          Micros aNow,
-          const std::string& aService,
-          Effects& aOut)
-{
-  const auto service = aState.mServices.find(aService);
-  if (service == aState.mServices.end()) {
-    return;
-  }
-  // Requests that can still meet their objective go first. In order of
-  // deadlines alone, an overload would make every request wait until its
-  // objective is lost.
-  std::vector<std::uint64_t> order;
-  std::vector<std::uint64_t> late;
-  for (const WaitKey& key : service->second.mWaiting) {
-    const Request& request = aState.mRequests.at(key.mRequest);
-    const bool lost =
-      aNow + NeedOf(aState, request).mWork > request.mObjectiveAt;
-    (lost ? late : order).push_back(key.mRequest);
-  }
-  order.insert(order.end(), late.begin(), late.end());
-  Look look;
-  look.mFresh = FreshTargets(aState, service->second, aNow);
-  for (const std::uint64_t id : order) {
-    const auto found = aState.mRequests.find(id);
-    if (found != aState.mRequests.end() && found->second.mWaiting) {
-      Serve(aState, aNow, look, found->second, aOut);
-    }
-  }
-}
-
 } // namespace geraniumpond::dispatch
--- a/src/dispatch/internal.h
+++ b/src/dispatch/internal.h
@@ -94,14 +94,16 @@
 [[nodiscard]] std::uint64_t NextRandom(State& aState) noexcept;
 [[nodiscard]] double NextPoint(State& aState) noexcept;
 
-// --- choosing.cpp: which waiting request goes where
+// --- choosing.cpp: which target a request goes to; more in choice.h
+[[nodiscard]] Need NeedOf(const State& aState, const Request& aRequest);
+
+// --- waiting.cpp: requests that wait for a target
 void Pump(State& aState,
           Micros aNow,
           const std::string& aService,
           Effects& aOut);
 void StartWaiting(State& aState, Micros aNow, Request& aRequest, Effects& aOut);
 void StopWaiting(State& aState, Request& aRequest);
-[[nodiscard]] Need NeedOf(const State& aState, const Request& aRequest);
 /// \brief Time until a newcomer of this rank would be sent.
 [[nodiscard]] Micros ExpectedWait(const Service& aService,
                                   const Request& aRequest);
