Learn the time of work anew where it lets no request through

Its smallest schedule: one of six hosts starts anew and is frozen for seven seconds as it has its first requests. It refused 1,238 of the 1,243 requests that came to it afterwards, and would have gone on for ever: state at the end: nothing waits, no request runs, work of the route 7.019 s from 4 answers, deadline 0.8 s.

Cause: its first answers were taken when it woke, so that the time that it stood still counted as work; with an estimate beyond the deadline each request is refused at once (`queue_too_long`), and no answer comes that would correct it. Its class: an estimate that prevents what would correct it.

Change: an answer taken after its request's deadline teaches nothing; an estimate that refuses a first try, and that no answer has confirmed for a second, is forgotten.

--- a/include/geraniumpond/dispatch.h
+++ b/include/geraniumpond/dispatch.h
@@ -212,6 +212,7 @@
   int mAnswers = 0;
   /// Smoothed time at a target that works as usual; 0 while unknown.
   double mWork = 0;
+  Micros mLearntAt = 0;
   double mAnswerBytes = 0;
 };
 
--- a/src/dispatch/ends.cpp
+++ b/src/dispatch/ends.cpp
@@ -48,11 +48,15 @@
            const AttemptEnd& aEnd,
            Micros aNow)
 {
-  if (aAttempt.mSlowness > kUsualSlowness || aEnd.mStatus >= kNotSuccess) {
+  // An answer that is taken after its deadline waited here: this host stood
+  // still.
+  if (aAttempt.mSlowness > kUsualSlowness || aEnd.mStatus >= kNotSuccess ||
+      aNow > aRequest.mDeadline) {
     return;
   }
   Service& service = aState.mServices[aRequest.mService];
   RouteStatistics& learnt = aState.mStatistics[aRequest.mRoute];
+  learnt.mLearntAt = aNow;
   const double took = static_cast<double>(aNow - aAttempt.mSentAt);
   const int occupancy = aAttempt.mOccupancy;
   const int slots = aAttempt.mSlots;
--- a/src/dispatch/requests.cpp
+++ b/src/dispatch/requests.cpp
@@ -15,6 +15,8 @@
 constexpr Micros kHedgeMin = 30 * kMillisecond;
 /// Targets that could not be reached before a request is given up.
 constexpr int kMaxUnreached = 4;
+/// An estimate of the work that refuses all requests counts for this long.
+constexpr Micros kWorkTrusted = 1 * kSecond;
 /// Smoothing of the pace of dispatches.
 constexpr double kIntervalGain = 0.2;
 constexpr int kNotFound = 404;
@@ -69,6 +71,20 @@
   Refuse(aState, aNow, aRequest.mId, kGatewayTimeout, 0, "deadline", aOut);
 }
 
+// An estimate that leaves no request enough time lets none through that could
+// correct it: where no answer has confirmed it for a while, it is learnt anew.
+void ForgetHopelessWork(State& aState, Micros aNow, const Request& aRequest)
+{
+  RouteStatistics& learnt = aState.mStatistics[aRequest.mRoute];
+  const bool isFirstTry = aRequest.mObjectiveAt > aNow;
+  const auto work = static_cast<Micros>(learnt.mWork);
+  if (isFirstTry && aNow + work > aRequest.mDeadline &&
+      aNow - learnt.mLearntAt > kWorkTrusted) {
+    learnt.mWork = 0;
+    learnt.mAnswers = 0;
+  }
+}
+
 } // namespace
 
 std::uint64_t IdentityOf(const Arrival& aArrival)
@@ -355,6 +371,7 @@
   }
   const Micros wait = ExpectedWait(service, request);
   Request& added = aState.mRequests[request.mId] = std::move(request);
+  ForgetHopelessWork(aState, aNow, added);
   if (aNow + wait + NeedOf(aState, added).mWork > added.mDeadline) {
     Refuse(aState,
            aNow,
--- a/tests/dispatch_test.cpp
+++ b/tests/dispatch_test.cpp
@@ -84,6 +84,7 @@
   CPPUNIT_TEST(SlowAnswerIsRacedByASecondTargetOnlyWhereIdempotent);
   CPPUNIT_TEST(TargetThatBecameSlowIsLeftForAnotherInTime);
   CPPUNIT_TEST(LongWorkAtATargetAsFastAsBeforeIsNotRepeated);
+  CPPUNIT_TEST(EstimateThatLeavesNoTimeIsLearntAnew);
   CPPUNIT_TEST(UnknownRouteAndMissingPolicyAreToldApart);
   CPPUNIT_TEST(RequestsBeforeTheFirstPolicyWaitForItALittle);
   CPPUNIT_TEST(RequestsWithoutAPolicyAreRefusedAtOnceWhenNoneIsExpected);
@@ -313,6 +314,22 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t(1), All<SendRequest>(mEffects).size());
   }
 
+  void EstimateThatLeavesNoTimeIsLearntAnew()
+  {
+    AddTargets(3);
+    RouteStatistics& learnt = mState.mStatistics["/safe/"];
+    learnt.mWork = 5.0 * kSecond;
+    learnt.mAnswers = 4;
+    learnt.mLearntAt = mNow;
+    Arrive("/safe/x");
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), All<ReplyToClient>(mEffects).size());
+    mNow += 2 * kSecond;
+    mEffects.clear();
+    Arrive("/safe/x");
+    CPPUNIT_ASSERT(All<ReplyToClient>(mEffects).empty());
+    CPPUNIT_ASSERT(!All<ProbeTarget>(mEffects).empty());
+  }
+
   void UnknownRouteAndMissingPolicyAreToldApart()
   {
     Arrive("/nowhere/x");
