Part what hosts tell each other from the evidence of crashes; judge in one place

TakeGossip, the renewal of evidence and the judgement without a service stood in crashes.cpp and twice in part.

--- a/include/geraniumpond/quarantine.h
+++ b/include/geraniumpond/quarantine.h
@@ -91,6 +91,18 @@
                             Micros aNow,
                             const std::set<std::string>& aReleases);
 
+/// \brief The same as if the releases that ended were still run.
+[[nodiscard]] Verdict JudgeAnyRelease(const State& aState,
+                                      std::uint64_t aIdentity,
+                                      Micros aNow);
+
+/// \brief A request was refused: it is still asked for, so that its evidence
+/// counts from now on. Gives what has been renewed; nothing where that was done
+/// lately.
+[[nodiscard]] std::vector<Crash> Renew(State& aState,
+                                       std::uint64_t aIdentity,
+                                       Micros aNow);
+
 /// \brief What of a record counts against its request now, oldest first.
 [[nodiscard]] std::vector<Crash> Evidence(const Record& aRecord, Micros aNow);
 
--- a/src/dispatch/crashes.cpp
+++ b/src/dispatch/crashes.cpp
@@ -17,8 +17,6 @@
 /// An answer is told to other hosts again after this time: well within that
 /// for which it counts.
 constexpr Micros kAnswerPace = 5 * kSecond;
-/// The fleet is told that a quarantined request is still asked for.
-constexpr Micros kTriedPace = 60 * kSecond;
 constexpr std::size_t kIdentityDigits = 16;
 /// Value of an answer that an operator vouches for.
 constexpr const char* kReleased = "released";
@@ -39,31 +37,18 @@
         " identity=" + Hexadecimal(aIdentity) + " targets=" + targets);
 }
 
-// Of all releases: who is told of a crash need not know the service yet.
-quarantine::Verdict JudgeAnywhere(const State& aState,
-                                  std::uint64_t aIdentity,
-                                  Micros aNow)
-{
-  std::set<std::string> releases;
-  const auto found = aState.mQuarantine.mRecords.find(aIdentity);
-  if (found != aState.mQuarantine.mRecords.end()) {
-    for (const quarantine::Crash& crash : found->second.mCrashes) {
-      releases.insert(crash.mRelease);
-    }
-  }
-  return quarantine::Judge(aState.mQuarantine, aIdentity, aNow, releases);
-}
-
 void AddCrash(State& aState,
               Micros aNow,
               std::uint64_t aIdentity,
               const quarantine::Crash& aCrash,
               Effects& aOut)
 {
-  const quarantine::Verdict before = JudgeAnywhere(aState, aIdentity, aNow);
+  const quarantine::Verdict before =
+    quarantine::JudgeAnyRelease(aState.mQuarantine, aIdentity, aNow);
   quarantine::Expire(aState.mQuarantine, aNow);
   quarantine::NoteCrash(aState.mQuarantine, aIdentity, aCrash);
-  const quarantine::Verdict after = JudgeAnywhere(aState, aIdentity, aNow);
+  const quarantine::Verdict after =
+    quarantine::JudgeAnyRelease(aState.mQuarantine, aIdentity, aNow);
   if (after != before) {
     LogVerdict(aState, aIdentity, after, aOut);
   }
@@ -229,12 +214,9 @@
                std::uint64_t aIdentity,
                Effects& aOut)
 {
-  for (quarantine::Crash& crash :
-       aState.mQuarantine.mRecords.at(aIdentity).mCrashes) {
-    if (aNow - crash.mAt > kTriedPace) {
-      crash.mAt = aNow;
-      aOut.emplace_back(TellFleet{ ItemOf(aIdentity, crash) });
-    }
+  for (const quarantine::Crash& crash :
+       quarantine::Renew(aState.mQuarantine, aIdentity, aNow)) {
+    aOut.emplace_back(TellFleet{ ItemOf(aIdentity, crash) });
   }
 }
 
@@ -243,7 +225,8 @@
                     std::uint64_t aIdentity,
                     Effects& aOut)
 {
-  if (JudgeAnywhere(aState, aIdentity, aNow) == quarantine::Verdict::Clear) {
+  if (quarantine::JudgeAnyRelease(aState.mQuarantine, aIdentity, aNow) ==
+      quarantine::Verdict::Clear) {
     return false;
   }
   quarantine::NoteRelease(aState.mQuarantine, aIdentity, aNow);
@@ -255,44 +238,34 @@
   return true;
 }
 
-void TakeGossip(State& aState,
-                Micros aNow,
-                const gossip::Item& aItem,
-                Effects& aOut)
+void TakeCrashFact(State& aState,
+                   Micros aNow,
+                   const gossip::Item& aItem,
+                   Effects& aOut)
 {
-  if (aItem.mKind == gossip::Kind::TargetLimit) {
-    TakeLimitGossip(aState, aNow, aItem, aOut);
+  if (aItem.mKey.size() <= kIdentityDigits) {
     return;
   }
-  if (aItem.mKey.size() < kIdentityDigits) {
-    return;
+  const std::uint64_t identity = ReadIdentity(aItem.mKey);
+  AddCrash(
+    aState,
+    aNow,
+    identity,
+    { aItem.mKey.substr(kIdentityDigits + 1), aItem.mValue, aItem.mSeenAt },
+    aOut);
+  const Micros answered = quarantine::LastAnswer(aState.mQuarantine, identity);
+  if (answered != 0) {
+    TellAnswer(aState, identity, answered, aOut);
   }
+}
+
+void TakeAnswerFact(State& aState, const gossip::Item& aItem)
+{
   const std::uint64_t identity = ReadIdentity(aItem.mKey);
-  switch (aItem.mKind) {
-    case gossip::Kind::RequestCrash: {
-      const std::size_t target =
-        std::min(kIdentityDigits + 1, aItem.mKey.size());
-      AddCrash(aState,
-               aNow,
-               identity,
-               { aItem.mKey.substr(target), aItem.mValue, aItem.mSeenAt },
-               aOut);
-      const Micros answered =
-        quarantine::LastAnswer(aState.mQuarantine, identity);
-      if (answered != 0) {
-        TellAnswer(aState, identity, answered, aOut);
-      }
-      break;
-    }
-    case gossip::Kind::RequestAnswered:
-      if (aItem.mValue == kReleased) {
-        quarantine::NoteRelease(aState.mQuarantine, identity, aItem.mSeenAt);
-      } else {
-        quarantine::NoteAnswer(aState.mQuarantine, identity, aItem.mSeenAt);
-      }
-      break;
-    case gossip::Kind::TargetLimit:
-      break;
+  if (aItem.mValue == kReleased) {
+    quarantine::NoteRelease(aState.mQuarantine, identity, aItem.mSeenAt);
+  } else {
+    quarantine::NoteAnswer(aState.mQuarantine, identity, aItem.mSeenAt);
   }
 }
 
--- /dev/null
+++ b/src/dispatch/facts.cpp
@@ -0,0 +1,24 @@
+#include "internal.h"
+
+// What other hosts tell of requests and targets.
+namespace geraniumpond::dispatch {
+
+void TakeGossip(State& aState,
+                Micros aNow,
+                const gossip::Item& aItem,
+                Effects& aOut)
+{
+  switch (aItem.mKind) {
+    case gossip::Kind::RequestCrash:
+      TakeCrashFact(aState, aNow, aItem, aOut);
+      break;
+    case gossip::Kind::RequestAnswered:
+      TakeAnswerFact(aState, aItem);
+      break;
+    case gossip::Kind::TargetLimit:
+      TakeLimitFact(aState, aNow, aItem, aOut);
+      break;
+  }
+}
+
+} // namespace geraniumpond::dispatch
--- a/src/dispatch/internal.h
+++ b/src/dispatch/internal.h
@@ -143,6 +143,13 @@
                Micros aNow,
                std::uint64_t aIdentity,
                Effects& aOut);
+/// \brief Another host tells of a target that ended under a request.
+void TakeCrashFact(State& aState,
+                   Micros aNow,
+                   const gossip::Item& aItem,
+                   Effects& aOut);
+/// \brief Another host tells that a request was answered, or let go.
+void TakeAnswerFact(State& aState, const gossip::Item& aItem);
 [[nodiscard]] quarantine::Verdict JudgeRequest(const State& aState,
                                                std::uint64_t aIdentity,
                                                const std::string& aService,
@@ -163,10 +170,10 @@
                  Micros aSentAt,
                  Effects& aOut);
 /// \brief Another host tells of a limit, or of its end.
-void TakeLimitGossip(State& aState,
-                     Micros aNow,
-                     const gossip::Item& aItem,
-                     Effects& aOut);
+void TakeLimitFact(State& aState,
+                   Micros aNow,
+                   const gossip::Item& aItem,
+                   Effects& aOut);
 /// \brief Takes what was told of a target before it was known.
 void TakeEarlyLimit(State& aState, Micros aNow, Target& aTarget, Effects& aOut);
 /// \brief True unless its limit leaves no room for a request of this host now.
--- a/src/dispatch/limits.cpp
+++ b/src/dispatch/limits.cpp
@@ -117,10 +117,10 @@
   }
 }
 
-void TakeLimitGossip(State& aState,
-                     Micros aNow,
-                     const gossip::Item& aItem,
-                     Effects& aOut)
+void TakeLimitFact(State& aState,
+                   Micros aNow,
+                   const gossip::Item& aItem,
+                   Effects& aOut)
 {
   const auto found = aState.mTargets.find(aItem.mKey);
   if (found == aState.mTargets.end()) {
@@ -149,7 +149,7 @@
   if (found != aState.mEarlyLimits.end()) {
     const gossip::Item item = std::move(found->second);
     aState.mEarlyLimits.erase(found);
-    TakeLimitGossip(aState, aNow, item, aOut);
+    TakeLimitFact(aState, aNow, item, aOut);
   }
 }
 
--- a/src/frontend/quarantine_calls.cpp
+++ b/src/frontend/quarantine_calls.cpp
@@ -19,20 +19,6 @@
 constexpr std::string_view kPath = "/quarantine";
 constexpr int kIdentityDigits = 16;
 
-// Releases are judged by service, which a record does not name: here those
-// that ended count as if they still ran.
-quarantine::Verdict VerdictOf(const quarantine::State& aState,
-                              std::uint64_t aIdentity,
-                              Micros aNow)
-{
-  std::set<std::string> releases;
-  for (const quarantine::Crash& crash :
-       aState.mRecords.at(aIdentity).mCrashes) {
-    releases.insert(crash.mRelease);
-  }
-  return quarantine::Judge(aState, aIdentity, aNow, releases);
-}
-
 Object::Ptr ToJson(const quarantine::Crash& aCrash, Micros aNow)
 {
   Object::Ptr crash = new Object;
@@ -67,7 +53,8 @@
 {
   Array::Ptr requests = new Array;
   for (const auto& [identity, record] : aState.mRecords) {
-    const quarantine::Verdict verdict = VerdictOf(aState, identity, aNow);
+    const quarantine::Verdict verdict =
+      quarantine::JudgeAnyRelease(aState, identity, aNow);
     if (verdict == quarantine::Verdict::Clear) {
       continue;
     }
@@ -97,7 +84,8 @@
   double& suspected = aGauges["requests_suspected"];
   double& quarantined = aGauges["requests_quarantined"];
   for (const auto& [identity, record] : aState.mRecords) {
-    const quarantine::Verdict verdict = VerdictOf(aState, identity, aNow);
+    const quarantine::Verdict verdict =
+      quarantine::JudgeAnyRelease(aState, identity, aNow);
     suspected += verdict == quarantine::Verdict::Suspected ? 1 : 0;
     quarantined += verdict == quarantine::Verdict::Quarantined ? 1 : 0;
   }
--- a/src/quarantine/quarantine.cpp
+++ b/src/quarantine/quarantine.cpp
@@ -15,6 +15,8 @@
 /// A crash so soon after an answer does not count: long beside the time in
 /// which hosts hear of each other's answers.
 constexpr Micros kAnswerCounts = 10 * kSecond;
+/// Evidence is renewed by tries after this time.
+constexpr Micros kRenewPace = 60 * kSecond;
 constexpr std::size_t kMostRecords = 1024;
 constexpr std::size_t kMostAnswers = 4096;
 constexpr std::size_t kMostCrashes = 16;
@@ -166,6 +168,36 @@
   return count < kCrashes ? Verdict::Suspected : Verdict::Quarantined;
 }
 
+Verdict JudgeAnyRelease(const State& aState,
+                        std::uint64_t aIdentity,
+                        Micros aNow)
+{
+  std::set<std::string> releases;
+  const auto found = aState.mRecords.find(aIdentity);
+  if (found != aState.mRecords.end()) {
+    for (const Crash& crash : found->second.mCrashes) {
+      releases.insert(crash.mRelease);
+    }
+  }
+  return Judge(aState, aIdentity, aNow, releases);
+}
+
+std::vector<Crash> Renew(State& aState, std::uint64_t aIdentity, Micros aNow)
+{
+  std::vector<Crash> renewed;
+  const auto found = aState.mRecords.find(aIdentity);
+  if (found == aState.mRecords.end()) {
+    return renewed;
+  }
+  for (Crash& crash : found->second.mCrashes) {
+    if (Counts(found->second, crash, aNow) && aNow - crash.mAt > kRenewPace) {
+      crash.mAt = aNow;
+      renewed.push_back(crash);
+    }
+  }
+  return renewed;
+}
+
 void Expire(State& aState, Micros aNow)
 {
   for (auto it = aState.mRecords.begin(); it != aState.mRecords.end();) {
--- a/tests/quarantine_test.cpp
+++ b/tests/quarantine_test.cpp
@@ -40,6 +40,7 @@
   CPPUNIT_TEST(RequestThatTurnsHarmfulIsFoundAfterItsLastAnswer);
   CPPUNIT_TEST(RequestIsTriedAgainOnceItsReleaseIsGone);
   CPPUNIT_TEST(RequestIsForgottenAfterATimeWithoutTries);
+  CPPUNIT_TEST(RequestThatIsStillAskedForStaysRefused);
   CPPUNIT_TEST(ManyBystandersDoNotPushOutAQuarantinedRequest);
   CPPUNIT_TEST(AnswersAreRememberedForAWhile);
   CPPUNIT_TEST_SUITE_END();
@@ -126,6 +127,23 @@
     CPPUNIT_ASSERT(state.mRecords.empty());
   }
 
+  void RequestThatIsStillAskedForStaysRefused()
+  {
+    State state;
+    Meet(state, kRequest, 3);
+    CPPUNIT_ASSERT(Renew(state, kRequest, kStart + 30 * kSecond).empty());
+    for (Micros now = kStart; now < kStart + 3600 * kSecond;
+         now += 100 * kSecond) {
+      CPPUNIT_ASSERT(JudgeAt(state, now) == Verdict::Quarantined);
+      (void)Renew(state, kRequest, now);
+    }
+    // What an operator has let go is not renewed.
+    NoteRelease(state, kRequest, kStart + 3600 * kSecond);
+    const Micros later = kStart + 3700 * kSecond;
+    CPPUNIT_ASSERT(Renew(state, kRequest, later).empty());
+    CPPUNIT_ASSERT(JudgeAt(state, later) == Verdict::Clear);
+  }
+
   void ManyBystandersDoNotPushOutAQuarantinedRequest()
   {
     State state;
