Try a quarantined request at one host once its release is gone

And targets that ended without a word stay in the catalog, so that their release never counted as gone.

Change: the first host by rendezvous hashing tries it; others refuse. Releases are those of targets that are not known to have ended.

--- a/bench/harmful_bench.cpp
+++ b/bench/harmful_bench.cpp
@@ -24,14 +24,11 @@
   const std::uint64_t identity = geraniumpond::dispatch::IdentityOf(arrival);
   std::size_t count = 0;
   for (std::size_t host = 0; host < aWorld.Hosts(); ++host) {
-    const geraniumpond::dispatch::State& state = aWorld.At(host).mDispatch;
-    const auto service = state.mServices.find("service");
-    count += service != state.mServices.end() &&
-                 geraniumpond::quarantine::Judge(state.mQuarantine,
-                                                 identity,
-                                                 aWorld.Now(),
-                                                 service->second.mReleases) ==
-                   geraniumpond::quarantine::Verdict::Quarantined
+    const geraniumpond::quarantine::State& state =
+      aWorld.At(host).mDispatch.mQuarantine;
+    count += geraniumpond::quarantine::JudgeAnyRelease(
+               state, identity, aWorld.Now()) ==
+                 geraniumpond::quarantine::Verdict::Quarantined
                ? 1
                : 0;
   }
--- a/include/geraniumpond/dispatch.h
+++ b/include/geraniumpond/dispatch.h
@@ -163,8 +163,6 @@
   std::string mName;
   std::string mHealthPath;
   std::vector<std::string> mTargets;
-  /// Releases that they run.
-  std::set<std::string> mReleases;
   /// Those with a limit of which this host holds a part.
   std::vector<std::string> mHeld;
   /// The targets that this host asks first; all of them where they are few.
@@ -478,6 +476,10 @@
 /// \brief True while any target names a limit.
 [[nodiscard]] bool HasLimits(const State& aState) noexcept;
 
+/// \brief True while anything is to be divided among hosts, or done by one of
+/// them.
+[[nodiscard]] bool NeedsSharers(const State& aState) noexcept;
+
 /// \brief Notes the hosts among which limits of targets are divided.
 void SetSharers(State& aState, Micros aNow, rate_share::Members aSharers);
 
--- a/include/geraniumpond/quarantine.h
+++ b/include/geraniumpond/quarantine.h
@@ -28,6 +28,8 @@
   Clear,
   /// To be tried with care: at one target, once.
   Suspected,
+  /// To be tried with care by one host, since what ended is no longer run.
+  OnTrial,
   /// To be refused.
   Quarantined
 };
@@ -84,8 +86,8 @@
 /// \brief When this host answered the request last; 0 if not lately.
 [[nodiscard]] Micros LastAnswer(const State& aState, std::uint64_t aIdentity);
 
-/// \brief Judges a request to a service that runs the given releases: crashes
-/// of releases that are gone do not suffice to refuse it.
+/// \brief Judges a request to a service that runs the given releases. Crashes
+/// of releases that are gone do not suffice to refuse it, but one more does.
 [[nodiscard]] Verdict Judge(const State& aState,
                             std::uint64_t aIdentity,
                             Micros aNow,
--- a/include/geraniumpond/rate_share.h
+++ b/include/geraniumpond/rate_share.h
@@ -31,6 +31,9 @@
 [[nodiscard]] Members MakeMembers(const std::vector<std::string>& aHosts,
                                   const std::string& aOwn);
 
+/// \brief True at the one of the members that comes first for this name.
+[[nodiscard]] bool IsFirst(const Members& aMembers, const std::string& aName);
+
 /// \brief One host's part of one rate.
 struct Share
 {
--- a/src/dispatch/crashes.cpp
+++ b/src/dispatch/crashes.cpp
@@ -105,6 +105,25 @@
   return std::strtoull(aText.substr(0, kIdentityDigits).c_str(), nullptr, 16);
 }
 
+// A target that ended without a word stays in the catalog.
+std::set<std::string> ReleasesThatRun(const State& aState,
+                                      const std::string& aService,
+                                      const quarantine::Record& aRecord)
+{
+  std::set<std::string> ended;
+  for (const quarantine::Crash& crash : aRecord.mCrashes) {
+    ended.insert(crash.mTarget);
+  }
+  std::set<std::string> releases;
+  for (const std::string& id : aState.mServices.at(aService).mTargets) {
+    const Target& target = aState.mTargets.at(id);
+    if (!target.mEnded && !target.mSuspect && ended.count(id) == 0) {
+      releases.insert(target.mRelease);
+    }
+  }
+  return releases;
+}
+
 } // namespace
 
 void NoteBroken(State& aState,
@@ -200,13 +219,14 @@
                                  const std::string& aService,
                                  Micros aNow)
 {
-  if (aState.mQuarantine.mRecords.empty()) {
+  const auto found = aState.mQuarantine.mRecords.find(aIdentity);
+  if (found == aState.mQuarantine.mRecords.end()) {
     return quarantine::Verdict::Clear;
   }
   return quarantine::Judge(aState.mQuarantine,
                            aIdentity,
                            aNow,
-                           aState.mServices.at(aService).mReleases);
+                           ReleasesThatRun(aState, aService, found->second));
 }
 
 void NoteTried(State& aState,
--- a/src/dispatch/limits.cpp
+++ b/src/dispatch/limits.cpp
@@ -163,6 +163,11 @@
   return !aTarget.mLimit || aTarget.mShare.mPart > 0;
 }
 
+bool NeedsSharers(const State& aState) noexcept
+{
+  return !aState.mQuarantine.mRecords.empty() || HasLimits(aState);
+}
+
 bool HasLimits(const State& aState) noexcept
 {
   return std::any_of(
--- a/src/dispatch/requests.cpp
+++ b/src/dispatch/requests.cpp
@@ -359,14 +359,17 @@
   }
   const quarantine::Verdict verdict =
     JudgeRequest(aState, request.mIdentity, request.mService, aNow);
-  if (verdict == quarantine::Verdict::Quarantined) {
+  const bool elsewhere =
+    verdict == quarantine::Verdict::OnTrial &&
+    !rate_share::IsFirst(aState.mSharers, Hexadecimal(request.mIdentity));
+  if (verdict == quarantine::Verdict::Quarantined || elsewhere) {
     // It will not be served in its client's time: nothing is said of coming
     // back.
     NoteTried(aState, aNow, request.mIdentity, aOut);
     RefuseArrival(aState, aArrival, kUnavailable, 0, "quarantined", aOut);
     return;
   }
-  if (verdict == quarantine::Verdict::Suspected) {
+  if (verdict != quarantine::Verdict::Clear) {
     request.mMaxAttempts = 1;
   }
   const Micros wait = ExpectedWait(service, request);
--- a/src/dispatch/targets.cpp
+++ b/src/dispatch/targets.cpp
@@ -58,14 +58,6 @@
   }
 }
 
-void NoteReleases(const State& aState, Service& aService)
-{
-  aService.mReleases.clear();
-  for (const std::string& id : aService.mTargets) {
-    aService.mReleases.insert(aState.mTargets.at(id).mRelease);
-  }
-}
-
 void SetProbeRate(State& aState, Micros aNow)
 {
   const double rate = kProbeShare * aState.mBounds.mProbesPerTarget *
@@ -249,7 +241,6 @@
       service.mHealthPath = policy::ServiceRules().mHealthPath;
     }
     ChooseSubset(aState, service);
-    NoteReleases(aState, service);
     ProbeNewcomers(aState, aNow, service);
   }
   SetProbeRate(aState, aNow);
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -182,12 +182,13 @@
   }
 }
 
-// Limits of targets are divided among the hosts that take clients.
+// Limits of targets, and trials of requests, are divided among the hosts that
+// take clients.
 void CountSharers(Context& aContext)
 {
   State& state = aContext.mState;
   rate_share::Members sharers;
-  if (state.mDispatch.mKnowsHosts && dispatch::HasLimits(state.mDispatch)) {
+  if (state.mDispatch.mKnowsHosts && dispatch::NeedsSharers(state.mDispatch)) {
     std::vector<std::string> hosts;
     for (const fleet::Host* host :
          fleet::ReadyHosts(state.mFleet, aContext.mNow)) {
--- a/src/quarantine/quarantine.cpp
+++ b/src/quarantine/quarantine.cpp
@@ -21,9 +21,10 @@
 constexpr std::size_t kMostAnswers = 4096;
 constexpr std::size_t kMostCrashes = 16;
 
-constexpr std::array<const char*, 3> kVerdictNames = {
+constexpr std::array<const char*, 4> kVerdictNames = {
   "clear",
   "suspected",
+  "on_trial",
   "quarantined",
 };
 
@@ -161,11 +162,13 @@
       crash.mRelease.empty() || aReleases.count(crash.mRelease) != 0;
     ++(runs ? current : gone);
   }
-  const int count = current + std::min(gone, kCrashes - 1);
-  if (count == 0) {
-    return Verdict::Clear;
+  if (current + std::min(gone, kCrashes - 1) >= kCrashes) {
+    return Verdict::Quarantined;
+  }
+  if (current + gone >= kCrashes) {
+    return Verdict::OnTrial;
   }
-  return count < kCrashes ? Verdict::Suspected : Verdict::Quarantined;
+  return current + gone > 0 ? Verdict::Suspected : Verdict::Clear;
 }
 
 Verdict JudgeAnyRelease(const State& aState,
--- a/src/rate_share/rate_share.cpp
+++ b/src/rate_share/rate_share.cpp
@@ -37,17 +37,24 @@
     [&](std::uint64_t aHost) { return Weight(aHost, aName) > own; }));
 }
 
+bool IsMember(const Members& aMembers)
+{
+  const auto& hosts = aMembers.mDigests;
+  return std::find(hosts.begin(), hosts.end(), aMembers.mOwn) != hosts.end();
+}
+
 double PartOf(const Members& aMembers,
               const std::string& aName,
               double aPerSecond)
 {
-  const auto& hosts = aMembers.mDigests;
-  if (std::find(hosts.begin(), hosts.end(), aMembers.mOwn) == hosts.end()) {
+  if (!IsMember(aMembers)) {
     return 0;
   }
   const double rate = std::max(kLeastRate, aPerSecond);
-  const double holders = std::clamp(
-    std::ceil(rate / kHolderRate), 1.0, static_cast<double>(hosts.size()));
+  const double holders =
+    std::clamp(std::ceil(rate / kHolderRate),
+               1.0,
+               static_cast<double>(aMembers.mDigests.size()));
   const bool holds =
     static_cast<double>(RankOf(aMembers, Hash64(aName))) < holders;
   return holds ? rate / holders : 0;
@@ -66,6 +73,11 @@
   return members;
 }
 
+bool IsFirst(const Members& aMembers, const std::string& aName)
+{
+  return IsMember(aMembers) && RankOf(aMembers, Hash64(aName)) == 0;
+}
+
 void Divide(Share& aShare,
             const Members& aMembers,
             const std::string& aName,
--- a/tests/harmful_request_test.cpp
+++ b/tests/harmful_request_test.cpp
@@ -81,6 +81,8 @@
   CPPUNIT_TEST(RequestIsRefusedAfterAllControlHostsWereKilled);
   CPPUNIT_TEST(RequestThatAnOperatorReleasesIsServedByAllHosts);
   CPPUNIT_TEST(RequestThatIsReleasedAndStillHarmfulIsRefusedAgain);
+  CPPUNIT_TEST(NextReleaseIsTriedByOneHostOnce);
+  CPPUNIT_TEST(RequestThatTheNextReleaseBearsIsServedAgain);
   CPPUNIT_TEST(NoInnocentIsRefusedThoughHalfOfTheTargetsEndAtOnce);
   CPPUNIT_TEST(NoInnocentIsRefusedThoughHalfOfTheTargetsLosePower);
   CPPUNIT_TEST(NoInnocentIsRefusedThoughConnectionsAreReset);
@@ -198,6 +200,30 @@
     CPPUNIT_ASSERT_EQUAL(kEnds, world.mEnds[kHarmful].size());
   }
 
+  void NextReleaseIsTriedByOneHostOnce()
+  {
+    GatewayWorld world(GatewayLoad(), 16);
+    PlayHarmful(world);
+    ReplaceAllTargets(world);
+    world.mEnds.clear();
+    AskHarmful(world);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), world.mEnds[kHarmful].size());
+  }
+
+  void RequestThatTheNextReleaseBearsIsServedAgain()
+  {
+    GatewayWorld world(GatewayLoad(), 17);
+    PlayHarmful(world);
+    ReplaceAllTargets(world);
+    world.MakeHarmless(kHarmful);
+    world.AskAgainAndAgain(kHarmful, 100 * kMillisecond, 10 * kSecond);
+    world.Advance(10 * kSecond);
+    world.mTally = {};
+    world.AskAgainAndAgain(kHarmful, 100 * kMillisecond, 5 * kSecond, true);
+    world.Advance(6 * kSecond);
+    CPPUNIT_ASSERT_EQUAL(50, world.mTally.mServed);
+  }
+
   void NoInnocentIsRefusedThoughHalfOfTheTargetsEndAtOnce()
   {
     AssertNoInnocentIsRefused([](GatewayWorld& aWorld) {
@@ -254,6 +280,15 @@
   }
 
 private:
+  static void ReplaceAllTargets(GatewayWorld& aWorld)
+  {
+    for (const std::string& target : aWorld.TargetAddresses()) {
+      aWorld.ReplaceTarget(target);
+      aWorld.Advance(300 * kMillisecond);
+    }
+    aWorld.Advance(10 * kSecond);
+  }
+
   static void AskHarmful(GatewayWorld& aWorld)
   {
     aWorld.MakeHarmful(kHarmful);
--- a/tests/quarantine_test.cpp
+++ b/tests/quarantine_test.cpp
@@ -109,7 +109,7 @@
     CPPUNIT_ASSERT(Judge(state, kRequest, kStart, { "v1", "v2" }) ==
                    Verdict::Quarantined);
     CPPUNIT_ASSERT(Judge(state, kRequest, kStart, { "v2" }) ==
-                   Verdict::Suspected);
+                   Verdict::OnTrial);
     // One crash of the new release is enough.
     NoteCrash(state, kRequest, { "t9", "v2", kStart });
     CPPUNIT_ASSERT(Judge(state, kRequest, kStart, { "v2" }) ==
