--- a/src/fleet/following.cpp
+++ b/src/fleet/following.cpp
@@ -138,6 +138,7 @@
 }
 
 void TakeSnapshot(State& aState,
+                  const std::string& aFrom,
                   const wire::FollowReply& aMessage,
                   Output& aOut)
 {
@@ -155,6 +156,12 @@
   aState.mRecentBytes = 0;
   aOut.mPolicyChanged = true;
   aOut.mTargetsChanged = true;
+  aOut.mNotes.push_back(
+    { 1,
+      "event=catalog_taken from=" + aFrom +
+        " index=" + std::to_string(aState.mApplied) +
+        " version=" + std::to_string(aState.mCatalog.mVersion) +
+        " sender_in_touch=" + (aMessage.in_touch() ? "yes" : "no") });
 }
 
 Host ReportedHost(const State& aState,
@@ -401,13 +408,14 @@
 
 // The catalog only moves forward: what is older than the last index is void.
 void TakeCommands(State& aState,
+                  const std::string& aFrom,
                   const wire::FollowReply& aMessage,
                   Output& aOut)
 {
   const bool snapshot =
     !aMessage.snapshot().empty() || !aMessage.packed_snapshot().empty();
   if (snapshot && aMessage.snapshot_index() > aState.mApplied) {
-    TakeSnapshot(aState, aMessage, aOut);
+    TakeSnapshot(aState, aFrom, aMessage, aOut);
   }
   // A message before this one was lost: the next report asks for all again.
   if (aMessage.commands_after() > aState.mApplied) {
--- a/src/fleet/internal.h
+++ b/src/fleet/internal.h
@@ -116,6 +116,7 @@
                 Output& aOut);
 /// \brief Takes the snapshot and the commands of a reply.
 void TakeCommands(State& aState,
+                  const std::string& aFrom,
                   const wire::FollowReply& aMessage,
                   Output& aOut);
 /// \brief At a relay: adds the hosts behind it to its report.
--- a/src/fleet/upstream.cpp
+++ b/src/fleet/upstream.cpp
@@ -46,7 +46,12 @@
   ++aState.mTraffic.mUpstreamsLost;
   const std::string next = PreferredControl(aState, aNow);
   aOut.mNotes.push_back(
-    { 2, "event=upstream_lost upstream=" + last + " next=" + next });
+    { 2,
+      "event=upstream_lost upstream=" + last + " next=" + next + " silent_ms=" +
+        std::to_string((aNow - aState.mUpstreamHeardAt) / kMillisecond) +
+        " out_of_touch_ms=" +
+        std::to_string((aNow - aState.mUpstreamGoodAt) / kMillisecond) +
+        " relays=" + std::to_string(aState.mRoute.size()) });
   if (!next.empty()) {
     SetUpstream(aState, next, aNow);
   }
@@ -388,7 +393,7 @@
     return;
   }
   if (!IsControlMember(aState)) {
-    TakeCommands(aState, aMessage, aOut);
+    TakeCommands(aState, aFrom, aMessage, aOut);
   }
   if (!aMessage.refer_to().empty()) {
     TakeReferral(aState, aNow, aFrom, aMessage.refer_to(), aOut);
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -64,7 +64,9 @@
   aContext.Log(
     1,
     "event=policy_in_force version=" + std::to_string(catalog.mVersion) +
-      " routes=" + std::to_string(routes));
+      " routes=" + std::to_string(routes) +
+      " upstream=" + state.mFleet.mUpstream + " in_touch=" +
+      (fleet::IsInTouch(state.mFleet, aContext.mNow) ? "yes" : "no"));
   if (!state.mStopping) {
     fleet::SetReady(state.mFleet, aContext.mNow, true, aFleet);
   }
