--- a/tests/fakes/gateway_world.cpp
+++ b/tests/fakes/gateway_world.cpp
@@ -23,11 +23,11 @@
 constexpr double kWorkSpread = 0.3;
 constexpr const char* kService = "service";
 
-std::string PolicyDocument(const GatewayLoad& aLoad)
+std::string PolicyDocument(const GatewayLoad& aLoad, std::uint64_t aVersion)
 {
   std::ostringstream text;
-  text << aLoad.mIdempotent << " " << aLoad.mAttempts << " " << aLoad.mTimeout
-       << " " << aLoad.mObjective;
+  text << aVersion << " " << aLoad.mIdempotent << " " << aLoad.mAttempts << " "
+       << aLoad.mTimeout << " " << aLoad.mObjective;
   return text.str();
 }
 
@@ -36,12 +36,13 @@
   std::istringstream text{ std::string(aDocument) };
   bool idempotent = true;
   policy::TrafficPolicy made;
-  made.mVersion = 1;
   policy::Route route;
   route.mName = "route";
   route.mHostName = "host";
   route.mPathPrefix = "/";
-  text >> idempotent >> route.mAttempts >> route.mTimeout >> route.mObjective;
+  text >> made.mVersion >> idempotent >> route.mAttempts >> route.mTimeout >>
+    route.mObjective;
+  made.mBaseVersion = made.mVersion - 1;
   route.mKind =
     idempotent ? policy::RouteKind::Safe : policy::RouteKind::Unsafe;
   route.mPriority = 1;
@@ -213,13 +214,39 @@
     StartHost(i);
   }
   Advance(2 * kSecond);
-  Post(0, gateway::PutPolicy{ ++mLast, PolicyDocument(mLoad) });
+  PutNextPolicy(0);
   for (auto& [address, target] : mTargets) {
     StartTarget(address);
   }
   Advance(6 * kSecond);
 }
 
+void GatewayWorld::PutNextPolicy(std::size_t aHost)
+{
+  const std::uint64_t version = mAcknowledgedPolicy + 1;
+  mPolicyCalls[++mLast] = version;
+  Post(aHost, gateway::PutPolicy{ mLast, PolicyDocument(mLoad, version) });
+}
+
+void GatewayWorld::PerformOne(std::size_t, gateway::AnswerOperation& aEffect)
+{
+  const auto call = mPolicyCalls.find(aEffect.mOperation);
+  if (call == mPolicyCalls.end()) {
+    return;
+  }
+  if (aEffect.mEnd == gateway::OperationEnd::Done) {
+    mAcknowledgedPolicy = std::max(mAcknowledgedPolicy, call->second);
+  }
+  mPolicyCalls.erase(call);
+}
+
+std::uint64_t GatewayWorld::PolicyInForce(std::size_t aHost) const
+{
+  const Host& host = mHosts.at(aHost);
+  const auto& policy = host.mState.mDispatch.mPolicy;
+  return host.mAlive && policy ? policy->mVersion : 0;
+}
+
 void GatewayWorld::Later(Micros aDelay, std::function<void()> aWhat)
 {
   mQueue.emplace(mNow + aDelay, std::move(aWhat));
@@ -662,7 +689,8 @@
   }
   const auto found = mHostByAddress.find(aEffect.mAddress);
   if (found == mHostByAddress.end() || mCutOff.count(aHost) != 0 ||
-      mCutOff.count(found->second) != 0) {
+      mCutOff.count(found->second) != 0 ||
+      (mLose && mLose(aHost, found->second, aEffect.mMessage))) {
     return;
   }
   Later(kTrip, [this, to = found->second, message = aEffect.mMessage] {
--- a/tests/fakes/gateway_world.h
+++ b/tests/fakes/gateway_world.h
@@ -76,6 +76,15 @@
   void Advance(Micros aTime);
   void Later(Micros aDelay, std::function<void()> aWhat);
 
+  /// \brief An operator sends the change after the newest acknowledged one.
+  void PutNextPolicy(std::size_t aHost);
+  [[nodiscard]] std::uint64_t AcknowledgedPolicy() const noexcept
+  {
+    return mAcknowledgedPolicy;
+  }
+  /// \brief Version that a host acts by; 0 for none.
+  [[nodiscard]] std::uint64_t PolicyInForce(std::size_t aHost) const;
+
   /// \brief Clients ask for paths of their own, at the load's pace.
   void StartClients(Micros aFor);
   /// \brief A client asks for `aPath` each `aGap`, at any host.
@@ -108,6 +117,9 @@
 
   /// Hosts that cannot exchange messages with any other one.
   std::set<std::size_t> mCutOff;
+  /// Messages between two hosts for which it returns true are lost.
+  std::function<bool(std::size_t, std::size_t, const wire::FleetMessage&)>
+    mLose;
   /// A planted fault: no fact reaches another host.
   bool mLosesFacts = false;
   void KillHost(std::size_t aHost);
@@ -191,7 +203,7 @@
   void PerformOne(std::size_t aHost, dispatch::DeliverAnswer& aEffect);
   void PerformOne(std::size_t aHost, dispatch::ReplyToClient& aEffect);
   void PerformOne(std::size_t, dispatch::LogLine&) {}
-  void PerformOne(std::size_t, gateway::AnswerOperation&) {}
+  void PerformOne(std::size_t, gateway::AnswerOperation& aEffect);
   void PerformOne(std::size_t aHost, gateway::SendPeer& aEffect);
   void PerformOne(std::size_t aHost, gateway::Persist& aEffect);
   void PerformOne(std::size_t, gateway::ExitProcess&) {}
@@ -226,6 +238,9 @@
   /// Status of the answer that a host is told of, by host and attempt.
   std::map<std::pair<std::size_t, std::uint64_t>, int> mStatuses;
   std::multimap<Micros, std::function<void()>> mQueue;
+  /// Changes of the policy that wait for their answer, by operation.
+  std::map<std::uint64_t, std::uint64_t> mPolicyCalls;
+  std::uint64_t mAcknowledgedPolicy = 0;
   std::set<std::string> mHarmful;
   std::set<std::size_t> mFrozen;
   std::map<std::size_t, std::vector<std::function<void()>>> mDeferred;
--- /dev/null
+++ b/tests/fleet_cut_test.cpp
@@ -0,0 +1,149 @@
+#include "fakes/fleet_world.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <algorithm>
+#include <random>
+
+namespace geraniumpond::fleet {
+
+using fakes::FleetWorld;
+using fakes::PutPolicyCommand;
+using fakes::PutTargetCommand;
+
+namespace {
+
+/// In this time after its acknowledgement a change is in force at every host
+/// that hears the control group.
+constexpr Micros kInForceWithin = 2 * kSecond;
+constexpr std::uint64_t kDraws = 12;
+/// The cut falls within this time around the change.
+constexpr Micros kAround = 60 * kMillisecond;
+
+} // namespace
+
+/// \brief Hosts are cut off from all control hosts while something changes, and
+/// still reach the other hosts.
+class FleetCutTest : public CppUnit::TestFixture
+{
+  CPPUNIT_TEST_SUITE(FleetCutTest);
+  CPPUNIT_TEST(HostsBelowRelaysThatAreCutOffHaveAChangeInTime);
+  CPPUNIT_TEST(HostsBelowRelaysThatAreCutOffHearOfATargetThatLeavesInTime);
+  CPPUNIT_TEST(HostsThreeLevelsBelowRelaysThatAreCutOffHaveAChangeInTime);
+  CPPUNIT_TEST_SUITE_END();
+
+public:
+  void HostsBelowRelaysThatAreCutOffHaveAChangeInTime()
+  {
+    for (std::uint64_t seed = 1; seed <= kDraws; ++seed) {
+      Begin(seed, 3, 94);
+      ChangeBesideACut(PutPolicyCommand(2, 1, "two"));
+      ExpectAtHostsNotCutOff(seed, [](const catalog::State& aCatalog) {
+        return aCatalog.mVersion == 2;
+      });
+    }
+  }
+
+  void HostsBelowRelaysThatAreCutOffHearOfATargetThatLeavesInTime()
+  {
+    for (std::uint64_t seed = 1; seed <= kDraws; ++seed) {
+      Begin(seed, 3, 94);
+      CPPUNIT_ASSERT(
+        mWorld.Commit("10.0.0.1:1", PutTargetCommand("t", 1, false)));
+      mWorld.Advance(kSecond);
+      ChangeBesideACut(PutTargetCommand("t", 2, true));
+      ExpectAtHostsNotCutOff(seed, [](const catalog::State& aCatalog) {
+        return aCatalog.mTargets.at("t").draining();
+      });
+    }
+  }
+
+  void HostsThreeLevelsBelowRelaysThatAreCutOffHaveAChangeInTime()
+  {
+    for (std::uint64_t seed = 1; seed <= 2; ++seed) {
+      Begin(seed, 1, 200);
+      ChangeBesideACut(PutPolicyCommand(2, 1, "two"));
+      ExpectAtHostsNotCutOff(seed, [](const catalog::State& aCatalog) {
+        return aCatalog.mVersion == 2;
+      });
+    }
+  }
+
+private:
+  void Begin(std::uint64_t aSeed, int aDataCentres, int aOthers)
+  {
+    mRandom.seed(aSeed);
+    mWorld = FleetWorld(aSeed);
+    mWorld.FoundSpread(aDataCentres, aOthers, (aDataCentres - 1) / 2);
+    CPPUNIT_ASSERT(mWorld.Until(10 * kSecond, [&] {
+      return mWorld.Voters() == static_cast<std::size_t>(aDataCentres);
+    }));
+    CPPUNIT_ASSERT(mWorld.Commit("10.0.0.1:1", PutPolicyCommand(1, 0, "one")));
+    // The tree has its shape, and hosts are anywhere between two reports.
+    mWorld.Advance(10 * kSecond + Below(kSecond));
+  }
+
+  Micros Below(Micros aBound)
+  {
+    return static_cast<Micros>(mRandom() % static_cast<std::uint64_t>(aBound));
+  }
+
+  // Of four in ten hosts without a disk.
+  void CutSome()
+  {
+    mCut.clear();
+    for (const std::string& address : mWorld.Addresses()) {
+      const bool control = mWorld.Node(address).mSettings.mControl;
+      if (!control && mRandom() % 10 < 4) {
+        mCut.insert(address);
+      }
+    }
+    mWorld.mLose = [this](const fakes::Sent& aSent) {
+      return (mCut.count(aSent.mFrom) != 0 &&
+              mWorld.Node(aSent.mTo).mSettings.mControl) ||
+             (mCut.count(aSent.mTo) != 0 &&
+              mWorld.Node(aSent.mFrom).mSettings.mControl);
+    };
+  }
+
+  void ChangeBesideACut(const wire::CatalogCommand& aCommand)
+  {
+    const std::string leader = mWorld.Leader();
+    const bool cutFirst = mRandom() % 2 == 0;
+    if (cutFirst) {
+      CutSome();
+      mWorld.Advance(Below(kAround));
+    }
+    const std::uint64_t id = mWorld.Submit(leader, aCommand);
+    if (!cutFirst) {
+      mWorld.Advance(Below(kAround / 4));
+      CutSome();
+    }
+    const auto& done = mWorld.Node(leader).mDone;
+    CPPUNIT_ASSERT(mWorld.Until(kSecond, [&] { return done.count(id) != 0; }));
+    CPPUNIT_ASSERT(done.at(id).mOutcome.accepted());
+    mAcknowledgedAt = mWorld.mNow;
+  }
+
+  template<class Condition>
+  void ExpectAtHostsNotCutOff(std::uint64_t aSeed, Condition aHolds)
+  {
+    mWorld.Advance(mAcknowledgedAt + kInForceWithin - mWorld.mNow);
+    int behind = 0;
+    for (const std::string& address : mWorld.Addresses()) {
+      const catalog::State& catalog = mWorld.Node(address).mState.mCatalog;
+      behind += mCut.count(address) == 0 && !aHolds(catalog) ? 1 : 0;
+    }
+    CPPUNIT_ASSERT_EQUAL_MESSAGE(
+      "hosts behind, seed " + std::to_string(aSeed), 0, behind);
+  }
+
+  FleetWorld mWorld;
+  std::mt19937_64 mRandom;
+  std::set<std::string> mCut;
+  Micros mAcknowledgedAt = 0;
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(FleetCutTest);
+
+} // namespace geraniumpond::fleet
