Carry the age of the group's word down the tree; ask for it where it is old

What callers saw: two seconds after an acknowledged change hosts that were not disturbed refused what it had added, or ran requests where it no longer sends them.

Cause: a host knew only that somebody above it answered. A relay that is cut off from the control hosts says for 1.4 s that it is in touch, and a host below it then waited 1.0 to 1.4 s more before it left: each level of the tree spent its own patience anew.

Change: the leader dates its word by its quorum's answers, voters by their leader's word, and each reply down the tree carries the age. A host whose word is 0.65 s old (0.05 s later for each level) asks control hosts in turn, which answer with what it lacks; it keeps its place meanwhile. It leaves its upstream when that is silent, or when another host's word is newer by a report. Relays pass a new word on at once and no longer answer reports that ask for nothing, so that messages are as many as before. All waits stand in fleet/timing.h with their sums.

A leader without a quorum is dated too.

--- a/include/geraniumpond/consensus.h
+++ b/include/geraniumpond/consensus.h
@@ -122,6 +122,8 @@
   Micros mOpenedAt = 0;
   /// Elections begun since the start.
   int mElections = 0;
+  /// At others than the leader: when the leader's last word was given.
+  Micros mWordAt = 0;
   /// What the leader had committed when it was last heard.
   std::uint64_t mLeaderCommit = 0;
   std::set<std::string> mVotes;
@@ -205,6 +207,11 @@
 /// heard its leader; a new leader has once an entry of its own term commits.
 [[nodiscard]] bool IsCurrent(const State& aState) noexcept;
 
+/// \brief When a leader with a quorum last gave its word, as far as this member
+/// knows: at the leader the time until which no answer of the quorum is
+/// missing.
+[[nodiscard]] Micros WordAt(const State& aState, Micros aNow);
+
 /// \brief Earliest time at which Tick() has something to do.
 [[nodiscard]] Micros NextTick(const State& aState) noexcept;
 
--- a/include/geraniumpond/fleet.h
+++ b/include/geraniumpond/fleet.h
@@ -67,6 +67,9 @@
   Host mHost;
   /// Last index sent to it.
   std::uint64_t mSent = 0;
+  /// When it was last told anything, and which word of the group.
+  Micros mToldAt = 0;
+  Micros mWordTold = 0;
   std::uint64_t mHostsSequence = 0;
   Micros mSnapshotAt = 0;
   /// It reads deflated snapshots and lists by data centre.
@@ -161,6 +164,8 @@
   std::uint64_t mCommandsSent = 0;
   std::uint64_t mAllHostsSent = 0;
   std::uint64_t mReferrals = 0;
+  /// Questions to control hosts for the group's word, while the own was old.
+  std::uint64_t mWordsAsked = 0;
   /// Upstreams that fell silent, and such that gave way to a better one.
   std::uint64_t mUpstreamsLost = 0;
   std::uint64_t mUpstreamsLeft = 0;
@@ -244,8 +249,15 @@
   std::vector<std::string> mRoute;
   Micros mUpstreamSince = 0;
   Micros mUpstreamHeardAt = 0;
-  /// When the upstream last said that it hears the leader.
+  /// When the word was given that the upstream last passed on.
   Micros mUpstreamGoodAt = 0;
+  /// At a host without a vote: when the group's word was given that it acts by,
+  /// and who told of it; 0 before the first one.
+  Micros mWordAt = 0;
+  std::string mWordFrom;
+  /// Control hosts asked for the word since it was old, and when the next is.
+  std::size_t mWordAsked = 0;
+  Micros mAskWordAt = 0;
   std::size_t mUpstreamTurn = 0;
   /// The upstream that would be better, while it is tried.
   std::string mNextUpstream;
@@ -263,7 +275,8 @@
   std::set<std::string> mAsked;
   Micros mAskPause = 0;
   std::string mLeaderAddress;
-  /// At a voter: when it last held all that its leader had committed.
+  /// At a member of the group: when the leader's word was given as of which it
+  /// last held all that was committed; 0 before.
   Micros mCurrentAt = 0;
   bool mInTouch = false;
 
@@ -341,9 +354,13 @@
 [[nodiscard]] bool IsInTouch(const State& aState, Micros aNow);
 
 /// \brief True once this host has held all that the group had committed when it
-/// was heard; from then on its catalog only moves forward.
+/// gave its word; from then on its catalog only moves forward.
 [[nodiscard]] bool HasGroupsWord(const State& aState, Micros aNow);
 
+/// \brief When a leader with a quorum gave the word that this host acts by; 0
+/// before the first one.
+[[nodiscard]] Micros WordAt(const State& aState, Micros aNow);
+
 /// \brief How much of the control group is there; all zero without a disk.
 [[nodiscard]] GroupHealth HealthOf(const State& aState, Micros aNow);
 
--- a/src/consensus/consensus.cpp
+++ b/src/consensus/consensus.cpp
@@ -90,6 +90,10 @@
   }
   aState.mLeader = aMessage.from();
   aState.mHeardLeaderAt = aNow;
+  if (aMessage.has_append_request()) {
+    const std::uint32_t age = aMessage.append_request().word_age_ms();
+    aState.mWordAt = aNow - static_cast<Micros>(age) * kMillisecond;
+  }
   ResetElection(aState, aNow, aRandom);
 }
 
@@ -343,6 +347,39 @@
   return aState.mRole == Role::Leader && !aState.mFailed;
 }
 
+namespace {
+
+// The latest time by which a quorum, the leader included, has answered.
+Micros QuorumHeardAt(const State& aState, Micros aNow)
+{
+  std::vector<Micros> heard;
+  for (const wire::Member& member : aState.mMembership.members()) {
+    const auto found = aState.mProgress.find(member.id());
+    if (member.voter() && member.id() == aState.mId) {
+      heard.push_back(aNow);
+    } else if (member.voter()) {
+      heard.push_back(found == aState.mProgress.end() ? 0
+                                                      : found->second.mHeardAt);
+    }
+  }
+  std::sort(heard.rbegin(), heard.rend());
+  const std::size_t quorum = Quorum(aState);
+  return heard.size() < quorum ? 0 : heard.at(quorum - 1);
+}
+
+} // namespace
+
+// The quorum answers each heartbeat: until the next one is due no answer is
+// missing.
+Micros WordAt(const State& aState, Micros aNow)
+{
+  if (!IsLeader(aState)) {
+    return aState.mWordAt;
+  }
+  const Micros heardAt = QuorumHeardAt(aState, aNow);
+  return heardAt == 0 ? 0 : std::min(aNow, heardAt + aState.mRules.mHeartbeat);
+}
+
 // Until an entry of the leader's own term commits nobody knows how much of the
 // earlier log had been committed, the leader included.
 bool IsCurrent(const State& aState) noexcept
--- a/src/fleet/fleet.cpp
+++ b/src/fleet/fleet.cpp
@@ -155,6 +155,7 @@
   }
   AcceptWaitingOffer(aState, aNow, aOut);
   AskWhoIsInTouch(aState, aNow, aOut);
+  AskForWord(aState, aNow, aOut);
   RetryPending(aState, aNow, aOut);
   TellThoseWhoAsked(aState, aNow, aOut);
   TellNeighbours(aState, aNow, aOut);
@@ -251,17 +252,16 @@
   return std::max(1, static_cast<int>(live));
 }
 
+// A voter that is behind would hand an older catalog to its followers, and one
+// whose leader hears no quorum an old one.
 bool IsInTouch(const State& aState, Micros aNow)
 {
+  const Micros wordAt = WordAt(aState, aNow);
   if (Votes(aState)) {
-    // A voter that is behind would hand an older catalog to its followers.
-    return (consensus::IsLeader(aState.mGroup) &&
-            consensus::IsCurrent(aState.mGroup)) ||
-           (!aState.mGroup.mLeader.empty() && aState.mCurrentAt > 0 &&
-            aNow - aState.mCurrentAt < kLeaderPatience);
+    return !aState.mGroup.mLeader.empty() && wordAt > 0 &&
+           aNow - wordAt < kLeaderPatience;
   }
-  return aState.mInTouch &&
-         aNow - aState.mUpstreamHeardAt < kUpstreamPatience + kFollowInterval;
+  return aState.mInTouch && wordAt > 0 && aNow - wordAt < kWordPatience;
 }
 
 // A learner is in touch through an upstream, while its catalog comes from the
@@ -272,6 +272,19 @@
   return learns ? aState.mCurrentAt > 0 : IsInTouch(aState, aNow);
 }
 
+Micros WordAt(const State& aState, Micros aNow)
+{
+  if (!Votes(aState)) {
+    return aState.mWordAt;
+  }
+  if (!consensus::IsLeader(aState.mGroup)) {
+    return aState.mCurrentAt;
+  }
+  return consensus::IsCurrent(aState.mGroup)
+           ? consensus::WordAt(aState.mGroup, aNow)
+           : 0;
+}
+
 bool IsNear(const State& aState, const std::string& aAddress)
 {
   const auto found = aState.mHosts.find(aAddress);
@@ -312,7 +325,7 @@
     next = std::min(next, aState.mPushAt);
   }
   next = std::min(next, gossip::NextTick(aState.mGossip));
-  return std::min(next, NextUpstreamTime(aState));
+  return std::min({ next, NextUpstreamTime(aState), NextAskTime(aState) });
 }
 
 } // namespace geraniumpond::fleet
--- a/src/fleet/following.cpp
+++ b/src/fleet/following.cpp
@@ -16,11 +16,6 @@
 /// A follower that lacks more commands than these gets a snapshot where it
 /// reads a deflated one, which is smaller then.
 constexpr std::size_t kMostCommands = 300;
-/// A snapshot that was not taken is sent again after this time.
-constexpr Micros kSnapshotRetry = 1500 * kMillisecond;
-/// Pause between messages that tell followers of commits: a small part of the
-/// two seconds in which a change must be in force.
-constexpr Micros kPushPause = 100 * kMillisecond;
 /// Followers beyond which a newcomer is referred to one of them: twice what a
 /// place in the tree brings, for the time after a loss of many hosts and for
 /// data centres without a control host.
@@ -28,14 +23,6 @@
 /// A relay passes on what its followers have to say together within this time.
 constexpr Micros kForwardPause = 50 * kMillisecond;
 
-// Index of the last command that changed something: what the log holds beside,
-// members and barriers of reads, is no news to followers.
-std::uint64_t LastNews(const State& aState)
-{
-  return aState.mRecent.empty() ? aState.mRecentBase
-                                : aState.mRecent.back().index();
-}
-
 const std::string& PackedCatalog(State& aState)
 {
   if (aState.mPackedIndex != aState.mApplied || aState.mPackedCatalog.empty()) {
@@ -65,42 +52,21 @@
   }
 }
 
-void FillCommands(State& aState,
-                  Micros aNow,
-                  Follower& aFollower,
-                  wire::FollowReply& aReply)
-{
-  const std::uint64_t from = aFollower.mSent;
-  if (from >= LastNews(aState)) {
-    return;
-  }
-  const auto first = std::upper_bound(
-    aState.mRecent.begin(),
-    aState.mRecent.end(),
-    from,
-    [](std::uint64_t aIndex, const wire::CommittedCommand& aCommand) {
-      return aIndex < aCommand.index();
-    });
-  const auto count = static_cast<std::size_t>(aState.mRecent.end() - first);
-  if (from < aState.mRecentBase ||
-      (aFollower.mCompact && count > kMostCommands)) {
-    FillSnapshot(aState, aNow, aFollower, aReply);
-    return;
-  }
-  aFollower.mSent = aState.mApplied;
-  aReply.set_commands_after(from);
-  aState.mTraffic.mCommandsSent += count;
-  for (auto it = first; it != aState.mRecent.end(); ++it) {
-    *aReply.add_commands() = *it;
-  }
-}
-
 bool Lacks(const State& aState, const Follower& aFollower)
 {
   return aFollower.mSent < LastNews(aState) ||
          aFollower.mHostsSequence < aState.mHostsUrgent;
 }
 
+// What a control host says of the group it has from itself; a relay has news of
+// it only once its own upstream has told it, and passes these on by itself.
+bool WaitsForWord(const State& aState, Micros aNow, const Follower& aFollower)
+{
+  return !Votes(aState) && !Lacks(aState, aFollower) &&
+         !aFollower.mHostsDiffer && aFollower.mHostsSequence != 0 &&
+         aNow - aFollower.mToldAt < kFollowInterval;
+}
+
 void DropSilentFollowers(State& aState, Micros aNow)
 {
   for (auto it = aState.mFollowers.begin(); it != aState.mFollowers.end();) {
@@ -193,6 +159,20 @@
   return best;
 }
 
+// Commands, which are small, for whoever is followed or asked by
+// chance.
+void FillWithoutSnapshot(State& aState,
+                         Micros aNow,
+                         const wire::Follow& aMessage,
+                         wire::FollowReply& aReply)
+{
+  Follower once;
+  once.mSent = aMessage.applied();
+  once.mCompact = aMessage.compact();
+  once.mSnapshotAt = aNow;
+  FillCommands(aState, aNow, once, aReply);
+}
+
 // A fleet that starts would else follow the first host that is in touch: 470
 // lists of hosts and snapshots are 25 MB. Whoever lost its upstream gets what
 // it missed with the referral, a change of policy among it.
@@ -215,11 +195,7 @@
   reply.set_refer_to(referral);
   ++aState.mTraffic.mReferrals;
   WriteControlWord(aState, aNow, reply);
-  Follower once;
-  once.mSent = aMessage.applied();
-  if (once.mSent >= aState.mRecentBase) {
-    FillCommands(aState, aNow, once, reply);
-  }
+  FillWithoutSnapshot(aState, aNow, aMessage, reply);
   SendTo(aState, aAsker.mPeerAddress, std::move(message), aOut);
   return true;
 }
@@ -255,7 +231,9 @@
   follower.mHostsDiffer = ours && aMessage.hosts_digest() != 0 &&
                           aMessage.hosts_sequence() == aState.mHostsSequence &&
                           aMessage.hosts_digest() != DigestOfAll(aState, aFrom);
-  SendReply(aState, aNow, aFrom, follower, aOut);
+  if (!WaitsForWord(aState, aNow, follower)) {
+    SendReply(aState, aNow, aFrom, follower, aOut);
+  }
 }
 
 void NoteBehind(State& aState, Micros aNow, Host aHost, const std::string& aBy)
@@ -317,6 +295,10 @@
   // A host at a voter's address may be a new one with an empty disk: what it
   // says of itself counts.
   TellOfHosts(aState, aNow, aOut);
+  if (aMessage.once() && Votes(aState)) {
+    AnswerOnce(aState, aNow, aFrom, aMessage, aOut);
+    return;
+  }
   if (aMessage.votes() || !Votes(aState)) {
     aState.mFollowers.erase(aFrom);
     if (!aMessage.votes()) {
@@ -333,6 +315,68 @@
 
 } // namespace
 
+// What the log holds beside, members and barriers of reads, is no news to
+// followers.
+std::uint64_t LastNews(const State& aState)
+{
+  return aState.mRecent.empty() ? aState.mRecentBase
+                                : aState.mRecent.back().index();
+}
+
+void FillCommands(State& aState,
+                  Micros aNow,
+                  Follower& aFollower,
+                  wire::FollowReply& aReply)
+{
+  const std::uint64_t from = aFollower.mSent;
+  if (from >= LastNews(aState)) {
+    return;
+  }
+  const auto first = std::upper_bound(
+    aState.mRecent.begin(),
+    aState.mRecent.end(),
+    from,
+    [](std::uint64_t aIndex, const wire::CommittedCommand& aCommand) {
+      return aIndex < aCommand.index();
+    });
+  const auto count = static_cast<std::size_t>(aState.mRecent.end() - first);
+  if (from < aState.mRecentBase ||
+      (aFollower.mCompact && count > kMostCommands)) {
+    FillSnapshot(aState, aNow, aFollower, aReply);
+    return;
+  }
+  aFollower.mSent = aState.mApplied;
+  aReply.set_commands_after(from);
+  aState.mTraffic.mCommandsSent += count;
+  for (auto it = first; it != aState.mRecent.end(); ++it) {
+    *aReply.add_commands() = *it;
+  }
+}
+
+void AnswerOnce(State& aState,
+                Micros aNow,
+                const std::string& aFrom,
+                const wire::Follow& aMessage,
+                Output& aOut)
+{
+  wire::FleetMessage message;
+  wire::FollowReply& reply = *message.mutable_follow_reply();
+  reply.set_once(true);
+  FillWithoutSnapshot(aState, aNow, aMessage, reply);
+  WriteWord(aState, aNow, reply);
+  WriteControlWord(aState, aNow, reply);
+  SendTo(aState, aFrom, std::move(message), aOut);
+}
+
+void PassWordOn(State& aState, Micros aNow, Output& aOut)
+{
+  for (auto& [address, follower] : aState.mFollowers) {
+    if (aState.mWordAt - follower.mWordTold >= kFollowInterval / 2) {
+      SendReply(aState, aNow, address, follower, aOut);
+    }
+  }
+}
+
 void SendReply(State& aState,
                Micros aNow,
                const std::string& aTo,
@@ -341,8 +385,10 @@
 {
   wire::FleetMessage message;
   wire::FollowReply& reply = *message.mutable_follow_reply();
+  aFollower.mToldAt = aNow;
+  aFollower.mWordTold = WordAt(aState, aNow);
   FillCommands(aState, aNow, aFollower, reply);
-  reply.set_in_touch(IsInTouch(aState, aNow));
+  WriteWord(aState, aNow, reply);
   WriteControlWord(aState, aNow, reply);
   for (const std::string& address : aState.mRoute) {
     reply.add_route(address);
--- a/src/fleet/internal.h
+++ b/src/fleet/internal.h
@@ -1,23 +1,17 @@
 #pragma once
 
+#include "timing.h"
+
 #include <geraniumpond/fleet.h>
 
 /// \brief Steps that the fleet's sources share.
 namespace geraniumpond::fleet {
 
-/// \brief Pace at which hosts report to the control host that they follow.
-constexpr Micros kFollowInterval = 400 * kMillisecond;
 /// \brief A host not heard for six reports is taken for gone.
 constexpr Micros kHostLease = 6 * kFollowInterval;
-/// \brief Silence after which another control host is followed: a report and
-/// its answer lost in a row.
-constexpr Micros kUpstreamPatience = 1000 * kMillisecond;
 /// \brief Time in which a host whose control host fell silent has found another
 /// one and the others know: its patience, a report, and a report on it.
 constexpr Micros kMoveTime = kUpstreamPatience + 2 * kFollowInterval;
-/// \brief A control host that has not heard its leader for this long is out of
-/// touch; an election takes up to twice as long.
-constexpr Micros kLeaderPatience = 1000 * kMillisecond;
 
 // --- group.cpp: the control group
 
@@ -107,7 +101,42 @@
 /// \brief What this host says of itself in each report.
 [[nodiscard]] wire::Follow OwnFollow(const State& aState, Micros aNow);
 
+// --- word.cpp: how old the group's word is that a host acts by
+/// \brief Says in a reply up to where the sender's catalog goes and how old the
+/// group's word on it is.
+void WriteWord(const State& aState, Micros aNow, wire::FollowReply& aReply);
+/// \brief Takes the word of a reply whose commands were taken; true where it is
+/// newer than what was known.
+[[nodiscard]] bool TakeWord(State& aState,
+                            Micros aNow,
+                            const std::string& aFrom,
+                            const wire::FollowReply& aMessage);
+/// \brief When the word of a reply was given.
+[[nodiscard]] Micros WordAtOf(const wire::FollowReply& aMessage, Micros aNow);
+/// \brief Asks the next control host for the word, when the own one is old.
+void AskForWord(State& aState, Micros aNow, Output& aOut);
+/// \brief Notes that a control host answered such a question.
+void TakeAnswer(State& aState, Micros aNow);
+[[nodiscard]] Micros NextAskTime(const State& aState) noexcept;
+
 // --- following.cpp: what a host tells those that follow it
+/// \brief Index of the last command that followers are told of.
+[[nodiscard]] std::uint64_t LastNews(const State& aState);
+/// \brief Puts the commands into a reply that a follower lacks, or in their
+/// place a snapshot or the policy.
+void FillCommands(State& aState,
+                  Micros aNow,
+                  Follower& aFollower,
+                  wire::FollowReply& aReply);
+/// \brief Answers a host that asks for the group's word and stays where it is.
+void AnswerOnce(State& aState,
+                Micros aNow,
+                const std::string& aFrom,
+                const wire::Follow& aMessage,
+                Output& aOut);
+/// \brief At a relay: tells followers a newer word of the group, once in a
+/// report's time.
+void PassWordOn(State& aState, Micros aNow, Output& aOut);
 void SendFollows(State& aState, Micros aNow, Output& aOut);
 void TakeFollow(State& aState,
                 Micros aNow,
--- /dev/null
+++ b/src/fleet/timing.h
@@ -0,0 +1,85 @@
+#pragma once
+
+#include <geraniumpond/time.h>
+
+/// \brief The times that a change spends on its way from the control group to
+/// the last host, in one place: what they add up to is bounded.
+namespace geraniumpond::fleet {
+
+// --- what is promised
+
+/// \brief In this time after its acknowledgement a change is in force at every
+/// host that a control host in touch can reach.
+constexpr Micros kInForceWithin = 2 * kSecond;
+/// \brief Levels of hosts below a control host in the largest data centre that
+/// is planned for.
+constexpr int kMostLevels = 3;
+
+// --- undisturbed
+
+/// \brief Longest time in which control hosts have heard what their leader
+/// committed: the pace of its heartbeats.
+constexpr Micros kCommitHeard = 150 * kMillisecond;
+/// \brief Pause between messages that tell followers of commits.
+constexpr Micros kPushPause = 100 * kMillisecond;
+/// \brief Pace at which hosts report to the host that they follow, and at which
+/// the group's word goes down the tree.
+constexpr Micros kFollowInterval = 400 * kMillisecond;
+
+// --- disturbed
+
+/// \brief Age of the group's word at which a host asks a control host for it:
+/// longer than the paces of heartbeats and words together.
+constexpr Micros kAskAfter = 600 * kMillisecond;
+/// \brief A host asks later by this time for each level above it: what its
+/// upstream is told meanwhile reaches it without a question.
+constexpr Micros kAskStagger = 50 * kMillisecond;
+/// \brief Pause before the next control host is asked; it doubles with each.
+constexpr Micros kAskPause = 50 * kMillisecond;
+/// \brief Longest pause between questions: control hosts tell those who asked
+/// by themselves as soon as they are in touch.
+constexpr Micros kMostAskPause = 4 * kFollowInterval;
+/// \brief Time for a question and its answer, at a busy control host.
+constexpr Micros kAnswerTime = 100 * kMillisecond;
+
+// --- who is left for whom
+
+/// \brief A host whose upstream is silent, or out of touch while others are
+/// not, follows another one after this time: a report and its answer lost in a
+/// row.
+constexpr Micros kUpstreamPatience = 1000 * kMillisecond;
+/// \brief A control host whose leader's word is older is out of touch; an
+/// election takes up to twice as long.
+constexpr Micros kLeaderPatience = 1000 * kMillisecond;
+/// \brief The same at other hosts, to which the word comes later.
+constexpr Micros kWordPatience = kUpstreamPatience + kFollowInterval;
+/// \brief A snapshot that was not taken is sent again after this time: a slow
+/// link carries one in it.
+constexpr Micros kSnapshotRetry = 1500 * kMillisecond;
+
+// --- sums
+
+/// \brief Longest time to a host of a level, with nothing wrong.
+constexpr Micros UndisturbedTime(int aLevel) noexcept
+{
+  return kCommitHeard + aLevel * kPushPause;
+}
+
+/// \brief Oldest word that a host of a level has, with nothing wrong.
+constexpr Micros UsualWordAge() noexcept
+{
+  return kCommitHeard + kFollowInterval;
+}
+
+/// \brief Longest time to a host of a level whose way up the tree fell silent,
+/// where some of the control hosts that it asks are lost.
+constexpr Micros DisturbedTime(int aLevel, int aLostControlHosts) noexcept
+{
+  Micros time = kAskAfter + aLevel * kAskStagger;
+  for (int i = 0; i < aLostControlHosts; ++i) {
+    time += kAskPause << i;
+  }
+  return time + kAnswerTime;
+}
+
+} // namespace geraniumpond::fleet
--- a/src/fleet/upstream.cpp
+++ b/src/fleet/upstream.cpp
@@ -27,14 +27,29 @@
 /// host that is not back yet costs its askers little; questions are answered
 /// after all else, so that those of 470 hosts delay nothing.
 constexpr Micros kAskStep = 30 * kMillisecond;
-/// Longest pause after all have been asked. They tell askers by themselves as
-/// soon as they are in touch; to ask again is for those that have restarted.
-constexpr Micros kMostAskPause = 4 * kFollowInterval;
 
+// Where the word that the upstream passes on is old, others may be no better
+// off: it is left once another host has told a newer one.
 bool HasGoodUpstream(const State& aState, Micros aNow)
 {
-  const Micros goodAt = std::max(aState.mUpstreamGoodAt, aState.mUpstreamSince);
-  return !aState.mUpstream.empty() && aNow - goodAt <= kUpstreamPatience;
+  const Micros since = aState.mUpstreamSince;
+  const Micros heardAt = std::max(aState.mUpstreamHeardAt, since);
+  const Micros goodAt = std::max(aState.mUpstreamGoodAt, since);
+  const bool isBehind = aNow - goodAt > kUpstreamPatience &&
+                        aState.mWordAt > goodAt + kFollowInterval;
+  return !aState.mUpstream.empty() && !isBehind &&
+         aNow - heardAt <= kUpstreamPatience;
+}
+
+// The control host that told the newest word is certain to be there.
+std::string NextControl(const State& aState, Micros aNow)
+{
+  const std::string& teller = aState.mWordFrom;
+  const bool answers = teller != aState.mUpstream &&
+                       HoldsControlAddress(aState, teller) &&
+                       !IsSuspect(aState, teller, aNow) &&
+                       aNow - aState.mWordAt < kUpstreamPatience;
+  return answers ? teller : PreferredControl(aState, aNow);
 }
 
 // A control host is certain to know more, and which of the relays are left;
@@ -44,7 +59,7 @@
   const std::string last = aState.mUpstream;
   Suspect(aState, last, aNow);
   ++aState.mTraffic.mUpstreamsLost;
-  const std::string next = PreferredControl(aState, aNow);
+  const std::string next = NextControl(aState, aNow);
   aOut.mNotes.push_back(
     { 2,
       "event=upstream_lost upstream=" + last + " next=" + next + " silent_ms=" +
@@ -249,13 +264,24 @@
 {
   NoteInTouch(aState, aMessage.in_touch(), aOut);
   aState.mUpstreamHeardAt = aNow;
-  aState.mUpstreamGoodAt = aMessage.in_touch() ? aNow : aState.mUpstreamGoodAt;
+  if (aMessage.in_touch()) {
+    aState.mUpstreamGoodAt =
+      std::max(aState.mUpstreamGoodAt, WordAtOf(aMessage, aNow));
+  }
   aState.mRoute.assign(aMessage.route().begin(), aMessage.route().end());
   aState.mRoute.push_back(aState.mUpstream);
   aState.mLeaderAddress = aMessage.leader_address();
   (void)TakeControlWord(aState, aMessage);
 }
 
+void TellFollowers(State& aState, Micros aNow, bool aNewerWord, Output& aOut)
+{
+  PushNews(aState, aNow, aOut);
+  if (aNewerWord) {
+    PassWordOn(aState, aNow, aOut);
+  }
+}
+
 } // namespace
 
 void SetUpstream(State& aState, const std::string& aAddress, Micros aNow)
@@ -350,7 +376,8 @@
 // replaced, which seeds tell. None sends its catalog before it is followed.
 void KeepUpstream(State& aState, Micros aNow, Output& aOut)
 {
-  if (aState.mInTouch && !IsInTouch(aState, aNow)) {
+  const Micros heardAt = std::max(aState.mUpstreamHeardAt, aState.mWordAt);
+  if (aState.mInTouch && aNow - heardAt >= kWordPatience) {
     NoteInTouch(aState, false, aOut);
   }
   if (!aState.mInTouch) {
@@ -399,8 +426,16 @@
     TakeReferral(aState, aNow, aFrom, aMessage.refer_to(), aOut);
     return;
   }
-  const bool current =
-    aMessage.in_touch() && aMessage.control_term() >= aState.mControlDate.mTerm;
+  const bool newer = TakeWord(aState, aNow, aFrom, aMessage);
+  if (aMessage.once()) {
+    TakeAnswer(aState, aNow);
+    (void)TakeControlWord(aState, aMessage);
+    TellFollowers(aState, aNow, newer, aOut);
+    return;
+  }
+  const bool current = aMessage.in_touch() &&
+                       aMessage.control_term() >= aState.mControlDate.mTerm &&
+                       aNow - WordAtOf(aMessage, aNow) <= kUpstreamPatience;
   if (current && aFrom == aState.mNextUpstream) {
     MoveToNextUpstream(aState, aNow, aOut);
   } else if (current && !aState.mInTouch) {
@@ -413,7 +448,7 @@
     TakeUpstreamState(aState, aNow, aMessage, aOut);
     TakeHosts(aState, aNow, aMessage, aOut);
   }
-  PushNews(aState, aNow, aOut);
+  TellFollowers(aState, aNow, newer, aOut);
 }
 
 } // namespace geraniumpond::fleet
--- /dev/null
+++ b/src/fleet/word.cpp
@@ -0,0 +1,142 @@
+#include "internal.h"
+
+#include <algorithm>
+#include <limits>
+
+// The group's word: up to where the log was committed when a leader with a
+// quorum said so. It goes from the leader to the voters, from these to their
+// followers and down the tree, and its age with it: a host that only knows that
+// somebody above it answers would add up the patience of all levels. A host
+// whose word is old asks a control host itself, and keeps its place in the
+// tree.
+namespace geraniumpond::fleet {
+
+namespace {
+
+// Those of the own data centre first; the order of the others is each host's
+// own.
+std::vector<std::string> ControlHostsInOrder(const State& aState, Micros aNow)
+{
+  std::vector<std::pair<std::pair<int, std::uint64_t>, std::string>> ordered;
+  for (const std::string& address : aState.mControlAddresses) {
+    if (address == aState.mSettings.mPeerAddress) {
+      continue;
+    }
+    const int place = (IsSuspect(aState, address, aNow) ? 2 : 0) +
+                      (IsNear(aState, address) ? 0 : 1);
+    ordered.push_back({ { place, Weight(aState, address) }, address });
+  }
+  std::sort(ordered.begin(), ordered.end());
+  std::vector<std::string> addresses;
+  addresses.reserve(ordered.size());
+  for (auto& [order, address] : ordered) {
+    addresses.push_back(std::move(address));
+  }
+  return addresses;
+}
+
+// A learner's catalog comes from the log.
+bool AsksForWord(const State& aState) noexcept
+{
+  return aState.mInTouch && !IsControlMember(aState);
+}
+
+Micros AgeToAskAt(const State& aState) noexcept
+{
+  return kAskAfter + static_cast<Micros>(aState.mRoute.size()) * kAskStagger;
+}
+
+void NoteAsking(const State& aState, Micros aNow, Output& aOut)
+{
+  const Micros age = aNow - std::max(aState.mWordAt, aState.mUpstreamSince);
+  aOut.mNotes.push_back(
+    { 1,
+      "event=word_late age_ms=" + std::to_string(age / kMillisecond) +
+        " upstream=" + aState.mUpstream + " upstream_silent_ms=" +
+        std::to_string((aNow - aState.mUpstreamHeardAt) / kMillisecond) +
+        " relays=" + std::to_string(aState.mRoute.size()) });
+}
+
+} // namespace
+
+void WriteWord(const State& aState, Micros aNow, wire::FollowReply& aReply)
+{
+  const bool inTouch = IsInTouch(aState, aNow);
+  aReply.set_in_touch(inTouch);
+  aReply.set_news_index(LastNews(aState));
+  if (inTouch) {
+    const Micros age = aNow - WordAt(aState, aNow);
+    aReply.set_word_age_ms(static_cast<std::uint32_t>(age / kMillisecond));
+  }
+}
+
+Micros WordAtOf(const wire::FollowReply& aMessage, Micros aNow)
+{
+  return aNow - static_cast<Micros>(aMessage.word_age_ms()) * kMillisecond;
+}
+
+bool TakeWord(State& aState,
+              Micros aNow,
+              const std::string& aFrom,
+              const wire::FollowReply& aMessage)
+{
+  const bool old = aMessage.control_term() < aState.mControlDate.mTerm;
+  const bool lacks =
+    !IsControlMember(aState) && aMessage.news_index() > aState.mApplied;
+  const Micros wordAt = WordAtOf(aMessage, aNow);
+  if (!aMessage.in_touch() || old || lacks || wordAt <= aState.mWordAt) {
+    return false;
+  }
+  aState.mWordAt = wordAt;
+  aState.mWordFrom = aFrom;
+  if (aNow - wordAt < kAskAfter) {
+    aState.mWordAsked = 0;
+    aState.mAskWordAt = 0;
+  }
+  return true;
+}
+
+// Control hosts that have nothing newer themselves are asked at the pace of
+// reports: the group may have no leader, and every host asks then.
+void TakeAnswer(State& aState, Micros aNow)
+{
+  if (aState.mWordAsked > 0) {
+    aState.mAskWordAt = std::max(aState.mAskWordAt, aNow + kFollowInterval);
+  }
+}
+
+Micros NextAskTime(const State& aState) noexcept
+{
+  if (!AsksForWord(aState)) {
+    return std::numeric_limits<Micros>::max();
+  }
+  const Micros since =
+    aState.mWordAt != 0 ? aState.mWordAt : aState.mUpstreamSince;
+  return std::max(since + AgeToAskAt(aState), aState.mAskWordAt);
+}
+
+void AskForWord(State& aState, Micros aNow, Output& aOut)
+{
+  if (!AsksForWord(aState) || aNow < NextAskTime(aState)) {
+    return;
+  }
+  const std::vector<std::string> control = ControlHostsInOrder(aState, aNow);
+  if (aState.mWordAsked == 0) {
+    NoteAsking(aState, aNow, aOut);
+  }
+  const std::size_t turn = aState.mWordAsked++;
+  aState.mAskWordAt =
+    aNow +
+    std::min(kMostAskPause,
+             kAskPause << static_cast<int>(std::min<std::size_t>(turn, 8)));
+  if (control.empty()) {
+    return;
+  }
+  ++aState.mTraffic.mWordsAsked;
+  wire::FleetMessage message;
+  *message.mutable_follow() = OwnFollow(aState, aNow);
+  message.mutable_follow()->set_once(true);
+  SendTo(aState, control.at(turn % control.size()), std::move(message), aOut);
+}
+
+} // namespace geraniumpond::fleet
--- a/src/frontend/gateway_calls.cpp
+++ b/src/frontend/gateway_calls.cpp
@@ -123,6 +123,7 @@
   counters["commands_sent"] = traffic.mCommandsSent;
   counters["host_lists_sent"] = traffic.mAllHostsSent;
   counters["referrals"] = traffic.mReferrals;
+  counters["words_asked"] = traffic.mWordsAsked;
   counters["upstreams_lost"] = traffic.mUpstreamsLost;
   counters["upstreams_left"] = traffic.mUpstreamsLeft;
   counters["joins_refused"] = traffic.mJoinsRefused;
@@ -135,6 +136,9 @@
     counters["peer_messages_replaced"] = mPeerInbox.Replaced();
   }
   mLoad.Count(counters);
+  const Micros wordAt = fleet::WordAt(mState.mFleet, mNow);
+  gauges["group_word_age_seconds"] =
+    wordAt == 0 ? -1 : static_cast<double>(mNow - wordAt) / kSecond;
   gauges["in_touch"] = fleet::IsInTouch(mState.mFleet, mNow) ? 1 : 0;
   return mMetrics.Text(counters, gauges);
 }
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -65,8 +65,10 @@
     1,
     "event=policy_in_force version=" + std::to_string(catalog.mVersion) +
       " routes=" + std::to_string(routes) +
-      " upstream=" + state.mFleet.mUpstream + " in_touch=" +
-      (fleet::IsInTouch(state.mFleet, aContext.mNow) ? "yes" : "no"));
+      " upstream=" + state.mFleet.mUpstream + " word_age_ms=" +
+      std::to_string(
+        (aContext.mNow - fleet::WordAt(state.mFleet, aContext.mNow)) /
+        kMillisecond));
   if (!state.mStopping) {
     fleet::SetReady(state.mFleet, aContext.mNow, true, aFleet);
   }
