Put no policy in force before the group's word, at hosts without a disk either

What callers saw: after a loss of all hosts a request was run as an older policy says than the one that had been acknowledged.

A host takes the control host of its own data centre as soon as any host in touch names it, so that one which hears of the group late serves its followers the old policy.

Change: no host puts a policy in force before it has held, once, all that the group had committed when it gave its word; from then on it only moves forward. What is told ahead of the word is kept, so that nothing is sent twice.

Its last check was wrong: it expected the newest acknowledged version, and a change without an answer may be in force (140 of 139); now each host must hold the same version, that one or a later.

--- a/include/geraniumpond/gateway.h
+++ b/include/geraniumpond/gateway.h
@@ -211,7 +211,7 @@
   Micros mMostHostsAt = 0;
   /// Draws the hosts of an answer where there are more than places.
   std::mt19937_64 mShuffle;
-  /// A policy from the own disk or log is not in force before the group's word.
+  /// No policy is in force before the group's word.
   bool mHoldsPolicy = false;
   bool mStopping = false;
   Micros mStopAt = 0;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -116,10 +116,11 @@
 
 namespace {
 
-// The disk may hold an older policy than the group has acknowledged, and a log
-// that catches up goes through older ones: requests would be denied or run
-// where they no longer should, for as long as the group is away. One that is
-// refused comes back, mostly to another host.
+// The disk may hold an older policy than the group has acknowledged, a log that
+// catches up goes through older ones, and so may what an upstream tells that
+// has just started itself: requests would be denied or run where they no longer
+// should, for as long as the group is away. One that is refused comes back,
+// mostly to another host.
 void ReleaseHeldPolicy(Context& aContext)
 {
   State& state = aContext.mState;
@@ -342,7 +343,7 @@
   state.mFleet =
     fleet::Open(aSettings.mFleet, aRecovered, aNow, aRandom, output);
   Context context{ state, aNow, aOut };
-  state.mHoldsPolicy = aSettings.mFleet.mControl;
+  state.mHoldsPolicy = true;
   TakeFleet(context, std::move(output));
   return state;
 }
--- a/tests/gateway_restart_test.cpp
+++ b/tests/gateway_restart_test.cpp
@@ -77,8 +77,11 @@
                                version == 0 || version >= acknowledged);
       }
     }
+    // A change without an answer may be in force, then at all hosts.
+    const std::uint64_t last = aWorld.PolicyInForce(0);
+    CPPUNIT_ASSERT(last >= acknowledged);
     for (std::size_t host = 0; host < aWorld.Hosts(); ++host) {
-      CPPUNIT_ASSERT_EQUAL(acknowledged, aWorld.PolicyInForce(host));
+      CPPUNIT_ASSERT_EQUAL(last, aWorld.PolicyInForce(host));
     }
   }
 };
--- a/tests/gateway_test.cpp
+++ b/tests/gateway_test.cpp
@@ -66,6 +66,7 @@
   CPPUNIT_TEST(LargePolicyIsReadHereWhileTheLeaderIsNotKnown);
   CPPUNIT_TEST(PolicyFromDiskWaitsForTheGroup);
   CPPUNIT_TEST(PolicyOnALearnersDiskWaitsForTheLeaderNotForAnUpstream);
+  CPPUNIT_TEST(PolicyOfAnUpstreamOutOfTouchWaitsForTheGroup);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -117,6 +118,15 @@
     CPPUNIT_ASSERT(state.mDispatch.mPolicy);
   }
 
+  void PolicyOfAnUpstreamOutOfTouchWaitsForTheGroup()
+  {
+    State state = Follower(kFastLink, false, 100);
+    CPPUNIT_ASSERT(!state.mDispatch.mPolicy);
+    CPPUNIT_ASSERT(!IsReady(state));
+    (void)Step(state, FromUpstream(kStart + kSecond, true, 100));
+    CPPUNIT_ASSERT(state.mDispatch.mPolicy);
+  }
+
 private:
   // A host with a disk that holds a policy, as a voter or as a learner.
   static State RestartedControlHost(bool aVotes)
