--- a/include/geraniumpond/catalog.h
+++ b/include/geraniumpond/catalog.h
@@ -48,6 +48,10 @@
 [[nodiscard]] wire::CatalogOutcome Apply(State& aState,
                                          const wire::CatalogCommand& aCommand);
 
+/// \brief Takes a policy ahead of the commands before it, at a host that holds
+/// the catalog of others; true when it is newer than the one that is held.
+[[nodiscard]] bool TakePolicy(State& aState, const wire::PutPolicy& aChange);
+
 /// \brief True when an incarnation or a later one of its id has been removed.
 [[nodiscard]] bool IsRemoved(const State& aState,
                              const std::string& aId,
--- a/include/geraniumpond/fleet.h
+++ b/include/geraniumpond/fleet.h
@@ -65,13 +65,15 @@
 struct Follower
 {
   Host mHost;
-  /// Last index sent to it.
+  /// Last index and version of the policy sent to it.
   std::uint64_t mSent = 0;
+  std::uint64_t mPolicySent = 0;
   /// When it was last told anything, and which word of the group.
   Micros mToldAt = 0;
   Micros mWordTold = 0;
   std::uint64_t mHostsSequence = 0;
   Micros mSnapshotAt = 0;
+  std::uint64_t mSnapshotIndex = 0;
   /// It reads deflated snapshots and lists by data centre.
   bool mCompact = false;
   /// What it knew of hosts when it asked for all of them.
--- a/src/catalog/catalog.cpp
+++ b/src/catalog/catalog.cpp
@@ -220,6 +220,21 @@
   return OutcomeOf(aState, false, "an unknown command");
 }
 
+bool TakePolicy(State& aState, const wire::PutPolicy& aChange)
+{
+  if (aChange.version() <= aState.mVersion) {
+    return false;
+  }
+  Result<std::string> document = DocumentOf(aChange);
+  if (!document) {
+    return false;
+  }
+  aState.mVersion = aChange.version();
+  aState.mChange = aChange;
+  aState.mDocument = std::move(document.value());
+  return true;
+}
+
 std::string Save(const State& aState)
 {
   wire::CatalogSnapshot snapshot;
--- a/src/fleet/following.cpp
+++ b/src/fleet/following.cpp
@@ -3,6 +3,7 @@
 #include <geraniumpond/hash.h>
 
 #include <algorithm>
+#include <limits>
 
 // How a host serves those that follow it: a control host from its log, a relay
 // from what its own upstream told it.
@@ -32,6 +33,17 @@
   return aState.mPackedCatalog;
 }
 
+// A snapshot may be lost, or take long on a slow link.
+void FillPolicy(const State& aState,
+                Follower& aFollower,
+                wire::FollowReply& aReply)
+{
+  if (aFollower.mPolicySent < aState.mCatalog.mVersion) {
+    aFollower.mPolicySent = aState.mCatalog.mVersion;
+    *aReply.mutable_policy() = aState.mCatalog.mChange;
+  }
+}
+
 void FillSnapshot(State& aState,
                   Micros aNow,
                   Follower& aFollower,
@@ -39,10 +51,13 @@
 {
   // On a slow link a snapshot takes longer than the pace of reports.
   if (aNow - aFollower.mSnapshotAt < kSnapshotRetry) {
+    FillPolicy(aState, aFollower, aReply);
     return;
   }
   aFollower.mSnapshotAt = aNow;
+  aFollower.mSnapshotIndex = aState.mApplied;
   aFollower.mSent = aState.mApplied;
+  aFollower.mPolicySent = aState.mCatalog.mVersion;
   aReply.set_snapshot_index(aState.mApplied);
   ++aState.mTraffic.mSnapshotsSent;
   if (aFollower.mCompact) {
@@ -55,6 +70,7 @@
 bool Lacks(const State& aState, const Follower& aFollower)
 {
   return aFollower.mSent < LastNews(aState) ||
+         aFollower.mPolicySent < aState.mCatalog.mVersion ||
          aFollower.mHostsSequence < aState.mHostsUrgent;
 }
 
@@ -159,7 +175,15 @@
   return best;
 }
 
-// Commands, which are small, for whoever is followed or asked by
+// Hosts of an earlier version take no policy but with the commands before it.
+std::uint64_t PolicyOf(const wire::Follow& aMessage)
+{
+  return aMessage.has_policy_version()
+           ? aMessage.policy_version()
+           : std::numeric_limits<std::uint64_t>::max();
+}
+
+// Commands or the policy, which are small, for whoever is followed or asked by
 // chance.
 void FillWithoutSnapshot(State& aState,
                          Micros aNow,
@@ -168,6 +192,7 @@
 {
   Follower once;
   once.mSent = aMessage.applied();
+  once.mPolicySent = PolicyOf(aMessage);
   once.mCompact = aMessage.compact();
   once.mSnapshotAt = aNow;
   FillCommands(aState, aNow, once, aReply);
@@ -220,7 +245,11 @@
     KeepNeighbours(aState);
   }
   follower.mSent = aMessage.applied();
+  follower.mPolicySent = PolicyOf(aMessage);
   follower.mCompact = aMessage.compact();
+  if (follower.mSent >= follower.mSnapshotIndex) {
+    follower.mSnapshotAt = 0;
+  }
   const bool ours =
     aMessage.hosts_incarnation() == aState.mSettings.mIncarnation;
   follower.mHostsSequence = ours ? aMessage.hosts_sequence() : 0;
@@ -330,6 +359,7 @@
 {
   const std::uint64_t from = aFollower.mSent;
   if (from >= LastNews(aState)) {
+    FillPolicy(aState, aFollower, aReply);
     return;
   }
   const auto first = std::upper_bound(
@@ -346,6 +376,7 @@
     return;
   }
   aFollower.mSent = aState.mApplied;
+  aFollower.mPolicySent = aState.mCatalog.mVersion;
   aReply.set_commands_after(from);
   aState.mTraffic.mCommandsSent += count;
   for (auto it = first; it != aState.mRecent.end(); ++it) {
@@ -463,6 +494,10 @@
   if (snapshot && aMessage.snapshot_index() > aState.mApplied) {
     TakeSnapshot(aState, aFrom, aMessage, aOut);
   }
+  if (aMessage.has_policy() &&
+      catalog::TakePolicy(aState.mCatalog, aMessage.policy())) {
+    aOut.mPolicyChanged = true;
+  }
   // A message before this one was lost: the next report asks for all again.
   if (aMessage.commands_after() > aState.mApplied) {
     return;
--- a/src/fleet/timing.h
+++ b/src/fleet/timing.h
@@ -54,8 +54,8 @@
 /// \brief The same at other hosts, to which the word comes later.
 constexpr Micros kWordPatience = kUpstreamPatience + kFollowInterval;
 /// \brief A snapshot that was not taken is sent again after this time: a slow
-/// link carries one in it.
-constexpr Micros kSnapshotRetry = 1500 * kMillisecond;
+/// link carries one in it. The policy does not wait for it.
+constexpr Micros kSnapshotRetry = 800 * kMillisecond;
 
 // --- sums
 
--- a/src/fleet/upstream.cpp
+++ b/src/fleet/upstream.cpp
@@ -319,6 +319,7 @@
   *follow.mutable_host() =
     ToWire(aState.mHosts.at(aState.mSettings.mPeerAddress), aNow);
   follow.set_applied(aState.mApplied);
+  follow.set_policy_version(aState.mCatalog.mVersion);
   follow.set_hosts_sequence(aState.mUpstreamSequence);
   follow.set_hosts_incarnation(aState.mUpstreamIncarnation);
   follow.set_compact(true);
--- a/tests/fleet_test.cpp
+++ b/tests/fleet_test.cpp
@@ -21,6 +21,7 @@
   CPPUNIT_TEST(FollowersHearOfManyCommitsTogether);
   CPPUNIT_TEST(FollowerThatMissedAPushTakesNoLaterCommandFirst);
   CPPUNIT_TEST(FollowerFarBehindTakesASnapshot);
+  CPPUNIT_TEST(PolicyDoesNotWaitForASnapshotThatWasLost);
   CPPUNIT_TEST(LeaderLostAnotherOneCommitsWithinSeconds);
   CPPUNIT_TEST(WipedDiskIsANewMemberAndNothingIsLost);
   CPPUNIT_TEST(WipedDiskWhoseSeedsDoNotLeadFindsTheLeader);
@@ -168,6 +169,35 @@
       mWorld.Until(3 * kSecond, [&] { return VersionAt("10.0.0.4:1") == 11; }));
   }
 
+  void PolicyDoesNotWaitForASnapshotThatWasLost()
+  {
+    Begin(3, 1, 0);
+    const std::string follower = "10.0.0.4:1";
+    mWorld.mCutOff = { follower };
+    // So many commands that a snapshot is smaller.
+    for (int i = 0; i < 400; ++i) {
+      CPPUNIT_ASSERT(mWorld.Commit(
+        "10.0.0.1:1", PutTargetCommand("t" + std::to_string(i), 1, false)));
+    }
+    CPPUNIT_ASSERT(mWorld.Commit("10.0.0.1:1", PutPolicyCommand(2, 1, "two")));
+    bool lost = false;
+    mWorld.mLose = [&](const fakes::Sent& aSent) {
+      const bool snapshot =
+        aSent.mTo == follower && aSent.mMessage.has_follow_reply() &&
+        !aSent.mMessage.follow_reply().packed_snapshot().empty();
+      const bool lose = snapshot && !lost;
+      lost = lost || snapshot;
+      return lose;
+    };
+    mWorld.mCutOff.clear();
+    CPPUNIT_ASSERT(mWorld.Until(4 * kSecond, [&] { return lost; }));
+    CPPUNIT_ASSERT(
+      mWorld.Until(kSecond, [&] { return VersionAt(follower) == 2; }));
+    CPPUNIT_ASSERT(mWorld.Until(2 * kSecond, [&] {
+      return mWorld.Node(follower).mState.mCatalog.mTargets.size() == 400;
+    }));
+  }
+
   void LeaderLostAnotherOneCommitsWithinSeconds()
   {
     Begin(4, 2, 1);
