Refuse an unknown route for good only while the policy is known to be new

A host out of touch may be behind: 404 promises that there is no such route, and clients do not come back from it. It says 503 with a time to come back now, as a host without a policy does.

Before: 404 at a host 3 s after the last word; now 503, and 404 while in touch.

--- a/include/geraniumpond/dispatch.h
+++ b/include/geraniumpond/dispatch.h
@@ -436,6 +436,9 @@
   int mHosts = 1;
   /// False while the number of hosts may be that of those heard of so far.
   bool mKnowsHosts = true;
+  /// A newer policy may be in force elsewhere: what is not found in this one
+  /// may be in that.
+  bool mMayBeBehind = false;
   std::shared_ptr<const policy::TrafficPolicy> mPolicy;
   std::unordered_map<std::string, Target> mTargets;
   std::map<std::string, Service> mServices;
--- a/src/dispatch/internal.h
+++ b/src/dispatch/internal.h
@@ -207,6 +207,8 @@
                   Micros aNow,
                   const Arrival& aArrival,
                   Effects& aOut);
+/// \brief Refuses a request for which the policy has no route.
+void RefuseUnknownRoute(State& aState, const Arrival& aArrival, Effects& aOut);
 void ExpireUnrouted(State& aState, Micros aNow, Effects& aOut);
 [[nodiscard]] Micros NextUnroutedTime(const State& aState) noexcept;
 
--- a/src/dispatch/requests.cpp
+++ b/src/dispatch/requests.cpp
@@ -19,7 +19,6 @@
 constexpr Micros kWorkTrusted = 1 * kSecond;
 /// Smoothing of the pace of dispatches.
 constexpr double kIntervalGain = 0.2;
-constexpr int kNotFound = 404;
 constexpr int kUnavailable = 503;
 constexpr int kBadGateway = 502;
 constexpr int kGatewayTimeout = 504;
@@ -323,7 +322,7 @@
   const policy::Route* route =
     policy::FindRoute(*aState.mPolicy, aArrival.mHostName, aArrival.mPath);
   if (route == nullptr) {
-    RefuseArrival(aState, aArrival, kNotFound, 0, "no_route", aOut);
+    RefuseUnknownRoute(aState, aArrival, aOut);
     return;
   }
   Request request;
--- a/src/dispatch/unrouted.cpp
+++ b/src/dispatch/unrouted.cpp
@@ -36,6 +36,17 @@
   aState.mUnrouted[aArrival.mId] = { aArrival, aNow, giveUpAt };
 }
 
+// 404 says that there is no such route, and clients do not come back.
+void RefuseUnknownRoute(State& aState, const Arrival& aArrival, Effects& aOut)
+{
+  if (aState.mMayBeBehind) {
+    RefuseArrival(
+      aState, aArrival, 503, kNoPolicyRetry, "policy_may_be_old", aOut);
+  } else {
+    RefuseArrival(aState, aArrival, 404, 0, "no_route", aOut);
+  }
+}
+
 void ExpireUnrouted(State& aState, Micros aNow, Effects& aOut)
 {
   for (auto it = aState.mUnrouted.begin(); it != aState.mUnrouted.end();) {
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -275,6 +275,9 @@
   }
   void operator()(const dispatch::Arrival& aEvent)
   {
+    State& state = mContext.mState;
+    state.mDispatch.mMayBeBehind =
+      !fleet::IsInTouch(state.mFleet, mContext.mNow);
     Dispatch(mContext, [&](dispatch::Effects& aOut) {
       dispatch::Arrive(mContext.mState.mDispatch, mContext.mNow, aEvent, aOut);
     });
--- a/tests/gateway_test.cpp
+++ b/tests/gateway_test.cpp
@@ -67,6 +67,7 @@
   CPPUNIT_TEST(PolicyFromDiskWaitsForTheGroup);
   CPPUNIT_TEST(PolicyOnALearnersDiskWaitsForTheLeaderNotForAnUpstream);
   CPPUNIT_TEST(PolicyOfAnUpstreamOutOfTouchWaitsForTheGroup);
+  CPPUNIT_TEST(UnknownRouteIsRefusedForGoodOnlyWhileThePolicyIsKnownToBeNew);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -127,7 +128,33 @@
     CPPUNIT_ASSERT(state.mDispatch.mPolicy);
   }
 
+  void UnknownRouteIsRefusedForGoodOnlyWhileThePolicyIsKnownToBeNew()
+  {
+    State state = Follower(kFastLink, true, 100);
+    CPPUNIT_ASSERT_EQUAL(404, StatusOfUnknownRoute(state, kStart + 1000));
+    CPPUNIT_ASSERT_EQUAL(503,
+                         StatusOfUnknownRoute(state, kStart + 3 * kSecond));
+  }
+
 private:
+  static int StatusOfUnknownRoute(State& aState, Micros aNow)
+  {
+    Event event;
+    event.mNow = aNow;
+    dispatch::Arrival arrival;
+    arrival.mId = static_cast<std::uint64_t>(aNow);
+    arrival.mHostName = "nobody.example";
+    arrival.mPath = "/";
+    arrival.mPatience = kSecond;
+    event.mBody = std::move(arrival);
+    for (const Effect& effect : Step(aState, event)) {
+      if (const auto* reply = std::get_if<dispatch::ReplyToClient>(&effect)) {
+        return reply->mStatus;
+      }
+    }
+    return 0;
+  }
+
   // A host with a disk that holds a policy, as a voter or as a learner.
   static State RestartedControlHost(bool aVotes)
   {
