Ask hosts of the soak for what a change added, dropped or moved; cut hosts off

No check of the soak saw what hosts do with requests after a change, and nothing cut hosts off from each other. Policies now differ in their routes; three clients ask any host to which nothing was done for 3 s for what the newest change that was acknowledged 2 s before shows, through the same door as others. Two in seven faults cut four in ten hosts without a disk from those with one, by a proxy that keeps connections open and silent. For that a host may listen elsewhere than it says (listen/hosts_bind), which is of use behind any forwarded port.

--- a/include/geraniumpond/gateway_settings.h
+++ b/include/geraniumpond/gateway_settings.h
@@ -20,6 +20,8 @@
   /// Where targets, operators and directory clients call; may repeat.
   std::vector<std::string> mCallAddresses;
   std::string mPeerAddress;
+  /// Bound in its place where connections to it are forwarded; may be empty.
+  std::string mPeerBindAddress;
   std::string mMetricsAddress;
 
   /// Addresses of a few hosts that vote. Hosts listen for each other at one
--- a/src/config/gateway_settings.cpp
+++ b/src/config/gateway_settings.cpp
@@ -22,6 +22,7 @@
     { "listen", "callers", ValueType::Address, nullptr },
     { "listen", "calls", ValueType::AddressList, nullptr },
     { "listen", "hosts", ValueType::Address, nullptr },
+    { "listen", "hosts_bind", ValueType::AddressList, "" },
     { "listen", "metrics", ValueType::Address, nullptr },
     { "listen", "link_mbps", ValueType::Decimal, "1000", 0.001, 1e6 },
     { "fleet", "seeds", ValueType::AddressList, nullptr },
@@ -60,6 +61,8 @@
 {
   aOut.mCallerAddress = aSection.Text("callers");
   aOut.mPeerAddress = aSection.Text("hosts");
+  const std::vector<std::string> bind = aSection.List("hosts_bind");
+  aOut.mPeerBindAddress = bind.empty() ? "" : bind.front();
   aOut.mMetricsAddress = aSection.Text("metrics");
   aOut.mLinkMbps = aSection.Decimal("link_mbps");
   const std::vector<std::string> calls = aSection.List("calls");
--- a/src/edge/peers.cpp
+++ b/src/edge/peers.cpp
@@ -153,18 +153,19 @@
   }
 };
 
-Peers::Peers(const std::string& aListen,
+Peers::Peers(const PeerAddresses& aOwn,
              Handler aHandler,
              std::chrono::milliseconds aUnused)
   : mHandler(std::move(aHandler))
   , mUnused(aUnused)
-  , mSockets(std::make_unique<Sockets>(aListen))
+  , mSockets(std::make_unique<Sockets>(aOwn.mTold))
 {
   SetOptions(mSockets->mIn);
   // Unreachable peers are told of; one that connects anew takes its place over.
   mSockets->mIn.set(zmq::sockopt::router_mandatory, true);
   mSockets->mIn.set(zmq::sockopt::router_handover, true);
-  mSockets->mIn.bind("tcp://" + aListen);
+  mSockets->mIn.bind("tcp://" +
+                     (aOwn.mBound.empty() ? aOwn.mTold : aOwn.mBound));
   mSockets->mWakeIn.bind(kWakeAddress);
   mSockets->mWakeOut.connect(kWakeAddress);
   mThread = std::thread([this] { Run(); });
--- a/src/edge/peers.h
+++ b/src/edge/peers.h
@@ -17,6 +17,20 @@
 
 namespace geraniumpond::edge {
 
+/// \brief A host's own address: what others are told, and what is bound where
+/// connections to it are forwarded; empty for the same.
+struct PeerAddresses
+{
+  PeerAddresses(std::string aTold, std::string aBound = "")
+    : mTold(std::move(aTold))
+    , mBound(std::move(aBound))
+  {
+  }
+
+  std::string mTold;
+  std::string mBound;
+};
+
 /// \brief Messages between hosts over ZeroMQ: one socket in, one out per peer
 /// that has not connected here itself.
 ///
@@ -32,7 +46,7 @@
   /// \brief Time without a message after which an own connection is closed.
   static constexpr std::chrono::milliseconds kUnused{ 10000 };
 
-  Peers(const std::string& aListen,
+  Peers(const PeerAddresses& aOwn,
         Handler aHandler,
         std::chrono::milliseconds aUnused = kUnused);
   Peers(const Peers&) = delete;
--- a/src/frontend/gateway_process.cpp
+++ b/src/frontend/gateway_process.cpp
@@ -247,7 +247,8 @@
     return recovered.error();
   }
   mPeers = std::make_unique<edge::Peers>(
-    mSettings.mPeerAddress, [this](std::string_view aBytes) {
+    edge::PeerAddresses(mSettings.mPeerAddress, mSettings.mPeerBindAddress),
+    [this](std::string_view aBytes) {
       const std::lock_guard<std::mutex> lock(mInboxMutex);
       mInbox.mUnreadable += mPeerInbox.Put(aBytes, Now()) ? 0 : 1;
       mLoop.Wake();
--- a/tests/soak/fleet_processes.cpp
+++ b/tests/soak/fleet_processes.cpp
@@ -24,10 +24,12 @@
 
 FleetProcesses::FleetProcesses(std::string aBinary,
                                std::string aFolder,
-                               int aBasePort)
+                               int aBasePort,
+                               int aDataCentres)
   : mBinary(std::move(aBinary))
   , mFolder(std::move(aFolder))
   , mBasePort(aBasePort)
+  , mDataCentres(aDataCentres)
 {
   Poco::File(mFolder).createDirectories();
 }
@@ -52,6 +54,7 @@
   host.mCallers = ip + ":" + std::to_string(mBasePort);
   host.mCalls = ip + ":" + std::to_string(mBasePort + 1);
   host.mPeers = ip + ":" + std::to_string(mBasePort + 2);
+  host.mBound = ip + ":" + std::to_string(mBasePort + 4);
   Poco::File(host.mFolder).createDirectories();
   mHosts.push_back(host);
 }
@@ -68,12 +71,12 @@
   }
   std::ofstream file(aHost.mFolder + "/host.ini");
   file << "[host]\nid = host-" << aHost.mIndex << "\ndata_centre = dc-"
-       << aHost.mIndex % 3
+       << aHost.mIndex % mDataCentres
        << "\ndata_folder = " << (aHost.mDisk ? aHost.mFolder + "/disk" : "")
        << "\n[listen]\ncallers = " << aHost.mCallers
        << "\ncalls = " << aHost.mCalls << "\nhosts = " << aHost.mPeers
-       << "\nmetrics = " << ip << ":" << mBasePort + 3
-       << "\n[fleet]\nseeds = " << seeds
+       << "\nhosts_bind = " << aHost.mBound << "\nmetrics = " << ip << ":"
+       << mBasePort + 3 << "\n[fleet]\nseeds = " << seeds
        << "\nfounding = " << (aFounding ? "yes" : "no")
        << "\ntolerated_losses = 1\n[bounds]\nstop_grace = 4s\n"
           "answer_keep = 500ms\nextra_ratio = 0.2\nextra_floor = 60\n"
--- a/tests/soak/fleet_processes.h
+++ b/tests/soak/fleet_processes.h
@@ -18,7 +18,9 @@
   std::string mFolder;
   std::string mCallers;
   std::string mCalls;
+  /// What other hosts are told, and where it listens.
   std::string mPeers;
+  std::string mBound;
   pid_t mPid = 0;
   bool mPaused = false;
 };
@@ -27,7 +29,10 @@
 class FleetProcesses
 {
 public:
-  FleetProcesses(std::string aBinary, std::string aFolder, int aBasePort);
+  FleetProcesses(std::string aBinary,
+                 std::string aFolder,
+                 int aBasePort,
+                 int aDataCentres);
   FleetProcesses(const FleetProcesses&) = delete;
   FleetProcesses& operator=(const FleetProcesses&) = delete;
   /// \brief Kills what it started and still runs.
@@ -50,6 +55,7 @@
   std::string mBinary;
   std::string mFolder;
   int mBasePort = 0;
+  int mDataCentres = 3;
   std::vector<HostProcess> mHosts;
 };
 
--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -1,4 +1,6 @@
 #include "fleet_processes.h"
+#include "peer_proxy.h"
+#include "policy_watch.h"
 #include "stand_ins.h"
 
 #include <Poco/Exception.h>
@@ -32,6 +34,7 @@
   int mSeconds = 12;
   int mDisks = 4;
   int mOthers = 3;
+  int mDataCentres = 3;
   int mPort = 21000;
   /// A fault of the soak itself, to show that its checks can fail.
   std::string mPlant;
@@ -82,17 +85,10 @@
   return reply;
 }
 
-std::string PolicyText(std::uint64_t aVersion, std::uint64_t aBase)
-{
-  return "[policy]\nversion = " + std::to_string(aVersion) +
-         "\nbase = " + std::to_string(aBase) +
-         "\n[service main]\nhealth_path = /health\n"
-         "[route safe]\nhost = soak.example\nprefix = /safe/\nkind = safe\n"
-         "timeout = 1500ms\nobjective = 300ms\nattempts = 2\nbackends = main\n"
-         "[route unsafe]\nhost = soak.example\nprefix = /unsafe/\n"
-         "kind = unsafe\ntimeout = 1500ms\nobjective = 300ms\nattempts = 2\n"
-         "backends = main\n";
-}
+const std::vector<std::string> kTargetNames = {
+  "target-0", "target-1", "target-2", "target-3",
+  "target-4", "target-5", "moved-0",  "moved-1",
+};
 
 /// \brief One run.
 class Soak
@@ -101,8 +97,8 @@
   explicit Soak(const Options& aOptions)
     : mOptions(aOptions)
     , mFolder(Poco::TemporaryFile::tempName())
-    , mFleet(aOptions.mBinary, mFolder, aOptions.mPort)
-    , mTargets(mLedger, 6, aOptions.mPort + 10)
+    , mFleet(aOptions.mBinary, mFolder, aOptions.mPort, aOptions.mDataCentres)
+    , mTargets(mLedger, kTargetNames, aOptions.mPort + 10)
     , mRandom(aOptions.mSeed)
   {
   }
@@ -119,6 +115,9 @@
     for (int i = 0; i < 6; ++i) {
       threads.emplace_back([this, i] { Ask(i); });
     }
+    for (int i = 0; i < 3; ++i) {
+      threads.emplace_back([this, i] { WatchPolicies(i); });
+    }
     const auto end = steady_clock::now() + seconds(mOptions.mSeconds);
     while (steady_clock::now() < end) {
       OneFault();
@@ -137,6 +136,8 @@
   {
     for (int i = 0; i < mOptions.mDisks + mOptions.mOthers; ++i) {
       mFleet.Add(i < mOptions.mDisks);
+      const HostProcess& host = mFleet.Hosts().back();
+      mProxy.Forward(host.mPeers, host.mBound);
     }
     for (std::size_t i = 0; i < mFleet.Hosts().size(); ++i) {
       mFleet.Start(i, true);
@@ -173,7 +174,9 @@
           continue;
         }
         const std::string body =
-          R"({"service":"main","address":")" + address +
+          R"({"service":")" +
+          std::string(name.compare(0, 6, "moved-") == 0 ? "other" : "main") +
+          R"(","address":")" + address +
           R"(","data_centre":"dc-0","slots":4,"draining":)" +
           (leaves ? "true" : "false") + R"(,"sequence":)" +
           std::to_string(sequence) + "}";
@@ -200,11 +203,13 @@
     std::uint64_t version = 1;
     while (!mStopping) {
       const std::uint64_t base = mAcknowledged;
+      mWatch.Sending(version);
       const Reply put = CallHost(
         AnyHost(random, true), "PUT", "/policy", PolicyText(version, base), "");
       if (put.mStatus == 200) {
         ++mLedger.mChanges;
         mAcknowledged = version;
+        mWatch.Acknowledged(version + (mOptions.mPlant == "policy" ? 1 : 0));
         ++version;
       } else if (put.mStatus == 409) {
         mLedger.Violation("a change that nobody raced was refused: " +
@@ -249,12 +254,37 @@
                                    id);
       Judge(id, reply);
       if (mOptions.mPlant == "twice" && unsafe && reply.mStatus == 200) {
-        mLedger.Ran(id);
+        mLedger.Ran(id, "");
       }
       std::this_thread::sleep_for(milliseconds(5));
     }
   }
 
+  // At any host that nothing was done to: what it does with a request.
+  void WatchPolicies(int aWatcher)
+  {
+    std::mt19937_64 random(mOptions.mSeed + 100 +
+                           static_cast<std::uint64_t>(aWatcher));
+    for (int i = 0; !mStopping; ++i) {
+      const std::size_t host = random() % mFleet.Hosts().size();
+      const std::optional<Probe> probe = mWatch.NextProbe(host, random());
+      if (!probe) {
+        std::this_thread::sleep_for(milliseconds(5));
+        continue;
+      }
+      const std::string id =
+        "probe-" + std::to_string(aWatcher) + "-" + std::to_string(i);
+      const Reply reply =
+        CallHost(mFleet.Hosts()[host].mCallers, "GET", probe->mPath, "", id);
+      ++mLedger.mProbes;
+      const std::string fault =
+        mWatch.Judge(*probe, { reply.mStatus, mLedger.RanAt(id) });
+      if (!fault.empty()) {
+        mLedger.Violation("host-" + std::to_string(host) + " " + fault);
+      }
+    }
+  }
+
   void Judge(const std::string& aId, const Reply& aReply)
   {
     if (aReply.mStatus == 200) {
@@ -279,11 +309,17 @@
   void OneFault()
   {
     const std::size_t count = mFleet.Hosts().size();
-    const std::size_t host = mRandom() % count;
+    const bool spares = mRandom() % 2 == 0;
+    const std::size_t first = spares ? mOptions.mDisks : 0;
+    const std::size_t host = first + mRandom() % (count - first);
     const bool disk = mFleet.Hosts()[host].mDisk;
     const auto pause = milliseconds(100 + mRandom() % 1200);
     mTroubled = true;
-    switch (mRandom() % 5) {
+    const std::uint64_t fault = mRandom() % 7;
+    if (fault < 4) {
+      mWatch.BeginTrouble({ host }, disk);
+    }
+    switch (fault) {
       case 0:
         Say("kill", host);
         mFleet.Signal(host, SIGKILL);
@@ -311,8 +347,13 @@
         mFleet.Start(host, false);
         std::this_thread::sleep_for(seconds(disk ? 4 : 0));
         break;
+      case 4:
+      case 5:
+        CutSome(pause);
+        break;
       default: {
         Say("kill all", host);
+        mWatch.BeginTrouble({}, true);
         for (std::size_t i = 0; i < count; ++i) {
           mFleet.Signal(i, SIGKILL);
         }
@@ -324,11 +365,36 @@
         break;
       }
     }
+    mWatch.EndTrouble();
     std::this_thread::sleep_for(milliseconds(1500));
     mTroubled = false;
     std::this_thread::sleep_for(pause);
   }
 
+  // Of the hosts without a disk some no longer reach those with one; all others
+  // do, and reach them.
+  void CutSome(milliseconds aPause)
+  {
+    std::set<std::size_t> chosen;
+    std::set<HostPair> pairs;
+    for (const HostProcess& host : mFleet.Hosts()) {
+      if (host.mDisk || mRandom() % 10 >= 4) {
+        continue;
+      }
+      chosen.insert(static_cast<std::size_t>(host.mIndex));
+      for (const HostProcess& other : mFleet.Hosts()) {
+        if (other.mDisk) {
+          pairs.emplace(host.mPeers, other.mPeers);
+        }
+      }
+    }
+    Say("cut", chosen.size());
+    mWatch.BeginTrouble(chosen, false);
+    mProxy.Cut(pairs);
+    std::this_thread::sleep_for(aPause + milliseconds(2500));
+    mProxy.Cut({});
+  }
+
   void Say(const char* aWhat, std::size_t aHost) const
   {
     std::cout << "  " << aWhat << " host-" << aHost << "\n";
@@ -375,8 +441,8 @@
     std::cout << "seed " << mOptions.mSeed << ": " << mLedger.mAnswered
               << " answered, " << mLedger.mRefused << " refused, "
               << mLedger.mFailed << " failed, " << mLedger.mChanges
-              << " changes, " << mLedger.mReads << " reads, "
-              << violations.size() << " violations\n";
+              << " changes, " << mLedger.mReads << " reads, " << mLedger.mProbes
+              << " probes, " << violations.size() << " violations\n";
     for (const std::string& violation : violations) {
       std::cout << "  VIOLATION " << violation << "\n";
     }
@@ -395,6 +461,8 @@
   Options mOptions;
   std::string mFolder;
   Ledger mLedger;
+  PeerProxy mProxy;
+  PolicyWatch mWatch;
   FleetProcesses mFleet;
   Targets mTargets;
   std::mt19937_64 mRandom;
@@ -416,6 +484,7 @@
     { "seconds", required_argument, nullptr, 't' },
     { "disks", required_argument, nullptr, 'd' },
     { "others", required_argument, nullptr, 'o' },
+    { "data-centres", required_argument, nullptr, 'c' },
     { "port", required_argument, nullptr, 'p' },
     { "plant", required_argument, nullptr, 'x' },
     { nullptr, 0, nullptr, 0 },
@@ -438,6 +507,9 @@
       case 'o':
         options.mOthers = std::atoi(optarg);
         break;
+      case 'c':
+        options.mDataCentres = std::atoi(optarg);
+        break;
       case 'p':
         options.mPort = std::atoi(optarg);
         break;
@@ -446,8 +518,8 @@
         break;
       default:
         std::cerr << "usage: soak --binary FILE [--seed N] [--seconds N] "
-                     "[--disks N] [--others N] [--port N] [--plant "
-                     "read|twice]\n";
+                     "[--disks N] [--others N] [--data-centres N] [--port N] "
+                     "[--plant read|twice|policy]\n";
         return 2;
     }
   }
--- a/tests/soak/stand_ins.cpp
+++ b/tests/soak/stand_ins.cpp
@@ -19,15 +19,23 @@
 
 } // namespace
 
-void Ledger::Ran(const std::string& aRequest)
+void Ledger::Ran(const std::string& aRequest, const std::string& aTarget)
 {
   const std::lock_guard<std::mutex> lock(mMutex);
+  mRanAt[aRequest] = aTarget;
   const int runs = ++mRuns[aRequest];
   if (runs > 1 && aRequest.compare(0, 6, "unsafe") == 0) {
     mViolations.push_back("ran twice: " + aRequest);
   }
 }
 
+std::string Ledger::RanAt(const std::string& aRequest)
+{
+  const std::lock_guard<std::mutex> lock(mMutex);
+  const auto found = mRanAt.find(aRequest);
+  return found == mRanAt.end() ? "" : found->second;
+}
+
 int Ledger::Runs(const std::string& aRequest)
 {
   const std::lock_guard<std::mutex> lock(mMutex);
@@ -89,7 +97,7 @@
       return;
     }
     const std::string id = *frontend::FindField(aRequest.mFields, "Request-Id");
-    mAll.mLedger.Ran(id);
+    mAll.mLedger.Ran(id, mName);
     {
       const std::lock_guard<std::mutex> lock(mAll.mMutex);
       if (mAll.mIdle.count(mName) != 0) {
@@ -145,14 +153,16 @@
   std::multimap<Micros, std::pair<std::uint64_t, std::string>> mWaiting;
 };
 
-Targets::Targets(Ledger& aLedger, int aCount, int aPort)
+Targets::Targets(Ledger& aLedger,
+                 const std::vector<std::string>& aNames,
+                 int aPort)
   : mLedger(aLedger)
 {
-  for (int i = 0; i < aCount; ++i) {
-    const std::string address =
-      "127.0.2." + std::to_string(i + 1) + ":" + std::to_string(aPort);
-    mTargets.push_back(
-      std::make_unique<One>(*this, "target-" + std::to_string(i), address));
+  for (const std::string& name : aNames) {
+    const std::string address = "127.0.2." +
+                                std::to_string(mTargets.size() + 1) + ":" +
+                                std::to_string(aPort);
+    mTargets.push_back(std::make_unique<One>(*this, name, address));
   }
   mThread = std::thread([this] { Run(); });
 }
--- a/tests/soak/stand_ins.h
+++ b/tests/soak/stand_ins.h
@@ -19,7 +19,9 @@
 class Ledger
 {
 public:
-  void Ran(const std::string& aRequest);
+  void Ran(const std::string& aRequest, const std::string& aTarget);
+  /// \brief The target that ran it last; empty for none.
+  [[nodiscard]] std::string RanAt(const std::string& aRequest);
   [[nodiscard]] int Runs(const std::string& aRequest);
   /// \brief The client was told that the request has not run and never will.
   void Promised(const std::string& aRequest);
@@ -34,10 +36,12 @@
   std::atomic<int> mFailed{ 0 };
   std::atomic<int> mReads{ 0 };
   std::atomic<int> mChanges{ 0 };
+  std::atomic<int> mProbes{ 0 };
 
 private:
   std::mutex mMutex;
   std::map<std::string, int> mRuns;
+  std::map<std::string, std::string> mRanAt;
   std::set<std::string> mPromised;
   std::vector<std::string> mViolations;
 };
@@ -46,7 +50,7 @@
 class Targets
 {
 public:
-  Targets(Ledger& aLedger, int aCount, int aPort);
+  Targets(Ledger& aLedger, const std::vector<std::string>& aNames, int aPort);
   ~Targets();
   Targets(const Targets&) = delete;
   Targets& operator=(const Targets&) = delete;
