Cut hosts off in schedules of faults; check at any time by which policy hosts act

The search had no cut of hosts without a disk, none below relays, and looked at the policy of hosts at the end alone. Now two fifths of them may lose the control hosts, one schedule in eight has 16 to 39 of them, and each host to which nothing was done for 3 s, nor to the group, must act by what was acknowledged 2 s before.

--- a/tests/fakes/fleet_player.cpp
+++ b/tests/fakes/fleet_player.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <functional>
 #include <ostream>
+#include <random>
 
 // Plays a schedule of faults in the simulated fleet, with changes of the policy
 // all along, and checks what is promised.
@@ -23,6 +24,18 @@
 /// Settings name a control host's successor this long after it has gone.
 constexpr Micros kSeedLag = 3 * kSecond;
 constexpr Micros kChangePause = 300 * kMillisecond;
+/// A change is in force this long after its acknowledgement, at hosts to which
+/// nothing was done for a while, nor to the group.
+constexpr Micros kInForceWithin = 2 * kSecond;
+constexpr Micros kContact = 3 * kSecond;
+
+/// \brief What was done to a host, in short, and when that last changed.
+struct Condition
+{
+  std::string mText;
+  Micros mSince = 0;
+};
+
 /// \brief A change of the policy that was sent and has not ended.
 struct SentChange
 {
@@ -45,6 +58,7 @@
 
   std::string Play()
   {
+    mWorld.mLose = [this](const Sent& aSent) { return IsLost(aSent); };
     const bool heedless = mSchedule.mPlant == FleetPlant::Size;
     mWorld.mForgetsSynced = mSchedule.mPlant == FleetPlant::Sync;
     mWorld.Found(
@@ -227,6 +241,9 @@
       case FleetFault::CutHalves:
         CutHalves(aStep.mPick, aStep.mFor);
         break;
+      case FleetFault::CutHosts:
+        CutHosts(aStep.mPick, aStep.mFor);
+        break;
       case FleetFault::Freeze:
         Freeze(PickControl(aStep.mPick), aStep.mFor);
         break;
@@ -355,13 +372,42 @@
         half.insert(address);
       }
     }
-    mWorld.mLose = [this, half](const Sent& aSent) {
-      const bool between = Node(aSent.mFrom).mSettings.mControl &&
-                           mWorld.Has(aSent.mTo) &&
-                           Node(aSent.mTo).mSettings.mControl;
-      return between && half.count(aSent.mFrom) != half.count(aSent.mTo);
-    };
-    After(aFor, [this] { mWorld.mLose = nullptr; });
+    mHalf = half;
+    After(aFor, [this] { mHalf.clear(); });
+  }
+
+  void CutHosts(std::uint64_t aPick, Micros aFor)
+  {
+    std::mt19937_64 random(aPick);
+    std::set<std::string> hosts;
+    for (const std::string& address : Hosts(false, false)) {
+      if (!IsControl(address) && random() % 10 < 4) {
+        hosts.insert(address);
+      }
+    }
+    Log("schedule", "cuts off " + std::to_string(hosts.size()) + " hosts");
+    mCutHosts = hosts;
+    After(aFor, [this, hosts] {
+      if (mCutHosts == hosts) {
+        mCutHosts.clear();
+      }
+    });
+  }
+
+  bool IsControl(const std::string& aAddress)
+  {
+    return mWorld.Has(aAddress) && Node(aAddress).mSettings.mControl;
+  }
+
+  bool IsLost(const Sent& aSent)
+  {
+    const bool from = IsControl(aSent.mFrom);
+    const bool to = IsControl(aSent.mTo);
+    if (from && to) {
+      return mHalf.count(aSent.mFrom) != mHalf.count(aSent.mTo);
+    }
+    return (from && mCutHosts.count(aSent.mTo) != 0) ||
+           (to && mCutHosts.count(aSent.mFrom) != 0);
   }
 
   void Freeze(const std::string& aHost, Micros aFor)
@@ -432,6 +478,7 @@
     const fleet::Done& end = done->second;
     if (end.mEnd == fleet::SubmitEnd::Committed && end.mOutcome.accepted()) {
       mAcknowledged = std::max(mAcknowledged, mSent->mVersion);
+      mAcknowledgedAt.emplace(mAcknowledged, mWorld.mNow);
     }
     mSent.reset();
   }
@@ -450,13 +497,85 @@
       }
       known = version;
     }
+    LookForOldPolicies();
+  }
+
+  std::string ConditionOf(const std::string& aAddress)
+  {
+    const FleetNode& node = Node(aAddress);
+    return std::to_string(node.mAlive ? node.mSettings.mIncarnation : 0) +
+           (node.mState.mStopping ? " stops" : "") +
+           (mWorld.mCutOff.count(aAddress) != 0 ? " cut" : "") +
+           (mWorld.mFrozen.count(aAddress) != 0 ? " frozen" : "") +
+           (mWorld.mStalled.count(aAddress) != 0 ? " stalled" : "") +
+           (mCutHosts.count(aAddress) != 0 ? " cut from control" : "");
+  }
+
+  Micros CalmSince(const std::string& aWho, const std::string& aCondition)
+  {
+    Condition& known = mConditions[aWho];
+    if (known.mText != aCondition) {
+      known = { aCondition, mWorld.mNow };
+    }
+    return known.mSince;
+  }
+
+  // The group is well while most of it runs and is connected, and nothing was
+  // done to any of it lately.
+  bool IsGroupCalm()
+  {
+    std::string all;
+    std::size_t there = 0;
+    const std::vector<std::string> control = Hosts(true, false);
+    for (const std::string& address : control) {
+      all += ConditionOf(address) + ";";
+      there += Node(address).mAlive && mWorld.mCutOff.count(address) == 0 &&
+                   mWorld.mFrozen.count(address) == 0
+                 ? 1
+                 : 0;
+    }
+    const Micros since = CalmSince("group", all + std::to_string(mHalf.size()));
+    return mHalf.empty() && 2 * there > control.size() &&
+           mWorld.mNow - since > kContact;
+  }
+
+  bool MustBeCurrent(const std::string& aAddress)
+  {
+    const Micros since = CalmSince(aAddress, ConditionOf(aAddress));
+    return mWorld.mNow - since > kContact && !Node(aAddress).mState.mStopping &&
+           mCutHosts.count(aAddress) == 0 &&
+           mWorld.mCutOff.count(aAddress) == 0 &&
+           mWorld.mFrozen.count(aAddress) == 0 && !IsBeyondReach(aAddress);
+  }
+
+  void LookForOldPolicies()
+  {
+    std::uint64_t wanted = 0;
+    for (const auto& [version, at] : mAcknowledgedAt) {
+      wanted = mWorld.mNow - at > kInForceWithin ? version : wanted;
+    }
+    mAcknowledgedAt.erase(mAcknowledgedAt.begin(),
+                          mAcknowledgedAt.lower_bound(wanted));
+    const bool calm = IsGroupCalm();
+    for (const std::string& address : Hosts(false, true)) {
+      const bool must = MustBeCurrent(address);
+      const std::uint64_t version = Node(address).mState.mCatalog.mVersion;
+      if (calm && must && version < wanted) {
+        mFault = address + " acts by version " + std::to_string(version) +
+                 ", " + std::to_string(wanted) + " was acknowledged " +
+                 std::to_string((mWorld.mNow - mAcknowledgedAt.at(wanted)) /
+                                kMillisecond) +
+                 " ms ago";
+      }
+    }
   }
 
   void EndFaults()
   {
     Log("schedule", "faults end");
     mWorld.mCutOff.clear();
-    mWorld.mLose = nullptr;
+    mHalf.clear();
+    mCutHosts.clear();
     mWorld.mFrozen.clear();
     mWorld.mStalled.clear();
     // Stops and starts that are under way come to their end.
@@ -530,6 +649,12 @@
   std::set<std::string> mRemoved;
   /// Hosts that a step has in hand.
   std::set<std::string> mBusy;
+  /// Control hosts of one half, while they are cut in two.
+  std::set<std::string> mHalf;
+  /// Hosts without a disk that reach no control host.
+  std::set<std::string> mCutHosts;
+  std::map<std::string, Condition> mConditions;
+  std::map<std::uint64_t, Micros> mAcknowledgedAt;
   int mNewcomers = 0;
   int mDisksLost = 0;
 
--- a/tests/fakes/fleet_schedule.cpp
+++ b/tests/fakes/fleet_schedule.cpp
@@ -11,11 +11,22 @@
 
 constexpr int kMostSteps = 14;
 
-constexpr std::array<const char*, 14> kFaultNames = {
-  "restart", "replace-planned", "replace-lost",   "lose-disk",
-  "kill",    "lose-power",      "lose-all-power", "lose-all-power-and-a-disk",
-  "cut",     "cut-halves",      "freeze",         "stall-disk",
-  "reseed",  "settle",
+constexpr std::array<const char*, 15> kFaultNames = {
+  "restart",
+  "replace-planned",
+  "replace-lost",
+  "lose-disk",
+  "kill",
+  "lose-power",
+  "lose-all-power",
+  "lose-all-power-and-a-disk",
+  "cut",
+  "cut-halves",
+  "cut-hosts",
+  "freeze",
+  "stall-disk",
+  "reseed",
+  "settle",
 };
 
 constexpr std::array<const char*, 3> kPlantNames = {
@@ -50,7 +61,8 @@
   schedule.mSeed = aSeed;
   schedule.mTolerated = below(4) == 0 ? 2 : 1;
   schedule.mDisks = 2 * schedule.mTolerated + 1 + below(3);
-  schedule.mOthers = 2 + below(4);
+  // Most are small; in some there are hosts below relays.
+  schedule.mOthers = below(8) == 0 ? 16 + below(24) : 2 + below(4);
   const int steps = 2 + below(kMostSteps);
   for (int i = 0; i < steps; ++i) {
     FleetStep step;
--- a/tests/fakes/fleet_schedule.h
+++ b/tests/fakes/fleet_schedule.h
@@ -37,6 +37,8 @@
   Cut,
   /// The control hosts are cut into two halves; others reach both.
   CutHalves,
+  /// Four in ten hosts without a disk are cut off from all control hosts.
+  CutHosts,
   Freeze,
   /// A disk answers nothing for a while.
   StallDisk,
