--- a/include/geraniumpond/fleet.h
+++ b/include/geraniumpond/fleet.h
@@ -363,6 +363,9 @@
 /// before the first one.
 [[nodiscard]] Micros WordAt(const State& aState, Micros aNow);
 
+/// \brief How old that word is; none before the first one.
+[[nodiscard]] std::optional<Micros> WordAge(const State& aState, Micros aNow);
+
 /// \brief How much of the control group is there; all zero without a disk.
 [[nodiscard]] GroupHealth HealthOf(const State& aState, Micros aNow);
 
--- a/src/fleet/fleet.cpp
+++ b/src/fleet/fleet.cpp
@@ -256,12 +256,10 @@
 // whose leader hears no quorum an old one.
 bool IsInTouch(const State& aState, Micros aNow)
 {
-  const Micros wordAt = WordAt(aState, aNow);
-  if (Votes(aState)) {
-    return !aState.mGroup.mLeader.empty() && wordAt > 0 &&
-           aNow - wordAt < kLeaderPatience;
-  }
-  return aState.mInTouch && wordAt > 0 && aNow - wordAt < kWordPatience;
+  const bool votes = Votes(aState);
+  const bool hears = votes ? !aState.mGroup.mLeader.empty() : aState.mInTouch;
+  const std::optional<Micros> age = WordAge(aState, aNow);
+  return hears && age && *age < (votes ? kLeaderPatience : kWordPatience);
 }
 
 // A learner is in touch through an upstream, while its catalog comes from the
@@ -285,6 +283,12 @@
            : 0;
 }
 
+std::optional<Micros> WordAge(const State& aState, Micros aNow)
+{
+  const Micros wordAt = WordAt(aState, aNow);
+  return wordAt == 0 ? std::nullopt : std::optional<Micros>(aNow - wordAt);
+}
+
 bool IsNear(const State& aState, const std::string& aAddress)
 {
   const auto found = aState.mHosts.find(aAddress);
--- a/src/fleet/following.cpp
+++ b/src/fleet/following.cpp
@@ -476,7 +476,7 @@
     DropFollower(aState, aFrom);
   } else if (IsControlMember(aState)) {
     TakeFollowAsControl(aState, aNow, aFrom, aMessage, aOut);
-  } else if (aMessage.brief() || !IsInTouch(aState, aNow)) {
+  } else if (aMessage.brief() || aMessage.once() || !IsInTouch(aState, aNow)) {
     Refer(aState, aNow, aFrom, aOut);
   } else {
     ServeAsRelay(aState, aNow, aFrom, aMessage, aOut);
--- a/src/fleet/word.cpp
+++ b/src/fleet/word.cpp
@@ -61,12 +61,10 @@
 
 void WriteWord(const State& aState, Micros aNow, wire::FollowReply& aReply)
 {
-  const bool inTouch = IsInTouch(aState, aNow);
-  aReply.set_in_touch(inTouch);
+  aReply.set_in_touch(IsInTouch(aState, aNow));
   aReply.set_news_index(LastNews(aState));
-  if (inTouch) {
-    const Micros age = aNow - WordAt(aState, aNow);
-    aReply.set_word_age_ms(static_cast<std::uint32_t>(age / kMillisecond));
+  if (const std::optional<Micros> age = WordAge(aState, aNow)) {
+    aReply.set_word_age_ms(static_cast<std::uint32_t>(*age / kMillisecond));
   }
 }
 
--- a/src/frontend/gateway_calls.cpp
+++ b/src/frontend/gateway_calls.cpp
@@ -136,9 +136,9 @@
     counters["peer_messages_replaced"] = mPeerInbox.Replaced();
   }
   mLoad.Count(counters);
-  const Micros wordAt = fleet::WordAt(mState.mFleet, mNow);
-  gauges["group_word_age_seconds"] =
-    wordAt == 0 ? -1 : static_cast<double>(mNow - wordAt) / kSecond;
+  if (const std::optional<Micros> age = fleet::WordAge(mState.mFleet, mNow)) {
+    gauges["group_word_age_seconds"] = static_cast<double>(*age) / kSecond;
+  }
   gauges["in_touch"] = fleet::IsInTouch(mState.mFleet, mNow) ? 1 : 0;
   return mMetrics.Text(counters, gauges);
 }
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -66,9 +66,8 @@
     "event=policy_in_force version=" + std::to_string(catalog.mVersion) +
       " routes=" + std::to_string(routes) +
       " upstream=" + state.mFleet.mUpstream + " word_age_ms=" +
-      std::to_string(
-        (aContext.mNow - fleet::WordAt(state.mFleet, aContext.mNow)) /
-        kMillisecond));
+      std::to_string(fleet::WordAge(state.mFleet, aContext.mNow).value_or(0) /
+                     kMillisecond));
   if (!state.mStopping) {
     fleet::SetReady(state.mFleet, aContext.mNow, true, aFleet);
   }
