--- /dev/null
+++ b/bench/change_bench.cpp
@@ -0,0 +1,51 @@
+// How long a change takes from its acknowledgement to the last host that is in
+// touch, by size of the fleet, levels of relays and what is done to other
+// hosts.
+//
+//   change_bench [--changes N] [--hosts N] [--data-centres N]
+#include "fakes/change_time.h"
+#include "fakes/options.h"
+
+#include <cstdio>
+
+namespace {
+
+using geraniumpond::kMillisecond;
+using geraniumpond::fakes::ChangeCase;
+using geraniumpond::fakes::ChangeTimes;
+using geraniumpond::fakes::HostTrouble;
+
+constexpr HostTrouble kTroubles[] = { HostTrouble::None,
+                                      HostTrouble::CutFromControl,
+                                      HostTrouble::Frozen,
+                                      HostTrouble::LosePower };
+constexpr int kPercents[] = { 0, 40 };
+
+} // namespace
+
+int main(int aCount, char** aWords)
+{
+  const auto options = geraniumpond::fakes::ParseOptions(aCount, aWords);
+  const int changes = static_cast<int>(options.Number("changes", 10));
+  ChangeCase one;
+  one.mOthers = static_cast<int>(options.Number("hosts", 94));
+  one.mDataCentres = static_cast<int>(options.Number("data-centres", 3));
+  std::printf("hosts  levels  trouble                 of hosts  slowest ms  "
+              "questions a change\n");
+  for (const HostTrouble trouble : kTroubles) {
+    for (const int percent : kPercents) {
+      one.mTrouble = trouble;
+      one.mPercent = percent;
+      const ChangeTimes times =
+        geraniumpond::fakes::MeasureChanges(one, changes, 36);
+      std::printf("%5d  %6d  %-22s  %7s  %10lld  %8.1f\n",
+                  one.mOthers,
+                  times.mLevels,
+                  ToString(trouble),
+                  percent == 0 ? "one" : "40 %",
+                  static_cast<long long>(times.mSlowest / kMillisecond),
+                  static_cast<double>(times.mQuestions) / changes);
+    }
+  }
+  return 0;
+}
--- /dev/null
+++ b/tests/fakes/change_time.cpp
@@ -0,0 +1,182 @@
+#include "fakes/change_time.h"
+
+#include <algorithm>
+#include <array>
+#include <random>
+#include <stdexcept>
+
+namespace geraniumpond::fakes {
+
+namespace {
+
+constexpr std::array<const char*, 4> kTroubleNames = {
+  "none",
+  "cut from control hosts",
+  "frozen",
+  "power lost",
+};
+/// The tree has its shape by then.
+constexpr Micros kSettled = 10 * kSecond;
+constexpr Micros kMostWait = 4 * kSecond;
+
+class Measurement
+{
+public:
+  Measurement(const ChangeCase& aCase, std::uint64_t aSeed)
+    : mCase(aCase)
+    , mWorld(aSeed)
+    , mRandom(aSeed)
+  {
+    mWorld.FoundSpread(
+      mCase.mDataCentres, mCase.mOthers, (mCase.mDataCentres - 1) / 2);
+    const auto voters = static_cast<std::size_t>(mCase.mDataCentres);
+    if (!mWorld.Until(kSettled, [&] { return mWorld.Voters() == voters; })) {
+      throw std::runtime_error("no group was founded");
+    }
+    Change();
+    mWorld.Advance(kSettled);
+  }
+
+  ChangeTimes Take(int aChanges)
+  {
+    ChangeTimes times;
+    for (int i = 0; i < aChanges; ++i) {
+      mWorld.Advance(static_cast<Micros>(mRandom() % kSecond));
+      const bool before = mRandom() % 2 == 0;
+      const std::set<std::string> hosts = Choose();
+      if (before) {
+        Begin(hosts);
+      }
+      const Micros acknowledgedAt = Change();
+      if (!before) {
+        Begin(hosts);
+      }
+      WaitForChange(hosts);
+      times.mSlowest = std::max(times.mSlowest, mWorld.mNow - acknowledgedAt);
+      times.mLevels = std::max(times.mLevels, Levels());
+      End(hosts);
+      mWorld.Advance(kSettled);
+    }
+    times.mQuestions = Questions();
+    return times;
+  }
+
+private:
+  // Until it is acknowledged; when that was.
+  Micros Change()
+  {
+    const std::string leader = mWorld.Leader();
+    if (!mWorld.Commit(leader,
+                       PutPolicyCommand(mVersion + 1, mVersion, "policy"))) {
+      throw std::runtime_error("a change was not committed");
+    }
+    ++mVersion;
+    return mWorld.mNow;
+  }
+
+  std::set<std::string> Choose()
+  {
+    std::set<std::string> chosen;
+    for (const std::string& address : mWorld.Addresses()) {
+      const fleet::State& state = mWorld.Node(address).mState;
+      if (state.mSettings.mControl) {
+        continue;
+      }
+      const bool relay =
+        mCase.mPercent == 0 && chosen.empty() && !state.mFollowers.empty();
+      const bool drawn = static_cast<int>(mRandom() % 100) < mCase.mPercent;
+      if (relay || drawn) {
+        chosen.insert(address);
+      }
+    }
+    return chosen;
+  }
+
+  void Begin(const std::set<std::string>& aHosts)
+  {
+    switch (mCase.mTrouble) {
+      case HostTrouble::None:
+        break;
+      case HostTrouble::CutFromControl:
+        mWorld.mLose = [this, aHosts](const Sent& aSent) {
+          return (aHosts.count(aSent.mFrom) != 0 && IsControl(aSent.mTo)) ||
+                 (aHosts.count(aSent.mTo) != 0 && IsControl(aSent.mFrom));
+        };
+        break;
+      case HostTrouble::Frozen:
+        mWorld.mFrozen = aHosts;
+        break;
+      case HostTrouble::LosePower:
+        for (const std::string& address : aHosts) {
+          mWorld.LosePower(address);
+        }
+        break;
+    }
+  }
+
+  void End(const std::set<std::string>& aHosts)
+  {
+    mWorld.mFrozen.clear();
+    mWorld.mLose = nullptr;
+    for (const std::string& address : aHosts) {
+      if (!mWorld.Node(address).mAlive) {
+        mWorld.Start(address, false);
+      }
+    }
+  }
+
+  bool IsControl(const std::string& aAddress)
+  {
+    return mWorld.Node(aAddress).mSettings.mControl;
+  }
+
+  void WaitForChange(const std::set<std::string>& aTroubled)
+  {
+    const std::vector<std::string> all = mWorld.Addresses();
+    (void)mWorld.Until(kMostWait, [&] {
+      return std::all_of(all.begin(), all.end(), [&](const std::string& aHost) {
+        return aTroubled.count(aHost) != 0 ||
+               mWorld.Node(aHost).mState.mCatalog.mVersion >= mVersion;
+      });
+    });
+  }
+
+  int Levels()
+  {
+    std::size_t most = 0;
+    for (const std::string& address : mWorld.Addresses()) {
+      most = std::max(most, mWorld.Node(address).mState.mRoute.size());
+    }
+    return static_cast<int>(most);
+  }
+
+  std::uint64_t Questions()
+  {
+    std::uint64_t asked = 0;
+    for (const std::string& address : mWorld.Addresses()) {
+      asked += mWorld.Node(address).mState.mTraffic.mWordsAsked;
+    }
+    return asked;
+  }
+
+  ChangeCase mCase;
+  FleetWorld mWorld;
+  std::mt19937_64 mRandom;
+  std::uint64_t mVersion = 0;
+};
+
+} // namespace
+
+const char* ToString(HostTrouble aTrouble) noexcept
+{
+  return kTroubleNames[static_cast<std::size_t>(aTrouble)];
+}
+
+ChangeTimes MeasureChanges(const ChangeCase& aCase,
+                           int aChanges,
+                           std::uint64_t aSeed)
+{
+  return Measurement(aCase, aSeed).Take(aChanges);
+}
+
+} // namespace geraniumpond::fakes
--- /dev/null
+++ b/tests/fakes/change_time.h
@@ -0,0 +1,50 @@
+#pragma once
+
+#include "fakes/fleet_world.h"
+
+#include <cstdint>
+#include <set>
+#include <string>
+
+/// \brief How long a change takes from its acknowledgement until it is in force
+/// at every host of a fleet, while something is done to others.
+namespace geraniumpond::fakes {
+
+/// \brief What is done to hosts without a disk beside a change.
+enum class HostTrouble
+{
+  None,
+  CutFromControl,
+  Frozen,
+  LosePower,
+};
+
+/// \brief Name of a trouble, for tables.
+[[nodiscard]] const char* ToString(HostTrouble aTrouble) noexcept;
+
+struct ChangeCase
+{
+  int mDataCentres = 3;
+  int mOthers = 94;
+  HostTrouble mTrouble = HostTrouble::None;
+  /// Of the hosts without a disk; 0 for one that others follow.
+  int mPercent = 0;
+};
+
+/// \brief What was measured over some changes.
+struct ChangeTimes
+{
+  /// Until all hosts to which nothing was done have the change.
+  Micros mSlowest = 0;
+  /// Questions for the group's word, over all hosts and changes.
+  std::uint64_t mQuestions = 0;
+  int mLevels = 0;
+};
+
+/// \brief Founds a fleet and changes its policy so many times, at any moment
+/// between two reports, just before or just after the trouble begins.
+[[nodiscard]] ChangeTimes MeasureChanges(const ChangeCase& aCase,
+                                         int aChanges,
+                                         std::uint64_t aSeed);
+
+} // namespace geraniumpond::fakes
--- a/tests/fleet_word_test.cpp
+++ b/tests/fleet_word_test.cpp
@@ -1,15 +1,16 @@
-#include "fakes/fleet_world.h"
+#include "fakes/change_time.h"
 #include "fleet/internal.h"
 
 #include <cppunit/extensions/HelperMacros.h>
 
 #include <algorithm>
-#include <array>
 #include <random>
 
 namespace geraniumpond::fleet {
 
+using fakes::ChangeTimes;
 using fakes::FleetWorld;
+using fakes::HostTrouble;
 using fakes::PutPolicyCommand;
 
 namespace {
@@ -18,28 +19,6 @@
 constexpr Micros kAim = kInForceWithin / 2;
 constexpr int kMostLostControlHosts = 2;
 
-/// \brief What happens to hosts without a disk beside a change.
-enum class Trouble
-{
-  None,
-  CutFromControl,
-  Frozen,
-  LosePower,
-};
-constexpr std::array<const char*, 4> kTroubleNames = { "none",
-                                                       "cut from control hosts",
-                                                       "frozen",
-                                                       "power lost" };
-
-struct Case
-{
-  int mDataCentres = 3;
-  int mOthers = 94;
-  Trouble mTrouble = Trouble::None;
-  /// Of the hosts without a disk; 0 for one that others follow.
-  int mPercent = 0;
-};
-
 } // namespace
 
 /// \brief How old the group's word is at each host, and what that means for the
@@ -71,7 +50,7 @@
   void WordIsNotOldAtAnyLevelOfACalmFleet()
   {
     for (const int dataCentres : { 3, 1 }) {
-      Begin({ dataCentres, 200 });
+      Begin(dataCentres, 200);
       Micros oldest = 0;
       for (int step = 0; step < 500; ++step) {
         mWorld.Advance(10 * kMillisecond);
@@ -87,7 +66,7 @@
 
   void VoterWhoseLeaderHearsNoQuorumHasAnOldWord()
   {
-    Begin({ 5, 0 });
+    Begin(5, 0);
     const std::string leader = mWorld.Leader();
     std::vector<std::string> voters = mWorld.VoterAddresses();
     voters.erase(std::find(voters.begin(), voters.end(), leader));
@@ -109,13 +88,19 @@
   void ChangesAreInForceInHalfOfThePromiseWhateverHostsMeet()
   {
     for (const int dataCentres : { 3, 1 }) {
-      for (const Trouble trouble : { Trouble::None,
-                                     Trouble::CutFromControl,
-                                     Trouble::Frozen,
-                                     Trouble::LosePower }) {
+      for (const HostTrouble trouble : { HostTrouble::None,
+                                         HostTrouble::CutFromControl,
+                                         HostTrouble::Frozen,
+                                         HostTrouble::LosePower }) {
         for (const int percent : { 0, 40 }) {
-          Measure(
-            { dataCentres, dataCentres == 1 ? 180 : 94, trouble, percent }, 5);
+          const int others = dataCentres == 1 ? 180 : 94;
+          const ChangeTimes times = fakes::MeasureChanges(
+            { dataCentres, others, trouble, percent }, 5, 36);
+          CPPUNIT_ASSERT_MESSAGE(
+            ToString(trouble) + std::string(" ") + std::to_string(percent) +
+              " % of " + std::to_string(others) + ": " +
+              std::to_string(times.mSlowest / kMillisecond) + " ms",
+            times.mSlowest <= kAim);
         }
       }
     }
@@ -123,7 +108,7 @@
 
   void QuestionsForTheWordAreFewWhileTheGroupHasNoLeader()
   {
-    Begin({ 3, 94 });
+    Begin(3, 94);
     mWorld.mLose = [](const fakes::Sent& aSent) {
       return aSent.mMessage.has_consensus();
     };
@@ -134,122 +119,18 @@
   }
 
 private:
-  void Begin(const Case& aCase)
+  void Begin(int aDataCentres, int aOthers)
   {
     mWorld = FleetWorld(mRandom());
-    mWorld.FoundSpread(
-      aCase.mDataCentres, aCase.mOthers, (aCase.mDataCentres - 1) / 2);
+    mWorld.FoundSpread(aDataCentres, aOthers, (aDataCentres - 1) / 2);
     CPPUNIT_ASSERT(mWorld.Until(10 * kSecond, [&] {
-      return mWorld.Voters() == static_cast<std::size_t>(aCase.mDataCentres);
+      return mWorld.Voters() == static_cast<std::size_t>(aDataCentres);
     }));
-    mVersion = 0;
-    (void)Change();
+    CPPUNIT_ASSERT(
+      mWorld.Commit(mWorld.Leader(), PutPolicyCommand(1, 0, "policy")));
     mWorld.Advance(10 * kSecond);
   }
 
-  // Until it is acknowledged; when that was.
-  Micros Change()
-  {
-    const std::string leader = mWorld.Leader();
-    CPPUNIT_ASSERT(mWorld.Commit(
-      leader, PutPolicyCommand(mVersion + 1, mVersion, "policy")));
-    ++mVersion;
-    return mWorld.mNow;
-  }
-
-  void Measure(const Case& aCase, int aMoments)
-  {
-    Begin(aCase);
-    Micros slowest = 0;
-    for (int moment = 0; moment < aMoments; ++moment) {
-      mWorld.Advance(static_cast<Micros>(mRandom() % kSecond));
-      const std::set<std::string> troubled = Begin(aCase, mRandom() % 2 == 0);
-      slowest = std::max(slowest, InForceAfter(troubled));
-      End(aCase.mTrouble, troubled);
-      mWorld.Advance(8 * kSecond);
-    }
-    const std::string what =
-      std::string(kTroubleNames.at(static_cast<std::size_t>(aCase.mTrouble))) +
-      " " + std::to_string(aCase.mPercent) + " % of " +
-      std::to_string(aCase.mOthers) + " in " +
-      std::to_string(aCase.mDataCentres) + ": " +
-      std::to_string(slowest / kMillisecond) + " ms";
-    CPPUNIT_ASSERT_MESSAGE(what, slowest <= kAim);
-  }
-
-  std::set<std::string> Begin(const Case& aCase, bool aTroubleFirst)
-  {
-    const std::set<std::string> troubled = Choose(aCase);
-    if (aTroubleFirst) {
-      Strike(aCase.mTrouble, troubled);
-    }
-    mAcknowledgedAt = Change();
-    if (!aTroubleFirst) {
-      Strike(aCase.mTrouble, troubled);
-    }
-    return troubled;
-  }
-
-  std::set<std::string> Choose(const Case& aCase)
-  {
-    std::set<std::string> chosen;
-    for (const std::string& address : mWorld.Addresses()) {
-      const State& state = mWorld.Node(address).mState;
-      if (state.mSettings.mControl) {
-        continue;
-      }
-      const bool relay =
-        aCase.mPercent == 0 && chosen.empty() && !state.mFollowers.empty();
-      const bool drawn = static_cast<int>(mRandom() % 100) < aCase.mPercent;
-      if (relay || drawn) {
-        chosen.insert(address);
-      }
-    }
-    return chosen;
-  }
-
-  void Strike(Trouble aTrouble, const std::set<std::string>& aHosts)
-  {
-    if (aTrouble == Trouble::Frozen) {
-      mWorld.mFrozen = aHosts;
-    } else if (aTrouble == Trouble::LosePower) {
-      for (const std::string& address : aHosts) {
-        mWorld.LosePower(address);
-      }
-    } else if (aTrouble == Trouble::CutFromControl) {
-      mWorld.mLose = [this, aHosts](const fakes::Sent& aSent) {
-        return (aHosts.count(aSent.mFrom) != 0 &&
-                mWorld.Node(aSent.mTo).mSettings.mControl) ||
-               (aHosts.count(aSent.mTo) != 0 &&
-                mWorld.Node(aSent.mFrom).mSettings.mControl);
-      };
-    }
-  }
-
-  void End(Trouble aTrouble, const std::set<std::string>& aHosts)
-  {
-    mWorld.mFrozen.clear();
-    mWorld.mLose = nullptr;
-    for (const std::string& address : aHosts) {
-      if (aTrouble == Trouble::LosePower) {
-        mWorld.Start(address, false);
-      }
-    }
-  }
-
-  // From the acknowledgement until all that were spared have the change.
-  Micros InForceAfter(const std::set<std::string>& aTroubled)
-  {
-    (void)mWorld.Until(4 * kSecond, [&] {
-      const std::vector<std::string> all = mWorld.Addresses();
-      return std::all_of(all.begin(), all.end(), [&](const std::string& aHost) {
-        return aTroubled.count(aHost) != 0 ||
-               mWorld.Node(aHost).mState.mCatalog.mVersion >= mVersion;
-      });
-    });
-    return mWorld.mNow - mAcknowledgedAt;
-  }
-
   std::uint64_t Questions()
   {
     std::uint64_t asked = 0;
@@ -261,8 +142,6 @@
 
   FleetWorld mWorld;
   std::mt19937_64 mRandom{ 36 };
-  std::uint64_t mVersion = 0;
-  Micros mAcknowledgedAt = 0;
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(FleetWordTest);
