Date the hosts that an upstream tells by the word that it passes on

Found where the cause was looked for elsewhere: each reply of an upstream made all hosts of its list heard now, also that of a relay which is cut off.

--- a/src/fleet/hosts.cpp
+++ b/src/fleet/hosts.cpp
@@ -249,7 +249,8 @@
   aFollower.mHostsSequence = aState.mHostsSequence;
 }
 
-// The upstream tells what has changed; the rest is as fresh as its word.
+// The upstream tells what has changed; the rest is as old as the word that it
+// passes on.
 void TakeHosts(State& aState,
                Micros aNow,
                const wire::FollowReply& aMessage,
@@ -277,8 +278,10 @@
           " known=" + std::to_string(aState.mHosts.size()) +
           " upstream=" + aState.mUpstream });
   }
+  const Micros wordAt = WordAtOf(aMessage, aNow);
   for (auto& [address, host] : aState.mHosts) {
-    host.mHeardAt = host.mGone ? host.mHeardAt : aNow;
+    host.mHeardAt =
+      host.mGone ? host.mHeardAt : std::max(host.mHeardAt, wordAt);
   }
   aState.mUpstreamSequence = aMessage.hosts_sequence();
   // An older upstream's word may have come after this host told the new one
