--- a/src/fleet/internal.h
+++ b/src/fleet/internal.h
@@ -119,15 +119,49 @@
 void TakeAnswer(State& aState, Micros aNow);
 [[nodiscard]] Micros NextAskTime(const State& aState) noexcept;
 
-// --- following.cpp: what a host tells those that follow it
+// --- following.cpp: who follows this host
+void SendFollows(State& aState, Micros aNow, Output& aOut);
+void TakeFollow(State& aState,
+                Micros aNow,
+                const std::string& aFrom,
+                const wire::Follow& aMessage,
+                Output& aOut);
+/// \brief At a relay: adds the hosts behind it to its report.
+void AddHostsBehind(State& aState, Micros aNow, wire::Follow& aFollow);
+
+// --- taking.cpp: what a host takes of the catalog from others
+/// \brief Takes the snapshot, the policy and the commands of a reply.
+void TakeCommands(State& aState,
+                  const std::string& aFrom,
+                  const wire::FollowReply& aMessage,
+                  Output& aOut);
+
+// --- replies.cpp: what a host tells those that follow it
 /// \brief Index of the last command that followers are told of.
 [[nodiscard]] std::uint64_t LastNews(const State& aState);
+/// \brief True where a follower has not been told all that it must know at
+/// once.
+[[nodiscard]] bool Lacks(const State& aState, const Follower& aFollower);
+/// \brief Version of the policy that the sender of a report holds.
+[[nodiscard]] std::uint64_t PolicyOf(const wire::Follow& aMessage);
 /// \brief Puts the commands into a reply that a follower lacks, or in their
 /// place a snapshot or the policy.
 void FillCommands(State& aState,
                   Micros aNow,
                   Follower& aFollower,
                   wire::FollowReply& aReply);
+/// \brief The same for whoever is followed or asked by chance: never a
+/// snapshot.
+void FillWithoutSnapshot(State& aState,
+                         Micros aNow,
+                         const wire::Follow& aMessage,
+                         wire::FollowReply& aReply);
+/// \brief Tells a follower what it lacks.
+void SendReply(State& aState,
+               Micros aNow,
+               const std::string& aTo,
+               Follower& aFollower,
+               Output& aOut);
 /// \brief Answers a host that asks for the group's word and stays where it is.
 void AnswerOnce(State& aState,
                 Micros aNow,
@@ -137,19 +171,6 @@
 /// \brief At a relay: tells followers a newer word of the group, once in a
 /// report's time.
 void PassWordOn(State& aState, Micros aNow, Output& aOut);
-void SendFollows(State& aState, Micros aNow, Output& aOut);
-void TakeFollow(State& aState,
-                Micros aNow,
-                const std::string& aFrom,
-                const wire::Follow& aMessage,
-                Output& aOut);
-/// \brief Takes the snapshot and the commands of a reply.
-void TakeCommands(State& aState,
-                  const std::string& aFrom,
-                  const wire::FollowReply& aMessage,
-                  Output& aOut);
-/// \brief At a relay: adds the hosts behind it to its report.
-void AddHostsBehind(State& aState, Micros aNow, wire::Follow& aFollow);
 /// \brief Sends followers what they lack of commands and of urgent changes of
 /// hosts.
 void PushToFollowers(State& aState, Micros aNow, Output& aOut);
@@ -158,13 +179,6 @@
 /// \brief Remembers a committed command for followers.
 void Remember(State& aState, std::uint64_t aIndex, const std::string& aCommand);
 
-/// \brief Tells a follower what it lacks.
-void SendReply(State& aState,
-               Micros aNow,
-               const std::string& aTo,
-               Follower& aFollower,
-               Output& aOut);
-
 // --- whereabouts.cpp: who tells whom where the control group is
 
 /// \brief True for the address of a known member of the control group.
