--- a/include/geraniumpond/fleet.h
+++ b/include/geraniumpond/fleet.h
@@ -209,9 +209,10 @@
   std::uint64_t mRecentBase = 0;
   std::uint64_t mLogBytes = 0;
 
-  /// The catalog as snapshot bytes, deflated, as of an index.
+  /// The catalog as snapshot bytes, deflated, as of an index and a policy.
   std::string mPackedCatalog;
   std::uint64_t mPackedIndex = 0;
+  std::uint64_t mPackedVersion = 0;
 
   std::map<std::string, Follower> mFollowers;
   std::map<std::string, HostBehind> mBehind;
--- a/src/fleet/replies.cpp
+++ b/src/fleet/replies.cpp
@@ -17,9 +17,12 @@
 
 const std::string& PackedCatalog(State& aState)
 {
-  if (aState.mPackedIndex != aState.mApplied || aState.mPackedCatalog.empty()) {
+  const std::uint64_t version = aState.mCatalog.mVersion;
+  if (aState.mPackedIndex != aState.mApplied ||
+      aState.mPackedVersion != version || aState.mPackedCatalog.empty()) {
     aState.mPackedCatalog = catalog::Pack(catalog::Save(aState.mCatalog));
     aState.mPackedIndex = aState.mApplied;
+    aState.mPackedVersion = version;
   }
   return aState.mPackedCatalog;
 }
--- a/src/fleet/taking.cpp
+++ b/src/fleet/taking.cpp
@@ -29,7 +29,10 @@
                               loaded.error().mMessage + "\"" });
     return;
   }
+  // A policy that came ahead may be newer than the snapshot's.
+  const wire::PutPolicy known = aState.mCatalog.mChange;
   aState.mCatalog = std::move(loaded.value());
+  (void)catalog::TakePolicy(aState.mCatalog, known);
   aState.mApplied = aMessage.snapshot_index();
   aState.mRecentBase = aState.mApplied;
   aState.mRecent.clear();
--- /dev/null
+++ b/tests/fleet_policy_test.cpp
@@ -0,0 +1,128 @@
+#include "fakes/fleet_world.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace geraniumpond::fleet {
+
+using fakes::PutPolicyCommand;
+
+namespace {
+
+constexpr Micros kStart = 1000 * kSecond;
+constexpr const char* kUpstream = "10.0.0.1:7";
+constexpr const char* kBelow = "10.0.0.8:7";
+
+catalog::State CatalogOf(std::uint64_t aVersion)
+{
+  catalog::State catalog;
+  for (std::uint64_t version = 1; version <= aVersion; ++version) {
+    (void)catalog::Apply(catalog,
+                         PutPolicyCommand(version, version - 1, "policy"));
+  }
+  return catalog;
+}
+
+wire::FleetMessage Reply()
+{
+  wire::FleetMessage message;
+  message.set_from_address(kUpstream);
+  wire::FollowReply& reply = *message.mutable_follow_reply();
+  reply.set_in_touch(true);
+  reply.set_control_term(1);
+  reply.set_control_index(1);
+  reply.add_control_addresses(kUpstream);
+  return message;
+}
+
+} // namespace
+
+/// \brief A host without a disk that is told a policy ahead of the commands
+/// before it.
+class FleetPolicyTest : public CppUnit::TestFixture
+{
+  CPPUNIT_TEST_SUITE(FleetPolicyTest);
+  CPPUNIT_TEST(PolicyThatCameAheadOutlivesAnOlderSnapshot);
+  CPPUNIT_TEST(FollowersOfAHostThatTookAPolicyAheadGetItWithTheirSnapshot);
+  CPPUNIT_TEST_SUITE_END();
+
+public:
+  void setUp() override
+  {
+    Settings settings;
+    settings.mPeerAddress = "10.0.0.5:7";
+    settings.mIncarnation = 1;
+    settings.mSeeds = { kUpstream };
+    Output output;
+    mHost = Open(settings, consensus::Recovered(), kStart, 1, output);
+    TakeSnapshot(1, 5);
+    TakePolicyAlone(3);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t(3), mHost.mCatalog.mVersion);
+  }
+
+  void PolicyThatCameAheadOutlivesAnOlderSnapshot()
+  {
+    TakeSnapshot(2, 9);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t(9), mHost.mApplied);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t(3), mHost.mCatalog.mVersion);
+  }
+
+  void FollowersOfAHostThatTookAPolicyAheadGetItWithTheirSnapshot()
+  {
+    // Its snapshot has been made already, as of the same index.
+    for (const std::uint64_t ahead : { 4, 5 }) {
+      TakePolicyAlone(ahead);
+      const catalog::State told = ToldToANewFollower(ahead);
+      CPPUNIT_ASSERT_EQUAL(ahead, told.mVersion);
+    }
+  }
+
+private:
+  void Take(const wire::FleetMessage& aMessage)
+  {
+    Output output;
+    Receive(mHost, kStart + kMillisecond, 1, aMessage, output);
+  }
+
+  void TakeSnapshot(std::uint64_t aVersion, std::uint64_t aIndex)
+  {
+    wire::FleetMessage message = Reply();
+    wire::FollowReply& reply = *message.mutable_follow_reply();
+    reply.set_snapshot(catalog::Save(CatalogOf(aVersion)));
+    reply.set_snapshot_index(aIndex);
+    Take(message);
+  }
+
+  void TakePolicyAlone(std::uint64_t aVersion)
+  {
+    wire::FleetMessage message = Reply();
+    *message.mutable_follow_reply()->mutable_policy() =
+      CatalogOf(aVersion).mChange;
+    Take(message);
+  }
+
+  catalog::State ToldToANewFollower(std::uint64_t aIncarnation)
+  {
+    wire::FleetMessage report;
+    report.set_from_address(kBelow);
+    wire::Follow& follow = *report.mutable_follow();
+    follow.mutable_host()->set_peer_address(kBelow);
+    follow.mutable_host()->set_incarnation(aIncarnation);
+    follow.set_compact(true);
+    follow.set_policy_version(0);
+    Output output;
+    Receive(mHost, kStart + 2 * kMillisecond, 1, report, output);
+    for (const auto& [to, message] : output.mMessages) {
+      const std::string& packed = message.follow_reply().packed_snapshot();
+      if (to == kBelow && !packed.empty()) {
+        return catalog::Load(catalog::Unpack(packed).value()).value();
+      }
+    }
+    return {};
+  }
+
+  State mHost;
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(FleetPolicyTest);
+
+} // namespace geraniumpond::fleet
