--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -85,6 +85,9 @@
   return reply;
 }
 
+/// More changes than follow within the time in which one is in force.
+constexpr std::uint64_t kPlantedAhead = 20;
+
 const std::vector<std::string> kTargetNames = {
   "target-0", "target-1", "target-2", "target-3",
   "target-4", "target-5", "moved-0",  "moved-1",
@@ -209,7 +212,8 @@
       if (put.mStatus == 200) {
         ++mLedger.mChanges;
         mAcknowledged = version;
-        mWatch.Acknowledged(version + (mOptions.mPlant == "policy" ? 1 : 0));
+        mWatch.Acknowledged(version +
+                            (mOptions.mPlant == "policy" ? kPlantedAhead : 0));
         ++version;
       } else if (put.mStatus == 409) {
         mLedger.Violation("a change that nobody raced was refused: " +
