Go on after a signal that interrupts the thread of messages

Cause: the C++ binding throws on EINTR like on any error, and nothing in the thread of messages catches it. A signal that this thread takes, or a stop and SIGCONT during its wait, ended the process: so may a SIGTERM or SIGHUP. Ruled out: the library's own assertion (another text), memory. Looked for elsewhere: the event loop, sockets and files treat EINTR; ZeroMQ is used in this file alone.

Change: interrupted calls are made again.

--- a/src/edge/peers.cpp
+++ b/src/edge/peers.cpp
@@ -1,6 +1,7 @@
 #include "peers.h"
 
 #include <algorithm>
+#include <cerrno>
 #include <chrono>
 #include <zmq.hpp>
 
@@ -36,6 +37,38 @@
 constexpr int kLooksPerUnused = 4;
 constexpr const char* kWakeAddress = "inproc://wake";
 
+// A signal interrupts a call, also where the process was only stopped and goes
+// on: that is no failure.
+template<class Call>
+auto Uninterrupted(const Call& aCall)
+{
+  while (true) {
+    try {
+      return aCall();
+    } catch (const zmq::error_t& error) {
+      if (error.num() != EINTR) {
+        throw;
+      }
+    }
+  }
+}
+
+template<class Message>
+auto ReceiveNow(zmq::socket_t& aSocket, Message& aMessage)
+{
+  return Uninterrupted(
+    [&] { return aSocket.recv(aMessage, zmq::recv_flags::dontwait); });
+}
+
+template<class Buffer>
+auto SendNow(zmq::socket_t& aSocket,
+             const Buffer& aBuffer,
+             zmq::send_flags aFlags = zmq::send_flags::none)
+{
+  return Uninterrupted(
+    [&] { return aSocket.send(aBuffer, aFlags | zmq::send_flags::dontwait); });
+}
+
 void SetOptions(zmq::socket_t& aSocket)
 {
   aSocket.set(zmq::sockopt::heartbeat_ivl, kHeartbeatMs);
@@ -111,9 +144,8 @@
     }
     try {
       const auto head =
-        mIn.send(zmq::buffer(aAddress),
-                 zmq::send_flags::sndmore | zmq::send_flags::dontwait);
-      return head && mIn.send(zmq::buffer(aBytes), zmq::send_flags::dontwait);
+        SendNow(mIn, zmq::buffer(aAddress), zmq::send_flags::sndmore);
+      return head && SendNow(mIn, zmq::buffer(aBytes));
     } catch (const zmq::error_t&) {
       // It has closed that connection.
       mHeardAt.erase(heard);
@@ -137,7 +169,7 @@
   {
     zmq::message_t message;
     std::string from;
-    while (mIn.recv(message, zmq::recv_flags::dontwait)) {
+    while (ReceiveNow(mIn, message)) {
       if (message.more()) {
         from = message.to_string();
         continue;
@@ -146,7 +178,7 @@
       aTake(message);
     }
     for (auto& [address, connection] : mOut) {
-      while (connection.mSocket.recv(message, zmq::recv_flags::dontwait)) {
+      while (ReceiveNow(connection.mSocket, message)) {
         aTake(message);
       }
     }
@@ -184,7 +216,7 @@
 // Called with the lock held: ZeroMQ sockets belong to one thread at a time.
 void Peers::Wake()
 {
-  mSockets->mWakeOut.send(zmq::message_t(), zmq::send_flags::dontwait);
+  (void)SendNow(mSockets->mWakeOut, zmq::str_buffer(""));
 }
 
 void Peers::Send(const std::string& aAddress, std::string aMessage)
@@ -243,8 +275,7 @@
     }
     // A peer that is away long enough to fill its queue loses messages; every
     // protocol above repairs that.
-    (void)mSockets->To(address).send(zmq::buffer(bytes),
-                                     zmq::send_flags::dontwait);
+    (void)SendNow(mSockets->To(address), zmq::buffer(bytes));
   }
 }
 
@@ -253,13 +284,13 @@
   Clock::time_point closeAt = Clock::now() + mUnused / kLooksPerUnused;
   while (true) {
     std::vector<zmq::pollitem_t> items = mSockets->PollItems();
-    zmq::poll(items, mUnused / kLooksPerUnused);
+    Uninterrupted([&] { return zmq::poll(items, mUnused / kLooksPerUnused); });
     if (Clock::now() >= closeAt) {
       mSockets->CloseUnused(mUnused);
       closeAt = Clock::now() + mUnused / kLooksPerUnused;
     }
     zmq::message_t woken;
-    while (mSockets->mWakeIn.recv(woken, zmq::recv_flags::dontwait)) {
+    while (ReceiveNow(mSockets->mWakeIn, woken)) {
     }
     SendQueued();
     mSockets->Receive([this](const zmq::message_t& aMessage) {
--- a/tests/peers_test.cpp
+++ b/tests/peers_test.cpp
@@ -7,6 +7,9 @@
 
 #include <atomic>
 #include <chrono>
+#include <csignal>
+#include <thread>
+#include <unistd.h>
 #include <zmq.hpp>
 
 namespace geraniumpond::edge {
@@ -25,6 +28,7 @@
   CPPUNIT_TEST(ReaderThatStoodStillTakesAllThatCameMeanwhile);
   CPPUNIT_TEST(ConnectionThatIsNoLongerUsedIsClosed);
   CPPUNIT_TEST(MessageHasLeftAfterATurn);
+  CPPUNIT_TEST(SignalsDoNotEndTheThreadOfMessages);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -125,6 +129,36 @@
     }
     CPPUNIT_ASSERT_EQUAL(std::size_t(0), peers.Connections());
   }
+
+  // Only the thread of messages takes the signal.
+  void SignalsDoNotEndTheThreadOfMessages()
+  {
+    struct sigaction ignore = {};
+    struct sigaction before = {};
+    ignore.sa_handler = [](int) {};
+    sigemptyset(&ignore.sa_mask);
+    sigaction(SIGUSR1, &ignore, &before);
+    const std::string listen = FreeAddress();
+    std::atomic<int> taken{ 0 };
+    Peers peers(listen, [&](std::string_view) { ++taken; });
+    sigset_t signals;
+    sigset_t previous;
+    sigemptyset(&signals);
+    sigaddset(&signals, SIGUSR1);
+    pthread_sigmask(SIG_BLOCK, &signals, &previous);
+    for (int i = 0; i < 200; ++i) {
+      ::kill(::getpid(), SIGUSR1);
+      std::this_thread::sleep_for(std::chrono::milliseconds(1));
+    }
+    pthread_sigmask(SIG_SETMASK, &previous, nullptr);
+    sigaction(SIGUSR1, &before, nullptr);
+    Peers other(FreeAddress(), [](std::string_view) {});
+    other.Send(listen, "message");
+    for (int i = 0; i < 200 && taken == 0; ++i) {
+      std::this_thread::sleep_for(std::chrono::milliseconds(10));
+    }
+    CPPUNIT_ASSERT_EQUAL(1, taken.load());
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(PeersTest);
