Count the quorum's answers in one place

QuorumHeardSince walked the voters by hand beside QuorumHeardAt, which came with the age of the group's word.

--- a/src/consensus/consensus.cpp
+++ b/src/consensus/consensus.cpp
@@ -238,21 +238,31 @@
   aState.mHeld.push_back({ aState.mWriteSequence, std::move(aMessage) });
 }
 
-bool QuorumHeardSince(const State& aState, Micros aTime) noexcept
+namespace {
+
+// The latest time by which a quorum has answered; the leader itself does now.
+Micros QuorumHeardAt(const State& aState, Micros aNow)
 {
-  std::size_t heard = 0;
+  std::vector<Micros> heard;
   for (const wire::Member& member : aState.mMembership.members()) {
-    if (!member.voter()) {
-      continue;
-    }
     const auto found = aState.mProgress.find(member.id());
-    const bool self = member.id() == aState.mId;
-    if (self ||
-        (found != aState.mProgress.end() && found->second.mHeardAt >= aTime)) {
-      ++heard;
+    if (member.voter() && member.id() == aState.mId) {
+      heard.push_back(aNow);
+    } else if (member.voter()) {
+      heard.push_back(found == aState.mProgress.end() ? 0
+                                                      : found->second.mHeardAt);
     }
   }
-  return heard >= Quorum(aState);
+  std::sort(heard.rbegin(), heard.rend());
+  const std::size_t quorum = Quorum(aState);
+  return heard.size() < quorum ? 0 : heard.at(quorum - 1);
+}
+
+} // namespace
+
+bool QuorumHeardSince(const State& aState, Micros aTime)
+{
+  return QuorumHeardAt(aState, aTime) >= aTime;
 }
 
 void Tick(State& aState, Micros aNow, std::uint64_t aRandom, Output& aOut)
@@ -347,28 +357,6 @@
   return aState.mRole == Role::Leader && !aState.mFailed;
 }
 
-namespace {
-
-// The latest time by which a quorum, the leader included, has answered.
-Micros QuorumHeardAt(const State& aState, Micros aNow)
-{
-  std::vector<Micros> heard;
-  for (const wire::Member& member : aState.mMembership.members()) {
-    const auto found = aState.mProgress.find(member.id());
-    if (member.voter() && member.id() == aState.mId) {
-      heard.push_back(aNow);
-    } else if (member.voter()) {
-      heard.push_back(found == aState.mProgress.end() ? 0
-                                                      : found->second.mHeardAt);
-    }
-  }
-  std::sort(heard.rbegin(), heard.rend());
-  const std::size_t quorum = Quorum(aState);
-  return heard.size() < quorum ? 0 : heard.at(quorum - 1);
-}
-
-} // namespace
-
 // The quorum answers each heartbeat: until the next one is due no answer is
 // missing.
 Micros WordAt(const State& aState, Micros aNow)
--- a/src/consensus/internal.h
+++ b/src/consensus/internal.h
@@ -95,6 +95,6 @@
 void SendDurable(State& aState, wire::ConsensusMessage aMessage, Output& aOut);
 
 /// \brief True when a quorum, this member included, was heard since a time.
-[[nodiscard]] bool QuorumHeardSince(const State& aState, Micros aTime) noexcept;
+[[nodiscard]] bool QuorumHeardSince(const State& aState, Micros aTime);
 
 } // namespace geraniumpond::consensus
