Cut hosts off from the control hosts in one place of the simulated fleet

Three tests and the player each had a rule of their own for which messages such a cut loses, two a sum of questions. FleetWorld has both now; draws and checks are as they were.

--- a/tests/fakes/change_time.cpp
+++ b/tests/fakes/change_time.cpp
@@ -57,7 +57,7 @@
       End(hosts);
       mWorld.Advance(kSettled);
     }
-    times.mQuestions = Questions();
+    times.mQuestions = mWorld.WordsAsked();
     return times;
   }
 
@@ -98,10 +98,7 @@
       case HostTrouble::None:
         break;
       case HostTrouble::CutFromControl:
-        mWorld.mLose = [this, aHosts](const Sent& aSent) {
-          return (aHosts.count(aSent.mFrom) != 0 && IsControl(aSent.mTo)) ||
-                 (aHosts.count(aSent.mTo) != 0 && IsControl(aSent.mFrom));
-        };
+        mWorld.mCutFromControl = aHosts;
         break;
       case HostTrouble::Frozen:
         mWorld.mFrozen = aHosts;
@@ -117,7 +114,7 @@
   void End(const std::set<std::string>& aHosts)
   {
     mWorld.mFrozen.clear();
-    mWorld.mLose = nullptr;
+    mWorld.mCutFromControl.clear();
     for (const std::string& address : aHosts) {
       if (!mWorld.Node(address).mAlive) {
         mWorld.Start(address, false);
@@ -125,11 +122,6 @@
     }
   }
 
-  bool IsControl(const std::string& aAddress)
-  {
-    return mWorld.Node(aAddress).mSettings.mControl;
-  }
-
   void WaitForChange(const std::set<std::string>& aTroubled)
   {
     const std::vector<std::string> all = mWorld.Addresses();
@@ -150,15 +142,6 @@
     return static_cast<int>(most);
   }
 
-  std::uint64_t Questions()
-  {
-    std::uint64_t asked = 0;
-    for (const std::string& address : mWorld.Addresses()) {
-      asked += mWorld.Node(address).mState.mTraffic.mWordsAsked;
-    }
-    return asked;
-  }
-
   ChangeCase mCase;
   FleetWorld mWorld;
   std::mt19937_64 mRandom;
--- a/tests/fakes/fleet_player.cpp
+++ b/tests/fakes/fleet_player.cpp
@@ -58,7 +58,7 @@
 
   std::string Play()
   {
-    mWorld.mLose = [this](const Sent& aSent) { return IsLost(aSent); };
+    mWorld.mLose = [this](const Sent& aSent) { return IsBetweenHalves(aSent); };
     const bool heedless = mSchedule.mPlant == FleetPlant::Size;
     mWorld.mForgetsSynced = mSchedule.mPlant == FleetPlant::Sync;
     mWorld.Found(
@@ -381,33 +381,23 @@
     std::mt19937_64 random(aPick);
     std::set<std::string> hosts;
     for (const std::string& address : Hosts(false, false)) {
-      if (!IsControl(address) && random() % 10 < 4) {
+      if (!mWorld.IsControl(address) && random() % 10 < 4) {
         hosts.insert(address);
       }
     }
     Log("schedule", "cuts off " + std::to_string(hosts.size()) + " hosts");
-    mCutHosts = hosts;
+    mWorld.mCutFromControl = hosts;
     After(aFor, [this, hosts] {
-      if (mCutHosts == hosts) {
-        mCutHosts.clear();
+      if (mWorld.mCutFromControl == hosts) {
+        mWorld.mCutFromControl.clear();
       }
     });
   }
 
-  bool IsControl(const std::string& aAddress)
+  bool IsBetweenHalves(const Sent& aSent)
   {
-    return mWorld.Has(aAddress) && Node(aAddress).mSettings.mControl;
-  }
-
-  bool IsLost(const Sent& aSent)
-  {
-    const bool from = IsControl(aSent.mFrom);
-    const bool to = IsControl(aSent.mTo);
-    if (from && to) {
-      return mHalf.count(aSent.mFrom) != mHalf.count(aSent.mTo);
-    }
-    return (from && mCutHosts.count(aSent.mTo) != 0) ||
-           (to && mCutHosts.count(aSent.mFrom) != 0);
+    return mWorld.IsControl(aSent.mFrom) && mWorld.IsControl(aSent.mTo) &&
+           mHalf.count(aSent.mFrom) != mHalf.count(aSent.mTo);
   }
 
   void Freeze(const std::string& aHost, Micros aFor)
@@ -508,7 +498,8 @@
            (mWorld.mCutOff.count(aAddress) != 0 ? " cut" : "") +
            (mWorld.mFrozen.count(aAddress) != 0 ? " frozen" : "") +
            (mWorld.mStalled.count(aAddress) != 0 ? " stalled" : "") +
-           (mCutHosts.count(aAddress) != 0 ? " cut from control" : "");
+           (mWorld.mCutFromControl.count(aAddress) != 0 ? " cut from control"
+                                                        : "");
   }
 
   Micros CalmSince(const std::string& aWho, const std::string& aCondition)
@@ -543,7 +534,7 @@
   {
     const Micros since = CalmSince(aAddress, ConditionOf(aAddress));
     return mWorld.mNow - since > kContact && !Node(aAddress).mState.mStopping &&
-           mCutHosts.count(aAddress) == 0 &&
+           mWorld.mCutFromControl.count(aAddress) == 0 &&
            mWorld.mCutOff.count(aAddress) == 0 &&
            mWorld.mFrozen.count(aAddress) == 0 && !IsBeyondReach(aAddress);
   }
@@ -575,7 +566,7 @@
     Log("schedule", "faults end");
     mWorld.mCutOff.clear();
     mHalf.clear();
-    mCutHosts.clear();
+    mWorld.mCutFromControl.clear();
     mWorld.mFrozen.clear();
     mWorld.mStalled.clear();
     // Stops and starts that are under way come to their end.
@@ -651,8 +642,6 @@
   std::set<std::string> mBusy;
   /// Control hosts of one half, while they are cut in two.
   std::set<std::string> mHalf;
-  /// Hosts without a disk that reach no control host.
-  std::set<std::string> mCutHosts;
   std::map<std::string, Condition> mConditions;
   std::map<std::uint64_t, Micros> mAcknowledgedAt;
   int mNewcomers = 0;
--- a/tests/fakes/fleet_world.cpp
+++ b/tests/fakes/fleet_world.cpp
@@ -146,8 +146,7 @@
   }
   for (const auto& [to, message] : aOutput.mMessages) {
     Sent sent{ aAddress, to, message };
-    if (mCutOff.count(aAddress) != 0 || mCutOff.count(to) != 0 ||
-        (mLose && mLose(sent))) {
+    if (IsCut(aAddress, to) || (mLose && mLose(sent))) {
       continue;
     }
     Charge(node, message);
@@ -161,6 +160,13 @@
   }
 }
 
+bool FleetWorld::IsCut(const std::string& aFrom, const std::string& aTo) const
+{
+  return mCutOff.count(aFrom) + mCutOff.count(aTo) != 0 ||
+         (mCutFromControl.count(aFrom) != 0 && IsControl(aTo)) ||
+         (mCutFromControl.count(aTo) != 0 && IsControl(aFrom));
+}
+
 void FleetWorld::Charge(FleetNode& aNode, const wire::FleetMessage& aMessage)
 {
   const Micros each =
@@ -273,6 +279,15 @@
          found->second.mOutcome.accepted();
 }
 
+std::uint64_t FleetWorld::WordsAsked() const
+{
+  std::uint64_t asked = 0;
+  for (const auto& [address, node] : mNodes) {
+    asked += node.mState.mTraffic.mWordsAsked;
+  }
+  return asked;
+}
+
 std::string FleetWorld::Leader() const
 {
   for (const auto& [address, node] : mNodes) {
--- a/tests/fakes/fleet_world.h
+++ b/tests/fakes/fleet_world.h
@@ -113,6 +113,13 @@
   {
     return mNodes.at(aAddress);
   }
+  /// \brief True for a host with a disk.
+  [[nodiscard]] bool IsControl(const std::string& aAddress) const
+  {
+    return Has(aAddress) && At(aAddress).mSettings.mControl;
+  }
+  /// \brief Questions for the group's word that all hosts have asked.
+  [[nodiscard]] std::uint64_t WordsAsked() const;
   [[nodiscard]] std::string Leader() const;
   /// \brief Voters as the leader counts them; none without one.
   [[nodiscard]] std::size_t Voters() const { return VoterAddresses().size(); }
@@ -121,6 +128,8 @@
 
   /// Hosts that cannot exchange messages with any other one.
   std::set<std::string> mCutOff;
+  /// Hosts that cannot exchange messages with those that have a disk.
+  std::set<std::string> mCutFromControl;
   /// Hosts that do nothing; what is sent to them waits.
   std::set<std::string> mFrozen;
   /// Hosts whose disks answer nothing.
@@ -134,6 +143,8 @@
 
 private:
   void Take(const std::string& aAddress, const fleet::Output& aOutput);
+  [[nodiscard]] bool IsCut(const std::string& aFrom,
+                           const std::string& aTo) const;
   void TakeArrived(const std::string& aAddress, FleetNode& aNode);
   [[nodiscard]] bool IsFree(const FleetNode& aNode) const;
   void Charge(FleetNode& aNode, const wire::FleetMessage& aMessage);
--- a/tests/fleet_cut_test.cpp
+++ b/tests/fleet_cut_test.cpp
@@ -91,19 +91,11 @@
   // Of four in ten hosts without a disk.
   void CutSome()
   {
-    mCut.clear();
     for (const std::string& address : mWorld.Addresses()) {
-      const bool control = mWorld.Node(address).mSettings.mControl;
-      if (!control && mRandom() % 10 < 4) {
-        mCut.insert(address);
+      if (!mWorld.IsControl(address) && mRandom() % 10 < 4) {
+        mWorld.mCutFromControl.insert(address);
       }
     }
-    mWorld.mLose = [this](const fakes::Sent& aSent) {
-      return (mCut.count(aSent.mFrom) != 0 &&
-              mWorld.Node(aSent.mTo).mSettings.mControl) ||
-             (mCut.count(aSent.mTo) != 0 &&
-              mWorld.Node(aSent.mFrom).mSettings.mControl);
-    };
   }
 
   void ChangeBesideACut(const wire::CatalogCommand& aCommand)
@@ -132,7 +124,8 @@
     int behind = 0;
     for (const std::string& address : mWorld.Addresses()) {
       const catalog::State& catalog = mWorld.Node(address).mState.mCatalog;
-      behind += mCut.count(address) == 0 && !aHolds(catalog) ? 1 : 0;
+      behind +=
+        mWorld.mCutFromControl.count(address) == 0 && !aHolds(catalog) ? 1 : 0;
     }
     CPPUNIT_ASSERT_EQUAL_MESSAGE(
       "hosts behind, seed " + std::to_string(aSeed), 0, behind);
@@ -140,7 +133,6 @@
 
   FleetWorld mWorld;
   std::mt19937_64 mRandom;
-  std::set<std::string> mCut;
   Micros mAcknowledgedAt = 0;
 };
 
--- a/tests/fleet_word_test.cpp
+++ b/tests/fleet_word_test.cpp
@@ -60,7 +60,7 @@
         }
       }
       CPPUNIT_ASSERT_MESSAGE(std::to_string(oldest), oldest < kAskAfter);
-      CPPUNIT_ASSERT_EQUAL(std::uint64_t(0), Questions());
+      CPPUNIT_ASSERT_EQUAL(std::uint64_t(0), mWorld.WordsAsked());
     }
   }
 
@@ -115,7 +115,8 @@
     const Micros away = 6 * kSecond;
     mWorld.Advance(away);
     const auto most = static_cast<std::uint64_t>(94 * 6);
-    CPPUNIT_ASSERT_MESSAGE(std::to_string(Questions()), Questions() <= most);
+    CPPUNIT_ASSERT_MESSAGE(std::to_string(mWorld.WordsAsked()),
+                           mWorld.WordsAsked() <= most);
   }
 
 private:
@@ -131,15 +132,6 @@
     mWorld.Advance(10 * kSecond);
   }
 
-  std::uint64_t Questions()
-  {
-    std::uint64_t asked = 0;
-    for (const std::string& address : mWorld.Addresses()) {
-      asked += mWorld.Node(address).mState.mTraffic.mWordsAsked;
-    }
-    return asked;
-  }
-
   FleetWorld mWorld;
   std::mt19937_64 mRandom{ 36 };
 };
