Show that a policy is not read back beside the announcements of all targets

FleetReadTest plays it in the simulated fleet as operators do it: 476 hosts with bounded work lose power, one of them its disk, 1,080 targets announce themselves again within 1.5 s, and a reader asks any host, leaves it after a second, and pauses twice as long after each try. The bound is the shortest time of contact that deployments promise, 3 s. A second test reads at a host that the tree does not reach: the read commits, and its host then waits for a catalog that nobody tells it.

--- /dev/null
+++ b/tests/fleet_read_test.cpp
@@ -0,0 +1,210 @@
+#include "fakes/fleet_world.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <random>
+
+namespace geraniumpond::fleet {
+
+using fakes::FleetWorld;
+using fakes::PutPolicyCommand;
+using fakes::PutTargetCommand;
+
+namespace {
+
+constexpr int kDataCentres = 6;
+constexpr int kOthers = 470;
+constexpr int kTargets = 1080;
+
+/// In this time an operator who asks any hosts has the policy: the shortest
+/// time of contact that deployments promise.
+constexpr Micros kReadWithin = 3 * kSecond;
+/// An operator leaves a host that has not answered for another one.
+constexpr Micros kPatience = 1 * kSecond;
+/// Pause after an answer that has no policy; it doubles with each.
+constexpr Micros kFirstPause = 50 * kMillisecond;
+/// All targets announce themselves in about this time after a loss of power.
+constexpr Micros kHeartbeat = 1500 * kMillisecond;
+constexpr Micros kPace = 10 * kMillisecond;
+
+// A tenth of a millisecond of a core for a message and a hundredth for a
+// kilobyte, at hosts with a quarter and a tenth of a core.
+constexpr fakes::Work kSmallHosts = { 400, 1000, 40 };
+
+enum class Wiped
+{
+  Leader,
+  Other
+};
+
+struct Case
+{
+  /// Part of the processor that clients leave.
+  int mPercent = 100;
+  Wiped mWiped = Wiped::Other;
+  std::uint64_t mSeed = 1;
+};
+
+std::string Describe(const Case& aCase, Micros aTime)
+{
+  return std::to_string(aCase.mPercent) + " % of the processor, " +
+         (aCase.mWiped == Wiped::Leader ? "the leader's" : "another") +
+         " disk lost, seed " + std::to_string(aCase.mSeed) + ": " +
+         std::to_string(aTime / kMillisecond) + " ms";
+}
+
+} // namespace
+
+// Guards against a policy that cannot be read back after a loss of power.
+class FleetReadTest : public CppUnit::TestFixture
+{
+  CPPUNIT_TEST_SUITE(FleetReadTest);
+  CPPUNIT_TEST(PolicyIsReadBackBesideTheAnnouncementsOfAllTargets);
+  CPPUNIT_TEST(PolicyIsReadBackByAHostWhoseOwnIsOld);
+  CPPUNIT_TEST_SUITE_END();
+
+public:
+  void PolicyIsReadBackBesideTheAnnouncementsOfAllTargets()
+  {
+    for (const int percent : { 100, 25, 15, 10 }) {
+      for (const Wiped wiped : { Wiped::Leader, Wiped::Other }) {
+        for (const std::uint64_t seed : { 1, 2 }) {
+          const Case one{ percent, wiped, seed };
+          LoseAllPower(one);
+          const Micros time = TimeToReadBesideAnnouncements();
+          CPPUNIT_ASSERT_MESSAGE(Describe(one, time), time <= kReadWithin);
+        }
+      }
+    }
+  }
+
+  // What the group has acknowledged is told down the tree, which may be cut.
+  void PolicyIsReadBackByAHostWhoseOwnIsOld()
+  {
+    mWorld = FleetWorld(3);
+    mWorld.FoundSpread(kDataCentres, 24, 2);
+    CPPUNIT_ASSERT(mWorld.Until(6 * kSecond, [&] {
+      return mWorld.Voters() == kDataCentres &&
+             mWorld.Commit(kControl, PutPolicyCommand(1, 0, "first"));
+    }));
+    mWorld.Advance(2 * kSecond);
+    mWorld.mLose = [](const fakes::Sent& aSent) {
+      return aSent.mMessage.has_follow_reply() && aSent.mTo == kReader;
+    };
+    CPPUNIT_ASSERT(mWorld.Commit(kControl, PutPolicyCommand(2, 1, "two")));
+    CPPUNIT_ASSERT(Reads(kReader));
+  }
+
+private:
+  static constexpr const char* kControl = "10.0.0.1:1";
+  static constexpr const char* kReader = "10.1.2.2:1";
+
+  // A change is acknowledged, then all hosts lose power and one its disk.
+  void LoseAllPower(const Case& aCase)
+  {
+    mWorld = FleetWorld(aCase.mSeed);
+    mRandom.seed(aCase.mSeed);
+    mWorld.mWork = kSmallHosts;
+    mWorld.FoundSpread(kDataCentres, kOthers, 2);
+    CPPUNIT_ASSERT(mWorld.Until(6 * kSecond, [&] {
+      return mWorld.Voters() == kDataCentres &&
+             mWorld.Commit(kControl, PutPolicyCommand(1, 0, "first"));
+    }));
+    for (int target = 0; target < kTargets; ++target) {
+      Announce(target, 1);
+      mWorld.Advance(2 * kSecond / kTargets);
+    }
+    CPPUNIT_ASSERT(mWorld.Commit(kControl, PutPolicyCommand(2, 1, "two")));
+    const std::string leader = mWorld.Leader();
+    for (const std::string& address : mWorld.Addresses()) {
+      mWorld.LosePower(address);
+    }
+    mWorld.Wipe(aCase.mWiped == Wiped::Leader ? leader : OtherThan(leader));
+    mWorld.mWork = { kSmallHosts.mControlMessage * 100 / aCase.mPercent,
+                     kSmallHosts.mOtherMessage * 100 / aCase.mPercent,
+                     kSmallHosts.mKilobyte * 100 / aCase.mPercent };
+    mWorld.Advance(kSecond);
+    for (const std::string& address : mWorld.Addresses()) {
+      mWorld.Node(address).mDone.clear();
+      mWorld.Start(address, false);
+    }
+    mAnnounced = 0;
+  }
+
+  // An operator asks one host after the other, from the moment of the start.
+  Micros TimeToReadBesideAnnouncements()
+  {
+    const Micros start = mWorld.mNow;
+    Micros pause = kFirstPause;
+    while (mWorld.mNow - start <= kReadWithin) {
+      if (Reads(AnyHost())) {
+        break;
+      }
+      AdvanceBesideAnnouncements(pause);
+      pause *= 2;
+    }
+    return mWorld.mNow - start;
+  }
+
+  // Whether the host answers with what was acknowledged last.
+  bool Reads(const std::string& aHost)
+  {
+    wire::CatalogCommand read;
+    read.mutable_read_barrier();
+    const std::uint64_t id = mWorld.Submit(aHost, read);
+    const fakes::FleetNode& node = mWorld.Node(aHost);
+    const Micros asked = mWorld.mNow;
+    while (mWorld.mNow - asked < kPatience) {
+      AdvanceBesideAnnouncements(kPace);
+      const auto done = node.mDone.find(id);
+      if (done == node.mDone.end()) {
+        continue;
+      }
+      if (done->second.mEnd != SubmitEnd::Committed) {
+        return false;
+      }
+      CPPUNIT_ASSERT_EQUAL(std::uint64_t(2), done->second.mOutcome.version());
+      if (node.mState.mCatalog.mVersion == 2) {
+        return true;
+      }
+    }
+    return false;
+  }
+
+  void AdvanceBesideAnnouncements(Micros aTime)
+  {
+    for (Micros passed = 0; passed < aTime; passed += kPace) {
+      for (Micros due = 0; due < kPace && mAnnounced < kTargets;
+           due += kHeartbeat / kTargets) {
+        Announce(mAnnounced++, 3);
+      }
+      mWorld.Advance(kPace);
+    }
+  }
+
+  void Announce(int aTarget, std::uint64_t aSequence)
+  {
+    (void)mWorld.Submit(
+      AnyHost(),
+      PutTargetCommand("target" + std::to_string(aTarget), aSequence, false));
+  }
+
+  std::string AnyHost()
+  {
+    const std::vector<std::string> hosts = mWorld.Addresses();
+    return hosts[mRandom() % hosts.size()];
+  }
+
+  static std::string OtherThan(const std::string& aLeader)
+  {
+    return aLeader == "10.0.3.1:1" ? "10.0.2.1:1" : "10.0.3.1:1";
+  }
+
+  FleetWorld mWorld;
+  std::mt19937_64 mRandom;
+  int mAnnounced = kTargets;
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(FleetReadTest);
+
+} // namespace geraniumpond::fleet
