Answer reads of the policy by a round of the leader, not by a command in the log

What callers saw: sixteen seconds after a loss of power an operator asked for the policy and had no answer in time, though a leader was there.

Cause: a read was a write. It was put in the log, waited behind the announcements of 1,080 targets, was synced by a majority of disks and applied, and the asking host then waited for its own catalog with a patience of its own, 0.85 s after the 0.85 s before, where callers leave after one.

Change: the leader asks its voters whether they still follow it (LeaderCheck, a round that begins after the read came) and answers with what it has applied. No entry, no disk; rounds serve all reads that wait. The answer brings the policy along where the asker's is older. One deadline for the whole read; fleet/timing.h adds up what it takes (ReadTime). A read that has no answer goes to another control host after 150 ms; where none of them knows a leader it is refused in place of waiting out its time. Hosts that name each other as leaders are asked three times and no longer at the speed of the network.

A leader that was replaced cannot answer: a quorum must have followed it after the read came, and an entry of its own term must be committed. Members of an earlier version answer checks by the next heartbeat.

Each read has a line: who answered, tries, time here and at the leader, age of the word.

--- a/include/geraniumpond/consensus.h
+++ b/include/geraniumpond/consensus.h
@@ -66,6 +66,8 @@
   Micros mKnownSince = 0;
   Micros mHeardAt = 0;
   Micros mSentAt = 0;
+  /// Last round that it has answered.
+  std::uint64_t mRound = 0;
   bool mSnapshotSent = false;
 };
 
@@ -129,6 +131,9 @@
   std::set<std::string> mVotes;
   std::map<std::string, Progress> mProgress;
   std::uint64_t mRound = 0;
+  /// Round of the last LeaderCheck, and the one that reads wait for.
+  std::uint64_t mCheckRound = 0;
+  std::uint64_t mReadRound = 0;
   std::uint64_t mTermStart = 0;
   std::string mTransferTo;
   Micros mTransferUntil = 0;
@@ -173,6 +178,14 @@
                                             std::string aCommand,
                                             Output& aOut);
 
+/// \brief At the leader: asks the others whether it still leads. The round to
+/// wait for with IsReadConfirmed().
+[[nodiscard]] std::uint64_t RequestRead(State& aState, Output& aOut);
+
+/// \brief True once a quorum has answered a round: what this member has applied
+/// holds all that was committed when the read was requested.
+[[nodiscard]] bool IsReadConfirmed(const State& aState, std::uint64_t aRound);
+
 /// \brief Changes the members by one voter at most; Conflict while an earlier
 /// change is not yet committed.
 [[nodiscard]] Result<std::uint64_t> ChangeMembership(
--- a/include/geraniumpond/fleet.h
+++ b/include/geraniumpond/fleet.h
@@ -98,6 +98,18 @@
   Unclear
 };
 
+/// \brief How a read of the policy went, for whoever asks why it was late.
+struct ReadTrace
+{
+  /// The leader that answered; empty for none.
+  std::string mLeader;
+  /// Messages sent for it, and its time here and at the leader.
+  int mTries = 0;
+  Micros mTook = 0;
+  Micros mAtLeader = 0;
+  Micros mGiveUpAt = 0;
+};
+
 /// \brief A submitted command's end, for whoever submitted it.
 struct Done
 {
@@ -105,6 +117,9 @@
   SubmitEnd mEnd = SubmitEnd::Unclear;
   wire::CatalogOutcome mOutcome;
   std::string mReason;
+  /// With a read: the policy, where this host's is older.
+  std::optional<wire::PutPolicy> mPolicy;
+  ReadTrace mRead;
 };
 
 /// \brief A line for the log, in key=value form.
@@ -136,6 +151,24 @@
   Micros mRetryPause = 0;
   Micros mGiveUpAt = 0;
   std::string mLastTo;
+  Micros mStartedAt = 0;
+  int mTries = 0;
+  /// The last host that was asked as the leader, and how many since the last
+  /// pause were named by another one.
+  std::string mAskedLeader;
+  int mHints = 0;
+  /// Control hosts in a row that knew of no leader.
+  std::size_t mLeaderless = 0;
+  /// A read: the version of the policy that it has no need of.
+  std::optional<std::uint64_t> mKnownPolicy;
+};
+
+/// \brief A read that waits at this leader until a round has confirmed it.
+struct WaitingRead
+{
+  std::uint64_t mRound = 0;
+  Micros mSince = 0;
+  std::optional<std::uint64_t> mKnownPolicy;
 };
 
 /// \brief A command whose commit someone waits for at this leader.
@@ -286,6 +319,8 @@
   std::uint64_t mLastSubmit = 0;
   std::map<std::uint64_t, Pending> mPending;
   std::map<std::uint64_t, Waiter> mWaiters;
+  /// At the leader: reads by the host that asks and its number for them.
+  std::map<std::pair<std::string, std::uint64_t>, WaitingRead> mReads;
 
   gossip::State mGossip;
 
@@ -334,6 +369,13 @@
                                    Micros aPatience,
                                    Output& aOut);
 
+/// \brief Asks the leader which policy is the newest; its end comes in
+/// Output::mDone. A policy up to `aKnown` is not sent along.
+[[nodiscard]] std::uint64_t Read(State& aState,
+                                 Micros aNow,
+                                 std::uint64_t aKnown,
+                                 Output& aOut);
+
 /// \brief Tells the fleet a fact; what others tell comes in Output::mNews.
 void Tell(State& aState, Micros aNow, gossip::Item aItem, Output& aOut);
 
--- a/src/consensus/consensus.cpp
+++ b/src/consensus/consensus.cpp
@@ -51,6 +51,7 @@
   if (aNow >= aState.mHeartbeatAt) {
     aState.mHeartbeatAt = aNow + aState.mRules.mHeartbeat;
     Broadcast(aState, aNow, aOut);
+    RepeatReads(aState, aOut);
   }
 }
 
@@ -66,7 +67,8 @@
 
 bool IsFromLeader(const wire::ConsensusMessage& aMessage)
 {
-  return aMessage.has_append_request() || aMessage.has_snapshot_request();
+  return aMessage.has_append_request() || aMessage.has_snapshot_request() ||
+         aMessage.has_leader_check();
 }
 
 void RefuseOldTerm(State& aState,
@@ -124,6 +126,12 @@
         StartElection(aState, aNow, aRandom, true, aOut);
       }
       break;
+    case wire::ConsensusMessage::kLeaderCheck:
+      TakeLeaderCheck(aState, aMessage, aOut);
+      break;
+    case wire::ConsensusMessage::kLeaderCheckReply:
+      TakeLeaderCheckReply(aState, aMessage, aOut);
+      break;
     case wire::ConsensusMessage::BODY_NOT_SET:
       break;
   }
@@ -243,19 +251,8 @@
 // The latest time by which a quorum has answered; the leader itself does now.
 Micros QuorumHeardAt(const State& aState, Micros aNow)
 {
-  std::vector<Micros> heard;
-  for (const wire::Member& member : aState.mMembership.members()) {
-    const auto found = aState.mProgress.find(member.id());
-    if (member.voter() && member.id() == aState.mId) {
-      heard.push_back(aNow);
-    } else if (member.voter()) {
-      heard.push_back(found == aState.mProgress.end() ? 0
-                                                      : found->second.mHeardAt);
-    }
-  }
-  std::sort(heard.rbegin(), heard.rend());
-  const std::size_t quorum = Quorum(aState);
-  return heard.size() < quorum ? 0 : heard.at(quorum - 1);
+  return ReachedByQuorum(
+    aState, aNow, [](const Progress& aProgress) { return aProgress.mHeardAt; });
 }
 
 } // namespace
--- a/src/consensus/internal.h
+++ b/src/consensus/internal.h
@@ -2,6 +2,9 @@
 
 #include <geraniumpond/consensus.h>
 
+#include <algorithm>
+#include <functional>
+
 /// \brief Steps that the consensus sources share.
 namespace geraniumpond::consensus {
 
@@ -74,6 +77,19 @@
                          const wire::ConsensusMessage& aMessage,
                          Output& aOut);
 
+// --- reads.cpp
+
+/// \brief Sends the next check where reads wait for one and none is under way.
+void ContinueReads(State& aState, Output& aOut);
+/// \brief The same, where the answers to the last one may be lost.
+void RepeatReads(State& aState, Output& aOut);
+void TakeLeaderCheck(State& aState,
+                     const wire::ConsensusMessage& aMessage,
+                     Output& aOut);
+void TakeLeaderCheckReply(State& aState,
+                          const wire::ConsensusMessage& aMessage,
+                          Output& aOut);
+
 // --- consensus.cpp
 
 [[nodiscard]] const wire::Member* FindMember(const wire::Membership& aMembers,
@@ -94,6 +110,31 @@
 /// \brief Sends when every earlier write is on disk.
 void SendDurable(State& aState, wire::ConsensusMessage aMessage, Output& aOut);
 
+/// \brief The largest value that a quorum has reached, by what the leader knows
+/// of each voter and by its own value.
+template<class Value, class Of>
+[[nodiscard]] Value ReachedByQuorum(const State& aState, Value aOwn, Of aOf)
+{
+  std::vector<Value> values;
+  for (const wire::Member& member : aState.mMembership.members()) {
+    const auto progress = aState.mProgress.find(member.id());
+    if (!member.voter()) {
+      continue;
+    }
+    if (member.id() == aState.mId) {
+      values.push_back(aOwn);
+    } else {
+      values.push_back(
+        progress == aState.mProgress.end() ? Value() : aOf(progress->second));
+    }
+  }
+  if (values.empty()) {
+    return Value();
+  }
+  std::sort(values.begin(), values.end(), std::greater<>());
+  return values[values.size() / 2];
+}
+
 /// \brief True when a quorum, this member included, was heard since a time.
 [[nodiscard]] bool QuorumHeardSince(const State& aState, Micros aTime);
 
--- /dev/null
+++ b/src/consensus/reads.cpp
@@ -0,0 +1,91 @@
+#include "internal.h"
+
+// A leader that others have replaced without its knowledge holds an old state.
+// So it answers a read once a quorum has followed it in a round that began
+// after the read came. A round needs no entry in the log and no disk: a
+// follower promises nothing but that it knows no later leader at this moment.
+namespace geraniumpond::consensus {
+
+namespace {
+
+std::uint64_t AnsweredRound(const State& aState)
+{
+  return ReachedByQuorum(aState, aState.mRound, [](const Progress& aProgress) {
+    return aProgress.mRound;
+  });
+}
+
+void SendChecks(State& aState, Output& aOut)
+{
+  aState.mCheckRound = ++aState.mRound;
+  for (const wire::Member& member : aState.mMembership.members()) {
+    if (!member.voter() || member.id() == aState.mId) {
+      continue;
+    }
+    wire::ConsensusMessage message = NewMessage(aState, member.id());
+    message.mutable_leader_check()->set_round(aState.mCheckRound);
+    Send(std::move(message), aOut);
+  }
+}
+
+bool ReadsWait(const State& aState)
+{
+  return aState.mRole == Role::Leader &&
+         aState.mReadRound > AnsweredRound(aState);
+}
+
+} // namespace
+
+std::uint64_t RequestRead(State& aState, Output& aOut)
+{
+  aState.mReadRound = aState.mRound + 1;
+  ContinueReads(aState, aOut);
+  return aState.mReadRound;
+}
+
+bool IsReadConfirmed(const State& aState, std::uint64_t aRound)
+{
+  return IsLeader(aState) && IsCurrent(aState) &&
+         AnsweredRound(aState) >= aRound;
+}
+
+void ContinueReads(State& aState, Output& aOut)
+{
+  if (ReadsWait(aState) && AnsweredRound(aState) >= aState.mCheckRound) {
+    SendChecks(aState, aOut);
+  }
+}
+
+void RepeatReads(State& aState, Output& aOut)
+{
+  if (ReadsWait(aState)) {
+    SendChecks(aState, aOut);
+  }
+}
+
+void TakeLeaderCheck(State& aState,
+                     const wire::ConsensusMessage& aMessage,
+                     Output& aOut)
+{
+  wire::ConsensusMessage reply = NewMessage(aState, aMessage.from());
+  reply.mutable_leader_check_reply()->set_round(
+    aMessage.leader_check().round());
+  Send(std::move(reply), aOut);
+}
+
+void TakeLeaderCheckReply(State& aState,
+                          const wire::ConsensusMessage& aMessage,
+                          Output& aOut)
+{
+  const wire::Member* member = FindMember(aState.mMembership, aMessage.from());
+  if (aState.mRole != Role::Leader || aMessage.term() != aState.mTerm ||
+      member == nullptr || member->storage() != aMessage.from_storage()) {
+    return;
+  }
+  Progress& progress = aState.mProgress[member->id()];
+  progress.mRound =
+    std::max(progress.mRound, aMessage.leader_check_reply().round());
+  ContinueReads(aState, aOut);
+}
+
+} // namespace geraniumpond::consensus
--- a/src/consensus/replication.cpp
+++ b/src/consensus/replication.cpp
@@ -114,24 +114,10 @@
 
 std::uint64_t QuorumMatch(const State& aState)
 {
-  std::vector<std::uint64_t> matches;
-  for (const wire::Member& member : aState.mMembership.members()) {
-    if (!member.voter()) {
-      continue;
-    }
-    if (member.id() == aState.mId) {
-      matches.push_back(aState.mSyncedIndex);
-      continue;
-    }
-    const auto found = aState.mProgress.find(member.id());
-    matches.push_back(found == aState.mProgress.end() ? 0
-                                                      : found->second.mMatch);
-  }
-  if (matches.empty()) {
-    return 0;
-  }
-  std::sort(matches.begin(), matches.end(), std::greater<>());
-  return matches[matches.size() / 2];
+  return ReachedByQuorum(
+    aState, aState.mSyncedIndex, [](const Progress& aProgress) {
+      return aProgress.mMatch;
+    });
 }
 
 void SendTransfer(State& aState, Output& aOut)
@@ -242,6 +228,8 @@
   const wire::AppendReply& reply = aMessage.append_reply();
   Progress& progress = aState.mProgress[member->id()];
   progress.mHeardAt = aNow;
+  progress.mRound = std::max(progress.mRound, reply.round());
+  ContinueReads(aState, aOut);
   if (!reply.success()) {
     const std::uint64_t before = progress.mNext;
     progress.mNext = std::max(progress.mMatch + 1,
--- a/src/fleet/group.cpp
+++ b/src/fleet/group.cpp
@@ -228,6 +228,7 @@
   if (!consensus::IsLeader(aState.mGroup)) {
     aState.mWaiters.clear();
   }
+  AnswerReads(aState, aNow, aOut);
   if (!aRaft.mCommitted.empty() || aRaft.mInstall) {
     PushToFollowers(aState, aNow, aOut);
     TakeSnapshotIfDue(aState, aNow, aOut);
--- a/src/fleet/internal.h
+++ b/src/fleet/internal.h
@@ -65,6 +65,16 @@
 void RetryPending(State& aState, Micros aNow, Output& aOut);
 [[nodiscard]] Micros NextPendingTime(const State& aState) noexcept;
 
+// --- reads.cpp: reads of the policy, at the leader
+void TakeRead(State& aState,
+              Micros aNow,
+              const std::string& aFrom,
+              const wire::Submit& aMessage,
+              Output& aOut);
+/// \brief Answers the reads that a quorum has confirmed; refuses all where this
+/// host leads no more.
+void AnswerReads(State& aState, Micros aNow, Output& aOut);
+
 // --- places.cpp: which host would be best to follow
 
 /// \brief Notes that an upstream fell silent; it is not tried for a while.
--- a/src/fleet/submit.cpp
+++ b/src/fleet/submit.cpp
@@ -11,6 +11,8 @@
 /// between regions and a commit on a slow disk. The time doubles with each try,
 /// so that a leader that is behind is not asked for the same thing more often.
 constexpr Micros kSubmitRetry = 250 * kMillisecond;
+/// Hosts that were replaced as leaders may name each other for a moment.
+constexpr int kMostHints = 3;
 
 // Enough disks hold a committed command to outlive the tolerated losses only
 // while a quorum is larger than these.
@@ -30,53 +32,186 @@
          !catalog::IsNews(aState.mCatalog, aCommand.put_target());
 }
 
-void SendPending(State& aState,
-                 Micros aNow,
-                 std::uint64_t aId,
-                 Pending& aPending,
-                 Output& aOut)
+Micros RetryPauseOf(const Pending& aPending)
 {
-  aPending.mRetryPause = std::max(kSubmitRetry, 2 * aPending.mRetryPause);
+  return aPending.mKnownPolicy
+           ? kReadRetry
+           : std::max(kSubmitRetry, 2 * aPending.mRetryPause);
+}
+
+void SendPendingTo(State& aState,
+                   Micros aNow,
+                   std::uint64_t aId,
+                   Pending& aPending,
+                   const std::string& aTo,
+                   Output& aOut)
+{
+  aPending.mRetryPause = RetryPauseOf(aPending);
   aPending.mSendAt = aNow + aPending.mRetryPause;
-  std::string to = aState.mLeaderAddress;
-  const auto& control = aState.mControlAddresses;
-  // Without a leader's name, or with one that does not answer, control hosts
-  // are asked in turn.
-  if ((to.empty() || to == aPending.mLastTo) && !control.empty()) {
-    to = control[++aState.mUpstreamTurn % control.size()];
-  }
-  aPending.mLastTo = to;
-  if (to.empty()) {
+  aPending.mLastTo = aTo;
+  if (aTo.empty()) {
     return;
   }
+  ++aPending.mTries;
   wire::Submit submit;
   submit.set_id(aId);
   submit.set_command(aPending.mCommand);
-  if (to == aState.mSettings.mPeerAddress) {
-    TakeSubmit(aState, aNow, to, submit, aOut);
+  if (aPending.mKnownPolicy) {
+    submit.set_known_policy(*aPending.mKnownPolicy);
+  }
+  if (aTo == aState.mSettings.mPeerAddress) {
+    TakeSubmit(aState, aNow, aTo, submit, aOut);
     return;
   }
   wire::FleetMessage message;
   *message.mutable_submit() = std::move(submit);
-  SendTo(aState, to, std::move(message), aOut);
+  SendTo(aState, aTo, std::move(message), aOut);
 }
 
-} // namespace
+// Without a leader's name, or with one that has been asked, control hosts are
+// asked in turn: one that answers names the leader.
+std::string NextToAsk(State& aState, Pending& aPending)
+{
+  const std::string& leader = aState.mLeaderAddress;
+  const auto& control = aState.mControlAddresses;
+  if ((leader.empty() || leader == aPending.mAskedLeader) && !control.empty()) {
+    return control[++aState.mUpstreamTurn % control.size()];
+  }
+  aPending.mAskedLeader = leader;
+  return leader;
+}
 
-std::uint64_t Submit(State& aState,
-                     Micros aNow,
-                     const wire::CatalogCommand& aCommand,
-                     Micros aPatience,
-                     Output& aOut)
+void SendPending(State& aState,
+                 Micros aNow,
+                 std::uint64_t aId,
+                 Pending& aPending,
+                 Output& aOut)
+{
+  aPending.mHints = 0;
+  const std::string to = NextToAsk(aState, aPending);
+  SendPendingTo(aState, aNow, aId, aPending, to, aOut);
+}
+
+void TakeHint(State& aState,
+              Micros aNow,
+              std::uint64_t aId,
+              Pending& aPending,
+              const std::string& aLeader,
+              Output& aOut)
+{
+  if (!IsControlMember(aState)) {
+    aState.mLeaderAddress = aLeader;
+  }
+  aPending.mLeaderless = 0;
+  aPending.mAskedLeader = aLeader;
+  if (++aPending.mHints <= kMostHints) {
+    SendPendingTo(aState, aNow, aId, aPending, aLeader, aOut);
+  }
+}
+
+std::uint64_t Begin(State& aState,
+                    Micros aNow,
+                    const wire::CatalogCommand& aCommand,
+                    std::optional<std::uint64_t> aKnownPolicy,
+                    Micros aPatience,
+                    Output& aOut)
 {
   const std::uint64_t id = ++aState.mLastSubmit;
   Pending& pending = aState.mPending[id];
   pending.mCommand = aCommand.SerializeAsString();
+  pending.mStartedAt = aNow;
   pending.mGiveUpAt = aNow + aPatience;
+  pending.mKnownPolicy = aKnownPolicy;
   SendPending(aState, aNow, id, pending, aOut);
   return id;
 }
 
+Done EndOf(std::uint64_t aId, const Pending& aPending, Micros aNow)
+{
+  Done done;
+  done.mId = aId;
+  done.mRead.mTries = aPending.mTries;
+  done.mRead.mTook = aNow - aPending.mStartedAt;
+  done.mRead.mGiveUpAt = aPending.mGiveUpAt;
+  return done;
+}
+
+void GiveUp(State& aState,
+            Micros aNow,
+            std::uint64_t aId,
+            const std::string& aReason,
+            Output& aOut)
+{
+  const auto found = aState.mPending.find(aId);
+  Done done = EndOf(aId, found->second, aNow);
+  done.mReason = aReason + ", leader=" + aState.mLeaderAddress;
+  aOut.mDone.push_back(std::move(done));
+  aState.mPending.erase(found);
+}
+
+// A host that follows others takes the newer policy along; at a member of the
+// group it comes with the log.
+void TakeEnd(State& aState,
+             Micros aNow,
+             const wire::SubmitReply& aMessage,
+             Output& aOut)
+{
+  const auto found = aState.mPending.find(aMessage.id());
+  Done done = EndOf(aMessage.id(), found->second, aNow);
+  aState.mPending.erase(found);
+  done.mEnd = SubmitEnd::Committed;
+  done.mOutcome = aMessage.outcome();
+  done.mRead.mLeader = aMessage.leader_address();
+  done.mRead.mAtLeader = aMessage.waited_ms() * kMillisecond;
+  if (aMessage.has_policy()) {
+    done.mPolicy = aMessage.policy();
+    aOut.mPolicyChanged =
+      (!IsControlMember(aState) &&
+       catalog::TakePolicy(aState.mCatalog, aMessage.policy())) ||
+      aOut.mPolicyChanged;
+  }
+  aOut.mDone.push_back(std::move(done));
+}
+
+// While the group elects a leader the next host may know it already; where none
+// does, the read is refused in place of waiting out its time.
+void TakeLeaderless(State& aState,
+                    Micros aNow,
+                    std::uint64_t aId,
+                    Pending& aPending,
+                    Output& aOut)
+{
+  if (++aPending.mLeaderless >= aState.mControlAddresses.size()) {
+    GiveUp(aState, aNow, aId, "no control host knows a leader", aOut);
+    return;
+  }
+  aPending.mSendAt = std::min(aPending.mSendAt, aNow + kLeaderPause);
+}
+
+} // namespace
+
+std::uint64_t Submit(State& aState,
+                     Micros aNow,
+                     const wire::CatalogCommand& aCommand,
+                     Micros aPatience,
+                     Output& aOut)
+{
+  const auto known = aCommand.has_read_barrier()
+                       ? std::optional(aState.mCatalog.mVersion)
+                       : std::nullopt;
+  return Begin(aState, aNow, aCommand, known, aPatience, aOut);
+}
+
+std::uint64_t Read(State& aState,
+                   Micros aNow,
+                   std::uint64_t aKnown,
+                   Output& aOut)
+{
+  wire::CatalogCommand command;
+  command.mutable_read_barrier();
+  return Begin(aState, aNow, command, aKnown, kReadWithin, aOut);
+}
+
 void ReplySubmit(State& aState,
                  Micros aNow,
                  const std::string& aTo,
@@ -108,6 +243,10 @@
   }
   wire::CatalogCommand command;
   const bool readable = command.ParseFromString(aMessage.command());
+  if (readable && command.has_read_barrier()) {
+    TakeRead(aState, aNow, aFrom, aMessage, aOut);
+    return;
+  }
   if (!OutlivesLosses(aState) && readable && command.has_put_policy()) {
     reply.set_status(wire::SUBMIT_TOO_FEW_DISKS);
     ReplySubmit(aState, aNow, aFrom, reply, aOut);
@@ -145,16 +284,20 @@
     return;
   }
   if (aMessage.status() == wire::SUBMIT_COMMITTED) {
-    aOut.mDone.push_back(
-      { aMessage.id(), SubmitEnd::Committed, aMessage.outcome(), "" });
-    aState.mPending.erase(found);
+    TakeEnd(aState, aNow, aMessage, aOut);
     return;
   }
+  Pending& pending = found->second;
   const std::string& hint = aMessage.leader_address();
-  if (aMessage.status() == wire::SUBMIT_NOT_LEADER && !hint.empty() &&
-      hint != found->second.mLastTo && !IsControlMember(aState)) {
-    aState.mLeaderAddress = hint;
-    SendPending(aState, aNow, aMessage.id(), found->second, aOut);
+  const bool isRead = pending.mKnownPolicy.has_value();
+  if (aMessage.status() != wire::SUBMIT_NOT_LEADER) {
+    return;
+  }
+  if (hint.empty() && isRead) {
+    TakeLeaderless(aState, aNow, aMessage.id(), pending, aOut);
+  } else if (!hint.empty() && hint != pending.mLastTo &&
+             (isRead || !IsControlMember(aState))) {
+    TakeHint(aState, aNow, aMessage.id(), pending, hint, aOut);
   }
 }
 
@@ -172,12 +315,7 @@
       continue;
     }
     if (aNow >= found->second.mGiveUpAt) {
-      aOut.mDone.push_back(
-        { id,
-          SubmitEnd::Unclear,
-          {},
-          "no commit in time, leader=" + aState.mLeaderAddress });
-      aState.mPending.erase(found);
+      GiveUp(aState, aNow, id, "no commit in time", aOut);
       continue;
     }
     SendPending(aState, aNow, id, found->second, aOut);
--- a/src/fleet/timing.h
+++ b/src/fleet/timing.h
@@ -57,6 +57,18 @@
 /// link carries one in it. The policy does not wait for it.
 constexpr Micros kSnapshotRetry = 800 * kMillisecond;
 
+// --- reads of the policy
+
+/// \brief Time in which a read is answered or refused: callers leave a host
+/// after a second.
+constexpr Micros kReadWithin = 850 * kMillisecond;
+/// \brief A read that has no answer goes to another control host after this
+/// time.
+constexpr Micros kReadRetry = 150 * kMillisecond;
+/// \brief Pause before the next control host is asked who leads, where one knew
+/// of no leader.
+constexpr Micros kLeaderPause = 50 * kMillisecond;
+
 // --- sums
 
 /// \brief Longest time to a host of a level, with nothing wrong.
@@ -82,4 +94,12 @@
   return time + kAnswerTime;
 }
 
+/// \brief Longest time of a read while the group has a leader, where some of
+/// the control hosts that are asked are lost: the last one asked names the
+/// leader, which asks its quorum.
+constexpr Micros ReadTime(int aLostControlHosts) noexcept
+{
+  return aLostControlHosts * kReadRetry + 3 * kAnswerTime;
+}
+
 } // namespace geraniumpond::fleet
--- a/src/gateway/operations.cpp
+++ b/src/gateway/operations.cpp
@@ -1,6 +1,7 @@
 #include "internal.h"
 
 #include <array>
+#include <optional>
 
 // Calls of targets and operators: each becomes a command for the control group,
 // and is answered when that has ended.
@@ -54,6 +55,52 @@
   TakeFleet(aContext, std::move(output));
 }
 
+std::string Describe(const fleet::ReadTrace& aRead,
+                     const State& aState,
+                     Micros aNow)
+{
+  const std::optional<Micros> age = fleet::WordAge(aState.mFleet, aNow);
+  return "answered_by=" + aRead.mLeader +
+         " tries=" + std::to_string(aRead.mTries) +
+         " took_ms=" + std::to_string(aRead.mTook / kMillisecond) +
+         " at_leader_ms=" + std::to_string(aRead.mAtLeader / kMillisecond) +
+         " word_age_ms=" +
+         (age ? std::to_string(*age / kMillisecond) : std::string("none"));
+}
+
+// The leader's word on what is the newest policy; where it is here already, or
+// came along, the read ends with it.
+void EndRead(Context& aContext,
+             const Operation& aOperation,
+             const fleet::Done& aDone)
+{
+  State& state = aContext.mState;
+  const catalog::State& catalog = state.mFleet.mCatalog;
+  AnswerOperation answer{ aOperation.mId, OperationEnd::Unavailable };
+  answer.mReason = Describe(aDone.mRead, state, aContext.mNow);
+  const std::uint64_t version = aDone.mOutcome.version();
+  const char* name = NameOf(OperationKind::ReadPolicy);
+  if (aDone.mEnd != fleet::SubmitEnd::Committed) {
+    answer.mReason += ", " + aDone.mReason;
+  } else if (version == 0) {
+    answer.mReason += ", no policy yet";
+  } else if (catalog.mVersion >= version) {
+    answer.mEnd = OperationEnd::Done;
+    answer.mDocument = catalog.mDocument;
+  } else if (!aDone.mPolicy) {
+    // A leader of an earlier version sends no policy along.
+    state.mReads.push_back({ aOperation.mId, version, aDone.mRead.mGiveUpAt });
+    return;
+  } else if (Result<std::string> document =
+               catalog::DocumentOf(*aDone.mPolicy)) {
+    answer.mEnd = OperationEnd::Done;
+    answer.mDocument = std::move(document.value());
+  } else {
+    answer.mReason += ", " + document.error().mMessage;
+  }
+  Answer(aContext, std::move(answer), name);
+}
+
 } // namespace
 
 const char* ToString(OperationEnd aEnd) noexcept
@@ -71,10 +118,8 @@
   const Operation operation = found->second;
   state.mOperations.erase(found);
   const bool committed = aDone.mEnd == fleet::SubmitEnd::Committed;
-  if (committed && operation.mKind == OperationKind::ReadPolicy) {
-    state.mReads.push_back({ operation.mId,
-                             aDone.mOutcome.version(),
-                             aContext.mNow + kOperationPatience });
+  if (operation.mKind == OperationKind::ReadPolicy) {
+    EndRead(aContext, operation, aDone);
     return;
   }
   AnswerOperation answer{ operation.mId, OperationEnd::Done, "", "" };
@@ -190,10 +235,13 @@
 
 void TakeReadPolicy(Context& aContext, const ReadPolicy& aCall)
 {
-  wire::CatalogCommand command;
-  command.mutable_read_barrier();
-  SubmitFor(
-    aContext, { aCall.mOperation, OperationKind::ReadPolicy, "" }, command);
+  State& state = aContext.mState;
+  const Operation operation{ aCall.mOperation, OperationKind::ReadPolicy, "" };
+  fleet::Output output;
+  const std::uint64_t id = fleet::Read(
+    state.mFleet, aContext.mNow, state.mFleet.mCatalog.mVersion, output);
+  state.mOperations[id] = operation;
+  TakeFleet(aContext, std::move(output));
 }
 
 } // namespace geraniumpond::gateway
