Take reads, changes and withdrawals before the announcements of targets

What callers saw: after a loss of power, with little of the processor left, reads of the policy waited for seconds at a leader that was there.

Cause: commands and reports stood in one queue at the leader, in the order in which they came. After a loss of power no host knows a target, so that each heartbeat of 1,080 targets is a command.

Change: commands for whose end somebody waits with a time limit (reads and changes of the policy, withdrawals, targets that drain) say so and go before the others, the ends of commands as well. As many others have their turn in each round, so that none starves.

A host of an earlier version sends no such field and waits as before.

--- a/include/geraniumpond/fleet.h
+++ b/include/geraniumpond/fleet.h
@@ -147,6 +147,7 @@
 struct Pending
 {
   std::string mCommand;
+  bool mUrgent = false;
   Micros mSendAt = 0;
   Micros mRetryPause = 0;
   Micros mGiveUpAt = 0;
--- a/include/geraniumpond/fleet_inbox.h
+++ b/include/geraniumpond/fleet_inbox.h
@@ -15,10 +15,10 @@
 /// \brief Messages of other hosts that wait for the reducer, in order of
 /// precedence and bounded.
 ///
-/// Messages of consensus come first, in the order in which they came, and hosts
-/// that only ask who is in touch come last. Of the
-/// others a host's next report, and a command that was sent again, take the
-/// place of the one that still waits.
+/// Messages of consensus come first, in the order in which they came; then
+/// urgent commands and the ends of commands; hosts that only ask who is in
+/// touch come last. Of the others a host's next report, and a command that was
+/// sent again, take the place of the one that still waits.
 class Inbox
 {
 public:
@@ -33,7 +33,8 @@
   /// \brief Queues a message; false when it cannot be read.
   [[nodiscard]] bool Put(std::string_view aBytes, Micros aNow = 0);
 
-  /// \brief Takes all messages of consensus and up to `aOthers` others.
+  /// \brief Takes all messages of consensus, up to `aOthers` urgent ones and as
+  /// many others.
   [[nodiscard]] std::vector<wire::FleetMessage> Take(std::size_t aOthers);
 
   /// \brief How long the messages of consensus, and the others but questions,
@@ -43,7 +44,8 @@
   [[nodiscard]] bool IsEmpty() const noexcept { return Waiting() == 0; }
   [[nodiscard]] std::size_t Waiting() const noexcept
   {
-    return mConsensus.size() + mOthers.size() + mQuestions.size();
+    return mConsensus.size() + mUrgent.size() + mOthers.size() +
+           mQuestions.size();
   }
   /// \brief Messages that found no room since the start.
   [[nodiscard]] std::uint64_t Dropped() const noexcept { return mDropped; }
@@ -66,6 +68,7 @@
   std::uint64_t mDropped = 0;
   std::uint64_t mReplaced = 0;
   std::deque<Queued> mConsensus;
+  std::deque<Queued> mUrgent;
   std::deque<Queued> mOthers;
   std::deque<Queued> mQuestions;
 };
--- a/src/fleet/inbox.cpp
+++ b/src/fleet/inbox.cpp
@@ -36,6 +36,9 @@
   if (aMessage.has_consensus()) {
     return mConsensus;
   }
+  if (aMessage.submit().urgent() || aMessage.has_submit_reply()) {
+    return mUrgent;
+  }
   return aMessage.follow().brief() ? mQuestions : mOthers;
 }
 
@@ -84,7 +87,7 @@
 Micros Inbox::LongestWait(Micros aNow) const noexcept
 {
   Micros longest = 0;
-  for (const std::deque<Queued>* queue : { &mConsensus, &mOthers }) {
+  for (const std::deque<Queued>* queue : { &mConsensus, &mUrgent, &mOthers }) {
     if (!queue->empty()) {
       longest = std::max(longest, aNow - queue->front().mArrivedAt);
     }
@@ -105,6 +108,7 @@
     return aMost - count;
   };
   (void)takeFrom(mConsensus, mConsensus.size());
+  (void)takeFrom(mUrgent, aOthers);
   (void)takeFrom(mQuestions, takeFrom(mOthers, aOthers));
   return taken;
 }
--- a/src/fleet/submit.cpp
+++ b/src/fleet/submit.cpp
@@ -32,6 +32,13 @@
          !catalog::IsNews(aState.mCatalog, aCommand.put_target());
 }
 
+// Operators and targets that leave wait for an end with a time limit; a target
+// that stays announces itself again.
+bool IsUrgent(const wire::CatalogCommand& aCommand)
+{
+  return !aCommand.has_put_target() || aCommand.put_target().draining();
+}
+
 Micros RetryPauseOf(const Pending& aPending)
 {
   return aPending.mKnownPolicy
@@ -56,6 +63,7 @@
   wire::Submit submit;
   submit.set_id(aId);
   submit.set_command(aPending.mCommand);
+  submit.set_urgent(aPending.mUrgent);
   if (aPending.mKnownPolicy) {
     submit.set_known_policy(*aPending.mKnownPolicy);
   }
@@ -119,6 +127,7 @@
   const std::uint64_t id = ++aState.mLastSubmit;
   Pending& pending = aState.mPending[id];
   pending.mCommand = aCommand.SerializeAsString();
+  pending.mUrgent = IsUrgent(aCommand);
   pending.mStartedAt = aNow;
   pending.mGiveUpAt = aNow + aPatience;
   pending.mKnownPolicy = aKnownPolicy;
--- a/tests/fleet_inbox_test.cpp
+++ b/tests/fleet_inbox_test.cpp
@@ -14,6 +14,15 @@
   return message.SerializeAsString();
 }
 
+std::string CommandOf(const std::string& aHost, std::uint64_t aId, bool aUrgent)
+{
+  wire::FleetMessage message;
+  message.set_from_address(aHost);
+  message.mutable_submit()->set_id(aId);
+  message.mutable_submit()->set_urgent(aUrgent);
+  return message.SerializeAsString();
+}
+
 std::string ConsensusOf(const std::string& aHost, std::uint64_t aTerm)
 {
   wire::FleetMessage message;
@@ -32,6 +41,8 @@
   CPPUNIT_TEST(ReportOfAHostThatStillWaitsIsReplaced);
   CPPUNIT_TEST(ReportThatAsksForAllHostsIsKept);
   CPPUNIT_TEST(CommandThatWasSentAgainWaitsOnce);
+  CPPUNIT_TEST(UrgentCommandBehindManyAnnouncementsIsTakenBeforeThem);
+  CPPUNIT_TEST(ManyUrgentCommandsLeaveTheOthersTheirTurn);
   CPPUNIT_TEST(FullInboxDropsAndCounts);
   CPPUNIT_TEST(UnreadableMessageIsRefused);
   CPPUNIT_TEST_SUITE_END();
@@ -88,6 +99,32 @@
     CPPUNIT_ASSERT_EQUAL(std::uint64_t(8), taken[1].submit().id());
   }
 
+  // Guards against reads and changes that wait behind a fleet's announcements.
+  void UrgentCommandBehindManyAnnouncementsIsTakenBeforeThem()
+  {
+    for (std::uint64_t id = 1; id <= 1000; ++id) {
+      CPPUNIT_ASSERT(mInbox.Put(CommandOf("host", id, false)));
+    }
+    CPPUNIT_ASSERT(mInbox.Put(CommandOf("host", 1001, true)));
+    CPPUNIT_ASSERT(mInbox.Put(ConsensusOf("voter", 3)));
+    const std::vector<wire::FleetMessage> taken = mInbox.Take(1);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(3), taken.size());
+    CPPUNIT_ASSERT(taken[0].has_consensus());
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t(1001), taken[1].submit().id());
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t(1), taken[2].submit().id());
+  }
+
+  void ManyUrgentCommandsLeaveTheOthersTheirTurn()
+  {
+    for (std::uint64_t id = 1; id <= 100; ++id) {
+      CPPUNIT_ASSERT(mInbox.Put(CommandOf("host", id, true)));
+    }
+    CPPUNIT_ASSERT(mInbox.Put(ReportOf("host", 1)));
+    const std::vector<wire::FleetMessage> taken = mInbox.Take(16);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(17), taken.size());
+    CPPUNIT_ASSERT(taken.back().has_follow());
+  }
+
   void FullInboxDropsAndCounts()
   {
     Inbox small(100);
