Send readers of the policy on only to a leader that has answered

What callers saw: a host with a slow link answered a read of a large policy with a redirect to whoever led a moment ago. Beside a loss of power that host is dark or empty, and the reader waits a second in silence, a third of the time that it has.

Cause: the redirect was made of the leader's name alone, which is kept for as long as the group's word counts as fresh, 1.4 s.

Change: the host reads first, as it does for a policy that it answers itself, and sends its caller on to the leader that has just answered; without an answer it says 503 within 0.85 s, or at once where no control host knows a leader.

--- a/include/geraniumpond/gateway.h
+++ b/include/geraniumpond/gateway.h
@@ -86,6 +86,8 @@
 struct ReadPolicy
 {
   std::uint64_t mOperation = 0;
+  /// Its caller can be sent to another host.
+  bool mMayBeSentOn = false;
 };
 
 /// \brief An operator lets a quarantined request go.
@@ -130,7 +132,9 @@
   /// Another change came first.
   Conflict,
   /// Not known to have been done; it may be asked again, of any host.
-  Unavailable
+  Unavailable,
+  /// The host at AnswerOperation::mElsewhere answers.
+  Elsewhere
 };
 
 /// \brief Lower-case name of an end, as logs and answers have it.
@@ -143,6 +147,8 @@
   std::string mReason;
   /// With a read: the policy as its operator wrote it.
   std::string mDocument;
+  /// Peer address of the host that answers in place of this one.
+  std::string mElsewhere;
 };
 
 struct SendPeer
@@ -188,6 +194,8 @@
   std::uint64_t mId = 0;
   OperationKind mKind = OperationKind::Announce;
   std::string mSubject;
+  /// A read that the leader is to answer itself.
+  bool mElsewhere = false;
 };
 
 /// \brief A read that waits until this host holds the version it must show.
@@ -235,8 +243,9 @@
 /// \brief True while clients may be sent here.
 [[nodiscard]] bool IsReady(const State& aState) noexcept;
 
-/// \brief Peer address of the host that a reader of the policy should ask
-/// instead; empty when this host answers itself.
+/// \brief Peer address of the host that should answer a reader of the policy in
+/// place of this one; empty when this host answers itself. Whether it is there
+/// is known once it has answered.
 [[nodiscard]] std::string PolicyReader(const State& aState, Micros aNow);
 
 /// \brief Addresses that a client of this data centre is given.
--- a/src/frontend/gateway_calls.cpp
+++ b/src/frontend/gateway_calls.cpp
@@ -61,29 +61,30 @@
   }
 }
 
-// All hosts take calls at the same ports: the other host's address is its IP
-// and the port that this call came to.
 void GatewayProcess::TakeRead(std::uint64_t aExchange,
                               const HttpRequest& aRequest)
 {
-  const std::string reader = gateway::PolicyReader(mState, mNow);
   const std::string* host = FindField(aRequest.mFields, "Host");
-  const std::size_t port =
-    host == nullptr ? std::string::npos : host->rfind(':');
-  if (reader.empty() || port == std::string::npos) {
-    Post(gateway::ReadPolicy{ aExchange });
-    return;
+  const bool namesPort =
+    host != nullptr && host->rfind(':') != std::string::npos;
+  if (namesPort) {
+    mReadUrls[aExchange] = { *host, aRequest.mTarget };
   }
-  const std::string location = "http://" + reader.substr(0, reader.rfind(':')) +
-                               host->substr(port) + aRequest.mTarget;
-  edge::WriteLog(1,
-                 "event=policy_read outcome=redirected policy=" +
-                   std::to_string(mState.mFleet.mCatalog.mVersion) +
-                   " location=" + location);
+  Post(gateway::ReadPolicy{ aExchange, namesPort });
+}
+
+// All hosts take calls at the same ports: the other host's address is its IP
+// and the port that this call came to.
+HttpResponse GatewayProcess::RedirectTo(const std::string& aPeerAddress,
+                                        const ReadUrl& aUrl) const
+{
+  const std::string location =
+    "http://" + aPeerAddress.substr(0, aPeerAddress.rfind(':')) +
+    aUrl.mHost.substr(aUrl.mHost.rfind(':')) + aUrl.mTarget;
   HttpResponse response =
     MakeResponse(kTemporaryRedirect, "text/plain", "the leader answers\n");
   response.mFields.emplace_back("Location", location);
-  AnswerCall(aExchange, response);
+  return response;
 }
 
 std::string GatewayProcess::MetricsText()
--- a/src/frontend/gateway_effects.cpp
+++ b/src/frontend/gateway_effects.cpp
@@ -118,7 +118,15 @@
 
 void GatewayProcess::PerformOne(gateway::AnswerOperation& aEffect)
 {
-  AnswerCall(aEffect.mOperation, mDialect.mWriteEnd(aEffect));
+  const auto url = mReadUrls.find(aEffect.mOperation);
+  const bool elsewhere = aEffect.mEnd == gateway::OperationEnd::Elsewhere;
+  AnswerCall(aEffect.mOperation,
+             elsewhere && url != mReadUrls.end()
+               ? RedirectTo(aEffect.mElsewhere, url->second)
+               : mDialect.mWriteEnd(aEffect));
+  if (url != mReadUrls.end()) {
+    mReadUrls.erase(url);
+  }
 }
 
 void GatewayProcess::PerformOne(gateway::SendPeer& aEffect)
--- a/src/frontend/gateway_process.h
+++ b/src/frontend/gateway_process.h
@@ -51,6 +51,13 @@
     std::uint64_t mAnsweredBy = 0;
   };
 
+  /// \brief Where a read of the policy was sent to.
+  struct ReadUrl
+  {
+    std::string mHost;
+    std::string mTarget;
+  };
+
   class Callers;
   class Operators;
 
@@ -81,6 +88,8 @@
   void TickConnections();
   void TakeCall(std::uint64_t aExchange, const HttpRequest& aRequest);
   void TakeRead(std::uint64_t aExchange, const HttpRequest& aRequest);
+  [[nodiscard]] HttpResponse RedirectTo(const std::string& aPeerAddress,
+                                        const ReadUrl& aUrl) const;
   void AnswerCall(std::uint64_t aExchange, const HttpResponse& aResponse);
   [[nodiscard]] std::string MetricsText();
   [[nodiscard]] Micros Now() const;
@@ -108,6 +117,8 @@
   std::unique_ptr<HttpServer> mCallerServer;
   std::vector<std::unique_ptr<HttpServer>> mCallServers;
   std::unordered_map<std::uint64_t, Exchange> mExchanges;
+  /// Of reads that have not ended.
+  std::unordered_map<std::uint64_t, ReadUrl> mReadUrls;
   std::uint64_t mPolicyVersion = 0;
 
   /// What other threads bring: messages of hosts, ends of writes.
--- a/src/gateway/operations.cpp
+++ b/src/gateway/operations.cpp
@@ -1,6 +1,7 @@
 #include "internal.h"
 
 #include <array>
+#include <limits>
 #include <optional>
 
 // Calls of targets and operators: each becomes a command for the control group,
@@ -13,16 +14,14 @@
 /// of ours comes before.
 constexpr Micros kOperationPatience = 850 * kMillisecond;
 
-constexpr std::array<const char*, 4> kEndNames = {
-  "done",
-  "invalid",
-  "conflict",
-  "unavailable",
+constexpr std::array<const char*, 5> kEndNames = {
+  "done", "invalid", "conflict", "unavailable", "elsewhere",
 };
 
 void Answer(Context& aContext, AnswerOperation aAnswer, const char* aWhat)
 {
-  const bool good = aAnswer.mEnd == OperationEnd::Done;
+  const bool good = aAnswer.mEnd == OperationEnd::Done ||
+                    aAnswer.mEnd == OperationEnd::Elsewhere;
   aContext.Log(
     good ? 1 : 2,
     std::string("event=") + aWhat + " outcome=" + ToString(aAnswer.mEnd) +
@@ -84,6 +83,10 @@
     answer.mReason += ", " + aDone.mReason;
   } else if (version == 0) {
     answer.mReason += ", no policy yet";
+  } else if (aOperation.mElsewhere &&
+             aDone.mRead.mLeader != state.mFleet.mSettings.mPeerAddress) {
+    answer.mEnd = OperationEnd::Elsewhere;
+    answer.mElsewhere = aDone.mRead.mLeader;
   } else if (catalog.mVersion >= version) {
     answer.mEnd = OperationEnd::Done;
     answer.mDocument = catalog.mDocument;
@@ -236,10 +239,15 @@
 void TakeReadPolicy(Context& aContext, const ReadPolicy& aCall)
 {
   State& state = aContext.mState;
-  const Operation operation{ aCall.mOperation, OperationKind::ReadPolicy, "" };
+  Operation operation{ aCall.mOperation, OperationKind::ReadPolicy, "" };
+  operation.mElsewhere =
+    aCall.mMayBeSentOn && !PolicyReader(state, aContext.mNow).empty();
+  const std::uint64_t known = operation.mElsewhere
+                                ? std::numeric_limits<std::uint64_t>::max()
+                                : state.mFleet.mCatalog.mVersion;
   fleet::Output output;
-  const std::uint64_t id = fleet::Read(
-    state.mFleet, aContext.mNow, state.mFleet.mCatalog.mVersion, output);
+  const std::uint64_t id =
+    fleet::Read(state.mFleet, aContext.mNow, known, output);
   state.mOperations[id] = operation;
   TakeFleet(aContext, std::move(output));
 }
--- a/tests/gateway_test.cpp
+++ b/tests/gateway_test.cpp
@@ -64,6 +64,8 @@
   CPPUNIT_TEST(LargePolicyIsReadFromTheLeaderWhereTheOwnLinkIsSlow);
   CPPUNIT_TEST(SmallPolicyIsReadHere);
   CPPUNIT_TEST(LargePolicyIsReadHereWhileTheLeaderIsNotKnown);
+  CPPUNIT_TEST(ReaderIsSentOnlyToALeaderThatHasAnswered);
+  CPPUNIT_TEST(ReadIsRefusedAtOnceWhereNobodyKnowsALeader);
   CPPUNIT_TEST(PolicyFromDiskWaitsForTheGroup);
   CPPUNIT_TEST(PolicyOnALearnersDiskWaitsForTheLeaderNotForAnUpstream);
   CPPUNIT_TEST(PolicyOfAnUpstreamOutOfTouchWaitsForTheGroup);
@@ -91,6 +93,41 @@
     CPPUNIT_ASSERT_EQUAL(std::string(), PolicyReader(state, kStart));
   }
 
+  // Guards against a reader who is sent to a host without power.
+  void ReaderIsSentOnlyToALeaderThatHasAnswered()
+  {
+    State state = Follower(kSlowLink, true, kLargeDocument);
+    const Effects asked = Read(state, kStart + kSecond);
+    CPPUNIT_ASSERT(AnswerIn(asked) == nullptr);
+    const Effects ended =
+      Step(state, FromLeader(kStart + kSecond, SubmitIn(asked), 1));
+    const AnswerOperation* answer = AnswerIn(ended);
+    CPPUNIT_ASSERT(answer != nullptr);
+    CPPUNIT_ASSERT(answer->mEnd == OperationEnd::Elsewhere);
+    CPPUNIT_ASSERT_EQUAL(std::string(kLeader), answer->mElsewhere);
+  }
+
+  // Guards against callers that leave a host before it answers: after a second.
+  void ReadIsRefusedAtOnceWhereNobodyKnowsALeader()
+  {
+    State silent = Follower(kSlowLink, true, kLargeDocument);
+    (void)Read(silent, kStart + kSecond);
+    const Effects late = Tick(silent, kStart + kSecond + 850 * kMillisecond);
+    CPPUNIT_ASSERT(AnswerIn(late) != nullptr);
+    CPPUNIT_ASSERT(AnswerIn(late)->mEnd == OperationEnd::Unavailable);
+
+    State leaderless = Follower(kSlowLink, true, kLargeDocument);
+    const Effects asked = Read(leaderless, kStart + kSecond);
+    Event refused = FromLeader(kStart + kSecond, SubmitIn(asked), 0);
+    wire::SubmitReply& reply =
+      *std::get<PeerMessage>(refused.mBody).mMessage.mutable_submit_reply();
+    reply.set_status(wire::SUBMIT_NOT_LEADER);
+    reply.clear_leader_address();
+    const Effects ended = Step(leaderless, refused);
+    CPPUNIT_ASSERT(AnswerIn(ended) != nullptr);
+    CPPUNIT_ASSERT(AnswerIn(ended)->mEnd == OperationEnd::Unavailable);
+  }
+
   void PolicyFromDiskWaitsForTheGroup()
   {
     State state = RestartedControlHost(true);
@@ -200,6 +237,63 @@
     (void)Step(aState, event);
   }
 
+  static Effects Tick(State& aState, Micros aNow)
+  {
+    Event event;
+    event.mNow = aNow;
+    event.mBody = TimePassed{};
+    return Step(aState, event);
+  }
+
+  static Effects Read(State& aState, Micros aNow)
+  {
+    Event event;
+    event.mNow = aNow;
+    event.mBody = ReadPolicy{ 7, true };
+    return Step(aState, event);
+  }
+
+  static const AnswerOperation* AnswerIn(const Effects& aEffects)
+  {
+    for (const Effect& effect : aEffects) {
+      if (const auto* answer = std::get_if<AnswerOperation>(&effect)) {
+        return answer;
+      }
+    }
+    return nullptr;
+  }
+
+  static std::uint64_t SubmitIn(const Effects& aEffects)
+  {
+    for (const Effect& effect : aEffects) {
+      const auto* sent = std::get_if<SendPeer>(&effect);
+      if (sent != nullptr && sent->mMessage.has_submit()) {
+        CPPUNIT_ASSERT_EQUAL(std::string(kLeader), sent->mAddress);
+        return sent->mMessage.submit().id();
+      }
+    }
+    CPPUNIT_FAIL("nothing was sent");
+    return 0;
+  }
+
+  // The leader's answer to a read, with the version that is the newest.
+  static Event FromLeader(Micros aNow,
+                          std::uint64_t aId,
+                          std::uint64_t aVersion)
+  {
+    PeerMessage message;
+    message.mMessage.set_from_address(kLeader);
+    wire::SubmitReply& reply = *message.mMessage.mutable_submit_reply();
+    reply.set_id(aId);
+    reply.set_leader_address(kLeader);
+    reply.mutable_outcome()->set_accepted(true);
+    reply.mutable_outcome()->set_version(aVersion);
+    Event event;
+    event.mNow = aNow;
+    event.mBody = std::move(message);
+    return event;
+  }
+
   static constexpr std::size_t kLargeDocument = 350000;
   /// 2.4 and 100 megabits a second.
   static constexpr double kSlowLink = 300e3;
