Give no vote that the group would need from its newcomer

Cause: of three voters one was silent for 2.5 s, and a learner that had just gone for good got the fourth vote in its place: three are needed then, two are there.

Change: a vote is given only where the voters that answer are a majority with it counted as silent. Where they are not, the voter that has left makes room first: in between the group needs those hosts that it needs already, and no newcomer. A newcomer at a voter's address is that voter's next disk: it need not wait 2.5 s for the old one to be silent.

Ruled out: that the learner was dead for long (it had answered 20 ms before).

--- a/src/fleet/members.cpp
+++ b/src/fleet/members.cpp
@@ -161,12 +161,14 @@
 }
 
 // A vote more makes an even group odd, which tolerates one loss more, or an odd
-// one even, which tolerates as many as before but needs one voter more. While a
-// voter of an odd group is silent the newcomer would be needed at once, and if
-// it goes too the group is stuck with the voters that were enough before. So it
-// waits until all voters have answered since it came, or the silent one can be
-// taken out in its place.
-bool MayGainAVoter(const State& aState, Micros aNow, Micros aLearnerSince)
+// one even, which tolerates as many as before but needs one voter more. So a
+// newcomer to an odd group waits until all voters have answered since it came,
+// or one of them has left. A newcomer at a voter's address is that voter's next
+// disk.
+bool IsAVoteOfUse(const State& aState,
+                  Micros aNow,
+                  const wire::Member& aLearner,
+                  Micros aLearnerSince)
 {
   const wire::Membership& members = aState.mGroup.mMembership;
   if (consensus::VoterCount(members) % 2 == 0) {
@@ -178,12 +180,28 @@
     if (member.voter()) {
       allAnswer =
         allAnswer && AnswersSince(aState, member, aNow, aLearnerSince);
-      anyLeft = anyLeft || HasLeft(ViewOf(aState, member, aNow));
+      anyLeft = anyLeft || member.address() == aLearner.address() ||
+                HasLeft(ViewOf(aState, member, aNow));
     }
   }
   return allAnswer || anyLeft;
 }
 
+// Whether the voters that answer, but for one, are a majority of a group of
+// another size.
+bool AreEnoughOf(const State& aState,
+                 Micros aNow,
+                 std::size_t aVoters,
+                 const wire::Member* aExcept = nullptr)
+{
+  std::size_t answering = 0;
+  for (const wire::Member& member : aState.mGroup.mMembership.members()) {
+    const bool counts = member.voter() && &member != aExcept;
+    answering += counts && AnswersSince(aState, member, aNow, 0) ? 1 : 0;
+  }
+  return answering >= aVoters / 2 + 1;
+}
+
 bool IsCaughtUp(const State& aState, const wire::Member& aLearner, Micros aNow)
 {
   const consensus::State& group = aState.mGroup;
@@ -194,22 +212,104 @@
   const MemberView view = ViewOf(aState, aLearner, aNow);
   return view.mSilent <= kPromoteWithin && !view.mStopping && !view.mReplaced &&
          progress->second.mMatch + kCaughtUp >= group.mCommit &&
-         MayGainAVoter(aState, aNow, progress->second.mKnownSince);
+         IsAVoteOfUse(aState, aNow, aLearner, progress->second.mKnownSince);
+}
+
+// The voter that has left whose disk is least likely to come back; none where
+// all are there.
+const wire::Member* GoneVoter(const State& aState,
+                              Micros aNow,
+                              MemberView& aSeen)
+{
+  const consensus::State& group = aState.mGroup;
+  const wire::Member* gone = nullptr;
+  for (const wire::Member& member : group.mMembership.members()) {
+    const MemberView view = ViewOf(aState, member, aNow);
+    if (!member.voter() || member.id() == group.mId || !HasLeft(view)) {
+      continue;
+    }
+    if (gone == nullptr || (CanBeDropped(view) && !CanBeDropped(aSeen))) {
+      gone = &member;
+      aSeen = view;
+    }
+  }
+  return gone;
+}
+
+const wire::Member* VoterAt(const State& aState, const std::string& aAddress)
+{
+  for (const wire::Member& member : aState.mGroup.mMembership.members()) {
+    if (member.voter() && member.address() == aAddress) {
+      return &member;
+    }
+  }
+  return nullptr;
+}
+
+int GoneVoters(const State& aState, Micros aNow)
+{
+  const consensus::State& group = aState.mGroup;
+  const auto& members = group.mMembership.members();
+  return static_cast<int>(std::count_if(
+    members.begin(), members.end(), [&](const wire::Member& aMember) {
+      return aMember.voter() && aMember.id() != group.mId &&
+             HasLeft(ViewOf(aState, aMember, aNow));
+    }));
+}
+
+void TakeVoteFrom(State& aState,
+                  Micros aNow,
+                  const wire::Member& aMember,
+                  const char* aWhy,
+                  Output& aOut)
+{
+  Change(aState,
+         aNow,
+         WithVote(aState.mGroup.mMembership, aMember.id(), false),
+         std::string(aWhy) + " member=" + aMember.id(),
+         aOut);
+}
+
+// The newcomer may be gone by the time that its vote counts: no change may need
+// the host that it adds. Where the voters that answer would not be a majority
+// with it, the one that has left makes room first. Meanwhile the group needs
+// just those that it needs already.
+bool MakeRoom(State& aState,
+              Micros aNow,
+              const wire::Member& aLearner,
+              Output& aOut)
+{
+  const std::size_t voters = consensus::VoterCount(aState.mGroup.mMembership);
+  const wire::Member* gone = VoterAt(aState, aLearner.address());
+  if (gone == nullptr) {
+    MemberView seen;
+    gone = GoneVoter(aState, aNow, seen);
+  }
+  if (gone == nullptr || !AreEnoughOf(aState, aNow, voters - 1, gone)) {
+    return false;
+  }
+  TakeVoteFrom(aState, aNow, *gone, "makes_room", aOut);
+  return true;
 }
 
 // A learner that has caught up becomes a voter.
 bool PromoteLearner(State& aState, Micros aNow, Output& aOut)
 {
   const wire::Membership& members = aState.mGroup.mMembership;
+  const std::size_t voters = consensus::VoterCount(members);
   for (const wire::Member& member : members.members()) {
-    if (!member.voter() && IsCaughtUp(aState, member, aNow)) {
-      Change(aState,
-             aNow,
-             WithVote(members, member.id(), true),
-             "caught_up member=" + member.id(),
-             aOut);
-      return true;
+    if (member.voter() || !IsCaughtUp(aState, member, aNow)) {
+      continue;
     }
+    if (!AreEnoughOf(aState, aNow, voters + 1)) {
+      return MakeRoom(aState, aNow, member, aOut);
+    }
+    Change(aState,
+           aNow,
+           WithVote(members, member.id(), true),
+           "caught_up member=" + member.id(),
+           aOut);
+    return true;
   }
   return false;
 }
@@ -240,29 +340,14 @@
 {
   const consensus::State& group = aState.mGroup;
   const int voters = static_cast<int>(consensus::VoterCount(group.mMembership));
-  const wire::Member* gone = nullptr;
   MemberView seen;
-  int left = 0;
-  for (const wire::Member& member : group.mMembership.members()) {
-    const MemberView view = ViewOf(aState, member, aNow);
-    if (!member.voter() || member.id() == group.mId || !HasLeft(view)) {
-      continue;
-    }
-    ++left;
-    if (gone == nullptr || (CanBeDropped(view) && !CanBeDropped(seen))) {
-      gone = &member;
-      seen = view;
-    }
-  }
+  const wire::Member* gone = GoneVoter(aState, aNow, seen);
   if (gone == nullptr || voters - 1 < LeastVoters(aState) ||
-      !(CanBeDropped(seen) || IsShrinkingWorthIt(aState, voters, left))) {
+      !(CanBeDropped(seen) ||
+        IsShrinkingWorthIt(aState, voters, GoneVoters(aState, aNow)))) {
     return false;
   }
-  Change(aState,
-         aNow,
-         WithVote(group.mMembership, gone->id(), false),
-         std::string(WhyGone(seen)) + " member=" + gone->id(),
-         aOut);
+  TakeVoteFrom(aState, aNow, *gone, WhyGone(seen), aOut);
   return true;
 }
 
--- a/tests/fleet_members_test.cpp
+++ b/tests/fleet_members_test.cpp
@@ -55,6 +55,7 @@
   CPPUNIT_TEST(HostsReplacedInARowLeaveAWholeGroup);
   CPPUNIT_TEST(TwoOfSixReplacedThenTwoDisksLostKeepsTheChange);
   CPPUNIT_TEST(NewcomerThatGoesAgainLeavesTheGroupAsItWas);
+  CPPUNIT_TEST(NewcomerThatGoesBesideAGoneVoterLeavesTheGroupAsItWas);
   CPPUNIT_TEST(LeaderWithoutAVoteHandsItsLeadOver);
   CPPUNIT_TEST(VoterThatStopsLeavesBeforeItExits);
   CPPUNIT_TEST(VoterSilentForGoodLeavesWhereOthersAreEnough);
@@ -198,6 +199,26 @@
     }
   }
 
+  // Guards against a newcomer whose vote is needed from the moment it counts.
+  void NewcomerThatGoesBesideAGoneVoterLeavesTheGroupAsItWas()
+  {
+    for (Micros after = 2400 * kMillisecond; after < 2800 * kMillisecond;
+         after += 4 * kMillisecond) {
+      FleetWorld world = Founded();
+      const std::string lost = Founder(world.Leader() == Founder(1) ? 2 : 1);
+      world.LosePower(lost);
+      world.Add(kNewcomer, true);
+      world.Start(kNewcomer, false);
+      world.Advance(after);
+      world.LosePower(kNewcomer);
+      CPPUNIT_ASSERT_MESSAGE(std::to_string(after / kMillisecond) + " ms",
+                             world.Until(kBackTime, [&] {
+                               return world.Commit(
+                                 kFollower, PutPolicyCommand(2, 1, "two"));
+                             }));
+    }
+  }
+
   // After a loss of power a host does not know whether the entry that took its
   // vote was committed, stands, and leads until it is. Then it gave the lead up
   // without a word, and the group had none until another one's timeout, 780 ms
