Take the vote first from the voter that has been silent for longest

Cause: of voters that had left the first in the list was taken, unless another one had been silent for 8 s. Change: a replaced disk first, then the longest silence.

--- a/src/fleet/members.cpp
+++ b/src/fleet/members.cpp
@@ -1,6 +1,7 @@
 #include "internal.h"
 
 #include <algorithm>
+#include <utility>
 
 // Who belongs to the control group. A voter that is gone still counts towards
 // the majority: with four voters, one of them gone for good, the loss of one
@@ -215,8 +216,16 @@
          IsAVoteOfUse(aState, aNow, aLearner, progress->second.mKnownSince);
 }
 
-// The voter that has left whose disk is least likely to come back; none where
-// all are there.
+// A disk that was replaced does not come back; of silent hosts the one that has
+// been away for longest is the least likely to.
+bool IsMoreSurelyGone(const MemberView& aView, const MemberView& aThan)
+{
+  return std::make_pair(aView.mReplaced, aView.mSilent) >
+         std::make_pair(aThan.mReplaced, aThan.mSilent);
+}
+
+// The voter that has left and is least likely to come back; none where all are
+// there.
 const wire::Member* GoneVoter(const State& aState,
                               Micros aNow,
                               MemberView& aSeen)
@@ -228,7 +237,7 @@
     if (!member.voter() || member.id() == group.mId || !HasLeft(view)) {
       continue;
     }
-    if (gone == nullptr || (CanBeDropped(view) && !CanBeDropped(aSeen))) {
+    if (gone == nullptr || IsMoreSurelyGone(view, aSeen)) {
       gone = &member;
       aSeen = view;
     }
