--- a/tests/fakes/fleet_schedule.h
+++ b/tests/fakes/fleet_schedule.h
@@ -59,6 +59,8 @@
   Sync,
   /// Hosts think that no loss need be tolerated.
   Size,
+  /// Leaders take it for granted that a quorum follows them.
+  Read,
 };
 
 /// \brief The plant of a name; nothing for an unknown one.
@@ -82,6 +84,8 @@
   int mOthers = 3;
   int mTolerated = 1;
   FleetPlant mPlant = FleetPlant::None;
+  /// Operators read the policy all along.
+  bool mReads = false;
   std::vector<FleetStep> mSteps;
 };
 
--- a/tests/fakes/fleet_world.cpp
+++ b/tests/fakes/fleet_world.cpp
@@ -54,6 +54,8 @@
   node.mUnsynced.clear();
   node.mAlive = true;
   node.mInbox = fleet::Inbox();
+  // Numbers of commands begin anew.
+  node.mDone.clear();
   node.mBusyUntil = mNow;
   fleet::Output output;
   node.mState = fleet::Open(node.mSettings, node.mDisk, mNow, Random(), output);
@@ -146,6 +148,9 @@
   }
   for (const auto& [to, message] : aOutput.mMessages) {
     Sent sent{ aAddress, to, message };
+    if (mForgesChecks && message.consensus().has_leader_check()) {
+      ForgeReply(sent);
+    }
     if (IsCut(aAddress, to) || (mLose && mLose(sent))) {
       continue;
     }
@@ -160,6 +165,22 @@
   }
 }
 
+void FleetWorld::ForgeReply(const Sent& aCheck)
+{
+  const wire::ConsensusMessage& check = aCheck.mMessage.consensus();
+  Sent reply;
+  reply.mFrom = aCheck.mTo;
+  reply.mTo = aCheck.mFrom;
+  reply.mMessage.set_from_address(aCheck.mTo);
+  wire::ConsensusMessage& forged = *reply.mMessage.mutable_consensus();
+  forged.set_from(check.to());
+  forged.set_from_storage(check.to().substr(check.to().rfind('/') + 1));
+  forged.set_to(check.from());
+  forged.set_term(check.term());
+  forged.mutable_leader_check_reply()->set_round(check.leader_check().round());
+  mQueue.emplace(mNow + kTrip, std::move(reply));
+}
+
 bool FleetWorld::IsCut(const std::string& aFrom, const std::string& aTo) const
 {
   return mCutOff.count(aFrom) + mCutOff.count(aTo) != 0 ||
--- a/tests/fakes/fleet_world.h
+++ b/tests/fakes/fleet_world.h
@@ -138,6 +138,8 @@
   std::function<bool(const Sent&)> mLose;
   /// A planted fault: a loss of power takes what was synced last.
   bool mForgetsSynced = false;
+  /// A planted fault: whoever asks whether it leads is told so at once.
+  bool mForgesChecks = false;
   Micros mNow = kSecond;
   Work mWork;
 
@@ -147,6 +149,7 @@
                            const std::string& aTo) const;
   void TakeArrived(const std::string& aAddress, FleetNode& aNode);
   [[nodiscard]] bool IsFree(const FleetNode& aNode) const;
+  void ForgeReply(const Sent& aCheck);
   void Charge(FleetNode& aNode, const wire::FleetMessage& aMessage);
   void Sync(FleetNode& aNode, std::uint64_t aSequence);
   void SyncDue();
