--- a/src/fleet/members.cpp
+++ b/src/fleet/members.cpp
@@ -31,9 +31,9 @@
 /// A leader that stops and still leads tries again after this time: an election
 /// takes less.
 constexpr Micros kHandOverPause = 1 * kSecond;
-/// A learner must have answered within this time to become a voter: two
-/// heartbeats.
-constexpr Micros kPromoteWithin = 300 * kMillisecond;
+/// Members count as there for a change of members when they have answered
+/// within this time: a heartbeat and its trip.
+constexpr Micros kPromoteWithin = 200 * kMillisecond;
 /// A member that hears no leader for this long asks to join: the others may
 /// have removed it while it was cut off.
 constexpr Micros kRejoinAfter = 2 * kSecond;
