--- a/tests/fleet_test.cpp
+++ b/tests/fleet_test.cpp
@@ -30,6 +30,7 @@
   CPPUNIT_TEST(CutOffHostAcknowledgesNothing);
   CPPUNIT_TEST(RacingChangesOnOneBaseHaveOneWinner);
   CPPUNIT_TEST(ResentChangeIsAcknowledgedAfterRestartsAndSnapshots);
+  CPPUNIT_TEST(AnswerToAnEarlierLifesCommandAcknowledgesNothing);
   CPPUNIT_TEST(AllKilledAtOnceAreBackWithWhatWasAcknowledged);
   CPPUNIT_TEST(VotersThatAreBackElectWithoutWaitingForATimeout);
   CPPUNIT_TEST(FollowersAreToldNothingOldAfterAllHostsWereKilled);
@@ -350,6 +351,27 @@
       !mWorld.Commit("10.0.0.4:1", PutPolicyCommand(2, 1, "another two")));
   }
 
+  // Guards against a change that is acknowledged by the answer to another one.
+  void AnswerToAnEarlierLifesCommandAcknowledgesNothing()
+  {
+    FleetWorld world(7);
+    world.Found(3, 2, 1);
+    world.Advance(2 * kSecond);
+    const std::string host = "10.0.0.5:1";
+    const std::uint64_t before =
+      world.Submit(host, PutPolicyCommand(1, 0, "one"));
+    world.Kill(host);
+    world.Start(host, false);
+    (void)world.Submit(host, PutPolicyCommand(2, 0, "two"));
+    wire::FleetMessage late;
+    late.set_from_address("10.0.0.1:1");
+    late.mutable_submit_reply()->set_id(before);
+    late.mutable_submit_reply()->mutable_outcome()->set_accepted(true);
+    Output output;
+    Receive(world.Node(host).mState, world.mNow, 1, late, output);
+    CPPUNIT_ASSERT(output.mDone.empty());
+  }
+
   void AllKilledAtOnceAreBackWithWhatWasAcknowledged()
   {
     Begin(4, 3, 1);
