Ask the next control host for a read after 0.3 s at the latest

The pause doubled without a bound: beside a leader that is dark, with the next one elected after 0.7 s, the fourth try came when the read had been given up. Its times still add up to 750 ms of 850 with two control hosts lost.

--- a/src/fleet/submit.cpp
+++ b/src/fleet/submit.cpp
@@ -43,8 +43,9 @@
 
 Micros RetryPauseOf(const Pending& aPending)
 {
-  const Micros first = aPending.mKnownPolicy ? kReadRetry : kSubmitRetry;
-  return std::max(first, 2 * aPending.mRetryPause);
+  return aPending.mKnownPolicy
+           ? std::clamp(2 * aPending.mRetryPause, kReadRetry, 2 * kReadRetry)
+           : std::max(kSubmitRetry, 2 * aPending.mRetryPause);
 }
 
 void SendPendingTo(State& aState,
--- a/src/fleet/timing.h
+++ b/src/fleet/timing.h
@@ -63,7 +63,7 @@
 /// after a second.
 constexpr Micros kReadWithin = 850 * kMillisecond;
 /// \brief A read that has no answer goes to another control host after this
-/// time; it doubles with each.
+/// time, and to the next ones after twice the time.
 constexpr Micros kReadRetry = 150 * kMillisecond;
 /// \brief Pause before the next control host is asked who leads, where one knew
 /// of no leader.
@@ -99,7 +99,8 @@
 /// leader, which asks its quorum.
 constexpr Micros ReadTime(int aLostControlHosts) noexcept
 {
-  return ((1 << aLostControlHosts) - 1) * kReadRetry + 3 * kAnswerTime;
+  const int pauses = aLostControlHosts == 0 ? 0 : 2 * aLostControlHosts - 1;
+  return pauses * kReadRetry + 3 * kAnswerTime;
 }
 
 } // namespace geraniumpond::fleet
