Answer readers here where the leader does not name itself

A leader of an earlier version ends a read without its address; a host with a slow link would have sent its caller on to no host at all. Found by reading the change; the new test fails without the condition by the redirect's empty address.

--- a/src/gateway/operations.cpp
+++ b/src/gateway/operations.cpp
@@ -83,15 +83,15 @@
     answer.mReason += ", " + aDone.mReason;
   } else if (version == 0) {
     answer.mReason += ", no policy yet";
-  } else if (aOperation.mElsewhere &&
-             aDone.mRead.mLeader != state.mFleet.mSettings.mPeerAddress) {
+  } else if (aOperation.mElsewhere && !aDone.mRead.mLeader.empty()) {
     answer.mEnd = OperationEnd::Elsewhere;
     answer.mElsewhere = aDone.mRead.mLeader;
   } else if (catalog.mVersion >= version) {
     answer.mEnd = OperationEnd::Done;
     answer.mDocument = catalog.mDocument;
   } else if (!aDone.mPolicy) {
-    // A leader of an earlier version sends no policy along.
+    // A leader of an earlier version names itself to nobody and sends no policy
+    // along.
     state.mReads.push_back({ aOperation.mId, version, aDone.mRead.mGiveUpAt });
     return;
   } else if (Result<std::string> document =
--- a/tests/gateway_test.cpp
+++ b/tests/gateway_test.cpp
@@ -65,6 +65,7 @@
   CPPUNIT_TEST(SmallPolicyIsReadHere);
   CPPUNIT_TEST(LargePolicyIsReadHereWhileTheLeaderIsNotKnown);
   CPPUNIT_TEST(ReaderIsSentOnlyToALeaderThatHasAnswered);
+  CPPUNIT_TEST(ReaderIsAnsweredHereWhereTheLeaderIsOfAnEarlierVersion);
   CPPUNIT_TEST(ReadIsRefusedAtOnceWhereNobodyKnowsALeader);
   CPPUNIT_TEST(PolicyFromDiskWaitsForTheGroup);
   CPPUNIT_TEST(PolicyOnALearnersDiskWaitsForTheLeaderNotForAnUpstream);
@@ -107,6 +108,20 @@
     CPPUNIT_ASSERT_EQUAL(std::string(kLeader), answer->mElsewhere);
   }
 
+  void ReaderIsAnsweredHereWhereTheLeaderIsOfAnEarlierVersion()
+  {
+    State state = Follower(kSlowLink, true, kLargeDocument);
+    const Effects asked = Read(state, kStart + kSecond);
+    Event end = FromLeader(kStart + kSecond, SubmitIn(asked), 1);
+    std::get<PeerMessage>(end.mBody)
+      .mMessage.mutable_submit_reply()
+      ->clear_leader_address();
+    const Effects ended = Step(state, end);
+    CPPUNIT_ASSERT(AnswerIn(ended) != nullptr);
+    CPPUNIT_ASSERT(AnswerIn(ended)->mEnd == OperationEnd::Done);
+    CPPUNIT_ASSERT_EQUAL(kLargeDocument, AnswerIn(ended)->mDocument.size());
+  }
+
   // Guards against callers that leave a host before it answers: after a second.
   void ReadIsRefusedAtOnceWhereNobodyKnowsALeader()
   {
