--- a/src/consensus/consensus.cpp
+++ b/src/consensus/consensus.cpp
@@ -156,6 +156,19 @@
   return nullptr;
 }
 
+const wire::Member* AnsweringMember(
+  const State& aState,
+  const wire::ConsensusMessage& aMessage) noexcept
+{
+  if (aState.mRole != Role::Leader || aMessage.term() != aState.mTerm) {
+    return nullptr;
+  }
+  const wire::Member* member = FindMember(aState.mMembership, aMessage.from());
+  const bool same =
+    member != nullptr && member->storage() == aMessage.from_storage();
+  return same ? member : nullptr;
+}
+
 namespace {
 
 bool IsVoterOf(const State& aState, const wire::Membership& aMembers) noexcept
--- a/src/consensus/internal.h
+++ b/src/consensus/internal.h
@@ -97,6 +97,11 @@
 
 [[nodiscard]] const wire::Member* FindMember(const wire::Membership& aMembers,
                                              const std::string& aId) noexcept;
+/// \brief At the leader: the member whose answer of this term a message is;
+/// none for any other message.
+[[nodiscard]] const wire::Member* AnsweringMember(
+  const State& aState,
+  const wire::ConsensusMessage& aMessage) noexcept;
 [[nodiscard]] bool IsVoter(const State& aState) noexcept;
 /// \brief True for a member that may stand for election: a voter, or one whose
 /// vote was taken by an entry that is not known to be committed.
--- a/src/consensus/replication.cpp
+++ b/src/consensus/replication.cpp
@@ -220,9 +220,8 @@
                      const wire::ConsensusMessage& aMessage,
                      Output& aOut)
 {
-  const wire::Member* member = FindMember(aState.mMembership, aMessage.from());
-  if (aState.mRole != Role::Leader || aMessage.term() != aState.mTerm ||
-      member == nullptr || member->storage() != aMessage.from_storage()) {
+  const wire::Member* member = AnsweringMember(aState, aMessage);
+  if (member == nullptr) {
     return;
   }
   const wire::AppendReply& reply = aMessage.append_reply();
