--- a/src/dispatch/waiting.cpp
+++ b/src/dispatch/waiting.cpp
@@ -285,10 +285,10 @@
   order.insert(order.end(), late.begin(), late.end());
   Look look;
   look.mFresh = FreshTargets(aState, service->second, aNow);
-  for (const auto& [id, need] : order) {
+  for (const auto& [id, needed] : order) {
     const auto found = aState.mRequests.find(id);
     if (found != aState.mRequests.end() && found->second.mWaiting) {
-      Serve(aState, aNow, look, found->second, need, aOut);
+      Serve(aState, aNow, look, found->second, needed, aOut);
     }
   }
 }
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -310,7 +310,7 @@
   }
   void operator()(const ReleaseRequest& aEvent)
   {
-    AnswerOperation answer{ aEvent.mOperation, OperationEnd::Done, "", "" };
+    AnswerOperation answer{ aEvent.mOperation, OperationEnd::Done, "", "", "" };
     Dispatch(mContext, [&](dispatch::Effects& aOut) {
       const bool released = dispatch::ReleaseRequest(
         mContext.mState.mDispatch, mContext.mNow, aEvent.mIdentity, aOut);
--- a/src/gateway/operations.cpp
+++ b/src/gateway/operations.cpp
@@ -75,7 +75,9 @@
 {
   State& state = aContext.mState;
   const catalog::State& catalog = state.mFleet.mCatalog;
-  AnswerOperation answer{ aOperation.mId, OperationEnd::Unavailable };
+  AnswerOperation answer{
+    aOperation.mId, OperationEnd::Unavailable, "", "", ""
+  };
   answer.mReason = Describe(aDone.mRead, state, aContext.mNow);
   const std::uint64_t version = aDone.mOutcome.version();
   const char* name = NameOf(OperationKind::ReadPolicy);
@@ -125,7 +127,7 @@
     EndRead(aContext, operation, aDone);
     return;
   }
-  AnswerOperation answer{ operation.mId, OperationEnd::Done, "", "" };
+  AnswerOperation answer{ operation.mId, OperationEnd::Done, "", "", "" };
   answer.mReason = operation.mSubject + " ";
   if (!committed) {
     answer.mEnd = OperationEnd::Unavailable;
@@ -148,7 +150,7 @@
       ++it;
       continue;
     }
-    AnswerOperation answer{ it->mOperation, OperationEnd::Done, "", "" };
+    AnswerOperation answer{ it->mOperation, OperationEnd::Done, "", "", "" };
     if (!current || catalog.mVersion == 0) {
       answer.mEnd = OperationEnd::Unavailable;
       answer.mReason = current ? "no policy yet" : "behind the group";
@@ -166,7 +168,7 @@
   if (!catalog::IsNews(catalog, aCall.mRecord)) {
     // Renewals of what every host knows are not worth a line each.
     aContext.mOut.emplace_back(
-      AnswerOperation{ aCall.mOperation, OperationEnd::Done, "", "" });
+      AnswerOperation{ aCall.mOperation, OperationEnd::Done, "", "", "" });
     return;
   }
   wire::CatalogCommand command;
@@ -185,7 +187,7 @@
   const wire::RemoveTarget& removal = aCall.mRemoval;
   if (catalog::IsRemoved(catalog, removal.id(), removal.born_ms())) {
     aContext.mOut.emplace_back(
-      AnswerOperation{ aCall.mOperation, OperationEnd::Done, "", "" });
+      AnswerOperation{ aCall.mOperation, OperationEnd::Done, "", "", "" });
     return;
   }
   // Whoever tells its birth says which incarnation leaves: a removal without
@@ -193,9 +195,10 @@
   const auto known = catalog.mTargets.find(removal.id());
   if (known != catalog.mTargets.end() && removal.born_ms() == 0 &&
       known->second.born_ms() != 0) {
-    Answer(aContext,
-           { aCall.mOperation, OperationEnd::Invalid, "no time of birth", "" },
-           NameOf(OperationKind::Withdraw));
+    Answer(
+      aContext,
+      { aCall.mOperation, OperationEnd::Invalid, "no time of birth", "", "" },
+      NameOf(OperationKind::Withdraw));
     return;
   }
   wire::CatalogCommand command;
@@ -220,7 +223,7 @@
   }
   if (!fault.empty()) {
     Answer(aContext,
-           { aCall.mOperation, OperationEnd::Invalid, fault, "" },
+           { aCall.mOperation, OperationEnd::Invalid, fault, "", "" },
            NameOf(OperationKind::PutPolicy));
     return;
   }
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -261,8 +261,8 @@
       { OperationEnd::Unavailable, 503 },
     };
     for (const auto& [end, status] : ends) {
-      CPPUNIT_ASSERT_EQUAL(status,
-                           dialect.mWriteEnd({ 1, end, "why", "" }).mStatus);
+      CPPUNIT_ASSERT_EQUAL(
+        status, dialect.mWriteEnd({ 1, end, "why", "", "" }).mStatus);
     }
     CPPUNIT_ASSERT_EQUAL(
       std::string(R"({"addresses":["10.0.0.1:80"],"ttl":"1200ms"})"),
