Look for the round that reads wait for only while some do

Each look at the leader's next time, and each answer of a voter, sorted what all voters had answered, though no read waited.

--- a/include/geraniumpond/consensus.h
+++ b/include/geraniumpond/consensus.h
@@ -134,7 +134,8 @@
   std::set<std::string> mVotes;
   std::map<std::string, Progress> mProgress;
   std::uint64_t mRound = 0;
-  /// Round of the last LeaderCheck, and the one that reads wait for.
+  /// Round of the last LeaderCheck, and the one that reads wait for; 0 for
+  /// none.
   std::uint64_t mCheckRound = 0;
   Micros mCheckedAt = 0;
   std::uint64_t mReadRound = 0;
--- a/src/consensus/reads.cpp
+++ b/src/consensus/reads.cpp
@@ -33,7 +33,7 @@
 
 bool ReadsWait(const State& aState) noexcept
 {
-  return aState.mRole == Role::Leader &&
+  return aState.mRole == Role::Leader && aState.mReadRound > 0 &&
          aState.mReadRound > AnsweredRound(aState);
 }
 
@@ -63,6 +63,9 @@
 
 void ContinueReads(State& aState, Micros aNow, Output& aOut)
 {
+  if (!ReadsWait(aState)) {
+    aState.mReadRound = 0;
+  }
   if (aNow >= NextCheckTime(aState)) {
     SendChecks(aState, aNow, aOut);
   }
