Name no overloaded control hosts to the clients of a fleet that has just started

A policy that had been acknowledged could not be read back sixteen seconds after the last fault, while most requests were served.

After a loss of all processes the hosts with a disk are ready first. Each host's directory named all hosts that it knew to be ready, so these alone, and clients went to them. Busy with requests they lost the leader. Without a leader hosts are out of touch and keep the list that they last had, so they went on naming these few: clients stayed there, no leader came back, no list became newer. Reads of the policy need the leader.

Ruled out: a missing majority (six voters of six), disks (nothing unsynced), reads behind announcements (these ended at 37 s, reads failed until 49 s).

Until a host has once been in touch for a lease, in which each host is heard of, it names itself if it is ready, and no control host if it is not. Clients spread as their questions do; the control hosts get their share of these. A host that loses touch later keeps naming all, as before.

--- a/include/geraniumpond/fleet.h
+++ b/include/geraniumpond/fleet.h
@@ -326,6 +326,11 @@
   /// which this member held all committed entries; 0 before the first.
   Micros mCaughtUpAt = 0;
   bool mInTouch = false;
+  /// Since when this host has been in touch without a break, at a report; 0 if
+  /// it is not.
+  Micros mInTouchSince = 0;
+  /// It has once been in touch for long enough to hear of all hosts.
+  bool mHostsComplete = false;
 
   std::uint64_t mLastSubmitId = 0;
   std::map<std::uint64_t, PendingCommand> mPending;
@@ -407,6 +412,11 @@
 [[nodiscard]] std::vector<const Host*> ReadyHosts(const State& aState,
                                                   Micros aNow);
 
+/// \brief Hosts to name to clients that ask where to connect: the ready ones,
+/// but for those that a fleet which has just started would overload.
+[[nodiscard]] std::vector<const Host*> HostsForClients(const State& aState,
+                                                       Micros aNow);
+
 /// \brief Hosts considered alive, including this one; at least 1.
 [[nodiscard]] int LiveHostCount(const State& aState, Micros aNow);
 
--- a/src/fleet/fleet.cpp
+++ b/src/fleet/fleet.cpp
@@ -59,6 +59,19 @@
   own.mSequence = changed ? ++aState.mHostsSequence : own.mSequence;
 }
 
+// Each host is heard of within a lease.
+void UpdateHostsComplete(State& aState, Micros aNow)
+{
+  if (!IsInTouch(aState, aNow)) {
+    aState.mInTouchSince = 0;
+  } else if (aState.mInTouchSince == 0) {
+    aState.mInTouchSince = aNow;
+  }
+  aState.mHostsComplete =
+    aState.mHostsComplete ||
+    (aState.mInTouchSince != 0 && aNow - aState.mInTouchSince >= kHostLease);
+}
+
 // A follower that is out of touch keeps the list that it last received, because
 // silence then says nothing about the other hosts.
 bool IsKnownAlive(const State& aState, const Host& aHost, Micros aNow)
@@ -149,6 +162,7 @@
     ExpireHosts(aState, aNow, aOut);
     PublishHostChanges(aState, aNow, aOut);
     ForgetGoneHosts(aState, aNow);
+    UpdateHostsComplete(aState, aNow);
     if (IsControlMember(aState)) {
       LogGroupHealth(aState, aNow, aOut);
     }
@@ -233,6 +247,31 @@
   TransferLeadership(aState, aNow, aOut);
 }
 
+// A host that has just started hears of the others one by one, the control
+// hosts first, since they have the policy on their disks. If it named these,
+// all clients would go to them, they would have no processor time left for the
+// group, and without a leader no host would hear of any others. So until its
+// list has had time to become complete, a ready host names itself, which
+// spreads clients as they spread their questions, and others name no control
+// host.
+std::vector<const Host*> HostsForClients(const State& aState, Micros aNow)
+{
+  std::vector<const Host*> hosts = ReadyHosts(aState, aNow);
+  if (aState.mHostsComplete) {
+    return hosts;
+  }
+  const std::string& self = aState.mSettings.mPeerAddress;
+  const bool isReady = aState.mReady && !aState.mStopping;
+  hosts.erase(std::remove_if(hosts.begin(),
+                             hosts.end(),
+                             [&](const Host* aHost) {
+                               return isReady ? aHost->mPeerAddress != self
+                                              : aHost->mControl;
+                             }),
+              hosts.end());
+  return hosts;
+}
+
 std::vector<const Host*> ReadyHosts(const State& aState, Micros aNow)
 {
   std::vector<const Host*> hosts;
--- a/src/gateway/directory.cpp
+++ b/src/gateway/directory.cpp
@@ -43,7 +43,7 @@
 {
   std::vector<std::string> local;
   std::vector<std::string> others;
-  for (const fleet::Host* host : fleet::ReadyHosts(aState.mFleet, aNow)) {
+  for (const fleet::Host* host : fleet::HostsForClients(aState.mFleet, aNow)) {
     const bool near = host->mDataCentre == aDataCentre;
     (near ? local : others).push_back(host->mCallerAddress);
   }
--- a/tests/fakes/fleet_simulation.cpp
+++ b/tests/fakes/fleet_simulation.cpp
@@ -110,6 +110,13 @@
   ProcessOutput(aAddress, output);
 }
 
+void FleetSimulation::SetReady(const std::string& aAddress)
+{
+  fleet::Output output;
+  fleet::SetReady(mNodes.at(aAddress).mState, mNow, true, output);
+  ProcessOutput(aAddress, output);
+}
+
 void FleetSimulation::LosePower(const std::string& aAddress)
 {
   FleetNode& node = mNodes.at(aAddress);
--- a/tests/fakes/fleet_simulation.h
+++ b/tests/fakes/fleet_simulation.h
@@ -94,6 +94,8 @@
                         int aHostsWithoutDisk,
                         int aToleratedLosses);
 
+  /// \brief Lets a host accept clients.
+  void SetReady(const std::string& aAddress);
   void Kill(const std::string& aAddress) { mNodes.at(aAddress).mAlive = false; }
   /// \brief Begins a graceful stop; the host runs until it is killed.
   void Stop(const std::string& aAddress);
