Hold announcements until a host is in touch, and send all of a host in one message

What callers saw: nothing on the record.

A host that has just started knows no target, so each heartbeat of each target was news to it and became a command: 2.9 messages each, to one of the three seeds it knows and on to the leader. Behind 15,849 of these at the leader and 6,050 at other seeds stood the questions of 470 hosts for an upstream, whose one answer would have told them all targets. And the leader proposed a command again each time it came before its first copy was committed.

Evidence: two traces apart from each other with the same figures (1,066 to 1,090 commands a second for ever, 6 of 476 hosts in touch, the leader there from 0.03 s on, all targets in its catalog from 1 s on). Announcements that begin 1 s after power is back: all in touch after 3 s. Ruled out by trials: questions before commands (5 in touch), commands older than 0.85 s dropped (stuck), no lost disk (stuck), no majority (six voters).

A host out of touch keeps announcements until it has the catalog, and ends those that are in it without a message. A host has one unanswered message with announcements, with all of them, which replaces an earlier one that still waits at the leader; there they come after reports and questions. The leader proposes what is proposed already no second time. Targets that drain do not wait for touch.

--- a/include/geraniumpond/catalog.h
+++ b/include/geraniumpond/catalog.h
@@ -65,6 +65,10 @@
 [[nodiscard]] bool ChangesState(const State& aState,
                                 const wire::TargetRecord& aRecord);
 
+/// \brief The same for a state that holds `aKnown` of the target.
+[[nodiscard]] bool ChangesRecord(const wire::TargetRecord& aKnown,
+                                 const wire::TargetRecord& aRecord);
+
 /// \brief Serializes the state; equal states give equal bytes.
 [[nodiscard]] std::string Save(const State& aState);
 
--- a/include/geraniumpond/fleet.h
+++ b/include/geraniumpond/fleet.h
@@ -170,6 +170,35 @@
   std::optional<std::uint64_t> mKnownPolicyVersion;
 };
 
+/// \brief An announcement of a target that this host was asked to make.
+struct PendingAnnouncement
+{
+  std::string mCommand;
+  wire::TargetRecord mRecord;
+  Micros mStartedAt = 0;
+  Micros mGiveUpAt = 0;
+};
+
+/// \brief The last message with announcements.
+struct AnnouncementsMessage
+{
+  /// Id of its first announcement; 0 if it has been answered.
+  std::uint64_t mId = 0;
+  std::string mSentTo;
+  /// When it counts as lost, and the pause that led to this.
+  Micros mRetryAt = 0;
+  Micros mRetryPause = 0;
+  int mRedirects = 0;
+};
+
+/// \brief At the leader: the last announcement of a target that is proposed
+/// and not committed yet.
+struct ProposedTarget
+{
+  std::uint64_t mIndex = 0;
+  wire::TargetRecord mRecord;
+};
+
 /// \brief A read that waits at the leader until a round has confirmed its
 /// leadership.
 struct PendingRead
@@ -185,6 +214,8 @@
   std::uint64_t mTerm = 0;
   std::string mFrom;
   std::uint64_t mId = 0;
+  /// Announcements of the same message.
+  std::vector<std::uint64_t> mMoreIds;
 };
 
 /// \brief Log position that a list of the group's members belongs to.
@@ -334,7 +365,11 @@
 
   std::uint64_t mLastSubmitId = 0;
   std::map<std::uint64_t, PendingCommand> mPending;
-  std::map<std::uint64_t, Waiter> mWaiters;
+  std::map<std::uint64_t, PendingAnnouncement> mAnnouncements;
+  AnnouncementsMessage mAnnouncementsMessage;
+  /// At the leader: who waits for the commit of an entry, by its index.
+  std::multimap<std::uint64_t, Waiter> mWaiters;
+  std::map<std::string, ProposedTarget> mProposedTargets;
   /// At the leader: pending reads by requesting host and that host's id.
   std::map<std::pair<std::string, std::uint64_t>, PendingRead> mReads;
 
--- a/include/geraniumpond/fleet_inbox.h
+++ b/include/geraniumpond/fleet_inbox.h
@@ -44,7 +44,7 @@
   [[nodiscard]] std::size_t Waiting() const noexcept
   {
     return mConsensus.size() + mUrgent.size() + mOthers.size() +
-           mBriefReports.size();
+           mBriefReports.size() + mAnnouncements.size();
   }
   /// \brief Messages dropped since the start because the inbox was full.
   [[nodiscard]] std::uint64_t Dropped() const noexcept { return mDropped; }
@@ -70,6 +70,7 @@
   std::deque<Queued> mUrgent;
   std::deque<Queued> mOthers;
   std::deque<Queued> mBriefReports;
+  std::deque<Queued> mAnnouncements;
 };
 
 } // namespace geraniumpond::fleet
--- a/src/catalog/catalog.cpp
+++ b/src/catalog/catalog.cpp
@@ -140,21 +140,26 @@
   if (found == aState.mTargets.end()) {
     return true;
   }
-  const wire::TargetRecord& known = found->second;
+  return ChangesRecord(found->second, aRecord);
+}
+
+bool ChangesRecord(const wire::TargetRecord& aKnown,
+                   const wire::TargetRecord& aRecord)
+{
   // Each incarnation numbers its announcements from the start.
-  if (aRecord.born_ms() != known.born_ms()) {
-    return aRecord.born_ms() > known.born_ms();
+  if (aRecord.born_ms() != aKnown.born_ms()) {
+    return aRecord.born_ms() > aKnown.born_ms();
   }
-  if (aRecord.sequence() <= known.sequence()) {
+  if (aRecord.sequence() <= aKnown.sequence()) {
     return false;
   }
   // The address and service of an incarnation never change; an announcement
   // with others comes from another process.
-  const bool same = aRecord.address() == known.address() &&
-                    aRecord.service() == known.service();
-  return same && ((aRecord.draining() && !known.draining()) ||
-                  aRecord.slots() != known.slots() ||
-                  aRecord.data_centre() != known.data_centre());
+  const bool same = aRecord.address() == aKnown.address() &&
+                    aRecord.service() == aKnown.service();
+  return same && ((aRecord.draining() && !aKnown.draining()) ||
+                  aRecord.slots() != aKnown.slots() ||
+                  aRecord.data_centre() != aKnown.data_centre());
 }
 
 wire::PutPolicy MakePolicyChange(std::uint64_t aVersion,
--- a/src/fleet/fleet.cpp
+++ b/src/fleet/fleet.cpp
@@ -211,6 +211,7 @@
       aOut.mLogLines.push_back({ 2, "event=message_unknown from=" + from });
       break;
   }
+  SendAnnouncements(aState, aNow, aOut);
   AnswerDeferredAskers(aState, aNow, aOut);
   GossipToNeighbours(aState, aNow, aOut);
 }
--- a/src/fleet/group.cpp
+++ b/src/fleet/group.cpp
@@ -61,27 +61,42 @@
   aOut.mTargetsChanged = true;
 }
 
-void AnswerWaiter(State& aState,
-                  Micros aNow,
-                  const wire::Entry& aEntry,
-                  const wire::CatalogOutcome& aOutcome,
-                  Output& aOut)
+void AnswerWaiters(State& aState,
+                   Micros aNow,
+                   const wire::Entry& aEntry,
+                   const wire::CatalogOutcome& aOutcome,
+                   Output& aOut)
 {
-  const auto found = aState.mWaiters.find(aEntry.index());
-  if (found == aState.mWaiters.end()) {
-    return;
+  std::vector<Waiter> waiters;
+  const auto [first, last] = aState.mWaiters.equal_range(aEntry.index());
+  for (auto it = first; it != last; ++it) {
+    waiters.push_back(std::move(it->second));
+  }
+  aState.mWaiters.erase(first, last);
+  for (const Waiter& waiter : waiters) {
+    // An entry of another leader replaced the command.
+    if (waiter.mTerm != aEntry.term()) {
+      continue;
+    }
+    wire::SubmitReply reply;
+    reply.set_id(waiter.mId);
+    reply.set_status(wire::SUBMIT_COMMITTED);
+    *reply.mutable_outcome() = aOutcome;
+    reply.mutable_more_ids()->Add(waiter.mMoreIds.begin(),
+                                  waiter.mMoreIds.end());
+    ReplySubmit(aState, aNow, waiter.mFrom, reply, aOut);
   }
-  const Waiter waiter = found->second;
-  aState.mWaiters.erase(found);
-  // An entry of another leader replaced the command.
-  if (waiter.mTerm != aEntry.term()) {
-    return;
+}
+
+void ForgetProposal(State& aState,
+                    const wire::Entry& aEntry,
+                    const wire::CatalogCommand& aCommand)
+{
+  const auto found = aState.mProposedTargets.find(aCommand.put_target().id());
+  if (found != aState.mProposedTargets.end() &&
+      found->second.mIndex <= aEntry.index()) {
+    aState.mProposedTargets.erase(found);
   }
-  wire::SubmitReply reply;
-  reply.set_id(waiter.mId);
-  reply.set_status(wire::SUBMIT_COMMITTED);
-  *reply.mutable_outcome() = aOutcome;
-  ReplySubmit(aState, aNow, waiter.mFrom, reply, aOut);
 }
 
 void ApplyEntry(State& aState,
@@ -110,7 +125,8 @@
   if (!command.has_read_barrier()) {
     RecordCommand(aState, aEntry.index(), aEntry.command());
   }
-  AnswerWaiter(aState, aNow, aEntry, outcome, aOut);
+  ForgetProposal(aState, aEntry, command);
+  AnswerWaiters(aState, aNow, aEntry, outcome, aOut);
 }
 
 void TakeSnapshotIfDue(State& aState, Micros aNow, Output& aOut)
@@ -227,6 +243,7 @@
   UpdateControlAddresses(aState);
   if (!consensus::IsLeader(aState.mGroup)) {
     aState.mWaiters.clear();
+    aState.mProposedTargets.clear();
   }
   AnswerReads(aState, aNow, aOut);
   if (!aRaft.mCommitted.empty() || aRaft.mInstall) {
--- a/src/fleet/inbox.cpp
+++ b/src/fleet/inbox.cpp
@@ -6,6 +6,9 @@
 
 namespace {
 
+/// Of each turn, so that announcements are not kept out by others.
+constexpr std::size_t kLeastAnnouncements = 1;
+
 // A report contains everything that the host's previous one did, except for
 // reports that concern a change of upstream.
 bool IsLaterReport(const wire::Follow& aNext, const wire::Follow& aWaiting)
@@ -24,8 +27,11 @@
       aNext.from_address() != aWaiting.from_address()) {
     return false;
   }
-  return aNext.has_submit() ? aNext.submit().id() == aWaiting.submit().id()
-                            : IsLaterReport(aNext.follow(), aWaiting.follow());
+  if (aNext.has_submit()) {
+    return aNext.submit().id() == aWaiting.submit().id() ||
+           (aNext.submit().whole() && aWaiting.submit().whole());
+  }
+  return IsLaterReport(aNext.follow(), aWaiting.follow());
 }
 
 } // namespace
@@ -40,6 +46,9 @@
   if (aMessage.submit().urgent() || aMessage.has_submit_reply()) {
     return mUrgent;
   }
+  if (aMessage.has_submit()) {
+    return mAnnouncements;
+  }
   return aMessage.follow().brief() ? mBriefReports : mOthers;
 }
 
@@ -88,7 +97,8 @@
 Micros Inbox::LongestWait(Micros aNow) const noexcept
 {
   Micros longest = 0;
-  for (const std::deque<Queued>* queue : { &mConsensus, &mUrgent, &mOthers }) {
+  for (const std::deque<Queued>* queue :
+       { &mConsensus, &mUrgent, &mOthers, &mAnnouncements }) {
     if (!queue->empty()) {
       longest = std::max(longest, aNow - queue->front().mArrivedAt);
     }
@@ -110,7 +120,8 @@
   };
   (void)takeFrom(mConsensus, mConsensus.size());
   (void)takeFrom(mUrgent, aOthers);
-  (void)takeFrom(mBriefReports, takeFrom(mOthers, aOthers));
+  const std::size_t left = takeFrom(mBriefReports, takeFrom(mOthers, aOthers));
+  (void)takeFrom(mAnnouncements, std::max(left, kLeastAnnouncements));
   return taken;
 }
 
--- a/src/fleet/internal.h
+++ b/src/fleet/internal.h
@@ -64,6 +64,24 @@
                  Output& aOut);
 void RetryPending(State& aState, Micros aNow, Output& aOut);
 [[nodiscard]] Micros NextPendingTime(const State& aState) noexcept;
+/// \brief Outcome of an announcement that changes nothing.
+[[nodiscard]] wire::CatalogOutcome KnownOutcome(const State& aState);
+
+// --- announcements.cpp: announcements of targets at the host that was asked
+[[nodiscard]] std::uint64_t Announce(State& aState,
+                                     Micros aNow,
+                                     const wire::CatalogCommand& aCommand,
+                                     Micros aTimeout,
+                                     Output& aOut);
+/// \brief Ends announcements that are known or late, and sends the others if
+/// this host is in touch and no message with announcements is unanswered.
+void SendAnnouncements(State& aState, Micros aNow, Output& aOut);
+/// \brief Ends the announcements that the leader has committed.
+void HandleAnnouncementsReply(State& aState,
+                              Micros aNow,
+                              const wire::SubmitReply& aReply,
+                              Output& aOut);
+[[nodiscard]] Micros NextAnnouncementTime(const State& aState) noexcept;
 
 // --- reads.cpp: policy reads, at the leader
 void HandleRead(State& aState,
--- a/src/fleet/submit.cpp
+++ b/src/fleet/submit.cpp
@@ -34,6 +34,44 @@
          !catalog::ChangesState(aState.mCatalog, aCommand.put_target());
 }
 
+// At the leader: index of the entry that commits a target's announcement; a
+// new one unless one that says as much is under way. 0 if this host does not
+// lead any more.
+std::uint64_t ProposeAnnouncement(State& aState,
+                                  Micros aNow,
+                                  const std::string& aCommand,
+                                  const wire::TargetRecord& aRecord,
+                                  Output& aOut)
+{
+  const auto found = aState.mProposedTargets.find(aRecord.id());
+  if (found != aState.mProposedTargets.end() &&
+      !catalog::ChangesRecord(found->second.mRecord, aRecord)) {
+    return found->second.mIndex;
+  }
+  consensus::Output raft;
+  const Result<std::uint64_t> index =
+    consensus::Propose(aState.mGroup, aNow, aCommand, raft);
+  if (!index) {
+    return 0;
+  }
+  aState.mProposedTargets[aRecord.id()] = { index.value(), aRecord };
+  Perform(aState, aNow, std::move(raft), aOut);
+  return index.value();
+}
+
+// A command that was sent again has one waiter.
+void AddWaiter(State& aState, std::uint64_t aIndex, Waiter aWaiter)
+{
+  const auto [first, last] = aState.mWaiters.equal_range(aIndex);
+  for (auto it = first; it != last; ++it) {
+    if (it->second.mFrom == aWaiter.mFrom && it->second.mId == aWaiter.mId) {
+      it->second = std::move(aWaiter);
+      return;
+    }
+  }
+  aState.mWaiters.emplace(aIndex, std::move(aWaiter));
+}
+
 // Operators and leaving targets wait for the result with a time limit; a target
 // that stays announces itself again.
 bool IsUrgent(const wire::CatalogCommand& aCommand)
@@ -209,14 +247,69 @@
   aPending.mSendAt = std::min(aPending.mSendAt, aNow + kLeaderPause);
 }
 
+// At the leader: one answer for all announcements of a message, when the last
+// one is committed.
+void HandleAnnouncements(State& aState,
+                         Micros aNow,
+                         const std::string& aFrom,
+                         const wire::Submit& aMessage,
+                         wire::SubmitReply aReply,
+                         Output& aOut)
+{
+  std::uint64_t last = 0;
+  const auto propose = [&](const std::string& aCommand) {
+    wire::CatalogCommand command;
+    if (!command.ParseFromString(aCommand) || IsCommitted(aState, command)) {
+      return true;
+    }
+    const std::uint64_t index =
+      ProposeAnnouncement(aState, aNow, aCommand, command.put_target(), aOut);
+    last = std::max(last, index);
+    return index != 0;
+  };
+  bool leads = propose(aMessage.command());
+  for (const wire::Submit& more : aMessage.more()) {
+    leads = leads && propose(more.command());
+    aReply.add_more_ids(more.id());
+  }
+  if (!leads) {
+    aReply.set_status(wire::SUBMIT_NOT_LEADER);
+    aReply.clear_more_ids();
+  } else if (last > aState.mApplied) {
+    AddWaiter(aState,
+              last,
+              { aState.mGroup.mTerm,
+                aFrom,
+                aMessage.id(),
+                { aReply.more_ids().begin(), aReply.more_ids().end() } });
+    return;
+  } else {
+    aReply.set_status(wire::SUBMIT_COMMITTED);
+    *aReply.mutable_outcome() = KnownOutcome(aState);
+  }
+  ReplySubmit(aState, aNow, aFrom, aReply, aOut);
+}
+
 } // namespace
 
+wire::CatalogOutcome KnownOutcome(const State& aState)
+{
+  wire::CatalogOutcome outcome;
+  outcome.set_accepted(true);
+  outcome.set_reason("known");
+  outcome.set_version(aState.mCatalog.mVersion);
+  return outcome;
+}
+
 std::uint64_t Submit(State& aState,
                      Micros aNow,
                      const wire::CatalogCommand& aCommand,
                      Micros aTimeout,
                      Output& aOut)
 {
+  if (!IsUrgent(aCommand)) {
+    return Announce(aState, aNow, aCommand, aTimeout, aOut);
+  }
   const auto known = aCommand.has_read_barrier()
                        ? std::optional(aState.mCatalog.mVersion)
                        : std::nullopt;
@@ -273,12 +366,8 @@
     ReplySubmit(aState, aNow, aFrom, reply, aOut);
     return;
   }
-  if (readable && IsCommitted(aState, command)) {
-    reply.set_status(wire::SUBMIT_COMMITTED);
-    reply.mutable_outcome()->set_accepted(true);
-    reply.mutable_outcome()->set_reason("known");
-    reply.mutable_outcome()->set_version(aState.mCatalog.mVersion);
-    ReplySubmit(aState, aNow, aFrom, reply, aOut);
+  if (readable && command.has_put_target()) {
+    HandleAnnouncements(aState, aNow, aFrom, aMessage, std::move(reply), aOut);
     return;
   }
   consensus::Output raft;
@@ -289,9 +378,8 @@
     ReplySubmit(aState, aNow, aFrom, reply, aOut);
     return;
   }
-  aState.mWaiters[index.value()] = { aState.mGroup.mTerm,
-                                     aFrom,
-                                     aMessage.id() };
+  AddWaiter(
+    aState, index.value(), { aState.mGroup.mTerm, aFrom, aMessage.id(), {} });
   Perform(aState, aNow, std::move(raft), aOut);
 }
 
@@ -300,6 +388,7 @@
                        const wire::SubmitReply& aMessage,
                        Output& aOut)
 {
+  HandleAnnouncementsReply(aState, aNow, aMessage, aOut);
   const auto found = aState.mPending.find(aMessage.id());
   if (found == aState.mPending.end()) {
     return;
@@ -341,11 +430,12 @@
     }
     SendPending(aState, aNow, id, found->second, aOut);
   }
+  SendAnnouncements(aState, aNow, aOut);
 }
 
 Micros NextPendingTime(const State& aState) noexcept
 {
-  Micros next = std::numeric_limits<Micros>::max();
+  Micros next = NextAnnouncementTime(aState);
   for (const auto& [id, pending] : aState.mPending) {
     next = std::min({ next, pending.mSendAt, pending.mGiveUpAt });
   }
