Send announcements again only while in touch, and at once to a new leader

Change: out of touch the message counts as ended, so the next one goes at once when touch is regained; the pause is half a second at most; a leader that is known by now gets what went to another host.

--- a/src/fleet/announcements.cpp
+++ b/src/fleet/announcements.cpp
@@ -12,10 +12,10 @@
 namespace {
 
 /// A message without an answer counts as lost after this time: a round trip
-/// between regions and a commit on a slow disk. It doubles each time, up to
-/// the longest pause, so that a busy leader is asked less often.
+/// between regions and a commit on a slow disk. It doubles once, so that a busy
+/// leader is asked less often, but each announcement is sent in its time.
 constexpr Micros kRetryPause = 250 * kMillisecond;
-constexpr Micros kMaxRetryPause = 2 * kSecond;
+constexpr Micros kMaxRetryPause = 500 * kMillisecond;
 /// Replaced leaders may name each other for a moment.
 constexpr int kMaxRedirects = 3;
 
@@ -105,6 +105,15 @@
   SendAllTo(aState, aNow, Destination(aState), aOut);
 }
 
+// A message that went to another host than the leader known by now.
+bool IsMisdirected(const State& aState)
+{
+  const AnnouncementsMessage& message = aState.mAnnouncementsMessage;
+  return message.mId != 0 && !aState.mLeaderAddress.empty() &&
+         aState.mLeaderAddress != message.mSentTo &&
+         message.mRedirects < kMaxRedirects;
+}
+
 void FollowRedirect(State& aState,
                     Micros aNow,
                     const std::string& aLeader,
@@ -145,11 +154,15 @@
     return;
   }
   EndKnownAndLate(aState, aNow, aOut);
-  const AnnouncementsMessage& message = aState.mAnnouncementsMessage;
-  const bool isDue = message.mId == 0 || aNow >= message.mRetryAt;
-  if (isDue && !aState.mAnnouncements.empty() &&
-      HasConfirmedCatalog(aState, aNow)) {
+  AnnouncementsMessage& message = aState.mAnnouncementsMessage;
+  // Nothing is sent again before this host is in touch, and then at once.
+  if (aState.mAnnouncements.empty() || !HasConfirmedCatalog(aState, aNow)) {
+    message.mId = 0;
+  } else if (message.mId == 0 || aNow >= message.mRetryAt) {
     SendAll(aState, aNow, aOut);
+  } else if (IsMisdirected(aState)) {
+    ++message.mRedirects;
+    SendAllTo(aState, aNow, aState.mLeaderAddress, aOut);
   }
 }
 
--- a/tests/fleet_announcements_test.cpp
+++ b/tests/fleet_announcements_test.cpp
@@ -38,6 +38,8 @@
   CPPUNIT_TEST(LeaderOfAnEarlierVersionGetsAllAnnouncements);
   CPPUNIT_TEST(RepeatedAnnouncementsAreProposedOnceWhileDisksAreStalled);
   CPPUNIT_TEST(AnnouncementsContinueAfterALeaderLoss);
+  CPPUNIT_TEST(AnnouncementsAreSentAtOnceAfterATimeOutOfTouch);
+  CPPUNIT_TEST(HostOutOfTouchIsIdleWhileTargetsAnnounceThemselves);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -184,7 +186,39 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t(1), LeaderCatalog().mTargets.size());
   }
 
+  void AnnouncementsAreSentAtOnceAfterATimeOutOfTouch()
+  {
+    mSimulation.mIsolated = { kFollower };
+    AnnounceFor(5 * kSecond);
+    mSimulation.mIsolated.clear();
+    CPPUNIT_ASSERT(mSimulation.RunUntil(5 * kSecond, [&] {
+      return IsInTouch(mSimulation.Node(kFollower).mState, mSimulation.mNow);
+    }));
+    CPPUNIT_ASSERT(Ends(kFollower, Announce(kFollower, 2, 1)));
+  }
+
+  // Guards against a timer that stays due: the host would run without a pause.
+  void HostOutOfTouchIsIdleWhileTargetsAnnounceThemselves()
+  {
+    (void)Announce(kFollower, 1, 1);
+    mSimulation.mIsolated = { kFollower };
+    AnnounceFor(5 * kSecond);
+    const State& state = mSimulation.Node(kFollower).mState;
+    CPPUNIT_ASSERT(!IsInTouch(state, mSimulation.mNow));
+    CPPUNIT_ASSERT(!state.mAnnouncements.empty());
+    CPPUNIT_ASSERT(NextTick(state) > mSimulation.mNow);
+  }
+
 private:
+  void AnnounceFor(Micros aTime)
+  {
+    std::uint64_t beat = 2;
+    for (Micros passed = 0; passed < aTime; passed += kHeartbeat / 4) {
+      (void)Announce(kFollower, 1, beat++);
+      mSimulation.Advance(kHeartbeat / 4);
+    }
+  }
+
   static constexpr const char* kFollower = "10.0.0.7:1";
 
   void RestartFollower()
