Name oneself to clients while most known hosts count as gone

Cause, found by a review: where the control hosts alone start anew, their first lists lack most hosts, and a host that had run all along took these for gone and named the rest. Shown by the new test before this change: 127 of 476 hosts named 0.35 s after the six had started again.

Change: a list that counts most of the hosts it holds as gone is in doubt, like that of a host that has just started. Tried before: doubt after a whole list that lacks hosts; relays pass the same on as single changes, so 127 stayed.

FleetClientsTest: 5 of 5.

--- a/include/geraniumpond/fleet.h
+++ b/include/geraniumpond/fleet.h
@@ -360,7 +360,7 @@
   /// Since when this host has been in touch without a break, at a report; 0 if
   /// it is not.
   Micros mInTouchSince = 0;
-  /// It has once been in touch for long enough to hear of all hosts.
+  /// It has been in touch for long enough to hear of all hosts.
   bool mHostsComplete = false;
 
   std::uint64_t mLastSubmitId = 0;
--- a/src/fleet/fleet.cpp
+++ b/src/fleet/fleet.cpp
@@ -80,6 +80,15 @@
                           aNow - aHost.mHeardAt < LeaseOf(aState, aHost, aNow));
 }
 
+// The list is in doubt for a lease after the start, and while it counts most
+// hosts as gone: the control hosts may have started anew, and not have heard of
+// them yet.
+bool AreHostsInDoubt(const State& aState, Micros aNow)
+{
+  const auto alive = static_cast<std::size_t>(LiveHostCount(aState, aNow));
+  return !aState.mHostsComplete || 2 * alive < aState.mHosts.size();
+}
+
 } // namespace
 
 void SendTo(State& aState,
@@ -248,17 +257,16 @@
   TransferLeadership(aState, aNow, aOut);
 }
 
-// A host that has just started hears of the others one by one, the control
-// hosts first, since they have the policy on their disks. If it named these,
-// all clients would go to them, they would have no processor time left for the
-// group, and without a leader no host would hear of any others. So until its
-// list has had time to become complete, a ready host names itself, which
-// spreads clients as they spread their questions, and others name no control
-// host.
+// After a loss of all hosts the control hosts are ready first, since they have
+// the policy on their disks. If they were named alone, all clients would go to
+// them, they would have no processor time left for the group, and without a
+// leader no host would hear of any others. So a ready host whose list is in
+// doubt names itself, which spreads clients as they spread their questions, and
+// others name no control host.
 std::vector<const Host*> HostsForClients(const State& aState, Micros aNow)
 {
   std::vector<const Host*> hosts = ReadyHosts(aState, aNow);
-  if (aState.mHostsComplete) {
+  if (!AreHostsInDoubt(aState, aNow)) {
     return hosts;
   }
   const std::string& self = aState.mSettings.mPeerAddress;
--- a/tests/fleet_clients_test.cpp
+++ b/tests/fleet_clients_test.cpp
@@ -56,6 +56,7 @@
   CPPUNIT_TEST(HostThatHasJustStartedNamesItself);
   CPPUNIT_TEST(HostThatIsNotReadyNamesNoControlHost);
   CPPUNIT_TEST(HostThatLostTouchKeepsNamingTheOthers);
+  CPPUNIT_TEST(HostNamesItselfWhileRestartedControlHostsHearOfTheOthers);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -118,6 +119,22 @@
     CPPUNIT_ASSERT_EQUAL(mSimulation.Addresses().size(), Named(kHost).size());
   }
 
+  // The list of a control host that has just started lacks most hosts.
+  void HostNamesItselfWhileRestartedControlHostsHearOfTheOthers()
+  {
+    StartFleet(kOthers);
+    KillAndStartControlHosts();
+    for (Micros passed = 0; passed < 10 * kSecond; passed += kStep) {
+      mSimulation.Advance(kStep);
+      MakeReady();
+      const std::size_t named = Named(kHost).size();
+      CPPUNIT_ASSERT_MESSAGE(std::to_string(passed / kMillisecond) +
+                               " ms: " + std::to_string(named),
+                             named == 1 || named > kOthers / 2);
+    }
+    CPPUNIT_ASSERT_EQUAL(mSimulation.Addresses().size(), Named(kHost).size());
+  }
+
 private:
   static constexpr const char* kControl = "10.0.0.1:1";
   static constexpr const char* kHost = "10.1.2.2:1";
@@ -156,6 +173,21 @@
     }
   }
 
+  void KillAndStartControlHosts()
+  {
+    for (const std::string& address : mSimulation.Addresses()) {
+      if (mSimulation.IsControl(address)) {
+        mSimulation.Kill(address);
+      }
+    }
+    mSimulation.Advance(700 * kMillisecond);
+    for (const std::string& address : mSimulation.Addresses()) {
+      if (mSimulation.IsControl(address)) {
+        mSimulation.Start(address, false);
+      }
+    }
+  }
+
   // As a gateway does once it acts on a policy that the group has confirmed.
   void MakeReady()
   {
