Test that a fleet with hardly any processor to spare settles after a loss; list it

At 7 % of the processor the load is carried without a loss; after a loss of all power 183 of 476 hosts are not settled after 15 s. Cause as far as traced: the three seeds that hosts know after a start answer the reports of hosts that are in touch before the questions of the others, while three more control hosts are idle. Tried, not kept: questions older than 1.6 s dropped (no difference).

--- a/tests/fleet_recovery_test.cpp
+++ b/tests/fleet_recovery_test.cpp
@@ -57,6 +57,7 @@
 {
   CPPUNIT_TEST_SUITE(FleetRecoveryTest);
   CPPUNIT_TEST(LoadIsCarriedAgainAfterALossOfAllPower);
+  CPPUNIT_TEST(LoadIsCarriedAgainWithHardlyAnyProcessorToSpare);
   CPPUNIT_TEST(LoadIsCarriedAgainAfterHostsWithoutDiskLostPower);
   CPPUNIT_TEST(PolicyIsReadWhileAllTargetsKeepAnnouncingThemselves);
   CPPUNIT_TEST(CommandsOfAnAnnouncementDoNotGrowWithItsWait);
@@ -72,6 +73,16 @@
     }
   }
 
+  // Guards against hosts that wait for an answer of the three seeds, which
+  // answer the reports of hosts that are in touch first.
+  void LoadIsCarriedAgainWithHardlyAnyProcessorToSpare()
+  {
+    constexpr int kPercent = 7;
+    CarryLoad(kPercent);
+    LosePower(PowerLoss::AllHosts);
+    AssertSettles(kPercent);
+  }
+
   void LoadIsCarriedAgainAfterHostsWithoutDiskLostPower()
   {
     constexpr int kPercent = 25;
