--- a/src/frontend/gateway_calls.cpp
+++ b/src/frontend/gateway_calls.cpp
@@ -111,6 +111,9 @@
   gauges["hosts_behind"] = static_cast<double>(fleet.mDownstream.size());
   gauges["relays_above"] = static_cast<double>(fleet.mRoute.size());
   gauges["commands_pending"] = static_cast<double>(fleet.mPending.size());
+  gauges["announcements_pending"] =
+    static_cast<double>(fleet.mAnnouncements.size());
+  gauges["hosts_complete"] = fleet.mHostsComplete ? 1 : 0;
   if (fleet.mSettings.mControl) {
     const fleet::GroupHealth health = fleet::HealthOf(fleet, mNow);
     gauges["voters"] = health.mVoters;
