--- a/tests/fleet_announcements_test.cpp
+++ b/tests/fleet_announcements_test.cpp
@@ -118,6 +118,7 @@
       return false;
     };
     std::vector<std::uint64_t> ids;
+    ids.reserve(100);
     for (int target = 0; target < 100; ++target) {
       ids.push_back(Announce(kFollower, target, 1));
     }
