Show how many targets a host finds unavailable, and whom it names to clients

What callers saw: hosts without a way to any target took clients for as long as that lasted. Whether such a host knows that it reaches nothing, and whether it is named to clients all the same, could not be told from logs and gauges: the first needs the number of targets that are unavailable here, the second whether the host is ready and how many hosts it names.

Gauges targets_unavailable, ready, hosts_for_clients, and the number of usable targets in the line of a refusal. No decision is changed.

--- a/include/geraniumpond/dispatch.h
+++ b/include/geraniumpond/dispatch.h
@@ -537,6 +537,9 @@
 /// \brief Earliest time at which Tick() has work to do.
 [[nodiscard]] Micros NextTick(const State& aState) noexcept;
 
+/// \brief Number of targets that get no requests until a probe succeeds.
+[[nodiscard]] std::size_t UnavailableTargets(const State& aState) noexcept;
+
 /// \brief Number of requests that are queued, running or waiting for the first
 /// policy.
 [[nodiscard]] std::size_t RunningRequests(const State& aState) noexcept;
--- a/src/dispatch/requests.cpp
+++ b/src/dispatch/requests.cpp
@@ -35,6 +35,18 @@
   return " target=" + aAttempt.mTarget + load;
 }
 
+// How many of the targets that this host uses first may get requests.
+std::string DescribeReach(const State& aState, const std::string& aService)
+{
+  const auto& subset = aState.mServices.at(aService).mSubset;
+  const auto usable =
+    std::count_if(subset.begin(), subset.end(), [&](const std::string& aId) {
+      return !aState.mTargets.at(aId).mUnavailable;
+    });
+  return " usable=" + std::to_string(usable) + "/" +
+         std::to_string(subset.size());
+}
+
 // The interval between dispatches reflects the queue's speed only while
 // requests are queued.
 void RecordDispatch(Service& aService, Micros aNow)
@@ -189,6 +201,7 @@
       2,
       "event=refused status=" + std::to_string(aStatus) + " reason=" + aReason +
         Describe(aState, request, aNow) + " tried=" + tried +
+        DescribeReach(aState, request.mService) +
         " retry_after_ms=" + Milliseconds(aRetryAfter));
   ++aState.mCounters["replies_" + std::to_string(aStatus) + "_" + aReason];
   aOut.emplace_back(ReplyToClient{ aRequest, aStatus, aRetryAfter, aReason });
--- a/src/dispatch/targets.cpp
+++ b/src/dispatch/targets.cpp
@@ -341,6 +341,14 @@
   ExpireUnrouted(aState, aNow, aOut);
 }
 
+std::size_t UnavailableTargets(const State& aState) noexcept
+{
+  return static_cast<std::size_t>(std::count_if(
+    aState.mTargets.begin(), aState.mTargets.end(), [](const auto& aEntry) {
+      return aEntry.second.mUnavailable;
+    }));
+}
+
 Micros NextTick(const State& aState) noexcept
 {
   Micros next = NextUnroutedTime(aState);
--- a/src/frontend/gateway_calls.cpp
+++ b/src/frontend/gateway_calls.cpp
@@ -94,6 +94,8 @@
   gauges["requests_running"] =
     static_cast<double>(dispatch::RunningRequests(mState.mDispatch));
   gauges["targets"] = static_cast<double>(mState.mDispatch.mTargets.size());
+  gauges["targets_unavailable"] =
+    static_cast<double>(dispatch::UnavailableTargets(mState.mDispatch));
   gauges["targets_limited"] = static_cast<double>(std::count_if(
     mState.mDispatch.mTargets.begin(),
     mState.mDispatch.mTargets.end(),
@@ -146,6 +148,9 @@
         fleet::ConfirmationAge(mState.mFleet, mNow)) {
     gauges["group_word_age_seconds"] = static_cast<double>(*age) / kSecond;
   }
+  gauges["ready"] = gateway::IsReady(mState) ? 1 : 0;
+  gauges["hosts_for_clients"] =
+    static_cast<double>(fleet::HostsForClients(fleet, mNow).size());
   gauges["in_touch"] = fleet::IsInTouch(mState.mFleet, mNow) ? 1 : 0;
   return mMetrics.Text(counters, gauges);
 }
