Test that clients of hosts without a way to any target are served like others; list it

The simulated gateways get links between hosts and targets that hang, are reset or carry open connections only, and clients that keep a directory's answer.

--- a/tests/fakes/gateway_world.cpp
+++ b/tests/fakes/gateway_world.cpp
@@ -18,6 +18,8 @@
 /// Timeouts of a probe and of a connection attempt.
 constexpr Micros kProbeTimeout = 400 * kMillisecond;
 constexpr Micros kConnectTimeout = 300 * kMillisecond;
+/// A probe on an open connection that hangs is tried again on a new one.
+constexpr Micros kHangingProbeTime = kProbeTimeout + kConnectTimeout;
 constexpr Micros kRenewInterval = 1500 * kMillisecond;
 constexpr Micros kRetryDelay = 100 * kMillisecond;
 constexpr double kServiceTimeSpread = 0.3;
@@ -393,6 +395,77 @@
   return report;
 }
 
+TargetLinks GatewayWorld::LinksOf(std::size_t aHost) const
+{
+  const auto found = mTargetLinks.find(aHost);
+  return found == mTargetLinks.end() ? TargetLinks::Intact : found->second;
+}
+
+// Requests in flight get no answer, or are reset.
+void GatewayWorld::SetTargetLinks(std::size_t aHost, TargetLinks aLinks)
+{
+  mTargetLinks[aHost] = aLinks;
+  const bool carries =
+    aLinks == TargetLinks::Intact || aLinks == TargetLinks::OnlyOpenConnections;
+  if (carries) {
+    return;
+  }
+  std::vector<std::uint64_t> cut;
+  for (const auto& [id, job] : mJobs) {
+    if (job.mHost == aHost) {
+      cut.push_back(id);
+    }
+  }
+  for (const std::uint64_t id : cut) {
+    FakeTarget& target = mTargets.at(mJobs.at(id).mTarget);
+    if (mJobs.at(id).mRunning) {
+      --target.mRunning;
+    }
+    if (aLinks == TargetLinks::Reset) {
+      dispatch::AttemptEnd end;
+      end.mKind = dispatch::EndKind::Broken;
+      end.mReason = "reset";
+      EndJob(id, end);
+    } else {
+      mJobs.erase(id);
+    }
+    StartNext(target);
+  }
+}
+
+bool GatewayWorld::HasOtherJob(const Job& aJob) const
+{
+  return std::any_of(mJobs.begin(), mJobs.end(), [&](const auto& aEntry) {
+    return &aEntry.second != &aJob && aEntry.second.mHost == aJob.mHost &&
+           aEntry.second.mTarget == aJob.mTarget;
+  });
+}
+
+bool GatewayWorld::IsLostOnLink(std::uint64_t aJob)
+{
+  const Job& job = mJobs.at(aJob);
+  const TargetLinks links = LinksOf(job.mHost);
+  if (links == TargetLinks::Intact ||
+      (links == TargetLinks::OnlyOpenConnections && !HasOtherJob(job))) {
+    return false;
+  }
+  dispatch::AttemptEnd end;
+  end.mKind = dispatch::EndKind::NotSent;
+  if (links == TargetLinks::Hanging) {
+    end.mReason = "connect_timeout";
+    Later(kConnectTimeout, [this, aJob, end] {
+      if (mJobs.count(aJob) != 0) {
+        EndJob(aJob, end);
+      }
+    });
+    return true;
+  }
+  end.mRefused = true;
+  end.mReason = "connect_failed";
+  EndJob(aJob, end);
+  return true;
+}
+
 void GatewayWorld::ArriveAtTarget(std::uint64_t aJob)
 {
   const auto found = mJobs.find(aJob);
@@ -402,6 +475,9 @@
   Job& job = found->second;
   FakeTarget& target = mTargets.at(job.mTarget);
   dispatch::AttemptEnd end;
+  if (IsLostOnLink(aJob)) {
+    return;
+  }
   if (target.mSilent) {
     Later(kConnectTimeout, [this, aJob] {
       if (mJobs.count(aJob) != 0) {
@@ -529,6 +605,81 @@
 
 // ------------------------------------------------------------------- clients
 
+// Three in ten clients keep an answer three times as long as it says.
+void GatewayWorld::UseDirectory(int aClients)
+{
+  for (int i = 0; i < aClients; ++i) {
+    DirectoryClient client;
+    client.mDataCentre = DataCentre(i, mLoad);
+    client.mKeepFactor = i % 10 < 3 ? 3 : 1;
+    mDirectoryClients.push_back(std::move(client));
+  }
+}
+
+void GatewayWorld::AskDirectory(DirectoryClient& aClient)
+{
+  std::vector<std::size_t> near;
+  for (std::size_t i = 0; i < mHosts.size(); ++i) {
+    if (mHosts[i].mAlive &&
+        mHosts[i].mSettings.mFleet.mDataCentre == aClient.mDataCentre) {
+      near.push_back(i);
+    }
+  }
+  const std::optional<std::size_t> asked =
+    near.empty() ? AnyHost() : near[mRandom() % near.size()];
+  if (!asked) {
+    return;
+  }
+  Host& host = mHosts[*asked];
+  std::vector<std::string> addresses =
+    gateway::AddressesFor(host.mState, aClient.mDataCentre, mNow);
+  if (!addresses.empty()) {
+    aClient.mAddresses = std::move(addresses);
+    aClient.mKeepUntil =
+      mNow + aClient.mKeepFactor * host.mSettings.mAnswerKeep;
+  }
+}
+
+std::optional<std::size_t> GatewayWorld::HostFor(const Client& aClient)
+{
+  if (mDirectoryClients.empty()) {
+    return AnyHost();
+  }
+  DirectoryClient& client = mDirectoryClients[aClient.mDirectoryClient];
+  if (client.mKeepUntil <= mNow || client.mAddresses.empty()) {
+    AskDirectory(client);
+  }
+  if (client.mAddresses.empty()) {
+    return std::nullopt;
+  }
+  const std::string address =
+    client.mAddresses[mRandom() % client.mAddresses.size()];
+  const auto found =
+    std::find_if(mHosts.begin(), mHosts.end(), [&](const Host& aHost) {
+      return aHost.mSettings.mFleet.mCallerAddress == address;
+    });
+  return static_cast<std::size_t>(found - mHosts.begin());
+}
+
+void GatewayWorld::RecordFirstTry(std::size_t aHost,
+                                  const Client& aClient,
+                                  int aStatus)
+{
+  if (aClient.mIsWatched) {
+    ++mFirstTries[aHost].mSent;
+    mFirstTries[aHost].mServed += aStatus == 200 ? 1 : 0;
+  }
+  if (aStatus == 200 || mDirectoryClients.empty()) {
+    return;
+  }
+  std::vector<std::string>& addresses =
+    mDirectoryClients[aClient.mDirectoryClient].mAddresses;
+  addresses.erase(std::remove(addresses.begin(),
+                              addresses.end(),
+                              mHosts[aHost].mSettings.mFleet.mCallerAddress),
+                  addresses.end());
+}
+
 void GatewayWorld::StartClients(Micros aFor)
 {
   std::exponential_distribution<double> gaps(mLoad.mPerSecond);
@@ -557,7 +708,11 @@
 {
   const bool first = aClient.mRetries == mLoad.mRetries;
   mTally.mOffered += aClient.mCounted && first ? 1 : 0;
-  const std::optional<std::size_t> alive = AnyHost();
+  if (first && !mDirectoryClients.empty()) {
+    aClient.mDirectoryClient = mRandom() % mDirectoryClients.size();
+  }
+  aClient.mIsWatched = first && aClient.mCounted && mCountsFirstTries;
+  const std::optional<std::size_t> alive = HostFor(aClient);
   if (!alive) {
     mTally.mFailed += aClient.mCounted ? 1 : 0;
     return;
@@ -587,6 +742,7 @@
   if (!client.mCounted) {
     return;
   }
+  RecordFirstTry(aHost, client, aStatus);
   const bool again = aStatus == 503 || (aStatus >= 500 && mLoad.mIdempotent);
   if (again && client.mRetries > 0) {
     --client.mRetries;
@@ -603,13 +759,18 @@
 
 void GatewayWorld::PerformOne(std::size_t aHost, dispatch::ProbeTarget& aEffect)
 {
+  const TargetLinks links = LinksOf(aHost);
+  const bool hangs = links == TargetLinks::Hanging;
+  const bool reset = links == TargetLinks::Reset;
   const bool silent = mTargets.at(aEffect.mAddress).mSilent;
-  const Micros patience = silent ? kProbeTimeout : 2 * kOneWayDelay;
-  Later(patience, [this, aHost, silent, probe = aEffect] {
+  const Micros patience = hangs    ? kHangingProbeTime
+                          : silent ? kProbeTimeout
+                                   : 2 * kOneWayDelay;
+  Later(patience, [this, aHost, silent, hangs, reset, probe = aEffect] {
     const FakeTarget& target = mTargets.at(probe.mAddress);
     dispatch::ProbeEnd end;
     end.mTarget = probe.mTarget;
-    if (target.mAlive && !silent) {
+    if (target.mAlive && !silent && !hangs && !reset) {
       end.mAnswered = true;
       end.mHealthy = true;
       end.mAnsweredBy = target.mId;
@@ -617,7 +778,7 @@
       end.mLimit =
         mProbesReportLimits ? LimitOf(target) : dispatch::StatedLimit();
     }
-    end.mRefused = !target.mAlive && !silent;
+    end.mRefused = reset || (!target.mAlive && !silent && !hangs);
     Post(aHost, std::move(end));
   });
 }
--- a/tests/fakes/gateway_world.h
+++ b/tests/fakes/gateway_world.h
@@ -52,6 +52,25 @@
   std::size_t mHostIndex = 0;
 };
 
+/// \brief What a host's links to all targets do.
+enum class TargetLinks
+{
+  Intact,
+  /// Nothing that is sent arrives, and no answer comes.
+  Hanging,
+  /// Connections are reset and new ones refused.
+  Reset,
+  /// Open connections work, one to each target; new ones are refused.
+  OnlyOpenConnections
+};
+
+/// \brief Clients' first tries at one host.
+struct FirstTries
+{
+  int mSent = 0;
+  int mServed = 0;
+};
+
 /// \brief Outcomes of the clients' requests.
 struct GatewayTally
 {
@@ -88,6 +107,9 @@
 
   /// \brief Clients request distinct paths at the configured rate.
   void StartClients(Micros aFor);
+  /// \brief From now on clients ask a host of their data centre where to
+  /// connect, keep the answer, and leave out an address that failed them.
+  void UseDirectory(int aClients);
   /// \brief Requests `aPath` from a random host at every interval `aGap`.
   void SendRepeatedly(const std::string& aPath,
                       Micros aGap,
@@ -114,6 +136,12 @@
   /// Answers to health probes announce limits as well.
   bool mProbesReportLimits = false;
 
+  /// \brief Sets what the links between this host and all targets do.
+  void SetTargetLinks(std::size_t aHost, TargetLinks aLinks);
+  /// First tries by host, counted while mCountsFirstTries.
+  std::map<std::size_t, FirstTries> mFirstTries;
+  bool mCountsFirstTries = false;
+
   /// Share of requests that targets answer with an error.
   double mErrorShare = 0;
 
@@ -191,6 +219,18 @@
     bool mCounted = false;
     int mRetries = 0;
     bool mSent = false;
+    /// Index into mDirectoryClients.
+    std::size_t mDirectoryClient = 0;
+    /// Counted in mFirstTries.
+    bool mIsWatched = false;
+  };
+  /// \brief A client with a directory's answer.
+  struct DirectoryClient
+  {
+    std::string mDataCentre;
+    int mKeepFactor = 1;
+    std::vector<std::string> mAddresses;
+    Micros mKeepUntil = 0;
   };
 
   void AddHosts();
@@ -210,6 +250,15 @@
   void PerformOne(std::size_t aHost, gateway::Persist& aEffect);
   void PerformOne(std::size_t, gateway::ExitProcess&) {}
   void EndClient(std::size_t aHost, std::uint64_t aRequest, int aStatus);
+  /// \brief The host that a client connects to, if any.
+  [[nodiscard]] std::optional<std::size_t> HostFor(const Client& aClient);
+  void AskDirectory(DirectoryClient& aClient);
+  void RecordFirstTry(std::size_t aHost, const Client& aClient, int aStatus);
+  /// \brief Handles a request whose link to the target is not intact; true if
+  /// it does not arrive.
+  [[nodiscard]] bool IsLostOnLink(std::uint64_t aJob);
+  [[nodiscard]] bool HasOtherJob(const Job& aJob) const;
+  [[nodiscard]] TargetLinks LinksOf(std::size_t aHost) const;
   void SendRequest(Client aClient);
   void BreakJobs(const std::string& aAddress, dispatch::EndKind aKind);
   void ArriveAtTarget(std::uint64_t aJob);
@@ -245,6 +294,8 @@
   std::uint64_t mAcknowledgedPolicy = 0;
   std::set<std::string> mHarmful;
   std::set<std::size_t> mFrozen;
+  std::map<std::size_t, TargetLinks> mTargetLinks;
+  std::vector<DirectoryClient> mDirectoryClients;
   std::map<std::size_t, std::vector<std::function<void()>>> mDeferred;
   std::uint64_t mLastId = 0;
 };
