Pass requests on through another host where this one reaches no target, and do not name it

Cause: a host was ready and named to clients once it had a policy and was in touch; whether it reaches a target played no part, and its own connections were the only way to one.

Change: by the silence of all that it asks a host knows that a service is lost to it, and by an answer through another host that the targets are up. Requests that nobody can have run go through another host, once; 421 says that it has no way either. A host without any way that others have is left out of directories. Targets that are down take no host out, since nobody proves them up.

--- a/include/geraniumpond/dispatch.h
+++ b/include/geraniumpond/dispatch.h
@@ -192,6 +192,17 @@
   /// Smoothed interval between dispatches while requests wait.
   double mDispatchInterval = 0;
   Micros mDispatchedAt = 0;
+  /// When a target was first asked since the last answer of any of them; 0 if
+  /// none was.
+  Micros mSilentSince = 0;
+  Micros mHeardAt = 0;
+  /// When another host last got an answer for this one.
+  Micros mServedElsewhereAt = 0;
+  /// Hosts that do not reach the targets, and until when they are not tried.
+  std::map<std::string, Micros> mAvoidedHosts;
+  /// Hosts in a row that did not reach them, and until when none is tried.
+  int mHostsWithoutWay = 0;
+  Micros mDownUntil = 0;
   /// True if requests were still waiting at the last dispatch.
   bool mWasBusy = false;
 };
@@ -236,6 +247,9 @@
   Micros mReportAge = 0;
   /// The target was still warming up.
   bool mCold = false;
+  /// Caller address of the host that the request was passed on to; empty if it
+  /// was sent to a target.
+  std::string mHost;
 };
 
 /// \brief A request from its arrival to its end.
@@ -273,6 +287,10 @@
   /// The client has its answer or has disconnected, while the attempt runs to
   /// its end.
   bool mDetached = false;
+  /// Another host passed it on to this one.
+  bool mIsRelayed = false;
+  /// Hosts that it was passed on to.
+  std::set<std::string> mHostsTried;
 };
 
 /// \brief A client's request that has been read completely.
@@ -287,6 +305,9 @@
   std::uint64_t mContentDigest = 0;
   /// Timeout that the client states; 0 if none.
   Micros mPatience = 0;
+  /// Time that it spent at the host that passed it on; none if it comes from a
+  /// client.
+  std::optional<Micros> mRelayedAfter;
 };
 
 /// \brief A request that arrived before the first policy.
@@ -322,6 +343,18 @@
   bool mProvenConnection = false;
 };
 
+/// \brief Pass a request on to another host.
+struct RelayRequest
+{
+  std::uint64_t mRequest = 0;
+  std::uint64_t mAttempt = 0;
+  /// Caller address of the host.
+  std::string mAddress;
+  Micros mDeadline = 0;
+  /// Time that it spent at this host.
+  Micros mElapsed = 0;
+};
+
 /// \brief Cancel an attempt: close its connection.
 struct CancelAttempt
 {
@@ -365,7 +398,8 @@
                             DeliverAnswer,
                             ReplyToClient,
                             SendFact,
-                            LogLine>;
+                            LogLine,
+                            RelayRequest>;
 using Effects = std::vector<Effect>;
 
 // -------------------------------------------------------------------- events
@@ -406,7 +440,8 @@
   bool mRefused = false;
   /// The target states that it did not run the request.
   bool mNotRun = false;
-  /// Another target uses the address now.
+  /// Another target uses the address now, or the host that the request was
+  /// passed on to does not reach its service.
   bool mMisdirected = false;
   std::uint64_t mBytes = 0;
   std::optional<Report> mReport;
@@ -430,6 +465,16 @@
   double mLinkBytesPerSecond = 125e6;
 };
 
+/// \brief Whether this host reaches the targets of any service.
+struct Reach
+{
+  Micros mCheckedAt = 0;
+  /// Since when no service has been silent; 0 while one is.
+  Micros mHeardSince = 0;
+  /// It reaches no target, while another host does.
+  bool mCutOff = false;
+};
+
 /// \brief Counters published as metrics.
 using Counters = std::map<std::string, std::uint64_t>;
 
@@ -464,6 +509,10 @@
   quarantine::State mQuarantine;
   /// The hosts that divide rate limits among themselves; empty while unknown.
   rate_share::Members mLimitHosts;
+  Reach mReach;
+  /// Caller addresses of the hosts that requests may be passed on to; kept up
+  /// to date while AwaitsAnyAnswer().
+  std::vector<std::string> mRelayHosts;
   /// Limits of targets that are not known yet.
   std::map<std::string, gossip::Item> mEarlyLimits;
   Counters mCounters;
@@ -537,6 +586,25 @@
 /// \brief Earliest time at which Tick() has work to do.
 [[nodiscard]] Micros NextTick(const State& aState) noexcept;
 
+/// \brief Updates what this host knows of its way to the targets; true when
+/// enough time has passed since the last update.
+bool UpdateReach(State& aState, Micros aNow, Effects& aOut);
+
+/// \brief Called before each event: silence during which this host did not run
+/// says nothing about the targets.
+void IgnoreOwnDelay(State& aState, Micros aNow) noexcept;
+
+/// \brief True if this host reaches no target, while another host does.
+[[nodiscard]] bool IsCutOff(const State& aState) noexcept;
+
+/// \brief True while a target has been asked and none of its service has
+/// answered since.
+[[nodiscard]] bool AwaitsAnyAnswer(const State& aState) noexcept;
+
+/// \brief Number of services that this host does not reach.
+[[nodiscard]] std::size_t SilentServices(const State& aState,
+                                         Micros aNow) noexcept;
+
 /// \brief Number of targets that get no requests until a probe succeeds.
 [[nodiscard]] std::size_t UnavailableTargets(const State& aState) noexcept;
 
--- a/include/geraniumpond/fleet.h
+++ b/include/geraniumpond/fleet.h
@@ -59,6 +59,8 @@
   /// At a control host: other control hosts have not been told yet that
   /// mReportedBy changed.
   bool mReporterUnshared = false;
+  /// It reaches no target, while other hosts do.
+  bool mCutOff = false;
 };
 
 /// \brief Digests of the known hosts by data centre.
@@ -386,6 +388,7 @@
   GroupDegradation mGroupDegradation;
   bool mReady = false;
   bool mStopping = false;
+  bool mCutOff = false;
 };
 
 /// \brief Initial members of a group founded by the seeds; the ids are the same
@@ -440,6 +443,10 @@
 /// \brief Sets whether this host accepts clients, and announces it.
 void SetReady(State& aState, Micros aNow, bool aReady, Output& aOut);
 
+/// \brief Sets whether this host reaches no target while others do, and
+/// announces it.
+void SetCutOff(State& aState, Micros aNow, bool aCutOff, Output& aOut);
+
 /// \brief Announces that this host is leaving, and transfers leadership.
 void BeginStop(State& aState, Micros aNow, Output& aOut);
 
--- a/src/dispatch/ends.cpp
+++ b/src/dispatch/ends.cpp
@@ -1,4 +1,5 @@
-#include "internal.h"
+#include "reach.h"
+#include "relay.h"
 
 #include <algorithm>
 
@@ -88,24 +89,6 @@
   }
 }
 
-void Deliver(State& aState,
-             Micros aNow,
-             Request& aRequest,
-             const Attempt& aAttempt,
-             const AttemptEnd& aEnd,
-             Effects& aOut)
-{
-  Log(aOut,
-      aEnd.mStatus < kServerError ? 1 : 2,
-      "event=answered status=" + std::to_string(aEnd.mStatus) +
-        Describe(aState, aRequest, aNow) + " target=" + aAttempt.mTarget);
-  ++aState.mCounters["answers_delivered"];
-  aOut.emplace_back(DeliverAnswer{ aRequest.mId, aAttempt.mNumber });
-  RemoveAttempt(aRequest, aAttempt.mNumber);
-  CancelAttempts(aState, aRequest, aOut);
-  RemoveRequest(aState, aRequest.mId);
-}
-
 // True when it is certain that the target did not run the request.
 bool DidNotRun(const AttemptEnd& aEnd)
 {
@@ -148,6 +131,9 @@
   } else {
     target.mSentSinceReport = std::max(0, target.mSentSinceReport - 1);
   }
+  if (aEnd.mKind == EndKind::Answered) {
+    RecordSign(aState, aState.mServices[target.mService], aNow, aOut);
+  }
   if (aEnd.mKind == EndKind::Answered && !aEnd.mMisdirected) {
     UpdateLimit(aState, aNow, target, aAttempt, aEnd, aOut);
   }
@@ -188,6 +174,24 @@
 
 } // namespace
 
+void Deliver(State& aState,
+             Micros aNow,
+             Request& aRequest,
+             const Attempt& aAttempt,
+             const AttemptEnd& aEnd,
+             Effects& aOut)
+{
+  Log(aOut,
+      aEnd.mStatus < kServerError ? 1 : 2,
+      "event=answered status=" + std::to_string(aEnd.mStatus) +
+        Describe(aState, aRequest, aNow) + " target=" + aAttempt.mTarget);
+  ++aState.mCounters["answers_delivered"];
+  aOut.emplace_back(DeliverAnswer{ aRequest.mId, aAttempt.mNumber });
+  RemoveAttempt(aRequest, aAttempt.mNumber);
+  CancelAttempts(aState, aRequest, aOut);
+  RemoveRequest(aState, aRequest.mId);
+}
+
 void HandleAttemptEnd(State& aState,
                       Micros aNow,
                       const AttemptEnd& aEnd,
@@ -206,6 +210,10 @@
   UpdateTarget(aState, aNow, attempt, aEnd, aOut);
   aState.mLargeBytes -= attempt.mLargeBytes;
   RemoveAttempt(request, attempt.mNumber);
+  if (!attempt.mHost.empty() && !request.mDetached) {
+    HandleRelayEnd(aState, aNow, request, attempt, aEnd, aOut);
+    return;
+  }
   if (aEnd.mKind == EndKind::Broken) {
     HandleBrokenAnswer(aState, aNow, request, attempt, aEnd, aOut);
   } else if (!DidNotRun(aEnd) && aEnd.mStatus < kServerError) {
--- a/src/dispatch/extra.cpp
+++ b/src/dispatch/extra.cpp
@@ -34,6 +34,13 @@
   ++Current(aWindow, aBounds.mExtraWindow, aNow).mRequests;
 }
 
+void UncountRequest(ExtraWindow& aWindow) noexcept
+{
+  if (!aWindow.mSlices.empty() && aWindow.mSlices.back().mRequests > 0) {
+    --aWindow.mSlices.back().mRequests;
+  }
+}
+
 bool TakeExtra(const State& aState, ExtraWindow& aWindow, Micros aNow)
 {
   const Bounds& bounds = aState.mBounds;
--- a/src/dispatch/internal.h
+++ b/src/dispatch/internal.h
@@ -74,6 +74,8 @@
 
 // --- extra.cpp: the budget of extra attempts
 void CountRequest(ExtraWindow& aWindow, const Bounds& aBounds, Micros aNow);
+/// \brief Takes the latest counted request back, which another host sends.
+void UncountRequest(ExtraWindow& aWindow) noexcept;
 /// \brief Takes one extra attempt from this host's share of the budget; false
 /// when it is spent.
 [[nodiscard]] bool TakeExtra(const State& aState,
@@ -122,6 +124,20 @@
                                   const Request& aRequest);
 /// \brief Delay after which a refused client should retry.
 [[nodiscard]] Micros RetryAfter(State& aState, Micros aExpectedWait);
+/// \brief Delay after which the client of a request that cannot be on time any
+/// more should retry, when the load may have dropped.
+[[nodiscard]] Micros RetryDelay(State& aState,
+                                const Request& aRequest,
+                                Micros aNow);
+
+// --- ends.cpp
+/// \brief Forwards an attempt's answer to the client and removes the request.
+void Deliver(State& aState,
+             Micros aNow,
+             Request& aRequest,
+             const Attempt& aAttempt,
+             const AttemptEnd& aEnd,
+             Effects& aOut);
 
 // --- crashes.cpp: targets that end, and the requests they were running
 void HandleBrokenAnswer(State& aState,
--- a/src/dispatch/probing.cpp
+++ b/src/dispatch/probing.cpp
@@ -1,4 +1,4 @@
-#include "internal.h"
+#include "reach.h"
 
 #include <algorithm>
 #include <cmath>
@@ -138,6 +138,7 @@
   aTarget.mProbing = true;
   aTarget.mProbeSentAt = aNow;
   aTarget.mSentSinceReport = 0;
+  RecordQuestion(aState.mServices[aTarget.mService], aNow);
   ++aState.mCounters["probes"];
   aOut.emplace_back(
     ProbeTarget{ aTarget.mId,
--- /dev/null
+++ b/src/dispatch/relay.cpp
@@ -0,0 +1,158 @@
+#include "relay.h"
+
+#include "reach.h"
+
+#include <algorithm>
+
+// Only requests that nobody can have run are passed on, and those that were
+// passed on are not passed on again: the other host sends at most as many
+// attempts as the route allows. What it says counts as it says it: run, not run
+// or unknown.
+namespace geraniumpond::dispatch {
+
+namespace {
+
+/// Hosts that one request is passed on to, one after the other; each but the
+/// last does not reach the service either, which costs a round trip.
+constexpr std::size_t kMaxHosts = 8;
+/// A host that does not reach a service, or is not reached itself, is not tried
+/// again for this long.
+constexpr Micros kAvoidFor = 2 * kSecond;
+/// After this many hosts in a row that do not reach a service, its targets are
+/// taken to be down for this long.
+constexpr int kMaxHostsWithoutWay = 16;
+constexpr Micros kDownFor = 1 * kSecond;
+constexpr int kServerError = 500;
+constexpr int kUnavailable = 503;
+constexpr int kBadGateway = 502;
+
+bool IsAvoided(const Service& aService, const std::string& aHost, Micros aNow)
+{
+  const auto found = aService.mAvoidedHosts.find(aHost);
+  return found != aService.mAvoidedHosts.end() && aNow < found->second;
+}
+
+// A random one, so that the hosts that reach the service share the load.
+std::string PickHost(State& aState,
+                     const Service& aService,
+                     const Request& aRequest,
+                     Micros aNow)
+{
+  std::string picked;
+  std::uint64_t candidates = 0;
+  for (const std::string& host : aState.mRelayHosts) {
+    if (aRequest.mHostsTried.count(host) != 0 ||
+        IsAvoided(aService, host, aNow)) {
+      continue;
+    }
+    ++candidates;
+    if (NextRandom(aState) % candidates == 0) {
+      picked = host;
+    }
+  }
+  return picked;
+}
+
+void AvoidHost(Service& aService, const std::string& aHost, Micros aNow)
+{
+  for (auto it = aService.mAvoidedHosts.begin();
+       it != aService.mAvoidedHosts.end();) {
+    it = it->second <= aNow ? aService.mAvoidedHosts.erase(it) : std::next(it);
+  }
+  aService.mAvoidedHosts[aHost] = aNow + kAvoidFor;
+  if (++aService.mHostsWithoutWay >= kMaxHostsWithoutWay) {
+    aService.mHostsWithoutWay = 0;
+    aService.mDownUntil = aNow + kDownFor;
+  }
+}
+
+} // namespace
+
+bool CanPassOn(const Request& aRequest)
+{
+  return !aRequest.mIsRelayed && !aRequest.mMayHaveRun && aRequest.mSent == 0 &&
+         aRequest.mAttempts.empty() && aRequest.mHostsTried.size() < kMaxHosts;
+}
+
+bool PassOn(State& aState, Micros aNow, Request& aRequest, Effects& aOut)
+{
+  Service& service = aState.mServices[aRequest.mService];
+  if (aNow < service.mDownUntil) {
+    return false;
+  }
+  const std::string host = PickHost(aState, service, aRequest, aNow);
+  if (host.empty()) {
+    return false;
+  }
+  StopWaiting(aState, aRequest);
+  // It counts where it is sent from.
+  if (aRequest.mHostsTried.empty()) {
+    UncountRequest(service.mExtra);
+  }
+  Attempt attempt;
+  attempt.mNumber = ++aState.mLastAttempt;
+  attempt.mHost = host;
+  attempt.mSentAt = aNow;
+  ++aRequest.mSent;
+  aRequest.mHostsTried.insert(host);
+  aRequest.mHedging = false;
+  aRequest.mHedgeAt = 0;
+  ++aState.mCounters["relays_sent"];
+  Log(aOut,
+      1,
+      "event=passed_on to=" + host + Describe(aState, aRequest, aNow) +
+        " silent_ms=" +
+        Milliseconds(service.mSilentSince == 0 ? 0
+                                               : aNow - service.mSilentSince));
+  aOut.emplace_back(RelayRequest{ aRequest.mId,
+                                  attempt.mNumber,
+                                  host,
+                                  aRequest.mDeadline,
+                                  aNow - aRequest.mArrivedAt });
+  aRequest.mAttempts.push_back(std::move(attempt));
+  SetTimer(aState, aRequest);
+  return true;
+}
+
+void HandleRelayEnd(State& aState,
+                    Micros aNow,
+                    Request& aRequest,
+                    const Attempt& aAttempt,
+                    const AttemptEnd& aEnd,
+                    Effects& aOut)
+{
+  Service& service = aState.mServices[aRequest.mService];
+  if (aEnd.mKind == EndKind::NotSent || aEnd.mMisdirected) {
+    --aRequest.mSent;
+    AvoidHost(service, aAttempt.mHost, aNow);
+    ++aState.mCounters["relays_without_way"];
+    if (!CanPassOn(aRequest) || !PassOn(aState, aNow, aRequest, aOut)) {
+      RetryElsewhere(aState, aNow, aRequest, "no_way_through_host", aOut);
+    }
+    return;
+  }
+  if (aEnd.mKind == EndKind::Answered && aEnd.mNotRun) {
+    Refuse(aState,
+           aNow,
+           aRequest.mId,
+           kUnavailable,
+           RetryDelay(aState, aRequest, aNow),
+           "refused_by_host",
+           aOut);
+    return;
+  }
+  if (aEnd.mKind == EndKind::Broken) {
+    aRequest.mMayHaveRun = true;
+    AvoidHost(service, aAttempt.mHost, aNow);
+    Refuse(aState, aNow, aRequest.mId, kBadGateway, 0, "host_broke_off", aOut);
+    return;
+  }
+  service.mHostsWithoutWay = 0;
+  if (aEnd.mStatus < kServerError) {
+    RecordServedElsewhere(service, aNow);
+    RecordAnswer(aState, aNow, aRequest.mIdentity, aOut);
+  }
+  Deliver(aState, aNow, aRequest, aAttempt, aEnd, aOut);
+}
+
+} // namespace geraniumpond::dispatch
--- a/src/dispatch/requests.cpp
+++ b/src/dispatch/requests.cpp
@@ -1,4 +1,4 @@
-#include "internal.h"
+#include "relay.h"
 
 #include <geraniumpond/hash.h>
 
@@ -280,6 +280,11 @@
                             aRequest.mConnectFailures < kMaxConnectFailures;
   const Need need = NeedOf(aState, aRequest);
   const bool timeLeft = aNow + need.mWork < aRequest.mDeadline;
+  // Connections to several targets failed, though some may carry others.
+  if (!attemptsLeft && CanPassOn(aRequest) &&
+      PassOn(aState, aNow, aRequest, aOut)) {
+    return;
+  }
   if (!repeatable || !attemptsLeft || !timeLeft) {
     Refuse(aState,
            aNow,
@@ -330,7 +335,14 @@
     QueueUnrouted(aState, aNow, aArrival, aOut);
     return;
   }
-  Admit(aState, aNow, aNow, aArrival, aOut);
+  if (!aArrival.mRelayedAfter) {
+    Admit(aState, aNow, aNow, aArrival, aOut);
+    return;
+  }
+  Arrival relayed = aArrival;
+  relayed.mPatience += aArrival.mPatience > 0 ? *aArrival.mRelayedAfter : 0;
+  ++aState.mCounters["relayed_requests"];
+  Admit(aState, aNow, aNow - *aArrival.mRelayedAfter, relayed, aOut);
 }
 
 void Admit(State& aState,
@@ -355,6 +367,7 @@
   request.mPriority = route->mPriority;
   request.mMaxAttempts = route->mAttempts;
   request.mArrivedAt = aArrivedAt;
+  request.mIsRelayed = aArrival.mRelayedAfter.has_value();
   request.mObjectiveAt = aArrivedAt + route->mObjective;
   request.mDeadline = aArrivedAt + route->mTimeout;
   if (aArrival.mPatience > 0) {
@@ -368,7 +381,9 @@
     request.mObjectiveAt = aArrivedAt;
     ++aState.mCounters["returns_seen"];
   }
-  LearnPatience(patience, aArrival.mPatience, route->mObjective);
+  if (!request.mIsRelayed) {
+    LearnPatience(patience, aArrival.mPatience, route->mObjective);
+  }
   Service& service = aState.mServices[request.mService];
   CountRequest(service.mExtra, aState.mBounds, aNow);
   if (service.mTargets.empty()) {
@@ -379,7 +394,7 @@
   const quarantine::Verdict verdict =
     JudgeQuarantine(aState, request.mIdentity, request.mService, aNow);
   const bool assignedElsewhere =
-    verdict == quarantine::Verdict::OnTrial &&
+    verdict == quarantine::Verdict::OnTrial && !request.mIsRelayed &&
     !rate_share::IsFirst(aState.mLimitHosts, Hexadecimal(request.mIdentity));
   if (verdict == quarantine::Verdict::Quarantined || assignedElsewhere) {
     // The quarantine outlasts the client's timeout, so no Retry-After is given.
--- a/src/dispatch/targets.cpp
+++ b/src/dispatch/targets.cpp
@@ -1,4 +1,4 @@
-#include "internal.h"
+#include "reach.h"
 
 #include <geraniumpond/hash.h>
 
@@ -287,6 +287,9 @@
   target.mProbing = false;
   const bool otherTarget =
     !aEnd.mAnsweredBy.empty() && aEnd.mAnsweredBy != target.mName;
+  if (aEnd.mAnswered) {
+    RecordSign(aState, aState.mServices[service], aNow, aOut);
+  }
   if (!aEnd.mAnswered && aEnd.mRefused) {
     HandleTargetEnd(aState, aNow, target, aOut);
     MarkUnavailable(aState, aNow, target, "probe_refused", aOut);
--- a/src/dispatch/unrouted.cpp
+++ b/src/dispatch/unrouted.cpp
@@ -41,7 +41,10 @@
 // A 404 states that the route does not exist, and clients do not retry it.
 void RefuseUnknownRoute(State& aState, const Arrival& aArrival, Effects& aOut)
 {
-  if (aState.mPolicyMayBeOutdated) {
+  if (aArrival.mRelayedAfter) {
+    // The host that passed it on knows a route for it.
+    RefuseArrival(aState, aArrival, 421, 0, "no_route_for_relay", aOut);
+  } else if (aState.mPolicyMayBeOutdated) {
     RefuseArrival(
       aState, aArrival, 503, kNoPolicyRetryDelay, "policy_may_be_old", aOut);
   } else {
--- a/src/dispatch/waiting.cpp
+++ b/src/dispatch/waiting.cpp
@@ -1,4 +1,6 @@
 #include "choice.h"
+#include "reach.h"
+#include "relay.h"
 
 #include <algorithm>
 
@@ -22,6 +24,8 @@
 /// A refused client retries after this fraction (1/n) of the time that it has
 /// left, so that enough is left for the work.
 constexpr Micros kRetryDelayDivisor = 3;
+constexpr int kMisdirected = 421;
+constexpr int kUnavailable = 503;
 
 bool IsAwaitingProbes(const State& aState, const Request& aRequest, Micros aNow)
 {
@@ -147,11 +151,32 @@
   SendTo(aState, aNow, aRequest, aTarget, aOut);
 }
 
-// The request cannot be on time any more: its client retries when the load may
-// have dropped.
-Micros RetryDelay(const Request& aRequest, Micros aNow)
+// Passes a request on that targets of a silent service cannot get, or refuses
+// it; false if it waits for them.
+bool LeaveSilentService(State& aState,
+                        Micros aNow,
+                        Request& aRequest,
+                        Effects& aOut)
 {
-  return (aRequest.mDeadline - aNow) / kRetryDelayDivisor;
+  const Service& service = aState.mServices[aRequest.mService];
+  if (!IsSilent(service, aNow) || aRequest.mMayHaveRun ||
+      !aRequest.mAttempts.empty()) {
+    return false;
+  }
+  if (CanPassOn(aRequest) && PassOn(aState, aNow, aRequest, aOut)) {
+    return true;
+  }
+  if (!aRequest.mIsRelayed && !IsLost(service, aNow)) {
+    return false;
+  }
+  Refuse(aState,
+         aNow,
+         aRequest.mId,
+         aRequest.mIsRelayed ? kMisdirected : kUnavailable,
+         RetryDelay(aState, aRequest, aNow),
+         "service_unreached",
+         aOut);
+  return true;
 }
 
 // Sends, refuses or keeps one waiting request.
@@ -162,7 +187,8 @@
                   const Need& aNeed,
                   Effects& aOut)
 {
-  if (IsAwaitingProbes(aState, aRequest, aNow)) {
+  if (LeaveSilentService(aState, aNow, aRequest, aOut) ||
+      IsAwaitingProbes(aState, aRequest, aNow)) {
     return;
   }
   const Choice choice = Choose(aState, aCache, aRequest, aNeed, aNow);
@@ -204,7 +230,7 @@
              aNow,
              aRequest.mId,
              aRequest.mMayHaveRun ? 502 : 503,
-             RetryAfter(aState, RetryDelay(aRequest, aNow)),
+             RetryDelay(aState, aRequest, aNow),
              choice.mVerdict == Verdict::OutOfTime ? "deadline_out_of_reach"
                                                    : "no_target",
              aOut);
@@ -240,6 +266,11 @@
          static_cast<Micros>(NextUniform(aState) * static_cast<double>(mean));
 }
 
+Micros RetryDelay(State& aState, const Request& aRequest, Micros aNow)
+{
+  return RetryAfter(aState, (aRequest.mDeadline - aNow) / kRetryDelayDivisor);
+}
+
 void StartWaiting(State& aState, Micros aNow, Request& aRequest, Effects& aOut)
 {
   Service& service = aState.mServices[aRequest.mService];
--- a/src/fleet/fleet.cpp
+++ b/src/fleet/fleet.cpp
@@ -45,9 +45,9 @@
 {
   const Settings& settings = aState.mSettings;
   Host& own = aState.mHosts[settings.mPeerAddress];
-  const bool changed = own.mReady != aState.mReady ||
-                       own.mStopping != aState.mStopping ||
-                       own.mPeerAddress.empty();
+  const bool changed =
+    own.mReady != aState.mReady || own.mStopping != aState.mStopping ||
+    own.mCutOff != aState.mCutOff || own.mPeerAddress.empty();
   own.mPeerAddress = settings.mPeerAddress;
   own.mCallerAddress = settings.mCallerAddress;
   own.mDataCentre = settings.mDataCentre;
@@ -55,6 +55,7 @@
   own.mControl = settings.mControl;
   own.mReady = aState.mReady;
   own.mStopping = aState.mStopping;
+  own.mCutOff = aState.mCutOff;
   own.mHeardAt = aNow;
   own.mSequence = changed ? ++aState.mHostsSequence : own.mSequence;
 }
@@ -244,6 +245,17 @@
   PublishHostChanges(aState, aNow, aOut);
 }
 
+void SetCutOff(State& aState, Micros aNow, bool aCutOff, Output& aOut)
+{
+  if (aState.mCutOff == aCutOff) {
+    return;
+  }
+  aState.mCutOff = aCutOff;
+  RefreshOwnHost(aState, aNow);
+  SendReports(aState, aNow, aOut);
+  PublishHostChanges(aState, aNow, aOut);
+}
+
 void BeginStop(State& aState, Micros aNow, Output& aOut)
 {
   if (aState.mStopping) {
@@ -257,6 +269,22 @@
   TransferLeadership(aState, aNow, aOut);
 }
 
+namespace {
+
+// Where no host reaches a target, all are named.
+void LeaveOutCutOff(std::vector<const Host*>& aHosts)
+{
+  const auto connected =
+    std::stable_partition(aHosts.begin(), aHosts.end(), [](const Host* aHost) {
+      return !aHost->mCutOff;
+    });
+  if (connected != aHosts.begin()) {
+    aHosts.erase(connected, aHosts.end());
+  }
+}
+
+} // namespace
+
 // After a loss of all hosts the control hosts are ready first, since they have
 // the policy on their disks. If they were named alone, all clients would go to
 // them, they would have no processor time left for the group, and without a
@@ -267,6 +295,7 @@
 {
   std::vector<const Host*> hosts = ReadyHosts(aState, aNow);
   if (!AreHostsInDoubt(aState, aNow)) {
+    LeaveOutCutOff(hosts);
     return hosts;
   }
   const std::string& self = aState.mSettings.mPeerAddress;
--- a/src/fleet/hosts.cpp
+++ b/src/fleet/hosts.cpp
@@ -24,7 +24,10 @@
 {
   const std::uint64_t state =
     (aHost.mReady ? 1 : 0) + (aHost.mStopping ? 2 : 0);
-  return Hash64(aHost.mPeerAddress, aHost.mIncarnation * 4 + state);
+  const std::uint64_t digest =
+    Hash64(aHost.mPeerAddress, aHost.mIncarnation * 4 + state);
+  // Hosts of earlier versions do not know of it.
+  return aHost.mCutOff ? Hash64("cut_off", digest) : digest;
 }
 
 // Only the last reporter of a host can tell that it is gone.
@@ -139,7 +142,7 @@
 {
   return aLeft.mIncarnation == aRight.mIncarnation &&
          aLeft.mReady == aRight.mReady && aLeft.mStopping == aRight.mStopping &&
-         aLeft.mGone == aRight.mGone &&
+         aLeft.mGone == aRight.mGone && aLeft.mCutOff == aRight.mCutOff &&
          aLeft.mCallerAddress == aRight.mCallerAddress;
 }
 
@@ -154,6 +157,7 @@
   host.set_stopping(aHost.mStopping);
   host.set_gone(aHost.mGone);
   host.set_control(aHost.mControl);
+  host.set_cut_off(aHost.mCutOff);
   const Micros age = std::max<Micros>(0, aNow - aHost.mHeardAt);
   host.set_age_ms(static_cast<std::uint32_t>(age / kMillisecond));
   return host;
@@ -171,7 +175,9 @@
            "",
            0,
            aHost.gone(),
-           aHost.control() };
+           aHost.control(),
+           false,
+           aHost.cut_off() };
 }
 
 // Excludes the asking host, whose own report may still be under way.
--- a/src/frontend/dialect.h
+++ b/src/frontend/dialect.h
@@ -29,6 +29,9 @@
   /// In an answer: running and waiting requests, slots, and the current
   /// duration of requests as a percentage of the usual one.
   std::string mLoad;
+  /// Milliseconds that a request spent at the host that passed it on to this
+  /// one; not forwarded to targets.
+  std::string mRelayedAfter = "Relayed-After-Ms";
   /// In an answer: requests per second that the target accepts from all hosts
   /// together.
   std::string mLimit;
--- a/src/frontend/gateway_calls.cpp
+++ b/src/frontend/gateway_calls.cpp
@@ -96,6 +96,9 @@
   gauges["targets"] = static_cast<double>(mState.mDispatch.mTargets.size());
   gauges["targets_unavailable"] =
     static_cast<double>(dispatch::UnavailableTargets(mState.mDispatch));
+  gauges["services_silent"] =
+    static_cast<double>(dispatch::SilentServices(mState.mDispatch, mNow));
+  gauges["cut_off"] = dispatch::IsCutOff(mState.mDispatch) ? 1 : 0;
   gauges["targets_limited"] = static_cast<double>(std::count_if(
     mState.mDispatch.mTargets.begin(),
     mState.mDispatch.mTargets.end(),
--- a/src/frontend/gateway_effects.cpp
+++ b/src/frontend/gateway_effects.cpp
@@ -13,6 +13,8 @@
 /// Targets get a deadline this much before the client's, which leaves time to
 /// return the answer.
 constexpr Micros kReturnMargin = 2 * kMillisecond;
+constexpr int kMisdirected = 421;
+constexpr int kUnavailable = 503;
 
 // Seconds with a fractional part, which the clients accept.
 std::string RetryAfterText(Micros aTime)
@@ -23,9 +25,10 @@
   return text;
 }
 
+// `aExtraField` names the target, or says that the request is passed on.
 std::string RequestBytes(const HttpRequest& aRequest,
                          const FieldNames& aNames,
-                         const std::string& aTarget,
+                         const std::string& aExtraField,
                          Micros aTimeout)
 {
   std::string out;
@@ -40,6 +43,7 @@
     }
     if (IsHopByHopField(aRequest.mFields, name) ||
         EqualIgnoringCase(name, aNames.mTimeout) ||
+        EqualIgnoringCase(name, aNames.mRelayedAfter) ||
         EqualIgnoringCase(name, aNames.mExpectedTarget)) {
       continue;
     }
@@ -47,7 +51,7 @@
   }
   const Micros left = std::max<Micros>(1, aTimeout / kMillisecond);
   out += aNames.mTimeout + ": " + std::to_string(left) + "\r\n";
-  out += aNames.mExpectedTarget + ": " + aTarget + "\r\n";
+  out += aExtraField + "\r\n";
   if (framed) {
     out += "Content-Length: " + std::to_string(aRequest.mBody.size()) + "\r\n";
   }
@@ -65,26 +69,70 @@
 
 void GatewayProcess::PerformOne(dispatch::SendRequest& aEffect)
 {
-  const auto found = mExchanges.find(aEffect.mRequest);
-  if (found == mExchanges.end()) {
-    return;
-  }
-  const HttpRequest& request = found->second.mRequest;
-  const std::string* id =
-    FindField(request.mFields, mDialect.mFieldNames.mRequestId);
   OutboundRequest outbound;
   outbound.mRequest = aEffect.mRequest;
   outbound.mAttempt = aEffect.mAttempt;
   outbound.mTarget = aEffect.mTarget;
   outbound.mAddress = aEffect.mAddress;
-  outbound.mBytes = RequestBytes(request,
-                                 mDialect.mFieldNames,
-                                 aEffect.mTargetName,
-                                 aEffect.mDeadline - mNow - kReturnMargin);
-  outbound.mRequestId = id == nullptr ? "" : *id;
-  outbound.mHeadOnly = request.mMethod == "HEAD";
   outbound.mProvenConnection = aEffect.mProvenConnection;
-  mTargets.Send(std::move(outbound));
+  Send(std::move(outbound),
+       mDialect.mFieldNames.mExpectedTarget + ": " + aEffect.mTargetName,
+       aEffect.mDeadline);
+}
+
+void GatewayProcess::PerformOne(dispatch::RelayRequest& aEffect)
+{
+  OutboundRequest outbound;
+  outbound.mRequest = aEffect.mRequest;
+  outbound.mAttempt = aEffect.mAttempt;
+  outbound.mTarget = aEffect.mAddress;
+  outbound.mAddress = aEffect.mAddress;
+  outbound.mProvenConnection = true;
+  Send(std::move(outbound),
+       mDialect.mFieldNames.mRelayedAfter + ": " +
+         std::to_string(aEffect.mElapsed / kMillisecond),
+       aEffect.mDeadline);
+}
+
+void GatewayProcess::Send(OutboundRequest aOutbound,
+                          const std::string& aExtraField,
+                          Micros aDeadline)
+{
+  const auto found = mExchanges.find(aOutbound.mRequest);
+  if (found == mExchanges.end()) {
+    return;
+  }
+  const HttpRequest& request = found->second.mRequest;
+  const std::string* id =
+    FindField(request.mFields, mDialect.mFieldNames.mRequestId);
+  aOutbound.mBytes = RequestBytes(request,
+                                  mDialect.mFieldNames,
+                                  aExtraField,
+                                  aDeadline - mNow - kReturnMargin);
+  aOutbound.mRequestId = id == nullptr ? "" : *id;
+  aOutbound.mHeadOnly = request.mMethod == "HEAD";
+  mTargets.Send(std::move(aOutbound));
+}
+
+// The host that passed a request on tells this host's own answers from those of
+// targets by the same fields as a target's.
+void GatewayProcess::MarkForRelay(std::uint64_t aExchange,
+                                  HttpResponse& aResponse) const
+{
+  const auto found = mExchanges.find(aExchange);
+  const FieldNames& names = mDialect.mFieldNames;
+  if (found == mExchanges.end() || FindField(found->second.mRequest.mFields,
+                                             names.mRelayedAfter) == nullptr) {
+    return;
+  }
+  const std::string* id =
+    FindField(found->second.mRequest.mFields, names.mRequestId);
+  if (id != nullptr) {
+    aResponse.mFields.emplace_back(names.mRequestId, *id);
+  }
+  if (aResponse.mStatus == kUnavailable || aResponse.mStatus == kMisdirected) {
+    aResponse.mFields.emplace_back(names.mNotRun, "1");
+  }
 }
 
 void GatewayProcess::PerformOne(dispatch::CancelAttempt& aEffect)
@@ -109,6 +157,7 @@
     response.mFields.emplace_back("Retry-After",
                                   RetryAfterText(aEffect.mRetryAfter));
   }
+  MarkForRelay(aEffect.mRequest, response);
   RespondToClient(aEffect.mRequest, response);
 }
 
--- a/src/frontend/gateway_process.cpp
+++ b/src/frontend/gateway_process.cpp
@@ -31,6 +31,9 @@
 /// most. The two are equal, so that the loop keeps half of the time.
 constexpr Micros kYieldInterval = 40 * kMillisecond;
 constexpr Micros kMaxYield = 40 * kMillisecond;
+/// Longest time at another host that is believed: the longest timeout of a
+/// route.
+constexpr Micros kLongestRelayTime = 600 * kSecond;
 constexpr double kBytesPerMegabit = 125000;
 
 Micros SteadyNow()
@@ -90,6 +93,14 @@
         Poco::NumberParser::tryParse64(*timeout, milliseconds)) {
       arrival.mPatience = std::max<Micros>(1, milliseconds * kMillisecond);
     }
+    const std::string* relayed =
+      FindField(aRequest.mFields, names.mRelayedAfter);
+    if (relayed != nullptr &&
+        Poco::NumberParser::tryParse64(*relayed, milliseconds)) {
+      arrival.mRelayedAfter =
+        std::clamp<Micros>(milliseconds, 0, kLongestRelayTime / kMillisecond) *
+        kMillisecond;
+    }
     Exchange& exchange = mProcess.mExchanges[aExchange];
     exchange.mRequest = std::move(aRequest);
     exchange.mArrivedAt = mProcess.mNow;
--- a/src/frontend/gateway_process.h
+++ b/src/frontend/gateway_process.h
@@ -72,6 +72,7 @@
   void Perform(gateway::Effects aEffects);
   void PerformOne(dispatch::ProbeTarget& aEffect);
   void PerformOne(dispatch::SendRequest& aEffect);
+  void PerformOne(dispatch::RelayRequest& aEffect);
   void PerformOne(dispatch::CancelAttempt& aEffect);
   void PerformOne(dispatch::DeliverAnswer& aEffect);
   void PerformOne(dispatch::ReplyToClient& aEffect);
@@ -97,6 +98,10 @@
   [[nodiscard]] std::string MetricsText();
   [[nodiscard]] Micros Now() const;
   [[nodiscard]] std::uint64_t NextRandom();
+  void Send(OutboundRequest aOutbound,
+            const std::string& aExtraField,
+            Micros aDeadline);
+  void MarkForRelay(std::uint64_t aExchange, HttpResponse& aResponse) const;
   void RespondToClient(std::uint64_t aExchange, const HttpResponse& aResponse);
   void UpdateLimits();
 
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -233,13 +233,35 @@
   }
 }
 
+// Hosts that this one may pass requests on to while it does not hear from
+// targets.
+void UpdateRelayHosts(Context& aContext)
+{
+  State& state = aContext.mState;
+  state.mDispatch.mRelayHosts.clear();
+  if (!dispatch::AwaitsAnyAnswer(state.mDispatch)) {
+    return;
+  }
+  for (const fleet::Host* host :
+       fleet::HostsForClients(state.mFleet, aContext.mNow)) {
+    if (host->mPeerAddress != state.mSettings.mFleet.mPeerAddress) {
+      state.mDispatch.mRelayHosts.push_back(host->mCallerAddress);
+    }
+  }
+}
+
 void HandleTimePassed(Context& aContext, std::uint64_t aRandom)
 {
   State& state = aContext.mState;
   dispatch::Effects effects;
   dispatch::Tick(state.mDispatch, aContext.mNow, effects);
-  AppendEffects(aContext, std::move(effects));
   fleet::Output output;
+  if (dispatch::UpdateReach(state.mDispatch, aContext.mNow, effects)) {
+    UpdateRelayHosts(aContext);
+    fleet::SetCutOff(
+      state.mFleet, aContext.mNow, dispatch::IsCutOff(state.mDispatch), output);
+  }
+  AppendEffects(aContext, std::move(effects));
   fleet::Tick(state.mFleet, aContext.mNow, aRandom, output);
   ApplyFleetOutput(aContext, std::move(output));
   UpdateHostCount(aContext);
@@ -368,6 +390,7 @@
 {
   Effects effects;
   Context context{ aState, aEvent.mNow, effects };
+  dispatch::IgnoreOwnDelay(aState.mDispatch, aEvent.mNow);
   std::visit(EventHandler{ context, aEvent.mRandom }, aEvent.mBody);
   ApplyWithheldPolicy(context);
   ContinueStop(context);
--- a/tests/fakes/gateway_world.cpp
+++ b/tests/fakes/gateway_world.cpp
@@ -162,6 +162,7 @@
   mHosts[aHost].mAlive = false;
   mFrozen.erase(aHost);
   mDeferred.erase(aHost);
+  BreakRelays(aHost);
   for (auto it = mClients.begin(); it != mClients.end();) {
     if (it->first.first != aHost) {
       ++it;
@@ -525,7 +526,7 @@
   if (mLoad.mIdempotent) {
     return;
   }
-  const auto key = std::make_pair(aJob.mHost, aJob.mSend.mRequest);
+  const std::uint64_t key = aJob.mOrigin;
   if (++mRuns[key] > 1) {
     mViolations.push_back("ran twice: " + aJob.mPath);
   }
@@ -786,12 +787,18 @@
 void GatewayWorld::PerformOne(std::size_t aHost, dispatch::SendRequest& aEffect)
 {
   const auto client = mClients.find({ aHost, aEffect.mRequest });
+  const auto relay = mRelays.find({ aHost, aEffect.mRequest });
   Job job;
   job.mHost = aHost;
   job.mSend = aEffect;
+  job.mOrigin = aEffect.mRequest;
   if (client != mClients.end()) {
     job.mPath = client->second.mPath;
     job.mExtra = std::exchange(client->second.mSent, true);
+  } else if (relay != mRelays.end()) {
+    job.mPath = relay->second.mPath;
+    job.mOrigin = relay->second.mOrigin;
+    job.mExtra = std::exchange(relay->second.mSent, true);
   }
   job.mTarget = aEffect.mAddress;
   const std::uint64_t id = ++mLastId;
@@ -799,9 +806,114 @@
   Later(kOneWayDelay, [this, id] { ArriveAtTarget(id); });
 }
 
+void GatewayWorld::PerformOne(std::size_t aHost,
+                              dispatch::RelayRequest& aEffect)
+{
+  const auto client = mClients.find({ aHost, aEffect.mRequest });
+  Relay relay;
+  relay.mFromHost = aHost;
+  relay.mAttempt = aEffect.mAttempt;
+  relay.mOrigin = aEffect.mRequest;
+  relay.mPath = client == mClients.end() ? "" : client->second.mPath;
+  const auto to =
+    std::find_if(mHosts.begin(), mHosts.end(), [&](const Host& aOther) {
+      return aOther.mSettings.mFleet.mCallerAddress == aEffect.mAddress;
+    });
+  const auto index = static_cast<std::size_t>(to - mHosts.begin());
+  if (!to->mAlive || mCutOff.count(index) != 0 || mCutOff.count(aHost) != 0) {
+    dispatch::AttemptEnd end;
+    end.mRequest = aEffect.mRequest;
+    end.mAttempt = aEffect.mAttempt;
+    end.mKind = dispatch::EndKind::NotSent;
+    end.mReason = "connect_timeout";
+    Later(kConnectTimeout, [this, aHost, end] { ReportEnd(aHost, end); });
+    return;
+  }
+  const dispatch::RelayRequest effect = aEffect;
+  Later(kOneWayDelay,
+        [this, index, effect, relay] { ArriveAtHost(index, effect, relay); });
+}
+
+void GatewayWorld::ArriveAtHost(std::size_t aHost,
+                                const dispatch::RelayRequest& aEffect,
+                                const Relay& aRelay)
+{
+  dispatch::Arrival arrival;
+  arrival.mId = ++mLastId;
+  arrival.mClientRequestId = std::to_string(arrival.mId);
+  arrival.mHostName = "host";
+  arrival.mPath = aRelay.mPath;
+  arrival.mPatience = std::max<Micros>(1, aEffect.mDeadline - mNow);
+  arrival.mRelayedAfter = aEffect.mElapsed;
+  mRelays[{ aHost, arrival.mId }] = aRelay;
+  Post(aHost, std::move(arrival));
+}
+
+bool GatewayWorld::EndRelay(std::size_t aHost,
+                            std::uint64_t aRequest,
+                            int aStatus,
+                            bool aOwnReply)
+{
+  const auto found = mRelays.find({ aHost, aRequest });
+  if (found == mRelays.end()) {
+    return false;
+  }
+  const Relay relay = found->second;
+  mRelays.erase(found);
+  dispatch::AttemptEnd end;
+  end.mAttempt = relay.mAttempt;
+  end.mRequest = relay.mOrigin;
+  end.mKind = dispatch::EndKind::Answered;
+  end.mStatus = aStatus;
+  end.mMisdirected = aStatus == 421;
+  end.mNotRun = end.mMisdirected || (aOwnReply && aStatus == 503);
+  Later(kOneWayDelay,
+        [this, to = relay.mFromHost, end] { ReportEnd(to, end); });
+  return true;
+}
+
+// Connections between this host and others break.
+void GatewayWorld::BreakRelays(std::size_t aHost)
+{
+  for (auto it = mRelays.begin(); it != mRelays.end();) {
+    const auto [at, request] = it->first;
+    const Relay relay = it->second;
+    if (at != aHost && relay.mFromHost != aHost) {
+      ++it;
+      continue;
+    }
+    it = mRelays.erase(it);
+    if (at != aHost) {
+      Later(kOneWayDelay, [this, at = at, request = request] {
+        Post(at, gateway::ClientGone{ request });
+      });
+      continue;
+    }
+    dispatch::AttemptEnd end;
+    end.mAttempt = relay.mAttempt;
+    end.mRequest = relay.mOrigin;
+    end.mReason = "reset";
+    Later(kOneWayDelay,
+          [this, to = relay.mFromHost, end] { ReportEnd(to, end); });
+  }
+}
+
 void GatewayWorld::PerformOne(std::size_t aHost,
                               dispatch::CancelAttempt& aEffect)
 {
+  const auto relay =
+    std::find_if(mRelays.begin(), mRelays.end(), [&](const auto& aEntry) {
+      return aEntry.second.mFromHost == aHost &&
+             aEntry.second.mAttempt == aEffect.mAttempt;
+    });
+  if (relay != mRelays.end()) {
+    const auto [at, request] = relay->first;
+    mRelays.erase(relay);
+    Later(kOneWayDelay, [this, at = at, request = request] {
+      Post(at, gateway::ClientGone{ request });
+    });
+    return;
+  }
   const auto found =
     std::find_if(mJobs.begin(), mJobs.end(), [&](const auto& aEntry) {
       return aEntry.second.mHost == aHost &&
@@ -822,16 +934,22 @@
 void GatewayWorld::PerformOne(std::size_t aHost,
                               dispatch::DeliverAnswer& aEffect)
 {
-  EndClient(aHost, aEffect.mRequest, mStatuses.at({ aHost, aEffect.mAttempt }));
+  const int status = mStatuses.at({ aHost, aEffect.mAttempt });
+  if (!EndRelay(aHost, aEffect.mRequest, status, false)) {
+    EndClient(aHost, aEffect.mRequest, status);
+  }
 }
 
 void GatewayWorld::PerformOne(std::size_t aHost,
                               dispatch::ReplyToClient& aEffect)
 {
+  if (EndRelay(aHost, aEffect.mRequest, aEffect.mStatus, true)) {
+    return;
+  }
   const auto key = std::make_pair(aHost, aEffect.mRequest);
   if (aEffect.mStatus == 503 && !mLoad.mIdempotent) {
-    mRefused.insert(key);
-    if (mRuns.count(key) != 0) {
+    mRefused.insert(aEffect.mRequest);
+    if (mRuns.count(aEffect.mRequest) != 0) {
       mViolations.push_back("refused although it ran: " + aEffect.mReason);
     }
   }
--- a/tests/fakes/gateway_world.h
+++ b/tests/fakes/gateway_world.h
@@ -198,6 +198,17 @@
     std::string mTarget;
     bool mExtra = false;
     bool mRunning = false;
+    /// The client's request that it belongs to, whichever host sent it.
+    std::uint64_t mOrigin = 0;
+  };
+  /// \brief A request that one host passed on to another.
+  struct Relay
+  {
+    std::size_t mFromHost = 0;
+    std::uint64_t mAttempt = 0;
+    std::string mPath;
+    std::uint64_t mOrigin = 0;
+    bool mSent = false;
   };
   struct FakeTarget
   {
@@ -241,6 +252,7 @@
   void Perform(std::size_t aHost, gateway::Effects aEffects);
   void PerformOne(std::size_t aHost, dispatch::ProbeTarget& aEffect);
   void PerformOne(std::size_t aHost, dispatch::SendRequest& aEffect);
+  void PerformOne(std::size_t aHost, dispatch::RelayRequest& aEffect);
   void PerformOne(std::size_t aHost, dispatch::CancelAttempt& aEffect);
   void PerformOne(std::size_t aHost, dispatch::DeliverAnswer& aEffect);
   void PerformOne(std::size_t aHost, dispatch::ReplyToClient& aEffect);
@@ -250,6 +262,16 @@
   void PerformOne(std::size_t aHost, gateway::Persist& aEffect);
   void PerformOne(std::size_t, gateway::ExitProcess&) {}
   void EndClient(std::size_t aHost, std::uint64_t aRequest, int aStatus);
+  void ArriveAtHost(std::size_t aHost,
+                    const dispatch::RelayRequest& aEffect,
+                    const Relay& aRelay);
+  /// \brief Returns an answer to the host that passed the request on; false if
+  /// a client sent it.
+  bool EndRelay(std::size_t aHost,
+                std::uint64_t aRequest,
+                int aStatus,
+                bool aOwnReply);
+  void BreakRelays(std::size_t aHost);
   /// \brief The host that a client connects to, if any.
   [[nodiscard]] std::optional<std::size_t> HostFor(const Client& aClient);
   void AskDirectory(DirectoryClient& aClient);
@@ -282,10 +304,12 @@
   std::map<std::uint64_t, Job> mJobs;
   /// Waiting clients, by host and request.
   std::map<std::pair<std::size_t, std::uint64_t>, Client> mClients;
-  /// Non-idempotent requests, by host and request: how often each ran, and
-  /// those whose clients were told that they did not run.
-  std::map<std::pair<std::size_t, std::uint64_t>, int> mRuns;
-  std::set<std::pair<std::size_t, std::uint64_t>> mRefused;
+  /// Requests that were passed on, by receiving host and its request.
+  std::map<std::pair<std::size_t, std::uint64_t>, Relay> mRelays;
+  /// Non-idempotent requests of clients: how often each ran, and those whose
+  /// clients were told that they did not run.
+  std::map<std::uint64_t, int> mRuns;
+  std::set<std::uint64_t> mRefused;
   /// Status of an answer reported to a host, by host and attempt.
   std::map<std::pair<std::size_t, std::uint64_t>, int> mStatuses;
   std::multimap<Micros, std::function<void()>> mQueue;
