Read and log the rest that a target asks for; send as before

What callers saw: requests refused while most targets of the service had asked for nothing, and targets that had asked for rest got requests all the same. Whether the hosts read that at all, and which kinds of sends pass it by, no line told.

Retry-After of a refusal (503, 429) is decoded at the boundary: seconds with or without a fraction, or a date; negative, repeated and other values count as unreadable, more than a minute as one. POCO's date parser takes text without a date, found by the test: a date must be written the same again. No decision is changed.

--- a/include/geraniumpond/dispatch.h
+++ b/include/geraniumpond/dispatch.h
@@ -56,6 +56,15 @@
   double mPerSecond = 0;
 };
 
+/// \brief How long a target that turns a request away wants nothing more from
+/// this host.
+struct StatedRest
+{
+  using Kind = StatedLimit::Kind;
+  Kind mKind = Kind::Absent;
+  Micros mFor = 0;
+};
+
 /// \brief A request whose answer broke at a target that may have ended.
 struct BrokenAnswer
 {
@@ -95,6 +104,8 @@
   /// Gets no requests until a probe succeeds at mNextProbeAt or later.
   bool mUnavailable = false;
   Micros mNextProbeAt = 0;
+  /// It has asked this host to send nothing until then.
+  Micros mRestUntil = 0;
   /// Smoothed share of requests that failed there, as of mFailedAt.
   double mFailureShare = 0;
   Micros mFailedAt = 0;
@@ -416,6 +427,7 @@
   std::string mAnsweredBy;
   std::optional<Report> mReport;
   StatedLimit mLimit;
+  StatedRest mRest;
 };
 
 /// \brief How an attempt ended.
@@ -446,6 +458,7 @@
   std::uint64_t mBytes = 0;
   std::optional<Report> mReport;
   StatedLimit mLimit;
+  StatedRest mRest;
   std::string mReason;
 };
 
--- a/src/dispatch/internal.h
+++ b/src/dispatch/internal.h
@@ -216,6 +216,15 @@
 /// \brief True unless the target has a limit of which this host has no share.
 [[nodiscard]] bool HasLimitShare(const Target& aTarget) noexcept;
 
+// --- rest.cpp: targets that ask this host to send nothing for a while
+/// \brief Handles a stated rest in an answer, readable or not.
+void HandleStatedRest(State& aState,
+                      Micros aNow,
+                      Target& aTarget,
+                      const StatedRest& aRest,
+                      Effects& aOut);
+[[nodiscard]] bool IsResting(const Target& aTarget, Micros aNow) noexcept;
+
 // --- learning.cpp: statistics from answers and reports
 /// \brief Factor by which work takes longer when it starts beside `aOccupancy`
 /// other requests.
--- a/src/dispatch/requests.cpp
+++ b/src/dispatch/requests.cpp
@@ -236,6 +236,10 @@
   attempt.mReportAge = aTarget.mReport ? aNow - aTarget.mReportAt : -1;
   attempt.mLargeBytes = LargeBytes(aState, need);
   aState.mLargeBytes += attempt.mLargeBytes;
+  const bool resting = IsResting(aTarget, aNow);
+  if (resting) {
+    ++aState.mCounters["sent_to_resting"];
+  }
   if (aTarget.mLimit) {
     rate_share::CountSent(aTarget.mShare, aNow);
   }
@@ -253,7 +257,8 @@
   RecordDispatch(aState.mServices[aRequest.mService], aNow);
   Log(aOut,
       1,
-      "event=sent" + Describe(aState, aRequest, aNow) + Describe(attempt));
+      "event=sent" + Describe(aState, aRequest, aNow) + Describe(attempt) +
+        (resting ? " resting=yes" : ""));
   aOut.emplace_back(SendRequest{ aRequest.mId,
                                  attempt.mNumber,
                                  aTarget.mId,
--- a/src/dispatch/targets.cpp
+++ b/src/dispatch/targets.cpp
@@ -323,6 +323,7 @@
     if (aEnd.mLimit.mKind != StatedLimit::Kind::Absent) {
       HandleStatedLimit(aState, aNow, target, aEnd.mLimit, aOut);
     }
+    HandleStatedRest(aState, aNow, target, aEnd.mRest, aOut);
     HandleTargetAlive(aState, aNow, target, aOut);
   }
   ServeQueue(aState, aNow, service, aOut);
--- a/src/frontend/target_pool.cpp
+++ b/src/frontend/target_pool.cpp
@@ -1,5 +1,9 @@
 #include "target_pool.h"
 
+#include <Poco/DateTime.h>
+#include <Poco/DateTimeFormat.h>
+#include <Poco/DateTimeFormatter.h>
+#include <Poco/DateTimeParser.h>
 #include <Poco/Exception.h>
 #include <Poco/Net/SocketAddress.h>
 #include <Poco/NumberParser.h>
@@ -38,6 +42,18 @@
 constexpr int kStatusOk = 200;
 constexpr int kStatusMisdirected = 421;
 constexpr int kFirstNonSuccessStatus = 300;
+constexpr int kStatusTooManyRequests = 429;
+constexpr int kStatusUnavailable = 503;
+constexpr const char* kRetryAfter = "Retry-After";
+/// A target is asked again after this time, however long it wants to rest.
+constexpr Micros kLongestRest = 60 * kSecond;
+
+std::ptrdiff_t CountFields(const HeaderFields& aFields, std::string_view aName)
+{
+  return std::count_if(aFields.begin(), aFields.end(), [&](const auto& aField) {
+    return EqualIgnoringCase(aField.first, aName);
+  });
+}
 
 } // namespace
 
@@ -75,16 +91,68 @@
   const char* end = text.data() + text.size();
   double perSecond = 0;
   const auto read = std::from_chars(text.data(), end, perSecond);
-  const auto named =
-    std::count_if(aFields.begin(), aFields.end(), [&](const auto& aField) {
-      return EqualIgnoringCase(aField.first, aName);
-    });
-  const bool valid = named == 1 && read.ec == std::errc() && read.ptr == end &&
+  const bool valid = CountFields(aFields, aName) == 1 &&
+                     read.ec == std::errc() && read.ptr == end &&
                      std::isfinite(perSecond) && perSecond >= 0;
   return valid ? dispatch::StatedLimit{ Kind::Valid, perSecond }
                : dispatch::StatedLimit{ Kind::Invalid, 0 };
 }
 
+namespace {
+
+// Seconds, with or without a fraction.
+std::optional<double> ParseSeconds(const std::string& aText)
+{
+  const char* end = aText.data() + aText.size();
+  double seconds = 0;
+  const auto read = std::from_chars(aText.data(), end, seconds);
+  const bool valid =
+    read.ec == std::errc() && read.ptr == end && std::isfinite(seconds);
+  return valid ? std::optional<double>(seconds) : std::nullopt;
+}
+
+// The parser takes text without a date, so that the date has to be written the
+// same again.
+std::optional<double> SecondsUntil(const std::string& aDate,
+                                   const Poco::Timestamp& aNow)
+{
+  const std::string& format = Poco::DateTimeFormat::HTTP_FORMAT;
+  Poco::DateTime date;
+  int zone = 0;
+  if (!Poco::DateTimeParser::tryParse(format, aDate, date, zone) ||
+      Poco::DateTimeFormatter::format(date, format) != aDate) {
+    return std::nullopt;
+  }
+  const auto until = static_cast<double>(date.timestamp() - aNow);
+  return std::max(0.0, until / kSecond);
+}
+
+} // namespace
+
+dispatch::StatedRest ParseRest(const HttpResponse& aResponse,
+                               const Poco::Timestamp& aNow)
+{
+  using Kind = dispatch::StatedRest::Kind;
+  const std::string* value = FindField(aResponse.mFields, kRetryAfter);
+  const bool refuses = aResponse.mStatus == kStatusUnavailable ||
+                       aResponse.mStatus == kStatusTooManyRequests;
+  if (value == nullptr || !refuses) {
+    return {};
+  }
+  const std::string text = Poco::trim(*value);
+  std::optional<double> seconds = ParseSeconds(text);
+  if (!seconds) {
+    seconds = SecondsUntil(text, aNow);
+  }
+  if (!seconds || *seconds < 0 ||
+      CountFields(aResponse.mFields, kRetryAfter) != 1) {
+    return { Kind::Invalid, 0 };
+  }
+  const double longest = static_cast<double>(kLongestRest) / kSecond;
+  return { Kind::Valid,
+           static_cast<Micros>(std::min(*seconds, longest) * kSecond) };
+}
+
 /// \brief A connection to one target; carries one exchange at a time.
 class TargetPool::Connection : public Handler
 {
@@ -333,6 +401,7 @@
       end.mAnsweredBy = answeredBy == nullptr ? "" : *answeredBy;
       end.mReport = report;
       end.mLimit = ParseLimit(aResponse.mFields, names.mLimit);
+      end.mRest = ParseRest(aResponse, Poco::Timestamp());
       mPool.mSink.OnProbeResult(end);
       return;
     }
@@ -347,6 +416,7 @@
     end.mBytes = aResponse.mBody.size();
     end.mReport = report;
     end.mLimit = ParseLimit(aResponse.mFields, names.mLimit);
+    end.mRest = ParseRest(aResponse, Poco::Timestamp());
     if (end.mNotRun) {
       end.mReason = end.mMisdirected ? "address_taken" : "target_refused";
     }
--- a/src/frontend/target_pool.h
+++ b/src/frontend/target_pool.h
@@ -6,6 +6,8 @@
 
 #include <geraniumpond/dispatch.h>
 
+#include <Poco/Timestamp.h>
+
 #include <functional>
 #include <map>
 #include <memory>
@@ -95,6 +97,11 @@
 [[nodiscard]] dispatch::StatedLimit ParseLimit(const HeaderFields& aFields,
                                                const std::string& aName);
 
+/// \brief Parses the rest that a target asks for with a refusal: seconds, or a
+/// date. Anything else, or a repeated field, is unreadable.
+[[nodiscard]] dispatch::StatedRest ParseRest(const HttpResponse& aResponse,
+                                             const Poco::Timestamp& aNow);
+
 /// \brief Parses the load field of an answer; empty if it is invalid.
 [[nodiscard]] std::optional<dispatch::Report> ParseLoad(
   const std::string& aText);
