--- a/tests/fakes/gateway_world.cpp
+++ b/tests/fakes/gateway_world.cpp
@@ -376,6 +376,15 @@
   Later(kDrainTime, [this, aAddress] { EndTarget(aAddress); });
 }
 
+void GatewayWorld::TurnAway(const std::string& aAddress,
+                            Micros aFor,
+                            Micros aRest)
+{
+  FakeTarget& target = mTargets.at(aAddress);
+  target.mTurnsAwayUntil = mNow + aFor;
+  target.mRest = aRest;
+}
+
 void GatewayWorld::SetLimit(const std::string& aAddress, double aPerSecond)
 {
   mTargets.at(aAddress).mLimit = aPerSecond;
@@ -497,6 +506,7 @@
     EndJob(aJob, end);
     return;
   }
+  mVisits.push_back({ mNow, job.mHost, job.mTarget });
   mArrivals.push_back({ mNow,
                         mHosts[job.mHost].mSettings.mFleet.mPeerAddress,
                         target.mId,
@@ -510,6 +520,12 @@
     end.mMisdirected = true;
     end.mStatus = 421;
     EndJob(aJob, end);
+  } else if (mNow < target.mTurnsAwayUntil) {
+    mRestAnswers.push_back({ mNow, job.mHost, job.mTarget });
+    end.mStatus = 503;
+    end.mReport = ReportOf(target);
+    end.mRest = { dispatch::StatedRest::Kind::Valid, target.mRest };
+    EndJob(aJob, end);
   } else if (target.mRunning < mLoad.mSlots) {
     StartJob(aJob);
   } else if (static_cast<int>(target.mWaiting.size()) < mLoad.mQueue) {
@@ -667,6 +683,7 @@
                                   int aStatus)
 {
   if (aClient.mIsWatched) {
+    mFirstAnswers.emplace_back(aStatus, mNow - aClient.mSentAt);
     ++mFirstTries[aHost].mSent;
     mFirstTries[aHost].mServed += aStatus == 200 ? 1 : 0;
   }
@@ -725,6 +742,7 @@
   arrival.mHostName = "host";
   arrival.mPath = aClient.mPath;
   arrival.mPatience = mLoad.mTimeout;
+  aClient.mSentAt = mNow;
   mClients[{ host, arrival.mId }] = std::move(aClient);
   Post(host, std::move(arrival));
 }
@@ -767,8 +785,10 @@
   const Micros patience = hangs    ? kHangingProbeTime
                           : silent ? kProbeTimeout
                                    : 2 * kOneWayDelay;
-  Later(patience, [this, aHost, silent, hangs, reset, probe = aEffect] {
+  const Micros sentAt = mNow;
+  Later(patience, [this, aHost, silent, hangs, reset, sentAt, probe = aEffect] {
     const FakeTarget& target = mTargets.at(probe.mAddress);
+    mVisits.push_back({ sentAt + kOneWayDelay, aHost, probe.mAddress });
     dispatch::ProbeEnd end;
     end.mTarget = probe.mTarget;
     if (target.mAlive && !silent && !hangs && !reset) {
--- a/tests/fakes/gateway_world.h
+++ b/tests/fakes/gateway_world.h
@@ -64,6 +64,15 @@
   OnlyOpenConnections
 };
 
+/// \brief A request or probe of a host that reached a target, or, in
+/// mRestAnswers, was turned away by one that asks for rest.
+struct TargetVisit
+{
+  Micros mAt = 0;
+  std::size_t mHost = 0;
+  std::string mAddress;
+};
+
 /// \brief Clients' first tries at one host.
 struct FirstTries
 {
@@ -136,6 +145,14 @@
   /// Answers to health probes announce limits as well.
   bool mProbesReportLimits = false;
 
+  /// \brief For a while the target turns all requests away with 503, each time
+  /// asking their host for as much rest, and answers probes.
+  void TurnAway(const std::string& aAddress, Micros aFor, Micros aRest);
+  std::vector<TargetVisit> mRestAnswers;
+  /// Requests and probes that reached targets.
+  std::vector<TargetVisit> mVisits;
+  /// Status codes and times of the answers to counted clients' first tries.
+  std::vector<std::pair<int, Micros>> mFirstAnswers;
   /// \brief Sets what the links between this host and all targets do.
   void SetTargetLinks(std::size_t aHost, TargetLinks aLinks);
   /// First tries by host, counted while mCountsFirstTries.
@@ -221,6 +238,8 @@
     /// Announced limit in requests per second; 0 for none.
     double mLimit = 0;
     int mStarts = 0;
+    Micros mTurnsAwayUntil = 0;
+    Micros mRest = 0;
     int mRunning = 0;
     std::deque<std::uint64_t> mWaiting;
   };
@@ -234,6 +253,7 @@
     std::size_t mDirectoryClient = 0;
     /// Counted in mFirstTries.
     bool mIsWatched = false;
+    Micros mSentAt = 0;
   };
   /// \brief A client with a directory's answer.
   struct DirectoryClient
