Send nothing to a target until the rest that it asked for is over

Cause: Retry-After of a target was not used. One that turns all away has nothing in work, looks best by its load, and drew more requests than before; its 503 counts as no failure. Ruled out: that only second attempts pass the rest by (809 first sends to 47 second ones).

Change: a resting target is out of every choice, second attempt, hedge and probe of this host, for this incarnation, whatever catalog and policy do. Hosts return spread. Where all rest, a request is refused at once with the earliest end as the time to return.

--- a/include/geraniumpond/dispatch.h
+++ b/include/geraniumpond/dispatch.h
@@ -203,6 +203,8 @@
   /// Smoothed interval between dispatches while requests wait.
   double mDispatchInterval = 0;
   Micros mDispatchedAt = 0;
+  /// Until when any of its targets rests.
+  Micros mRestUntil = 0;
   /// When a target was first asked since the last answer of any of them; 0 if
   /// none was.
   Micros mSilentSince = 0;
--- a/src/dispatch/choice.cpp
+++ b/src/dispatch/choice.cpp
@@ -56,7 +56,7 @@
   Target* best = nullptr;
   double bestCost = std::numeric_limits<double>::max();
   for (Target* target : aTargets) {
-    if (target->mUnavailable || !IsWithinLimit(*target, aNow) ||
+    if (target->mUnavailable || !AcceptsRequests(*target, aNow) ||
         aRequest.mTried.count(target->mId) != 0) {
       continue;
     }
@@ -110,7 +110,7 @@
     return *aCache.mWithSpareCapacity;
   }
   const auto hasSpareCapacity = [&](const Target* aTarget) {
-    return !aTarget->mUnavailable && IsWithinLimit(*aTarget, aNow) &&
+    return !aTarget->mUnavailable && AcceptsRequests(*aTarget, aNow) &&
            IsUncrowded(*aTarget, aNeed.mService->mCurve, aNow) &&
            aTarget->mReport->mSlowness <= kUsualSlowness;
   };
@@ -223,6 +223,7 @@
   const auto found = std::find_if(
     aCache.mFresh.begin(), aCache.mFresh.end(), [&](const Target* aTarget) {
       return aTarget->mLimit && !aTarget->mUnavailable &&
+             !IsResting(*aTarget, aNow) &&
              rate_share::IsIdle(aTarget->mShare, aNow) &&
              aRequest.mTried.count(aTarget->mId) == 0 &&
              HasFreeSlot(*aTarget, aNow) &&
--- a/src/dispatch/crashes.cpp
+++ b/src/dispatch/crashes.cpp
@@ -154,7 +154,7 @@
   if (target.mBrokenAnswers.size() < kMaxBrokenAnswers) {
     target.mBrokenAnswers.push_back({ aRequest.mIdentity, aNow });
   }
-  if (!target.mProbing) {
+  if (!target.mProbing && !IsResting(target, aNow)) {
     ProbeNow(aState, aNow, target, aOut);
   }
 }
@@ -190,10 +190,11 @@
                   return aEnd.mBrokenAt > aTarget.mProbeSentAt &&
                          aNow - aEnd.mBrokenAt <= kBrokenAnswerLifetime;
                 });
-  if (unresolved) {
+  const bool probes = unresolved && !IsResting(aTarget, aNow);
+  if (probes) {
     ProbeNow(aState, aNow, aTarget, aOut);
   }
-  return unresolved;
+  return probes;
 }
 
 void HandleTargetAlive(State& aState,
--- a/src/dispatch/internal.h
+++ b/src/dispatch/internal.h
@@ -224,6 +224,19 @@
                       const StatedRest& aRest,
                       Effects& aOut);
 [[nodiscard]] bool IsResting(const Target& aTarget, Micros aNow) noexcept;
+/// \brief When the first target of a service whose usable targets all rest may
+/// be asked again; none while one of them does not rest.
+[[nodiscard]] std::optional<Micros> EarliestRestEnd(const State& aState,
+                                                    const Service& aService,
+                                                    Micros aNow);
+/// \brief Delay after which a client should retry that came before that time;
+/// spread, so that clients do not return together.
+[[nodiscard]] Micros DelayUntilRestEnd(State& aState,
+                                       Micros aRestEnd,
+                                       Micros aNow);
+/// \brief True unless the target wants to rest, or this host's share of its
+/// limit is used up.
+[[nodiscard]] bool AcceptsRequests(const Target& aTarget, Micros aNow) noexcept;
 
 // --- learning.cpp: statistics from answers and reports
 /// \brief Factor by which work takes longer when it starts beside `aOccupancy`
--- a/src/dispatch/probing.cpp
+++ b/src/dispatch/probing.cpp
@@ -26,7 +26,7 @@
   std::vector<Target*> usable;
   for (const std::string& id : aIds) {
     Target& target = aState.mTargets[id];
-    if (target.mUnavailable == aUnavailable && IsWithinLimit(target, aNow) &&
+    if (target.mUnavailable == aUnavailable && AcceptsRequests(target, aNow) &&
         aRequest.mTried.count(id) == 0 && aRequest.mProbed.count(id) == 0) {
       usable.push_back(&target);
     }
@@ -207,6 +207,7 @@
   for (const Attempt& attempt : aRequest.mAttempts) {
     const auto found = aState.mTargets.find(attempt.mTarget);
     if (found == aState.mTargets.end() || found->second.mProbing ||
+        IsResting(found->second, aNow) ||
         !budget::Take(aState.mProbeBudget, aNow, 1)) {
       continue;
     }
--- a/src/dispatch/reach.cpp
+++ b/src/dispatch/reach.cpp
@@ -69,6 +69,9 @@
     }
     Target& target = aState.mTargets.at(
       service.mSubset[NextRandom(aState) % service.mSubset.size()]);
+    if (IsResting(target, aNow)) {
+      continue;
+    }
     if (target.mProbing || asked == kServicesAsked ||
         !budget::Take(aState.mProbeBudget, aNow, 1)) {
       return;
--- a/src/dispatch/targets.cpp
+++ b/src/dispatch/targets.cpp
@@ -170,6 +170,11 @@
   if (target.mProbing) {
     return;
   }
+  if (IsResting(target, aNow)) {
+    target.mNextProbeAt = target.mRestUntil;
+    aState.mProbeTimers.emplace(target.mNextProbeAt, aId);
+    return;
+  }
   const auto& subset = aState.mServices[target.mService].mSubset;
   if (target.mProbeSentAt == 0 &&
       std::find(subset.begin(), subset.end(), aId) == subset.end()) {
--- a/src/dispatch/waiting.cpp
+++ b/src/dispatch/waiting.cpp
@@ -108,6 +108,30 @@
     });
 }
 
+// Waiting is of no use while all targets rest; false if some do not.
+bool RefuseWhileAllRest(State& aState,
+                        Micros aNow,
+                        Request& aRequest,
+                        Effects& aOut)
+{
+  if (!aRequest.mAttempts.empty()) {
+    return false;
+  }
+  const std::optional<Micros> end =
+    EarliestRestEnd(aState, aState.mServices[aRequest.mService], aNow);
+  if (!end) {
+    return false;
+  }
+  Refuse(aState,
+         aNow,
+         aRequest.mId,
+         aRequest.mMayHaveRun ? 502 : kUnavailable,
+         aRequest.mMayHaveRun ? 0 : DelayUntilRestEnd(aState, *end, aNow),
+         "targets_rest",
+         aOut);
+  return true;
+}
+
 void TrySend(State& aState,
              Micros aNow,
              Request& aRequest,
@@ -187,7 +211,8 @@
                   const Need& aNeed,
                   Effects& aOut)
 {
-  if (LeaveSilentService(aState, aNow, aRequest, aOut) ||
+  if (RefuseWhileAllRest(aState, aNow, aRequest, aOut) ||
+      LeaveSilentService(aState, aNow, aRequest, aOut) ||
       IsAwaitingProbes(aState, aRequest, aNow)) {
     return;
   }
