Take a service for silent only when several of its targets were asked

What callers would see: at a host that was quiet for a while, with one dead target of many, the first request is passed on or refused at once though all other targets are up.

Cause: silence began with a single unanswered question, and a quiet host asks nobody else. Change: as many targets as a request asks at least (four, or all) must have been asked since the last answer, and a request is refused only after its own probes went unanswered too; one that was passed on is sent back after them as well.

DeadTargetDoesNotSilenceAQuietService; GatewayTargetLinksTest as before (8 of 8).

--- a/include/geraniumpond/dispatch.h
+++ b/include/geraniumpond/dispatch.h
@@ -104,6 +104,8 @@
   /// Gets no requests until a probe succeeds at mNextProbeAt or later.
   bool mUnavailable = false;
   Micros mNextProbeAt = 0;
+  /// Service::mSigns when it was last asked.
+  std::uint64_t mAskedAtSign = 0;
   /// It has asked this host to send nothing until then.
   Micros mRestUntil = 0;
   /// Smoothed share of requests that failed there, as of mFailedAt.
@@ -205,8 +207,11 @@
   Micros mDispatchedAt = 0;
   /// Until when any of its targets rests.
   Micros mRestUntil = 0;
-  /// When a target was first asked since the last answer of any of them; 0 if
-  /// none was.
+  /// Answers of its targets, and how many of these have been asked since the
+  /// last one.
+  std::uint64_t mSigns = 1;
+  std::size_t mAskedTargets = 0;
+  /// When enough of them had been asked; 0 while they have not.
   Micros mSilentSince = 0;
   Micros mHeardAt = 0;
   /// When another host last got an answer for this one.
@@ -612,8 +617,8 @@
 /// \brief True if this host reaches no target, while another host does.
 [[nodiscard]] bool IsCutOff(const State& aState) noexcept;
 
-/// \brief True while a target has been asked and none of its service has
-/// answered since.
+/// \brief True while targets of a service have been asked and none has answered
+/// since.
 [[nodiscard]] bool AwaitsAnyAnswer(const State& aState) noexcept;
 
 /// \brief Number of services that this host does not reach.
--- a/src/dispatch/probing.cpp
+++ b/src/dispatch/probing.cpp
@@ -138,7 +138,7 @@
   aTarget.mProbing = true;
   aTarget.mProbeSentAt = aNow;
   aTarget.mSentSinceReport = 0;
-  RecordQuestion(aState.mServices[aTarget.mService], aNow);
+  RecordQuestion(aState.mServices[aTarget.mService], aTarget, aNow);
   ++aState.mCounters["probes"];
   aOut.emplace_back(
     ProbeTarget{ aTarget.mId,
--- a/src/dispatch/reach.cpp
+++ b/src/dispatch/reach.cpp
@@ -93,9 +93,15 @@
 
 } // namespace
 
-void RecordQuestion(Service& aService, Micros aNow) noexcept
+void RecordQuestion(Service& aService, Target& aTarget, Micros aNow) noexcept
 {
-  if (aService.mReportsLoad && aService.mSilentSince == 0) {
+  if (!aService.mReportsLoad || aTarget.mAskedAtSign == aService.mSigns) {
+    return;
+  }
+  aTarget.mAskedAtSign = aService.mSigns;
+  ++aService.mAskedTargets;
+  const std::size_t enough = std::min(kMinProbes, aService.mSubset.size());
+  if (aService.mSilentSince == 0 && aService.mAskedTargets >= enough) {
     aService.mSilentSince = aNow;
   }
 }
@@ -110,6 +116,8 @@
           " cut_off=" + (aState.mReach.mCutOff ? "yes" : "no"));
   }
   aService.mSilentSince = 0;
+  aService.mAskedTargets = 0;
+  ++aService.mSigns;
   aService.mHeardAt = aNow;
 }
 
@@ -139,7 +147,7 @@
 {
   return std::any_of(
     aState.mServices.begin(), aState.mServices.end(), [](const auto& aEntry) {
-      return aEntry.second.mSilentSince != 0;
+      return aEntry.second.mAskedTargets > 0;
     });
 }
 
--- a/src/dispatch/waiting.cpp
+++ b/src/dispatch/waiting.cpp
@@ -175,22 +175,21 @@
   SendTo(aState, aNow, aRequest, aTarget, aOut);
 }
 
-// Passes a request on that targets of a silent service cannot get, or refuses
-// it; false if it waits for them.
-bool LeaveSilentService(State& aState,
-                        Micros aNow,
-                        Request& aRequest,
-                        Effects& aOut)
+bool IsUntouched(const Request& aRequest)
+{
+  return !aRequest.mMayHaveRun && aRequest.mAttempts.empty();
+}
+
+// Its own probes went unanswered too: others may have gone to dead targets.
+bool RefuseAtLostService(State& aState,
+                         Micros aNow,
+                         Request& aRequest,
+                         Effects& aOut)
 {
   const Service& service = aState.mServices[aRequest.mService];
-  if (!IsSilent(service, aNow) || aRequest.mMayHaveRun ||
-      !aRequest.mAttempts.empty()) {
-    return false;
-  }
-  if (CanPassOn(aRequest) && PassOn(aState, aNow, aRequest, aOut)) {
-    return true;
-  }
-  if (!aRequest.mIsRelayed && !IsLost(service, aNow)) {
+  const bool lost =
+    aRequest.mIsRelayed ? IsSilent(service, aNow) : IsLost(service, aNow);
+  if (!lost || !IsUntouched(aRequest)) {
     return false;
   }
   Refuse(aState,
@@ -203,6 +202,15 @@
   return true;
 }
 
+bool PassOnFromSilentService(State& aState,
+                             Micros aNow,
+                             Request& aRequest,
+                             Effects& aOut)
+{
+  return IsSilent(aState.mServices[aRequest.mService], aNow) &&
+         CanPassOn(aRequest) && PassOn(aState, aNow, aRequest, aOut);
+}
+
 // Sends, refuses or keeps one waiting request.
 void ServeRequest(State& aState,
                   Micros aNow,
@@ -212,8 +220,9 @@
                   Effects& aOut)
 {
   if (RefuseWhileAllRest(aState, aNow, aRequest, aOut) ||
-      LeaveSilentService(aState, aNow, aRequest, aOut) ||
-      IsAwaitingProbes(aState, aRequest, aNow)) {
+      PassOnFromSilentService(aState, aNow, aRequest, aOut) ||
+      IsAwaitingProbes(aState, aRequest, aNow) ||
+      RefuseAtLostService(aState, aNow, aRequest, aOut)) {
     return;
   }
   const Choice choice = Choose(aState, aCache, aRequest, aNeed, aNow);
--- a/tests/fakes/dispatch_host.h
+++ b/tests/fakes/dispatch_host.h
@@ -89,17 +89,18 @@
   /// \brief Each target that was probed answers that it is idle.
   void AnswerProbes()
   {
-    const auto probes = All<dispatch::ProbeTarget>();
-    for (const dispatch::ProbeTarget& probe : probes) {
-      const auto found = mState.mTargets.find(probe.mTarget);
-      if (found == mState.mTargets.end() || !found->second.mProbing) {
-        continue;
+    std::vector<std::string> probed;
+    for (const auto& [id, target] : mState.mTargets) {
+      if (target.mProbing) {
+        probed.push_back(id);
       }
+    }
+    for (const std::string& id : probed) {
       dispatch::ProbeEnd end;
-      end.mTarget = probe.mTarget;
+      end.mTarget = id;
       end.mAnswered = true;
       end.mHealthy = true;
-      end.mAnsweredBy = found->second.mName;
+      end.mAnsweredBy = mState.mTargets.at(id).mName;
       end.mReport = dispatch::Report{ 0, 0, 2, 1 };
       dispatch::HandleProbeEnd(mState, mNow, end, mEffects);
     }
--- a/tests/relay_test.cpp
+++ b/tests/relay_test.cpp
@@ -1,3 +1,4 @@
+#include "dispatch/internal.h"
 #include "fakes/dispatch_host.h"
 
 #include <cppunit/extensions/HelperMacros.h>
@@ -45,6 +46,7 @@
   CPPUNIT_TEST(TimeAtTheFirstHostCountsAtTheSecond);
   CPPUNIT_TEST(DisconnectedClientCancelsTheAttemptAtTheOtherHost);
   CPPUNIT_TEST(OwnDelayIsNotTakenForSilence);
+  CPPUNIT_TEST(DeadTargetDoesNotSilenceAQuietService);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -88,6 +90,7 @@
     mHost->Advance(400 * kMillisecond);
     mHost->mEffects.clear();
     mHost->Arrive("/safe/y");
+    mHost->Advance(30 * kMillisecond);
     CPPUNIT_ASSERT_EQUAL(503, mHost->OnlyReply().mStatus);
     CPPUNIT_ASSERT(mHost->OnlyReply().mRetryAfter > 0);
   }
@@ -147,6 +150,20 @@
     CPPUNIT_ASSERT(All<RelayRequest>().empty());
   }
 
+  void DeadTargetDoesNotSilenceAQuietService()
+  {
+    DispatchHost host(8);
+    host.Advance(2100 * kMillisecond);
+    host.AnswerProbes();
+    Probe(host.mState, host.mNow, host.mState.mTargets.at("t1"), host.mEffects);
+    host.Advance(600 * kMillisecond);
+    host.mEffects.clear();
+    host.Arrive("/safe/x");
+    host.AnswerProbes();
+    CPPUNIT_ASSERT(host.All<RelayRequest>().empty());
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), host.All<SendRequest>().size());
+  }
+
 private:
   template<class Kind>
   [[nodiscard]] std::vector<Kind> All() const
