Send nothing to a target that says in its answers that it leaves

What callers would see: where the announcement of a target that leaves does not get through, requests go there until it is gone, and end with it.

Change: a target whose answer (of any status, or of a probe) says so gets no new request or probe of this host, for this incarnation; an announcement that says ready, the catalog and the policy change nothing. Where all leave, requests are refused at once, not run.

--- a/include/geraniumpond/dispatch.h
+++ b/include/geraniumpond/dispatch.h
@@ -106,6 +106,8 @@
   Micros mNextProbeAt = 0;
   /// Service::mSigns when it was last asked.
   std::uint64_t mAskedAtSign = 0;
+  /// It has said in an answer that it leaves: it gets nothing new.
+  bool mLeaving = false;
   /// It has asked this host to send nothing until then.
   Micros mRestUntil = 0;
   /// Smoothed share of requests that failed there, as of mFailedAt.
@@ -435,6 +437,8 @@
   std::optional<Report> mReport;
   StatedLimit mLimit;
   StatedRest mRest;
+  /// The target says that it leaves.
+  bool mLeaving = false;
 };
 
 /// \brief How an attempt ended.
@@ -466,6 +470,8 @@
   std::optional<Report> mReport;
   StatedLimit mLimit;
   StatedRest mRest;
+  /// The target says that it leaves.
+  bool mLeaving = false;
   std::string mReason;
 };
 
--- a/src/dispatch/choice.cpp
+++ b/src/dispatch/choice.cpp
@@ -95,8 +95,9 @@
     aState.mServices.at(aRequest.mService).mTargets;
   return std::any_of(
     targets.begin(), targets.end(), [&](const std::string& aId) {
-      return aRequest.mTried.count(aId) == 0 &&
-             HasLimitShare(aState.mTargets.at(aId));
+      const Target& target = aState.mTargets.at(aId);
+      return aRequest.mTried.count(aId) == 0 && !target.mLeaving &&
+             HasLimitShare(target);
     });
 }
 
@@ -132,7 +133,7 @@
   aCache.mUsable = static_cast<std::size_t>(
     std::count_if(subset.begin(), subset.end(), [&](const std::string& aId) {
       const Target& target = aState.mTargets.at(aId);
-      return !target.mUnavailable && HasLimitShare(target);
+      return !target.mUnavailable && !target.mLeaving && HasLimitShare(target);
     }));
   return *aCache.mUsable;
 }
@@ -222,7 +223,7 @@
 {
   const auto found = std::find_if(
     aCache.mFresh.begin(), aCache.mFresh.end(), [&](const Target* aTarget) {
-      return aTarget->mLimit && !aTarget->mUnavailable &&
+      return aTarget->mLimit && !aTarget->mUnavailable && !aTarget->mLeaving &&
              !IsResting(*aTarget, aNow) &&
              rate_share::IsIdle(aTarget->mShare, aNow) &&
              aRequest.mTried.count(aTarget->mId) == 0 &&
--- a/src/dispatch/ends.cpp
+++ b/src/dispatch/ends.cpp
@@ -137,6 +137,9 @@
   if (aEnd.mKind == EndKind::Answered && !aEnd.mMisdirected) {
     UpdateLimit(aState, aNow, target, aAttempt, aEnd, aOut);
     HandleStatedRest(aState, aNow, target, aEnd.mRest, aOut);
+    if (aEnd.mLeaving) {
+      HandleLeaving(aState, target, aOut);
+    }
   }
   if (aEnd.mMisdirected) {
     HandleTargetEnd(aState, aNow, target, aOut);
--- a/src/dispatch/internal.h
+++ b/src/dispatch/internal.h
@@ -216,7 +216,10 @@
 /// \brief True unless the target has a limit of which this host has no share.
 [[nodiscard]] bool HasLimitShare(const Target& aTarget) noexcept;
 
-// --- rest.cpp: targets that ask this host to send nothing for a while
+// --- rest.cpp: targets that ask this host to send nothing, for a while or for
+// good
+/// \brief The target has said that it leaves.
+void HandleLeaving(State& aState, Target& aTarget, Effects& aOut);
 /// \brief Handles a stated rest in an answer, readable or not.
 void HandleStatedRest(State& aState,
                       Micros aNow,
@@ -234,7 +237,7 @@
 [[nodiscard]] Micros DelayUntilRestEnd(State& aState,
                                        Micros aRestEnd,
                                        Micros aNow);
-/// \brief True unless the target wants to rest, or this host's share of its
+/// \brief True unless the target rests or leaves, or this host's share of its
 /// limit is used up.
 [[nodiscard]] bool AcceptsRequests(const Target& aTarget, Micros aNow) noexcept;
 
--- a/src/dispatch/probing.cpp
+++ b/src/dispatch/probing.cpp
@@ -207,7 +207,7 @@
   for (const Attempt& attempt : aRequest.mAttempts) {
     const auto found = aState.mTargets.find(attempt.mTarget);
     if (found == aState.mTargets.end() || found->second.mProbing ||
-        IsResting(found->second, aNow) ||
+        found->second.mLeaving || IsResting(found->second, aNow) ||
         !budget::Take(aState.mProbeBudget, aNow, 1)) {
       continue;
     }
--- a/src/dispatch/reach.cpp
+++ b/src/dispatch/reach.cpp
@@ -69,7 +69,7 @@
     }
     Target& target = aState.mTargets.at(
       service.mSubset[NextRandom(aState) % service.mSubset.size()]);
-    if (IsResting(target, aNow)) {
+    if (target.mLeaving || IsResting(target, aNow)) {
       continue;
     }
     if (target.mProbing || asked == kServicesAsked ||
--- a/src/dispatch/rest.cpp
+++ b/src/dispatch/rest.cpp
@@ -46,6 +46,20 @@
   service.mRestUntil = std::max(service.mRestUntil, aTarget.mRestUntil);
 }
 
+// It holds for the incarnation: an announcement that says ready may be older.
+void HandleLeaving(State& aState, Target& aTarget, Effects& aOut)
+{
+  if (aTarget.mLeaving) {
+    return;
+  }
+  aTarget.mLeaving = true;
+  ++aState.mCounters["targets_leaving"];
+  Log(aOut,
+      1,
+      "event=target_leaves target=" + aTarget.mId +
+        " service=" + aTarget.mService);
+}
+
 bool IsResting(const Target& aTarget, Micros aNow) noexcept
 {
   return aNow < aTarget.mRestUntil;
@@ -62,7 +76,7 @@
   for (const std::string& id : aService.mTargets) {
     const Target& target = aState.mTargets.at(id);
     if (!IsResting(target, aNow)) {
-      if (!target.mUnavailable) {
+      if (!target.mUnavailable && !target.mLeaving) {
         return std::nullopt;
       }
       continue;
@@ -82,7 +96,8 @@
 
 bool AcceptsRequests(const Target& aTarget, Micros aNow) noexcept
 {
-  return !IsResting(aTarget, aNow) && IsWithinLimit(aTarget, aNow);
+  return !aTarget.mLeaving && !IsResting(aTarget, aNow) &&
+         IsWithinLimit(aTarget, aNow);
 }
 
 } // namespace geraniumpond::dispatch
--- a/src/dispatch/targets.cpp
+++ b/src/dispatch/targets.cpp
@@ -167,7 +167,7 @@
     return;
   }
   Target& target = found->second;
-  if (target.mProbing) {
+  if (target.mProbing || target.mLeaving) {
     return;
   }
   if (IsResting(target, aNow)) {
@@ -329,6 +329,9 @@
       HandleStatedLimit(aState, aNow, target, aEnd.mLimit, aOut);
     }
     HandleStatedRest(aState, aNow, target, aEnd.mRest, aOut);
+    if (aEnd.mLeaving) {
+      HandleLeaving(aState, target, aOut);
+    }
     HandleTargetAlive(aState, aNow, target, aOut);
   }
   ServeQueue(aState, aNow, service, aOut);
--- a/src/frontend/dialect.h
+++ b/src/frontend/dialect.h
@@ -32,6 +32,8 @@
   /// Milliseconds that a request spent at the host that passed it on to this
   /// one; not forwarded to targets.
   std::string mRelayedAfter = "Relayed-After-Ms";
+  /// In an answer: "1" if the target leaves.
+  std::string mLeaving;
   /// In an answer: requests per second that the target accepts from all hosts
   /// together.
   std::string mLimit;
--- a/src/frontend/native_dialect.cpp
+++ b/src/frontend/native_dialect.cpp
@@ -155,6 +155,7 @@
   dialect.mFieldNames.mNotRun = "Not-Run";
   dialect.mFieldNames.mTargetId = "Target-Id";
   dialect.mFieldNames.mLoad = "Target-Load";
+  dialect.mFieldNames.mLeaving = "Target-Leaving";
   dialect.mFieldNames.mLimit = "Target-Limit";
   dialect.mParseCall = ParseCall;
   dialect.mMakeOperationResponse = MakeOperationResponse;
--- a/src/frontend/target_pool.cpp
+++ b/src/frontend/target_pool.cpp
@@ -383,6 +383,13 @@
     return true;
   }
 
+  bool SaysLeaving(const HttpResponse& aResponse) const
+  {
+    const std::string* value =
+      FindField(aResponse.mFields, mPool.mNames.mLeaving);
+    return value != nullptr && *value == "1";
+  }
+
   void Report(Job aJob, HttpResponse aResponse)
   {
     const FieldNames& names = mPool.mNames;
@@ -402,6 +409,7 @@
       end.mReport = report;
       end.mLimit = ParseLimit(aResponse.mFields, names.mLimit);
       end.mRest = ParseRest(aResponse, Poco::Timestamp());
+      end.mLeaving = SaysLeaving(aResponse);
       mPool.mSink.OnProbeResult(end);
       return;
     }
@@ -417,6 +425,7 @@
     end.mReport = report;
     end.mLimit = ParseLimit(aResponse.mFields, names.mLimit);
     end.mRest = ParseRest(aResponse, Poco::Timestamp());
+    end.mLeaving = SaysLeaving(aResponse);
     if (end.mNotRun) {
       end.mReason = end.mMisdirected ? "address_taken" : "target_refused";
     }
