--- /dev/null
+++ b/tests/fakes/running_gateway.h
@@ -0,0 +1,137 @@
+#pragma once
+
+#include "fakes/free_address.h"
+#include "frontend/gateway_process.h"
+#include "frontend/native_dialect.h"
+
+#include <Poco/File.h>
+#include <Poco/Net/HTTPClientSession.h>
+#include <Poco/Net/HTTPRequest.h>
+#include <Poco/Net/HTTPResponse.h>
+#include <Poco/StreamCopier.h>
+#include <Poco/TemporaryFile.h>
+
+#include <atomic>
+#include <chrono>
+#include <sstream>
+#include <string>
+#include <thread>
+
+namespace geraniumpond::fakes {
+
+/// \brief One gateway host on loopback, run by a thread of the test. Its
+/// policy is given as text.
+class RunningGateway
+{
+public:
+  RunningGateway()
+  {
+    mFolder = Poco::TemporaryFile::tempName();
+    Poco::File(mFolder).createDirectories();
+    mSettings.mId = "h1";
+    mSettings.mDataFolder = mFolder;
+    mSettings.mFounding = true;
+    mSettings.mCallerAddress = FreeAddress();
+    mSettings.mPeerAddress = FreeAddress();
+    mSettings.mCallAddresses = { FreeAddress() };
+    mSettings.mMetricsAddress = FreeAddress();
+    mSettings.mSeeds = { mSettings.mPeerAddress };
+    mSettings.mStopGrace = 6 * kSecond;
+    mSettings.mAnswerKeep = 100 * kMillisecond;
+    mSettings.mLinkMbps = 1000;
+    mSettings.mProbesPerTarget = 10;
+    mThread = std::thread([this] { Run(); });
+  }
+
+  /// \brief Joins the thread also when an assertion has failed: destroying a
+  /// joinable thread would end the process and hide the failure.
+  ~RunningGateway()
+  {
+    Stop();
+    Join();
+    Poco::File(mFolder).remove(true);
+  }
+  RunningGateway(const RunningGateway&) = delete;
+  RunningGateway& operator=(const RunningGateway&) = delete;
+
+  void Stop() { mStop = true; }
+
+  void Join()
+  {
+    if (mThread.joinable()) {
+      mThread.join();
+    }
+  }
+
+  [[nodiscard]] Poco::Net::SocketAddress CallerAddress() const
+  {
+    return Poco::Net::SocketAddress(mSettings.mCallerAddress);
+  }
+
+  /// \brief Puts the policy and target t1 of service s; false if the host did
+  /// not accept them in time. It does once its group has elected a leader.
+  [[nodiscard]] bool Announce(const std::string& aPolicy,
+                              const std::string& aTarget) const
+  {
+    const std::string record = R"({"service":"s","address":")" + aTarget +
+                               R"(","slots":4,"sequence":1})";
+    return PutUntilAccepted("/policy", aPolicy) &&
+           PutUntilAccepted("/targets/t1", record);
+  }
+
+private:
+  void Run()
+  {
+    frontend::GatewayProcess process(mSettings, frontend::NativeDialect());
+    const bool started = static_cast<bool>(process.Start());
+    bool stopping = false;
+    while (started && process.RunOnce()) {
+      if (mStop && !stopping) {
+        stopping = true;
+        process.RequestStop();
+      }
+    }
+  }
+
+  [[nodiscard]] int Put(const std::string& aPath,
+                        const std::string& aBody) const
+  {
+    namespace net = Poco::Net;
+    const net::SocketAddress address(mSettings.mCallAddresses.front());
+    net::HTTPClientSession session(address);
+    session.setTimeout(Poco::Timespan(1, 0));
+    net::HTTPRequest request("PUT", aPath, "HTTP/1.1");
+    request.setContentLength(static_cast<std::streamsize>(aBody.size()));
+    session.sendRequest(request) << aBody;
+    net::HTTPResponse response;
+    std::ostringstream text;
+    Poco::StreamCopier::copyStream(session.receiveResponse(response), text);
+    return response.getStatus();
+  }
+
+  [[nodiscard]] bool PutUntilAccepted(const std::string& aPath,
+                                      const std::string& aBody) const
+  {
+    const auto end = std::chrono::steady_clock::now() + kAcceptTime;
+    while (std::chrono::steady_clock::now() < end) {
+      try {
+        if (Put(aPath, aBody) == 200) {
+          return true;
+        }
+      } catch (const Poco::Exception&) {
+        // The host does not listen yet.
+      }
+      std::this_thread::sleep_for(std::chrono::milliseconds(20));
+    }
+    return false;
+  }
+
+  static constexpr std::chrono::seconds kAcceptTime{ 10 };
+
+  std::string mFolder;
+  GatewaySettings mSettings;
+  std::atomic<bool> mStop{ false };
+  std::thread mThread;
+};
+
+} // namespace geraniumpond::fakes
