Ask other quiet services though a target of one is being asked

Read in the diff, not seen: while a service was silent, a target that was being probed ended the round of questions to quiet services, so that a host with many services took longer to find that it reaches none.

--- a/src/dispatch/reach.cpp
+++ b/src/dispatch/reach.cpp
@@ -69,10 +69,10 @@
     }
     Target& target = aState.mTargets.at(
       service.mSubset[NextRandom(aState) % service.mSubset.size()]);
-    if (target.mLeaving || IsResting(target, aNow)) {
+    if (target.mProbing || target.mLeaving || IsResting(target, aNow)) {
       continue;
     }
-    if (target.mProbing || asked == kServicesAsked ||
+    if (asked == kServicesAsked ||
         !budget::Take(aState.mProbeBudget, aNow, 1)) {
       return;
     }
