Name the host through which an answer came, and announce own changes in one place

An answered line of a request that was passed on named no target; it names the host now. SetReady, SetCutOff and BeginStop did the same three steps each. No decision is changed; FleetTest, FleetClientsTest, RelayTest, GatewayTargetLinksTest and GatewayRestTest as before.

--- a/src/dispatch/ends.cpp
+++ b/src/dispatch/ends.cpp
@@ -188,7 +188,9 @@
   Log(aOut,
       aEnd.mStatus < kServerError ? 1 : 2,
       "event=answered status=" + std::to_string(aEnd.mStatus) +
-        Describe(aState, aRequest, aNow) + " target=" + aAttempt.mTarget);
+        Describe(aState, aRequest, aNow) +
+        (aAttempt.mHost.empty() ? " target=" + aAttempt.mTarget
+                                : " through=" + aAttempt.mHost));
   ++aState.mCounters["answers_delivered"];
   aOut.emplace_back(DeliverAnswer{ aRequest.mId, aAttempt.mNumber });
   RemoveAttempt(aRequest, aAttempt.mNumber);
--- a/src/fleet/fleet.cpp
+++ b/src/fleet/fleet.cpp
@@ -234,15 +234,24 @@
   AnswerDeferredAskers(aState, aNow, aOut);
 }
 
+namespace {
+
+void AnnounceOwnChange(State& aState, Micros aNow, Output& aOut)
+{
+  RefreshOwnHost(aState, aNow);
+  SendReports(aState, aNow, aOut);
+  PublishHostChanges(aState, aNow, aOut);
+}
+
+} // namespace
+
 void SetReady(State& aState, Micros aNow, bool aReady, Output& aOut)
 {
   if (aState.mReady == aReady) {
     return;
   }
   aState.mReady = aReady;
-  RefreshOwnHost(aState, aNow);
-  SendReports(aState, aNow, aOut);
-  PublishHostChanges(aState, aNow, aOut);
+  AnnounceOwnChange(aState, aNow, aOut);
 }
 
 void SetCutOff(State& aState, Micros aNow, bool aCutOff, Output& aOut)
@@ -251,9 +260,7 @@
     return;
   }
   aState.mCutOff = aCutOff;
-  RefreshOwnHost(aState, aNow);
-  SendReports(aState, aNow, aOut);
-  PublishHostChanges(aState, aNow, aOut);
+  AnnounceOwnChange(aState, aNow, aOut);
 }
 
 void BeginStop(State& aState, Micros aNow, Output& aOut)
@@ -263,9 +270,7 @@
   }
   aState.mStopping = true;
   aState.mReady = false;
-  RefreshOwnHost(aState, aNow);
-  SendReports(aState, aNow, aOut);
-  PublishHostChanges(aState, aNow, aOut);
+  AnnounceOwnChange(aState, aNow, aOut);
   TransferLeadership(aState, aNow, aOut);
 }
 
