Show facts apart from commands in what a late host works on, and count every message as waiting

But announcements are held while a host is out of touch, and "commands" held everything that is neither consensus, report nor reply: commands, their ends, joins and facts.

Change: facts have a column of their own. The longest wait of the inbox left out the questions of hosts that look for an upstream, and began anew when a host repeated its message; it now counts both. The simulated fleet stamps messages with their time, and hosts in it can share facts. No decision changes.

Not yet shown: which of these messages they were.

--- a/src/fleet/inbox.cpp
+++ b/src/fleet/inbox.cpp
@@ -68,6 +68,7 @@
   mBytes += aNext.mBytes;
   mBytes -= found->mBytes;
   ++mReplaced;
+  aNext.mArrivedAt = found->mArrivedAt;
   *found = std::move(aNext);
   return true;
 }
@@ -98,7 +99,7 @@
 {
   Micros longest = 0;
   for (const std::deque<Queued>* queue :
-       { &mConsensus, &mUrgent, &mOthers, &mAnnouncements }) {
+       { &mConsensus, &mUrgent, &mOthers, &mBriefReports, &mAnnouncements }) {
     if (!queue->empty()) {
       longest = std::max(longest, aNow - queue->front().mArrivedAt);
     }
--- a/src/frontend/gateway_process.cpp
+++ b/src/frontend/gateway_process.cpp
@@ -56,6 +56,9 @@
   if (aMessage.has_follow()) {
     return WorkKind::Reports;
   }
+  if (aMessage.has_gossip()) {
+    return WorkKind::Facts;
+  }
   return aMessage.has_follow_reply() ? WorkKind::Replies : WorkKind::Commands;
 }
 
--- a/src/frontend/load_monitor.cpp
+++ b/src/frontend/load_monitor.cpp
@@ -23,8 +23,9 @@
   "outbox",
   "disk",
 };
-constexpr std::array<const char*, 7> kWorkNames = {
-  "connections", "consensus", "reports", "replies", "commands", "disk", "time",
+constexpr std::array<const char*, 8> kWorkNames = {
+  "connections", "consensus", "reports", "replies",
+  "commands",    "facts",     "disk",    "time",
 };
 
 Micros ThreadCpuTime()
--- a/src/frontend/load_monitor.h
+++ b/src/frontend/load_monitor.h
@@ -34,6 +34,7 @@
   Reports,
   Replies,
   Commands,
+  Facts,
   Disk,
   Time,
 };
--- a/tests/fakes/fleet_simulation.cpp
+++ b/tests/fakes/fleet_simulation.cpp
@@ -261,7 +261,7 @@
       mQueue.erase(mQueue.begin());
       const auto node = mNodes.find(sent.mTo);
       if (node != mNodes.end() && node->second.mAlive) {
-        (void)node->second.mInbox.Put(sent.mMessage.SerializeAsString());
+        (void)node->second.mInbox.Put(sent.mMessage.SerializeAsString(), mNow);
         if (mSuspended.count(sent.mTo) == 0) {
           ProcessInbox(sent.mTo, node->second);
         }
@@ -305,6 +305,13 @@
   return id;
 }
 
+void FleetSimulation::ShareFact(const std::string& aAddress, gossip::Item aFact)
+{
+  fleet::Output output;
+  fleet::ShareFact(mNodes.at(aAddress).mState, mNow, std::move(aFact), output);
+  ProcessOutput(aAddress, output);
+}
+
 bool FleetSimulation::Commit(const std::string& aAddress,
                              const wire::CatalogCommand& aCommand)
 {
--- a/tests/fakes/fleet_simulation.h
+++ b/tests/fakes/fleet_simulation.h
@@ -111,6 +111,8 @@
 
   [[nodiscard]] std::uint64_t Submit(const std::string& aAddress,
                                      const wire::CatalogCommand& aCommand);
+  /// \brief Publishes a fact that a host has observed.
+  void ShareFact(const std::string& aAddress, gossip::Item aFact);
   /// \brief Submits a command and waits; true if it was committed and accepted.
   bool Commit(const std::string& aAddress,
               const wire::CatalogCommand& aCommand);
