Take no request of a client while other hosts wait for this one

Cause: a host took every request of a client, however long messages of other hosts waited at it. After the kill the six control hosts have 3 s of requests ahead of each message; hosts that are out of touch ask them in vain, so they are not ready; so their clients come to the six and to the few that are ready. Who is named (decision 0016) does not end this: control hosts name themselves while they are in doubt.

Change: a host that others depend on (a voter, an upstream), or that is not settled, refuses new requests with 503 and a time to come back while a message has waited for longer than the time that the sums of timing.h grant an answer at a busy host (kAnswerTime). Requests wait as before where there is no policy yet, which costs nothing.

The clients of FleetClientsTest are now a fake that both tests use; its checks are as they were.

--- a/include/geraniumpond/dispatch.h
+++ b/include/geraniumpond/dispatch.h
@@ -576,6 +576,10 @@
                    const Arrival& aArrival,
                    Effects& aOut);
 
+/// \brief Refuses a request that this host has no processor time for; another
+/// host can serve it at once.
+void RefuseBusy(State& aState, const Arrival& aArrival, Effects& aOut);
+
 /// \brief Admits the requests that arrived before the first policy, once there
 /// is one and the targets are known.
 void AdmitUnrouted(State& aState, Micros aNow, Effects& aOut);
--- a/include/geraniumpond/fleet.h
+++ b/include/geraniumpond/fleet.h
@@ -459,6 +459,13 @@
 [[nodiscard]] std::vector<const Host*> HostsForClients(const State& aState,
                                                        Micros aNow);
 
+/// \brief Whether this host has processor time for another request of a client.
+/// While messages of other hosts wait for `aMessageDelay`, hosts that others
+/// depend on, and those that are not settled yet, have none.
+[[nodiscard]] bool AcceptsRequests(const State& aState,
+                                   Micros aNow,
+                                   Micros aMessageDelay);
+
 /// \brief Hosts considered alive, including this one; at least 1.
 [[nodiscard]] int LiveHostCount(const State& aState, Micros aNow);
 
--- a/include/geraniumpond/gateway.h
+++ b/include/geraniumpond/gateway.h
@@ -118,6 +118,8 @@
                ReleaseRequest,
                StopRequested>
     mBody;
+  /// Time that a message of another host has waited at this host lately.
+  Micros mMessageDelay = 0;
 };
 
 // ------------------------------------------------------------------- effects
--- a/src/dispatch/requests.cpp
+++ b/src/dispatch/requests.cpp
@@ -350,6 +350,13 @@
   Admit(aState, aNow, aNow - *aArrival.mRelayedAfter, relayed, aOut);
 }
 
+void RefuseBusy(State& aState, const Arrival& aArrival, Effects& aOut)
+{
+  ++aState.mCounters["requests"];
+  RefuseArrival(
+    aState, aArrival, kUnavailable, RetryAfter(aState, 0), "host_busy", aOut);
+}
+
 void Admit(State& aState,
            Micros aNow,
            Micros aArrivedAt,
--- a/src/fleet/fleet.cpp
+++ b/src/fleet/fleet.cpp
@@ -315,6 +315,17 @@
   return hosts;
 }
 
+// Requests that are refused go to another host, but nobody else answers for a
+// voter or an upstream. If these spend their time on clients instead, hosts
+// that lost touch do not regain it, so they are not ready, and their clients
+// come here too. A host that is not settled has the same effect on itself.
+bool AcceptsRequests(const State& aState, Micros aNow, Micros aMessageDelay)
+{
+  const bool isNeeded = HasVote(aState) || !aState.mFollowers.empty();
+  const bool isSettled = IsInTouch(aState, aNow) && aState.mHostsComplete;
+  return aMessageDelay <= kAnswerTime || (!isNeeded && isSettled);
+}
+
 std::vector<const Host*> ReadyHosts(const State& aState, Micros aNow)
 {
   std::vector<const Host*> hosts;
--- a/src/frontend/gateway_process.cpp
+++ b/src/frontend/gateway_process.cpp
@@ -362,7 +362,8 @@
   std::vector<wire::FleetMessage> messages;
   {
     const std::lock_guard<std::mutex> lock(mInboxMutex);
-    mLoadMonitor.RecordWait(WaitKind::Inbox, mPeerInbox.LongestWait(mNow));
+    mMessageDelay = mPeerInbox.LongestWait(mNow);
+    mLoadMonitor.RecordWait(WaitKind::Inbox, mMessageDelay);
     messages = mPeerInbox.Take(kMaxPeerMessagesPerIteration);
     if (!mPeerInbox.IsEmpty()) {
       mLoop.Wake();
--- a/src/frontend/gateway_process.h
+++ b/src/frontend/gateway_process.h
@@ -110,6 +110,8 @@
   Micros mClockOffset = 0;
   std::uint64_t mRandom = 0;
   Micros mNow = 0;
+  /// Longest time that a message had waited when messages were last handled.
+  Micros mMessageDelay = 0;
   bool mExited = false;
 
   EventLoop mLoop;
@@ -151,6 +153,7 @@
   gateway::Event event;
   event.mNow = mNow;
   event.mRandom = NextRandom();
+  event.mMessageDelay = mMessageDelay;
   event.mBody = std::move(aBody);
   Perform(gateway::Step(mState, event));
 }
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -280,6 +280,7 @@
 {
   Context& mContext;
   std::uint64_t mRandom;
+  Micros mMessageDelay;
 
   void operator()(const TimePassed& aEvent)
   {
@@ -305,7 +306,15 @@
     State& state = mContext.mState;
     state.mDispatch.mPolicyMayBeOutdated =
       !fleet::IsInTouch(state.mFleet, mContext.mNow);
+    // Until the first policy, requests wait without a cost.
+    const bool isAccepted =
+      !state.mDispatch.mPolicy ||
+      fleet::AcceptsRequests(state.mFleet, mContext.mNow, mMessageDelay);
     Dispatch(mContext, [&](dispatch::Effects& aOut) {
+      if (!isAccepted) {
+        dispatch::RefuseBusy(state.mDispatch, aEvent, aOut);
+        return;
+      }
       dispatch::HandleArrival(
         mContext.mState.mDispatch, mContext.mNow, aEvent, aOut);
     });
@@ -391,7 +400,8 @@
   Effects effects;
   Context context{ aState, aEvent.mNow, effects };
   dispatch::IgnoreOwnDelay(aState.mDispatch, aEvent.mNow);
-  std::visit(EventHandler{ context, aEvent.mRandom }, aEvent.mBody);
+  std::visit(EventHandler{ context, aEvent.mRandom, aEvent.mMessageDelay },
+             aEvent.mBody);
   ApplyWithheldPolicy(context);
   ContinueStop(context);
   return effects;
--- a/tests/fakes/fleet_simulation.cpp
+++ b/tests/fakes/fleet_simulation.cpp
@@ -333,6 +333,12 @@
   return asked;
 }
 
+Micros FleetSimulation::MessageDelay(const std::string& aAddress) const
+{
+  const FleetNode& node = mNodes.at(aAddress);
+  return std::max(node.mInbox.LongestWait(mNow), node.mBusyUntil - mNow);
+}
+
 std::string FleetSimulation::Leader() const
 {
   for (const auto& [address, node] : mNodes) {
--- a/tests/fakes/fleet_simulation.h
+++ b/tests/fakes/fleet_simulation.h
@@ -134,6 +134,8 @@
   /// \brief Number of queries for the control group's status that all hosts
   /// have sent.
   [[nodiscard]] std::uint64_t GroupStatusQueries() const;
+  /// \brief Time that a message which a host receives now waits at least.
+  [[nodiscard]] Micros MessageDelay(const std::string& aAddress) const;
   [[nodiscard]] std::string Leader() const;
   /// \brief Number of voters according to the leader; 0 without a leader.
   [[nodiscard]] std::size_t Voters() const { return VoterAddresses().size(); }
--- a/tests/fleet_clients_test.cpp
+++ b/tests/fleet_clients_test.cpp
@@ -1,10 +1,9 @@
-#include "fakes/fleet_simulation.h"
+#include "fakes/fleet_clients.h"
 
 #include <cppunit/extensions/HelperMacros.h>
 
 #include <algorithm>
-#include <map>
-#include <random>
+#include <optional>
 
 namespace geraniumpond::fleet {
 
@@ -16,33 +15,18 @@
 constexpr int kDataCentres = 6;
 constexpr int kOthers = 470;
 constexpr int kRequestsPerSecond = 1400;
-constexpr int kClients = 700;
 
 /// Time that a group has to settle after the last fault.
 constexpr Micros kSettleTime = 15 * kSecond;
-/// For which clients keep an answer of the directory.
-constexpr Micros kAnswerLifetime = 2 * kSecond;
-constexpr std::size_t kAddressesPerAnswer = 5;
-/// Hosts that a client asks in a row.
-constexpr int kLookupTries = 3;
-/// A host does not accept more while it is busy for this long.
-constexpr Micros kMaxBacklog = 3 * kSecond;
 constexpr Micros kStep = 10 * kMillisecond;
 
 // 5 ms of a core for each request of a client, and for messages what other
 // tests charge, on control hosts with a quarter of a core and other hosts with
 // a tenth.
-constexpr Micros kControlHostRequestCost = 20 * kMillisecond;
-constexpr Micros kOtherHostRequestCost = 50 * kMillisecond;
+constexpr fakes::RequestCost kRequestCost = { 20 * kMillisecond,
+                                              50 * kMillisecond };
 constexpr fakes::ProcessingCost kSmallHostCost = { 400, 1000, 40 };
 
-struct Client
-{
-  std::string mDataCentre;
-  std::vector<std::string> mAddresses;
-  Micros mExpiresAt = 0;
-};
-
 } // namespace
 
 // Guards against clients that all go to the control hosts after a restart of
@@ -87,13 +71,14 @@
     StartFleet(24);
     KillAndStartAll();
     CPPUNIT_ASSERT(mSimulation.RunUntil(2 * kSecond, [&] {
-      MakeReady();
+      mClients->MakeHostsReady();
       return mSimulation.Node(kHost).mState.mReady;
     }));
-    CPPUNIT_ASSERT(Named(kHost) == std::vector<std::string>{ kHost });
+    CPPUNIT_ASSERT(mClients->NamedBy(kHost) ==
+                   std::vector<std::string>{ kHost });
     CPPUNIT_ASSERT(mSimulation.RunUntil(5 * kSecond, [&] {
-      MakeReady();
-      return Named(kHost).size() == mSimulation.Addresses().size();
+      mClients->MakeHostsReady();
+      return mClients->NamedBy(kHost).size() == mSimulation.Addresses().size();
     }));
   }
 
@@ -102,9 +87,9 @@
     StartFleet(24);
     mSimulation.Kill(kHost);
     mSimulation.Start(kHost, false);
-    CPPUNIT_ASSERT(
-      mSimulation.RunUntil(2 * kSecond, [&] { return !Named(kHost).empty(); }));
-    for (const std::string& named : Named(kHost)) {
+    CPPUNIT_ASSERT(mSimulation.RunUntil(
+      2 * kSecond, [&] { return !mClients->NamedBy(kHost).empty(); }));
+    for (const std::string& named : mClients->NamedBy(kHost)) {
       CPPUNIT_ASSERT_MESSAGE(named, !mSimulation.IsControl(named));
     }
   }
@@ -116,7 +101,8 @@
     mSimulation.Advance(5 * kSecond);
     CPPUNIT_ASSERT(
       !IsInTouch(mSimulation.Node(kHost).mState, mSimulation.mNow));
-    CPPUNIT_ASSERT_EQUAL(mSimulation.Addresses().size(), Named(kHost).size());
+    CPPUNIT_ASSERT_EQUAL(mSimulation.Addresses().size(),
+                         mClients->NamedBy(kHost).size());
   }
 
   // The list of a control host that has just started lacks most hosts.
@@ -126,13 +112,14 @@
     KillAndStartControlHosts();
     for (Micros passed = 0; passed < 10 * kSecond; passed += kStep) {
       mSimulation.Advance(kStep);
-      MakeReady();
-      const std::size_t named = Named(kHost).size();
+      mClients->MakeHostsReady();
+      const std::size_t named = mClients->NamedBy(kHost).size();
       CPPUNIT_ASSERT_MESSAGE(std::to_string(passed / kMillisecond) +
                                " ms: " + std::to_string(named),
                              named == 1 || named > kOthers / 2);
     }
-    CPPUNIT_ASSERT_EQUAL(mSimulation.Addresses().size(), Named(kHost).size());
+    CPPUNIT_ASSERT_EQUAL(mSimulation.Addresses().size(),
+                         mClients->NamedBy(kHost).size());
   }
 
 private:
@@ -142,23 +129,14 @@
   void StartFleet(int aOthers, std::uint64_t aSeed = 1)
   {
     mSimulation = FleetSimulation(aSeed);
-    mRandom.seed(aSeed);
     mSimulation.StartSpreadFleet(kDataCentres, aOthers, 2);
     CPPUNIT_ASSERT(mSimulation.RunUntil(6 * kSecond, [&] {
       return mSimulation.Voters() == kDataCentres &&
              mSimulation.Commit(kControl, PutPolicyCommand(1, 0, "one"));
     }));
-    mHostsByDataCentre.clear();
-    for (const std::string& address : mSimulation.Addresses()) {
-      const Settings& settings = mSimulation.At(address).mSettings;
-      mHostsByDataCentre[settings.mDataCentre].push_back(address);
-    }
-    mClients.assign(kClients, {});
-    for (std::size_t i = 0; i < mClients.size(); ++i) {
-      mClients[i].mDataCentre = "dc" + std::to_string(i % kDataCentres);
-    }
+    mClients.emplace(mSimulation, kDataCentres, kRequestCost, aSeed);
     mSimulation.Advance(2 * kSecond);
-    MakeReady();
+    mClients->MakeHostsReady();
     mSimulation.Advance(3 * kSecond);
   }
 
@@ -188,82 +166,17 @@
     }
   }
 
-  // As a gateway does once it acts on a policy that the group has confirmed.
-  void MakeReady()
-  {
-    for (const std::string& address : mSimulation.Addresses()) {
-      const fakes::FleetNode& node = mSimulation.At(address);
-      if (node.mAlive && !node.mState.mReady &&
-          node.mState.mCatalog.mVersion > 0 &&
-          HasConfirmedCatalog(node.mState, mSimulation.mNow)) {
-        mSimulation.SetReady(address);
-      }
-    }
-  }
-
-  std::vector<std::string> Named(const std::string& aHost) const
-  {
-    std::vector<std::string> named;
-    for (const Host* host :
-         HostsForClients(mSimulation.At(aHost).mState, mSimulation.mNow)) {
-      named.push_back(host->mPeerAddress);
-    }
-    return named;
-  }
-
   void AdvanceWithClients(Micros aTime)
   {
     for (Micros passed = 0; passed < aTime; passed += kStep) {
-      MakeReady();
+      mClients->MakeHostsReady();
       for (Micros i = 0; i < kRequestsPerSecond * kStep / kSecond; ++i) {
-        SendRequest(mClients[mRandom() % mClients.size()]);
+        mClients->SendRequest();
       }
       mSimulation.Advance(kStep);
     }
   }
 
-  // A client that gets no new answer keeps the one that it has.
-  void Lookup(Client& aClient)
-  {
-    const auto& near = mHostsByDataCentre.at(aClient.mDataCentre);
-    for (int i = 0; i < kLookupTries; ++i) {
-      const std::string& asked = near[mRandom() % near.size()];
-      std::vector<std::string> named;
-      if (mSimulation.At(asked).mAlive) {
-        named = Named(asked);
-      }
-      if (named.empty()) {
-        continue;
-      }
-      std::shuffle(named.begin(), named.end(), mRandom);
-      named.resize(std::min(named.size(), kAddressesPerAnswer));
-      aClient.mAddresses = std::move(named);
-      aClient.mExpiresAt = mSimulation.mNow + kAnswerLifetime;
-      return;
-    }
-  }
-
-  void SendRequest(Client& aClient)
-  {
-    if (mSimulation.mNow >= aClient.mExpiresAt) {
-      Lookup(aClient);
-    }
-    if (aClient.mAddresses.empty()) {
-      return;
-    }
-    const std::string& address =
-      aClient.mAddresses[mRandom() % aClient.mAddresses.size()];
-    fakes::FleetNode& node = mSimulation.Node(address);
-    const Micros now = mSimulation.mNow;
-    if (node.mAlive && node.mState.mReady &&
-        node.mBusyUntil - now < kMaxBacklog) {
-      node.mBusyUntil =
-        std::max(node.mBusyUntil, now) + (mSimulation.IsControl(address)
-                                            ? kControlHostRequestCost
-                                            : kOtherHostRequestCost);
-    }
-  }
-
   int HostsOutOfTouch() const
   {
     const std::vector<std::string> hosts = mSimulation.Addresses();
@@ -274,9 +187,7 @@
   }
 
   FleetSimulation mSimulation;
-  std::mt19937_64 mRandom;
-  std::map<std::string, std::vector<std::string>> mHostsByDataCentre;
-  std::vector<Client> mClients;
+  std::optional<fakes::FleetClients> mClients;
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(FleetClientsTest);
--- a/tests/gateway_test.cpp
+++ b/tests/gateway_test.cpp
@@ -71,6 +71,8 @@
   CPPUNIT_TEST(PolicyOnALearnersDiskIsWithheldUntilTheLeaderConfirmsIt);
   CPPUNIT_TEST(PolicyFromAnIsolatedUpstreamIsWithheld);
   CPPUNIT_TEST(UnknownRouteGets404OnlyWhileThePolicyIsCurrent);
+  CPPUNIT_TEST(HostThatIsNotSettledRefusesRequestsWhileMessagesWait);
+  CPPUNIT_TEST(HostWithFollowersRefusesRequestsWhileMessagesWait);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -190,11 +192,40 @@
                          StatusOfUnknownRoute(state, kStart + 3 * kSecond));
   }
 
+  void HostThatIsNotSettledRefusesRequestsWhileMessagesWait()
+  {
+    State state = Follower(kFastLink, true, 100);
+    CPPUNIT_ASSERT_EQUAL(
+      404, StatusOfUnknownRoute(state, kStart + 1000, kShortDelay));
+    CPPUNIT_ASSERT_EQUAL(
+      503, StatusOfUnknownRoute(state, kStart + 2000, kLongDelay));
+    state.mFleet.mHostsComplete = true;
+    CPPUNIT_ASSERT_EQUAL(
+      404, StatusOfUnknownRoute(state, kStart + 3000, kLongDelay));
+  }
+
+  void HostWithFollowersRefusesRequestsWhileMessagesWait()
+  {
+    State state = Follower(kFastLink, true, 100);
+    state.mFleet.mHostsComplete = true;
+    state.mFleet.mFollowers["10.0.0.8:7000"];
+    CPPUNIT_ASSERT_EQUAL(
+      503, StatusOfUnknownRoute(state, kStart + 1000, kLongDelay));
+    CPPUNIT_ASSERT_EQUAL(
+      404, StatusOfUnknownRoute(state, kStart + 2000, kShortDelay));
+  }
+
 private:
-  static int StatusOfUnknownRoute(State& aState, Micros aNow)
+  static constexpr Micros kShortDelay = 50 * kMillisecond;
+  static constexpr Micros kLongDelay = 200 * kMillisecond;
+
+  static int StatusOfUnknownRoute(State& aState,
+                                  Micros aNow,
+                                  Micros aMessageDelay = 0)
   {
     Event event;
     event.mNow = aNow;
+    event.mMessageDelay = aMessageDelay;
     dispatch::Arrival arrival;
     arrival.mId = static_cast<std::uint64_t>(aNow);
     arrival.mHostName = "nobody.example";
