Read the policy through the upstream where the links to control hosts are cut

Cause: no connection to any control host comes about. Each connect runs into its 100 ms and is closed and tried again (events 2, 128, 4 of the socket, never 1) for the leader and for each of the others, since the host is cut off from all of them; the upstream, a relay, is not. All tries went the one dark way.

Change: from its second try on a read also goes to the upstream. A host that does not lead reads on behalf of its followers and passes the answer on; an answer is still the leader's, after a round that began after the read came. No step waits longer than before, and reads that are answered at once cost what they did. A host of an earlier version names the leader, as it does now.

Failed before (CanRead at the first try of each): HostCutOffFromAllControl- HostsReadsThroughItsUpstream, HostCutOffFromTheLeaderAloneReadsThroughIts- Upstream. Both pass, and the five others of FleetReadTest.

Left: changes, withdrawals and announcements at such hosts still fail for as long as the cut lasts.

--- a/include/geraniumpond/fleet.h
+++ b/include/geraniumpond/fleet.h
@@ -170,6 +170,10 @@
   std::size_t mNoLeaderReplies = 0;
   /// For a read: the policy version that need not be sent.
   std::optional<std::uint64_t> mKnownPolicyVersion;
+  /// For a read that a follower has sent: the follower, and the read's id
+  /// there.
+  std::string mFollower;
+  std::uint64_t mFollowerId = 0;
 };
 
 /// \brief An announcement of a target that this host was asked to make.
--- a/src/fleet/submit.cpp
+++ b/src/fleet/submit.cpp
@@ -86,20 +86,13 @@
            : std::max(kSubmitRetry, 2 * aPending.mRetryPause);
 }
 
-void SendPendingTo(State& aState,
-                   Micros aNow,
-                   std::uint64_t aId,
-                   PendingCommand& aPending,
-                   const std::string& aTo,
-                   Output& aOut)
+void SendCommand(State& aState,
+                 Micros aNow,
+                 std::uint64_t aId,
+                 const PendingCommand& aPending,
+                 const std::string& aTo,
+                 Output& aOut)
 {
-  aPending.mRetryPause = RetryPauseOf(aPending);
-  aPending.mSendAt = aNow + aPending.mRetryPause;
-  aPending.mLastSentTo = aTo;
-  if (aTo.empty()) {
-    return;
-  }
-  ++aPending.mTries;
   wire::Submit submit;
   submit.set_id(aId);
   submit.set_command(aPending.mCommand);
@@ -116,6 +109,22 @@
   SendTo(aState, aTo, std::move(message), aOut);
 }
 
+void SendPendingTo(State& aState,
+                   Micros aNow,
+                   std::uint64_t aId,
+                   PendingCommand& aPending,
+                   const std::string& aTo,
+                   Output& aOut)
+{
+  aPending.mRetryPause = RetryPauseOf(aPending);
+  aPending.mSendAt = aNow + aPending.mRetryPause;
+  aPending.mLastSentTo = aTo;
+  if (!aTo.empty()) {
+    ++aPending.mTries;
+    SendCommand(aState, aNow, aId, aPending, aTo, aOut);
+  }
+}
+
 // If no leader is known, or the known one has been tried, control hosts are
 // asked in turn: the first that answers names the leader.
 std::string NextDestination(State& aState,
@@ -139,8 +148,18 @@
                  Output& aOut)
 {
   aPending.mRedirects = 0;
+  const bool isRetry = aPending.mTries > 0;
   const std::string to = NextDestination(aState, aNow, aPending);
+  // The upstream hears the group, while the links to the leader and to control
+  // hosts may all be cut.
+  const std::string upstream = aState.mUpstream;
+  const bool asksUpstream = isRetry && aPending.mKnownPolicyVersion &&
+                            aState.mInTouch && !HasVote(aState) &&
+                            !upstream.empty() && upstream != to;
   SendPendingTo(aState, aNow, aId, aPending, to, aOut);
+  if (asksUpstream) {
+    SendCommand(aState, aNow, aId, aPending, upstream, aOut);
+  }
 }
 
 void FollowRedirect(State& aState,
@@ -183,6 +202,38 @@
   return id;
 }
 
+// Reads on behalf of a follower, whose own links may be cut; the leader answers
+// this host. False if this host knows no better than the follower.
+bool ForwardRead(State& aState,
+                 Micros aNow,
+                 const std::string& aFrom,
+                 const wire::Submit& aMessage,
+                 Output& aOut)
+{
+  if (!aMessage.has_known_policy() || aState.mFollowers.count(aFrom) == 0 ||
+      aState.mLeaderAddress.empty() || !IsInTouch(aState, aNow)) {
+    return false;
+  }
+  const auto isRepeated = [&](const auto& aEntry) {
+    return aEntry.second.mFollower == aFrom &&
+           aEntry.second.mFollowerId == aMessage.id();
+  };
+  if (std::any_of(aState.mPending.begin(), aState.mPending.end(), isRepeated)) {
+    return true;
+  }
+  const std::uint64_t id = ++aState.mLastSubmitId;
+  PendingCommand& pending = aState.mPending[id];
+  pending.mCommand = aMessage.command();
+  pending.mUrgent = true;
+  pending.mStartedAt = aNow;
+  pending.mGiveUpAt = aNow + kReadWithin;
+  pending.mKnownPolicyVersion = aMessage.known_policy();
+  pending.mFollower = aFrom;
+  pending.mFollowerId = aMessage.id();
+  SendPending(aState, aNow, id, pending, aOut);
+  return true;
+}
+
 Completion CompletionOf(std::uint64_t aId,
                         const PendingCommand& aPending,
                         Micros aNow)
@@ -202,6 +253,10 @@
             Output& aOut)
 {
   const auto found = aState.mPending.find(aId);
+  if (!found->second.mFollower.empty()) {
+    aState.mPending.erase(found);
+    return;
+  }
   Completion done = CompletionOf(aId, found->second, aNow);
   done.mReason = aReason + ", leader=" + aState.mLeaderAddress;
   aOut.mDone.push_back(std::move(done));
@@ -216,6 +271,14 @@
                      Output& aOut)
 {
   const auto found = aState.mPending.find(aMessage.id());
+  if (!found->second.mFollower.empty()) {
+    wire::SubmitReply reply = aMessage;
+    reply.set_id(found->second.mFollowerId);
+    const std::string follower = found->second.mFollower;
+    aState.mPending.erase(found);
+    ReplySubmit(aState, aNow, follower, reply, aOut);
+    return;
+  }
   Completion done = CompletionOf(aMessage.id(), found->second, aNow);
   aState.mPending.erase(found);
   done.mEnd = SubmitResult::Committed;
@@ -351,6 +414,9 @@
   reply.set_id(aMessage.id());
   reply.set_leader_address(aState.mLeaderAddress);
   if (!IsControlMember(aState) || !consensus::IsLeader(aState.mGroup)) {
+    if (ForwardRead(aState, aNow, aFrom, aMessage, aOut)) {
+      return;
+    }
     reply.set_status(wire::SUBMIT_NOT_LEADER);
     ReplySubmit(aState, aNow, aFrom, reply, aOut);
     return;
--- a/tests/fleet_read_test.cpp
+++ b/tests/fleet_read_test.cpp
@@ -65,6 +65,8 @@
   CPPUNIT_TEST(PolicyIsReadWhileDisksAreStalled);
   CPPUNIT_TEST(EachReadEndsInTimeAfterATotalPowerLoss);
   CPPUNIT_TEST(StepsOfAReadFitItsTimeLimit);
+  CPPUNIT_TEST(HostCutOffFromAllControlHostsReadsThroughItsUpstream);
+  CPPUNIT_TEST(HostCutOffFromTheLeaderAloneReadsThroughItsUpstream);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -83,6 +85,35 @@
     }
   }
 
+  // The host hears of the group from its upstream all along.
+  void HostCutOffFromAllControlHostsReadsThroughItsUpstream()
+  {
+    StartFleetWithRelays();
+    const std::string reader = HostBelow(false);
+    mSimulation.mIsolatedFromControl = { reader };
+    for (int i = 0; i < 10; ++i) {
+      mSimulation.Advance(400 * kMillisecond);
+      CPPUNIT_ASSERT(
+        IsInTouch(mSimulation.At(reader).mState, mSimulation.mNow));
+      CPPUNIT_ASSERT_MESSAGE(std::to_string(i), CanRead(reader));
+    }
+  }
+
+  void HostCutOffFromTheLeaderAloneReadsThroughItsUpstream()
+  {
+    StartFleetWithRelays();
+    const std::string leader = mSimulation.Leader();
+    const std::string reader = HostBelow(true);
+    mSimulation.mShouldDrop = [&](const fakes::SentMessage& aSent) {
+      return (aSent.mFrom == reader && aSent.mTo == leader) ||
+             (aSent.mFrom == leader && aSent.mTo == reader);
+    };
+    for (int i = 0; i < 10; ++i) {
+      mSimulation.Advance(400 * kMillisecond);
+      CPPUNIT_ASSERT_MESSAGE(std::to_string(i), CanRead(reader));
+    }
+  }
+
   // The host does not receive the change through the tree, because its follow
   // replies are dropped.
   void HostWithAnOldPolicyReadsTheNewOne()
@@ -156,6 +187,32 @@
   }
 
 private:
+  void StartFleetWithRelays()
+  {
+    mSimulation = FleetSimulation(6);
+    mSimulation.StartSpreadFleet(kDataCentres, 120, 2);
+    CPPUNIT_ASSERT(mSimulation.RunUntil(6 * kSecond, [&] {
+      return mSimulation.Voters() == kDataCentres &&
+             mSimulation.Commit(kControl, PutPolicyCommand(2, 0, "two"));
+    }));
+    mSimulation.Advance(10 * kSecond);
+  }
+
+  // A host whose upstream is a relay, or a control host that does not lead.
+  std::string HostBelow(bool aControlHost) const
+  {
+    for (const std::string& address : mSimulation.Addresses()) {
+      const State& state = mSimulation.At(address).mState;
+      if (!mSimulation.IsControl(address) && !state.mUpstream.empty() &&
+          mSimulation.IsControl(state.mUpstream) == aControlHost &&
+          state.mUpstream != mSimulation.Leader()) {
+        return address;
+      }
+    }
+    CPPUNIT_FAIL("no such host");
+    return "";
+  }
+
   static constexpr const char* kControl = "10.0.0.1:1";
   static constexpr const char* kReader = "10.1.2.2:1";
 
