Share the cost of small hosts and the count of hosts out of touch among the fleet's tests

The values are the same; no assertion, bound or seed changes.

Rename: CostWith -> SmallHostCostWith

--- a/tests/fakes/fleet_simulation.cpp
+++ b/tests/fakes/fleet_simulation.cpp
@@ -333,6 +333,14 @@
   return asked;
 }
 
+int FleetSimulation::HostsOutOfTouch() const
+{
+  return static_cast<int>(
+    std::count_if(mNodes.begin(), mNodes.end(), [this](const auto& aEntry) {
+      return !IsInTouch(aEntry.second.mState, mNow);
+    }));
+}
+
 Micros FleetSimulation::MessageDelay(const std::string& aAddress) const
 {
   const FleetNode& node = mNodes.at(aAddress);
--- a/tests/fakes/fleet_simulation.h
+++ b/tests/fakes/fleet_simulation.h
@@ -60,6 +60,18 @@
   Micros mPerKilobyte = 0;
 };
 
+/// 0.1 ms of a core per message and 0.01 ms per kilobyte, on control hosts with
+/// a quarter of a core and other hosts with a tenth.
+constexpr ProcessingCost kSmallHostCost = { 400, 1000, 40 };
+
+/// \brief The same on small hosts that have this share of it for messages.
+constexpr ProcessingCost SmallHostCostWith(int aPercent)
+{
+  return { kSmallHostCost.mPerControlHostMessage * 100 / aPercent,
+           kSmallHostCost.mPerOtherHostMessage * 100 / aPercent,
+           kSmallHostCost.mPerKilobyte * 100 / aPercent };
+}
+
 /// \brief Simulates all hosts, their network and their disks.
 class FleetSimulation
 {
@@ -134,6 +146,7 @@
   /// \brief Number of queries for the control group's status that all hosts
   /// have sent.
   [[nodiscard]] std::uint64_t GroupStatusQueries() const;
+  [[nodiscard]] int HostsOutOfTouch() const;
   /// \brief Time that a message which a host receives now waits at least.
   [[nodiscard]] Micros MessageDelay(const std::string& aAddress) const;
   [[nodiscard]] std::string Leader() const;
--- a/tests/fleet_clients_test.cpp
+++ b/tests/fleet_clients_test.cpp
@@ -2,7 +2,6 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
-#include <algorithm>
 #include <optional>
 
 namespace geraniumpond::fleet {
@@ -25,7 +24,6 @@
 // a tenth.
 constexpr fakes::RequestCost kRequestCost = { 20 * kMillisecond,
                                               50 * kMillisecond };
-constexpr fakes::ProcessingCost kSmallHostCost = { 400, 1000, 40 };
 
 } // namespace
 
@@ -49,17 +47,17 @@
     for (const std::uint64_t seed : { 1, 2 }) {
       const std::string message = "seed " + std::to_string(seed);
       StartFleet(kOthers, seed);
-      mSimulation.mProcessingCost = kSmallHostCost;
+      mSimulation.mProcessingCost = fakes::kSmallHostCost;
       AdvanceWithClients(2 * kSecond);
-      CPPUNIT_ASSERT_EQUAL_MESSAGE(message, 0, HostsOutOfTouch());
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(message, 0, mSimulation.HostsOutOfTouch());
       KillAndStartAll();
       const Micros end = mSimulation.mNow + kSettleTime;
-      while (mSimulation.mNow < end && HostsOutOfTouch() != 0) {
+      while (mSimulation.mNow < end && mSimulation.HostsOutOfTouch() != 0) {
         AdvanceWithClients(100 * kMillisecond);
       }
-      CPPUNIT_ASSERT_EQUAL_MESSAGE(message, 0, HostsOutOfTouch());
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(message, 0, mSimulation.HostsOutOfTouch());
       AdvanceWithClients(2 * kSecond);
-      CPPUNIT_ASSERT_EQUAL_MESSAGE(message, 0, HostsOutOfTouch());
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(message, 0, mSimulation.HostsOutOfTouch());
       CPPUNIT_ASSERT_MESSAGE(
         message,
         mSimulation.Commit("10.1.2.2:1", PutPolicyCommand(2, 1, "two")));
@@ -177,15 +175,6 @@
     }
   }
 
-  int HostsOutOfTouch() const
-  {
-    const std::vector<std::string> hosts = mSimulation.Addresses();
-    return static_cast<int>(std::count_if(
-      hosts.begin(), hosts.end(), [&](const std::string& aAddress) {
-        return !IsInTouch(mSimulation.At(aAddress).mState, mSimulation.mNow);
-      }));
-  }
-
   FleetSimulation mSimulation;
   std::optional<fakes::FleetClients> mClients;
 };
--- a/tests/fleet_facts_test.cpp
+++ b/tests/fleet_facts_test.cpp
@@ -2,7 +2,6 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
-#include <algorithm>
 #include <random>
 
 namespace geraniumpond::fleet {
@@ -23,10 +22,8 @@
 constexpr Micros kSettleTime = 15 * kSecond;
 constexpr Micros kStep = 10 * kMillisecond;
 
-// 0.1 ms of a core per message and 0.01 ms per kilobyte, on control hosts with
-// a quarter of a core and other hosts with a tenth; a quarter of that is left
-// for messages.
-constexpr fakes::ProcessingCost kCost = { 1600, 4000, 160 };
+// Of the processor of small hosts.
+constexpr int kPercentForMessages = 25;
 
 } // namespace
 
@@ -49,9 +46,10 @@
              mSimulation.Commit("10.0.0.1:1", PutPolicyCommand(1, 0, "one"));
     }));
     mSimulation.Advance(3 * kSecond);
-    mSimulation.mProcessingCost = kCost;
+    mSimulation.mProcessingCost = fakes::SmallHostCostWith(kPercentForMessages);
     AdvanceWithFacts(3 * kSecond);
-    CPPUNIT_ASSERT_EQUAL_MESSAGE("before the cut", 0, HostsOutOfTouch());
+    CPPUNIT_ASSERT_EQUAL_MESSAGE(
+      "before the cut", 0, mSimulation.HostsOutOfTouch());
     mSimulation.mShouldDrop = [this](const fakes::SentMessage& aSent) {
       return mSimulation.IsControl(aSent.mFrom) &&
              mSimulation.IsControl(aSent.mTo) &&
@@ -60,10 +58,10 @@
     AdvanceWithFacts(kCutTime);
     mSimulation.mShouldDrop = nullptr;
     const Micros end = mSimulation.mNow + kSettleTime;
-    while (mSimulation.mNow < end && HostsOutOfTouch() != 0) {
+    while (mSimulation.mNow < end && mSimulation.HostsOutOfTouch() != 0) {
       AdvanceWithFacts(100 * kMillisecond);
     }
-    CPPUNIT_ASSERT_EQUAL(0, HostsOutOfTouch());
+    CPPUNIT_ASSERT_EQUAL(0, mSimulation.HostsOutOfTouch());
   }
 
 private:
@@ -94,15 +92,6 @@
     }
   }
 
-  int HostsOutOfTouch() const
-  {
-    const std::vector<std::string> hosts = mSimulation.Addresses();
-    return static_cast<int>(std::count_if(
-      hosts.begin(), hosts.end(), [&](const std::string& aAddress) {
-        return !IsInTouch(mSimulation.At(aAddress).mState, mSimulation.mNow);
-      }));
-  }
-
   FleetSimulation mSimulation;
   std::mt19937_64 mRandom;
   int mShared = 0;
--- a/tests/fleet_read_back_test.cpp
+++ b/tests/fleet_read_back_test.cpp
@@ -34,10 +34,6 @@
 constexpr Micros kDownTime = 700 * kMillisecond;
 constexpr Micros kStep = 10 * kMillisecond;
 
-// 0.1 ms of a core per message and 0.01 ms per kilobyte, on control hosts with
-// a quarter of a core and other hosts with a tenth.
-constexpr fakes::ProcessingCost kSmallHostCost = { 400, 1000, 40 };
-
 /// Work of a fleet, on a share of the processor that it is given for messages.
 struct Load
 {
@@ -51,13 +47,6 @@
   return { aAtControlHost, aAtControlHost * 5 / 2 };
 }
 
-fakes::ProcessingCost CostWith(int aPercent)
-{
-  return { kSmallHostCost.mPerControlHostMessage * 100 / aPercent,
-           kSmallHostCost.mPerOtherHostMessage * 100 / aPercent,
-           kSmallHostCost.mPerKilobyte * 100 / aPercent };
-}
-
 } // namespace
 
 // Guards against a policy that cannot be read back after a loss of all hosts,
@@ -107,9 +96,10 @@
   void KillAllUnder(const Load& aLoad)
   {
     StartFleet(aLoad);
-    mSimulation.mProcessingCost = CostWith(aLoad.mPercent);
+    mSimulation.mProcessingCost = fakes::SmallHostCostWith(aLoad.mPercent);
     AdvanceWithLoad(3 * kSecond);
-    CPPUNIT_ASSERT_EQUAL_MESSAGE("before the kill", 0, HostsOutOfTouch());
+    CPPUNIT_ASSERT_EQUAL_MESSAGE(
+      "before the kill", 0, mSimulation.HostsOutOfTouch());
     CPPUNIT_ASSERT(
       mSimulation.Commit(AnyHost(), PutPolicyCommand(kVersion, 1, "two")));
     for (const std::string& address : mSimulation.Addresses()) {
@@ -127,7 +117,7 @@
     mRandom.seed(aLoad.mSeed);
     mAnnounced = 0;
     mDue = 0;
-    mSimulation.mProcessingCost = kSmallHostCost;
+    mSimulation.mProcessingCost = fakes::kSmallHostCost;
     mSimulation.StartSpreadFleet(kDataCentres, kOthers, 2);
     CPPUNIT_ASSERT(mSimulation.RunUntil(6 * kSecond, [&] {
       return mSimulation.Voters() == kDataCentres &&
@@ -222,13 +212,6 @@
       }));
   }
 
-  int HostsOutOfTouch() const
-  {
-    return CountHosts([&](const State& aState) {
-      return !IsInTouch(aState, mSimulation.mNow);
-    });
-  }
-
   // Hosts that are out of touch, or lack the policy or targets.
   int UnsettledHosts() const
   {
--- a/tests/fleet_read_test.cpp
+++ b/tests/fleet_read_test.cpp
@@ -28,10 +28,6 @@
 constexpr Micros kAnnouncementPeriod = 1500 * kMillisecond;
 constexpr Micros kStep = 10 * kMillisecond;
 
-// 0.1 ms of a core per message and 0.01 ms per kilobyte, on control hosts with
-// a quarter of a core and other hosts with a tenth.
-constexpr fakes::ProcessingCost kSmallHostCost = { 400, 1000, 40 };
-
 enum class WipedDisk
 {
   Leader,
@@ -221,7 +217,7 @@
   {
     mSimulation = FleetSimulation(aTestCase.mSeed);
     mRandom.seed(aTestCase.mSeed);
-    mSimulation.mProcessingCost = kSmallHostCost;
+    mSimulation.mProcessingCost = fakes::kSmallHostCost;
     mSimulation.StartSpreadFleet(kDataCentres, kOthers, 2);
     CPPUNIT_ASSERT(mSimulation.RunUntil(6 * kSecond, [&] {
       return mSimulation.Voters() == kDataCentres &&
@@ -238,11 +234,7 @@
     }
     mSimulation.Wipe(aTestCase.mWiped == WipedDisk::Leader ? leader
                                                            : OtherThan(leader));
-    mSimulation.mProcessingCost = {
-      kSmallHostCost.mPerControlHostMessage * 100 / aTestCase.mPercent,
-      kSmallHostCost.mPerOtherHostMessage * 100 / aTestCase.mPercent,
-      kSmallHostCost.mPerKilobyte * 100 / aTestCase.mPercent
-    };
+    mSimulation.mProcessingCost = fakes::SmallHostCostWith(aTestCase.mPercent);
     mSimulation.Advance(kSecond);
     for (const std::string& address : mSimulation.Addresses()) {
       mSimulation.Node(address).mOutcomes.clear();
--- a/tests/fleet_recovery_test.cpp
+++ b/tests/fleet_recovery_test.cpp
@@ -33,17 +33,6 @@
 constexpr Micros kSteadyTime = 2 * kSecond;
 constexpr Micros kStep = 10 * kMillisecond;
 
-// 0.1 ms of a core per message and 0.01 ms per kilobyte, on control hosts with
-// a quarter of a core and other hosts with a tenth.
-constexpr fakes::ProcessingCost kSmallHostCost = { 400, 1000, 40 };
-
-fakes::ProcessingCost CostWith(int aPercent)
-{
-  return { kSmallHostCost.mPerControlHostMessage * 100 / aPercent,
-           kSmallHostCost.mPerOtherHostMessage * 100 / aPercent,
-           kSmallHostCost.mPerKilobyte * 100 / aPercent };
-}
-
 enum class PowerLoss
 {
   AllHosts,
@@ -140,7 +129,7 @@
     mSimulation = FleetSimulation(1);
     mRandom.seed(1);
     mAnnounced = 0;
-    mSimulation.mProcessingCost = kSmallHostCost;
+    mSimulation.mProcessingCost = fakes::kSmallHostCost;
     mSimulation.StartSpreadFleet(kDataCentres, kOthers, 2);
     CPPUNIT_ASSERT(mSimulation.RunUntil(6 * kSecond, [&] {
       return mSimulation.Voters() == kDataCentres &&
@@ -154,7 +143,7 @@
       mSimulation.Commit(kControl, PutPolicyCommand(kVersion, 1, "two")));
     CPPUNIT_ASSERT(
       mSimulation.RunUntil(3 * kSecond, [&] { return UnsettledHosts() == 0; }));
-    mSimulation.mProcessingCost = CostWith(aPercent);
+    mSimulation.mProcessingCost = fakes::SmallHostCostWith(aPercent);
     AdvanceWithAnnouncements(kSteadyTime);
     CPPUNIT_ASSERT_EQUAL_MESSAGE("before the loss", 0, UnsettledHosts());
     CPPUNIT_ASSERT(CanRead(AnyHost()));
--- a/tests/fleet_scale_test.cpp
+++ b/tests/fleet_scale_test.cpp
@@ -21,10 +21,6 @@
 /// acknowledged changes.
 constexpr Micros kContactTime = 4 * kSecond;
 
-// 0.1 ms of a core per message and 0.01 ms per kilobyte, on control hosts with
-// a quarter of a core and other hosts with a tenth.
-constexpr fakes::ProcessingCost kSmallHostCost = { 400, 1000, 40 };
-
 } // namespace
 
 /// \brief A fleet of hundreds of small hosts, with a processor cost per
@@ -99,11 +95,7 @@
         mSimulation.LosePower(address);
       }
       mSimulation.Wipe("10.0.3.1:1");
-      mSimulation.mProcessingCost = {
-        kSmallHostCost.mPerControlHostMessage * 100 / percent,
-        kSmallHostCost.mPerOtherHostMessage * 100 / percent,
-        kSmallHostCost.mPerKilobyte * 100 / percent
-      };
+      mSimulation.mProcessingCost = fakes::SmallHostCostWith(percent);
       mSimulation.Advance(kSecond);
       for (const std::string& address : mSimulation.Addresses()) {
         mSimulation.Start(address, false);
@@ -202,7 +194,7 @@
 private:
   void StartWithFirstPolicy()
   {
-    mSimulation.mProcessingCost = kSmallHostCost;
+    mSimulation.mProcessingCost = fakes::kSmallHostCost;
     mSimulation.StartSpreadFleet(kDataCentres, kOthers, 2);
     CPPUNIT_ASSERT(mSimulation.RunUntil(6 * kSecond, [&] {
       return mSimulation.Voters() == kDataCentres &&
