Withdraw a data centre's targets from service on an operator's order

It is in force with the catalog of each host: targets of an evacuated data centre leave the dispatch state as draining ones do, so that requests that wait, retries, hedges and probes cannot choose them. An order has no number on the wire, while a link that was cut may deliver an old copy of it seconds later, which would withdraw the data centre for good: it therefore carries the revision that its sender knew, a copy that builds on an older one changes nothing, and a host that was behind submits again with the revision that the group answered with.

Ruled out: a fact between hosts (not durable); a flag in the policy document (the operator's text is read back as written).

--- a/include/geraniumpond/catalog.h
+++ b/include/geraniumpond/catalog.h
@@ -21,6 +21,16 @@
 /// \brief Number of removed targets remembered, so that a late announcement
 /// does not register them again.
 constexpr std::size_t kMaxRemovedTargets = 20000;
+/// \brief Number of data centres whose evacuations are remembered.
+constexpr std::size_t kMaxEvacuations = 1000;
+
+/// \brief Whether the targets of a data centre are withdrawn from service.
+struct Evacuation
+{
+  bool mActive = false;
+  /// Increases with each change.
+  std::uint64_t mRevision = 0;
+};
 
 /// \brief State of the replicated state machine; identical on every replica.
 struct State
@@ -36,6 +46,8 @@
   std::map<std::string, std::uint64_t> mRemoved;
   /// The ids in mRemoved, in order of removal.
   std::deque<std::string> mRemovedOrder;
+  /// By data centre, those whose evacuation has ended included.
+  std::map<std::string, Evacuation> mEvacuations;
 };
 
 /// \brief Creates a policy change from a document.
@@ -69,6 +81,16 @@
 [[nodiscard]] bool ChangesRecord(const wire::TargetRecord& aKnown,
                                  const wire::TargetRecord& aRecord);
 
+/// \brief Revision of a data centre's evacuation; 0 if there was none.
+[[nodiscard]] std::uint64_t EvacuationRevision(const State& aState,
+                                               const std::string& aDataCentre);
+
+/// \brief The data centres whose targets are withdrawn from service.
+[[nodiscard]] std::set<std::string> EvacuatedDataCentres(const State& aState);
+
+/// \brief True if a command may change which targets are in service.
+[[nodiscard]] bool ChangesTargets(const wire::CatalogCommand& aCommand);
+
 /// \brief Serializes the state; equal states give equal bytes.
 [[nodiscard]] std::string Save(const State& aState);
 
--- a/include/geraniumpond/dispatch.h
+++ b/include/geraniumpond/dispatch.h
@@ -518,6 +518,10 @@
   bool mPolicyMayBeOutdated = false;
   std::shared_ptr<const policy::TrafficPolicy> mPolicy;
   std::unordered_map<std::string, Target> mTargets;
+  /// Data centres whose targets are withdrawn from service, and when others
+  /// returned to it.
+  std::set<std::string> mEvacuated;
+  std::map<std::string, Micros> mReturnedAt;
   std::map<std::string, Service> mServices;
   std::map<std::string, RouteStatistics> mStatistics;
   budget::TokenBucket mProbeBudget;
@@ -549,6 +553,13 @@
                Micros aNow,
                std::shared_ptr<const policy::TrafficPolicy> aPolicy);
 
+/// \brief Sets the data centres whose targets are withdrawn from service; takes
+/// effect with the next SetTargets().
+void SetEvacuated(State& aState,
+                  Micros aNow,
+                  std::set<std::string> aDataCentres,
+                  Effects& aOut);
+
 /// \brief Updates the targets from the catalog.
 void SetTargets(State& aState,
                 Micros aNow,
--- a/include/geraniumpond/gateway.h
+++ b/include/geraniumpond/gateway.h
@@ -29,6 +29,8 @@
   fleet::Settings mFleet;
   dispatch::Bounds mBounds;
   PolicyDecoder mDecodePolicy = nullptr;
+  /// All data centres; empty if they are not configured.
+  std::vector<std::string> mDataCentres;
   /// Speed of the host's network link, in bytes per second.
   double mLinkBytesPerSecond = 125e6;
   /// Time for which clients cache a directory answer.
@@ -89,6 +91,15 @@
   bool mFollowsRedirect = false;
 };
 
+/// \brief An operator withdraws a data centre's targets from service, or
+/// returns them to it.
+struct SetEvacuation
+{
+  std::uint64_t mOperation = 0;
+  std::string mDataCentre;
+  bool mEvacuated = false;
+};
+
 /// \brief An operator releases a request from quarantine.
 struct ReleaseRequest
 {
@@ -115,6 +126,7 @@
                Withdraw,
                PutPolicy,
                ReadPolicy,
+               SetEvacuation,
                ReleaseRequest,
                StopRequested>
     mBody;
@@ -187,7 +199,8 @@
   Announce,
   Withdraw,
   PutPolicy,
-  ReadPolicy
+  ReadPolicy,
+  SetEvacuation
 };
 
 /// \brief An operation whose command is not yet committed.
@@ -198,6 +211,10 @@
   std::string mSubject;
   /// A read whose caller is redirected to the leader.
   bool mElsewhere = false;
+  /// The change of an evacuation, and until when it is submitted again if it
+  /// builds on an old revision.
+  wire::SetEvacuation mEvacuation;
+  Micros mGiveUpAt = 0;
 };
 
 /// \brief A read that waits until this host has the required policy version.
--- a/include/geraniumpond/gateway_settings.h
+++ b/include/geraniumpond/gateway_settings.h
@@ -34,6 +34,8 @@
   std::vector<std::string> mSeeds;
   /// True if the whole fleet starts for the first time, with empty disks.
   bool mFounding = false;
+  /// All data centres; if there are none, an operator may name any.
+  std::vector<std::string> mDataCentres;
   /// Disks that may be lost at once without losing acknowledged changes.
   int mToleratedLosses = 0;
 
--- a/src/catalog/catalog.cpp
+++ b/src/catalog/catalog.cpp
@@ -121,8 +121,57 @@
   return OutcomeOf(aState, true, later ? "a later one stays" : "removed");
 }
 
+// An order has no number of its own, so a copy that was delayed until after a
+// later order is told by the revision that its sender knew.
+wire::CatalogOutcome ApplyEvacuation(State& aState,
+                                     const wire::SetEvacuation& aChange)
+{
+  const auto found = aState.mEvacuations.find(aChange.data_centre());
+  const bool isKnown = found != aState.mEvacuations.end();
+  const Evacuation known = isKnown ? found->second : Evacuation();
+  wire::CatalogOutcome outcome;
+  if (known.mActive == aChange.evacuated()) {
+    outcome = OutcomeOf(aState, true, "known");
+  } else if (known.mRevision != aChange.base_revision()) {
+    outcome = OutcomeOf(aState, false, "a later order is in force");
+  } else if (!isKnown && aState.mEvacuations.size() >= kMaxEvacuations) {
+    outcome = OutcomeOf(aState, false, "too many data centres");
+  } else {
+    aState.mEvacuations[aChange.data_centre()] = { aChange.evacuated(),
+                                                   known.mRevision + 1 };
+    outcome = OutcomeOf(aState, true, "accepted");
+  }
+  outcome.set_evacuation_revision(
+    EvacuationRevision(aState, aChange.data_centre()));
+  return outcome;
+}
+
 } // namespace
 
+std::uint64_t EvacuationRevision(const State& aState,
+                                 const std::string& aDataCentre)
+{
+  const auto found = aState.mEvacuations.find(aDataCentre);
+  return found == aState.mEvacuations.end() ? 0 : found->second.mRevision;
+}
+
+std::set<std::string> EvacuatedDataCentres(const State& aState)
+{
+  std::set<std::string> evacuated;
+  for (const auto& [dataCentre, evacuation] : aState.mEvacuations) {
+    if (evacuation.mActive) {
+      evacuated.insert(dataCentre);
+    }
+  }
+  return evacuated;
+}
+
+bool ChangesTargets(const wire::CatalogCommand& aCommand)
+{
+  return aCommand.has_put_target() || aCommand.has_remove_target() ||
+         aCommand.has_set_evacuation();
+}
+
 bool IsRemoved(const State& aState,
                const std::string& aId,
                std::uint64_t aBornMs)
@@ -220,6 +269,8 @@
       return ApplyRemoval(aState, aCommand.remove_target());
     case wire::CatalogCommand::kReadBarrier:
       return OutcomeOf(aState, true, "read");
+    case wire::CatalogCommand::kSetEvacuation:
+      return ApplyEvacuation(aState, aCommand.set_evacuation());
     case wire::CatalogCommand::BODY_NOT_SET:
       break;
   }
@@ -258,6 +309,12 @@
     removed.set_id(id);
     removed.set_born_ms(aState.mRemoved.at(id));
   }
+  for (const auto& [dataCentre, evacuation] : aState.mEvacuations) {
+    wire::Evacuation& saved = *snapshot.add_evacuations();
+    saved.set_data_centre(dataCentre);
+    saved.set_evacuated(evacuation.mActive);
+    saved.set_revision(evacuation.mRevision);
+  }
   return snapshot.SerializeAsString();
 }
 
@@ -288,6 +345,10 @@
   for (const wire::RemoveTarget& removed : snapshot.removed()) {
     RecordRemoval(state, removed.id(), removed.born_ms());
   }
+  for (const wire::Evacuation& saved : snapshot.evacuations()) {
+    state.mEvacuations[saved.data_centre()] = { saved.evacuated(),
+                                                saved.revision() };
+  }
   return state;
 }
 
--- a/src/config/gateway_settings.cpp
+++ b/src/config/gateway_settings.cpp
@@ -27,6 +27,7 @@
     { "listen", "link_mbps", ValueType::Decimal, "1000", 0.001, 1e6 },
     { "fleet", "seeds", ValueType::AddressList, nullptr },
     { "fleet", "founding", ValueType::Boolean, "no" },
+    { "fleet", "data_centres", ValueType::OptionalText, "" },
     { "fleet", "tolerated_losses", ValueType::Integer, "0", 0, 100 },
     { "bounds", "answer_keep", ValueType::Duration, "1200ms" },
     { "bounds", "stop_grace", ValueType::Duration, "6s" },
@@ -74,6 +75,7 @@
 {
   aOut.mSeeds = aSection.List("seeds");
   aOut.mFounding = aSection.Boolean("founding");
+  aOut.mDataCentres = aSection.List("data_centres");
   aOut.mToleratedLosses =
     static_cast<int>(aSection.Integer("tolerated_losses"));
 }
--- a/src/dispatch/targets.cpp
+++ b/src/dispatch/targets.cpp
@@ -77,7 +77,10 @@
   bucket.mBurst = burst;
 }
 
-void RemoveTarget(State& aState, const std::string& aId, Effects& aOut)
+void RemoveTarget(State& aState,
+                  const std::string& aId,
+                  bool aBulk,
+                  Effects& aOut)
 {
   Target& target = aState.mTargets[aId];
   Service& service = aState.mServices[target.mService];
@@ -86,7 +89,7 @@
     list->erase(std::remove(list->begin(), list->end(), aId), list->end());
   }
   Log(aOut,
-      1,
+      aBulk ? 0 : 1,
       "event=target_removed target=" + aId + " service=" + target.mService);
   aState.mTargets.erase(aId);
 }
@@ -100,6 +103,13 @@
            : aRecord.id() + "/" + std::to_string(aRecord.born_ms());
 }
 
+// No request is sent to other targets; those that run there end there.
+bool IsInService(const State& aState, const wire::TargetRecord& aRecord)
+{
+  return !aRecord.draining() &&
+         aState.mEvacuated.count(aRecord.data_centre()) == 0;
+}
+
 void AddTarget(State& aState,
                Micros aNow,
                const wire::TargetRecord& aRecord,
@@ -211,6 +221,25 @@
   SetProbeRate(aState, aNow);
 }
 
+void SetEvacuated(State& aState,
+                  Micros aNow,
+                  std::set<std::string> aDataCentres,
+                  Effects& aOut)
+{
+  for (const std::string& dataCentre : aState.mEvacuated) {
+    if (aDataCentres.count(dataCentre) == 0) {
+      aState.mReturnedAt[dataCentre] = aNow;
+      Log(aOut, 1, "event=evacuation_ended data_centre=" + dataCentre);
+    }
+  }
+  for (const std::string& dataCentre : aDataCentres) {
+    if (aState.mEvacuated.count(dataCentre) == 0) {
+      Log(aOut, 1, "event=evacuation_started data_centre=" + dataCentre);
+    }
+  }
+  aState.mEvacuated = std::move(aDataCentres);
+}
+
 void SetTargets(State& aState,
                 Micros aNow,
                 const std::map<std::string, wire::TargetRecord>& aTargets,
@@ -220,18 +249,23 @@
   for (const auto& [id, target] : aState.mTargets) {
     const auto found = aTargets.find(target.mName);
     if (found == aTargets.end() || IncarnationOf(found->second) != id ||
-        found->second.draining() ||
+        !IsInService(aState, found->second) ||
         found->second.address() != target.mAddress ||
         found->second.service() != target.mService) {
       removed.push_back(id);
     }
   }
+  const bool removesMany = removed.size() > kMaxSeparateLogLines;
+  if (removesMany) {
+    Log(
+      aOut, 1, "event=targets_removed count=" + std::to_string(removed.size()));
+  }
   for (const std::string& id : removed) {
-    RemoveTarget(aState, id, aOut);
+    RemoveTarget(aState, id, removesMany, aOut);
   }
   std::vector<const wire::TargetRecord*> added;
   for (const auto& [id, record] : aTargets) {
-    if (!record.draining() &&
+    if (IsInService(aState, record) &&
         aState.mTargets.count(IncarnationOf(record)) == 0) {
       added.push_back(&record);
     }
--- a/src/fleet/group.cpp
+++ b/src/fleet/group.cpp
@@ -114,8 +114,8 @@
   if (command.ParseFromString(aEntry.command())) {
     outcome = catalog::Apply(aState.mCatalog, command);
     aOut.mPolicyChanged = aOut.mPolicyChanged || command.has_put_policy();
-    aOut.mTargetsChanged = aOut.mTargetsChanged || command.has_put_target() ||
-                           command.has_remove_target();
+    aOut.mTargetsChanged =
+      aOut.mTargetsChanged || catalog::ChangesTargets(command);
   } else {
     outcome.set_reason("unreadable command");
     aOut.mLogLines.push_back(
@@ -192,8 +192,8 @@
   }
   (void)catalog::Apply(aState.mCatalog, command);
   aOut.mPolicyChanged = aOut.mPolicyChanged || command.has_put_policy();
-  aOut.mTargetsChanged = aOut.mTargetsChanged || command.has_put_target() ||
-                         command.has_remove_target();
+  aOut.mTargetsChanged =
+    aOut.mTargetsChanged || catalog::ChangesTargets(command);
 }
 
 void TickGroup(State& aState, Micros aNow, std::uint64_t aRandom, Output& aOut)
--- a/src/fleet/submit.cpp
+++ b/src/fleet/submit.cpp
@@ -427,7 +427,9 @@
     HandleRead(aState, aNow, aFrom, aMessage, aOut);
     return;
   }
-  if (!QuorumOutlivesLosses(aState) && readable && command.has_put_policy()) {
+  const bool mustOutliveLosses =
+    readable && (command.has_put_policy() || command.has_set_evacuation());
+  if (mustOutliveLosses && !QuorumOutlivesLosses(aState)) {
     reply.set_status(wire::SUBMIT_TOO_FEW_DISKS);
     ReplySubmit(aState, aNow, aFrom, reply, aOut);
     return;
--- a/src/frontend/dialect.h
+++ b/src/frontend/dialect.h
@@ -55,6 +55,11 @@
 };
 struct ReadPolicyCall
 {};
+struct SetEvacuationCall
+{
+  std::string mDataCentre;
+  bool mEvacuated = false;
+};
 struct ResolveCall
 {
   std::string mDataCentre;
@@ -81,6 +86,7 @@
                           RemoveTargetCall,
                           PutPolicyCall,
                           ReadPolicyCall,
+                          SetEvacuationCall,
                           ResolveCall,
                           ReadinessCall,
                           MetricsCall,
--- a/src/frontend/gateway_calls.cpp
+++ b/src/frontend/gateway_calls.cpp
@@ -26,6 +26,9 @@
     Post(gateway::PutPolicy{ aExchange, std::move(put->mDocument) });
   } else if (std::holds_alternative<ReadPolicyCall>(call)) {
     HandlePolicyRead(aExchange, aRequest);
+  } else if (auto* evacuation = std::get_if<SetEvacuationCall>(&call)) {
+    Post(gateway::SetEvacuation{
+      aExchange, std::move(evacuation->mDataCentre), evacuation->mEvacuated });
   } else if (const auto* resolve = std::get_if<ResolveCall>(&call)) {
     const std::vector<std::string> addresses =
       gateway::AddressesFor(mState, resolve->mDataCentre, mNow);
@@ -103,6 +106,8 @@
     mState.mDispatch.mTargets.begin(),
     mState.mDispatch.mTargets.end(),
     [](const auto& aOne) { return aOne.second.mLimit.has_value(); }));
+  gauges["data_centres_evacuated"] =
+    static_cast<double>(mState.mDispatch.mEvacuated.size());
   gauges["hosts"] = mState.mDispatch.mHosts;
   gauges["policy_version"] =
     static_cast<double>(mState.mFleet.mCatalog.mVersion);
--- a/src/frontend/gateway_process.cpp
+++ b/src/frontend/gateway_process.cpp
@@ -198,6 +198,7 @@
   settings.mFleet.mControl = !mSettings.mDataFolder.empty();
   settings.mFleet.mSeeds = SeedPeerAddresses(mSettings);
   settings.mFleet.mToleratedLosses = mSettings.mToleratedLosses;
+  settings.mDataCentres = mSettings.mDataCentres;
   settings.mBounds.mExtraRatio = mSettings.mExtraRatio;
   settings.mBounds.mExtraFloor = mSettings.mExtraFloor;
   settings.mBounds.mExtraWindow = mSettings.mExtraWindow;
--- a/src/frontend/native_dialect.cpp
+++ b/src/frontend/native_dialect.cpp
@@ -18,6 +18,7 @@
 
 constexpr const char* kJson = "application/json";
 constexpr std::string_view kTargets = "/targets/";
+constexpr std::string_view kEvacuations = "/evacuations/";
 
 std::string ToText(const Object& aObject)
 {
@@ -70,6 +71,20 @@
   return InvalidCall{ 405, "targets take PUT and DELETE" };
 }
 
+// The resource exists while the targets of the data centre are withdrawn.
+Call ParseEvacuationCall(const HttpRequest& aRequest,
+                         const std::string& aDataCentre)
+{
+  const bool isPut = aRequest.mMethod == "PUT";
+  if (!isPut && aRequest.mMethod != "DELETE") {
+    return InvalidCall{ 405, "evacuations take PUT and DELETE" };
+  }
+  if (!aRequest.mBody.empty()) {
+    return InvalidCall{ 400, "an evacuation has no body" };
+  }
+  return SetEvacuationCall{ aDataCentre, isPut };
+}
+
 Call ParsePath(const HttpRequest& aRequest)
 {
   const Poco::URI uri(aRequest.mTarget);
@@ -78,6 +93,10 @@
       path.size() > kTargets.size()) {
     return ParseTargetCall(aRequest, path.substr(kTargets.size()));
   }
+  if (path.compare(0, kEvacuations.size(), kEvacuations) == 0 &&
+      path.size() > kEvacuations.size()) {
+    return ParseEvacuationCall(aRequest, path.substr(kEvacuations.size()));
+  }
   if (path == "/policy") {
     if (aRequest.mMethod == "PUT") {
       return PutPolicyCall{ aRequest.mBody };
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -85,9 +85,14 @@
     ApplyNewPolicy(aContext, aFleet);
   }
   if (aFleet.mTargetsChanged) {
+    const catalog::State& catalog = state.mFleet.mCatalog;
     dispatch::Effects effects;
+    dispatch::SetEvacuated(state.mDispatch,
+                           aContext.mNow,
+                           catalog::EvacuatedDataCentres(catalog),
+                           effects);
     dispatch::SetTargets(
-      state.mDispatch, aContext.mNow, state.mFleet.mCatalog.mTargets, effects);
+      state.mDispatch, aContext.mNow, catalog.mTargets, effects);
     AppendEffects(aContext, std::move(effects));
   }
   if (aFleet.mPolicyChanged) {
@@ -350,6 +355,10 @@
   {
     HandleReadPolicy(mContext, aEvent);
   }
+  void operator()(const SetEvacuation& aEvent)
+  {
+    HandleSetEvacuation(mContext, aEvent);
+  }
   void operator()(const ReleaseRequest& aEvent)
   {
     AnswerOperation answer{
--- a/src/gateway/internal.h
+++ b/src/gateway/internal.h
@@ -29,6 +29,7 @@
 void HandleWithdraw(Context& aContext, const Withdraw& aCall);
 void HandlePutPolicy(Context& aContext, const PutPolicy& aCall);
 void HandleReadPolicy(Context& aContext, const ReadPolicy& aCall);
+void HandleSetEvacuation(Context& aContext, const SetEvacuation& aCall);
 /// \brief Answers the call whose command has completed.
 void CompleteOperation(Context& aContext, const fleet::Completion& aDone);
 /// \brief Answers waiting reads whose version has arrived or that timed out.
--- a/src/gateway/operations.cpp
+++ b/src/gateway/operations.cpp
@@ -1,5 +1,6 @@
 #include "internal.h"
 
+#include <algorithm>
 #include <array>
 #include <limits>
 #include <optional>
@@ -33,27 +34,52 @@
 
 const char* NameOf(OperationKind aKind)
 {
-  constexpr std::array<const char*, 4> names = {
-    "target_announce",
-    "target_withdraw",
-    "policy_put",
-    "policy_read",
+  constexpr std::array<const char*, 5> names = {
+    "target_announce", "target_withdraw", "policy_put",
+    "policy_read",     "evacuation_set",
   };
   return names[static_cast<std::size_t>(aKind)];
 }
 
 void SubmitCommand(Context& aContext,
                    const Operation& aOperation,
-                   const wire::CatalogCommand& aCommand)
+                   const wire::CatalogCommand& aCommand,
+                   Micros aTimeout = kOperationTimeout)
 {
   State& state = aContext.mState;
   fleet::Output output;
-  const std::uint64_t id = fleet::Submit(
-    state.mFleet, aContext.mNow, aCommand, kOperationTimeout, output);
+  const std::uint64_t id =
+    fleet::Submit(state.mFleet, aContext.mNow, aCommand, aTimeout, output);
   state.mOperations[id] = aOperation;
   ApplyFleetOutput(aContext, std::move(output));
 }
 
+void SubmitEvacuation(Context& aContext, const Operation& aOperation)
+{
+  wire::CatalogCommand command;
+  *command.mutable_set_evacuation() = aOperation.mEvacuation;
+  SubmitCommand(
+    aContext, aOperation, command, aOperation.mGiveUpAt - aContext.mNow);
+}
+
+// This host may not know the latest revision yet; the order then builds on the
+// one that the group answered with. True if it was submitted again.
+bool SubmitEvacuationAgain(Context& aContext,
+                           Operation aOperation,
+                           const fleet::Completion& aDone)
+{
+  const std::uint64_t revision = aDone.mOutcome.evacuation_revision();
+  if (aOperation.mKind != OperationKind::SetEvacuation ||
+      aDone.mEnd != fleet::SubmitResult::Committed ||
+      aDone.mOutcome.accepted() || aContext.mNow >= aOperation.mGiveUpAt ||
+      revision == aOperation.mEvacuation.base_revision()) {
+    return false;
+  }
+  aOperation.mEvacuation.set_base_revision(revision);
+  SubmitEvacuation(aContext, aOperation);
+  return true;
+}
+
 std::string Describe(const fleet::ReadTrace& aRead,
                      const State& aState,
                      Micros aNow)
@@ -127,6 +153,9 @@
     CompleteRead(aContext, operation, aDone);
     return;
   }
+  if (SubmitEvacuationAgain(aContext, operation, aDone)) {
+    return;
+  }
   AnswerOperation answer{ operation.mId, OperationOutcome::Done, "", "", "" };
   answer.mReason = operation.mSubject + " ";
   if (!committed) {
@@ -245,6 +274,37 @@
                 command);
 }
 
+void HandleSetEvacuation(Context& aContext, const SetEvacuation& aCall)
+{
+  const State& state = aContext.mState;
+  const std::vector<std::string>& known = state.mSettings.mDataCentres;
+  const bool isKnown =
+    known.empty() ||
+    std::find(known.begin(), known.end(), aCall.mDataCentre) != known.end();
+  if (aCall.mDataCentre.empty() || !isKnown) {
+    Answer(aContext,
+           { aCall.mOperation,
+             OperationOutcome::Invalid,
+             "unknown data centre '" + aCall.mDataCentre + "'",
+             "",
+             "" },
+           NameOf(OperationKind::SetEvacuation));
+    return;
+  }
+  Operation operation{
+    aCall.mOperation,
+    OperationKind::SetEvacuation,
+    "data_centre=" + aCall.mDataCentre +
+      (aCall.mEvacuated ? " evacuated" : " in_service"),
+  };
+  operation.mGiveUpAt = aContext.mNow + kOperationTimeout;
+  operation.mEvacuation.set_data_centre(aCall.mDataCentre);
+  operation.mEvacuation.set_evacuated(aCall.mEvacuated);
+  operation.mEvacuation.set_base_revision(
+    catalog::EvacuationRevision(state.mFleet.mCatalog, aCall.mDataCentre));
+  SubmitEvacuation(aContext, operation);
+}
+
 void HandleReadPolicy(Context& aContext, const ReadPolicy& aCall)
 {
   State& state = aContext.mState;
--- a/tests/catalog_test.cpp
+++ b/tests/catalog_test.cpp
@@ -15,6 +15,8 @@
   CPPUNIT_TEST(TargetWithoutBirthTimeIsIdentifiedById);
   CPPUNIT_TEST(IncarnationCannotChangeServiceOrAddress);
   CPPUNIT_TEST(SnapshotPreservesIncarnations);
+  CPPUNIT_TEST(LaterEvacuationIsNotUndoneByAnEarlierCopy);
+  CPPUNIT_TEST(SnapshotPreservesEvacuations);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -90,7 +92,46 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t(1), mState.mTargets.size());
   }
 
+  void LaterEvacuationIsNotUndoneByAnEarlierCopy()
+  {
+    CPPUNIT_ASSERT(Evacuate(true, 0).accepted());
+    // A resend, and a new order to the same effect.
+    CPPUNIT_ASSERT(Evacuate(true, 0).accepted());
+    CPPUNIT_ASSERT(Evacuate(true, 1).accepted());
+    CPPUNIT_ASSERT(Evacuate(false, 1).accepted());
+    const wire::CatalogOutcome late = Evacuate(true, 0);
+    CPPUNIT_ASSERT(!late.accepted());
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t(2), late.evacuation_revision());
+    CPPUNIT_ASSERT(EvacuatedDataCentres(mState).empty());
+    CPPUNIT_ASSERT(Evacuate(true, 2).accepted());
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1),
+                         EvacuatedDataCentres(mState).count("dc"));
+  }
+
+  void SnapshotPreservesEvacuations()
+  {
+    (void)Evacuate(true, 0);
+    (void)Evacuate(false, 1);
+    (void)Evacuate(true, 2);
+    const std::string bytes = Save(mState);
+    mState = Load(bytes).value();
+    CPPUNIT_ASSERT_EQUAL(bytes, Save(mState));
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t(3), EvacuationRevision(mState, "dc"));
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1),
+                         EvacuatedDataCentres(mState).count("dc"));
+  }
+
 private:
+  wire::CatalogOutcome Evacuate(bool aEvacuated, std::uint64_t aBaseRevision)
+  {
+    wire::CatalogCommand command;
+    wire::SetEvacuation& change = *command.mutable_set_evacuation();
+    change.set_data_centre("dc");
+    change.set_evacuated(aEvacuated);
+    change.set_base_revision(aBaseRevision);
+    return Apply(mState, command);
+  }
+
   static constexpr std::uint64_t kEarly = 1790000000000;
   static constexpr std::uint64_t kLate = 1790000060000;
 
--- a/tests/fakes/gateway_world.cpp
+++ b/tests/fakes/gateway_world.cpp
@@ -222,6 +222,32 @@
     StartTarget(address);
   }
   Advance(6 * kSecond);
+  mIsSettled = true;
+}
+
+void GatewayWorld::OrderEvacuation(const std::string& aDataCentre,
+                                   bool aEvacuated,
+                                   Micros aPatience)
+{
+  mEvacuationOrders.push_back({ aDataCentre, aEvacuated, mNow });
+  SendOrder(mEvacuationOrders.size() - 1, mNow + aPatience);
+}
+
+// As operators do: after a second without an answer, or soon after an
+// unavailable one, another host is asked.
+void GatewayWorld::SendOrder(std::size_t aOrder, Micros aGiveUpAt)
+{
+  const EvacuationOrder& order = mEvacuationOrders[aOrder];
+  if (order.mAcknowledgedAt != 0 || mNow >= aGiveUpAt) {
+    return;
+  }
+  mOrderCalls[++mLastId] = aOrder;
+  if (const std::optional<std::size_t> host = AnyHost()) {
+    Post(
+      *host,
+      gateway::SetEvacuation{ mLastId, order.mDataCentre, order.mEvacuated });
+  }
+  Later(kSecond, [this, aOrder, aGiveUpAt] { SendOrder(aOrder, aGiveUpAt); });
 }
 
 void GatewayWorld::PutNextPolicy(std::size_t aHost)
@@ -233,6 +259,17 @@
 
 void GatewayWorld::PerformOne(std::size_t, gateway::AnswerOperation& aEffect)
 {
+  const auto order = mOrderCalls.find(aEffect.mOperation);
+  if (order != mOrderCalls.end()) {
+    const bool lost =
+      std::uniform_real_distribution<>()(mRandom) < mLostAcknowledgements;
+    Micros& at = mEvacuationOrders[order->second].mAcknowledgedAt;
+    if (aEffect.mEnd == gateway::OperationOutcome::Done && !lost && at == 0) {
+      at = mNow;
+    }
+    mOrderCalls.erase(order);
+    return;
+  }
   const auto call = mPolicyCalls.find(aEffect.mOperation);
   if (call == mPolicyCalls.end()) {
     return;
@@ -513,7 +550,8 @@
                         job.mPath,
                         job.mExtra,
                         target.mLimit > 0,
-                        job.mHost });
+                        job.mHost,
+                        target.mDataCentre });
   end.mKind = dispatch::EndKind::Answered;
   end.mNotRun = true;
   if (job.mSend.mTargetName != target.mId) {
--- a/tests/fakes/gateway_world.h
+++ b/tests/fakes/gateway_world.h
@@ -50,6 +50,20 @@
   /// The target announces a limit.
   bool mLimited = false;
   std::size_t mHostIndex = 0;
+  std::string mDataCentre;
+  /// The target was cold, since this time.
+  std::optional<Micros> mColdSince = std::nullopt;
+};
+
+/// \brief An operator's order to withdraw a data centre's targets from service,
+/// or to return them to it.
+struct EvacuationOrder
+{
+  std::string mDataCentre;
+  bool mEvacuated = false;
+  Micros mSentAt = 0;
+  /// Time of its acknowledgement; 0 before.
+  Micros mAcknowledgedAt = 0;
 };
 
 /// \brief What a host's links to all targets do.
@@ -104,6 +118,11 @@
   void Settle();
   void Advance(Micros aTime);
   void Later(Micros aDelay, std::function<void()> aWhat);
+  /// \brief A host receives a message that was sent before.
+  void Deliver(std::size_t aHost, const wire::FleetMessage& aMessage)
+  {
+    Post(aHost, gateway::PeerMessage{ aMessage });
+  }
 
   /// \brief Puts the policy version after the latest acknowledged one.
   void PutNextPolicy(std::size_t aHost);
@@ -111,6 +130,14 @@
   {
     return mAcknowledgedPolicy;
   }
+  /// \brief An operator orders it from any host, again after each second
+  /// without a clear answer, for up to `aPatience`.
+  void OrderEvacuation(const std::string& aDataCentre,
+                       bool aEvacuated,
+                       Micros aPatience = 4 * kSecond);
+  std::vector<EvacuationOrder> mEvacuationOrders;
+  /// Share of the acknowledgements to orders that are lost on their way.
+  double mLostAcknowledgements = 0;
   /// \brief Policy version that a host applies; 0 for none.
   [[nodiscard]] std::uint64_t AppliedPolicy(std::size_t aHost) const;
 
@@ -267,6 +294,8 @@
   void AddHosts();
   void StartTarget(const std::string& aAddress);
   void Announce(const std::string& aAddress);
+  void SendOrder(std::size_t aOrder, Micros aGiveUpAt);
+  [[nodiscard]] Micros WarmUpLeft(const FakeTarget& aTarget) const;
   template<class Body>
   void Post(std::size_t aHost, Body aBody);
   void Perform(std::size_t aHost, gateway::Effects aEffects);
@@ -336,6 +365,9 @@
   /// Policy versions whose put is not yet answered, by operation.
   std::map<std::uint64_t, std::uint64_t> mPolicyCalls;
   std::uint64_t mAcknowledgedPolicy = 0;
+  /// Orders that are not answered yet, by operation.
+  std::map<std::uint64_t, std::size_t> mOrderCalls;
+  bool mIsSettled = false;
   std::set<std::string> mHarmful;
   std::set<std::size_t> mFrozen;
   std::map<std::size_t, TargetLinks> mTargetLinks;
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -79,6 +79,7 @@
   CPPUNIT_TEST(InvalidCallsAreRejected);
   CPPUNIT_TEST(OperationResultsMapToHttpStatuses);
   CPPUNIT_TEST(PlatformNamesOccurOnlyInPlatformFolder);
+  CPPUNIT_TEST(EvacuationOrdersAreParsed);
   CPPUNIT_TEST(PolicyFileMatchesPolicyDocument);
   CPPUNIT_TEST(GatewaySettingsAreChecked);
   CPPUNIT_TEST(LongestPrefixOfTheHostWins);
@@ -234,6 +235,28 @@
     }
   }
 
+  void EvacuationOrdersAreParsed()
+  {
+    for (const bool start : { true, false }) {
+      const std::string path =
+        std::string("/v1/rpc?call=evacuations.") + (start ? "start" : "end");
+      const frontend::Call call = Read("POST", path + "&of=marka", "");
+      const auto* order = std::get_if<frontend::SetEvacuationCall>(&call);
+      CPPUNIT_ASSERT(order != nullptr);
+      CPPUNIT_ASSERT_EQUAL(std::string("marka"), order->mDataCentre);
+      CPPUNIT_ASSERT_EQUAL(start, order->mEvacuated);
+      for (const auto& [target, body] :
+           { std::pair<std::string, std::string>{ path, "" },
+             { path + "&of=", "" },
+             { path + "&of=marka", "{}" } }) {
+        const frontend::Call invalid = Read("POST", target, body);
+        CPPUNIT_ASSERT(std::holds_alternative<frontend::InvalidCall>(invalid));
+        CPPUNIT_ASSERT_EQUAL(400,
+                             std::get<frontend::InvalidCall>(invalid).mStatus);
+      }
+    }
+  }
+
   void InvalidCallsAreRejected()
   {
     const std::pair<std::string, std::string> calls[] = {
@@ -325,13 +348,14 @@
       "[listen]\ncallers = 10.0.0.1:1\ncalls = 10.0.0.1:2,10.0.0.1:2\n"
       "hosts = 10.0.0.1:3\nmetrics = 10.0.0.1:4\n"
       "[fleet]\nseeds = 10.0.0.2:9,10.0.0.3:9\nfounding = yes\n"
-      "tolerated_losses = 1\n[bounds]\nstop_grace = 6s\n";
+      "data_centres = z,y\ntolerated_losses = 1\n[bounds]\nstop_grace = 6s\n";
     const auto read = ParseGatewaySettings(text, "f");
     CPPUNIT_ASSERT(read.Ok());
     CPPUNIT_ASSERT_EQUAL(std::size_t(1), read.mValue.mCallAddresses.size());
     CPPUNIT_ASSERT_EQUAL(std::string("10.0.0.2:3"),
                          SeedPeerAddresses(read.mValue)[0]);
     CPPUNIT_ASSERT_EQUAL(6 * kSecond, read.mValue.mStopGrace);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(2), read.mValue.mDataCentres.size());
     const auto wrong = ParseGatewaySettings(
       Replaced(text, "stop_grace = 6s", "stop_grace = 6"), "f");
     CPPUNIT_ASSERT_EQUAL(std::size_t(1), wrong.mFaults.size());
