Bound the requests of all hosts together at a cold target

A target that starts, or turns cold at any moment, takes few requests a second (the policy's warmup_per_s) and ends under many. Nothing kept to that: hosts only reckoned a cold target as twice as slow, learnt of it only from the first announcement, and each chose by itself.

A cold target now has a bounded rate, which the hosts divide by the module that divides the limits that targets state: one holder per request per second, no accumulation, so at most twice the rate in any second while host lists agree, and less than the deployment's bound for three disjoint views. The rate is lowered where the stated ratio and slack allow less than that. Coldness is known from the announcement, from each health answer (which precedes each request by at most 40 ms) and, for what reports no load, by a fact that the host sends that gets the announcement; what returns after an evacuation and reports no load counts as cold for the policy's time. A health answer that says warm ends it. The holders probe these targets first and use an idle share, so that those that join do get work.

Ruled out: a sum over hosts kept by messages (late when it matters); leaving cold targets alone (those that joined would stay idle).

--- a/include/geraniumpond/dispatch.h
+++ b/include/geraniumpond/dispatch.h
@@ -85,8 +85,10 @@
   /// Version of its program; empty if unknown.
   std::string mRelease;
   int mSlots = 1;
-  /// End of its warm-up, after which it works at full speed.
+  /// End of its warm-up, after which it works at full speed; and the requests
+  /// per second that it takes from all hosts until then, 0 for no bound.
   Micros mWarmUpEnd = 0;
+  double mWarmUpPerSecond = 0;
 
   std::optional<Report> mReport;
   Micros mReportAt = 0;
@@ -118,7 +120,7 @@
   /// and when any host saw it.
   std::optional<double> mLimit;
   Micros mLimitAt = 0;
-  /// This host's share of the limit.
+  /// This host's share of the limit, or of the rate during the warm-up.
   rate_share::Share mShare;
 
   /// At the last probe or request its address refused connections or belonged
@@ -182,7 +184,7 @@
   std::string mName;
   std::string mHealthPath;
   std::vector<std::string> mTargets;
-  /// Targets with a limit of which this host has a share.
+  /// Targets with a bounded rate of which this host has a share.
   std::vector<std::string> mLimitedTargets;
   /// The targets that this host probes first; all of them if they are few.
   std::vector<std::string> mSubset;
@@ -437,6 +439,8 @@
   std::optional<Report> mReport;
   StatedLimit mLimit;
   StatedRest mRest;
+  /// Time that its warm-up still takes; none if not stated.
+  std::optional<Micros> mWarmUpLeft;
   /// The target says that it leaves.
   bool mLeaving = false;
 };
@@ -489,6 +493,10 @@
   double mProbesPerTarget = 10;
   /// Bandwidth of the host's link, in bytes a second.
   double mLinkBytesPerSecond = 125e6;
+  /// Requests at a cold target in any second, from all hosts: this many times
+  /// the rate that its service states, plus a fixed number.
+  double mWarmUpRatio = 1;
+  double mWarmUpFloor = 0;
 };
 
 /// \brief Whether this host reaches the targets of any service.
@@ -569,12 +577,18 @@
 /// \brief Sets the number of hosts that share the bounds.
 void SetHosts(State& aState, Micros aNow, int aHosts);
 
-/// \brief True while any target has a rate limit.
-[[nodiscard]] bool HasLimits(const State& aState) noexcept;
+/// \brief Handles an announcement of a known target that has turned cold.
+void HandleAnnouncedWarmUp(State& aState,
+                           Micros aNow,
+                           const wire::TargetRecord& aRecord,
+                           Effects& aOut);
+
+/// \brief True while the rate of requests to any target is bounded.
+[[nodiscard]] bool HasLimits(const State& aState, Micros aNow) noexcept;
 
 /// \brief True while a rate limit has to be divided among the hosts, or a
 /// suspected request assigned to one of them.
-[[nodiscard]] bool NeedsLimitHosts(const State& aState) noexcept;
+[[nodiscard]] bool NeedsLimitHosts(const State& aState, Micros aNow) noexcept;
 
 /// \brief Sets the hosts among which rate limits are divided.
 void SetLimitHosts(State& aState, Micros aNow, rate_share::Members aHosts);
--- a/include/geraniumpond/gateway_settings.h
+++ b/include/geraniumpond/gateway_settings.h
@@ -54,6 +54,11 @@
   /// Probes per target and second.
   double mProbesPerTarget = 0;
 
+  /// Requests at a cold target in any second: a ratio of the rate that the
+  /// policy states plus a fixed number.
+  double mWarmUpRatio = 1;
+  double mWarmUpFloor = 0;
+
   /// Header fields of a request that identify the caller.
   std::vector<std::string> mCallerFields;
 
--- a/include/geraniumpond/gossip.h
+++ b/include/geraniumpond/gossip.h
@@ -35,8 +35,10 @@
   /// Key: a target; value: the rate that it accepts from all hosts combined,
   /// empty for no limit.
   TargetLimit,
+  /// Key: a target that has turned cold; value: milliseconds until it is warm.
+  TargetWarmUp,
 };
-constexpr std::size_t kKindCount = 3;
+constexpr std::size_t kKindCount = 4;
 
 /// \brief Lifetime and limits of the facts of one kind.
 struct KindLimits
--- a/include/geraniumpond/policy.h
+++ b/include/geraniumpond/policy.h
@@ -66,6 +66,11 @@
   std::string mHealthPath = "/health";
   /// Connections that one target accepts from all hosts combined.
   int mMaxConnections = 100;
+  /// Time for which a target is cold after it has started.
+  Micros mWarmUp = 0;
+  /// Requests per second that a cold target takes from all hosts combined; 0
+  /// for no bound.
+  double mWarmUpPerSecond = 0;
 };
 
 /// \brief Limits on the requests of clients.
--- a/include/geraniumpond/rate_share.h
+++ b/include/geraniumpond/rate_share.h
@@ -12,8 +12,9 @@
 /// Hosts with the same host list compute the same holders by rendezvous
 /// hashing: one per request per second of the rate, at least one, each with an
 /// equal share. So however many hosts there are, no share is so small that it
-/// would accumulate or be lost. A holder accumulates 1.5 requests or a tenth of
-/// a second's share, whichever is more. A host that gains a share starts to use
+/// would accumulate or be lost. A holder accumulates 1.5 requests, unless the
+/// caller states another number, or a tenth of a second's share, whichever is
+/// more. A host that gains a share starts to use
 /// it after a delay in which the previous holder learns of the change; a host
 /// that loses one stops at once. While host lists differ, the shares therefore
 /// add up to at most the rate, unless a host learns of its loss later than that
@@ -49,12 +50,16 @@
   budget::TokenBucket mBucket;
 };
 
+/// \brief Requests that a holder accumulates, since requests arrive in bursts.
+constexpr double kBurstRequests = 1.5;
+
 /// \brief Recomputes a share after a change of the rate or the hosts.
 void UpdateShare(Share& aShare,
                  const Members& aMembers,
                  const std::string& aName,
                  double aPerSecond,
-                 Micros aNow);
+                 Micros aNow,
+                 double aBurstRequests = kBurstRequests);
 
 /// \brief True if a request may be sent now.
 [[nodiscard]] bool CanSend(const Share& aShare, Micros aNow) noexcept;
--- a/src/config/gateway_settings.cpp
+++ b/src/config/gateway_settings.cpp
@@ -35,6 +35,8 @@
     { "bounds", "extra_floor", ValueType::Decimal, "20", 0, 1e6 },
     { "bounds", "extra_window", ValueType::Duration, "10s" },
     { "bounds", "probes_per_target", ValueType::Decimal, "10", 0, 1e6 },
+    { "bounds", "warm_up_ratio", ValueType::Decimal, "1", 0, 100 },
+    { "bounds", "warm_up_floor", ValueType::Decimal, "0", 0, 1e6 },
     { "requests",
       "caller_fields",
       ValueType::OptionalText,
@@ -88,6 +90,8 @@
   aOut.mExtraFloor = aSection.Decimal("extra_floor");
   aOut.mExtraWindow = aSection.Duration("extra_window");
   aOut.mProbesPerTarget = aSection.Decimal("probes_per_target");
+  aOut.mWarmUpRatio = aSection.Decimal("warm_up_ratio");
+  aOut.mWarmUpFloor = aSection.Decimal("warm_up_floor");
 }
 
 void ReadRequests(const Section& aSection, GatewaySettings& aOut)
--- a/src/config/policy_file.cpp
+++ b/src/config/policy_file.cpp
@@ -34,6 +34,8 @@
     { "route", "backends", ValueType::Text, nullptr },
     { "service", "health_path", ValueType::Text, "/health" },
     { "service", "max_connections", ValueType::Integer, "100", 1, 1e6 },
+    { "service", "warm_up", ValueType::Duration, "0s" },
+    { "service", "warm_up_per_second", ValueType::Decimal, "0", 0, 1e6 },
     { "limits", "header_bytes", ValueType::Integer, "16384", 256, 1e6 },
     { "limits", "body_bytes", ValueType::Integer, "67108864", 0, 1e9 },
     { "limits", "header_timeout", ValueType::Duration, "3s" },
@@ -104,6 +106,8 @@
       rules.mHealthPath = section.Text("health_path");
       rules.mMaxConnections =
         static_cast<int>(section.Integer("max_connections"));
+      rules.mWarmUp = section.Duration("warm_up");
+      rules.mWarmUpPerSecond = section.Decimal("warm_up_per_second");
     } else {
       ReadLimits(section, result.mValue.mLimits);
     }
--- a/src/dispatch/choice.cpp
+++ b/src/dispatch/choice.cpp
@@ -89,7 +89,7 @@
   return best;
 }
 
-bool AnyUntried(const State& aState, const Request& aRequest)
+bool AnyUntried(const State& aState, const Request& aRequest, Micros aNow)
 {
   const std::vector<std::string>& targets =
     aState.mServices.at(aRequest.mService).mTargets;
@@ -97,7 +97,7 @@
     targets.begin(), targets.end(), [&](const std::string& aId) {
       const Target& target = aState.mTargets.at(aId);
       return aRequest.mTried.count(aId) == 0 && !target.mLeaving &&
-             HasLimitShare(target);
+             HasLimitShare(target, aNow);
     });
 }
 
@@ -124,7 +124,8 @@
 // targets are usable.
 std::size_t UsableTargets(const State& aState,
                           PassCache& aCache,
-                          const Request& aRequest)
+                          const Request& aRequest,
+                          Micros aNow)
 {
   if (aCache.mUsable) {
     return *aCache.mUsable;
@@ -133,7 +134,8 @@
   aCache.mUsable = static_cast<std::size_t>(
     std::count_if(subset.begin(), subset.end(), [&](const std::string& aId) {
       const Target& target = aState.mTargets.at(aId);
-      return !target.mUnavailable && !target.mLeaving && HasLimitShare(target);
+      return !target.mUnavailable && !target.mLeaving &&
+             HasLimitShare(target, aNow);
     }));
   return *aCache.mUsable;
 }
@@ -180,8 +182,8 @@
   if (!aNeed.mService->mReportsLoad) {
     return HasFreeSlot(aTarget, aNow);
   }
-  const std::size_t wanted =
-    std::min(kSpareTargetsForLate, UsableTargets(aState, aCache, aRequest));
+  const std::size_t wanted = std::min(
+    kSpareTargetsForLate, UsableTargets(aState, aCache, aRequest, aNow));
   return IsFresh(aTarget, aNow) &&
          IsUncrowded(aTarget, aNeed.mService->mCurve, aNow) &&
          CountWithSpareCapacity(aCache, aNeed, aNow) >= wanted;
@@ -223,8 +225,8 @@
 {
   const auto found = std::find_if(
     aCache.mFresh.begin(), aCache.mFresh.end(), [&](const Target* aTarget) {
-      return aTarget->mLimit && !aTarget->mUnavailable && !aTarget->mLeaving &&
-             !IsResting(*aTarget, aNow) &&
+      return BoundedRate(*aTarget, aNow) && !aTarget->mUnavailable &&
+             !aTarget->mLeaving && !IsResting(*aTarget, aNow) &&
              rate_share::IsIdle(aTarget->mShare, aNow) &&
              aRequest.mTried.count(aTarget->mId) == 0 &&
              HasFreeSlot(*aTarget, aNow) &&
@@ -278,7 +280,7 @@
   if (mayProbe) {
     return { Verdict::ProbeMore, nullptr };
   }
-  if (best == nullptr && !AnyUntried(aState, aRequest)) {
+  if (best == nullptr && !AnyUntried(aState, aRequest, aNow)) {
     return { Verdict::NoTarget, nullptr };
   }
   if (aRequest.mHedging) {
--- a/src/dispatch/cost.cpp
+++ b/src/dispatch/cost.cpp
@@ -77,7 +77,7 @@
   const Service& service = *aNeed.mService;
   double work = static_cast<double>(aNeed.mWork) *
                 SlownessOf(aTarget, service.mSpeeds, aNow);
-  if (aNow < aTarget.mWarmUpEnd) {
+  if (IsCold(aTarget, aNow)) {
     work *= service.mColdLatencyFactor;
   }
   const int slots = Slots(aTarget);
--- a/src/dispatch/facts.cpp
+++ b/src/dispatch/facts.cpp
@@ -18,6 +18,9 @@
     case gossip::Kind::TargetLimit:
       HandleLimitFact(aState, aNow, aItem, aOut);
       break;
+    case gossip::Kind::TargetWarmUp:
+      HandleWarmUpFact(aState, aNow, aItem, aOut);
+      break;
   }
 }
 
--- a/src/dispatch/internal.h
+++ b/src/dispatch/internal.h
@@ -187,7 +187,36 @@
                                                   const std::string& aService,
                                                   Micros aNow);
 
-// --- limits.cpp: request rates that targets state for all hosts together
+// --- warm_up.cpp: targets that are cold
+[[nodiscard]] bool IsCold(const Target& aTarget, Micros aNow) noexcept;
+/// \brief Handles what a target's health answer says of its warm-up.
+void HandleStatedWarmUp(State& aState,
+                        Micros aNow,
+                        Target& aTarget,
+                        Micros aLeft,
+                        Effects& aOut);
+/// \brief Handles another host's report that a target has turned cold.
+void HandleWarmUpFact(State& aState,
+                      Micros aNow,
+                      const gossip::Item& aItem,
+                      Effects& aOut);
+/// \brief End of the warm-up of a target that is added now.
+[[nodiscard]] Micros FirstWarmUpEnd(const State& aState,
+                                    const wire::TargetRecord& aRecord,
+                                    Micros aNow);
+/// \brief Requests per second that all hosts together may send to a cold
+/// target of a service; 0 for no bound.
+[[nodiscard]] double WarmUpRate(const State& aState,
+                                const std::string& aService) noexcept;
+
+// --- limits.cpp: request rates that targets state for all hosts together, and
+// those of cold targets
+/// \brief Requests per second that the target takes from all hosts together;
+/// none if there is no bound.
+[[nodiscard]] std::optional<double> BoundedRate(const Target& aTarget,
+                                                Micros aNow) noexcept;
+/// \brief Recomputes this host's share of a target's bounded rate.
+void DivideRate(State& aState, Micros aNow, Target& aTarget);
 /// \brief Handles a stated limit in an answer, readable or not.
 void HandleStatedLimit(State& aState,
                        Micros aNow,
@@ -213,8 +242,9 @@
                      Effects& aOut);
 /// \brief True unless this host's share of the limit is used up now.
 [[nodiscard]] bool IsWithinLimit(const Target& aTarget, Micros aNow) noexcept;
-/// \brief True unless the target has a limit of which this host has no share.
-[[nodiscard]] bool HasLimitShare(const Target& aTarget) noexcept;
+/// \brief True unless the target's rate is bounded and this host has no share
+/// of it.
+[[nodiscard]] bool HasLimitShare(const Target& aTarget, Micros aNow) noexcept;
 
 // --- rest.cpp: targets that ask this host to send nothing, for a while or for
 // good
--- a/src/dispatch/limits.cpp
+++ b/src/dispatch/limits.cpp
@@ -7,8 +7,9 @@
 
 // An overloaded target states a request rate that it accepts from all hosts
 // together, in each of its answers for as long as it is overloaded. Hosts share
-// the value by gossip and divide the rate among themselves. Every request to
-// the target passes through SendTo(), which charges this host's share.
+// the value by gossip and divide the rate among themselves. A cold target has a
+// bounded rate until it is warm, which they divide alike. Every request to the
+// target passes through SendTo(), which charges this host's share.
 namespace geraniumpond::dispatch {
 
 namespace {
@@ -30,27 +31,16 @@
          " part=" + RateText(aTarget.mShare.mRate);
 }
 
-void UpdateLimitedTargets(Service& aService, const Target& aTarget)
+void UpdateLimitedTargets(Service& aService, const Target& aTarget, Micros aNow)
 {
   auto& limited = aService.mLimitedTargets;
   limited.erase(std::remove(limited.begin(), limited.end(), aTarget.mId),
                 limited.end());
-  if (aTarget.mLimit && aTarget.mShare.mRate > 0) {
+  if (BoundedRate(aTarget, aNow) && aTarget.mShare.mRate > 0) {
     limited.push_back(aTarget.mId);
   }
 }
 
-void DivideLimit(State& aState, Micros aNow, Target& aTarget)
-{
-  if (!aTarget.mLimit) {
-    aTarget.mShare = rate_share::Share();
-  } else if (!aState.mLimitHosts.mDigests.empty()) {
-    rate_share::UpdateShare(
-      aTarget.mShare, aState.mLimitHosts, aTarget.mId, *aTarget.mLimit, aNow);
-  }
-  UpdateLimitedTargets(aState.mServices[aTarget.mService], aTarget);
-}
-
 void SetLimit(State& aState,
               Micros aNow,
               Target& aTarget,
@@ -62,7 +52,7 @@
     Log(aOut, 1, "event=limit_ended" + Describe(aTarget));
   }
   aTarget.mLimit = aLimit;
-  DivideLimit(aState, aNow, aTarget);
+  DivideRate(aState, aNow, aTarget);
   if (aLimit) {
     Log(aOut, 1, "event=limit_named" + Describe(aTarget));
   }
@@ -85,6 +75,34 @@
 
 } // namespace
 
+std::optional<double> BoundedRate(const Target& aTarget, Micros aNow) noexcept
+{
+  if (!IsCold(aTarget, aNow) || aTarget.mWarmUpPerSecond <= 0) {
+    return aTarget.mLimit;
+  }
+  return std::min(aTarget.mLimit.value_or(aTarget.mWarmUpPerSecond),
+                  aTarget.mWarmUpPerSecond);
+}
+
+// While the hosts' lists differ, others may hold shares of the same rate; at a
+// cold target, which may end under too many requests, none accumulates.
+void DivideRate(State& aState, Micros aNow, Target& aTarget)
+{
+  const std::optional<double> rate = BoundedRate(aTarget, aNow);
+  if (!rate) {
+    aTarget.mShare = rate_share::Share();
+  } else if (!aState.mLimitHosts.mDigests.empty()) {
+    rate_share::UpdateShare(aTarget.mShare,
+                            aState.mLimitHosts,
+                            aTarget.mId,
+                            *rate,
+                            aNow,
+                            IsCold(aTarget, aNow) ? 1
+                                                  : rate_share::kBurstRequests);
+  }
+  UpdateLimitedTargets(aState.mServices[aTarget.mService], aTarget, aNow);
+}
+
 void HandleStatedLimit(State& aState,
                        Micros aNow,
                        Target& aTarget,
@@ -156,24 +174,25 @@
 
 bool IsWithinLimit(const Target& aTarget, Micros aNow) noexcept
 {
-  return !aTarget.mLimit || rate_share::CanSend(aTarget.mShare, aNow);
+  return !BoundedRate(aTarget, aNow) ||
+         rate_share::CanSend(aTarget.mShare, aNow);
 }
 
-bool HasLimitShare(const Target& aTarget) noexcept
+bool HasLimitShare(const Target& aTarget, Micros aNow) noexcept
 {
-  return !aTarget.mLimit || aTarget.mShare.mRate > 0;
+  return !BoundedRate(aTarget, aNow) || aTarget.mShare.mRate > 0;
 }
 
-bool NeedsLimitHosts(const State& aState) noexcept
+bool NeedsLimitHosts(const State& aState, Micros aNow) noexcept
 {
-  return !aState.mQuarantine.mRecords.empty() || HasLimits(aState);
+  return !aState.mQuarantine.mRecords.empty() || HasLimits(aState, aNow);
 }
 
-bool HasLimits(const State& aState) noexcept
+bool HasLimits(const State& aState, Micros aNow) noexcept
 {
   return std::any_of(
-    aState.mTargets.begin(), aState.mTargets.end(), [](const auto& aEntry) {
-      return aEntry.second.mLimit.has_value();
+    aState.mTargets.begin(), aState.mTargets.end(), [&](const auto& aEntry) {
+      return BoundedRate(aEntry.second, aNow).has_value();
     });
 }
 
@@ -181,8 +200,8 @@
 {
   aState.mLimitHosts = std::move(aHosts);
   for (auto& [id, target] : aState.mTargets) {
-    if (target.mLimit) {
-      DivideLimit(aState, aNow, target);
+    if (target.mShare.mInitialized || BoundedRate(target, aNow)) {
+      DivideRate(aState, aNow, target);
     }
   }
 }
--- a/src/dispatch/requests.cpp
+++ b/src/dispatch/requests.cpp
@@ -232,7 +232,7 @@
   attempt.mSlowness = aTarget.mReport ? aTarget.mReport->mSlowness : 0;
   attempt.mOccupancy = Occupancy(aTarget, aNow);
   attempt.mSlots = Slots(aTarget);
-  attempt.mCold = aNow < aTarget.mWarmUpEnd;
+  attempt.mCold = IsCold(aTarget, aNow);
   attempt.mReportAge = aTarget.mReport ? aNow - aTarget.mReportAt : -1;
   attempt.mLargeBytes = LargeBytes(aState, need);
   aState.mLargeBytes += attempt.mLargeBytes;
@@ -240,7 +240,7 @@
   if (resting) {
     ++aState.mCounters["sent_to_resting"];
   }
-  if (aTarget.mLimit) {
+  if (BoundedRate(aTarget, aNow)) {
     rate_share::CountSent(aTarget.mShare, aNow);
   }
   ++aTarget.mRunning;
--- a/src/dispatch/targets.cpp
+++ b/src/dispatch/targets.cpp
@@ -125,8 +125,8 @@
   target.mDataCentre = aRecord.data_centre();
   target.mRelease = aRecord.release();
   target.mSlots = std::max<int>(1, static_cast<int>(aRecord.slots()));
-  target.mWarmUpEnd =
-    aNow + static_cast<Micros>(aRecord.warm_up_ms()) * kMillisecond;
+  target.mWarmUpEnd = FirstWarmUpEnd(aState, aRecord, aNow);
+  target.mWarmUpPerSecond = WarmUpRate(aState, aRecord.service());
   Service& service = aState.mServices[aRecord.service()];
   service.mTargets.push_back(target.mId);
   Log(aOut,
@@ -135,6 +135,7 @@
         " service=" + target.mService + " address=" + target.mAddress +
         " sequence=" + std::to_string(aRecord.sequence()));
   ApplyEarlyLimit(aState, aNow, target, aOut);
+  DivideRate(aState, aNow, target);
 }
 
 // The first probe opens a connection and learns whether a target reports its
@@ -218,6 +219,9 @@
     }
     ScheduleFirstProbes(aState, aNow, service);
   }
+  for (auto& [id, target] : aState.mTargets) {
+    target.mWarmUpPerSecond = WarmUpRate(aState, target.mService);
+  }
   SetProbeRate(aState, aNow);
 }
 
@@ -363,6 +367,9 @@
       HandleStatedLimit(aState, aNow, target, aEnd.mLimit, aOut);
     }
     HandleStatedRest(aState, aNow, target, aEnd.mRest, aOut);
+    if (aEnd.mWarmUpLeft) {
+      HandleStatedWarmUp(aState, aNow, target, *aEnd.mWarmUpLeft, aOut);
+    }
     if (aEnd.mLeaving) {
       HandleLeaving(aState, target, aOut);
     }
--- a/src/frontend/dialect.h
+++ b/src/frontend/dialect.h
@@ -34,6 +34,8 @@
   std::string mRelayedAfter = "Relayed-After-Ms";
   /// In an answer: "1" if the target leaves.
   std::string mLeaving;
+  /// In the answer to a probe: milliseconds for which the target is still cold.
+  std::string mWarmUpLeft;
   /// In an answer: requests per second that the target accepts from all hosts
   /// together.
   std::string mLimit;
--- a/src/frontend/gateway_process.cpp
+++ b/src/frontend/gateway_process.cpp
@@ -203,6 +203,8 @@
   settings.mBounds.mExtraFloor = mSettings.mExtraFloor;
   settings.mBounds.mExtraWindow = mSettings.mExtraWindow;
   settings.mBounds.mProbesPerTarget = mSettings.mProbesPerTarget;
+  settings.mBounds.mWarmUpRatio = mSettings.mWarmUpRatio;
+  settings.mBounds.mWarmUpFloor = mSettings.mWarmUpFloor;
   settings.mDecodePolicy = mDialect.mDecodePolicy;
   settings.mLinkBytesPerSecond = mSettings.mLinkMbps * kBytesPerMegabit;
   settings.mAnswerKeep = mSettings.mAnswerKeep;
--- a/src/frontend/native_dialect.cpp
+++ b/src/frontend/native_dialect.cpp
@@ -175,6 +175,7 @@
   dialect.mFieldNames.mTargetId = "Target-Id";
   dialect.mFieldNames.mLoad = "Target-Load";
   dialect.mFieldNames.mLeaving = "Target-Leaving";
+  dialect.mFieldNames.mWarmUpLeft = "Target-Warm-Up-Ms";
   dialect.mFieldNames.mLimit = "Target-Limit";
   dialect.mParseCall = ParseCall;
   dialect.mMakeOperationResponse = MakeOperationResponse;
--- a/src/frontend/target_pool.cpp
+++ b/src/frontend/target_pool.cpp
@@ -47,6 +47,8 @@
 constexpr const char* kRetryAfter = "Retry-After";
 /// A target is asked again after this time, however long it wants to rest.
 constexpr Micros kLongestRest = 60 * kSecond;
+/// Longest warm-up that is believed.
+constexpr Micros kLongestWarmUp = 600 * kSecond;
 
 std::ptrdiff_t CountFields(const HeaderFields& aFields, std::string_view aName)
 {
@@ -98,6 +100,20 @@
                : dispatch::StatedLimit{ Kind::Invalid, 0 };
 }
 
+std::optional<Micros> ParseWarmUp(const HeaderFields& aFields,
+                                  const std::string& aName)
+{
+  const std::string* value = FindField(aFields, aName);
+  Poco::Int64 milliseconds = 0;
+  if (aName.empty() || value == nullptr ||
+      !Poco::NumberParser::tryParse64(Poco::trim(*value), milliseconds) ||
+      milliseconds < 0) {
+    return std::nullopt;
+  }
+  return std::min<Micros>(milliseconds, kLongestWarmUp / kMillisecond) *
+         kMillisecond;
+}
+
 namespace {
 
 // Seconds, with or without a fraction.
@@ -409,6 +425,7 @@
       end.mReport = report;
       end.mLimit = ParseLimit(aResponse.mFields, names.mLimit);
       end.mRest = ParseRest(aResponse, Poco::Timestamp());
+      end.mWarmUpLeft = ParseWarmUp(aResponse.mFields, names.mWarmUpLeft);
       end.mLeaving = SaysLeaving(aResponse);
       mPool.mSink.OnProbeResult(end);
       return;
--- a/src/frontend/target_pool.h
+++ b/src/frontend/target_pool.h
@@ -97,6 +97,11 @@
 [[nodiscard]] dispatch::StatedLimit ParseLimit(const HeaderFields& aFields,
                                                const std::string& aName);
 
+/// \brief Parses the time that a target's warm-up still takes; empty if it is
+/// absent or invalid.
+[[nodiscard]] std::optional<Micros> ParseWarmUp(const HeaderFields& aFields,
+                                                const std::string& aName);
+
 /// \brief Parses the rest that a target asks for with a refusal: seconds, or a
 /// date. Anything else, or a repeated field, is unreadable.
 [[nodiscard]] dispatch::StatedRest ParseRest(const HttpResponse& aResponse,
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -122,6 +122,14 @@
   AnswerReads(aContext);
 }
 
+void RecordWarmUp(Context& aContext, const wire::TargetRecord& aRecord)
+{
+  dispatch::Effects effects;
+  dispatch::HandleAnnouncedWarmUp(
+    aContext.mState.mDispatch, aContext.mNow, aRecord, effects);
+  AppendEffects(aContext, std::move(effects));
+}
+
 namespace {
 
 // Until the control group has confirmed it, the policy may be outdated: it may
@@ -202,7 +210,7 @@
   State& state = aContext.mState;
   rate_share::Members sharers;
   if (state.mDispatch.mKnowsHosts &&
-      dispatch::NeedsLimitHosts(state.mDispatch)) {
+      dispatch::NeedsLimitHosts(state.mDispatch, aContext.mNow)) {
     std::vector<std::string> hosts;
     for (const fleet::Host* host :
          fleet::ReadyHosts(state.mFleet, aContext.mNow)) {
--- a/src/gateway/internal.h
+++ b/src/gateway/internal.h
@@ -23,6 +23,9 @@
 /// \brief Applies the output of a fleet call and appends its effects.
 void ApplyFleetOutput(Context& aContext, fleet::Output aFleet);
 
+/// \brief Applies what a known target announces of its warm-up.
+void RecordWarmUp(Context& aContext, const wire::TargetRecord& aRecord);
+
 // --- operations.cpp: calls from targets and operators
 
 void HandleAnnounce(Context& aContext, const Announce& aCall);
--- a/src/gateway/operations.cpp
+++ b/src/gateway/operations.cpp
@@ -198,6 +198,7 @@
   const catalog::State& catalog = aContext.mState.mFleet.mCatalog;
   if (!catalog::ChangesState(catalog, aCall.mRecord)) {
     // Renewals that change nothing are not logged.
+    RecordWarmUp(aContext, aCall.mRecord);
     aContext.mOut.emplace_back(
       AnswerOperation{ aCall.mOperation, OperationOutcome::Done, "", "", "" });
     return;
--- a/src/gossip/gossip.cpp
+++ b/src/gossip/gossip.cpp
@@ -20,6 +20,7 @@
   KindLimits{ "request_crash", 600 * kSecond, 30 * kSecond, 1024 },
   KindLimits{ "request_answered", 600 * kSecond, 3 * kSecond, 1024 },
   KindLimits{ "target_limit", 600 * kSecond, 60 * kSecond, 4096 },
+  KindLimits{ "target_warm_up", 10 * kSecond, 1 * kSecond, 4096 },
 };
 
 void RemoveEntry(State& aState, const ItemKey& aKey)
--- a/src/rate_share/rate_share.cpp
+++ b/src/rate_share/rate_share.cpp
@@ -16,8 +16,7 @@
 constexpr double kMinRate = 0.1;
 /// Time in which hosts learn that another one joined, left or stopped.
 constexpr Micros kHandoverDelay = 2 * kSecond;
-/// Burst size of a holder, since requests arrive in bursts.
-constexpr double kBurstRequests = 1.5;
+/// Share of a second's rate that a holder accumulates at least.
 constexpr double kBurstSeconds = 0.1;
 constexpr Micros kIdleTime = 2 * kSecond;
 
@@ -83,7 +82,8 @@
                  const Members& aMembers,
                  const std::string& aName,
                  double aPerSecond,
-                 Micros aNow)
+                 Micros aNow,
+                 double aBurstRequests)
 {
   const double rate = ShareRate(aMembers, aName, aPerSecond);
   if (rate > 0 && aShare.mRate == 0) {
@@ -99,7 +99,7 @@
   aShare.mInitialized = true;
   aShare.mRate = rate;
   aShare.mBucket.mPerSecond = rate;
-  aShare.mBucket.mBurst = std::max(kBurstRequests, rate * kBurstSeconds);
+  aShare.mBucket.mBurst = std::max(aBurstRequests, rate * kBurstSeconds);
 }
 
 bool CanSend(const Share& aShare, Micros aNow) noexcept
--- a/tests/fakes/gateway_world.cpp
+++ b/tests/fakes/gateway_world.cpp
@@ -29,7 +29,8 @@
 {
   std::ostringstream text;
   text << aVersion << " " << aLoad.mIdempotent << " " << aLoad.mAttempts << " "
-       << aLoad.mTimeout << " " << aLoad.mObjective;
+       << aLoad.mTimeout << " " << aLoad.mObjective << " " << aLoad.mWarmUp
+       << " " << aLoad.mWarmUpPerSecond;
   return text.str();
 }
 
@@ -44,13 +45,15 @@
   route.mPathPrefix = "/";
   text >> made.mVersion >> idempotent >> route.mAttempts >> route.mTimeout >>
     route.mObjective;
+  policy::ServiceSettings service{ kService, "/health", 1000 };
+  text >> service.mWarmUp >> service.mWarmUpPerSecond;
   made.mBaseVersion = made.mVersion - 1;
   route.mKind =
     idempotent ? policy::RouteKind::Safe : policy::RouteKind::Unsafe;
   route.mPriority = 1;
   route.mBackends = { { kService, 1 } };
   made.mRoutes = { route };
-  made.mServices[kService] = { kService, "/health", 1000 };
+  made.mServices[kService] = service;
   return made;
 }
 
@@ -90,6 +93,8 @@
       seeds.push_back(fleet.mPeerAddress);
     }
     host.mSettings.mBounds = { 0.2, 60, 10 * kSecond, 60 };
+    host.mSettings.mBounds.mWarmUpRatio = kWarmUpRatio;
+    host.mSettings.mBounds.mWarmUpFloor = kWarmUpFloor;
     host.mSettings.mDecodePolicy = DecodePolicy;
     mHostByAddress[fleet.mPeerAddress] = mHosts.size();
     mHosts.push_back(std::move(host));
@@ -340,9 +345,24 @@
   target.mAlive = true;
   target.mLimit = 0;
   target.mId = aAddress + "#" + std::to_string(++target.mStarts);
+  if (mIsSettled) {
+    TurnCold(aAddress);
+  }
   Announce(aAddress);
 }
 
+void GatewayWorld::TurnCold(const std::string& aAddress)
+{
+  FakeTarget& target = mTargets[aAddress];
+  target.mColdSince = mNow;
+  target.mColdUntil = mNow + mLoad.mWarmUp;
+}
+
+Micros GatewayWorld::WarmUpLeft(const FakeTarget& aTarget) const
+{
+  return std::max<Micros>(0, aTarget.mColdUntil - mNow);
+}
+
 void GatewayWorld::Announce(const std::string& aAddress)
 {
   const FakeTarget& target = mTargets[aAddress];
@@ -359,6 +379,8 @@
   call.mRecord.set_sequence(++mLastId);
   call.mRecord.set_draining(target.mDraining);
   call.mRecord.set_release(target.mRelease);
+  call.mRecord.set_warm_up_ms(
+    static_cast<std::uint32_t>(WarmUpLeft(target) / kMillisecond));
   if (const std::optional<std::size_t> host = AnyHost()) {
     Post(*host, std::move(call));
   }
@@ -551,7 +573,10 @@
                         job.mExtra,
                         target.mLimit > 0,
                         job.mHost,
-                        target.mDataCentre });
+                        target.mDataCentre,
+                        WarmUpLeft(target) > 0
+                          ? std::optional(target.mColdSince)
+                          : std::nullopt });
   end.mKind = dispatch::EndKind::Answered;
   end.mNotRun = true;
   if (job.mSend.mTargetName != target.mId) {
@@ -833,7 +858,10 @@
       end.mAnswered = true;
       end.mHealthy = true;
       end.mAnsweredBy = target.mId;
-      end.mReport = ReportOf(target);
+      if (mLoad.mReportsLoad) {
+        end.mReport = ReportOf(target);
+        end.mWarmUpLeft = WarmUpLeft(target);
+      }
       end.mLimit =
         mProbesReportLimits ? LimitOf(target) : dispatch::StatedLimit();
     }
--- a/tests/fakes/gateway_world.h
+++ b/tests/fakes/gateway_world.h
@@ -36,8 +36,19 @@
   Micros mRestartDelay = 5 * kSecond;
   /// Time from the start of a harmful request to the crash of its target.
   Micros mCrashDelay = 50 * kMillisecond;
+  /// Time for which targets are cold that start after Settle(), and the
+  /// requests per second that they take meanwhile; 0 for no warm-up.
+  Micros mWarmUp = 0;
+  double mWarmUpPerSecond = 0;
+  /// Targets report their load, and how cold they are, in answers to probes.
+  bool mReportsLoad = true;
 };
 
+/// Requests that a cold target may get in any second: this many times its rate
+/// plus a fixed number.
+constexpr double kWarmUpRatio = 1.5;
+constexpr double kWarmUpFloor = 8;
+
 /// \brief The arrival of a request at a target.
 struct TargetArrival
 {
@@ -163,6 +174,8 @@
   void SilenceTarget(const std::string& aAddress, Micros aFor);
   /// \brief Resets the target's connections; its process keeps running.
   void ResetConnections(const std::string& aAddress);
+  /// \brief The target is cold for the warm-up from now on.
+  void TurnCold(const std::string& aAddress);
   /// \brief The target drains for a while, ends, and restarts with a new
   /// release.
   void ReplaceTarget(const std::string& aAddress);
@@ -264,6 +277,8 @@
     std::string mRelease = "v1";
     /// Announced limit in requests per second; 0 for none.
     double mLimit = 0;
+    Micros mColdSince = 0;
+    Micros mColdUntil = 0;
     int mStarts = 0;
     Micros mTurnsAwayUntil = 0;
     Micros mRest = 0;
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -56,7 +56,7 @@
 "target_latency":"800ms","priority":1,"service":"s1","attempts":1}},
 {"type":"services","metadata":{"name":"s1"},"spec":{
 "health_check_path":"/well","max_connections":260,"protocol":"h1",
-"tls":false}},
+"tls":false,"warmup":"3s","warmup_per_s":2.3}},
 {"type":"services","metadata":{"name":"s2"},"spec":{}},
 {"type":"limits","metadata":{},"spec":{"max_header_bytes":16384,
 "max_body_bytes":67108864,"header_timeout":"3000ms",
@@ -327,6 +327,7 @@
       "timeout = 1200ms\nobjective = 0.6s\nattempts = 2\npriority = 2\n"
       "backends = s1:90 s2:10\n"
       "[service s1]\nhealth_path = /well\nmax_connections = 260\n"
+      "warm_up = 3s\nwarm_up_per_second = 2.3\n"
       "[service s2]\nhealth_path = /health\n");
     CPPUNIT_ASSERT(read);
     const auto other = DecodePolicy(kDocument);
@@ -336,6 +337,13 @@
     CPPUNIT_ASSERT_EQUAL(right.mObjective, left.mObjective);
     CPPUNIT_ASSERT_DOUBLES_EQUAL(
       right.mBackends[0].mWeight, left.mBackends[0].mWeight, 1e-9);
+    const policy::ServiceSettings& service = other.value().mServices.at("s1");
+    CPPUNIT_ASSERT_EQUAL(3 * kSecond, service.mWarmUp);
+    CPPUNIT_ASSERT_EQUAL(service.mWarmUp,
+                         read.value().mServices.at("s1").mWarmUp);
+    CPPUNIT_ASSERT_EQUAL(2.3, service.mWarmUpPerSecond);
+    CPPUNIT_ASSERT_EQUAL(service.mWarmUpPerSecond,
+                         read.value().mServices.at("s1").mWarmUpPerSecond);
     const auto wrong = policy::ParsePolicy(
       "[policy]\nversion = 0\n[route r]\nhost = a\ntimeout = soon\n", "f");
     CPPUNIT_ASSERT(wrong.mFaults.size() >= 3);
--- a/tests/target_limit_test.cpp
+++ b/tests/target_limit_test.cpp
@@ -227,7 +227,8 @@
   {
     std::size_t count = 0;
     for (std::size_t host = 0; host < aWorld.Hosts(); ++host) {
-      count += dispatch::HasLimits(aWorld.At(host).mDispatch) ? 1 : 0;
+      count +=
+        dispatch::HasLimits(aWorld.At(host).mDispatch, aWorld.Now()) ? 1 : 0;
     }
     return count;
   }
