Send a policy to each follower once, and decode it once

A policy of 900 routes takes a tenth of a second a follower on such a link, and went out twice: ahead of the commands and as one of them. Each time it was decoded, which a tenth of a core does slowly: 268 entries "policy_in_force" of 134 hosts for most versions.

A follower that says which version it has now gets the newest policy apart from the commands, which keep their places in the log without it; followers of earlier versions get policies as commands as before. What was lost is sent after the next report, which says the version. A policy that is in force is not decoded again.

Ruled out: the leader (committed at once), the depth of the tree (p90 0.5 s).

--- a/include/geraniumpond/gateway.h
+++ b/include/geraniumpond/gateway.h
@@ -208,12 +208,12 @@
 {
   std::uint64_t mId = 0;
   OperationKind mKind = OperationKind::Announce;
-  std::string mSubject;
+  std::string mSubject{};
   /// A read whose caller is redirected to the leader.
   bool mElsewhere = false;
   /// The change of an evacuation, and until when it is submitted again if it
   /// builds on an old revision.
-  wire::SetEvacuation mEvacuation;
+  wire::SetEvacuation mEvacuation{};
   Micros mGiveUpAt = 0;
 };
 
--- a/src/fleet/replies.cpp
+++ b/src/fleet/replies.cpp
@@ -15,6 +15,12 @@
 /// A follower that lacks more commands receives a snapshot if it can read a
 /// compressed one, which is then smaller.
 constexpr std::size_t kMaxCommands = 300;
+/// Commands that are smaller than any policy worth leaving out are not parsed.
+constexpr std::size_t kMinPolicyBytes = 512;
+/// Stands for the policy version of a follower that takes policies only as
+/// commands.
+constexpr std::uint64_t kOnlyAsCommands =
+  std::numeric_limits<std::uint64_t>::max();
 
 const std::string& PackedCatalog(State& aState)
 {
@@ -39,6 +45,21 @@
   }
 }
 
+// A follower that takes a policy apart from its command gets the newest one,
+// once; the commands keep their places in the log.
+wire::CommittedCommand WithoutPolicy(const wire::CommittedCommand& aCommand)
+{
+  wire::CatalogCommand command;
+  if (aCommand.command().size() < kMinPolicyBytes ||
+      !command.ParseFromString(aCommand.command()) ||
+      !command.has_put_policy()) {
+    return aCommand;
+  }
+  wire::CommittedCommand place;
+  place.set_index(aCommand.index());
+  return place;
+}
+
 void FillSnapshot(State& aState,
                   Micros aNow,
                   Follower& aFollower,
@@ -74,9 +95,8 @@
 // Hosts of an earlier version accept a policy only as a command.
 std::uint64_t PolicyVersionOf(const wire::Follow& aMessage)
 {
-  return aMessage.has_policy_version()
-           ? aMessage.policy_version()
-           : std::numeric_limits<std::uint64_t>::max();
+  return aMessage.has_policy_version() ? aMessage.policy_version()
+                                       : kOnlyAsCommands;
 }
 
 // Other log entries, such as membership changes and read barriers, are not sent
@@ -111,12 +131,15 @@
     FillSnapshot(aState, aNow, aFollower, aReply);
     return;
   }
+  const bool takesPolicy = aFollower.mPolicySent != kOnlyAsCommands;
+  if (takesPolicy) {
+    FillPolicy(aState, aFollower, aReply);
+  }
   aFollower.mSent = aState.mApplied;
-  aFollower.mPolicySent = aState.mCatalog.mVersion;
   aReply.set_commands_after(from);
   aState.mCounters.mCommandsSent += count;
   for (auto it = first; it != aState.mRecentCommands.end(); ++it) {
-    *aReply.add_commands() = *it;
+    *aReply.add_commands() = takesPolicy ? WithoutPolicy(*it) : *it;
   }
 }
 
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -45,7 +45,10 @@
 {
   State& state = aContext.mState;
   const catalog::State& catalog = state.mFleet.mCatalog;
-  if (catalog.mVersion == 0 || state.mPolicyWithheld) {
+  // A policy may come twice, sent ahead and as a command.
+  const auto& inForce = state.mDispatch.mPolicy;
+  const bool isInForce = inForce && inForce->mVersion == catalog.mVersion;
+  if (catalog.mVersion == 0 || state.mPolicyWithheld || isInForce) {
     return;
   }
   Result<policy::TrafficPolicy> decoded =
--- a/tests/fleet_policy_test.cpp
+++ b/tests/fleet_policy_test.cpp
@@ -2,6 +2,9 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <optional>
+#include <random>
+
 namespace geraniumpond::fleet {
 
 using fakes::PutPolicyCommand;
@@ -43,6 +46,8 @@
   CPPUNIT_TEST_SUITE(FleetPolicyTest);
   CPPUNIT_TEST(OlderSnapshotDoesNotReplaceAPolicySentAhead);
   CPPUNIT_TEST(FollowersGetAPolicySentAheadWithTheirSnapshot);
+  CPPUNIT_TEST(FollowersGetAPolicyOnlyOnce);
+  CPPUNIT_TEST(FollowersOfAnEarlierVersionGetPoliciesAsCommands);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -76,7 +81,78 @@
     }
   }
 
+  // A policy of a thousand routes takes a tenth of a second on a slow link.
+  void FollowersGetAPolicyOnlyOnce()
+  {
+    DeliverCommand(6, 3);
+    for (const std::uint64_t known : { 1, 3 }) {
+      const wire::FollowReply reply = ReplyToFollowerAt(5, known);
+      CPPUNIT_ASSERT_EQUAL(1, reply.commands_size());
+      CPPUNIT_ASSERT_EQUAL(std::uint64_t(6), reply.commands(0).index());
+      CPPUNIT_ASSERT(reply.commands(0).command().empty());
+      CPPUNIT_ASSERT_EQUAL(known < 3, reply.has_policy());
+    }
+  }
+
+  void FollowersOfAnEarlierVersionGetPoliciesAsCommands()
+  {
+    DeliverCommand(6, 3);
+    const wire::FollowReply reply = ReplyToFollowerAt(5, std::nullopt);
+    CPPUNIT_ASSERT_EQUAL(1, reply.commands_size());
+    CPPUNIT_ASSERT(!reply.commands(0).command().empty());
+    CPPUNIT_ASSERT(!reply.has_policy());
+  }
+
 private:
+  void DeliverCommand(std::uint64_t aIndex, std::uint64_t aVersion)
+  {
+    // This host has a follower, so it keeps the commands.
+    (void)ReplyToFollowerAt(5, 3);
+    wire::FleetMessage message = Reply();
+    wire::FollowReply& reply = *message.mutable_follow_reply();
+    reply.set_commands_after(aIndex - 1);
+    wire::CommittedCommand& command = *reply.add_commands();
+    command.set_index(aIndex);
+    command.set_command(
+      PutPolicyCommand(aVersion, aVersion - 1, IncompressibleText())
+        .SerializeAsString());
+    Deliver(message);
+    CPPUNIT_ASSERT_EQUAL(aIndex, mHost.mApplied);
+  }
+
+  static std::string IncompressibleText()
+  {
+    std::mt19937_64 random(1);
+    std::string text;
+    for (int i = 0; i < 2000; ++i) {
+      text += static_cast<char>(random());
+    }
+    return text;
+  }
+
+  wire::FollowReply ReplyToFollowerAt(std::uint64_t aApplied,
+                                      std::optional<std::uint64_t> aVersion)
+  {
+    wire::FleetMessage report;
+    report.set_from_address(kFollower);
+    wire::Follow& follow = *report.mutable_follow();
+    follow.mutable_host()->set_peer_address(kFollower);
+    follow.mutable_host()->set_incarnation(1);
+    follow.set_compact(true);
+    follow.set_applied(aApplied);
+    if (aVersion) {
+      follow.set_policy_version(*aVersion);
+    }
+    Output output;
+    Receive(mHost, kStart + 2 * kMillisecond, 1, report, output);
+    for (const auto& [to, message] : output.mMessages) {
+      if (to == kFollower && message.has_follow_reply()) {
+        return message.follow_reply();
+      }
+    }
+    return {};
+  }
+
   void Deliver(const wire::FleetMessage& aMessage)
   {
     Output output;
