Fetch large answers through hosts with fast links

A target sends as much at once as the buffers between hold: 64 kB, a quarter of a second of a link with 2.1 Mbit/s, in which no other answer comes in. So a request whose answer is large for this host's link goes through a host of the same data centre whose link is ten times faster, which returns the answer at the pace of this link; one at a time, as large answers are taken here anyway. Where there is no such host, or it refuses, breaks off or is not reached, this host asks the target itself; one attempt is left for that. Hosts tell each other the speed of their links. A download of a route without answers yet counts as large.

--- a/include/geraniumpond/dispatch.h
+++ b/include/geraniumpond/dispatch.h
@@ -330,6 +330,8 @@
   /// Time that it spent at the host that passed it on; none if it comes from a
   /// client.
   std::optional<Micros> mRelayedAfter;
+  /// It was passed on because of the size of its answer.
+  bool mIsForFastLink = false;
 };
 
 /// \brief A request that arrived before the first policy.
@@ -375,6 +377,8 @@
   Micros mDeadline = 0;
   /// Time that it spent at this host.
   Micros mElapsed = 0;
+  /// Bytes per second at which the answer is to come; 0 for no bound.
+  double mBytesPerSecond = 0;
 };
 
 /// \brief Cancel an attempt: close its connection.
@@ -551,6 +555,9 @@
   /// Caller addresses of the hosts that requests may be passed on to; kept up
   /// to date while AwaitsAnyAnswer().
   std::vector<std::string> mRelayHosts;
+  /// Caller addresses of hosts of this data centre whose links are so much
+  /// faster than this host's that its large answers hardly occupy them.
+  std::vector<std::string> mFastHosts;
   /// Limits of targets that are not known yet.
   std::map<std::string, gossip::Item> mEarlyLimits;
   Counters mCounters;
--- a/include/geraniumpond/fleet.h
+++ b/include/geraniumpond/fleet.h
@@ -36,6 +36,8 @@
   std::vector<std::string> mSeeds;
   /// Disks that may be lost at once without losing acknowledged changes.
   int mToleratedLosses = 0;
+  /// Speed of the network link, in megabits per second; 0 if unknown.
+  double mLinkMbps = 0;
 };
 
 /// \brief A host of the fleet, as another host knows it.
@@ -61,6 +63,8 @@
   bool mReporterUnshared = false;
   /// It reaches no target, while other hosts do.
   bool mCutOff = false;
+  /// Speed of its network link, in megabits per second; 0 if unknown.
+  double mLinkMbps = 0;
 };
 
 /// \brief Digests of the known hosts by data centre.
--- a/src/dispatch/choice.cpp
+++ b/src/dispatch/choice.cpp
@@ -37,6 +37,8 @@
 /// Service time assumed for a route without answers yet, as a share of its
 /// latency objective.
 constexpr double kInitialWorkShare = 0.35;
+/// Size assumed for a download of a route without answers yet.
+constexpr double kInitialDownloadBytes = 100000;
 
 std::vector<Target*> AllTargets(State& aState, const Service& aService)
 {
@@ -310,6 +312,8 @@
   const Micros objective = aRequest.mObjectiveAt - aRequest.mArrivedAt;
   need.mWork =
     static_cast<Micros>(kInitialWorkShare * static_cast<double>(objective));
+  need.mAnswerBytes =
+    aRequest.mKind == policy::RouteKind::Download ? kInitialDownloadBytes : 0;
   return need;
 }
 
--- a/src/dispatch/ends.cpp
+++ b/src/dispatch/ends.cpp
@@ -69,8 +69,7 @@
     statistics.mAnswerBytes = static_cast<double>(aEnd.mBytes);
     return;
   }
-  statistics.mAnswerBytes +=
-    kWorkGain * (static_cast<double>(aEnd.mBytes) - statistics.mAnswerBytes);
+  LearnAnswerBytes(aState, aRequest, aEnd.mBytes);
   // A single slow answer must not double an estimate.
   const double ratio = std::min(elapsed / statistics.mWork, kMaxLatencyRatio);
   const bool freshReport =
@@ -178,6 +177,15 @@
 
 } // namespace
 
+void LearnAnswerBytes(State& aState,
+                      const Request& aRequest,
+                      std::uint64_t aBytes)
+{
+  RouteStatistics& statistics = aState.mStatistics[aRequest.mRoute];
+  statistics.mAnswerBytes +=
+    kWorkGain * (static_cast<double>(aBytes) - statistics.mAnswerBytes);
+}
+
 void Deliver(State& aState,
              Micros aNow,
              Request& aRequest,
--- a/src/dispatch/internal.h
+++ b/src/dispatch/internal.h
@@ -131,6 +131,10 @@
                                 Micros aNow);
 
 // --- ends.cpp
+/// \brief Records the size of an answer to a request of this route.
+void LearnAnswerBytes(State& aState,
+                      const Request& aRequest,
+                      std::uint64_t aBytes);
 /// \brief Forwards an attempt's answer to the client and removes the request.
 void Deliver(State& aState,
              Micros aNow,
--- a/src/dispatch/relay.cpp
+++ b/src/dispatch/relay.cpp
@@ -32,15 +32,16 @@
   return found != aService.mAvoidedHosts.end() && aNow < found->second;
 }
 
-// A random one, so that the hosts that reach the service share the load.
+// A random one, so that the hosts share the load.
 std::string PickHost(State& aState,
+                     const std::vector<std::string>& aHosts,
                      const Service& aService,
                      const Request& aRequest,
                      Micros aNow)
 {
   std::string picked;
   std::uint64_t candidates = 0;
-  for (const std::string& host : aState.mRelayHosts) {
+  for (const std::string& host : aHosts) {
     if (aRequest.mHostsTried.count(host) != 0 ||
         IsAvoided(aService, host, aNow)) {
       continue;
@@ -60,30 +61,24 @@
     it = it->second <= aNow ? aService.mAvoidedHosts.erase(it) : std::next(it);
   }
   aService.mAvoidedHosts[aHost] = aNow + kAvoidFor;
+}
+
+void CountHostWithoutWay(Service& aService, Micros aNow)
+{
   if (++aService.mHostsWithoutWay >= kMaxHostsWithoutWay) {
     aService.mHostsWithoutWay = 0;
     aService.mDownUntil = aNow + kDownFor;
   }
 }
 
-} // namespace
-
-bool CanPassOn(const Request& aRequest)
-{
-  return !aRequest.mIsRelayed && !aRequest.mMayHaveRun && aRequest.mSent == 0 &&
-         aRequest.mAttempts.empty() && aRequest.mHostsTried.size() < kMaxHosts;
-}
-
-bool PassOn(State& aState, Micros aNow, Request& aRequest, Effects& aOut)
+void SendToHost(State& aState,
+                Micros aNow,
+                Request& aRequest,
+                const std::string& aHost,
+                double aLargeBytes,
+                Effects& aOut)
 {
   Service& service = aState.mServices[aRequest.mService];
-  if (aNow < service.mDownUntil) {
-    return false;
-  }
-  const std::string host = PickHost(aState, service, aRequest, aNow);
-  if (host.empty()) {
-    return false;
-  }
   StopWaiting(aState, aRequest);
   // It counts where it is sent from.
   if (aRequest.mHostsTried.empty()) {
@@ -91,26 +86,101 @@
   }
   Attempt attempt;
   attempt.mNumber = ++aState.mLastAttempt;
-  attempt.mHost = host;
+  attempt.mHost = aHost;
   attempt.mSentAt = aNow;
+  attempt.mLargeBytes = aLargeBytes;
+  aState.mLargeBytes += aLargeBytes;
   ++aRequest.mSent;
-  aRequest.mHostsTried.insert(host);
+  aRequest.mHostsTried.insert(aHost);
   aRequest.mHedging = false;
   aRequest.mHedgeAt = 0;
-  ++aState.mCounters["relays_sent"];
   Log(aOut,
       1,
-      "event=passed_on to=" + host + Describe(aState, aRequest, aNow) +
+      "event=passed_on to=" + aHost + Describe(aState, aRequest, aNow) +
+        (aLargeBytes > 0 ? " why=large_answer" : " why=service_silent") +
         " silent_ms=" +
         Milliseconds(service.mSilentSince == 0 ? 0
                                                : aNow - service.mSilentSince));
-  aOut.emplace_back(RelayRequest{ aRequest.mId,
-                                  attempt.mNumber,
-                                  host,
-                                  aRequest.mDeadline,
-                                  aNow - aRequest.mArrivedAt });
+  aOut.emplace_back(
+    RelayRequest{ aRequest.mId,
+                  attempt.mNumber,
+                  aHost,
+                  aRequest.mDeadline,
+                  aNow - aRequest.mArrivedAt,
+                  aLargeBytes > 0 ? aState.mBounds.mLinkBytesPerSecond : 0 });
   aRequest.mAttempts.push_back(std::move(attempt));
   SetTimer(aState, aRequest);
+}
+
+// The host with the fast link may have given the request to one target less
+// than the route allows, so that one is left for this host.
+void SendWithoutFastLink(State& aState,
+                         Micros aNow,
+                         Request& aRequest,
+                         const Attempt& aAttempt,
+                         const AttemptEnd& aEnd,
+                         Effects& aOut)
+{
+  ++aState.mCounters["large_answers_without_fast_link"];
+  AvoidHost(aState.mServices[aRequest.mService], aAttempt.mHost, aNow);
+  if (aEnd.mKind == EndKind::Broken) {
+    aRequest.mMayHaveRun = true;
+  } else {
+    --aRequest.mSent;
+  }
+  RetryElsewhere(aState, aNow, aRequest, "no_answer_by_fast_link", aOut);
+}
+
+} // namespace
+
+bool CanPassOn(const Request& aRequest)
+{
+  return !aRequest.mIsRelayed && !aRequest.mMayHaveRun && aRequest.mSent == 0 &&
+         aRequest.mAttempts.empty() && aRequest.mHostsTried.size() < kMaxHosts;
+}
+
+bool PassOn(State& aState, Micros aNow, Request& aRequest, Effects& aOut)
+{
+  Service& service = aState.mServices[aRequest.mService];
+  if (aNow < service.mDownUntil) {
+    return false;
+  }
+  const std::string host =
+    PickHost(aState, aState.mRelayHosts, service, aRequest, aNow);
+  if (host.empty()) {
+    return false;
+  }
+  ++aState.mCounters["relays_sent"];
+  SendToHost(aState, aNow, aRequest, host, 0, aOut);
+  return true;
+}
+
+// A target sends as much at once as the buffers between hold, which occupies a
+// slow link for longer than most other requests may take.
+bool PassOnLargeAnswer(State& aState,
+                       Micros aNow,
+                       Request& aRequest,
+                       Effects& aOut)
+{
+  if (aState.mFastHosts.empty() || !CanPassOn(aRequest) ||
+      !policy::IsIdempotent(aRequest.mKind)) {
+    return false;
+  }
+  const Need need = NeedOf(aState, aRequest);
+  const double bytes = LargeBytes(aState, need);
+  if (bytes <= 0 || !FitsLink(aState, need)) {
+    return false;
+  }
+  const std::string host = PickHost(aState,
+                                    aState.mFastHosts,
+                                    aState.mServices[aRequest.mService],
+                                    aRequest,
+                                    aNow);
+  if (host.empty()) {
+    return false;
+  }
+  ++aState.mCounters["large_answers_by_fast_link"];
+  SendToHost(aState, aNow, aRequest, host, bytes, aOut);
   return true;
 }
 
@@ -122,9 +192,15 @@
                     Effects& aOut)
 {
   Service& service = aState.mServices[aRequest.mService];
+  const bool failed = aEnd.mKind != EndKind::Answered || aEnd.mNotRun;
+  if (aAttempt.mLargeBytes > 0 && failed) {
+    SendWithoutFastLink(aState, aNow, aRequest, aAttempt, aEnd, aOut);
+    return;
+  }
   if (aEnd.mKind == EndKind::NotSent || aEnd.mMisdirected) {
     --aRequest.mSent;
     AvoidHost(service, aAttempt.mHost, aNow);
+    CountHostWithoutWay(service, aNow);
     ++aState.mCounters["relays_without_way"];
     if (!CanPassOn(aRequest) || !PassOn(aState, aNow, aRequest, aOut)) {
       RetryElsewhere(aState, aNow, aRequest, "no_way_through_host", aOut);
@@ -144,6 +220,7 @@
   if (aEnd.mKind == EndKind::Broken) {
     aRequest.mMayHaveRun = true;
     AvoidHost(service, aAttempt.mHost, aNow);
+    CountHostWithoutWay(service, aNow);
     Refuse(aState, aNow, aRequest.mId, kBadGateway, 0, "host_broke_off", aOut);
     return;
   }
@@ -151,6 +228,7 @@
   if (aEnd.mStatus < kServerError) {
     RecordServedElsewhere(service, aNow);
     RecordAnswer(aState, aNow, aRequest.mIdentity, aOut);
+    LearnAnswerBytes(aState, aRequest, aEnd.mBytes);
   }
   Deliver(aState, aNow, aRequest, aAttempt, aEnd, aOut);
 }
--- a/src/dispatch/requests.cpp
+++ b/src/dispatch/requests.cpp
@@ -380,6 +380,9 @@
   request.mMaxAttempts = route->mAttempts;
   request.mArrivedAt = aArrivedAt;
   request.mIsRelayed = aArrival.mRelayedAfter.has_value();
+  if (aArrival.mIsForFastLink) {
+    request.mMaxAttempts = std::max(1, request.mMaxAttempts - 1);
+  }
   request.mObjectiveAt = aArrivedAt + route->mObjective;
   request.mDeadline = aArrivedAt + route->mTimeout;
   if (aArrival.mPatience > 0) {
@@ -430,6 +433,9 @@
            aOut);
     return;
   }
+  if (PassOnLargeAnswer(aState, aNow, added, aOut)) {
+    return;
+  }
   StartWaiting(aState, aNow, added, aOut);
   ServeQueue(aState, aNow, added.mService, aOut);
 }
--- a/src/dispatch/waiting.cpp
+++ b/src/dispatch/waiting.cpp
@@ -221,6 +221,7 @@
 {
   if (RefuseWhileAllRest(aState, aNow, aRequest, aOut) ||
       PassOnFromSilentService(aState, aNow, aRequest, aOut) ||
+      PassOnLargeAnswer(aState, aNow, aRequest, aOut) ||
       IsAwaitingProbes(aState, aRequest, aNow) ||
       RefuseAtLostService(aState, aNow, aRequest, aOut)) {
     return;
--- a/src/fleet/fleet.cpp
+++ b/src/fleet/fleet.cpp
@@ -53,6 +53,7 @@
   own.mDataCentre = settings.mDataCentre;
   own.mIncarnation = settings.mIncarnation;
   own.mControl = settings.mControl;
+  own.mLinkMbps = settings.mLinkMbps;
   own.mReady = aState.mReady;
   own.mStopping = aState.mStopping;
   own.mCutOff = aState.mCutOff;
--- a/src/fleet/hosts.cpp
+++ b/src/fleet/hosts.cpp
@@ -158,6 +158,7 @@
   host.set_gone(aHost.mGone);
   host.set_control(aHost.mControl);
   host.set_cut_off(aHost.mCutOff);
+  host.set_link_mbps(static_cast<float>(aHost.mLinkMbps));
   const Micros age = std::max<Micros>(0, aNow - aHost.mHeardAt);
   host.set_age_ms(static_cast<std::uint32_t>(age / kMillisecond));
   return host;
@@ -177,7 +178,8 @@
            aHost.gone(),
            aHost.control(),
            false,
-           aHost.cut_off() };
+           aHost.cut_off(),
+           aHost.link_mbps() };
 }
 
 // Excludes the asking host, whose own report may still be under way.
--- a/src/frontend/dialect.h
+++ b/src/frontend/dialect.h
@@ -32,6 +32,9 @@
   /// Milliseconds that a request spent at the host that passed it on to this
   /// one; not forwarded to targets.
   std::string mRelayedAfter = "Relayed-After-Ms";
+  /// Bytes per second at which the host that passed a request on wants its
+  /// answer; not forwarded to targets.
+  std::string mAnswerPace = "Answer-Bytes-Per-Second";
   /// In an answer: "1" if the target leaves.
   std::string mLeaving;
   /// In the answer to a probe: milliseconds for which the target is still cold.
--- a/src/frontend/gateway_effects.cpp
+++ b/src/frontend/gateway_effects.cpp
@@ -3,6 +3,7 @@
 #include "edge/logging.h"
 
 #include <algorithm>
+#include <cmath>
 #include <cstdio>
 
 // Carries out the reducer's effects on sockets, disk and log.
@@ -25,10 +26,10 @@
   return text;
 }
 
-// `aExtraField` names the target, or says that the request is passed on.
+// `aExtraFields` name the target, or say that the request is passed on.
 std::string RequestBytes(const HttpRequest& aRequest,
                          const FieldNames& aNames,
-                         const std::string& aExtraField,
+                         const std::string& aExtraFields,
                          Micros aTimeout)
 {
   std::string out;
@@ -44,6 +45,7 @@
     if (IsHopByHopField(aRequest.mFields, name) ||
         EqualIgnoringCase(name, aNames.mTimeout) ||
         EqualIgnoringCase(name, aNames.mRelayedAfter) ||
+        EqualIgnoringCase(name, aNames.mAnswerPace) ||
         EqualIgnoringCase(name, aNames.mExpectedTarget)) {
       continue;
     }
@@ -51,7 +53,7 @@
   }
   const Micros left = std::max<Micros>(1, aTimeout / kMillisecond);
   out += aNames.mTimeout + ": " + std::to_string(left) + "\r\n";
-  out += aExtraField + "\r\n";
+  out += aExtraFields + "\r\n";
   if (framed) {
     out += "Content-Length: " + std::to_string(aRequest.mBody.size()) + "\r\n";
   }
@@ -88,14 +90,18 @@
   outbound.mTarget = aEffect.mAddress;
   outbound.mAddress = aEffect.mAddress;
   outbound.mProvenConnection = true;
-  Send(std::move(outbound),
-       mDialect.mFieldNames.mRelayedAfter + ": " +
-         std::to_string(aEffect.mElapsed / kMillisecond),
-       aEffect.mDeadline);
+  const FieldNames& names = mDialect.mFieldNames;
+  std::string fields = names.mRelayedAfter + ": " +
+                       std::to_string(aEffect.mElapsed / kMillisecond);
+  if (aEffect.mBytesPerSecond > 0) {
+    fields += "\r\n" + names.mAnswerPace + ": " +
+              std::to_string(std::llround(aEffect.mBytesPerSecond));
+  }
+  Send(std::move(outbound), fields, aEffect.mDeadline);
 }
 
 void GatewayProcess::Send(OutboundRequest aOutbound,
-                          const std::string& aExtraField,
+                          const std::string& aExtraFields,
                           Micros aDeadline)
 {
   const auto found = mExchanges.find(aOutbound.mRequest);
@@ -107,7 +113,7 @@
     FindField(request.mFields, mDialect.mFieldNames.mRequestId);
   aOutbound.mBytes = RequestBytes(request,
                                   mDialect.mFieldNames,
-                                  aExtraField,
+                                  aExtraFields,
                                   aDeadline - mNow - kReturnMargin);
   aOutbound.mRequestId = id == nullptr ? "" : *id;
   aOutbound.mHeadOnly = request.mMethod == "HEAD";
@@ -213,7 +219,7 @@
   mMetrics.Observe("request",
                    std::to_string(aResponse.mStatus),
                    mNow - found->second.mArrivedAt);
-  mClientServer->Respond(aExchange, aResponse);
+  mClientServer->Respond(aExchange, aResponse, found->second.mBytesPerSecond);
   mExchanges.erase(aExchange);
 }
 
--- a/src/frontend/gateway_process.cpp
+++ b/src/frontend/gateway_process.cpp
@@ -35,6 +35,8 @@
 /// route.
 constexpr Micros kLongestRelayTime = 600 * kSecond;
 constexpr double kBytesPerMegabit = 125000;
+/// Slowest pace, in bytes per second, at which another host is sent an answer.
+constexpr double kMinPace = 1000;
 
 Micros SteadyNow()
 {
@@ -104,7 +106,15 @@
         std::clamp<Micros>(milliseconds, 0, kLongestRelayTime / kMillisecond) *
         kMillisecond;
     }
+    const std::string* pace = FindField(aRequest.mFields, names.mAnswerPace);
+    double bytesPerSecond = 0;
+    const bool isPaced =
+      arrival.mRelayedAfter && pace != nullptr &&
+      Poco::NumberParser::tryParseFloat(*pace, bytesPerSecond) &&
+      bytesPerSecond >= kMinPace;
+    arrival.mIsForFastLink = isPaced;
     Exchange& exchange = mProcess.mExchanges[aExchange];
+    exchange.mBytesPerSecond = isPaced ? bytesPerSecond : 0;
     exchange.mRequest = std::move(aRequest);
     exchange.mArrivedAt = mProcess.mNow;
     mProcess.Post(std::move(arrival));
@@ -200,6 +210,7 @@
   settings.mFleet.mControl = !mSettings.mDataFolder.empty();
   settings.mFleet.mSeeds = SeedPeerAddresses(mSettings);
   settings.mFleet.mToleratedLosses = mSettings.mToleratedLosses;
+  settings.mFleet.mLinkMbps = mSettings.mLinkMbps;
   settings.mDataCentres = mSettings.mDataCentres;
   settings.mBounds.mExtraRatio = mSettings.mExtraRatio;
   settings.mBounds.mExtraFloor = mSettings.mExtraFloor;
@@ -403,6 +414,7 @@
   const Micros next = std::min({ gateway::NextTick(mState),
                                  mOutgoingPacer.NextTick(),
                                  mIncomingPacer.NextTick(),
+                                 mClientServer->NextTick(),
                                  mNow + kLongestWait });
   const std::size_t handled = mLoop.RunOnce(Now(), next);
   mLoadMonitor.RecordWork(WorkKind::Connections, handled);
--- a/src/frontend/gateway_process.h
+++ b/src/frontend/gateway_process.h
@@ -51,6 +51,8 @@
     Micros mArrivedAt = 0;
     HttpResponse mAnswer;
     std::uint64_t mAnsweredBy = 0;
+    /// Pace at which another host wants the answer; 0 for none.
+    double mBytesPerSecond = 0;
   };
 
   /// \brief The host and request target of a policy read, kept for a redirect.
@@ -99,7 +101,7 @@
   [[nodiscard]] Micros Now() const;
   [[nodiscard]] std::uint64_t NextRandom();
   void Send(OutboundRequest aOutbound,
-            const std::string& aExtraField,
+            const std::string& aExtraFields,
             Micros aDeadline);
   void MarkForRelay(std::uint64_t aExchange, HttpResponse& aResponse) const;
   void RespondToClient(std::uint64_t aExchange, const HttpResponse& aResponse);
--- a/src/frontend/http_server.cpp
+++ b/src/frontend/http_server.cpp
@@ -5,6 +5,7 @@
 #include <Poco/Net/StreamSocketImpl.h>
 
 #include <algorithm>
+#include <limits>
 #include <sys/socket.h>
 #include <utility>
 
@@ -83,7 +84,9 @@
     ContinueAfterSend();
   }
 
-  void Respond(std::uint64_t aExchange, const HttpResponse& aResponse)
+  void Respond(std::uint64_t aExchange,
+               const HttpResponse& aResponse,
+               double aBytesPerSecond)
   {
     for (Pending& pending : mPending) {
       if (pending.mExchange == aExchange) {
@@ -91,6 +94,7 @@
           pending.mClose || mServer.mStopping || mCloseAfterError;
         pending.mBytes = Serialize(aResponse, close, pending.mHeadOnly);
         pending.mClose = close;
+        pending.mBytesPerSecond = aBytesPerSecond;
         pending.mAnswered = true;
       }
     }
@@ -143,6 +147,7 @@
     bool mClose = false;
     bool mAnswered = false;
     std::string mBytes;
+    double mBytesPerSecond = 0;
   };
 
   void ReadRequests()
@@ -191,10 +196,7 @@
       mPending.pop_front();
       mServer.mExchanges.erase(pending.mExchange);
       mLastActivityAt = mServer.mNow;
-      if (mServer.mPacer != nullptr &&
-          mServer.mPacer->IsLarge(pending.mBytes.size())) {
-        mSocket.Pace(*mServer.mPacer);
-      }
+      PaceIfLarge(pending);
       if (!mSocket.Send(std::move(pending.mBytes))) {
         Close();
         return;
@@ -208,6 +210,21 @@
     ContinueAfterSend();
   }
 
+  void PaceIfLarge(const Pending& aPending)
+  {
+    LinkPacer* pacer = mServer.mPacer;
+    if (aPending.mBytesPerSecond > 0) {
+      std::unique_ptr<LinkPacer>& own = mServer.mClientPacers[mId];
+      own = own ? std::move(own)
+                : std::make_unique<LinkPacer>(aPending.mBytesPerSecond);
+      own->Tick(mServer.mNow);
+      pacer = own.get();
+    }
+    if (pacer != nullptr && pacer->IsLarge(aPending.mBytes.size())) {
+      mSocket.Pace(*pacer);
+    }
+  }
+
   // Requests behind the last answer of a connection will not be answered.
   void DropPending()
   {
@@ -326,12 +343,23 @@
   }
 }
 
-void HttpServer::Respond(std::uint64_t aExchange, const HttpResponse& aResponse)
+void HttpServer::Respond(std::uint64_t aExchange,
+                         const HttpResponse& aResponse,
+                         double aBytesPerSecond)
 {
   const auto found = mExchanges.find(aExchange);
   if (found != mExchanges.end()) {
-    found->second->Respond(aExchange, aResponse);
+    found->second->Respond(aExchange, aResponse, aBytesPerSecond);
+  }
+}
+
+Micros HttpServer::NextTick() const noexcept
+{
+  Micros next = std::numeric_limits<Micros>::max();
+  for (const auto& [id, pacer] : mClientPacers) {
+    next = std::min(next, pacer->NextTick());
   }
+  return next;
 }
 
 bool HttpServer::HasUnsentAnswers() const
@@ -353,10 +381,31 @@
   }
 }
 
+// A handler may close its connection, whose pacer is then forgotten.
+void HttpServer::TickClientPacers()
+{
+  std::vector<std::uint64_t> due;
+  for (const auto& [id, pacer] : mClientPacers) {
+    if (pacer->NextTick() <= mNow) {
+      due.push_back(id);
+    }
+  }
+  for (const std::uint64_t id : due) {
+    const auto found = mClientPacers.find(id);
+    if (found != mClientPacers.end()) {
+      found->second->Tick(mNow);
+    }
+  }
+}
+
 void HttpServer::Tick(Micros aNow)
 {
   mNow = aNow;
+  for (const std::unique_ptr<Connection>& closed : mClosedConnections) {
+    mClientPacers.erase(closed->Id());
+  }
   mClosedConnections.clear();
+  TickClientPacers();
   if (aNow < mTimeoutsCheckedAt + kTimeoutCheckInterval) {
     return;
   }
--- a/src/frontend/http_server.h
+++ b/src/frontend/http_server.h
@@ -46,7 +46,11 @@
   void SetLimits(const policy::RequestLimits& aLimits) { mLimits = aLimits; }
 
   /// \brief Answers an exchange; has no effect if its client has disconnected.
-  void Respond(std::uint64_t aExchange, const HttpResponse& aResponse);
+  /// A large answer is sent at the pace of a link of this speed if one is
+  /// given.
+  void Respond(std::uint64_t aExchange,
+               const HttpResponse& aResponse,
+               double aBytesPerSecond = 0);
 
   /// \brief Closes each connection after its next answer from now on.
   void BeginStop() { mStopping = true; }
@@ -56,6 +60,8 @@
   /// \brief Closes connections that timed out. Cheap enough for every iteration
   /// of the loop.
   void Tick(Micros aNow);
+  /// \brief Earliest time at which an answer that is paced goes on.
+  [[nodiscard]] Micros NextTick() const noexcept;
 
   [[nodiscard]] std::size_t Connections() const noexcept
   {
@@ -74,6 +80,7 @@
 
   void Accept(const Poco::Net::StreamSocket& aSocket);
   void Retire(Connection& aConnection);
+  void TickClientPacers();
 
   EventLoop& mLoop;
   RequestSink& mSink;
@@ -88,6 +95,8 @@
   /// Closed connections, destroyed once none of their methods is on the stack.
   std::vector<std::unique_ptr<Connection>> mClosedConnections;
   std::unordered_map<std::uint64_t, Connection*> mExchanges;
+  /// For clients on slower links than this host's, by connection.
+  std::unordered_map<std::uint64_t, std::unique_ptr<LinkPacer>> mClientPacers;
 };
 
 /// \brief Returns a new exchange id, unique across all servers of the process.
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -15,6 +15,9 @@
 constexpr Micros kStopReserve = 800 * kMillisecond;
 /// The same while answers are still being sent; whatever remains is cut off.
 constexpr Micros kSendingReserve = 300 * kMillisecond;
+/// A link that is this many times faster carries the large answers of several
+/// hosts beside its own.
+constexpr double kFastLinkRatio = 10;
 /// Time after a start during which requests may wait for the first policy.
 constexpr Micros kInitialPolicyWait = 1 * kSecond;
 
@@ -224,6 +227,25 @@
   dispatch::SetLimitHosts(state.mDispatch, aContext.mNow, std::move(sharers));
 }
 
+// Hosts whose links carry what is large for this host's.
+void UpdateFastHosts(Context& aContext)
+{
+  State& state = aContext.mState;
+  const fleet::Settings& own = state.mSettings.mFleet;
+  std::vector<std::string>& fast = state.mDispatch.mFastHosts;
+  fast.clear();
+  if (own.mLinkMbps <= 0) {
+    return;
+  }
+  for (const fleet::Host* host :
+       fleet::HostsForClients(state.mFleet, aContext.mNow)) {
+    if (host->mDataCentre == own.mDataCentre &&
+        host->mLinkMbps >= kFastLinkRatio * own.mLinkMbps) {
+      fast.push_back(host->mCallerAddress);
+    }
+  }
+}
+
 // Shared bounds apply over a window. The largest host count within the window
 // is used, so that hosts which are briefly down or unreachable do not make the
 // others take over their shares.
@@ -237,6 +259,7 @@
   state.mDispatch.mKnowsHosts =
     aContext.mNow >= state.mStartedAt + kHostDiscoveryTime;
   UpdateSharers(aContext);
+  UpdateFastHosts(aContext);
   const int hosts = fleet::LiveHostCount(state.mFleet, aContext.mNow);
   const Micros window = state.mSettings.mBounds.mExtraWindow;
   if (hosts >= state.mDispatch.mHosts) {
--- a/tests/fakes/running_gateway.h
+++ b/tests/fakes/running_gateway.h
@@ -24,7 +24,7 @@
 class RunningGateway
 {
 public:
-  RunningGateway()
+  explicit RunningGateway(double aLinkMbps = 1000)
   {
     mFolder = Poco::TemporaryFile::tempName();
     Poco::File(mFolder).createDirectories();
@@ -38,7 +38,7 @@
     mSettings.mSeeds = { mSettings.mPeerAddress };
     mSettings.mStopGrace = 6 * kSecond;
     mSettings.mAnswerKeep = 100 * kMillisecond;
-    mSettings.mLinkMbps = 1000;
+    mSettings.mLinkMbps = aLinkMbps;
     mSettings.mProbesPerTarget = 10;
     mThread = std::thread([this] { Run(); });
   }
--- a/tests/relay_test.cpp
+++ b/tests/relay_test.cpp
@@ -47,6 +47,11 @@
   CPPUNIT_TEST(DisconnectedClientCancelsTheAttemptAtTheOtherHost);
   CPPUNIT_TEST(OwnDelayIsNotTakenForSilence);
   CPPUNIT_TEST(DeadTargetDoesNotSilenceAQuietService);
+  CPPUNIT_TEST(LargeAnswerComesThroughAHostWithAFastLink);
+  CPPUNIT_TEST(LargeAnswersComeOneAfterTheOther);
+  CPPUNIT_TEST(HostWithAFastLinkThatFailsIsReplacedByThisOne);
+  CPPUNIT_TEST(HostWithAFastLinkLeavesOneAttempt);
+  CPPUNIT_TEST(SmallAndUnsafeRequestsStayHere);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -164,7 +169,91 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t(1), host.All<SendRequest>().size());
   }
 
+  void LargeAnswerComesThroughAHostWithAFastLink()
+  {
+    NarrowTheLink();
+    mHost->Arrive("/safe/x");
+    const auto passedOn = All<RelayRequest>();
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), passedOn.size());
+    CPPUNIT_ASSERT_EQUAL(std::string(kFastHost), passedOn.front().mAddress);
+    CPPUNIT_ASSERT_EQUAL(kLinkBytesPerSecond, passedOn.front().mBytesPerSecond);
+    CPPUNIT_ASSERT(All<ProbeTarget>().empty());
+    mHost->EndLastRelay(Answer(200));
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), All<DeliverAnswer>().size());
+    CPPUNIT_ASSERT_EQUAL(0.0, mHost->mState.mLargeBytes);
+  }
+
+  void LargeAnswersComeOneAfterTheOther()
+  {
+    NarrowTheLink();
+    mHost->Arrive("/safe/x");
+    mHost->Arrive("/safe/y");
+    mHost->AnswerProbes();
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), All<RelayRequest>().size());
+    CPPUNIT_ASSERT(All<SendRequest>().empty());
+    mHost->EndLastRelay(Answer(200));
+    mHost->Advance(50 * kMillisecond);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(2), All<RelayRequest>().size());
+  }
+
+  // It refuses, breaks off, is not reached or does not reach the service.
+  void HostWithAFastLinkThatFailsIsReplacedByThisOne()
+  {
+    AttemptEnd notSent;
+    notSent.mKind = EndKind::NotSent;
+    for (const AttemptEnd& end :
+         { NotRun(503), NotRun(421), AttemptEnd(), notSent }) {
+      setUp();
+      NarrowTheLink();
+      mHost->Arrive("/safe/x");
+      mHost->EndLastRelay(end);
+      mHost->AnswerProbes();
+      CPPUNIT_ASSERT_EQUAL(std::size_t(1), All<RelayRequest>().size());
+      CPPUNIT_ASSERT_EQUAL(std::size_t(1), All<SendRequest>().size());
+      CPPUNIT_ASSERT(All<ReplyToClient>().empty());
+    }
+  }
+
+  void HostWithAFastLinkLeavesOneAttempt()
+  {
+    Arrival arrival;
+    arrival.mId = 1;
+    arrival.mHostName = "host";
+    arrival.mPath = "/safe/x";
+    arrival.mRelayedAfter = 0;
+    arrival.mIsForFastLink = true;
+    HandleArrival(mHost->mState, mHost->mNow, arrival, mHost->mEffects);
+    CPPUNIT_ASSERT_EQUAL(1, mHost->mState.mRequests.at(1).mMaxAttempts);
+  }
+
+  void SmallAndUnsafeRequestsStayHere()
+  {
+    NarrowTheLink();
+    mHost->Arrive("/unsafe/x");
+    mHost->mState.mStatistics["safe"].mAnswerBytes = 1000;
+    mHost->Arrive("/safe/x");
+    mHost->AnswerProbes();
+    CPPUNIT_ASSERT(All<RelayRequest>().empty());
+    CPPUNIT_ASSERT_EQUAL(std::size_t(2), All<SendRequest>().size());
+  }
+
 private:
+  // A link on which the usual answer takes a third of a second, and another
+  // host with a fast one.
+  void NarrowTheLink()
+  {
+    mHost->mState.mBounds.mLinkBytesPerSecond = kLinkBytesPerSecond;
+    mHost->mState.mFastHosts = { kFastHost };
+    for (const char* route : { "safe", "unsafe" }) {
+      RouteStatistics& statistics = mHost->mState.mStatistics[route];
+      statistics.mWork = 100 * kMillisecond;
+      statistics.mAnswerBytes = 90000;
+    }
+  }
+
+  static constexpr const char* kFastHost = "10.0.0.7:80";
+  static constexpr double kLinkBytesPerSecond = 262500;
+
   template<class Kind>
   [[nodiscard]] std::vector<Kind> All() const
   {
