--- a/tests/fakes/narrow_link.cpp
+++ b/tests/fakes/narrow_link.cpp
@@ -30,9 +30,9 @@
   mStop = true;
   mChanged.notify_all();
   mThreads[1].join();
-  for (std::size_t i = 0; i < mThreads.size(); ++i) {
-    if (mThreads[i].joinable()) {
-      mThreads[i].join();
+  for (std::thread& thread : mThreads) {
+    if (thread.joinable()) {
+      thread.join();
     }
   }
 }
