Look through the targets only for announcements of cold ones

Each announcement that changes nothing scanned all targets of a host before it asked whether it speaks of a warm-up at all; most do not. Behaviour is as it was.

--- a/src/dispatch/warm_up.cpp
+++ b/src/dispatch/warm_up.cpp
@@ -24,6 +24,11 @@
   return found == aState.mPolicy->mServices.end() ? nullptr : &found->second;
 }
 
+Micros AnnouncedEnd(const wire::TargetRecord& aRecord, Micros aNow) noexcept
+{
+  return aNow + static_cast<Micros>(aRecord.warm_up_ms()) * kMillisecond;
+}
+
 void SetWarmUpEnd(State& aState,
                   Micros aNow,
                   Target& aTarget,
@@ -65,13 +70,16 @@
                            const wire::TargetRecord& aRecord,
                            Effects& aOut)
 {
-  const Micros end =
-    aNow + static_cast<Micros>(aRecord.warm_up_ms()) * kMillisecond;
+  // Most announcements come from targets that are warm.
+  if (aRecord.warm_up_ms() == 0) {
+    return;
+  }
+  const Micros end = AnnouncedEnd(aRecord, aNow);
   const auto found = std::find_if(
     aState.mTargets.begin(), aState.mTargets.end(), [&](const auto& aEntry) {
       return aEntry.second.mName == aRecord.id();
     });
-  if (aRecord.warm_up_ms() == 0 || found == aState.mTargets.end() ||
+  if (found == aState.mTargets.end() ||
       end <= found->second.mWarmUpEnd + kSameEnd) {
     return;
   }
@@ -108,8 +116,7 @@
                       const wire::TargetRecord& aRecord,
                       Micros aNow)
 {
-  const Micros announced =
-    aNow + static_cast<Micros>(aRecord.warm_up_ms()) * kMillisecond;
+  const Micros announced = AnnouncedEnd(aRecord, aNow);
   const auto returned = aState.mReturnedAt.find(aRecord.data_centre());
   const auto service = aState.mServices.find(aRecord.service());
   const bool isAsked =
--- a/src/frontend/http_server.cpp
+++ b/src/frontend/http_server.cpp
@@ -215,8 +215,9 @@
     LinkPacer* pacer = mServer.mPacer;
     if (aPending.mBytesPerSecond > 0) {
       std::unique_ptr<LinkPacer>& own = mServer.mClientPacers[mId];
-      own = own ? std::move(own)
-                : std::make_unique<LinkPacer>(aPending.mBytesPerSecond);
+      if (!own) {
+        own = std::make_unique<LinkPacer>(aPending.mBytesPerSecond);
+      }
       own->Tick(mServer.mNow);
       pacer = own.get();
     }
