Split dispatch.h, requests.cpp and target_pool.cpp by job

Change: targets, services, requests, effects and events have headers of their own; what becomes of a request when it arrives is admission.cpp, what targets say in the fields of answers target_fields.cpp. No behaviour changes.

--- a/src/dispatch/internal.h
+++ b/src/dispatch/internal.h
@@ -319,7 +319,7 @@
                    Micros aPatience,
                    Micros aObjective) noexcept;
 
-// --- requests.cpp: the steps of one request
+// --- admission.cpp: what becomes of a request when it arrives
 /// \brief Routes a request and queues it for a target.
 void Admit(State& aState,
            Micros aNow,
@@ -333,6 +333,8 @@
                    Micros aRetryAfter,
                    const std::string& aReason,
                    Effects& aOut);
+
+// --- requests.cpp: the steps of one request
 void SendTo(State& aState,
             Micros aNow,
             Request& aRequest,
--- a/src/dispatch/requests.cpp
+++ b/src/dispatch/requests.cpp
@@ -1,7 +1,5 @@
 #include "relay.h"
 
-#include <geraniumpond/hash.h>
-
 #include <algorithm>
 #include <cstdio>
 
@@ -15,8 +13,6 @@
 constexpr Micros kHedgeMin = 30 * kMillisecond;
 /// Connection failures after which a request is given up.
 constexpr int kMaxConnectFailures = 4;
-/// Lifetime of a service-time estimate that causes all requests to be refused.
-constexpr Micros kEstimateLifetime = 1 * kSecond;
 /// Smoothing gain of the interval between dispatches.
 constexpr double kIntervalGain = 0.2;
 constexpr int kUnavailable = 503;
@@ -83,31 +79,8 @@
   Refuse(aState, aNow, aRequest.mId, kGatewayTimeout, 0, "deadline", aOut);
 }
 
-// A service-time estimate that exceeds every deadline lets no request through
-// that could correct it. It is reset when no answer has confirmed it for
-// kEstimateLifetime.
-void ResetUnmeetableEstimate(State& aState,
-                             Micros aNow,
-                             const Request& aRequest)
-{
-  RouteStatistics& statistics = aState.mStatistics[aRequest.mRoute];
-  const bool isFirstTry = aRequest.mObjectiveAt > aNow;
-  const auto work = static_cast<Micros>(statistics.mWork);
-  if (isFirstTry && aNow + work > aRequest.mDeadline &&
-      aNow - statistics.mLearntAt > kEstimateLifetime) {
-    statistics.mWork = 0;
-    statistics.mAnswers = 0;
-  }
-}
-
 } // namespace
 
-std::uint64_t IdentityOf(const Arrival& aArrival)
-{
-  return Hash64(aArrival.mPath,
-                Hash64(aArrival.mHostName, aArrival.mContentDigest));
-}
-
 std::string Describe(const State& aState, const Request& aRequest, Micros aNow)
 {
   return " request=" + aRequest.mClientRequestId +
@@ -312,134 +285,6 @@
   ServeQueue(aState, aNow, aRequest.mService, aOut);
 }
 
-void RefuseArrival(State& aState,
-                   const Arrival& aArrival,
-                   int aStatus,
-                   Micros aRetryAfter,
-                   const std::string& aReason,
-                   Effects& aOut)
-{
-  Log(aOut,
-      2,
-      "event=refused status=" + std::to_string(aStatus) + " reason=" + aReason +
-        " request=" + aArrival.mClientRequestId +
-        " host=" + aArrival.mHostName + " policy=" +
-        std::to_string(aState.mPolicy ? aState.mPolicy->mVersion : 0));
-  ++aState.mCounters["replies_" + std::to_string(aStatus) + "_" + aReason];
-  aOut.emplace_back(
-    ReplyToClient{ aArrival.mId, aStatus, aRetryAfter, aReason });
-}
-
-void HandleArrival(State& aState,
-                   Micros aNow,
-                   const Arrival& aArrival,
-                   Effects& aOut)
-{
-  ++aState.mCounters["requests"];
-  if (!aState.mPolicy) {
-    QueueUnrouted(aState, aNow, aArrival, aOut);
-    return;
-  }
-  if (!aArrival.mRelayedAfter) {
-    Admit(aState, aNow, aNow, aArrival, aOut);
-    return;
-  }
-  Arrival relayed = aArrival;
-  relayed.mPatience += aArrival.mPatience > 0 ? *aArrival.mRelayedAfter : 0;
-  ++aState.mCounters["relayed_requests"];
-  Admit(aState, aNow, aNow - *aArrival.mRelayedAfter, relayed, aOut);
-}
-
-void RefuseBusy(State& aState, const Arrival& aArrival, Effects& aOut)
-{
-  ++aState.mCounters["requests"];
-  RefuseArrival(
-    aState, aArrival, kUnavailable, RetryAfter(aState, 0), "host_busy", aOut);
-}
-
-void Admit(State& aState,
-           Micros aNow,
-           Micros aArrivedAt,
-           const Arrival& aArrival,
-           Effects& aOut)
-{
-  const policy::Route* route =
-    policy::FindRoute(*aState.mPolicy, aArrival.mHostName, aArrival.mPath);
-  if (route == nullptr) {
-    RefuseUnknownRoute(aState, aArrival, aOut);
-    return;
-  }
-  Request request;
-  request.mId = aArrival.mId;
-  request.mClientRequestId = aArrival.mClientRequestId;
-  request.mIdentity = IdentityOf(aArrival);
-  request.mRoute = route->mName;
-  request.mService = policy::PickBackend(*route, NextUniform(aState));
-  request.mKind = route->mKind;
-  request.mPriority = route->mPriority;
-  request.mMaxAttempts = route->mAttempts;
-  request.mArrivedAt = aArrivedAt;
-  request.mIsRelayed = aArrival.mRelayedAfter.has_value();
-  if (aArrival.mIsForFastLink) {
-    request.mMaxAttempts = std::max(1, request.mMaxAttempts - 1);
-  }
-  request.mObjectiveAt = aArrivedAt + route->mObjective;
-  request.mDeadline = aArrivedAt + route->mTimeout;
-  if (aArrival.mPatience > 0) {
-    request.mDeadline =
-      std::min(request.mDeadline, aArrivedAt + aArrival.mPatience);
-  }
-  PatienceStatistics& patience = aState.mStatistics[route->mName].mPatience;
-  if (IsClientRetry(patience, aArrival.mPatience, route->mObjective)) {
-    // Its latency objective passed before this try: it must not take capacity
-    // from requests that can still be on time.
-    request.mObjectiveAt = aArrivedAt;
-    ++aState.mCounters["returns_seen"];
-  }
-  if (!request.mIsRelayed) {
-    LearnPatience(patience, aArrival.mPatience, route->mObjective);
-  }
-  Service& service = aState.mServices[request.mService];
-  CountRequest(service.mExtra, aState.mBounds, aNow);
-  if (service.mTargets.empty()) {
-    RefuseArrival(
-      aState, aArrival, kUnavailable, RetryAfter(aState, 0), "no_target", aOut);
-    return;
-  }
-  const quarantine::Verdict verdict =
-    JudgeQuarantine(aState, request.mIdentity, request.mService, aNow);
-  const bool assignedElsewhere =
-    verdict == quarantine::Verdict::OnTrial && !request.mIsRelayed &&
-    !rate_share::IsFirst(aState.mLimitHosts, Hexadecimal(request.mIdentity));
-  if (verdict == quarantine::Verdict::Quarantined || assignedElsewhere) {
-    // The quarantine outlasts the client's timeout, so no Retry-After is given.
-    RenewQuarantine(aState, aNow, request.mIdentity, aOut);
-    RefuseArrival(aState, aArrival, kUnavailable, 0, "quarantined", aOut);
-    return;
-  }
-  if (verdict != quarantine::Verdict::Clear) {
-    request.mMaxAttempts = 1;
-  }
-  const Micros wait = ExpectedWait(service, request);
-  Request& added = aState.mRequests[request.mId] = std::move(request);
-  ResetUnmeetableEstimate(aState, aNow, added);
-  if (aNow + wait + NeedOf(aState, added).mWork > added.mDeadline) {
-    Refuse(aState,
-           aNow,
-           added.mId,
-           kUnavailable,
-           RetryAfter(aState, wait),
-           "queue_too_long",
-           aOut);
-    return;
-  }
-  if (PassOnLargeAnswer(aState, aNow, added, aOut)) {
-    return;
-  }
-  StartWaiting(aState, aNow, added, aOut);
-  ServeQueue(aState, aNow, added.mService, aOut);
-}
-
 void HandleClientDisconnect(State& aState,
                             Micros aNow,
                             std::uint64_t aRequest,
--- a/tests/http_test.cpp
+++ b/tests/http_test.cpp
@@ -1,5 +1,5 @@
 #include "frontend/http_message.h"
-#include "frontend/target_pool.h"
+#include "frontend/target_fields.h"
 
 #include <geraniumpond/hash.h>
 
--- a/tests/rest_parsing_test.cpp
+++ b/tests/rest_parsing_test.cpp
@@ -1,4 +1,4 @@
-#include "frontend/target_pool.h"
+#include "frontend/target_fields.h"
 
 #include <cppunit/extensions/HelperMacros.h>
 
