--- /dev/null
+++ b/include/geraniumpond/accounts.h
@@ -0,0 +1,60 @@
+#pragma once
+
+#include <array>
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+/// \brief Client accounts: who may send requests, with which keys, how many and
+/// how urgent.
+///
+/// Keys are kept as digests only, so that a look-up costs the same however many
+/// there are and no key can get into a log.
+namespace geraniumpond::accounts {
+
+using KeyDigest = std::array<std::uint8_t, 16>;
+
+[[nodiscard]] KeyDigest DigestOf(std::string_view aKey);
+
+/// \brief One client account.
+struct Account
+{
+  std::string mName;
+  /// Requests per second over all hosts, and how many more may come at once; 0
+  /// requests per second for no limit.
+  double mPerSecond = 0;
+  double mBurst = 0;
+  /// Goes before the priority of the route.
+  std::optional<int> mPriority;
+  /// Regions whose targets may get its requests; empty for all.
+  std::vector<std::string> mRegions;
+};
+
+/// \brief Hash of a digest, which is uniform already.
+struct KeyDigestHash
+{
+  std::size_t operator()(const KeyDigest& aDigest) const noexcept;
+};
+
+/// \brief The accounts of a policy.
+struct Book
+{
+  std::vector<Account> mAccounts;
+  /// Index of the account by the digest of a key, and by its name.
+  std::unordered_map<KeyDigest, std::size_t, KeyDigestHash> mByKey;
+  std::unordered_map<std::string, std::size_t> mByName;
+};
+
+/// \brief The account that holds a key, or null.
+[[nodiscard]] const Account* FindByKey(const Book& aBook,
+                                       const KeyDigest& aKey) noexcept;
+
+/// \brief The account with this name, or null.
+[[nodiscard]] const Account* FindByName(const Book& aBook,
+                                        const std::string& aName) noexcept;
+
+} // namespace geraniumpond::accounts
--- a/include/geraniumpond/policy.h
+++ b/include/geraniumpond/policy.h
@@ -1,10 +1,12 @@
 #pragma once
 
+#include <geraniumpond/accounts.h>
 #include <geraniumpond/result.h>
 #include <geraniumpond/time.h>
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -57,6 +59,10 @@
   /// 0 is the highest priority.
   int mPriority = 0;
   std::vector<Backend> mBackends;
+  /// Needs no key of a client account.
+  bool mPublic = false;
+  /// Regions whose targets may get its requests; empty for all.
+  std::vector<std::string> mRegions;
 };
 
 /// \brief Settings of a service.
@@ -90,6 +96,8 @@
   std::vector<Route> mRoutes;
   std::map<std::string, ServiceSettings> mServices;
   RequestLimits mLimits;
+  /// Absent where requests need no key.
+  std::optional<accounts::Book> mAccounts;
   /// Index of a route by host name and prefix; see BuildIndex().
   std::unordered_map<std::string, std::size_t> mIndex;
 };
