--- a/bench/capacity_bench.cpp
+++ b/bench/capacity_bench.cpp
@@ -3,6 +3,7 @@
 #include "fakes/options.h"
 #include "fakes/world.h"
 
+#include <geraniumpond/accounts.h>
 #include <geraniumpond/hash.h>
 
 #include <chrono>
@@ -233,6 +234,45 @@
   }
 }
 
+void ByAccounts()
+{
+  std::printf("# client accounts of two keys each: heap bytes per account, ms "
+              "to read them all, ns per look-up\n");
+  for (const int count : { 85, 10000 }) {
+    const std::size_t before = mallinfo2().uordblks;
+    auto start = std::chrono::steady_clock::now();
+    accounts::Book book;
+    const auto keyOf = [](int aAccount, int aKey) {
+      return "kq3x9vh2m7pd" + std::to_string(100000 + aAccount) + "-" +
+             std::to_string(aKey);
+    };
+    for (int i = 0; i < count; ++i) {
+      accounts::Account account;
+      account.mName = "client" + std::to_string(i);
+      (void)accounts::Add(
+        book, std::move(account), { keyOf(i, 1), keyOf(i, 2) });
+    }
+    const double reading = MillisecondsSince(start);
+    const double heap = static_cast<double>(mallinfo2().uordblks - before);
+    constexpr int kLookUps = 1000000;
+    const auto key = accounts::DigestOf(keyOf(count / 2, 1));
+    std::size_t found = 0;
+    start = std::chrono::steady_clock::now();
+    for (int i = 0; i < kLookUps; ++i) {
+      accounts::KeyDigest one = key;
+      one[0] = static_cast<std::uint8_t>(i);
+      found += accounts::FindByKey(book, one) != nullptr ? 1 : 0;
+    }
+    const double lookUp = MillisecondsSince(start) * 1e6 / kLookUps;
+    std::printf("%d: %.0f, %.1f, %.0f (%zu found)\n",
+                count,
+                heap / count,
+                reading,
+                lookUp,
+                found);
+  }
+}
+
 } // namespace
 
 int main(int aCount, char** aWords)
@@ -251,5 +291,8 @@
   if (only.empty() || only == "keys") {
     ByKeys();
   }
+  if (only.empty() || only == "accounts") {
+    ByAccounts();
+  }
   return 0;
 }
--- a/include/geraniumpond/accounts.h
+++ b/include/geraniumpond/accounts.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <geraniumpond/time.h>
+
 #include <array>
 #include <cstddef>
 #include <cstdint>
@@ -49,6 +51,12 @@
   std::unordered_map<std::string, std::size_t> mByName;
 };
 
+/// \brief Adds an account and its keys. Returns what is wrong with them, in
+/// which case the book must not be used; empty if nothing is. No fault names a
+/// key.
+[[nodiscard]] std::vector<std::string>
+Add(Book& aBook, Account aAccount, const std::vector<std::string>& aKeys);
+
 /// \brief The account that holds a key, or null.
 [[nodiscard]] const Account* FindByKey(const Book& aBook,
                                        const KeyDigest& aKey) noexcept;
@@ -57,4 +65,44 @@
 [[nodiscard]] const Account* FindByName(const Book& aBook,
                                         const std::string& aName) noexcept;
 
+/// \brief What a request shows of its account.
+struct Claim
+{
+  /// Digest of the key that the client sent; none without a readable key.
+  std::optional<KeyDigest> mKey;
+  /// Another host of the fleet passed the request on, for this account.
+  bool mIsRelayed = false;
+  std::string mAccount;
+  /// Its route needs no key.
+  bool mIsPublic = false;
+};
+
+/// \brief Whether a request may be sent to targets.
+enum class Verdict
+{
+  Allowed,
+  NoKey,
+  UnknownKey,
+  /// The host that passed it on names no account that this policy knows.
+  UnknownAccount,
+};
+
+/// \brief Lower-case name of a verdict, as used in logs and metrics.
+[[nodiscard]] const char* ToString(Verdict aVerdict) noexcept;
+
+struct Judgement
+{
+  Verdict mVerdict = Verdict::Allowed;
+  /// The account that the request counts for; null for none.
+  const Account* mAccount = nullptr;
+};
+
+/// \brief Judges a request by the accounts of the policy, or by their absence.
+[[nodiscard]] Judgement Judge(const std::optional<Book>& aBook,
+                              const Claim& aClaim) noexcept;
+
+/// \brief Until when a host may act on keys if the group's last word, of
+/// `aConfirmedAt`, is to bind it within `aBound`.
+[[nodiscard]] Micros TrustedUntil(Micros aConfirmedAt, Micros aBound) noexcept;
+
 } // namespace geraniumpond::accounts
--- a/include/geraniumpond/dispatch.h
+++ b/include/geraniumpond/dispatch.h
@@ -8,6 +8,7 @@
 #include <geraniumpond/dispatch/targets.h>
 #include <geraniumpond/quarantine.h>
 
+#include <limits>
 #include <map>
 #include <memory>
 #include <set>
@@ -68,6 +69,9 @@
   bool mKnowsHosts = true;
   /// A newer policy may be in force elsewhere, with routes that this one lacks.
   bool mPolicyMayBeOutdated = false;
+  /// Until when this host may send requests that need a key, though it hears
+  /// nothing more from the control group.
+  Micros mKeysTrustedUntil = std::numeric_limits<Micros>::max();
   std::shared_ptr<const policy::TrafficPolicy> mPolicy;
   std::unordered_map<std::string, Target> mTargets;
   /// Data centres whose targets are withdrawn from service, and when others
@@ -108,6 +112,10 @@
                Micros aNow,
                std::shared_ptr<const policy::TrafficPolicy> aPolicy);
 
+/// \brief Applies the accounts of the policy in force to the requests under
+/// way.
+void ApplyAccounts(State& aState, Micros aNow, Effects& aOut);
+
 /// \brief Sets the data centres whose targets are withdrawn from service; takes
 /// effect with the next SetTargets().
 void SetEvacuated(State& aState,
--- a/include/geraniumpond/dispatch/effects.h
+++ b/include/geraniumpond/dispatch/effects.h
@@ -34,6 +34,9 @@
   bool mProvenConnection = false;
   /// Name of the client account; empty if none.
   std::string mAccount;
+  /// Requests need keys: what the client says of its account, and its key, stay
+  /// at this host.
+  bool mHidesKey = false;
 };
 
 /// \brief Pass a request on to another host.
@@ -50,6 +53,10 @@
   double mBytesPerSecond = 0;
   /// Name of the client account; empty if none.
   std::string mAccount;
+  /// As for SendRequest; the identity of the request then goes along, because
+  /// the key takes part in it.
+  bool mHidesKey = false;
+  std::uint64_t mIdentity = 0;
 };
 
 /// \brief Cancel an attempt: close its connection.
--- a/include/geraniumpond/dispatch/requests.h
+++ b/include/geraniumpond/dispatch/requests.h
@@ -35,6 +35,17 @@
   std::string mHost;
 };
 
+/// \brief What a new policy is applied to while a request is under way.
+struct Credentials
+{
+  /// Digest of the key that its client sent.
+  std::optional<accounts::KeyDigest> mKey;
+  bool mIsPublic = false;
+  int mRoutePriority = 0;
+  /// Its key or its account was taken away: it may not be sent any more.
+  bool mIsRevoked = false;
+};
+
 /// \brief A request from its arrival to its end.
 struct Request
 {
@@ -76,6 +87,7 @@
   std::set<std::string> mHostsTried;
   /// Name of its client account; empty if it has none.
   std::string mAccount;
+  Credentials mCredentials;
 };
 
 /// \brief A client's request that has been read completely.
@@ -97,8 +109,18 @@
   bool mIsForFastLink = false;
   /// Digest of the key that the client sent.
   std::optional<accounts::KeyDigest> mKey;
+  /// It has fields that only hosts of the fleet set, whoever sent it.
+  bool mHasRelayFields = false;
+  /// One of them is repeated or unreadable.
+  bool mRelayFieldsUnsound = false;
+  /// Address that the connection comes from, without the port.
+  std::string mSender;
+  /// A known host of the fleet is at that address.
+  bool mIsFromHost = false;
   /// Name of the account, from the host that passed it on; empty if none.
   std::string mAccount;
+  /// Identity of the request at the host that passed it on.
+  std::optional<std::uint64_t> mRelayedIdentity;
 };
 
 /// \brief A request that arrived before the first policy.
--- a/include/geraniumpond/fleet.h
+++ b/include/geraniumpond/fleet.h
@@ -10,6 +10,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <string_view>
 #include <tuple>
 #include <utility>
 #include <vector>
@@ -477,6 +478,10 @@
 /// \brief Hosts considered alive, including this one; at least 1.
 [[nodiscard]] int LiveHostCount(const State& aState, Micros aNow);
 
+/// \brief True if a known host other than this one has this address, given
+/// without a port; hosts that are gone are not known.
+[[nodiscard]] bool IsHostAt(const State& aState, std::string_view aIp) noexcept;
+
 /// \brief True while confirmations of the control group's leader arrive
 /// recently enough, directly or through other hosts.
 [[nodiscard]] bool IsInTouch(const State& aState, Micros aNow);
--- a/include/geraniumpond/gateway.h
+++ b/include/geraniumpond/gateway.h
@@ -33,6 +33,10 @@
   std::vector<std::string> mDataCentres;
   /// Speed of the host's network link, in bytes per second.
   double mLinkBytesPerSecond = 125e6;
+  /// A host without the group's word refuses requests that need a key before
+  /// this time has passed since one was taken away.
+  bool mStrictRevocation = false;
+  Micros mRevokeWithin = 5 * kSecond;
   /// Time for which clients cache a directory answer.
   Micros mAnswerKeep = 1200 * kMillisecond;
   /// Some clients cache it for up to this many times as long.
@@ -262,6 +266,9 @@
 /// \brief True while clients may be directed to this host.
 [[nodiscard]] bool IsReady(const State& aState) noexcept;
 
+/// \brief Number of client accounts in the policy in force.
+[[nodiscard]] std::size_t AccountCount(const State& aState) noexcept;
+
 /// \brief Peer address of the host to which a read of the policy should be
 /// redirected; empty when this host answers itself. That host is known to be
 /// reachable only once it has answered.
--- a/include/geraniumpond/gateway_settings.h
+++ b/include/geraniumpond/gateway_settings.h
@@ -59,6 +59,11 @@
   double mWarmUpRatio = 1;
   double mWarmUpFloor = 0;
 
+  /// Whether a host without the control group's word refuses requests that need
+  /// a key, and within which time a key that is taken away must be refused.
+  bool mStrictRevocation = false;
+  Micros mRevokeWithin = 5 * kSecond;
+
   /// Header fields of a request that identify the caller.
   std::vector<std::string> mCallerFields;
 
--- a/src/accounts/accounts.cpp
+++ b/src/accounts/accounts.cpp
@@ -3,10 +3,72 @@
 #include <Poco/SHA1Engine.h>
 
 #include <algorithm>
+#include <cmath>
 #include <cstring>
 
 namespace geraniumpond::accounts {
 
+namespace {
+
+bool IsAmount(double aValue) noexcept
+{
+  return std::isfinite(aValue) && aValue >= 0;
+}
+
+// Targets are told the name in a header field.
+bool IsName(const std::string& aName)
+{
+  constexpr char kDelete = 0x7f;
+  return !aName.empty() && aName.front() != ' ' && aName.back() != ' ' &&
+         std::none_of(aName.begin(), aName.end(), [](char aChar) {
+           return static_cast<unsigned char>(aChar) < ' ' || aChar == kDelete;
+         });
+}
+
+std::vector<std::string> FaultsOf(const Account& aAccount)
+{
+  std::vector<std::string> faults;
+  if (!IsName(aAccount.mName)) {
+    faults.emplace_back("an account without a name that a field can hold");
+  }
+  if (!IsAmount(aAccount.mPerSecond)) {
+    faults.push_back("account " + aAccount.mName +
+                     ": the rate is not 0 or above");
+  }
+  if (!IsAmount(aAccount.mBurst)) {
+    faults.push_back("account " + aAccount.mName +
+                     ": the burst is not 0 or above");
+  }
+  return faults;
+}
+
+} // namespace
+
+std::vector<std::string> Add(Book& aBook,
+                             Account aAccount,
+                             const std::vector<std::string>& aKeys)
+{
+  std::vector<std::string> faults = FaultsOf(aAccount);
+  const std::size_t index = aBook.mAccounts.size();
+  const std::string& name = aAccount.mName;
+  if (!aBook.mByName.emplace(name, index).second) {
+    faults.push_back("account " + name + ": another account has its name");
+  }
+  for (const std::string& key : aKeys) {
+    if (key.empty()) {
+      faults.push_back("account " + name + ": an empty key");
+      continue;
+    }
+    const auto [held, isNew] = aBook.mByKey.emplace(DigestOf(key), index);
+    if (!isNew && held->second != index) {
+      faults.push_back("account " + name + ": a key that account " +
+                       aBook.mAccounts[held->second].mName + " holds");
+    }
+  }
+  aBook.mAccounts.push_back(std::move(aAccount));
+  return faults;
+}
+
 KeyDigest DigestOf(std::string_view aKey)
 {
   Poco::SHA1Engine engine;
--- a/src/config/gateway_settings.cpp
+++ b/src/config/gateway_settings.cpp
@@ -37,6 +37,8 @@
     { "bounds", "probes_per_target", ValueType::Decimal, "10", 0, 1e6 },
     { "bounds", "warm_up_ratio", ValueType::Decimal, "1", 0, 100 },
     { "bounds", "warm_up_floor", ValueType::Decimal, "0", 0, 1e6 },
+    { "accounts", "strict_revocation", ValueType::Boolean, "no" },
+    { "accounts", "revoke_within", ValueType::Duration, "5s" },
     { "requests",
       "caller_fields",
       ValueType::OptionalText,
@@ -94,6 +96,12 @@
   aOut.mWarmUpFloor = aSection.Decimal("warm_up_floor");
 }
 
+void ReadAccounts(const Section& aSection, GatewaySettings& aOut)
+{
+  aOut.mStrictRevocation = aSection.Boolean("strict_revocation");
+  aOut.mRevokeWithin = aSection.Duration("revoke_within");
+}
+
 void ReadRequests(const Section& aSection, GatewaySettings& aOut)
 {
   aOut.mCallerFields = aSection.List("caller_fields");
@@ -115,7 +123,7 @@
   // reported.
   std::string text(aText);
   for (const char* name :
-       { "host", "listen", "fleet", "bounds", "requests", "log" }) {
+       { "host", "listen", "fleet", "bounds", "accounts", "requests", "log" }) {
     const std::string title = std::string("[") + name + "]";
     if (text.find(title) == std::string::npos) {
       text += "\n" + title + "\n";
@@ -135,6 +143,8 @@
       ReadFleet(section, result.mValue);
     } else if (section.mType == "bounds") {
       ReadBounds(section, result.mValue);
+    } else if (section.mType == "accounts") {
+      ReadAccounts(section, result.mValue);
     } else if (section.mType == "requests") {
       ReadRequests(section, result.mValue);
     } else {
--- a/src/config/policy_file.cpp
+++ b/src/config/policy_file.cpp
@@ -32,6 +32,13 @@
     { "route", "attempts", ValueType::Integer, "1", 1, 100 },
     { "route", "priority", ValueType::Integer, "0", 0, 1000 },
     { "route", "backends", ValueType::Text, nullptr },
+    { "route", "public", ValueType::Boolean, "no" },
+    { "route", "regions", ValueType::OptionalText, "" },
+    { "account", "keys", ValueType::OptionalText, "" },
+    { "account", "per_second", ValueType::Decimal, "0", 0, 1e9 },
+    { "account", "burst", ValueType::Decimal, "0", 0, 1e9 },
+    { "account", "priority", ValueType::Integer, "0", 0, 1000 },
+    { "account", "regions", ValueType::OptionalText, "" },
     { "service", "health_path", ValueType::Text, "/health" },
     { "service", "max_connections", ValueType::Integer, "100", 1, 1e6 },
     { "service", "warm_up", ValueType::Duration, "0s" },
@@ -68,9 +75,46 @@
   for (const std::string& backend : aSection.List("backends")) {
     route.mBackends.push_back(ToBackend(backend));
   }
+  route.mPublic = aSection.Boolean("public");
+  route.mRegions = aSection.List("regions");
   aOut.mRoutes.push_back(std::move(route));
 }
 
+void ReadAccount(const Section& aSection,
+                 const std::string& aFile,
+                 Checked<TrafficPolicy>& aOut)
+{
+  accounts::Account account;
+  account.mName = aSection.mName;
+  account.mPerSecond = aSection.Decimal("per_second");
+  account.mBurst = aSection.Decimal("burst");
+  if (aSection.mLines.count("priority") != 0) {
+    account.mPriority = static_cast<int>(aSection.Integer("priority"));
+  }
+  account.mRegions = aSection.List("regions");
+  accounts::Book& book = aOut.mValue.mAccounts
+                           ? *aOut.mValue.mAccounts
+                           : aOut.mValue.mAccounts.emplace();
+  for (const std::string& fault :
+       accounts::Add(book, std::move(account), aSection.List("keys"))) {
+    aOut.mFaults.push_back(
+      { aFile, aSection.mLine, "account", fault, "a valid account" });
+  }
+}
+
+// A line that is misplaced in an account's section may hold a key.
+void HideKeys(std::vector<Fault>& aFaults)
+{
+  constexpr std::string_view kAccount = "account";
+  for (Fault& fault : aFaults) {
+    if (fault.mKey == "line") {
+      fault.mGiven = "a line that is not shown";
+    } else if (fault.mKey.compare(0, kAccount.size(), kAccount) == 0) {
+      fault.mKey = kAccount;
+    }
+  }
+}
+
 void ReadLimits(const Section& aSection, RequestLimits& aOut)
 {
   aOut.mMaxHeaderBytes =
@@ -89,6 +133,7 @@
   Checked<TrafficPolicy> result;
   auto file = ini::Read(aText, aFile, Rules());
   result.mFaults = std::move(file.mFaults);
+  HideKeys(result.mFaults);
   for (const Section& section : file.mValue) {
     if (!section.mSound) {
       continue;
@@ -100,6 +145,8 @@
         static_cast<std::uint64_t>(section.Integer("base"));
     } else if (section.mType == "route") {
       ReadRoute(section, result.mValue);
+    } else if (section.mType == "account") {
+      ReadAccount(section, aFile, result);
     } else if (section.mType == "service") {
       ServiceSettings& rules = result.mValue.mServices[section.mName];
       rules.mName = section.mName;
--- a/src/dispatch/admission.cpp
+++ b/src/dispatch/admission.cpp
@@ -1,3 +1,4 @@
+#include "authorisation.h"
 #include "relay.h"
 
 #include <geraniumpond/hash.h>
@@ -31,10 +32,119 @@
   }
 }
 
+Request MakeRequest(State& aState,
+                    Micros aArrivedAt,
+                    const Arrival& aArrival,
+                    const policy::Route& aRoute)
+{
+  Request request;
+  request.mId = aArrival.mId;
+  request.mClientRequestId = aArrival.mClientRequestId;
+  request.mIdentity = IdentityOf(aArrival);
+  request.mRoute = aRoute.mName;
+  request.mService = policy::PickBackend(aRoute, NextUniform(aState));
+  request.mKind = aRoute.mKind;
+  request.mPriority = aRoute.mPriority;
+  request.mMaxAttempts = aRoute.mAttempts;
+  request.mArrivedAt = aArrivedAt;
+  request.mIsRelayed = aArrival.mRelayedAfter.has_value();
+  if (aArrival.mIsForFastLink) {
+    request.mMaxAttempts = std::max(1, request.mMaxAttempts - 1);
+  }
+  request.mObjectiveAt = aArrivedAt + aRoute.mObjective;
+  request.mDeadline = aArrivedAt + aRoute.mTimeout;
+  if (aArrival.mPatience > 0) {
+    request.mDeadline =
+      std::min(request.mDeadline, aArrivedAt + aArrival.mPatience);
+  }
+  return request;
+}
+
+// Counts a request for its route and service; false if the service has no
+// targets.
+bool CountArrival(State& aState,
+                  Micros aNow,
+                  const Arrival& aArrival,
+                  const policy::Route& aRoute,
+                  Request& aRequest,
+                  Effects& aOut)
+{
+  PatienceStatistics& patience = aState.mStatistics[aRoute.mName].mPatience;
+  if (IsClientRetry(patience, aArrival.mPatience, aRoute.mObjective)) {
+    // Its latency objective passed before this try: it must not take capacity
+    // from requests that can still be on time.
+    aRequest.mObjectiveAt = aRequest.mArrivedAt;
+    ++aState.mCounters["returns_seen"];
+  }
+  if (!aRequest.mIsRelayed) {
+    LearnPatience(patience, aArrival.mPatience, aRoute.mObjective);
+  }
+  Service& service = aState.mServices[aRequest.mService];
+  CountRequest(service.mExtra, aState.mBounds, aNow);
+  if (service.mTargets.empty()) {
+    RefuseArrival(
+      aState, aArrival, kUnavailable, RetryAfter(aState, 0), "no_target", aOut);
+    return false;
+  }
+  return true;
+}
+
+// A suspected request has one attempt, at the host that is assigned to it.
+bool PassQuarantine(State& aState,
+                    Micros aNow,
+                    const Arrival& aArrival,
+                    Request& aRequest,
+                    Effects& aOut)
+{
+  const quarantine::Verdict verdict =
+    JudgeQuarantine(aState, aRequest.mIdentity, aRequest.mService, aNow);
+  const bool assignedElsewhere =
+    verdict == quarantine::Verdict::OnTrial && !aRequest.mIsRelayed &&
+    !rate_share::IsFirst(aState.mLimitHosts, Hexadecimal(aRequest.mIdentity));
+  if (verdict == quarantine::Verdict::Quarantined || assignedElsewhere) {
+    // The quarantine outlasts the client's timeout, so no Retry-After is given.
+    RenewQuarantine(aState, aNow, aRequest.mIdentity, aOut);
+    RefuseArrival(aState, aArrival, kUnavailable, 0, "quarantined", aOut);
+    return false;
+  }
+  if (verdict != quarantine::Verdict::Clear) {
+    aRequest.mMaxAttempts = 1;
+  }
+  return true;
+}
+
+// Lets a request wait for a target, unless it has no time for that.
+void Enqueue(State& aState, Micros aNow, Request aRequest, Effects& aOut)
+{
+  const Micros wait =
+    ExpectedWait(aState.mServices[aRequest.mService], aRequest);
+  const std::uint64_t id = aRequest.mId;
+  Request& added = aState.mRequests[id] = std::move(aRequest);
+  ResetUnmeetableEstimate(aState, aNow, added);
+  if (aNow + wait + NeedOf(aState, added).mWork > added.mDeadline) {
+    Refuse(aState,
+           aNow,
+           added.mId,
+           kUnavailable,
+           RetryAfter(aState, wait),
+           "queue_too_long",
+           aOut);
+    return;
+  }
+  if (PassOnLargeAnswer(aState, aNow, added, aOut)) {
+    return;
+  }
+  StartWaiting(aState, aNow, added, aOut);
+  ServeQueue(aState, aNow, added.mService, aOut);
+}
+
 } // namespace
 
 std::uint64_t IdentityOf(const Arrival& aArrival)
 {
+  if (aArrival.mRelayedIdentity && aArrival.mIsFromHost) {
+    return *aArrival.mRelayedIdentity;
+  }
   return Hash64(aArrival.mPath,
                 Hash64(aArrival.mHostName, aArrival.mContentDigest));
 }
@@ -90,81 +200,22 @@
            const Arrival& aArrival,
            Effects& aOut)
 {
+  if (RefuseForgedRelay(aState, aArrival, aOut)) {
+    return;
+  }
   const policy::Route* route =
     policy::FindRoute(*aState.mPolicy, aArrival.mHostName, aArrival.mPath);
   if (route == nullptr) {
     RefuseUnknownRoute(aState, aArrival, aOut);
     return;
   }
-  Request request;
-  request.mId = aArrival.mId;
-  request.mClientRequestId = aArrival.mClientRequestId;
-  request.mIdentity = IdentityOf(aArrival);
-  request.mRoute = route->mName;
-  request.mService = policy::PickBackend(*route, NextUniform(aState));
-  request.mKind = route->mKind;
-  request.mPriority = route->mPriority;
-  request.mMaxAttempts = route->mAttempts;
-  request.mArrivedAt = aArrivedAt;
-  request.mIsRelayed = aArrival.mRelayedAfter.has_value();
-  if (aArrival.mIsForFastLink) {
-    request.mMaxAttempts = std::max(1, request.mMaxAttempts - 1);
-  }
-  request.mObjectiveAt = aArrivedAt + route->mObjective;
-  request.mDeadline = aArrivedAt + route->mTimeout;
-  if (aArrival.mPatience > 0) {
-    request.mDeadline =
-      std::min(request.mDeadline, aArrivedAt + aArrival.mPatience);
-  }
-  PatienceStatistics& patience = aState.mStatistics[route->mName].mPatience;
-  if (IsClientRetry(patience, aArrival.mPatience, route->mObjective)) {
-    // Its latency objective passed before this try: it must not take capacity
-    // from requests that can still be on time.
-    request.mObjectiveAt = aArrivedAt;
-    ++aState.mCounters["returns_seen"];
-  }
-  if (!request.mIsRelayed) {
-    LearnPatience(patience, aArrival.mPatience, route->mObjective);
-  }
-  Service& service = aState.mServices[request.mService];
-  CountRequest(service.mExtra, aState.mBounds, aNow);
-  if (service.mTargets.empty()) {
-    RefuseArrival(
-      aState, aArrival, kUnavailable, RetryAfter(aState, 0), "no_target", aOut);
-    return;
-  }
-  const quarantine::Verdict verdict =
-    JudgeQuarantine(aState, request.mIdentity, request.mService, aNow);
-  const bool assignedElsewhere =
-    verdict == quarantine::Verdict::OnTrial && !request.mIsRelayed &&
-    !rate_share::IsFirst(aState.mLimitHosts, Hexadecimal(request.mIdentity));
-  if (verdict == quarantine::Verdict::Quarantined || assignedElsewhere) {
-    // The quarantine outlasts the client's timeout, so no Retry-After is given.
-    RenewQuarantine(aState, aNow, request.mIdentity, aOut);
-    RefuseArrival(aState, aArrival, kUnavailable, 0, "quarantined", aOut);
+  Request request = MakeRequest(aState, aArrivedAt, aArrival, *route);
+  if (!Authorise(aState, aNow, aArrival, *route, request, aOut) ||
+      !CountArrival(aState, aNow, aArrival, *route, request, aOut) ||
+      !PassQuarantine(aState, aNow, aArrival, request, aOut)) {
     return;
   }
-  if (verdict != quarantine::Verdict::Clear) {
-    request.mMaxAttempts = 1;
-  }
-  const Micros wait = ExpectedWait(service, request);
-  Request& added = aState.mRequests[request.mId] = std::move(request);
-  ResetUnmeetableEstimate(aState, aNow, added);
-  if (aNow + wait + NeedOf(aState, added).mWork > added.mDeadline) {
-    Refuse(aState,
-           aNow,
-           added.mId,
-           kUnavailable,
-           RetryAfter(aState, wait),
-           "queue_too_long",
-           aOut);
-    return;
-  }
-  if (PassOnLargeAnswer(aState, aNow, added, aOut)) {
-    return;
-  }
-  StartWaiting(aState, aNow, added, aOut);
-  ServeQueue(aState, aNow, added.mService, aOut);
+  Enqueue(aState, aNow, std::move(request), aOut);
 }
 
 } // namespace geraniumpond::dispatch
--- a/src/dispatch/internal.h
+++ b/src/dispatch/internal.h
@@ -118,6 +118,8 @@
                 Effects& aOut);
 void StartWaiting(State& aState, Micros aNow, Request& aRequest, Effects& aOut);
 void StopWaiting(State& aState, Request& aRequest);
+/// \brief Changes a request's priority, also while it waits.
+void SetPriority(State& aState, Request& aRequest, int aPriority);
 /// \brief Expected queueing time of a new request of this priority and
 /// deadline.
 [[nodiscard]] Micros ExpectedWait(const Service& aService,
--- a/src/dispatch/relay.cpp
+++ b/src/dispatch/relay.cpp
@@ -1,5 +1,6 @@
 #include "relay.h"
 
+#include "authorisation.h"
 #include "reach.h"
 
 #include <algorithm>
@@ -107,7 +108,10 @@
                   aHost,
                   aRequest.mDeadline,
                   aNow - aRequest.mArrivedAt,
-                  aLargeBytes > 0 ? aState.mBounds.mLinkBytesPerSecond : 0 });
+                  aLargeBytes > 0 ? aState.mBounds.mLinkBytesPerSecond : 0,
+                  aRequest.mAccount,
+                  HidesKeys(aState),
+                  aRequest.mIdentity });
   aRequest.mAttempts.push_back(std::move(attempt));
   SetTimer(aState, aRequest);
 }
@@ -142,7 +146,7 @@
 bool PassOn(State& aState, Micros aNow, Request& aRequest, Effects& aOut)
 {
   Service& service = aState.mServices[aRequest.mService];
-  if (aNow < service.mDownUntil) {
+  if (aNow < service.mDownUntil || !MayBeSent(aState, aRequest, aNow)) {
     return false;
   }
   const std::string host =
--- a/src/dispatch/requests.cpp
+++ b/src/dispatch/requests.cpp
@@ -1,3 +1,4 @@
+#include "authorisation.h"
 #include "relay.h"
 
 #include <algorithm>
@@ -85,6 +86,7 @@
 {
   return " request=" + aRequest.mClientRequestId +
          " identity=" + Hexadecimal(aRequest.mIdentity) +
+         (aRequest.mAccount.empty() ? "" : " account=" + aRequest.mAccount) +
          " route=" + aRequest.mRoute + " service=" + aRequest.mService +
          " sent=" + std::to_string(aRequest.mSent) +
          " took_ms=" + Milliseconds(aNow - aRequest.mArrivedAt) +
@@ -238,7 +240,9 @@
                                  aTarget.mName,
                                  aTarget.mAddress,
                                  aRequest.mDeadline,
-                                 !idempotent });
+                                 !idempotent,
+                                 aRequest.mAccount,
+                                 HidesKeys(aState) });
   aRequest.mAttempts.push_back(std::move(attempt));
   SetTimer(aState, aRequest);
 }
@@ -249,7 +253,8 @@
                     const std::string& aWhy,
                     Effects& aOut)
 {
-  if (!aRequest.mAttempts.empty()) {
+  if (!aRequest.mAttempts.empty() ||
+      RefuseUnauthorised(aState, aNow, aRequest, aOut)) {
     return;
   }
   const bool repeatable =
--- a/src/dispatch/waiting.cpp
+++ b/src/dispatch/waiting.cpp
@@ -1,3 +1,4 @@
+#include "authorisation.h"
 #include "choice.h"
 #include "reach.h"
 #include "relay.h"
@@ -219,7 +220,8 @@
                   const Need& aNeed,
                   Effects& aOut)
 {
-  if (RefuseWhileAllRest(aState, aNow, aRequest, aOut) ||
+  if (RefuseUnauthorised(aState, aNow, aRequest, aOut) ||
+      RefuseWhileAllRest(aState, aNow, aRequest, aOut) ||
       PassOnFromSilentService(aState, aNow, aRequest, aOut) ||
       PassOnLargeAnswer(aState, aNow, aRequest, aOut) ||
       IsAwaitingProbes(aState, aRequest, aNow) ||
@@ -329,6 +331,21 @@
     { aRequest.mPriority, aRequest.mDeadline, aRequest.mId });
 }
 
+void SetPriority(State& aState, Request& aRequest, int aPriority)
+{
+  if (aRequest.mPriority == aPriority) {
+    return;
+  }
+  if (!aRequest.mWaiting) {
+    aRequest.mPriority = aPriority;
+    return;
+  }
+  std::set<WaitKey>& waiting = aState.mServices[aRequest.mService].mWaiting;
+  waiting.erase({ aRequest.mPriority, aRequest.mDeadline, aRequest.mId });
+  aRequest.mPriority = aPriority;
+  waiting.insert({ aPriority, aRequest.mDeadline, aRequest.mId });
+}
+
 void ServeQueue(State& aState,
                 Micros aNow,
                 const std::string& aService,
--- a/src/fleet/hosts.cpp
+++ b/src/fleet/hosts.cpp
@@ -136,8 +136,27 @@
   }
 }
 
+bool IsAt(const std::string& aAddress, std::string_view aIp) noexcept
+{
+  const std::string_view address = aAddress;
+  return address.substr(0, address.rfind(':')) == aIp;
+}
+
 } // namespace
 
+bool IsHostAt(const State& aState, std::string_view aIp) noexcept
+{
+  return !aIp.empty() &&
+         std::any_of(
+           aState.mHosts.begin(), aState.mHosts.end(), [&](const auto& aEntry) {
+             const Host& host = aEntry.second;
+             return !host.mGone &&
+                    host.mPeerAddress != aState.mSettings.mPeerAddress &&
+                    (IsAt(host.mPeerAddress, aIp) ||
+                     IsAt(host.mCallerAddress, aIp));
+           });
+}
+
 bool SameState(const Host& aLeft, const Host& aRight)
 {
   return aLeft.mIncarnation == aRight.mIncarnation &&
--- a/src/frontend/dialect.h
+++ b/src/frontend/dialect.h
@@ -35,6 +35,15 @@
   /// Bytes per second at which the host that passed a request on wants its
   /// answer; not forwarded to targets.
   std::string mAnswerPace = "Answer-Bytes-Per-Second";
+  /// Name of the client account, and the identity of the request, at the host
+  /// that passed it on; not forwarded to targets.
+  std::string mRelayedAccount = "Relayed-Account";
+  std::string mRelayedIdentity = "Relayed-Identity";
+  /// Where clients put their key, and the word before it.
+  std::string mAuthorization = "Authorization";
+  std::string mKeyScheme = "Token";
+  /// Name of the client account, for targets.
+  std::string mAccount;
   /// In an answer: "1" if the target leaves.
   std::string mLeaving;
   /// In the answer to a probe: milliseconds for which the target is still cold.
--- a/src/frontend/gateway_calls.cpp
+++ b/src/frontend/gateway_calls.cpp
@@ -108,6 +108,7 @@
     [](const auto& aOne) { return aOne.second.mLimit.has_value(); }));
   gauges["data_centres_evacuated"] =
     static_cast<double>(mState.mDispatch.mEvacuated.size());
+  gauges["accounts"] = static_cast<double>(gateway::AccountCount(mState));
   gauges["hosts"] = mState.mDispatch.mHosts;
   gauges["policy_version"] =
     static_cast<double>(mState.mFleet.mCatalog.mVersion);
--- a/src/frontend/gateway_effects.cpp
+++ b/src/frontend/gateway_effects.cpp
@@ -2,6 +2,8 @@
 
 #include "edge/logging.h"
 
+#include <Poco/NumberFormatter.h>
+
 #include <algorithm>
 #include <cmath>
 #include <cstdio>
@@ -14,6 +16,7 @@
 /// Targets get a deadline this much before the client's, which leaves time to
 /// return the answer.
 constexpr Micros kReturnMargin = 2 * kMillisecond;
+constexpr int kUnauthorised = 401;
 constexpr int kMisdirected = 421;
 constexpr int kUnavailable = 503;
 
@@ -26,40 +29,9 @@
   return text;
 }
 
-// `aExtraFields` name the target, or say that the request is passed on.
-std::string RequestBytes(const HttpRequest& aRequest,
-                         const FieldNames& aNames,
-                         const std::string& aExtraFields,
-                         Micros aTimeout)
-{
-  std::string out;
-  out.reserve(512 + aRequest.mBody.size());
-  out += aRequest.mMethod + " " + aRequest.mTarget + " HTTP/1.1\r\n";
-  bool framed = false;
-  for (const auto& [name, value] : aRequest.mFields) {
-    if (EqualIgnoringCase(name, "Content-Length") ||
-        EqualIgnoringCase(name, "Transfer-Encoding")) {
-      framed = true;
-      continue;
-    }
-    if (IsHopByHopField(aRequest.mFields, name) ||
-        EqualIgnoringCase(name, aNames.mTimeout) ||
-        EqualIgnoringCase(name, aNames.mRelayedAfter) ||
-        EqualIgnoringCase(name, aNames.mAnswerPace) ||
-        EqualIgnoringCase(name, aNames.mExpectedTarget)) {
-      continue;
-    }
-    out += name + ": " + value + "\r\n";
-  }
-  const Micros left = std::max<Micros>(1, aTimeout / kMillisecond);
-  out += aNames.mTimeout + ": " + std::to_string(left) + "\r\n";
-  out += aExtraFields + "\r\n";
-  if (framed) {
-    out += "Content-Length: " + std::to_string(aRequest.mBody.size()) + "\r\n";
-  }
-  out += "\r\n";
-  out += aRequest.mBody;
-  return out;
+std::string AccountLine(const std::string& aName, const std::string& aAccount)
+{
+  return aAccount.empty() ? "" : FieldLine(aName, aAccount);
 }
 
 } // namespace
@@ -77,9 +49,13 @@
   outbound.mTarget = aEffect.mTarget;
   outbound.mAddress = aEffect.mAddress;
   outbound.mProvenConnection = aEffect.mProvenConnection;
-  Send(std::move(outbound),
-       mDialect.mFieldNames.mExpectedTarget + ": " + aEffect.mTargetName,
-       aEffect.mDeadline);
+  const FieldNames& names = mDialect.mFieldNames;
+  Forwarding forwarding;
+  forwarding.mExtraFields =
+    FieldLine(names.mExpectedTarget, aEffect.mTargetName) +
+    AccountLine(names.mAccount, aEffect.mAccount);
+  forwarding.mHidesKey = aEffect.mHidesKey;
+  Send(std::move(outbound), std::move(forwarding), aEffect.mDeadline);
 }
 
 void GatewayProcess::PerformOne(dispatch::RelayRequest& aEffect)
@@ -91,17 +67,26 @@
   outbound.mAddress = aEffect.mAddress;
   outbound.mProvenConnection = true;
   const FieldNames& names = mDialect.mFieldNames;
-  std::string fields = names.mRelayedAfter + ": " +
-                       std::to_string(aEffect.mElapsed / kMillisecond);
+  Forwarding forwarding;
+  forwarding.mHidesKey = aEffect.mHidesKey;
+  std::string& fields = forwarding.mExtraFields;
+  fields = FieldLine(names.mRelayedAfter,
+                     std::to_string(aEffect.mElapsed / kMillisecond));
   if (aEffect.mBytesPerSecond > 0) {
-    fields += "\r\n" + names.mAnswerPace + ": " +
-              std::to_string(std::llround(aEffect.mBytesPerSecond));
+    fields += FieldLine(names.mAnswerPace,
+                        std::to_string(std::llround(aEffect.mBytesPerSecond)));
+  }
+  if (aEffect.mHidesKey) {
+    fields += FieldLine(names.mRelayedIdentity,
+                        Poco::NumberFormatter::formatHex(
+                          static_cast<Poco::UInt64>(aEffect.mIdentity)));
+    fields += AccountLine(names.mRelayedAccount, aEffect.mAccount);
   }
-  Send(std::move(outbound), fields, aEffect.mDeadline);
+  Send(std::move(outbound), std::move(forwarding), aEffect.mDeadline);
 }
 
 void GatewayProcess::Send(OutboundRequest aOutbound,
-                          const std::string& aExtraFields,
+                          Forwarding aForwarding,
                           Micros aDeadline)
 {
   const auto found = mExchanges.find(aOutbound.mRequest);
@@ -111,10 +96,8 @@
   const HttpRequest& request = found->second.mRequest;
   const std::string* id =
     FindField(request.mFields, mDialect.mFieldNames.mRequestId);
-  aOutbound.mBytes = RequestBytes(request,
-                                  mDialect.mFieldNames,
-                                  aExtraFields,
-                                  aDeadline - mNow - kReturnMargin);
+  aForwarding.mTimeout = aDeadline - mNow - kReturnMargin;
+  aOutbound.mBytes = ForwardedBytes(request, mDialect.mFieldNames, aForwarding);
   aOutbound.mRequestId = id == nullptr ? "" : *id;
   aOutbound.mHeadOnly = request.mMethod == "HEAD";
   mTargets.Send(std::move(aOutbound));
@@ -163,6 +146,10 @@
     response.mFields.emplace_back("Retry-After",
                                   RetryAfterText(aEffect.mRetryAfter));
   }
+  if (aEffect.mStatus == kUnauthorised) {
+    response.mFields.emplace_back("WWW-Authenticate",
+                                  mDialect.mFieldNames.mKeyScheme);
+  }
   MarkForRelay(aEffect.mRequest, response);
   RespondToClient(aEffect.mRequest, response);
 }
--- a/src/frontend/gateway_process.cpp
+++ b/src/frontend/gateway_process.cpp
@@ -31,12 +31,7 @@
 /// most. The two are equal, so that the loop keeps half of the time.
 constexpr Micros kYieldInterval = 40 * kMillisecond;
 constexpr Micros kMaxYield = 40 * kMillisecond;
-/// Longest time at another host that is believed: the longest timeout of a
-/// route.
-constexpr Micros kLongestRelayTime = 600 * kSecond;
 constexpr double kBytesPerMegabit = 125000;
-/// Slowest pace, in bytes per second, at which another host is sent an answer.
-constexpr double kMinPace = 1000;
 
 Micros SteadyNow()
 {
@@ -98,23 +93,17 @@
         Poco::NumberParser::tryParse64(*timeout, milliseconds)) {
       arrival.mPatience = std::max<Micros>(1, milliseconds * kMillisecond);
     }
-    const std::string* relayed =
-      FindField(aRequest.mFields, names.mRelayedAfter);
-    if (relayed != nullptr &&
-        Poco::NumberParser::tryParse64(*relayed, milliseconds)) {
-      arrival.mRelayedAfter =
-        std::clamp<Micros>(milliseconds, 0, kLongestRelayTime / kMillisecond) *
-        kMillisecond;
-    }
-    const std::string* pace = FindField(aRequest.mFields, names.mAnswerPace);
-    double bytesPerSecond = 0;
-    const bool isPaced =
-      arrival.mRelayedAfter && pace != nullptr &&
-      Poco::NumberParser::tryParseFloat(*pace, bytesPerSecond) &&
-      bytesPerSecond >= kMinPace;
-    arrival.mIsForFastLink = isPaced;
+    RelayFields relay = ParseRelayFields(aRequest.mFields, names);
+    arrival.mHasRelayFields = relay.mAny;
+    arrival.mRelayFieldsUnsound = relay.mUnsound;
+    arrival.mRelayedAfter = relay.mAfter;
+    arrival.mRelayedIdentity = relay.mIdentity;
+    arrival.mAccount = std::move(relay.mAccount);
+    arrival.mIsForFastLink = relay.mBytesPerSecond > 0;
+    arrival.mSender = aRequest.mSender;
+    arrival.mKey = ParseKey(aRequest.mFields, names);
     Exchange& exchange = mProcess.mExchanges[aExchange];
-    exchange.mBytesPerSecond = isPaced ? bytesPerSecond : 0;
+    exchange.mBytesPerSecond = relay.mBytesPerSecond;
     exchange.mRequest = std::move(aRequest);
     exchange.mArrivedAt = mProcess.mNow;
     mProcess.Post(std::move(arrival));
@@ -220,6 +209,8 @@
   settings.mBounds.mWarmUpFloor = mSettings.mWarmUpFloor;
   settings.mDecodePolicy = mDialect.mDecodePolicy;
   settings.mLinkBytesPerSecond = mSettings.mLinkMbps * kBytesPerMegabit;
+  settings.mStrictRevocation = mSettings.mStrictRevocation;
+  settings.mRevokeWithin = mSettings.mRevokeWithin;
   settings.mAnswerKeep = mSettings.mAnswerKeep;
   settings.mStopGrace = mSettings.mStopGrace;
   return settings;
--- a/src/frontend/gateway_process.h
+++ b/src/frontend/gateway_process.h
@@ -6,6 +6,7 @@
 #include "http_server.h"
 #include "load_monitor.h"
 #include "metrics.h"
+#include "request_fields.h"
 #include "target_pool.h"
 
 #include "edge/peers.h"
@@ -101,7 +102,7 @@
   [[nodiscard]] Micros Now() const;
   [[nodiscard]] std::uint64_t NextRandom();
   void Send(OutboundRequest aOutbound,
-            const std::string& aExtraFields,
+            Forwarding aForwarding,
             Micros aDeadline);
   void MarkForRelay(std::uint64_t aExchange, HttpResponse& aResponse) const;
   void RespondToClient(std::uint64_t aExchange, const HttpResponse& aResponse);
--- a/src/frontend/http_message.h
+++ b/src/frontend/http_message.h
@@ -38,6 +38,9 @@
   /// Hash64 of the body; 0 if it is empty.
   std::uint64_t mBodyDigest = 0;
   bool mKeepAlive = true;
+  /// Address that the connection comes from, without the port; set by the
+  /// server.
+  std::string mSender;
 };
 
 /// \brief A complete response.
--- a/src/frontend/http_server.cpp
+++ b/src/frontend/http_server.cpp
@@ -40,10 +40,12 @@
 public:
   Connection(HttpServer& aServer,
              std::uint64_t aId,
-             const Poco::Net::StreamSocket& aSocket)
+             const Poco::Net::StreamSocket& aSocket,
+             std::string aSender)
     : mServer(aServer)
     , mId(aId)
     , mSocket(aServer.mLoop, aSocket)
+    , mSender(std::move(aSender))
     , mLastActivityAt(aServer.mNow)
   {
     mSocket.Watch(*this, false);
@@ -166,6 +168,7 @@
         break;
       }
       HttpRequest request = mReader.Take();
+      request.mSender = mSender;
       const std::uint64_t exchange = NextExchangeId();
       mPending.push_back({ exchange,
                            request.mMethod == "HEAD",
@@ -275,6 +278,8 @@
   HttpServer& mServer;
   std::uint64_t mId = 0;
   BufferedSocket mSocket;
+  /// Address of the client.
+  std::string mSender;
   RequestReader mReader;
   std::deque<Pending> mPending;
   Micros mLastActivityAt = 0;
@@ -310,7 +315,10 @@
 void HttpServer::OnReadable()
 {
   for (std::size_t i = 0; i < kMaxAcceptsPerIteration; ++i) {
-    const int descriptor = ::accept(mSocket.impl()->sockfd(), nullptr, nullptr);
+    sockaddr_storage address{};
+    socklen_t length = sizeof(address);
+    auto* sender = reinterpret_cast<sockaddr*>(&address);
+    const int descriptor = ::accept(mSocket.impl()->sockfd(), sender, &length);
     if (descriptor < 0) {
       // No connection is left, it was reset already, or the process is out of
       // descriptors; the next call tries again.
@@ -319,20 +327,22 @@
     const Poco::Net::StreamSocket socket(
       new Poco::Net::StreamSocketImpl(descriptor));
     try {
-      Accept(socket);
+      Accept(socket, Poco::Net::SocketAddress(sender, length));
     } catch (const Poco::Exception&) {
       // The client has already reset the connection.
     }
   }
 }
 
-void HttpServer::Accept(const Poco::Net::StreamSocket& aSocket)
+void HttpServer::Accept(const Poco::Net::StreamSocket& aSocket,
+                        const Poco::Net::SocketAddress& aSender)
 {
   Poco::Net::StreamSocket socket(aSocket);
   socket.setBlocking(false);
   socket.setNoDelay(true);
   const std::uint64_t id = ++mLastConnectionId;
-  mConnections[id] = std::make_unique<Connection>(*this, id, socket);
+  mConnections[id] =
+    std::make_unique<Connection>(*this, id, socket, aSender.host().toString());
 }
 
 void HttpServer::Retire(Connection& aConnection)
--- a/src/frontend/http_server.h
+++ b/src/frontend/http_server.h
@@ -78,7 +78,8 @@
   class Connection;
   friend class Connection;
 
-  void Accept(const Poco::Net::StreamSocket& aSocket);
+  void Accept(const Poco::Net::StreamSocket& aSocket,
+              const Poco::Net::SocketAddress& aSender);
   void Retire(Connection& aConnection);
   void TickClientPacers();
 
--- a/src/frontend/native_dialect.cpp
+++ b/src/frontend/native_dialect.cpp
@@ -176,6 +176,7 @@
   dialect.mFieldNames.mLoad = "Target-Load";
   dialect.mFieldNames.mLeaving = "Target-Leaving";
   dialect.mFieldNames.mWarmUpLeft = "Target-Warm-Up-Ms";
+  dialect.mFieldNames.mAccount = "Client-Account";
   dialect.mFieldNames.mLimit = "Target-Limit";
   dialect.mParseCall = ParseCall;
   dialect.mMakeOperationResponse = MakeOperationResponse;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -69,10 +69,15 @@
     state.mDispatch,
     aContext.mNow,
     std::make_shared<const policy::TrafficPolicy>(std::move(decoded.value())));
+  UpdateTrust(aContext);
+  dispatch::Effects effects;
+  dispatch::ApplyAccounts(state.mDispatch, aContext.mNow, effects);
+  AppendEffects(aContext, std::move(effects));
   aContext.Log(
     1,
     "event=policy_in_force version=" + std::to_string(catalog.mVersion) +
       " routes=" + std::to_string(routes) +
+      " accounts=" + std::to_string(AccountCount(state)) +
       " upstream=" + state.mFleet.mUpstream + " word_age_ms=" +
       std::to_string(
         fleet::ConfirmationAge(state.mFleet, aContext.mNow).value_or(0) /
@@ -343,19 +348,18 @@
   void operator()(const dispatch::Arrival& aEvent)
   {
     State& state = mContext.mState;
-    state.mDispatch.mPolicyMayBeOutdated =
-      !fleet::IsInTouch(state.mFleet, mContext.mNow);
+    const dispatch::Arrival arrival = WithSender(state, aEvent);
     // Until the first policy, requests wait without a cost.
     const bool isAccepted =
       !state.mDispatch.mPolicy ||
       fleet::AcceptsRequests(state.mFleet, mContext.mNow, mMessageDelay);
     Dispatch(mContext, [&](dispatch::Effects& aOut) {
       if (!isAccepted) {
-        dispatch::RefuseBusy(state.mDispatch, aEvent, aOut);
+        dispatch::RefuseBusy(state.mDispatch, arrival, aOut);
         return;
       }
       dispatch::HandleArrival(
-        mContext.mState.mDispatch, mContext.mNow, aEvent, aOut);
+        mContext.mState.mDispatch, mContext.mNow, arrival, aOut);
     });
   }
   void operator()(const dispatch::ProbeEnd& aEvent)
@@ -443,6 +447,7 @@
   Effects effects;
   Context context{ aState, aEvent.mNow, effects };
   dispatch::IgnoreOwnDelay(aState.mDispatch, aEvent.mNow);
+  UpdateTrust(context);
   std::visit(EventHandler{ context, aEvent.mRandom, aEvent.mMessageDelay },
              aEvent.mBody);
   ApplyWithheldPolicy(context);
--- a/src/gateway/internal.h
+++ b/src/gateway/internal.h
@@ -26,6 +26,16 @@
 /// \brief Applies what a known target announces of its warm-up.
 void RecordWarmUp(Context& aContext, const wire::TargetRecord& aRecord);
 
+// --- accounts.cpp: what keys and names of accounts are worth at this host
+
+/// \brief Updates how far this host's policy may be relied on, by the age of
+/// the group's confirmation.
+void UpdateTrust(Context& aContext);
+/// \brief A request that arrives, and whether it comes from a host of the
+/// fleet.
+[[nodiscard]] dispatch::Arrival WithSender(const State& aState,
+                                           dispatch::Arrival aArrival);
+
 // --- operations.cpp: calls from targets and operators
 
 void HandleAnnounce(Context& aContext, const Announce& aCall);
--- a/tests/fakes/gateway_world.cpp
+++ b/tests/fakes/gateway_world.cpp
@@ -25,12 +25,37 @@
 constexpr double kServiceTimeSpread = 0.3;
 constexpr const char* kService = "service";
 
-std::string PolicyDocument(const GatewayLoad& aLoad, std::uint64_t aVersion)
+std::string KeyOf(std::uint64_t aAccount)
+{
+  return "key-" + std::to_string(aAccount);
+}
+
+void AddAccounts(int aCount, int aWithoutKeys, policy::TrafficPolicy& aOut)
+{
+  if (aCount == 0) {
+    return;
+  }
+  aOut.mAccounts.emplace();
+  for (int i = 0; i < aCount; ++i) {
+    accounts::Account account;
+    account.mName = "a" + std::to_string(i);
+    std::vector<std::string> keys;
+    if (i >= aWithoutKeys) {
+      keys.push_back(KeyOf(static_cast<std::uint64_t>(i)));
+    }
+    (void)accounts::Add(*aOut.mAccounts, std::move(account), keys);
+  }
+}
+
+std::string PolicyDocument(const GatewayLoad& aLoad,
+                           std::uint64_t aVersion,
+                           int aKeysTakenAway = 0)
 {
   std::ostringstream text;
   text << aVersion << " " << aLoad.mIdempotent << " " << aLoad.mAttempts << " "
        << aLoad.mTimeout << " " << aLoad.mObjective << " " << aLoad.mWarmUp
-       << " " << aLoad.mWarmUpPerSecond;
+       << " " << aLoad.mWarmUpPerSecond << " " << aLoad.mAccounts << " "
+       << aKeysTakenAway;
   return text.str();
 }
 
@@ -46,7 +71,10 @@
   text >> made.mVersion >> idempotent >> route.mAttempts >> route.mTimeout >>
     route.mObjective;
   policy::ServiceSettings service{ kService, "/health", 1000 };
-  text >> service.mWarmUp >> service.mWarmUpPerSecond;
+  int count = 0;
+  int withoutKeys = 0;
+  text >> service.mWarmUp >> service.mWarmUpPerSecond >> count >> withoutKeys;
+  AddAccounts(count, withoutKeys, made);
   made.mBaseVersion = made.mVersion - 1;
   route.mKind =
     idempotent ? policy::RouteKind::Safe : policy::RouteKind::Unsafe;
@@ -96,6 +124,8 @@
     host.mSettings.mBounds.mWarmUpRatio = kWarmUpRatio;
     host.mSettings.mBounds.mWarmUpFloor = kWarmUpFloor;
     host.mSettings.mDecodePolicy = DecodePolicy;
+    host.mSettings.mStrictRevocation = mLoad.mStrictRevocation;
+    host.mSettings.mRevokeWithin = mLoad.mRevokeWithin;
     mHostByAddress[fleet.mPeerAddress] = mHosts.size();
     mHosts.push_back(std::move(host));
   }
@@ -259,7 +289,9 @@
 {
   const std::uint64_t version = mAcknowledgedPolicy + 1;
   mPolicyCalls[++mLastId] = version;
-  Post(aHost, gateway::PutPolicy{ mLastId, PolicyDocument(mLoad, version) });
+  Post(aHost,
+       gateway::PutPolicy{ mLastId,
+                           PolicyDocument(mLoad, version, mKeysTakenAway) });
 }
 
 void GatewayWorld::PerformOne(std::size_t, gateway::AnswerOperation& aEffect)
@@ -566,17 +598,17 @@
     return;
   }
   mVisits.push_back({ mNow, job.mHost, job.mTarget });
-  mArrivals.push_back({ mNow,
-                        mHosts[job.mHost].mSettings.mFleet.mPeerAddress,
-                        target.mId,
-                        job.mPath,
-                        job.mExtra,
-                        target.mLimit > 0,
-                        job.mHost,
-                        target.mDataCentre,
-                        WarmUpLeft(target) > 0
-                          ? std::optional(target.mColdSince)
-                          : std::nullopt });
+  mArrivals.push_back(
+    { mNow,
+      mHosts[job.mHost].mSettings.mFleet.mPeerAddress,
+      target.mId,
+      job.mPath,
+      job.mExtra,
+      target.mLimit > 0,
+      job.mHost,
+      target.mDataCentre,
+      WarmUpLeft(target) > 0 ? std::optional(target.mColdSince) : std::nullopt,
+      job.mSend.mAccount });
   end.mKind = dispatch::EndKind::Answered;
   end.mNotRun = true;
   if (job.mSend.mTargetName != target.mId) {
@@ -805,6 +837,11 @@
   arrival.mHostName = "host";
   arrival.mPath = aClient.mPath;
   arrival.mPatience = mLoad.mTimeout;
+  if (mLoad.mAccounts > 0) {
+    const std::uint64_t number = std::stoull(aClient.mPath.substr(1));
+    arrival.mKey = accounts::DigestOf(
+      KeyOf(number % static_cast<std::uint64_t>(mLoad.mAccounts)));
+  }
   aClient.mSentAt = mNow;
   mClients[{ host, arrival.mId }] = std::move(aClient);
   Post(host, std::move(arrival));
@@ -931,6 +968,11 @@
   arrival.mPath = aRelay.mPath;
   arrival.mPatience = std::max<Micros>(1, aEffect.mDeadline - mNow);
   arrival.mRelayedAfter = aEffect.mElapsed;
+  arrival.mHasRelayFields = true;
+  const std::string& from =
+    mHosts[aRelay.mFromHost].mSettings.mFleet.mPeerAddress;
+  arrival.mSender = from.substr(0, from.rfind(':'));
+  arrival.mAccount = aEffect.mAccount;
   mRelays[{ aHost, arrival.mId }] = aRelay;
   Post(aHost, std::move(arrival));
 }
--- a/tests/fakes/gateway_world.h
+++ b/tests/fakes/gateway_world.h
@@ -42,6 +42,11 @@
   double mWarmUpPerSecond = 0;
   /// Targets report their load, and how cold they are, in answers to probes.
   bool mReportsLoad = true;
+  /// Client accounts with a key each; 0 for a policy without accounts. The
+  /// number of a path says whose request it is.
+  int mAccounts = 0;
+  bool mStrictRevocation = false;
+  Micros mRevokeWithin = 5 * kSecond;
 };
 
 /// Requests that a cold target may get in any second: this many times its rate
@@ -64,6 +69,8 @@
   std::string mDataCentre;
   /// The target was cold, since this time.
   std::optional<Micros> mColdSince = std::nullopt;
+  /// The client account that the target was told.
+  std::string mAccount;
 };
 
 /// \brief An operator's order to withdraw a data centre's targets from service,
@@ -135,6 +142,8 @@
     Post(aHost, gateway::PeerMessage{ aMessage });
   }
 
+  /// Accounts, from the first on, whose keys the next policy lacks.
+  int mKeysTakenAway = 0;
   /// \brief Puts the policy version after the latest acknowledged one.
   void PutNextPolicy(std::size_t aHost);
   [[nodiscard]] std::uint64_t AcknowledgedPolicy() const noexcept
--- a/tests/fakes/running_gateway.h
+++ b/tests/fakes/running_gateway.h
@@ -43,13 +43,33 @@
     mThread = std::thread([this] { Run(); });
   }
 
+  /// \brief A host without a disk at another address, which follows a founding
+  /// one.
+  RunningGateway(const RunningGateway& aFounder, const std::string& aIp)
+  {
+    mSettings = aFounder.mSettings;
+    mSettings.mId = "h2";
+    mSettings.mDataFolder.clear();
+    mSettings.mFounding = false;
+    mSettings.mLinkMbps = 1000;
+    for (std::string* address : { &mSettings.mCallerAddress,
+                                  &mSettings.mPeerAddress,
+                                  &mSettings.mCallAddresses.front(),
+                                  &mSettings.mMetricsAddress }) {
+      *address = aIp + address->substr(address->rfind(':'));
+    }
+    mThread = std::thread([this] { Run(); });
+  }
+
   /// \brief Joins the thread also when an assertion has failed: destroying a
   /// joinable thread would end the process and hide the failure.
   ~RunningGateway()
   {
     Stop();
     Join();
-    Poco::File(mFolder).remove(true);
+    if (!mFolder.empty()) {
+      Poco::File(mFolder).remove(true);
+    }
   }
   RunningGateway(const RunningGateway&) = delete;
   RunningGateway& operator=(const RunningGateway&) = delete;
@@ -79,6 +99,29 @@
            PutUntilAccepted("/targets/t1", record);
   }
 
+  /// \brief Puts another policy; false if it is not accepted in time.
+  [[nodiscard]] bool Replace(const std::string& aPolicy) const
+  {
+    return PutUntilAccepted("/policy", aPolicy);
+  }
+
+  /// \brief The host's metrics as text; empty while it does not listen.
+  [[nodiscard]] std::string Metrics() const
+  {
+    std::ostringstream text;
+    try {
+      const Poco::Net::SocketAddress address(mSettings.mMetricsAddress);
+      Poco::Net::HTTPClientSession session(address);
+      Poco::Net::HTTPRequest request("GET", "/metrics", "HTTP/1.1");
+      session.sendRequest(request);
+      Poco::Net::HTTPResponse response;
+      Poco::StreamCopier::copyStream(session.receiveResponse(response), text);
+    } catch (const Poco::Exception&) {
+      return "";
+    }
+    return text.str();
+  }
+
 private:
   void Run()
   {
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -304,7 +304,8 @@
       "warmup_left",       "Instance-Load",      "Instance-Id",
       "/v1/rpc",           "fault_tolerance",    "GERANIUMPOND_NODE_FILE",
       "path_prefix",       "target_latency",     "base_version\"",
-      "health_check_path",
+      "health_check_path", "Tenant-Id",          "api_keys",
+      "rate_per_s",        "allowed_regions",
     };
     std::vector<std::string> files;
     for (const char* folder : { "src", "include", "bench", "tools", "proto" }) {
