Let accounts take turns in a host's queue

Requests that wait for a target were in the order of priority and deadline alone, so that an account with many waiting requests went before all others whose deadlines were later. The order is now a module of its own: priority, then the turn of the account by start-time fair queueing, with its rate as weight, then the deadline. Where a policy has no accounts the order is as it was.

--- a/include/geraniumpond/dispatch/services.h
+++ b/include/geraniumpond/dispatch/services.h
@@ -1,15 +1,14 @@
 #pragma once
 
 #include <geraniumpond/dispatch/targets.h>
+#include <geraniumpond/fair_queue.h>
 
 #include <array>
 #include <cstddef>
 #include <cstdint>
 #include <deque>
 #include <map>
-#include <set>
 #include <string>
-#include <tuple>
 #include <vector>
 
 /// \brief Services and routes: their queues, budgets and learnt statistics.
@@ -28,20 +27,6 @@
   std::deque<Slice> mSlices;
 };
 
-/// \brief Order of waiting requests: by priority, then by deadline.
-struct WaitKey
-{
-  int mPriority = 0;
-  Micros mDeadline = 0;
-  std::uint64_t mRequest = 0;
-
-  bool operator<(const WaitKey& aOther) const noexcept
-  {
-    return std::tie(mPriority, mDeadline, mRequest) <
-           std::tie(aOther.mPriority, aOther.mDeadline, aOther.mRequest);
-  }
-};
-
 /// \brief Occupancy ranges of a target that a LoadCurve distinguishes.
 constexpr std::size_t kCurveBuckets = 16;
 
@@ -77,7 +62,7 @@
   /// Targets that reported their load lately, each once; may include removed
   /// ones.
   std::deque<std::string> mRecentReporters;
-  std::set<WaitKey> mWaiting;
+  fair_queue::Queue mWaiting;
   ExtraWindow mExtra;
   /// False once a target answered a probe without a load report.
   bool mReportsLoad = true;
--- a/src/dispatch/admission.cpp
+++ b/src/dispatch/admission.cpp
@@ -147,7 +147,7 @@
   if (verdict != quarantine::Verdict::Clear) {
     request.mMaxAttempts = 1;
   }
-  const Micros wait = ExpectedWait(service, request);
+  const Micros wait = ExpectedWait(aState, request);
   Request& added = aState.mRequests[request.mId] = std::move(request);
   ResetUnmeetableEstimate(aState, aNow, added);
   if (aNow + wait + NeedOf(aState, added).mWork > added.mDeadline) {
--- a/src/dispatch/internal.h
+++ b/src/dispatch/internal.h
@@ -120,8 +120,7 @@
 void StopWaiting(State& aState, Request& aRequest);
 /// \brief Expected queueing time of a new request of this priority and
 /// deadline.
-[[nodiscard]] Micros ExpectedWait(const Service& aService,
-                                  const Request& aRequest);
+[[nodiscard]] Micros ExpectedWait(const State& aState, const Request& aRequest);
 /// \brief Delay after which a refused client should retry.
 [[nodiscard]] Micros RetryAfter(State& aState, Micros aExpectedWait);
 /// \brief Delay after which the client of a request that cannot be on time any
--- a/src/dispatch/requests.cpp
+++ b/src/dispatch/requests.cpp
@@ -47,7 +47,7 @@
 // requests are queued.
 void RecordDispatch(Service& aService, Micros aNow)
 {
-  const bool busy = !aService.mWaiting.empty();
+  const bool busy = !aService.mWaiting.mWaiters.empty();
   if (busy && aService.mWasBusy) {
     const double interval = static_cast<double>(aNow - aService.mDispatchedAt);
     aService.mDispatchInterval +=
--- a/src/dispatch/waiting.cpp
+++ b/src/dispatch/waiting.cpp
@@ -24,6 +24,8 @@
 /// A refused client retries after this fraction (1/n) of the time that it has
 /// left, so that enough is left for the work.
 constexpr Micros kRetryDelayDivisor = 3;
+/// Weight of an account without a rate, and of requests without an account.
+constexpr double kUsualWeight = 1;
 constexpr int kMisdirected = 421;
 constexpr int kUnavailable = 503;
 
@@ -171,6 +173,7 @@
            aOut);
     return;
   }
+  fair_queue::Serve(service.mWaiting, aRequest.mId);
   StopWaiting(aState, aRequest);
   SendTo(aState, aNow, aRequest, aTarget, aOut);
 }
@@ -273,6 +276,28 @@
   }
 }
 
+// Accounts take turns by their rates. A second attempt takes no turn: its
+// request has had one.
+double WeightOf(const State& aState, const Request& aRequest)
+{
+  if (!aState.mPolicy || !aState.mPolicy->mAccounts || aRequest.mSent > 0) {
+    return 0;
+  }
+  const accounts::Account* account =
+    accounts::FindByName(*aState.mPolicy->mAccounts, aRequest.mAccount);
+  return account == nullptr || account->mPerSecond <= 0 ? kUsualWeight
+                                                        : account->mPerSecond;
+}
+
+fair_queue::Entry EntryOf(const State& aState, const Request& aRequest)
+{
+  return { aRequest.mId,
+           aRequest.mPriority,
+           aRequest.mDeadline,
+           aRequest.mAccount,
+           WeightOf(aState, aRequest) };
+}
+
 // True for requests of one route with the same latency objective.
 bool HaveSameNeed(const Request& aLeft, const Request& aRight)
 {
@@ -283,13 +308,13 @@
 
 } // namespace
 
-Micros ExpectedWait(const Service& aService, const Request& aRequest)
+Micros ExpectedWait(const State& aState, const Request& aRequest)
 {
-  const WaitKey own{ aRequest.mPriority, aRequest.mDeadline, aRequest.mId };
-  const auto ahead = std::distance(aService.mWaiting.begin(),
-                                   aService.mWaiting.lower_bound(own));
+  const Service& service = aState.mServices.at(aRequest.mService);
+  const std::size_t ahead =
+    fair_queue::CountAhead(service.mWaiting, EntryOf(aState, aRequest));
   return static_cast<Micros>(static_cast<double>(ahead) *
-                             aService.mDispatchInterval);
+                             service.mDispatchInterval);
 }
 
 Micros RetryAfter(State& aState, Micros aExpectedWait)
@@ -313,8 +338,7 @@
   aRequest.mProbed.clear();
   aRequest.mProbeRound = 0;
   aRequest.mRecheckAt = 0;
-  service.mWaiting.insert(
-    { aRequest.mPriority, aRequest.mDeadline, aRequest.mId });
+  fair_queue::Add(service.mWaiting, EntryOf(aState, aRequest));
   ProbeCandidates(aState, aNow, aRequest, aOut);
   SetTimer(aState, aRequest);
 }
@@ -325,8 +349,8 @@
     return;
   }
   aRequest.mWaiting = false;
-  aState.mServices[aRequest.mService].mWaiting.erase(
-    { aRequest.mPriority, aRequest.mDeadline, aRequest.mId });
+  fair_queue::Remove(aState.mServices[aRequest.mService].mWaiting,
+                     aRequest.mId);
 }
 
 void ServeQueue(State& aState,
@@ -344,14 +368,14 @@
   std::vector<std::pair<std::uint64_t, Need>> late;
   const Request* last = nullptr;
   Need need;
-  for (const WaitKey& key : service->second.mWaiting) {
-    const Request& request = aState.mRequests.at(key.mRequest);
+  for (const fair_queue::Waiter& waiter : service->second.mWaiting.mWaiters) {
+    const Request& request = aState.mRequests.at(waiter.Request());
     if (last == nullptr || !HaveSameNeed(*last, request)) {
       need = NeedOf(aState, request);
     }
     last = &request;
     const bool objectiveMissed = aNow + need.mWork > request.mObjectiveAt;
-    (objectiveMissed ? late : order).emplace_back(key.mRequest, need);
+    (objectiveMissed ? late : order).emplace_back(request.mId, need);
   }
   order.insert(order.end(), late.begin(), late.end());
   PassCache cache;
