--- a/src/dispatch/admission.cpp
+++ b/src/dispatch/admission.cpp
@@ -116,8 +116,7 @@
 // Lets a request wait for a target, unless it has no time for that.
 void Enqueue(State& aState, Micros aNow, Request aRequest, Effects& aOut)
 {
-  const Micros wait =
-    ExpectedWait(aState.mServices[aRequest.mService], aRequest);
+  const Micros wait = ExpectedWait(aState, aRequest);
   const std::uint64_t id = aRequest.mId;
   Request& added = aState.mRequests[id] = std::move(aRequest);
   ResetUnmeetableEstimate(aState, aNow, added);
--- a/src/dispatch/internal.h
+++ b/src/dispatch/internal.h
@@ -122,8 +122,7 @@
 void SetPriority(State& aState, Request& aRequest, int aPriority);
 /// \brief Expected queueing time of a new request of this priority and
 /// deadline.
-[[nodiscard]] Micros ExpectedWait(const Service& aService,
-                                  const Request& aRequest);
+[[nodiscard]] Micros ExpectedWait(const State& aState, const Request& aRequest);
 /// \brief Delay after which a refused client should retry.
 [[nodiscard]] Micros RetryAfter(State& aState, Micros aExpectedWait);
 /// \brief Delay after which the client of a request that cannot be on time any
