Bind a withdrawal without a birth by its connection

Forged calls and a birth that is not read were ruled out: the protocol has no field for it.

A call without a birth now binds what was born before its connection was opened, and half a second more for a connection that is opened at birth and for clocks. The edge dates a connection by the time at which none waited to be accepted, since a suspended host accepts late, and by a time of day that goes on while it is suspended. The catalog removes whatever incarnation the group knows up to that time, keeps a later one, and records the birth that it removed rather than the bound of the call, which a clock that is ahead would turn against the next incarnation. An id that is not registered is recorded without a birth, as before. The log line names the target and what the call binds.

--- a/include/geraniumpond/gateway.h
+++ b/include/geraniumpond/gateway.h
@@ -76,6 +76,8 @@
 {
   std::uint64_t mOperation = 0;
   wire::RemoveTarget mRemoval;
+  /// Time at which the call's connection was opened.
+  Micros mOpenedAt = 0;
 };
 
 struct PutPolicy
--- a/src/catalog/catalog.cpp
+++ b/src/catalog/catalog.cpp
@@ -108,9 +108,34 @@
   }
 }
 
+// What is recorded is the birth of the incarnation that was removed, not the
+// bound of the call: by a host whose clock is ahead, the bound would keep out
+// the next incarnation. Of an id that is not registered, only announcements
+// without a birth are kept out.
+wire::CatalogOutcome ApplyUnstatedRemoval(State& aState,
+                                          const wire::RemoveTarget& aRemoval)
+{
+  const auto found = aState.mTargets.find(aRemoval.id());
+  if (found == aState.mTargets.end()) {
+    RecordRemoval(aState, aRemoval.id(), 0);
+    return OutcomeOf(aState, true, "not registered");
+  }
+  const std::uint64_t born = found->second.born_ms();
+  if (born > aRemoval.born_ms()) {
+    return OutcomeOf(
+      aState, true, "a later one stays, born_ms=" + std::to_string(born));
+  }
+  aState.mTargets.erase(found);
+  RecordRemoval(aState, aRemoval.id(), born);
+  return OutcomeOf(aState, true, "removed, born_ms=" + std::to_string(born));
+}
+
 wire::CatalogOutcome ApplyRemoval(State& aState,
                                   const wire::RemoveTarget& aRemoval)
 {
+  if (aRemoval.unstated()) {
+    return ApplyUnstatedRemoval(aState, aRemoval);
+  }
   const auto found = aState.mTargets.find(aRemoval.id());
   const bool later = found != aState.mTargets.end() &&
                      found->second.born_ms() > aRemoval.born_ms();
--- a/src/frontend/gateway_calls.cpp
+++ b/src/frontend/gateway_calls.cpp
@@ -21,7 +21,8 @@
   if (auto* announce = std::get_if<RegisterTargetCall>(&call)) {
     Post(gateway::Announce{ aExchange, std::move(announce->mRecord) });
   } else if (auto* withdraw = std::get_if<RemoveTargetCall>(&call)) {
-    Post(gateway::Withdraw{ aExchange, std::move(withdraw->mRemoval) });
+    Post(gateway::Withdraw{
+      aExchange, std::move(withdraw->mRemoval), aRequest.mOpenedAt });
   } else if (auto* put = std::get_if<PutPolicyCall>(&call)) {
     Post(gateway::PutPolicy{ aExchange, std::move(put->mDocument) });
   } else if (std::holds_alternative<ReadPolicyCall>(call)) {
--- a/src/frontend/gateway_process.cpp
+++ b/src/frontend/gateway_process.cpp
@@ -9,6 +9,7 @@
 #include <algorithm>
 #include <chrono>
 #include <cstdio>
+#include <ctime>
 #include <random>
 
 namespace geraniumpond::frontend {
@@ -35,6 +36,7 @@
 /// route.
 constexpr Micros kLongestRelayTime = 600 * kSecond;
 constexpr double kBytesPerMegabit = 125000;
+constexpr Micros kNanosecondsPerMicro = 1000;
 /// Slowest pace, in bytes per second, at which another host is sent an answer.
 constexpr double kMinPace = 1000;
 
@@ -44,6 +46,14 @@
     .count();
 }
 
+// Advances also while the machine is suspended.
+Micros BootNow()
+{
+  timespec time{};
+  (void)::clock_gettime(CLOCK_BOOTTIME, &time);
+  return time.tv_sec * kSecond + time.tv_nsec / kNanosecondsPerMicro;
+}
+
 Micros WallNow()
 {
   return duration_cast<microseconds>(system_clock::now().time_since_epoch())
@@ -170,6 +180,7 @@
   : mSettings(aSettings)
   , mDialect(aDialect)
   , mClockOffset(WallNow() - SteadyNow())
+  , mTimeOfDayOffset(WallNow() - BootNow())
   , mRandom(RandomUint64())
   , mOutgoingPacer(aSettings.mLinkMbps * kBytesPerMegabit)
   , mIncomingPacer(aSettings.mLinkMbps * kBytesPerMegabit)
@@ -442,7 +453,7 @@
   mOutgoingPacer.Tick(mNow);
   mClientServer->Tick(mNow);
   for (const std::unique_ptr<HttpServer>& server : mCallServers) {
-    server->Tick(mNow);
+    server->Tick(mNow, BootNow() + mTimeOfDayOffset);
   }
 }
 
--- a/src/frontend/gateway_process.h
+++ b/src/frontend/gateway_process.h
@@ -110,6 +110,7 @@
   GatewaySettings mSettings;
   Dialect mDialect;
   Micros mClockOffset = 0;
+  Micros mTimeOfDayOffset = 0;
   std::uint64_t mRandom = 0;
   Micros mNow = 0;
   /// Longest time that a message had waited when messages were last handled.
--- a/src/frontend/http_message.h
+++ b/src/frontend/http_message.h
@@ -38,6 +38,8 @@
   /// Hash64 of the body; 0 if it is empty.
   std::uint64_t mBodyDigest = 0;
   bool mKeepAlive = true;
+  /// Time of day shortly before its connection was opened.
+  Micros mOpenedAt = 0;
 };
 
 /// \brief A complete response.
--- a/src/frontend/http_server.cpp
+++ b/src/frontend/http_server.cpp
@@ -5,6 +5,7 @@
 #include <Poco/Net/StreamSocketImpl.h>
 
 #include <algorithm>
+#include <cerrno>
 #include <limits>
 #include <sys/socket.h>
 #include <utility>
@@ -45,6 +46,7 @@
     , mId(aId)
     , mSocket(aServer.mLoop, aSocket)
     , mLastActivityAt(aServer.mNow)
+    , mOpenedAt(aServer.mNoneWaitedAt)
   {
     mSocket.Watch(*this, false);
   }
@@ -166,6 +168,7 @@
         break;
       }
       HttpRequest request = mReader.Take();
+      request.mOpenedAt = mOpenedAt;
       const std::uint64_t exchange = NextExchangeId();
       mPending.push_back({ exchange,
                            request.mMethod == "HEAD",
@@ -278,6 +281,7 @@
   RequestReader mReader;
   std::deque<Pending> mPending;
   Micros mLastActivityAt = 0;
+  Micros mOpenedAt = 0;
   bool mLastRequestRead = false;
   bool mCloseAfterError = false;
   bool mClosing = false;
@@ -309,9 +313,11 @@
 // accept() directly because POCO throws when no connection waits.
 void HttpServer::OnReadable()
 {
+  mSomeWait = true;
   for (std::size_t i = 0; i < kMaxAcceptsPerIteration; ++i) {
     const int descriptor = ::accept(mSocket.impl()->sockfd(), nullptr, nullptr);
     if (descriptor < 0) {
+      mSomeWait = errno != EAGAIN && errno != EWOULDBLOCK;
       // No connection is left, it was reset already, or the process is out of
       // descriptors; the next call tries again.
       return;
@@ -399,9 +405,21 @@
   }
 }
 
-void HttpServer::Tick(Micros aNow)
+// A host that stood still accepts connections long after they were opened. One
+// that is accepted now was not waiting when the loop last looked, which was
+// after the tick before the last.
+void HttpServer::DateWaitingConnections(Micros aTimeOfDay)
+{
+  if (!mSomeWait) {
+    mNoneWaitedAt = mTimeOfDay == 0 ? aTimeOfDay : mTimeOfDay;
+  }
+  mTimeOfDay = aTimeOfDay;
+}
+
+void HttpServer::Tick(Micros aNow, Micros aTimeOfDay)
 {
   mNow = aNow;
+  DateWaitingConnections(aTimeOfDay);
   for (const std::unique_ptr<Connection>& closed : mClosedConnections) {
     mClientPacers.erase(closed->Id());
   }
--- a/src/frontend/http_server.h
+++ b/src/frontend/http_server.h
@@ -59,7 +59,10 @@
 
   /// \brief Closes connections that timed out. Cheap enough for every iteration
   /// of the loop.
-  void Tick(Micros aNow);
+  void Tick(Micros aNow) { Tick(aNow, aNow); }
+  /// \brief The same where the time of day, by which connections are dated,
+  /// is not the time of the loop.
+  void Tick(Micros aNow, Micros aTimeOfDay);
   /// \brief Earliest time at which an answer that is paced goes on.
   [[nodiscard]] Micros NextTick() const noexcept;
 
@@ -81,6 +84,7 @@
   void Accept(const Poco::Net::StreamSocket& aSocket);
   void Retire(Connection& aConnection);
   void TickClientPacers();
+  void DateWaitingConnections(Micros aTimeOfDay);
 
   EventLoop& mLoop;
   RequestSink& mSink;
@@ -89,6 +93,10 @@
   policy::RequestLimits mLimits;
   bool mStopping = false;
   Micros mNow = 0;
+  Micros mTimeOfDay = 0;
+  /// Time of day at which no connection waited to be accepted.
+  Micros mNoneWaitedAt = 0;
+  bool mSomeWait = false;
   Micros mTimeoutsCheckedAt = 0;
   std::uint64_t mLastConnectionId = 0;
   std::unordered_map<std::uint64_t, std::unique_ptr<Connection>> mConnections;
--- a/src/gateway/operations.cpp
+++ b/src/gateway/operations.cpp
@@ -14,12 +14,19 @@
 /// Callers try another host after one second without an answer, so this host
 /// answers before that.
 constexpr Micros kOperationTimeout = 850 * kMillisecond;
+/// A target may open a connection as soon as it is born, and this host's clock
+/// may be behind the target's. Too long, it binds a target that starts again
+/// within this time of its earlier incarnation's last connection.
+constexpr Micros kClockMargin = 500 * kMillisecond;
 
 constexpr std::array<const char*, 5> kOutcomeNames = {
   "done", "invalid", "conflict", "unavailable", "elsewhere",
 };
 
-void Answer(Context& aContext, AnswerOperation aAnswer, const char* aWhat)
+void Answer(Context& aContext,
+            AnswerOperation aAnswer,
+            const char* aWhat,
+            const std::string& aSubject = "")
 {
   const bool good = aAnswer.mEnd == OperationOutcome::Done ||
                     aAnswer.mEnd == OperationOutcome::Elsewhere;
@@ -27,7 +34,8 @@
     good ? 1 : 2,
     std::string("event=") + aWhat + " outcome=" + ToString(aAnswer.mEnd) +
       " policy=" + std::to_string(aContext.mState.mFleet.mCatalog.mVersion) +
-      " leader=" + aContext.mState.mFleet.mLeaderAddress + " reason=\"" +
+      " leader=" + aContext.mState.mFleet.mLeaderAddress +
+      (aSubject.empty() ? "" : " " + aSubject) + " reason=\"" +
       aAnswer.mReason + "\"");
   aContext.mOut.emplace_back(std::move(aAnswer));
 }
@@ -54,6 +62,20 @@
   ApplyFleetOutput(aContext, std::move(output));
 }
 
+// A call that states no birth can only come from an incarnation that was born
+// before the call's connection was opened; a delayed copy of an earlier
+// incarnation's call comes over an older connection than the later birth.
+wire::RemoveTarget BindToIncarnation(const Withdraw& aCall)
+{
+  wire::RemoveTarget removal = aCall.mRemoval;
+  if (removal.born_ms() == 0) {
+    removal.set_unstated(true);
+    removal.set_born_ms(static_cast<std::uint64_t>(
+      std::max<Micros>(0, aCall.mOpenedAt + kClockMargin) / kMillisecond));
+  }
+  return removal;
+}
+
 void SubmitEvacuation(Context& aContext, const Operation& aOperation)
 {
   wire::CatalogCommand command;
@@ -157,7 +179,9 @@
     return;
   }
   AnswerOperation answer{ operation.mId, OperationOutcome::Done, "", "", "" };
-  answer.mReason = operation.mSubject + " ";
+  // A withdrawal has fields of its own for what it names.
+  const bool isWithdrawal = operation.mKind == OperationKind::Withdraw;
+  answer.mReason = isWithdrawal ? "" : operation.mSubject + " ";
   if (!committed) {
     answer.mEnd = OperationOutcome::Unavailable;
     answer.mReason += aDone.mReason;
@@ -166,7 +190,10 @@
                                             : OperationOutcome::Conflict;
     answer.mReason += aDone.mOutcome.reason();
   }
-  Answer(aContext, std::move(answer), NameOf(operation.mKind));
+  Answer(aContext,
+         std::move(answer),
+         NameOf(operation.mKind),
+         isWithdrawal ? operation.mSubject : "");
 }
 
 void AnswerReads(Context& aContext)
@@ -216,33 +243,22 @@
 void HandleWithdraw(Context& aContext, const Withdraw& aCall)
 {
   const catalog::State& catalog = aContext.mState.mFleet.mCatalog;
-  const wire::RemoveTarget& removal = aCall.mRemoval;
+  const wire::RemoveTarget removal = BindToIncarnation(aCall);
+  const std::string subject =
+    "target=" + removal.id() +
+    (removal.unstated() ? " born_until_ms=" : " born_ms=") +
+    std::to_string(removal.born_ms());
   if (catalog::IsRemoved(catalog, removal.id(), removal.born_ms())) {
-    aContext.mOut.emplace_back(
-      AnswerOperation{ aCall.mOperation, OperationOutcome::Done, "", "", "" });
-    return;
-  }
-  // The birth time identifies the incarnation that leaves. A removal without it
-  // does not come from a target that announced one, and accepting it would
-  // remove the target on every host.
-  const auto known = catalog.mTargets.find(removal.id());
-  if (known != catalog.mTargets.end() && removal.born_ms() == 0 &&
-      known->second.born_ms() != 0) {
     Answer(aContext,
-           { aCall.mOperation,
-             OperationOutcome::Invalid,
-             "no time of birth",
-             "",
-             "" },
-           NameOf(OperationKind::Withdraw));
+           { aCall.mOperation, OperationOutcome::Done, "known", "", "" },
+           NameOf(OperationKind::Withdraw),
+           subject);
     return;
   }
   wire::CatalogCommand command;
   *command.mutable_remove_target() = removal;
   SubmitCommand(
-    aContext,
-    { aCall.mOperation, OperationKind::Withdraw, "target=" + removal.id() },
-    command);
+    aContext, { aCall.mOperation, OperationKind::Withdraw, subject }, command);
 }
 
 void HandlePutPolicy(Context& aContext, const PutPolicy& aCall)
--- a/tests/catalog_test.cpp
+++ b/tests/catalog_test.cpp
@@ -15,6 +15,11 @@
   CPPUNIT_TEST(TargetWithoutBirthTimeIsIdentifiedById);
   CPPUNIT_TEST(IncarnationCannotChangeServiceOrAddress);
   CPPUNIT_TEST(SnapshotPreservesIncarnations);
+  CPPUNIT_TEST(RemovalWithoutBirthBindsWhatItsSenderCanBe);
+  CPPUNIT_TEST(RemovalWithoutBirthKeepsALaterIncarnation);
+  CPPUNIT_TEST(RemovalWithoutBirthKeepsOutOnlyWhatItRemoved);
+  CPPUNIT_TEST(RemovalWithoutBirthOfAnUnknownIdBlocksNoBirth);
+  CPPUNIT_TEST(RemovalWithoutBirthKeepsOutATargetWithoutBirth);
   CPPUNIT_TEST(LaterEvacuationIsNotUndoneByAnEarlierCopy);
   CPPUNIT_TEST(SnapshotPreservesEvacuations);
   CPPUNIT_TEST_SUITE_END();
@@ -92,6 +97,48 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t(1), mState.mTargets.size());
   }
 
+  void RemovalWithoutBirthBindsWhatItsSenderCanBe()
+  {
+    Announce(kEarly, 1, false);
+    CPPUNIT_ASSERT(RemoveBornUntil(kEarly).accepted());
+    CPPUNIT_ASSERT(mState.mTargets.empty());
+    Announce(kEarly, 2, false);
+    CPPUNIT_ASSERT(mState.mTargets.empty());
+    CPPUNIT_ASSERT(RemoveBornUntil(kLate).accepted());
+  }
+
+  void RemovalWithoutBirthKeepsALaterIncarnation()
+  {
+    Announce(kLate, 1, false);
+    CPPUNIT_ASSERT(RemoveBornUntil(kLate - 1).accepted());
+    Announce(kLate, 2, true);
+    CPPUNIT_ASSERT(mState.mTargets.at("t").draining());
+  }
+
+  // The host that received the call had a clock that is ahead.
+  void RemovalWithoutBirthKeepsOutOnlyWhatItRemoved()
+  {
+    Announce(kEarly, 1, false);
+    (void)RemoveBornUntil(kLate + 1);
+    Announce(kLate, 1, false);
+    CPPUNIT_ASSERT_EQUAL(kLate, mState.mTargets.at("t").born_ms());
+  }
+
+  void RemovalWithoutBirthOfAnUnknownIdBlocksNoBirth()
+  {
+    CPPUNIT_ASSERT(RemoveBornUntil(kLate).accepted());
+    CPPUNIT_ASSERT(mState.mTargets.empty());
+    Announce(kEarly, 1, false);
+    CPPUNIT_ASSERT_EQUAL(kEarly, mState.mTargets.at("t").born_ms());
+  }
+
+  void RemovalWithoutBirthKeepsOutATargetWithoutBirth()
+  {
+    (void)RemoveBornUntil(kLate);
+    Announce(0, 1, false);
+    CPPUNIT_ASSERT(mState.mTargets.empty());
+  }
+
   void LaterEvacuationIsNotUndoneByAnEarlierCopy()
   {
     CPPUNIT_ASSERT(Evacuate(true, 0).accepted());
@@ -164,6 +211,15 @@
     (void)Apply(mState, command);
   }
 
+  wire::CatalogOutcome RemoveBornUntil(std::uint64_t aBornMs)
+  {
+    wire::CatalogCommand command;
+    command.mutable_remove_target()->set_id("t");
+    command.mutable_remove_target()->set_born_ms(aBornMs);
+    command.mutable_remove_target()->set_unstated(true);
+    return Apply(mState, command);
+  }
+
   State mState;
 };
 
--- a/tests/fakes/running_gateway.h
+++ b/tests/fakes/running_gateway.h
@@ -68,6 +68,11 @@
     return Poco::Net::SocketAddress(mSettings.mCallerAddress);
   }
 
+  [[nodiscard]] Poco::Net::SocketAddress CallAddress() const
+  {
+    return Poco::Net::SocketAddress(mSettings.mCallAddresses.front());
+  }
+
   /// \brief Puts the policy and target t1 of service s; false if the host did
   /// not accept them in time. It does once its group has elected a leader.
   [[nodiscard]] bool Announce(const std::string& aPolicy,
--- a/tests/http_server_test.cpp
+++ b/tests/http_server_test.cpp
@@ -26,11 +26,16 @@
 class CountingSink : public RequestSink
 {
 public:
-  void OnRequest(std::uint64_t, HttpRequest) override { ++mRequests; }
+  void OnRequest(std::uint64_t, HttpRequest aRequest) override
+  {
+    ++mRequests;
+    mOpenedAt = aRequest.mOpenedAt;
+  }
   void OnClientDisconnected(std::uint64_t) override { ++mDisconnected; }
   void OnMalformed(int, const std::string&) override { ++mMalformed; }
 
   int mRequests = 0;
+  Micros mOpenedAt = 0;
   int mDisconnected = 0;
   int mMalformed = 0;
 };
@@ -44,6 +49,8 @@
   CPPUNIT_TEST(WaitingConnectionsAreAcceptedTogether);
   CPPUNIT_TEST(RequestOfDisconnectedClientIsDropped);
   CPPUNIT_TEST(RequestOfConnectedClientIsAnswered);
+  CPPUNIT_TEST(ConnectionIsDatedBeforeTheTimeThatItWaited);
+  CPPUNIT_TEST(LaterRequestOfAConnectionHasItsDate);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -86,6 +93,37 @@
     CPPUNIT_ASSERT(answer.rfind("HTTP/1.1 200", 0) == 0);
   }
 
+  // A host that was suspended accepts connections long after they were opened.
+  void ConnectionIsDatedBeforeTheTimeThatItWaited()
+  {
+    Run(kIterations);
+    const Micros openedAt = mNow;
+    SendRequests(1);
+    mNow += 5 * kSecond;
+    Run(kIterations);
+    CPPUNIT_ASSERT_EQUAL(1, mSink.mRequests);
+    CPPUNIT_ASSERT(mSink.mOpenedAt <= openedAt);
+    CPPUNIT_ASSERT(mSink.mOpenedAt > openedAt - 100 * kMillisecond);
+  }
+
+  void LaterRequestOfAConnectionHasItsDate()
+  {
+    Run(kIterations);
+    SendRequests(1);
+    Run(kIterations);
+    const Micros openedAt = mSink.mOpenedAt;
+    mServer.Respond(NextExchangeId() - 1, MakeResponse(200, "", ""));
+    mNow += kSecond;
+    Run(kIterations);
+    const std::string request = "GET / HTTP/1.1\r\nHost: h.example\r\n\r\n";
+    mClients.front()->sendBytes(request.data(),
+                                static_cast<int>(request.size()));
+    Run(kIterations);
+    CPPUNIT_ASSERT_EQUAL(2, mSink.mRequests);
+    CPPUNIT_ASSERT(openedAt > 0);
+    CPPUNIT_ASSERT_EQUAL(openedAt, mSink.mOpenedAt);
+  }
+
 private:
   void SendRequests(int aCount)
   {
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -183,6 +183,11 @@
       std::get<frontend::RemoveTargetCall>(withdraw).mRemoval;
     CPPUNIT_ASSERT_EQUAL(std::string("i-1"), removal.id());
     CPPUNIT_ASSERT_EQUAL(std::uint64_t(1790000000123), removal.born_ms());
+    const frontend::Call bare =
+      Read("POST", "/v1/rpc?call=instances.deregister&of=i-2", "");
+    const auto& unbound = std::get<frontend::RemoveTargetCall>(bare).mRemoval;
+    CPPUNIT_ASSERT_EQUAL(std::string("i-2"), unbound.id());
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t(0), unbound.born_ms());
   }
 
   void InvalidHeartbeatIsRejected()
