--- a/src/frontend/gateway_process.cpp
+++ b/src/frontend/gateway_process.cpp
@@ -9,6 +9,7 @@
 #include <algorithm>
 #include <chrono>
 #include <cstdio>
+#include <ctime>
 #include <random>
 
 namespace geraniumpond::frontend {
@@ -32,6 +33,7 @@
 constexpr Micros kYieldInterval = 40 * kMillisecond;
 constexpr Micros kMaxYield = 40 * kMillisecond;
 constexpr double kBytesPerMegabit = 125000;
+constexpr Micros kNanosecondsPerMicro = 1000;
 
 Micros SteadyNow()
 {
@@ -39,6 +41,14 @@
     .count();
 }
 
+// Advances also while the machine is suspended.
+Micros BootNow()
+{
+  timespec time{};
+  (void)::clock_gettime(CLOCK_BOOTTIME, &time);
+  return time.tv_sec * kSecond + time.tv_nsec / kNanosecondsPerMicro;
+}
+
 Micros WallNow()
 {
   return duration_cast<microseconds>(system_clock::now().time_since_epoch())
@@ -159,6 +169,7 @@
   : mSettings(aSettings)
   , mDialect(aDialect)
   , mClockOffset(WallNow() - SteadyNow())
+  , mTimeOfDayOffset(WallNow() - BootNow())
   , mRandom(RandomUint64())
   , mOutgoingPacer(aSettings.mLinkMbps * kBytesPerMegabit)
   , mIncomingPacer(aSettings.mLinkMbps * kBytesPerMegabit)
@@ -433,7 +444,7 @@
   mOutgoingPacer.Tick(mNow);
   mClientServer->Tick(mNow);
   for (const std::unique_ptr<HttpServer>& server : mCallServers) {
-    server->Tick(mNow);
+    server->Tick(mNow, BootNow() + mTimeOfDayOffset);
   }
 }
 
--- a/src/frontend/http_message.h
+++ b/src/frontend/http_message.h
@@ -41,6 +41,8 @@
   /// Address that the connection comes from, without the port; set by the
   /// server.
   std::string mSender;
+  /// Time of day shortly before its connection was opened.
+  Micros mOpenedAt = 0;
 };
 
 /// \brief A complete response.
