--- a/src/catalog/catalog.cpp
+++ b/src/catalog/catalog.cpp
@@ -79,12 +79,50 @@
   return OutcomeOf(aState, true, "accepted");
 }
 
+void RecordRemoval(State& aState, const std::string& aId, std::uint64_t aBornMs)
+{
+  const auto [entry, added] = aState.mRemoved.emplace(aId, aBornMs);
+  entry->second = std::max(entry->second, aBornMs);
+  if (added) {
+    aState.mRemovedOrder.push_back(aId);
+  }
+  if (aState.mRemovedOrder.size() > kMaxRemovedTargets) {
+    aState.mRemoved.erase(aState.mRemovedOrder.front());
+    aState.mRemovedOrder.pop_front();
+  }
+}
+
+// Births say which of two targets at one address came later.
+bool IsLaterAtSameAddress(const wire::TargetRecord& aLater,
+                          const wire::TargetRecord& aEarlier)
+{
+  return aLater.address() == aEarlier.address() &&
+         aLater.id() != aEarlier.id() && aEarlier.born_ms() != 0 &&
+         aLater.born_ms() > aEarlier.born_ms();
+}
+
+// An address belongs to one target at a time: whoever had it before is gone,
+// whether it said so or not.
+void RemoveEarlierAtSameAddress(State& aState,
+                                const wire::TargetRecord& aRecord)
+{
+  for (auto it = aState.mTargets.begin(); it != aState.mTargets.end();) {
+    if (!IsLaterAtSameAddress(aRecord, it->second)) {
+      ++it;
+      continue;
+    }
+    RecordRemoval(aState, it->first, it->second.born_ms());
+    it = aState.mTargets.erase(it);
+  }
+}
+
 wire::CatalogOutcome ApplyTarget(State& aState,
                                  const wire::TargetRecord& aRecord)
 {
   if (!ChangesState(aState, aRecord)) {
     return OutcomeOf(aState, true, "known");
   }
+  RemoveEarlierAtSameAddress(aState, aRecord);
   wire::TargetRecord& known = aState.mTargets[aRecord.id()];
   // Draining is final for an incarnation; a later incarnation of the same
   // target does not inherit it.
@@ -95,19 +133,6 @@
   return OutcomeOf(aState, true, "noted");
 }
 
-void RecordRemoval(State& aState, const std::string& aId, std::uint64_t aBornMs)
-{
-  const auto [entry, added] = aState.mRemoved.emplace(aId, aBornMs);
-  entry->second = std::max(entry->second, aBornMs);
-  if (added) {
-    aState.mRemovedOrder.push_back(aId);
-  }
-  if (aState.mRemovedOrder.size() > kMaxRemovedTargets) {
-    aState.mRemoved.erase(aState.mRemovedOrder.front());
-    aState.mRemovedOrder.pop_front();
-  }
-}
-
 wire::CatalogOutcome ApplyRemoval(State& aState,
                                   const wire::RemoveTarget& aRemoval)
 {
@@ -187,7 +212,10 @@
   }
   const auto found = aState.mTargets.find(aRecord.id());
   if (found == aState.mTargets.end()) {
-    return true;
+    return std::none_of(
+      aState.mTargets.begin(), aState.mTargets.end(), [&](const auto& aKnown) {
+        return IsLaterAtSameAddress(aKnown.second, aRecord);
+      });
   }
   return ChangesRecord(found->second, aRecord);
 }
--- a/src/dispatch/targets.cpp
+++ b/src/dispatch/targets.cpp
@@ -138,19 +138,37 @@
   DivideRate(aState, aNow, target);
 }
 
+// A host that has just started is told of its targets all at once, some of
+// which may have ended long ago.
+bool HasJustLearntTargets(const State& aState, const Service& aService)
+{
+  return aService.mTargets.size() > kMaxSeparateLogLines &&
+         std::all_of(aService.mTargets.begin(),
+                     aService.mTargets.end(),
+                     [&](const std::string& aId) {
+                       const Target& target = aState.mTargets.at(aId);
+                       return target.mProbeSentAt == 0 &&
+                              target.mNextProbeAt == 0;
+                     });
+}
+
 // The first probe opens a connection and learns whether a target reports its
-// load. Targets outside the subset are probed only when they are needed.
+// load, and whether it is there at all: after a start the first requests should
+// not have to find that out. Targets outside the subset are probed only when
+// they are needed.
 void ScheduleFirstProbes(State& aState, Micros aNow, const Service& aService)
 {
   // A service that no policy names has no known health path.
   if (!aState.mPolicy || aState.mPolicy->mServices.count(aService.mName) == 0) {
     return;
   }
+  const Micros delay =
+    HasJustLearntTargets(aState, aService) ? 0 : kNewTargetProbeDelay;
   for (const std::string& id : aService.mSubset) {
     Target& target = aState.mTargets[id];
     if (!target.mProbing && target.mProbeSentAt == 0 &&
         target.mNextProbeAt == 0) {
-      target.mNextProbeAt = aNow + kNewTargetProbeDelay;
+      target.mNextProbeAt = aNow + delay;
       aState.mProbeTimers.emplace(target.mNextProbeAt, id);
     }
   }
--- a/tests/catalog_test.cpp
+++ b/tests/catalog_test.cpp
@@ -14,6 +14,9 @@
   CPPUNIT_TEST(RemovedIncarnationStaysRemovedButLaterOneIsAccepted);
   CPPUNIT_TEST(TargetWithoutBirthTimeIsIdentifiedById);
   CPPUNIT_TEST(IncarnationCannotChangeServiceOrAddress);
+  CPPUNIT_TEST(LaterTargetAtAnAddressReplacesTheEarlierOne);
+  CPPUNIT_TEST(LateAnnouncementAtATakenAddressIsIgnored);
+  CPPUNIT_TEST(TargetsWithoutBirthTimesMayShareAnAddress);
   CPPUNIT_TEST(SnapshotPreservesIncarnations);
   CPPUNIT_TEST(LaterEvacuationIsNotUndoneByAnEarlierCopy);
   CPPUNIT_TEST(SnapshotPreservesEvacuations);
@@ -79,6 +82,33 @@
                          mState.mTargets.at("t").address());
   }
 
+  void LaterTargetAtAnAddressReplacesTheEarlierOne()
+  {
+    Announce(kEarly, 1, false);
+    AnnounceOther(kLate);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(0), mState.mTargets.count("t"));
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), mState.mTargets.count("other"));
+    CPPUNIT_ASSERT(IsRemoved(mState, "t", kEarly));
+    CPPUNIT_ASSERT(!IsRemoved(mState, "t", kLate));
+  }
+
+  void LateAnnouncementAtATakenAddressIsIgnored()
+  {
+    AnnounceOther(kLate);
+    CPPUNIT_ASSERT(
+      !ChangesState(mState, Announcement(kEarly, 1, false).put_target()));
+    Announce(kEarly, 1, false);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(0), mState.mTargets.count("t"));
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), mState.mTargets.count("other"));
+  }
+
+  void TargetsWithoutBirthTimesMayShareAnAddress()
+  {
+    Announce(0, 1, false);
+    AnnounceOther(kLate);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(2), mState.mTargets.size());
+  }
+
   void SnapshotPreservesIncarnations()
   {
     Announce(kEarly, 1, false);
@@ -156,6 +186,13 @@
     (void)Apply(mState, Announcement(aBornMs, aSequence, aDraining));
   }
 
+  void AnnounceOther(std::uint64_t aBornMs)
+  {
+    wire::CatalogCommand command = Announcement(aBornMs, 1, false);
+    command.mutable_put_target()->set_id("other");
+    (void)Apply(mState, command);
+  }
+
   void Remove(std::uint64_t aBornMs)
   {
     wire::CatalogCommand command;
