--- a/src/dispatch/waiting.cpp
+++ b/src/dispatch/waiting.cpp
@@ -364,10 +364,10 @@
     aRequest.mPriority = aPriority;
     return;
   }
-  std::set<WaitKey>& waiting = aState.mServices[aRequest.mService].mWaiting;
-  waiting.erase({ aRequest.mPriority, aRequest.mDeadline, aRequest.mId });
+  fair_queue::Queue& waiting = aState.mServices[aRequest.mService].mWaiting;
+  fair_queue::Remove(waiting, aRequest.mId);
   aRequest.mPriority = aPriority;
-  waiting.insert({ aPriority, aRequest.mDeadline, aRequest.mId });
+  fair_queue::Add(waiting, EntryOf(aState, aRequest));
 }
 
 void ServeQueue(State& aState,
