Keep waiting requests as they are where no policy has accounts

A new policy judged all requests under way again, so that a changed priority of a route moved requests that wait also where there are no accounts, which was not so before. Only requests with an account, or under a policy with accounts, are bound anew. AuthorisationTest has the case.

--- a/src/dispatch/authorisation.cpp
+++ b/src/dispatch/authorisation.cpp
@@ -120,6 +120,14 @@
   }
 }
 
+// Without accounts, requests keep what they were admitted with.
+bool IsBoundAnew(const State& aState, const Request& aRequest)
+{
+  const bool hadAccount =
+    !aRequest.mAccount.empty() || aRequest.mCredentials.mIsRevoked;
+  return !aRequest.mDetached && (HidesKeys(aState) || hadAccount);
+}
+
 } // namespace
 
 bool HidesKeys(const State& aState) noexcept
@@ -218,7 +226,7 @@
   const RoutesByName routes = IndexByName(*aState.mPolicy);
   std::vector<std::uint64_t> ids;
   for (const auto& [id, request] : aState.mRequests) {
-    if (!request.mDetached) {
+    if (IsBoundAnew(aState, request)) {
       ids.push_back(id);
     }
   }
--- a/tests/authorisation_test.cpp
+++ b/tests/authorisation_test.cpp
@@ -77,6 +77,7 @@
   CPPUNIT_TEST(TargetIsToldTheAccount);
   CPPUNIT_TEST(PublicRouteNeedsNoKey);
   CPPUNIT_TEST(WithoutAccountsKeysAreLeftAlone);
+  CPPUNIT_TEST(WithoutAccountsWaitingRequestsStayAsTheyAre);
   CPPUNIT_TEST(RequestsBeforeTheFirstPolicyAreJudgedByIt);
   CPPUNIT_TEST(WaitingRequestWhoseKeyIsTakenAwayIsUnauthorised);
   CPPUNIT_TEST(RouteThatIsPublicNoMoreNeedsAKeyOfThoseThatWait);
@@ -157,6 +158,20 @@
     CPPUNIT_ASSERT(!sent.mHidesKey);
   }
 
+  void WithoutAccountsWaitingRequestsStayAsTheyAre()
+  {
+    auto policy = Both();
+    policy->mAccounts.reset();
+    Apply(policy);
+    const std::uint64_t waiting = Arrive("/unsafe/x", "");
+    auto next = std::make_shared<policy::TrafficPolicy>(*policy);
+    for (policy::Route& route : next->mRoutes) {
+      route.mPriority = 1;
+    }
+    Apply(next);
+    CPPUNIT_ASSERT_EQUAL(5, mHost->mState.mRequests.at(waiting).mPriority);
+  }
+
   void RequestsBeforeTheFirstPolicyAreJudgedByIt()
   {
     mHost->mState.mPolicy.reset();
