Read the fields of other hosts one by one

The linter found two equal branches in the function that reads them, which was long as well. Reading one field is a function of its own now; what is read is the same (RequestFieldsTest, GatewayAccountsTest, GatewayRelayTest).

--- a/src/frontend/request_fields.cpp
+++ b/src/frontend/request_fields.cpp
@@ -46,6 +46,38 @@
           !IsAccountField(aNames, aName));
 }
 
+// Reads one field; false if its value is not readable.
+bool ReadRelayField(const FieldNames& aNames,
+                    const std::pair<std::string, std::string>& aField,
+                    RelayFields& aOut)
+{
+  const auto& [name, value] = aField;
+  if (EqualIgnoringCase(name, aNames.mRelayedAccount)) {
+    aOut.mAccount = value;
+    return true;
+  }
+  if (EqualIgnoringCase(name, aNames.mRelayedAfter)) {
+    Poco::Int64 milliseconds = 0;
+    const bool isRead = Poco::NumberParser::tryParse64(value, milliseconds);
+    const Micros after =
+      std::clamp<Micros>(milliseconds, 0, kLongestRelayTime / kMillisecond);
+    aOut.mAfter =
+      isRead ? std::optional<Micros>(after * kMillisecond) : std::nullopt;
+    return isRead;
+  }
+  if (EqualIgnoringCase(name, aNames.mRelayedIdentity)) {
+    Poco::UInt64 identity = 0;
+    const bool isRead = Poco::NumberParser::tryParseHex64(value, identity);
+    aOut.mIdentity =
+      isRead ? std::optional<std::uint64_t>(identity) : std::nullopt;
+    return isRead;
+  }
+  double pace = 0;
+  const bool isRead = Poco::NumberParser::tryParseFloat(value, pace);
+  aOut.mBytesPerSecond = isRead && pace >= kMinPace ? pace : 0;
+  return isRead;
+}
+
 } // namespace
 
 std::optional<accounts::KeyDigest> ParseKey(const HeaderFields& aFields,
@@ -81,34 +113,16 @@
                              const FieldNames& aNames)
 {
   RelayFields read;
-  Poco::Int64 milliseconds = 0;
-  Poco::UInt64 identity = 0;
-  double pace = 0;
   for (auto field = aFields.begin(); field != aFields.end(); ++field) {
-    const std::string& name = field->first;
-    const std::string& value = field->second;
-    if (!IsRelayField(aNames, name)) {
+    if (!IsRelayField(aNames, field->first)) {
       continue;
     }
     read.mAny = true;
-    if (std::any_of(aFields.begin(), field, [&](const auto& aEarlier) {
-          return EqualIgnoringCase(aEarlier.first, name);
-        })) {
-      read.mUnsound = true;
-    } else if (EqualIgnoringCase(name, aNames.mRelayedAccount)) {
-      read.mAccount = value;
-    } else if (EqualIgnoringCase(name, aNames.mRelayedAfter) &&
-               Poco::NumberParser::tryParse64(value, milliseconds)) {
-      read.mAfter =
-        std::clamp<Micros>(milliseconds, 0, kLongestRelayTime / kMillisecond) *
-        kMillisecond;
-    } else if (EqualIgnoringCase(name, aNames.mRelayedIdentity) &&
-               Poco::NumberParser::tryParseHex64(value, identity)) {
-      read.mIdentity = identity;
-    } else if (EqualIgnoringCase(name, aNames.mAnswerPace) &&
-               Poco::NumberParser::tryParseFloat(value, pace)) {
-      read.mBytesPerSecond = pace >= kMinPace ? pace : 0;
-    } else {
+    const bool isRepeated =
+      std::any_of(aFields.begin(), field, [&](const auto& aEarlier) {
+        return EqualIgnoringCase(aEarlier.first, field->first);
+      });
+    if (isRepeated || !ReadRelayField(aNames, *field, read)) {
       read.mUnsound = true;
     }
   }
