Keep requests in the regions that route and account name

A request is now bound when it is admitted, and again by each newer policy while it is in hand: choice, probes, hedges and retries look at targets of these regions only, its body is passed on to hosts there only, and without a target left it is refused at once. Route and account bind together; a data centre of no known region is in none. The directory is asked with the host name, region and data centre, and names hosts of the regions that all routes of that name share, or of the client's own, before others.

The region of each data centre is a setting, checked; without it all are one region and the names bind nothing. Where no region is named, a flag of the request is looked at. The route's regions are read from the platform's documents.

Run: RegionsTest (15), PlatformTest (13), RelayTest (16), DispatchTest (33), linked apart while the rest was built.

--- a/include/geraniumpond/dispatch.h
+++ b/include/geraniumpond/dispatch.h
@@ -98,6 +98,10 @@
   /// Caller addresses of hosts of this data centre whose links are so much
   /// faster than this host's that its large answers hardly occupy them.
   std::vector<std::string> mFastHosts;
+  /// Region of each data centre; and, while the policy names regions, the data
+  /// centres of the hosts by caller address.
+  regions::Map mRegions;
+  std::map<std::string, std::string> mHostDataCentres;
   /// Limits of targets that are not known yet.
   std::map<std::string, gossip::Item> mEarlyLimits;
   Counters mCounters;
--- a/include/geraniumpond/dispatch/requests.h
+++ b/include/geraniumpond/dispatch/requests.h
@@ -2,6 +2,7 @@
 
 #include <geraniumpond/accounts.h>
 #include <geraniumpond/policy.h>
+#include <geraniumpond/regions.h>
 #include <geraniumpond/time.h>
 
 #include <cstdint>
@@ -76,6 +77,8 @@
   std::set<std::string> mHostsTried;
   /// Name of its client account; empty if it has none.
   std::string mAccount;
+  /// Regions that its route and account bind it to.
+  regions::Homes mHomes;
 };
 
 /// \brief A client's request that has been read completely.
--- a/include/geraniumpond/gateway.h
+++ b/include/geraniumpond/gateway.h
@@ -31,6 +31,8 @@
   PolicyDecoder mDecodePolicy = nullptr;
   /// All data centres; empty if they are not configured.
   std::vector<std::string> mDataCentres;
+  /// Region of each data centre; empty if all are one region.
+  regions::Map mRegions;
   /// Speed of the host's network link, in bytes per second.
   double mLinkBytesPerSecond = 125e6;
   /// Time for which clients cache a directory answer.
@@ -269,8 +271,19 @@
 /// reachable only once it has answered.
 [[nodiscard]] std::string PolicyRedirect(const State& aState, Micros aNow);
 
-/// \brief Gateway addresses returned to a client in a data centre.
-[[nodiscard]] std::vector<std::string>
-AddressesFor(State& aState, const std::string& aDataCentre, Micros aNow);
+/// \brief What a client that looks up hosts says of itself; what it leaves out
+/// is empty.
+struct Lookup
+{
+  std::string mDataCentre{};
+  std::string mRegion{};
+  /// Host name of the requests that it is going to send.
+  std::string mHostName{};
+};
+
+/// \brief Gateway addresses returned to a client.
+[[nodiscard]] std::vector<std::string> AddressesFor(State& aState,
+                                                    const Lookup& aLookup,
+                                                    Micros aNow);
 
 } // namespace geraniumpond::gateway
--- a/include/geraniumpond/gateway_settings.h
+++ b/include/geraniumpond/gateway_settings.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <geraniumpond/regions.h>
 #include <geraniumpond/settings.h>
 
 #include <string>
@@ -36,6 +37,8 @@
   bool mFounding = false;
   /// All data centres; if there are none, an operator may name any.
   std::vector<std::string> mDataCentres;
+  /// Region of each data centre; empty if all are one region.
+  regions::Map mRegions;
   /// Disks that may be lost at once without losing acknowledged changes.
   int mToleratedLosses = 0;
 
--- a/include/geraniumpond/policy.h
+++ b/include/geraniumpond/policy.h
@@ -100,6 +100,10 @@
   std::optional<accounts::Book> mAccounts;
   /// Index of a route by host name and prefix; see BuildIndex().
   std::unordered_map<std::string, std::size_t> mIndex;
+  /// Whether any route or account names regions, and, by host name, the regions
+  /// that all of its routes with regions name; see BuildIndex().
+  bool mNamesRegions = false;
+  std::unordered_map<std::string, std::vector<std::string>> mSharedRegions;
 };
 
 /// \brief Maximum timeout of a route.
@@ -109,7 +113,7 @@
 /// \return A message for each error; empty if it is valid.
 [[nodiscard]] std::vector<std::string> Validate(const TrafficPolicy& aPolicy);
 
-/// \brief Builds the index that FindRoute() needs.
+/// \brief Builds the indexes that FindRoute() and FindSharedRegions() need.
 void BuildIndex(TrafficPolicy& aPolicy);
 
 /// \brief The route of a request, or null. The host may include a port and the
@@ -118,6 +122,12 @@
                                      std::string_view aHost,
                                      std::string_view aPath);
 
+/// \brief The regions that all routes with regions of a host name share; null
+/// where none of its routes names any. The host may include a port.
+[[nodiscard]] const std::vector<std::string>* FindSharedRegions(
+  const TrafficPolicy& aPolicy,
+  std::string_view aHost);
+
 /// \brief Chooses a service by weight; `aPoint` is a uniform random number in
 /// [0, 1).
 [[nodiscard]] const std::string& PickBackend(const Route& aRoute,
--- a/src/config/gateway_settings.cpp
+++ b/src/config/gateway_settings.cpp
@@ -28,6 +28,7 @@
     { "fleet", "seeds", ValueType::AddressList, nullptr },
     { "fleet", "founding", ValueType::Boolean, "no" },
     { "fleet", "data_centres", ValueType::OptionalText, "" },
+    { "fleet", "regions", ValueType::OptionalText, "" },
     { "fleet", "tolerated_losses", ValueType::Integer, "0", 0, 100 },
     { "bounds", "answer_keep", ValueType::Duration, "1200ms" },
     { "bounds", "stop_grace", ValueType::Duration, "6s" },
@@ -82,6 +83,41 @@
     static_cast<int>(aSection.Integer("tolerated_losses"));
 }
 
+// Each entry names a data centre and its region.
+void ReadRegions(const Section& aSection,
+                 const std::string& aFile,
+                 Checked<GatewaySettings>& aOut)
+{
+  regions::Map& map = aOut.mValue.mRegions;
+  for (const std::string& entry : aSection.List("regions")) {
+    const std::size_t sign = entry.find('=');
+    const bool isPair =
+      sign != std::string::npos && sign > 0 && sign + 1 < entry.size();
+    if (!isPair ||
+        !map.emplace(entry.substr(0, sign), entry.substr(sign + 1)).second) {
+      aOut.mFaults.push_back({ aFile,
+                               aSection.mLine,
+                               "fleet/regions",
+                               entry,
+                               "data_centre=region, each data centre once" });
+    }
+  }
+}
+
+// Otherwise no request that is bound to a region could be served here.
+void CheckOwnRegion(const std::string& aFile, Checked<GatewaySettings>& aOut)
+{
+  const GatewaySettings& settings = aOut.mValue;
+  if (!settings.mRegions.empty() &&
+      settings.mRegions.count(settings.mDataCentre) == 0) {
+    aOut.mFaults.push_back({ aFile,
+                             0,
+                             "fleet/regions",
+                             "none for " + settings.mDataCentre,
+                             "one for the data centre of this host" });
+  }
+}
+
 void ReadBounds(const Section& aSection, GatewaySettings& aOut)
 {
   aOut.mAnswerKeep = aSection.Duration("answer_keep");
@@ -133,6 +169,7 @@
       ReadListen(section, result.mValue);
     } else if (section.mType == "fleet") {
       ReadFleet(section, result.mValue);
+      ReadRegions(section, aFile, result);
     } else if (section.mType == "bounds") {
       ReadBounds(section, result.mValue);
     } else if (section.mType == "requests") {
@@ -141,6 +178,7 @@
       ReadLog(section, result.mValue);
     }
   }
+  CheckOwnRegion(aFile, result);
   return result;
 }
 
--- a/src/dispatch/admission.cpp
+++ b/src/dispatch/admission.cpp
@@ -147,6 +147,7 @@
   if (verdict != quarantine::Verdict::Clear) {
     request.mMaxAttempts = 1;
   }
+  BindToHomes(aState, *route, request);
   const Micros wait = ExpectedWait(service, request);
   Request& added = aState.mRequests[request.mId] = std::move(request);
   ResetUnmeetableEstimate(aState, aNow, added);
--- a/src/dispatch/choice.cpp
+++ b/src/dispatch/choice.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <iterator>
 #include <limits>
 #include <map>
 #include <utility>
@@ -40,11 +41,16 @@
 /// Size assumed for a download of a route without answers yet.
 constexpr double kInitialDownloadBytes = 100000;
 
-std::vector<Target*> AllTargets(State& aState, const Service& aService)
+std::vector<Target*> AllTargets(State& aState,
+                                const Service& aService,
+                                const Request& aRequest)
 {
   std::vector<Target*> all;
   for (const std::string& id : aService.mTargets) {
-    all.push_back(&aState.mTargets.at(id));
+    Target& target = aState.mTargets.at(id);
+    if (MayReach(aState, aRequest, target)) {
+      all.push_back(&target);
+    }
   }
   return all;
 }
@@ -99,7 +105,7 @@
     targets.begin(), targets.end(), [&](const std::string& aId) {
       const Target& target = aState.mTargets.at(aId);
       return aRequest.mTried.count(aId) == 0 && !target.mLeaving &&
-             HasLimitShare(target, aNow);
+             HasLimitShare(target, aNow) && MayReach(aState, aRequest, target);
     });
 }
 
@@ -137,7 +143,7 @@
     std::count_if(subset.begin(), subset.end(), [&](const std::string& aId) {
       const Target& target = aState.mTargets.at(aId);
       return !target.mUnavailable && !target.mLeaving &&
-             HasLimitShare(target, aNow);
+             HasLimitShare(target, aNow) && MayReach(aState, aRequest, target);
     }));
   return *aCache.mUsable;
 }
@@ -238,23 +244,13 @@
   return found == aCache.mFresh.end() ? nullptr : *found;
 }
 
-} // namespace
-
-Micros GiveUpAt(const Request& aRequest, const Need& aNeed)
-{
-  const Micros total = aRequest.mDeadline - aRequest.mArrivedAt;
-  const auto reserved =
-    static_cast<Micros>(kTimeKeptForRetry * static_cast<double>(total));
-  return aRequest.mDeadline - std::max(reserved, aNeed.mWork + kRecheckDelay);
-}
-
 // A request waits for a target that meets its objective as long as one may
 // become available in time: targets change their speed several times a second.
-Choice Choose(State& aState,
-              PassCache& aCache,
-              const Request& aRequest,
-              const Need& aNeed,
-              Micros aNow)
+Choice ChooseAmong(State& aState,
+                   PassCache& aCache,
+                   const Request& aRequest,
+                   const Need& aNeed,
+                   Micros aNow)
 {
   if (!FitsLink(aState, aNeed)) {
     const bool canWait = aNow < GiveUpAt(aRequest, aNeed);
@@ -270,9 +266,10 @@
   const bool late = aNow + aNeed.mWork > aRequest.mObjectiveAt;
   const bool mayProbe =
     reportsLoad && aRequest.mProbeRound < (late ? 1 : kProbeRounds);
-  Target* best = reportsLoad
-                   ? BestFresh(aCache, aRequest, aNeed, aNow)
-                   : Best(AllTargets(aState, service), aRequest, aNeed, aNow);
+  Target* best =
+    reportsLoad
+      ? BestFresh(aCache, aRequest, aNeed, aNow)
+      : Best(AllTargets(aState, service, aRequest), aRequest, aNeed, aNow);
   if (best != nullptr && HasFreeSlot(*best, aNow) &&
       (IsUncrowded(*best, aNeed.mService->mCurve, aNow) ||
        aNeed.mService->mSpareCapacityShare > kAmpleSpareCapacity) &&
@@ -286,9 +283,10 @@
     return { Verdict::NoTarget, nullptr };
   }
   if (aRequest.mHedging) {
-    best = best != nullptr
-             ? best
-             : Best(AllTargets(aState, service), aRequest, aNeed, aNow);
+    best =
+      best != nullptr
+        ? best
+        : Best(AllTargets(aState, service, aRequest), aRequest, aNeed, aNow);
     return ChooseHedge(aRequest, aNeed, best, aNow);
   }
   const auto wanted = static_cast<Micros>(kWorkMargin * aNeed.mWork);
@@ -298,6 +296,44 @@
   return LateChoice(aState, aCache, aRequest, aNeed, best, aNow);
 }
 
+// What other requests share covers targets that this one may not reach.
+Choice ChooseWithinHomes(State& aState,
+                         const PassCache& aCache,
+                         const Request& aRequest,
+                         const Need& aNeed,
+                         Micros aNow)
+{
+  PassCache own;
+  std::copy_if(aCache.mFresh.begin(),
+               aCache.mFresh.end(),
+               std::back_inserter(own.mFresh),
+               [&](const Target* aTarget) {
+                 return MayReach(aState, aRequest, *aTarget);
+               });
+  return ChooseAmong(aState, own, aRequest, aNeed, aNow);
+}
+
+} // namespace
+
+Micros GiveUpAt(const Request& aRequest, const Need& aNeed)
+{
+  const Micros total = aRequest.mDeadline - aRequest.mArrivedAt;
+  const auto reserved =
+    static_cast<Micros>(kTimeKeptForRetry * static_cast<double>(total));
+  return aRequest.mDeadline - std::max(reserved, aNeed.mWork + kRecheckDelay);
+}
+
+Choice Choose(State& aState,
+              PassCache& aCache,
+              const Request& aRequest,
+              const Need& aNeed,
+              Micros aNow)
+{
+  return aRequest.mHomes.mBound
+           ? ChooseWithinHomes(aState, aCache, aRequest, aNeed, aNow)
+           : ChooseAmong(aState, aCache, aRequest, aNeed, aNow);
+}
+
 Need NeedOf(const State& aState, const Request& aRequest)
 {
   Need need;
--- a/src/dispatch/internal.h
+++ b/src/dispatch/internal.h
@@ -334,6 +334,24 @@
                    const std::string& aReason,
                    Effects& aOut);
 
+// --- homes.cpp: requests that the policy binds to regions
+/// \brief Binds a request to the regions of its route and its account.
+void BindToHomes(const State& aState,
+                 const policy::Route& aRoute,
+                 Request& aRequest);
+/// \brief The same for all requests, by a policy that has just come into force;
+/// `aNamedBefore` if the one before named regions.
+void RebindToHomes(State& aState, bool aNamedBefore);
+/// \brief True unless the target is in another region than the request may
+/// reach.
+[[nodiscard]] bool MayReach(const State& aState,
+                            const Request& aRequest,
+                            const Target& aTarget);
+/// \brief The same for a host, by its caller address.
+[[nodiscard]] bool MayPassTo(const State& aState,
+                             const Request& aRequest,
+                             const std::string& aHost);
+
 // --- requests.cpp: the steps of one request
 void SendTo(State& aState,
             Micros aNow,
--- a/src/dispatch/probing.cpp
+++ b/src/dispatch/probing.cpp
@@ -27,7 +27,8 @@
   for (const std::string& id : aIds) {
     Target& target = aState.mTargets[id];
     if (target.mUnavailable == aUnavailable && AcceptsRequests(target, aNow) &&
-        aRequest.mTried.count(id) == 0 && aRequest.mProbed.count(id) == 0) {
+        aRequest.mTried.count(id) == 0 && aRequest.mProbed.count(id) == 0 &&
+        MayReach(aState, aRequest, target)) {
       usable.push_back(&target);
     }
   }
--- a/src/dispatch/relay.cpp
+++ b/src/dispatch/relay.cpp
@@ -43,7 +43,7 @@
   std::uint64_t candidates = 0;
   for (const std::string& host : aHosts) {
     if (aRequest.mHostsTried.count(host) != 0 ||
-        IsAvoided(aService, host, aNow)) {
+        IsAvoided(aService, host, aNow) || !MayPassTo(aState, aRequest, host)) {
       continue;
     }
     ++candidates;
--- a/src/dispatch/targets.cpp
+++ b/src/dispatch/targets.cpp
@@ -206,7 +206,9 @@
                Micros aNow,
                std::shared_ptr<const policy::TrafficPolicy> aPolicy)
 {
+  const bool namedRegions = aState.mPolicy && aState.mPolicy->mNamesRegions;
   aState.mPolicy = std::move(aPolicy);
+  RebindToHomes(aState, namedRegions);
   for (const auto& [name, rules] : aState.mPolicy->mServices) {
     Service& service = aState.mServices[name];
     service.mName = name;
--- a/src/dispatch/waiting.cpp
+++ b/src/dispatch/waiting.cpp
@@ -273,12 +273,14 @@
   }
 }
 
-// True for requests of one route with the same latency objective.
+// True for requests of one route with the same latency objective and homes.
 bool HaveSameNeed(const Request& aLeft, const Request& aRight)
 {
   return aLeft.mObjectiveAt - aLeft.mArrivedAt ==
            aRight.mObjectiveAt - aRight.mArrivedAt &&
-         aLeft.mRoute == aRight.mRoute;
+         aLeft.mRoute == aRight.mRoute &&
+         aLeft.mHomes.mBound == aRight.mHomes.mBound &&
+         aLeft.mHomes.mRegions == aRight.mHomes.mRegions;
 }
 
 } // namespace
--- a/src/frontend/dialect.h
+++ b/src/frontend/dialect.h
@@ -67,7 +67,7 @@
 };
 struct ResolveCall
 {
-  std::string mDataCentre;
+  gateway::Lookup mLookup{};
 };
 struct ReadinessCall
 {};
--- a/src/frontend/gateway_calls.cpp
+++ b/src/frontend/gateway_calls.cpp
@@ -32,7 +32,7 @@
       aExchange, std::move(evacuation->mDataCentre), evacuation->mEvacuated });
   } else if (const auto* resolve = std::get_if<ResolveCall>(&call)) {
     const std::vector<std::string> addresses =
-      gateway::AddressesFor(mState, resolve->mDataCentre, mNow);
+      gateway::AddressesFor(mState, resolve->mLookup, mNow);
     RespondToCall(
       aExchange,
       addresses.empty()
--- a/src/frontend/gateway_process.cpp
+++ b/src/frontend/gateway_process.cpp
@@ -223,6 +223,7 @@
   settings.mFleet.mToleratedLosses = mSettings.mToleratedLosses;
   settings.mFleet.mLinkMbps = mSettings.mLinkMbps;
   settings.mDataCentres = mSettings.mDataCentres;
+  settings.mRegions = mSettings.mRegions;
   settings.mBounds.mExtraRatio = mSettings.mExtraRatio;
   settings.mBounds.mExtraFloor = mSettings.mExtraFloor;
   settings.mBounds.mExtraWindow = mSettings.mExtraWindow;
--- a/src/frontend/native_dialect.cpp
+++ b/src/frontend/native_dialect.cpp
@@ -85,6 +85,21 @@
   return SetEvacuationCall{ aDataCentre, isPut };
 }
 
+Call ParseLookup(const Poco::URI& aUri)
+{
+  ResolveCall call;
+  for (const auto& [name, value] : aUri.getQueryParameters()) {
+    if (name == "data_centre") {
+      call.mLookup.mDataCentre = value;
+    } else if (name == "region") {
+      call.mLookup.mRegion = value;
+    } else if (name == "host") {
+      call.mLookup.mHostName = value;
+    }
+  }
+  return call;
+}
+
 Call ParsePath(const HttpRequest& aRequest)
 {
   const Poco::URI uri(aRequest.mTarget);
@@ -104,12 +119,7 @@
     return ReadPolicyCall{};
   }
   if (path == "/resolve") {
-    for (const auto& [name, value] : uri.getQueryParameters()) {
-      if (name == "data_centre") {
-        return ResolveCall{ value };
-      }
-    }
-    return ResolveCall{};
+    return ParseLookup(uri);
   }
   if (path == "/ready") {
     return ReadinessCall{};
--- a/src/gateway/directory.cpp
+++ b/src/gateway/directory.cpp
@@ -1,6 +1,7 @@
-#include <geraniumpond/gateway.h>
+#include "internal.h"
 
 #include <algorithm>
+#include <iterator>
 
 // Which hosts clients and policy reads are directed to.
 namespace geraniumpond::gateway {
@@ -16,8 +17,53 @@
 /// would delay clients' answers on the same link.
 constexpr Micros kMaxDocumentTime = 100 * kMillisecond;
 
+// Clients whose requests are bound to regions are led there, or stay in their
+// own: elsewhere the bodies of their requests must not go.
+std::vector<const fleet::Host*> HostsFor(const State& aState,
+                                         const Lookup& aLookup,
+                                         Micros aNow)
+{
+  std::vector<const fleet::Host*> hosts =
+    fleet::HostsForClients(aState.mFleet, aNow);
+  const auto& policy = aState.mDispatch.mPolicy;
+  const std::vector<std::string>* shared =
+    policy ? policy::FindSharedRegions(*policy, aLookup.mHostName) : nullptr;
+  if (shared == nullptr) {
+    return hosts;
+  }
+  const regions::Map& map = aState.mSettings.mRegions;
+  regions::Homes near{ true, *shared };
+  near.mRegions.push_back(aLookup.mRegion.empty()
+                            ? regions::RegionOf(map, aLookup.mDataCentre)
+                            : aLookup.mRegion);
+  std::vector<const fleet::Host*> within;
+  std::copy_if(hosts.begin(),
+               hosts.end(),
+               std::back_inserter(within),
+               [&](const fleet::Host* aHost) {
+                 return regions::Allows(map, near, aHost->mDataCentre);
+               });
+  return within.empty() ? hosts : within;
+}
+
 } // namespace
 
+// Requests that are bound to regions are passed on to hosts there only.
+void UpdateHostDataCentres(Context& aContext)
+{
+  State& state = aContext.mState;
+  std::map<std::string, std::string>& known = state.mDispatch.mHostDataCentres;
+  known.clear();
+  const auto& policy = state.mDispatch.mPolicy;
+  if (!policy || !policy->mNamesRegions) {
+    return;
+  }
+  for (const fleet::Host* host :
+       fleet::HostsForClients(state.mFleet, aContext.mNow)) {
+    known[host->mCallerAddress] = host->mDataCentre;
+  }
+}
+
 // Control hosts answer reads themselves: their links are fast, and an
 // unreachable leader must not make reads fail on the other hosts.
 std::string PolicyRedirect(const State& aState, Micros aNow)
@@ -38,13 +84,13 @@
 // that loses its own data centre cannot get a new answer. Each answer is
 // shuffled anew to spread the load evenly.
 std::vector<std::string> AddressesFor(State& aState,
-                                      const std::string& aDataCentre,
+                                      const Lookup& aLookup,
                                       Micros aNow)
 {
   std::vector<std::string> local;
   std::vector<std::string> others;
-  for (const fleet::Host* host : fleet::HostsForClients(aState.mFleet, aNow)) {
-    const bool near = host->mDataCentre == aDataCentre;
+  for (const fleet::Host* host : HostsFor(aState, aLookup, aNow)) {
+    const bool near = host->mDataCentre == aLookup.mDataCentre;
     (near ? local : others).push_back(host->mCallerAddress);
   }
   std::shuffle(local.begin(), local.end(), aState.mShuffle);
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -260,6 +260,7 @@
     aContext.mNow >= state.mStartedAt + kHostDiscoveryTime;
   UpdateSharers(aContext);
   UpdateFastHosts(aContext);
+  UpdateHostDataCentres(aContext);
   const int hosts = fleet::LiveHostCount(state.mFleet, aContext.mNow);
   const Micros window = state.mSettings.mBounds.mExtraWindow;
   if (hosts >= state.mDispatch.mHosts) {
@@ -422,6 +423,7 @@
   state.mSettings = aSettings;
   state.mDispatch.mHostId = aSettings.mFleet.mPeerAddress;
   state.mDispatch.mDataCentre = aSettings.mFleet.mDataCentre;
+  state.mDispatch.mRegions = aSettings.mRegions;
   state.mDispatch.mBounds = aSettings.mBounds;
   state.mDispatch.mBounds.mLinkBytesPerSecond = aSettings.mLinkBytesPerSecond;
   state.mDispatch.mRandom = aRandom | 1;
--- a/src/gateway/internal.h
+++ b/src/gateway/internal.h
@@ -30,6 +30,8 @@
 
 void HandleAnnounce(Context& aContext, const Announce& aCall);
 void HandleWithdraw(Context& aContext, const Withdraw& aCall);
+/// \brief Updates what dispatch knows of the hosts' data centres.
+void UpdateHostDataCentres(Context& aContext);
 void HandlePutPolicy(Context& aContext, const PutPolicy& aCall);
 void HandleReadPolicy(Context& aContext, const ReadPolicy& aCall);
 void HandleSetEvacuation(Context& aContext, const SetEvacuation& aCall);
--- a/src/policy/policy.cpp
+++ b/src/policy/policy.cpp
@@ -1,4 +1,5 @@
 #include <geraniumpond/policy.h>
+#include <geraniumpond/regions.h>
 
 #include <algorithm>
 #include <array>
@@ -76,6 +77,27 @@
   }
 }
 
+void IndexRegions(TrafficPolicy& aPolicy)
+{
+  aPolicy.mSharedRegions.clear();
+  for (const Route& route : aPolicy.mRoutes) {
+    if (route.mRegions.empty()) {
+      continue;
+    }
+    const auto [entry, added] = aPolicy.mSharedRegions.emplace(
+      LowerCase(route.mHostName), route.mRegions);
+    if (!added) {
+      entry->second = regions::HomesOf(route.mRegions, entry->second).mRegions;
+    }
+  }
+  aPolicy.mNamesRegions = !aPolicy.mSharedRegions.empty();
+  if (aPolicy.mAccounts) {
+    for (const accounts::Account& account : aPolicy.mAccounts->mAccounts) {
+      aPolicy.mNamesRegions |= !account.mRegions.empty();
+    }
+  }
+}
+
 } // namespace
 
 const char* ToString(RouteKind aKind) noexcept
@@ -127,6 +149,17 @@
     const Route& route = aPolicy.mRoutes[i];
     aPolicy.mIndex[IndexKey(route.mHostName, route.mPathPrefix)] = i;
   }
+  IndexRegions(aPolicy);
+}
+
+const std::vector<std::string>* FindSharedRegions(const TrafficPolicy& aPolicy,
+                                                  std::string_view aHost)
+{
+  if (aPolicy.mSharedRegions.empty()) {
+    return nullptr;
+  }
+  const auto found = aPolicy.mSharedRegions.find(LowerCase(StripPort(aHost)));
+  return found == aPolicy.mSharedRegions.end() ? nullptr : &found->second;
 }
 
 const Route* FindRoute(const TrafficPolicy& aPolicy,
--- a/tests/fakes/gateway_world.cpp
+++ b/tests/fakes/gateway_world.cpp
@@ -712,7 +712,7 @@
   }
   Host& host = mHosts[*asked];
   std::vector<std::string> addresses =
-    gateway::AddressesFor(host.mState, aClient.mDataCentre, mNow);
+    gateway::AddressesFor(host.mState, { aClient.mDataCentre }, mNow);
   if (!addresses.empty()) {
     aClient.mAddresses = std::move(addresses);
     aClient.mKeepUntil =
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -72,6 +72,7 @@
 {
   CPPUNIT_TEST_SUITE(PlatformTest);
   CPPUNIT_TEST(PolicyDocumentIsDecoded);
+  CPPUNIT_TEST(RegionsOfARouteAreRead);
   CPPUNIT_TEST(InvalidPolicyDocumentsAreRejected);
   CPPUNIT_TEST(CallsAreParsed);
   CPPUNIT_TEST(StartTimeIsReadWherePresent);
@@ -105,6 +106,21 @@
     CPPUNIT_ASSERT_EQUAL(15 * kSecond, read.mLimits.mIdleTimeout);
   }
 
+  void RegionsOfARouteAreRead()
+  {
+    const std::string spec = "\"path_prefix\":\"/p/\"";
+    const auto decoded = DecodePolicy(Replaced(
+      kDocument, spec, spec + ",\"allowed_regions\":[\"north\",\"south\"]"));
+    CPPUNIT_ASSERT(decoded);
+    const std::vector<std::string> wanted = { "north", "south" };
+    CPPUNIT_ASSERT(decoded.value().mRoutes[0].mRegions == wanted);
+    CPPUNIT_ASSERT(decoded.value().mRoutes[1].mRegions.empty());
+    for (const char* wrong : { "\"north\"", "[1]", "{}" }) {
+      CPPUNIT_ASSERT(!DecodePolicy(
+        Replaced(kDocument, spec, spec + ",\"allowed_regions\":" + wrong)));
+    }
+  }
+
   void InvalidPolicyDocumentsAreRejected()
   {
     const std::pair<std::string, std::string> changes[] = {
@@ -162,8 +178,15 @@
       Read("GET", "/v1/ready", "")));
     const frontend::Call resolve =
       Read("GET", "/v1/resolve?name=a.example&region=r&zone=z", "");
-    CPPUNIT_ASSERT_EQUAL(std::string("z"),
-                         std::get<frontend::ResolveCall>(resolve).mDataCentre);
+    CPPUNIT_ASSERT_EQUAL(
+      std::string("z"),
+      std::get<frontend::ResolveCall>(resolve).mLookup.mDataCentre);
+    CPPUNIT_ASSERT_EQUAL(
+      std::string("r"),
+      std::get<frontend::ResolveCall>(resolve).mLookup.mRegion);
+    CPPUNIT_ASSERT_EQUAL(
+      std::string("a.example"),
+      std::get<frontend::ResolveCall>(resolve).mLookup.mHostName);
   }
 
   void StartTimeIsReadWherePresent()
@@ -369,6 +392,21 @@
                          SeedPeerAddresses(read.mValue)[0]);
     CPPUNIT_ASSERT_EQUAL(6 * kSecond, read.mValue.mStopGrace);
     CPPUNIT_ASSERT_EQUAL(std::size_t(2), read.mValue.mDataCentres.size());
+    CPPUNIT_ASSERT(read.mValue.mRegions.empty());
+    const auto withRegions = [&](const std::string& aRegions) {
+      return ParseGatewaySettings(
+        Replaced(text,
+                 "data_centres = z,y\n",
+                 "data_centres = z,y\nregions = " + aRegions + "\n"),
+        "f");
+    };
+    const auto regions = withRegions("z=north,y=south");
+    CPPUNIT_ASSERT(regions.Ok());
+    CPPUNIT_ASSERT_EQUAL(std::string("south"), regions.mValue.mRegions.at("y"));
+    for (const char* wrong :
+         { "z", "z=,y=a", "z=a,z=b", "=a,z=a", "y=south" }) {
+      CPPUNIT_ASSERT_MESSAGE(wrong, !withRegions(wrong).Ok());
+    }
     const auto wrong = ParseGatewaySettings(
       Replaced(text, "stop_grace = 6s", "stop_grace = 6"), "f");
     CPPUNIT_ASSERT_EQUAL(std::size_t(1), wrong.mFaults.size());
