--- a/include/geraniumpond/dispatch/requests.h
+++ b/include/geraniumpond/dispatch/requests.h
@@ -2,6 +2,7 @@
 
 #include <geraniumpond/accounts.h>
 #include <geraniumpond/policy.h>
+#include <geraniumpond/regions.h>
 #include <geraniumpond/time.h>
 
 #include <cstdint>
@@ -88,6 +89,8 @@
   /// Name of its client account; empty if it has none.
   std::string mAccount;
   Credentials mCredentials;
+  /// Regions that its route and account bind it to.
+  regions::Homes mHomes;
 };
 
 /// \brief A client's request that has been read completely.
--- a/src/dispatch/admission.cpp
+++ b/src/dispatch/admission.cpp
@@ -214,6 +214,7 @@
       !PassQuarantine(aState, aNow, aArrival, request, aOut)) {
     return;
   }
+  BindToHomes(aState, *route, request);
   Enqueue(aState, aNow, std::move(request), aOut);
 }
 
