Hold less urgent requests back while more urgent ones lack room

Each host orders its own queue, but a target's free slot went to whichever host asked first, so that a less urgent request at one host took it while a more urgent one waited or was refused at another. With `[fairness] across_hosts = yes` hosts count, by service and priority, the requests that came in the last second and those that lacked room; from the sums over all hosts each works out which share of the less urgent ones it admits.

FairRoomTest plays 40 hosts and 64 targets with sums half a second old.

The name of the account that an arrival states is taken for its request until keys are looked up.

--- a/include/geraniumpond/dispatch.h
+++ b/include/geraniumpond/dispatch.h
@@ -3,6 +3,7 @@
 #include <geraniumpond/budget.h>
 #include <geraniumpond/dispatch/effects.h>
 #include <geraniumpond/dispatch/events.h>
+#include <geraniumpond/dispatch/fairness.h>
 #include <geraniumpond/dispatch/requests.h>
 #include <geraniumpond/dispatch/services.h>
 #include <geraniumpond/dispatch/targets.h>
@@ -10,6 +11,7 @@
 
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <unordered_map>
@@ -100,6 +102,8 @@
   std::vector<std::string> mFastHosts;
   /// Limits of targets that are not known yet.
   std::map<std::string, gossip::Item> mEarlyLimits;
+  /// Present while hosts make room for each other's more urgent requests.
+  std::optional<Fairness> mFairness;
   Counters mCounters;
 };
 
--- a/include/geraniumpond/gateway.h
+++ b/include/geraniumpond/gateway.h
@@ -37,6 +37,8 @@
   Micros mAnswerKeep = 1200 * kMillisecond;
   /// Some clients cache it for up to this many times as long.
   int mAnswerKeepFactor = 3;
+  /// Less urgent requests make room for more urgent ones at other hosts.
+  bool mFairAcrossHosts = false;
   /// Time from a stop request until the process must have exited.
   Micros mStopGrace = 6 * kSecond;
 };
--- a/include/geraniumpond/gateway_settings.h
+++ b/include/geraniumpond/gateway_settings.h
@@ -59,6 +59,9 @@
   double mWarmUpRatio = 1;
   double mWarmUpFloor = 0;
 
+  /// Less urgent requests make room for more urgent ones at other hosts.
+  bool mFairAcrossHosts = false;
+
   /// Header fields of a request that identify the caller.
   std::vector<std::string> mCallerFields;
 
--- a/src/config/gateway_settings.cpp
+++ b/src/config/gateway_settings.cpp
@@ -37,6 +37,7 @@
     { "bounds", "probes_per_target", ValueType::Decimal, "10", 0, 1e6 },
     { "bounds", "warm_up_ratio", ValueType::Decimal, "1", 0, 100 },
     { "bounds", "warm_up_floor", ValueType::Decimal, "0", 0, 1e6 },
+    { "fairness", "across_hosts", ValueType::Boolean, "no" },
     { "requests",
       "caller_fields",
       ValueType::OptionalText,
@@ -115,7 +116,7 @@
   // reported.
   std::string text(aText);
   for (const char* name :
-       { "host", "listen", "fleet", "bounds", "requests", "log" }) {
+       { "host", "listen", "fleet", "bounds", "fairness", "requests", "log" }) {
     const std::string title = std::string("[") + name + "]";
     if (text.find(title) == std::string::npos) {
       text += "\n" + title + "\n";
@@ -135,6 +136,8 @@
       ReadFleet(section, result.mValue);
     } else if (section.mType == "bounds") {
       ReadBounds(section, result.mValue);
+    } else if (section.mType == "fairness") {
+      result.mValue.mFairAcrossHosts = section.Boolean("across_hosts");
     } else if (section.mType == "requests") {
       ReadRequests(section, result.mValue);
     } else {
--- a/src/dispatch/admission.cpp
+++ b/src/dispatch/admission.cpp
@@ -104,6 +104,7 @@
   request.mService = policy::PickBackend(*route, NextUniform(aState));
   request.mKind = route->mKind;
   request.mPriority = route->mPriority;
+  request.mAccount = aArrival.mAccount;
   request.mMaxAttempts = route->mAttempts;
   request.mArrivedAt = aArrivedAt;
   request.mIsRelayed = aArrival.mRelayedAfter.has_value();
@@ -147,6 +148,15 @@
   if (verdict != quarantine::Verdict::Clear) {
     request.mMaxAttempts = 1;
   }
+  if (IsHeldBack(aState, aNow, request)) {
+    RefuseArrival(aState,
+                  aArrival,
+                  kUnavailable,
+                  HeldBackDelay(aState, aNow, request),
+                  "more_urgent_lack_room",
+                  aOut);
+    return;
+  }
   const Micros wait = ExpectedWait(aState, request);
   Request& added = aState.mRequests[request.mId] = std::move(request);
   ResetUnmeetableEstimate(aState, aNow, added);
--- a/src/dispatch/internal.h
+++ b/src/dispatch/internal.h
@@ -333,6 +333,21 @@
                    const std::string& aReason,
                    Effects& aOut);
 
+// --- fairness.cpp: room for more urgent requests that wait at other hosts
+/// \brief Counts an arrival; true if it has to make room.
+[[nodiscard]] bool IsHeldBack(State& aState,
+                              Micros aNow,
+                              const Request& aRequest);
+/// \brief Delay after which the client of such a request should retry: within
+/// its objective if that can still be met.
+[[nodiscard]] Micros HeldBackDelay(State& aState,
+                                   Micros aNow,
+                                   const Request& aRequest);
+/// \brief Counts a request that is refused, or sent, without or with too little
+/// time left for its objective.
+void CountRefusal(State& aState, Micros aNow, const Request& aRequest);
+void CountSend(State& aState, Micros aNow, const Request& aRequest);
+
 // --- requests.cpp: the steps of one request
 void SendTo(State& aState,
             Micros aNow,
--- a/src/dispatch/requests.cpp
+++ b/src/dispatch/requests.cpp
@@ -166,6 +166,9 @@
             Effects& aOut)
 {
   Request& request = aState.mRequests.at(aRequest);
+  if (aStatus == kUnavailable) {
+    CountRefusal(aState, aNow, request);
+  }
   std::string tried;
   for (const std::string& target : request.mTried) {
     tried += (tried.empty() ? "" : ",") + target;
@@ -227,6 +230,7 @@
   aRequest.mHedgeAt = idempotent && aRequest.mSent < aRequest.mMaxAttempts
                         ? aNow + std::max(kHedgeMin, patience)
                         : 0;
+  CountSend(aState, aNow, aRequest);
   RecordDispatch(aState.mServices[aRequest.mService], aNow);
   Log(aOut,
       1,
--- a/src/frontend/gateway_process.cpp
+++ b/src/frontend/gateway_process.cpp
@@ -218,6 +218,7 @@
   settings.mBounds.mProbesPerTarget = mSettings.mProbesPerTarget;
   settings.mBounds.mWarmUpRatio = mSettings.mWarmUpRatio;
   settings.mBounds.mWarmUpFloor = mSettings.mWarmUpFloor;
+  settings.mFairAcrossHosts = mSettings.mFairAcrossHosts;
   settings.mDecodePolicy = mDialect.mDecodePolicy;
   settings.mLinkBytesPerSecond = mSettings.mLinkMbps * kBytesPerMegabit;
   settings.mAnswerKeep = mSettings.mAnswerKeep;
--- a/tests/fakes/dispatch_world.cpp
+++ b/tests/fakes/dispatch_world.cpp
@@ -17,28 +17,87 @@
 constexpr int kRetryShare = 3;
 constexpr double kWorkSpread = 0.3;
 
-std::shared_ptr<const policy::TrafficPolicy> PolicyFor(
-  const DispatchLoad& aLoad)
+// A load without kinds is of one kind.
+std::vector<DispatchKind> KindsOf(const DispatchLoad& aLoad)
+{
+  if (!aLoad.mKinds.empty()) {
+    return aLoad.mKinds;
+  }
+  return {
+    { "route", 1, 1, 1, aLoad.mWork, aLoad.mObjective, aLoad.mTimeout }
+  };
+}
+
+policy::Route RouteOf(const DispatchKind& aKind, bool aIdempotent)
 {
-  auto trafficPolicy = std::make_shared<policy::TrafficPolicy>();
-  trafficPolicy->mVersion = 1;
   policy::Route route;
-  route.mName = "route";
-  route.mHostName = "host";
+  route.mName = aKind.mName;
+  route.mHostName = aKind.mName;
   route.mPathPrefix = "/";
   route.mKind =
-    aLoad.mIdempotent ? policy::RouteKind::Safe : policy::RouteKind::Unsafe;
-  route.mTimeout = aLoad.mTimeout;
-  route.mObjective = aLoad.mObjective;
+    aIdempotent ? policy::RouteKind::Safe : policy::RouteKind::Unsafe;
+  route.mTimeout = aKind.mTimeout;
+  route.mObjective = aKind.mObjective;
   route.mAttempts = 2;
-  route.mPriority = 1;
+  route.mPriority = aKind.mPriority;
   route.mBackends = { { "service", 1 } };
-  trafficPolicy->mRoutes = { route };
+  return route;
+}
+
+// An account's rate follows its usual share of the load.
+accounts::Book BookOf(const DispatchLoad& aLoad)
+{
+  accounts::Book book;
+  for (const DispatchAccount& account : aLoad.mAccounts) {
+    book.mByName[account.mName] = book.mAccounts.size();
+    accounts::Account& added = book.mAccounts.emplace_back();
+    added.mName = account.mName;
+    added.mPerSecond = account.mShare * aLoad.mPerSecond;
+    book.mByKey[accounts::DigestOf(account.mName)] = book.mAccounts.size() - 1;
+  }
+  return book;
+}
+
+std::shared_ptr<const policy::TrafficPolicy> PolicyFor(
+  const DispatchLoad& aLoad)
+{
+  auto trafficPolicy = std::make_shared<policy::TrafficPolicy>();
+  trafficPolicy->mVersion = 1;
+  for (const DispatchKind& kind : KindsOf(aLoad)) {
+    trafficPolicy->mRoutes.push_back(RouteOf(kind, aLoad.mIdempotent));
+  }
   trafficPolicy->mServices["service"] = { "service", "/health", 1000 };
+  if (!aLoad.mAccounts.empty()) {
+    trafficPolicy->mAccounts = BookOf(aLoad);
+  }
   policy::BuildIndex(*trafficPolicy);
   return trafficPolicy;
 }
 
+// Index of one of the parts by chance, in proportion to what they ask.
+template<class Part>
+std::size_t Pick(const std::vector<Part>& aParts, std::mt19937_64& aRandom)
+{
+  std::vector<double> weights;
+  weights.reserve(aParts.size());
+  for (const Part& part : aParts) {
+    weights.push_back(part.mShare * part.mSurge);
+  }
+  std::discrete_distribution<std::size_t> pick(weights.begin(), weights.end());
+  return pick(aRandom);
+}
+
+// Surges come on top of the usual load.
+template<class Part>
+double SurgeOf(const std::vector<Part>& aParts)
+{
+  double sum = aParts.empty() ? 1 : 0;
+  for (const Part& part : aParts) {
+    sum += part.mShare * part.mSurge;
+  }
+  return sum;
+}
+
 std::string DataCentre(int aIndex, const DispatchLoad& aLoad)
 {
   return "dc" + std::to_string(aIndex % aLoad.mDataCentres);
@@ -50,6 +109,7 @@
   : mLoad(aLoad)
   , mRandom(aSeed)
 {
+  mLoad.mKinds = KindsOf(mLoad);
   for (int host = 0; host < mLoad.mHosts; ++host) {
     dispatch::State state;
     state.mHostId = "10.0.0." + std::to_string(host) + ":1";
@@ -58,6 +118,7 @@
     state.mRandom = mRandom() | 1;
     dispatch::SetHosts(state, mNow, mLoad.mHosts);
     dispatch::SetPolicy(state, mNow, PolicyFor(mLoad));
+    dispatch::SetFairAcrossHosts(state, mLoad.mFairAcrossHosts);
     mHosts.push_back(std::move(state));
   }
 }
@@ -102,7 +163,11 @@
 
 DispatchOutcomes DispatchWorld::RunLoad(Micros aTime)
 {
-  std::exponential_distribution<double> gaps(mLoad.mPerSecond);
+  const double surge = SurgeOf(mLoad.mKinds) * SurgeOf(mLoad.mAccounts);
+  std::exponential_distribution<double> gaps(mLoad.mPerSecond * surge);
+  if (mLoad.mFairAcrossHosts) {
+    HandRoundCounts();
+  }
   const Micros end = mNow + aTime;
   Micros next = mNow;
   while (next < end) {
@@ -176,28 +241,69 @@
   }
 }
 
+const DispatchKind& DispatchWorld::KindOf(const Client& aClient) const
+{
+  return mLoad.mKinds[aClient.mKind];
+}
+
+// All hosts hear the sums of what all have counted a while before.
+void DispatchWorld::HandRoundCounts()
+{
+  constexpr Micros kPeriod = 200 * kMillisecond;
+  rollup::Totals totals;
+  totals.mToldAt = mNow;
+  for (const dispatch::State& host : mHosts) {
+    rollup::Table own;
+    dispatch::AddOwnDemand(host, mNow, own);
+    for (const auto& [key, counts] : own) {
+      rollup::Counts& sum = totals.mSum.mTable[key];
+      for (std::size_t i = 0; i < counts.size(); ++i) {
+        sum[i] += counts[i];
+      }
+    }
+  }
+  Schedule(mLoad.mCountDelay, [this, totals] {
+    for (dispatch::State& host : mHosts) {
+      dispatch::Effects effects;
+      dispatch::HandleDemandTotals(host, mNow, totals, effects);
+    }
+  });
+  Schedule(kPeriod, [this] { HandRoundCounts(); });
+}
+
 void DispatchWorld::StartClient()
 {
   std::lognormal_distribution<double> spread(-kWorkSpread * kWorkSpread / 2,
                                              kWorkSpread);
-  const std::uint64_t client = ++mLastId;
-  mClients[client] = { mNow,
-                       static_cast<Micros>(static_cast<double>(mLoad.mWork) *
-                                           spread(mRandom)) };
+  const std::uint64_t id = ++mLastId;
+  Client& client = mClients[id];
+  client.mStartedAt = mNow;
+  client.mKind = mLoad.mKinds.size() > 1 ? Pick(mLoad.mKinds, mRandom) : 0;
+  if (!mLoad.mAccounts.empty()) {
+    client.mAccount = mLoad.mAccounts[Pick(mLoad.mAccounts, mRandom)].mName;
+  }
+  client.mWork = static_cast<Micros>(static_cast<double>(KindOf(client).mWork) *
+                                     spread(mRandom));
   ++mOutcomes.mOffered;
-  SendClient(client);
+  ++mOutcomes.mKinds[KindOf(client).mName].mOffered;
+  ++mOutcomes.mAccounts[client.mAccount].mOffered;
+  SendClient(id);
 }
 
 void DispatchWorld::SendClient(std::uint64_t aClient)
 {
+  const Client& client = mClients.at(aClient);
   const std::size_t host = mRandom() % mHosts.size();
   dispatch::Arrival arrival;
   arrival.mId = ++mLastId;
   arrival.mClientRequestId = std::to_string(arrival.mId);
-  arrival.mHostName = "host";
+  arrival.mHostName = KindOf(client).mName;
   arrival.mPath = "/x";
-  arrival.mPatience =
-    2 * mLoad.mTimeout - (mNow - mClients.at(aClient).mStartedAt);
+  if (!client.mAccount.empty()) {
+    arrival.mKey = accounts::DigestOf(client.mAccount);
+    arrival.mAccount = client.mAccount;
+  }
+  arrival.mPatience = 2 * KindOf(client).mTimeout - (mNow - client.mStartedAt);
   mClientOf[arrival.mId] = aClient;
   dispatch::Effects effects;
   dispatch::HandleArrival(mHosts[host], mNow, arrival, effects);
@@ -210,18 +316,23 @@
 {
   const std::uint64_t id = mClientOf.at(aRequest);
   Client& client = mClients.at(id);
+  const DispatchKind& kind = KindOf(client);
   if (aStatus == 503 && !client.mRetried) {
     client.mRetried = true;
-    const Micros left = client.mStartedAt + 2 * mLoad.mTimeout - mNow;
+    const Micros left = client.mStartedAt + 2 * kind.mTimeout - mNow;
     Schedule(std::min(aRetryAfter, left / kRetryShare),
              [this, id] { SendClient(id); });
     return;
   }
-  if (aStatus == 200) {
-    const bool inTime = mNow - client.mStartedAt <= mLoad.mObjective;
-    ++(inTime ? mOutcomes.mInTime : mOutcomes.mLate);
-  } else {
+  if (aStatus != 200) {
     ++(aStatus == 503 ? mOutcomes.mRefused : mOutcomes.mFailed);
+    return;
+  }
+  const bool inTime = mNow - client.mStartedAt <= kind.mObjective;
+  ++(inTime ? mOutcomes.mInTime : mOutcomes.mLate);
+  for (DispatchPart* part : { &mOutcomes.mKinds[kind.mName],
+                              &mOutcomes.mAccounts[client.mAccount] }) {
+    ++(inTime ? part->mInTime : part->mLate);
   }
 }
 
@@ -232,7 +343,9 @@
     return;
   }
   FakeTarget& target = mTargets.at(found->second.mSend.mTarget);
-  if (target.mRunning < mLoad.mSlots) {
+  if (IsShedding(target)) {
+    RejectJob(aJob);
+  } else if (target.mRunning < mLoad.mSlots) {
     StartJob(aJob);
   } else if (static_cast<int>(target.mWaiting.size()) < mLoad.mQueue) {
     target.mWaiting.push_back(aJob);
@@ -276,6 +389,24 @@
   });
 }
 
+void DispatchWorld::RejectJob(std::uint64_t aJob)
+{
+  const Job job = mJobs.at(aJob);
+  mJobs.erase(aJob);
+  Schedule(kOneWayLatency, [this, job] {
+    dispatch::AttemptEnd end;
+    end.mRequest = job.mSend.mRequest;
+    end.mAttempt = job.mSend.mAttempt;
+    end.mKind = dispatch::EndKind::Answered;
+    end.mStatus = 503;
+    end.mNotRun = true;
+    end.mReport = ReportOf(mTargets.at(job.mSend.mTarget));
+    dispatch::Effects effects;
+    dispatch::HandleAttemptEnd(mHosts[job.mHost], mNow, end, effects);
+    Perform(job.mHost, effects);
+  });
+}
+
 void DispatchWorld::StartNext(const std::string& aTarget)
 {
   FakeTarget& target = mTargets.at(aTarget);
@@ -307,13 +438,23 @@
 }
 
 // Derived from a hash of the time span, so that no state is needed.
-double DispatchWorld::SlownessOf(const FakeTarget& aTarget) const
+double DispatchWorld::ChanceOf(const FakeTarget& aTarget,
+                               const std::string& aWhat) const
 {
   const Micros span = (mNow + aTarget.mPhase) / mLoad.mSpeedDuration;
   const std::uint64_t hash =
-    Hash64(std::to_string(aTarget.mPhase) + "/" + std::to_string(span));
-  const double uniform = static_cast<double>(hash >> 11) / 9007199254740992.0;
-  return uniform < mLoad.mSlowShare ? mLoad.mSlowFactor : 1;
+    Hash64(std::to_string(aTarget.mPhase) + aWhat + std::to_string(span));
+  return static_cast<double>(hash >> 11) / 9007199254740992.0;
+}
+
+double DispatchWorld::SlownessOf(const FakeTarget& aTarget) const
+{
+  return ChanceOf(aTarget, "/") < mLoad.mSlowShare ? mLoad.mSlowFactor : 1;
+}
+
+bool DispatchWorld::IsShedding(const FakeTarget& aTarget) const
+{
+  return ChanceOf(aTarget, "/shedding/") < mLoad.mSheddingShare;
 }
 
 dispatch::Report DispatchWorld::ReportOf(const FakeTarget& aTarget) const
--- a/tests/fakes/dispatch_world.h
+++ b/tests/fakes/dispatch_world.h
@@ -13,6 +13,27 @@
 /// virtual time.
 namespace geraniumpond::fakes {
 
+/// \brief One kind of request of a load.
+struct DispatchKind
+{
+  std::string mName;
+  /// Share of the load, and factor by which more of it comes than usual.
+  double mShare = 1;
+  double mSurge = 1;
+  int mPriority = 1;
+  Micros mWork = 220 * kMillisecond;
+  Micros mObjective = 600 * kMillisecond;
+  Micros mTimeout = 2500 * kMillisecond;
+};
+
+/// \brief One client account of a load; its rate is far above what it asks.
+struct DispatchAccount
+{
+  std::string mName;
+  double mShare = 1;
+  double mSurge = 1;
+};
+
 /// \brief The simulated load and the properties of the targets.
 struct DispatchLoad
 {
@@ -37,11 +58,29 @@
   double mSlowShare = 0.42;
   double mSlowFactor = 7;
   Micros mSpeedDuration = 500 * kMillisecond;
+  /// Share of the targets that reject all requests at any time.
+  double mSheddingShare = 0;
+  /// Several kinds of request in place of one, and the accounts that send them.
+  std::vector<DispatchKind> mKinds;
+  std::vector<DispatchAccount> mAccounts;
+  /// Hosts hand their counts of demand to each other.
+  bool mFairAcrossHosts = false;
+  Micros mCountDelay = 500 * kMillisecond;
+};
+
+/// \brief What a part of the clients got.
+struct DispatchPart
+{
+  int mOffered = 0;
+  int mInTime = 0;
+  int mLate = 0;
 };
 
 /// \brief Outcomes of the clients' requests.
 struct DispatchOutcomes
 {
+  std::map<std::string, DispatchPart> mKinds;
+  std::map<std::string, DispatchPart> mAccounts;
   int mOffered = 0;
   int mInTime = 0;
   int mLate = 0;
@@ -94,12 +133,18 @@
     Micros mStartedAt = 0;
     Micros mWork = 0;
     bool mRetried = false;
+    std::size_t mKind = 0;
+    std::string mAccount;
   };
 
   void Announce(int aCount);
   void Run(Micros aUntil);
   void Schedule(Micros aDelay, std::function<void()> aTask);
   void Perform(std::size_t aHost, const dispatch::Effects& aEffects);
+  void HandRoundCounts();
+  void RejectJob(std::uint64_t aJob);
+  [[nodiscard]] bool IsShedding(const FakeTarget& aTarget) const;
+  [[nodiscard]] const DispatchKind& KindOf(const Client& aClient) const;
   void StartClient();
   void SendClient(std::uint64_t aClient);
   void EndClient(std::uint64_t aRequest, int aStatus, Micros aRetryAfter);
@@ -108,6 +153,8 @@
   void EndJob(std::uint64_t aJob);
   void StartNext(const std::string& aTarget);
   void CancelJob(std::uint64_t aAttempt, std::size_t aHost);
+  [[nodiscard]] double ChanceOf(const FakeTarget& aTarget,
+                                const std::string& aWhat) const;
   [[nodiscard]] double SlownessOf(const FakeTarget& aTarget) const;
   [[nodiscard]] dispatch::Report ReportOf(const FakeTarget& aTarget) const;
 
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -364,6 +364,10 @@
                          SeedPeerAddresses(read.mValue)[0]);
     CPPUNIT_ASSERT_EQUAL(6 * kSecond, read.mValue.mStopGrace);
     CPPUNIT_ASSERT_EQUAL(std::size_t(2), read.mValue.mDataCentres.size());
+    CPPUNIT_ASSERT(!read.mValue.mFairAcrossHosts);
+    const auto fair =
+      ParseGatewaySettings(text + "[fairness]\nacross_hosts = yes\n", "f");
+    CPPUNIT_ASSERT(fair.Ok() && fair.mValue.mFairAcrossHosts);
     const auto wrong = ParseGatewaySettings(
       Replaced(text, "stop_grace = 6s", "stop_grace = 6"), "f");
     CPPUNIT_ASSERT_EQUAL(std::size_t(1), wrong.mFaults.size());
