--- a/include/geraniumpond/gateway_settings.h
+++ b/include/geraniumpond/gateway_settings.h
@@ -67,6 +67,9 @@
   bool mStrictRevocation = false;
   Micros mRevokeWithin = 5 * kSecond;
 
+  /// Less urgent requests make room for more urgent ones at other hosts.
+  bool mFairAcrossHosts = false;
+
   /// Header fields of a request that identify the caller.
   std::vector<std::string> mCallerFields;
 
--- a/src/config/gateway_settings.cpp
+++ b/src/config/gateway_settings.cpp
@@ -40,6 +40,7 @@
     { "bounds", "warm_up_floor", ValueType::Decimal, "0", 0, 1e6 },
     { "accounts", "strict_revocation", ValueType::Boolean, "no" },
     { "accounts", "revoke_within", ValueType::Duration, "5s" },
+    { "fairness", "across_hosts", ValueType::Boolean, "no" },
     { "requests",
       "caller_fields",
       ValueType::OptionalText,
@@ -158,8 +159,14 @@
   // Adds missing sections, so that defaults apply and missing required keys are
   // reported.
   std::string text(aText);
-  for (const char* name :
-       { "host", "listen", "fleet", "bounds", "accounts", "requests", "log" }) {
+  for (const char* name : { "host",
+                            "listen",
+                            "fleet",
+                            "bounds",
+                            "accounts",
+                            "fairness",
+                            "requests",
+                            "log" }) {
     const std::string title = std::string("[") + name + "]";
     if (text.find(title) == std::string::npos) {
       text += "\n" + title + "\n";
@@ -182,6 +189,8 @@
       ReadBounds(section, result.mValue);
     } else if (section.mType == "accounts") {
       ReadAccounts(section, result.mValue);
+    } else if (section.mType == "fairness") {
+      result.mValue.mFairAcrossHosts = section.Boolean("across_hosts");
     } else if (section.mType == "requests") {
       ReadRequests(section, result.mValue);
     } else {
--- a/src/dispatch/admission.cpp
+++ b/src/dispatch/admission.cpp
@@ -113,6 +113,25 @@
   return true;
 }
 
+// Less urgent requests make room while more urgent ones lack it elsewhere.
+bool MakeRoom(State& aState,
+              Micros aNow,
+              const Arrival& aArrival,
+              const Request& aRequest,
+              Effects& aOut)
+{
+  if (!IsHeldBack(aState, aNow, aRequest)) {
+    return true;
+  }
+  RefuseArrival(aState,
+                aArrival,
+                kUnavailable,
+                HeldBackDelay(aState, aNow, aRequest),
+                "more_urgent_lack_room",
+                aOut);
+  return false;
+}
+
 // Lets a request wait for a target, unless it has no time for that.
 void Enqueue(State& aState, Micros aNow, Request aRequest, Effects& aOut)
 {
@@ -211,7 +230,8 @@
   Request request = MakeRequest(aState, aArrivedAt, aArrival, *route);
   if (!Authorise(aState, aNow, aArrival, *route, request, aOut) ||
       !CountArrival(aState, aNow, aArrival, *route, request, aOut) ||
-      !PassQuarantine(aState, aNow, aArrival, request, aOut)) {
+      !PassQuarantine(aState, aNow, aArrival, request, aOut) ||
+      !MakeRoom(aState, aNow, aArrival, request, aOut)) {
     return;
   }
   BindToHomes(aState, *route, request);
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -408,6 +408,10 @@
          { "z", "z=,y=a", "z=a,z=b", "=a,z=a", "y=south" }) {
       CPPUNIT_ASSERT_MESSAGE(wrong, !withRegions(wrong).Ok());
     }
+    CPPUNIT_ASSERT(!read.mValue.mFairAcrossHosts);
+    const auto fair =
+      ParseGatewaySettings(text + "[fairness]\nacross_hosts = yes\n", "f");
+    CPPUNIT_ASSERT(fair.Ok() && fair.mValue.mFairAcrossHosts);
     const auto wrong = ParseGatewaySettings(
       Replaced(text, "stop_grace = 6s", "stop_grace = 6"), "f");
     CPPUNIT_ASSERT_EQUAL(std::size_t(1), wrong.mFaults.size());
