Add the limits of client accounts over all hosts as a decision module

Change: quota admits by the totals that rollup is to bring: all hosts admit the same share of what they are offered; what nobody knows of yet has to fit into the window's room; a host that hears nothing keeps to its own part. Settings [accounts] quota_window, quota_overage and quota_slack, log lines, counters, two gauges; account_limits.cpp holds what dispatch is to call. Nothing calls it yet, so nothing else changes. rate_share tells the rank of a host for a name, which was private. The whole unit_tests was not run on this commit.

--- a/include/geraniumpond/dispatch.h
+++ b/include/geraniumpond/dispatch.h
@@ -7,6 +7,7 @@
 #include <geraniumpond/dispatch/services.h>
 #include <geraniumpond/dispatch/targets.h>
 #include <geraniumpond/quarantine.h>
+#include <geraniumpond/quota.h>
 
 #include <map>
 #include <memory>
@@ -91,6 +92,8 @@
   quarantine::State mQuarantine;
   /// The hosts that divide rate limits among themselves; empty while unknown.
   rate_share::Members mLimitHosts;
+  /// Limits of client accounts.
+  quota::State mQuota;
   Reach mReach;
   /// Caller addresses of the hosts that requests may be passed on to; kept up
   /// to date while AwaitsAnyAnswer().
--- a/include/geraniumpond/dispatch/requests.h
+++ b/include/geraniumpond/dispatch/requests.h
@@ -76,6 +76,8 @@
   std::set<std::string> mHostsTried;
   /// Name of its client account; empty if it has none.
   std::string mAccount;
+  /// It is counted in its account's limit and has not been sent yet.
+  bool mHoldsQuota = false;
 };
 
 /// \brief A client's request that has been read completely.
--- a/include/geraniumpond/gateway.h
+++ b/include/geraniumpond/gateway.h
@@ -28,6 +28,7 @@
 {
   fleet::Settings mFleet;
   dispatch::Bounds mBounds;
+  quota::Settings mQuota;
   PolicyDecoder mDecodePolicy = nullptr;
   /// All data centres; empty if they are not configured.
   std::vector<std::string> mDataCentres;
--- a/include/geraniumpond/gateway_settings.h
+++ b/include/geraniumpond/gateway_settings.h
@@ -59,6 +59,12 @@
   double mWarmUpRatio = 1;
   double mWarmUpFloor = 0;
 
+  /// Requests of an account in any window: its limit there, a share of that
+  /// more, plus a fixed number.
+  Micros mQuotaWindow = 0;
+  double mQuotaOverage = 0;
+  double mQuotaSlack = 0;
+
   /// Header fields of a request that identify the caller.
   std::vector<std::string> mCallerFields;
 
--- a/include/geraniumpond/rate_share.h
+++ b/include/geraniumpond/rate_share.h
@@ -3,6 +3,7 @@
 #include <geraniumpond/budget.h>
 #include <geraniumpond/time.h>
 
+#include <cstddef>
 #include <cstdint>
 #include <string>
 #include <vector>
@@ -36,6 +37,14 @@
 /// \brief True on the member that ranks first for this name.
 [[nodiscard]] bool IsFirst(const Members& aMembers, const std::string& aName);
 
+/// \brief Number of members that rank before this host for a name.
+[[nodiscard]] std::size_t RankOf(const Members& aMembers,
+                                 std::uint64_t aName) noexcept;
+
+/// \brief The weight of a host for a name, by which hosts are ranked.
+[[nodiscard]] std::uint64_t Weight(std::uint64_t aHost,
+                                   std::uint64_t aName) noexcept;
+
 /// \brief One host's share of one rate.
 struct Share
 {
--- a/src/config/gateway_settings.cpp
+++ b/src/config/gateway_settings.cpp
@@ -37,6 +37,9 @@
     { "bounds", "probes_per_target", ValueType::Decimal, "10", 0, 1e6 },
     { "bounds", "warm_up_ratio", ValueType::Decimal, "1", 0, 100 },
     { "bounds", "warm_up_floor", ValueType::Decimal, "0", 0, 1e6 },
+    { "accounts", "quota_window", ValueType::Duration, "5s" },
+    { "accounts", "quota_overage", ValueType::Decimal, "0.1", 0, 10 },
+    { "accounts", "quota_slack", ValueType::Decimal, "20", 0, 1e6 },
     { "requests",
       "caller_fields",
       ValueType::OptionalText,
@@ -94,6 +97,13 @@
   aOut.mWarmUpFloor = aSection.Decimal("warm_up_floor");
 }
 
+void ReadAccounts(const Section& aSection, GatewaySettings& aOut)
+{
+  aOut.mQuotaWindow = aSection.Duration("quota_window");
+  aOut.mQuotaOverage = aSection.Decimal("quota_overage");
+  aOut.mQuotaSlack = aSection.Decimal("quota_slack");
+}
+
 void ReadRequests(const Section& aSection, GatewaySettings& aOut)
 {
   aOut.mCallerFields = aSection.List("caller_fields");
@@ -115,7 +125,7 @@
   // reported.
   std::string text(aText);
   for (const char* name :
-       { "host", "listen", "fleet", "bounds", "requests", "log" }) {
+       { "host", "listen", "fleet", "bounds", "accounts", "requests", "log" }) {
     const std::string title = std::string("[") + name + "]";
     if (text.find(title) == std::string::npos) {
       text += "\n" + title + "\n";
@@ -135,6 +145,8 @@
       ReadFleet(section, result.mValue);
     } else if (section.mType == "bounds") {
       ReadBounds(section, result.mValue);
+    } else if (section.mType == "accounts") {
+      ReadAccounts(section, result.mValue);
     } else if (section.mType == "requests") {
       ReadRequests(section, result.mValue);
     } else {
--- /dev/null
+++ b/src/dispatch/account_limits.cpp
@@ -0,0 +1,132 @@
+#include "internal.h"
+
+#include <cstdio>
+
+// Limits of client accounts. A request counts once, at the host that got it
+// from its client; a hedge or a second attempt counts at the host that makes
+// it.
+namespace geraniumpond::dispatch {
+
+namespace {
+
+constexpr int kTooManyRequests = 429;
+
+quota::Limit LimitOf(const State& aState, const std::string& aAccount)
+{
+  if (aAccount.empty() || !aState.mPolicy || !aState.mPolicy->mAccounts) {
+    return {};
+  }
+  const accounts::Account* account =
+    accounts::FindByName(*aState.mPolicy->mAccounts, aAccount);
+  return account == nullptr
+           ? quota::Limit()
+           : quota::Limit{ account->mPerSecond, account->mBurst };
+}
+
+std::string NameOf(const State& aState, std::uint64_t aDigest)
+{
+  if (aState.mPolicy && aState.mPolicy->mAccounts) {
+    for (const accounts::Account& account :
+         aState.mPolicy->mAccounts->mAccounts) {
+      if (quota::DigestOf(account.mName) == aDigest) {
+        return account.mName;
+      }
+    }
+  }
+  return Hexadecimal(aDigest);
+}
+
+void LogChange(const State& aState, const quota::Change& aChange, Effects& aOut)
+{
+  char text[192];
+  std::snprintf(text,
+                sizeof(text),
+                " used=%.0f per_second=%.3f burst=%.0f by_reserve=%s",
+                aChange.mUsed,
+                aChange.mLimit.mPerSecond,
+                aChange.mLimit.mBurst,
+                aChange.mByReserve ? "yes" : "no");
+  Log(aOut,
+      1,
+      (aChange.mIsLimited ? "event=account_limited account="
+                          : "event=account_unlimited account=") +
+        NameOf(aState, aChange.mAccount) + text + " totals_age_ms=" +
+        (aChange.mAge < 0 ? "none" : Milliseconds(aChange.mAge)));
+}
+
+// Nothing is published where no account has a limit.
+void Publish(State& aState)
+{
+  const quota::Counters& counters = aState.mQuota.mCounters;
+  if (counters.mAdmitted + counters.mRefused == 0) {
+    return;
+  }
+  aState.mCounters["quota_admitted"] = counters.mAdmitted;
+  aState.mCounters["quota_refused"] = counters.mRefused;
+  aState.mCounters["quota_by_reserve"] = counters.mByReserve;
+  aState.mCounters["quota_extra_denied"] = counters.mExtraDenied;
+  aState.mCounters["quota_given_back"] = counters.mGivenBack;
+  aState.mCounters["quota_totals_doubted"] = counters.mTotalsDoubted;
+}
+
+} // namespace
+
+bool AdmitWithinQuota(State& aState,
+                      Micros aNow,
+                      const Arrival& aArrival,
+                      Request& aRequest,
+                      bool aIsReturn,
+                      Effects& aOut)
+{
+  const quota::Limit limit = LimitOf(aState, aRequest.mAccount);
+  if (aRequest.mIsRelayed || !limit.Exists()) {
+    return true;
+  }
+  const quota::Verdict verdict = quota::Admit(
+    aState.mQuota, aNow, quota::DigestOf(aRequest.mAccount), limit, aIsReturn);
+  aRequest.mHoldsQuota = verdict.mAdmitted;
+  if (!verdict.mAdmitted) {
+    RefuseArrival(aState,
+                  aArrival,
+                  kTooManyRequests,
+                  verdict.mRetryAfter,
+                  "over_quota",
+                  aOut);
+  }
+  return verdict.mAdmitted;
+}
+
+void CountQuotaSent(State& aState, Micros aNow, Request& aRequest)
+{
+  if (aRequest.mHoldsQuota) {
+    aRequest.mHoldsQuota = false;
+    quota::CountSent(aState.mQuota, aNow, quota::DigestOf(aRequest.mAccount));
+  }
+}
+
+bool TakeExtraQuota(State& aState, Micros aNow, const Request& aRequest)
+{
+  const quota::Limit limit = LimitOf(aState, aRequest.mAccount);
+  return !limit.Exists() ||
+         quota::TakeExtra(
+           aState.mQuota, aNow, quota::DigestOf(aRequest.mAccount), limit);
+}
+
+void ReleaseQuota(State& aState, Request& aRequest)
+{
+  if (aRequest.mHoldsQuota) {
+    aRequest.mHoldsQuota = false;
+    quota::GiveBack(aState.mQuota, quota::DigestOf(aRequest.mAccount));
+  }
+}
+
+void TickQuota(State& aState, Micros aNow, Effects& aOut)
+{
+  quota::Tick(aState.mQuota, aNow);
+  for (const quota::Change& change : quota::TakeChanges(aState.mQuota)) {
+    LogChange(aState, change, aOut);
+  }
+  Publish(aState);
+}
+
+} // namespace geraniumpond::dispatch
--- a/src/dispatch/internal.h
+++ b/src/dispatch/internal.h
@@ -334,6 +334,27 @@
                    const std::string& aReason,
                    Effects& aOut);
 
+// --- account_limits.cpp: limits of client accounts
+/// \brief Refuses a request beyond its account's limit and returns false;
+/// counts it otherwise. One that was passed on is counted at the first host.
+[[nodiscard]] bool AdmitWithinQuota(State& aState,
+                                    Micros aNow,
+                                    const Arrival& aArrival,
+                                    Request& aRequest,
+                                    bool aIsReturn,
+                                    Effects& aOut);
+/// \brief A request is sent, to a target or to another host.
+void CountQuotaSent(State& aState, Micros aNow, Request& aRequest);
+/// \brief Counts a hedge or a second attempt; false if the account is at its
+/// limit.
+[[nodiscard]] bool TakeExtraQuota(State& aState,
+                                  Micros aNow,
+                                  const Request& aRequest);
+/// \brief Gives a request back that ends without having been sent.
+void ReleaseQuota(State& aState, Request& aRequest);
+/// \brief Logs which accounts start and end being limited at this host.
+void TickQuota(State& aState, Micros aNow, Effects& aOut);
+
 // --- requests.cpp: the steps of one request
 void SendTo(State& aState,
             Micros aNow,
--- a/src/frontend/gateway_calls.cpp
+++ b/src/frontend/gateway_calls.cpp
@@ -106,6 +106,12 @@
     mState.mDispatch.mTargets.begin(),
     mState.mDispatch.mTargets.end(),
     [](const auto& aOne) { return aOne.second.mLimit.has_value(); }));
+  const auto& accounts = mState.mDispatch.mQuota.mAccounts;
+  gauges["accounts_counted"] = static_cast<double>(accounts.size());
+  gauges["accounts_limited"] = static_cast<double>(
+    std::count_if(accounts.begin(), accounts.end(), [](const auto& aOne) {
+      return aOne.second.mIsLimited;
+    }));
   gauges["data_centres_evacuated"] =
     static_cast<double>(mState.mDispatch.mEvacuated.size());
   gauges["hosts"] = mState.mDispatch.mHosts;
--- a/src/frontend/gateway_process.cpp
+++ b/src/frontend/gateway_process.cpp
@@ -218,6 +218,9 @@
   settings.mBounds.mProbesPerTarget = mSettings.mProbesPerTarget;
   settings.mBounds.mWarmUpRatio = mSettings.mWarmUpRatio;
   settings.mBounds.mWarmUpFloor = mSettings.mWarmUpFloor;
+  settings.mQuota.mWindow = mSettings.mQuotaWindow;
+  settings.mQuota.mOverage = mSettings.mQuotaOverage;
+  settings.mQuota.mSlack = mSettings.mQuotaSlack;
   settings.mDecodePolicy = mDialect.mDecodePolicy;
   settings.mLinkBytesPerSecond = mSettings.mLinkMbps * kBytesPerMegabit;
   settings.mAnswerKeep = mSettings.mAnswerKeep;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -424,6 +424,7 @@
   state.mDispatch.mDataCentre = aSettings.mFleet.mDataCentre;
   state.mDispatch.mBounds = aSettings.mBounds;
   state.mDispatch.mBounds.mLinkBytesPerSecond = aSettings.mLinkBytesPerSecond;
+  state.mDispatch.mQuota = quota::MakeState(aSettings.mQuota, aNow);
   state.mDispatch.mRandom = aRandom | 1;
   state.mDispatch.mKnowsHosts = false;
   state.mStartedAt = aNow;
--- a/src/rate_share/rate_share.cpp
+++ b/src/rate_share/rate_share.cpp
@@ -20,23 +20,6 @@
 constexpr double kBurstSeconds = 0.1;
 constexpr Micros kIdleTime = 2 * kSecond;
 
-std::uint64_t Weight(std::uint64_t aHost, std::uint64_t aName) noexcept
-{
-  std::uint64_t hash = (aHost ^ aName) * 0xff51afd7ed558ccdULL;
-  hash = (hash ^ (hash >> 33)) * 0xc4ceb9fe1a85ec53ULL;
-  return hash ^ (hash >> 33);
-}
-
-// Number of hosts that rank before this one for a name.
-std::size_t RankOf(const Members& aMembers, std::uint64_t aName) noexcept
-{
-  const std::uint64_t own = Weight(aMembers.mOwn, aName);
-  return static_cast<std::size_t>(std::count_if(
-    aMembers.mDigests.begin(),
-    aMembers.mDigests.end(),
-    [&](std::uint64_t aHost) { return Weight(aHost, aName) > own; }));
-}
-
 bool IsMember(const Members& aMembers)
 {
   const auto& hosts = aMembers.mDigests;
@@ -62,6 +45,22 @@
 
 } // namespace
 
+std::uint64_t Weight(std::uint64_t aHost, std::uint64_t aName) noexcept
+{
+  std::uint64_t hash = (aHost ^ aName) * 0xff51afd7ed558ccdULL;
+  hash = (hash ^ (hash >> 33)) * 0xc4ceb9fe1a85ec53ULL;
+  return hash ^ (hash >> 33);
+}
+
+std::size_t RankOf(const Members& aMembers, std::uint64_t aName) noexcept
+{
+  const std::uint64_t own = Weight(aMembers.mOwn, aName);
+  return static_cast<std::size_t>(std::count_if(
+    aMembers.mDigests.begin(),
+    aMembers.mDigests.end(),
+    [&](std::uint64_t aHost) { return Weight(aHost, aName) > own; }));
+}
+
 Members MakeMembers(const std::vector<std::string>& aHosts,
                     const std::string& aOwn)
 {
