--- a/include/geraniumpond/quota.h
+++ b/include/geraniumpond/quota.h
@@ -4,6 +4,7 @@
 #include <geraniumpond/rollup.h>
 #include <geraniumpond/time.h>
 
+#include <cstddef>
 #include <cstdint>
 #include <string_view>
 #include <unordered_map>
@@ -39,17 +40,13 @@
   [[nodiscard]] bool Exists() const noexcept { return mPerSecond > 0; }
 };
 
-/// \brief What the counts of an account mean in the tables of hosts.
-enum Count : std::size_t
-{
-  /// Requests admitted in the last window.
-  kUsed = 0,
-  /// Requests offered, and admitted, in the last half second.
-  kOffered = 1,
-  kSent = 2,
-  /// Use or demand as a share of the limit, in millionths.
-  kLoad = 3,
-};
+/// \brief What the counts of an account mean in the tables of hosts: requests
+/// in the last window; requests offered, and admitted, in the last half second;
+/// use or demand as a share of the limit, in millionths.
+constexpr std::size_t kUsed = 0;
+constexpr std::size_t kOffered = 1;
+constexpr std::size_t kSent = 2;
+constexpr std::size_t kLoad = 3;
 
 /// \brief Requests of a short slice of time.
 struct Slice
