--- a/include/geraniumpond/dispatch/requests.h
+++ b/include/geraniumpond/dispatch/requests.h
@@ -91,6 +91,8 @@
   Credentials mCredentials;
   /// Regions that its route and account bind it to.
   regions::Homes mHomes;
+  /// It is counted in its account's limit and has not been sent yet.
+  bool mHoldsQuota = false;
 };
 
 /// \brief A client's request that has been read completely.
--- a/include/geraniumpond/gateway_settings.h
+++ b/include/geraniumpond/gateway_settings.h
@@ -66,6 +66,11 @@
   /// a key, and within which time a key that is taken away must be refused.
   bool mStrictRevocation = false;
   Micros mRevokeWithin = 5 * kSecond;
+  /// Requests of an account in any window: its limit there, a share of that
+  /// more, plus a fixed number.
+  Micros mQuotaWindow = 0;
+  double mQuotaOverage = 0;
+  double mQuotaSlack = 0;
 
   /// Less urgent requests make room for more urgent ones at other hosts.
   bool mFairAcrossHosts = false;
--- a/src/config/gateway_settings.cpp
+++ b/src/config/gateway_settings.cpp
@@ -40,6 +40,9 @@
     { "bounds", "warm_up_floor", ValueType::Decimal, "0", 0, 1e6 },
     { "accounts", "strict_revocation", ValueType::Boolean, "no" },
     { "accounts", "revoke_within", ValueType::Duration, "5s" },
+    { "accounts", "quota_window", ValueType::Duration, "5s" },
+    { "accounts", "quota_overage", ValueType::Decimal, "0.1", 0, 10 },
+    { "accounts", "quota_slack", ValueType::Decimal, "20", 0, 1e6 },
     { "fairness", "across_hosts", ValueType::Boolean, "no" },
     { "requests",
       "caller_fields",
@@ -137,6 +140,9 @@
 {
   aOut.mStrictRevocation = aSection.Boolean("strict_revocation");
   aOut.mRevokeWithin = aSection.Duration("revoke_within");
+  aOut.mQuotaWindow = aSection.Duration("quota_window");
+  aOut.mQuotaOverage = aSection.Decimal("quota_overage");
+  aOut.mQuotaSlack = aSection.Decimal("quota_slack");
 }
 
 void ReadRequests(const Section& aSection, GatewaySettings& aOut)
--- a/src/frontend/gateway_process.cpp
+++ b/src/frontend/gateway_process.cpp
@@ -220,6 +220,9 @@
   settings.mBounds.mWarmUpRatio = mSettings.mWarmUpRatio;
   settings.mBounds.mWarmUpFloor = mSettings.mWarmUpFloor;
   settings.mFairAcrossHosts = mSettings.mFairAcrossHosts;
+  settings.mQuota.mWindow = mSettings.mQuotaWindow;
+  settings.mQuota.mOverage = mSettings.mQuotaOverage;
+  settings.mQuota.mSlack = mSettings.mQuotaSlack;
   settings.mDecodePolicy = mDialect.mDecodePolicy;
   settings.mLinkBytesPerSecond = mSettings.mLinkMbps * kBytesPerMegabit;
   settings.mStrictRevocation = mSettings.mStrictRevocation;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -431,6 +431,7 @@
   state.mDispatch.mBounds = aSettings.mBounds;
   state.mDispatch.mBounds.mLinkBytesPerSecond = aSettings.mLinkBytesPerSecond;
   dispatch::SetFairAcrossHosts(state.mDispatch, aSettings.mFairAcrossHosts);
+  state.mDispatch.mQuota = quota::MakeState(aSettings.mQuota, aNow);
   state.mDispatch.mRandom = aRandom | 1;
   state.mDispatch.mKnowsHosts = false;
   state.mStartedAt = aNow;
