Sum counts over all hosts along the tree of reports

Limits of client accounts and fair room need what all hosts together do, well within a second. Each host now tells its upstream the sum of its own counts and of those that follow it, voters tell the leader, and the leader tells the totals that matter down the tree. Nothing is sent where nothing is wanted (test). A word counts only while a quorum has answered a round that the leader opened less than 0.5 s ago; rounds ride on heartbeats. Ages follow from the least difference of two hosts' clocks, so that what waited for a frozen host is as old as it is.

--- a/include/geraniumpond/consensus.h
+++ b/include/geraniumpond/consensus.h
@@ -192,6 +192,10 @@
                                         Micros aNow,
                                         Output& aOut);
 
+/// \brief On the leader: opens a round that the next heartbeats carry, without
+/// a message of its own.
+[[nodiscard]] std::uint64_t OpenRound(State& aState) noexcept;
+
 /// \brief True once a quorum has answered a round: the applied state then
 /// includes every entry that was committed when the read was requested.
 [[nodiscard]] bool IsReadConfirmed(const State& aState, std::uint64_t aRound);
--- a/include/geraniumpond/fleet.h
+++ b/include/geraniumpond/fleet.h
@@ -3,6 +3,7 @@
 #include <geraniumpond/catalog.h>
 #include <geraniumpond/consensus.h>
 #include <geraniumpond/gossip.h>
+#include <geraniumpond/rollup.h>
 #include <geraniumpond/time.h>
 
 #include <cstdint>
@@ -275,6 +276,25 @@
   Micros mLoggedAt = 0;
 };
 
+/// \brief How a host takes part in the sums of counts.
+struct CountsState
+{
+  rollup::State mRollup;
+  /// The host that was last sent a report.
+  std::string mReportedTo;
+  /// At the leader: the term, since when it leads in it, the rounds that wait
+  /// for a quorum with the time at which they were opened, and that of the last
+  /// one that a quorum has answered.
+  std::uint64_t mTerm = 0;
+  Micros mTermSince = 0;
+  std::map<std::uint64_t, Micros> mRounds;
+  Micros mLeadingAt = 0;
+  /// Since when totals are wanted, and whether it was logged that they are
+  /// missing.
+  Micros mWantedSince = 0;
+  bool mIsMissing = false;
+};
+
 /// \brief Everything that one host knows of its fleet.
 struct State
 {
@@ -384,6 +404,7 @@
   std::map<std::pair<std::string, std::uint64_t>, PendingRead> mReads;
 
   gossip::State mGossip;
+  CountsState mCounts;
 
   FleetCounters mCounters;
 
@@ -445,6 +466,27 @@
 /// Output::mReceivedFacts.
 void ShareFact(State& aState, Micros aNow, gossip::Item aItem, Output& aOut);
 
+/// \brief Sets whether anything is counted over all hosts. Where it is not, no
+/// message is sent for it.
+void SetCounting(State& aState, Micros aNow, bool aWanted);
+
+/// \brief True if SetCounts() is due before the next Tick().
+[[nodiscard]] bool AreCountsDue(const State& aState, Micros aNow) noexcept;
+
+/// \brief Sets what this host counts by itself, in place of the last ones.
+void SetCounts(State& aState, Micros aNow, rollup::Table aOwn);
+
+/// \brief Sets which totals all hosts need; it matters while this host leads.
+void SelectTotals(State& aState, rollup::Selection aSelection);
+
+/// \brief Sets from which growth counts of this host are told at once.
+void SetLeastGrowth(State& aState,
+                    rollup::Subject aSubject,
+                    const rollup::Counts& aLeast);
+
+/// \brief The newest totals, whatever their age; nullptr before the first.
+[[nodiscard]] const rollup::Totals* NewestTotals(const State& aState) noexcept;
+
 /// \brief Records that all writes up to a sequence number are on disk.
 void Synced(State& aState, Micros aNow, std::uint64_t aSequence, Output& aOut);
 
--- a/include/geraniumpond/fleet_inbox.h
+++ b/include/geraniumpond/fleet_inbox.h
@@ -16,8 +16,9 @@
 ///
 /// Consensus messages come first, in the order of arrival, then urgent commands
 /// and submit replies; brief reports, which only look for a host in touch, come
-/// last. Of the remaining ones, a host's next report and a command that is sent
-/// again replace the queued message.
+/// after others, announcements and counts last, a few of them in each turn. A
+/// host's next counts replace the queued ones. Of the remaining ones, a host's
+/// next report and a command that is sent again replace the queued message.
 class Inbox
 {
 public:
@@ -33,18 +34,18 @@
   [[nodiscard]] bool Put(std::string_view aBytes, Micros aNow = 0);
 
   /// \brief Takes all consensus messages, up to `aOthers` urgent ones and as
-  /// many others.
+  /// many others; of announcements and counts at least one each.
   [[nodiscard]] std::vector<wire::FleetMessage> Take(std::size_t aOthers);
 
   /// \brief Longest time that a queued message has waited, brief reports
-  /// excluded.
+  /// excluded, and counts.
   [[nodiscard]] Micros LongestWait(Micros aNow) const noexcept;
 
   [[nodiscard]] bool IsEmpty() const noexcept { return Waiting() == 0; }
   [[nodiscard]] std::size_t Waiting() const noexcept
   {
     return mConsensus.size() + mUrgent.size() + mOthers.size() +
-           mBriefReports.size() + mAnnouncements.size();
+           mBriefReports.size() + mAnnouncements.size() + mCounts.size();
   }
   /// \brief Messages dropped since the start because the inbox was full.
   [[nodiscard]] std::uint64_t Dropped() const noexcept { return mDropped; }
@@ -71,6 +72,7 @@
   std::deque<Queued> mOthers;
   std::deque<Queued> mBriefReports;
   std::deque<Queued> mAnnouncements;
+  std::deque<Queued> mCounts;
 };
 
 } // namespace geraniumpond::fleet
--- a/include/geraniumpond/gateway.h
+++ b/include/geraniumpond/gateway.h
@@ -236,6 +236,8 @@
   Micros mStartedAt = 0;
   Micros mHostCountUpdatedAt = 0;
   Micros mPeakHostsAt = 0;
+  /// The last totals of counts that were handed to those who use them.
+  rollup::Stamp mTotalsUsed;
   /// Shuffles the addresses of directory answers.
   std::mt19937_64 mShuffle;
   /// The policy is not applied before the control group has confirmed it.
--- a/include/geraniumpond/rollup.h
+++ b/include/geraniumpond/rollup.h
@@ -4,6 +4,8 @@
 
 #include <array>
 #include <cstdint>
+#include <functional>
+#include <limits>
 #include <map>
 #include <optional>
 #include <string>
@@ -59,12 +61,154 @@
   std::uint32_t mHosts = 0;
 };
 
+/// \brief Order of what leaders tell: later terms first, then later words.
+struct Stamp
+{
+  std::uint64_t mTerm = 0;
+  std::uint64_t mSequence = 0;
+
+  bool operator<(const Stamp& aOther) const noexcept
+  {
+    return std::tie(mTerm, mSequence) <
+           std::tie(aOther.mTerm, aOther.mSequence);
+  }
+};
+
 /// \brief What the leader has told of all hosts.
 struct Totals
 {
+  /// Holds the keys that matter; the count of another key is small or zero.
   Sum mSum;
-  /// When the leader told it, by this host's clock.
+  /// When the leader told it, by this host's clock; never later than true.
   Micros mToldAt = 0;
+  /// Hosts that the leader knows of and that are not in the sum.
+  std::uint32_t mSilent = 0;
+  Stamp mStamp;
+};
+
+/// \brief Which totals all hosts need. It must own what it reads.
+using Selection = std::function<bool(const Key&, const Counts&)>;
+
+/// \brief What a host reports: its own counts and those of all that follow it.
+struct Report
+{
+  Sum mSum;
+  /// Longest way to a host below the sender; a cycle of hosts raises it.
+  std::uint32_t mHeight = 0;
+  std::uint64_t mIncarnation = 0;
+  std::uint64_t mSequence = 0;
+  /// By the sender's clock.
+  Micros mSentAt = 0;
+  /// A count has grown much: it is passed on soon.
+  bool mUrgent = false;
+};
+
+/// \brief Latest report of a host, at the one that it reports to.
+struct Part
+{
+  Report mReport;
+  /// When it was sent by this host's clock, at the latest.
+  Micros mSentAt = 0;
+  /// Least difference between this host's clock at a receipt and the sender's.
+  Micros mClockGap = 0;
+  Micros mGapUpdatedAt = 0;
+};
+
+/// \brief Reports that may go ahead of the pace.
+struct Allowance
+{
+  int mLeft = 0;
+  Micros mFilledAt = 0;
+};
+
+/// \brief Growth of a count from which it is told ahead of the pace, if it is
+/// half of the count too; 0 for never.
+struct LeastGrowth
+{
+  std::array<Counts, kSubjectCount> mBySubject{};
 };
 
+/// \brief The counts of one host.
+struct State
+{
+  /// The embedder counts something, at this host and at others.
+  bool mWanted = false;
+  Table mOwn;
+  /// By the address of the reporting host. Silent ones are kept for a while,
+  /// for what is known of their clocks.
+  std::map<std::string, Part> mParts;
+  bool mHasReporters = false;
+  Selection mSelection;
+  LeastGrowth mLeastGrowth;
+
+  /// The own table as it was last reported.
+  Table mOwnSent;
+  Micros mSentAt = 0;
+  std::uint64_t mSequence = 0;
+  /// Nothing but zero was reported by this host and to it.
+  bool mIsIdle = true;
+  bool mUrgent = false;
+  Allowance mAllowance;
+  /// When this host looks next whether a report is due.
+  Micros mLookAt = 0;
+
+  std::optional<Totals> mTotals;
+};
+
+/// \brief Makes a key; digests are shortened for the messages between hosts.
+[[nodiscard]] Key MakeKey(Subject aSubject, std::uint64_t aDigest) noexcept;
+
+/// \brief Counts of a key; nullptr if the sum does not hold it.
+[[nodiscard]] const Counts* Find(const Sum& aSum, const Key& aKey);
+
+/// \brief Adds the counts of other hosts; what does not fit stays at the
+/// highest number.
+void Add(Sum& aSum, const Sum& aOther);
+
+/// \brief True if there is anything to report.
+[[nodiscard]] bool IsActive(const State& aState) noexcept;
+
+/// \brief Sets what this host counts.
+void SetOwn(State& aState, Micros aNow, Table aOwn);
+
+/// \brief Takes a report unless it is late or part of a cycle.
+void TakeReport(State& aState,
+                Micros aNow,
+                const std::string& aFrom,
+                Report aReport);
+
+/// \brief False for a host that has been silent for a while.
+[[nodiscard]] bool IsHeard(const Part& aPart, Micros aNow) noexcept;
+
+/// \brief Notes whether any host still reports, and forgets those that have
+/// been silent for long.
+void UpdateReporters(State& aState, Micros aNow);
+
+/// \brief Whether the counts of a reporting host are part of the sum.
+using Reporters = std::function<bool(const std::string&)>;
+
+/// \brief Own counts and those of the hosts that report to this one.
+[[nodiscard]] Report MakeReport(const State& aState,
+                                Micros aNow,
+                                const Reporters& aReporters);
+
+/// \brief True if this host should report now.
+[[nodiscard]] bool IsDue(State& aState, Micros aNow);
+
+/// \brief Notes that a report or totals were sent, and when to look next.
+void MarkSent(State& aState, Micros aNow, bool aEmpty);
+
+/// \brief At the leader: totals from a sum, with the keys that are needed.
+[[nodiscard]] Totals MakeTotals(const State& aState,
+                                Micros aNow,
+                                Sum aSum,
+                                std::uint32_t aKnownHosts,
+                                const Stamp& aStamp);
+
+/// \brief Takes totals unless newer ones are known; returns whether it did.
+[[nodiscard]] bool TakeTotals(State& aState, Totals aTotals);
+
+/// \brief Earliest time at which this host has something to look at.
+[[nodiscard]] Micros NextLook(const State& aState) noexcept;
+
 } // namespace geraniumpond::rollup
--- a/src/consensus/reads.cpp
+++ b/src/consensus/reads.cpp
@@ -47,6 +47,11 @@
   return aState.mReadRound;
 }
 
+std::uint64_t OpenRound(State& aState) noexcept
+{
+  return ++aState.mRound;
+}
+
 bool IsReadConfirmed(const State& aState, std::uint64_t aRound)
 {
   return IsLeader(aState) && IsCurrent(aState) &&
--- /dev/null
+++ b/src/fleet/counts.cpp
@@ -0,0 +1,270 @@
+#include "internal.h"
+
+#include <algorithm>
+
+// How counts travel: reports go up the tree to the leader, totals come down.
+// Only hosts that report are told totals.
+namespace geraniumpond::fleet {
+
+namespace {
+
+/// The leader tells totals while a quorum has answered a round that was opened
+/// less than this ago: less than the time after which voters elect another.
+constexpr Micros kLeadershipTime = 500 * kMillisecond;
+/// Rounds that may wait for a quorum.
+constexpr std::size_t kMaxRounds = 16;
+/// Time for the other voters to report to a new leader.
+constexpr Micros kGatherTime = 300 * kMillisecond;
+/// Totals of this age are logged as missing.
+constexpr Micros kMissingAge = 1 * kSecond;
+
+// Other voters report to the leader alone. A host above this one cannot be
+// below it.
+bool IsReporter(const State& aState, const std::string& aAddress)
+{
+  if (consensus::IsLeader(aState.mGroup) &&
+      IsControlAddress(aState, aAddress)) {
+    return true;
+  }
+  const auto& route = aState.mRoute;
+  const bool isAbove =
+    !HasVote(aState) && (aAddress == aState.mUpstream ||
+                         std::count(route.begin(), route.end(), aAddress) != 0);
+  return !isAbove && aState.mFollowers.count(aAddress) != 0;
+}
+
+rollup::Report OwnCounts(const State& aState, Micros aNow)
+{
+  rollup::Report report = rollup::MakeReport(
+    aState.mCounts.mRollup, aNow, [&](const std::string& aAddress) {
+      return IsReporter(aState, aAddress);
+    });
+  report.mIncarnation = aState.mSettings.mIncarnation;
+  return report;
+}
+
+// Rounds travel with heartbeats. One that was answered shows that this host led
+// when it was opened, even if the answers waited in its sockets.
+void ConfirmLeadership(State& aState, Micros aNow)
+{
+  CountsState& counts = aState.mCounts;
+  if (counts.mTerm != aState.mGroup.mTerm) {
+    counts.mTerm = aState.mGroup.mTerm;
+    counts.mTermSince = aNow;
+    counts.mRounds.clear();
+    counts.mLeadingAt = 0;
+  }
+  auto round = counts.mRounds.begin();
+  while (round != counts.mRounds.end() &&
+         consensus::IsReadConfirmed(aState.mGroup, round->first)) {
+    counts.mLeadingAt = round->second;
+    round = counts.mRounds.erase(round);
+  }
+  if (counts.mRounds.size() < kMaxRounds) {
+    counts.mRounds[consensus::OpenRound(aState.mGroup)] = aNow;
+  }
+}
+
+bool HaveVotersReported(const State& aState)
+{
+  const CountsState& counts = aState.mCounts;
+  const auto& voters = aState.mControlAddresses;
+  return std::all_of(
+    voters.begin(), voters.end(), [&](const std::string& aVoter) {
+      const auto part = counts.mRollup.mParts.find(aVoter);
+      return aVoter == aState.mSettings.mPeerAddress ||
+             (part != counts.mRollup.mParts.end() &&
+              part->second.mSentAt >= counts.mTermSince);
+    });
+}
+
+bool MayTellTotals(const State& aState, Micros aNow)
+{
+  const CountsState& counts = aState.mCounts;
+  const bool leads = counts.mLeadingAt != 0 &&
+                     aNow - counts.mLeadingAt < kLeadershipTime &&
+                     consensus::IsCurrent(aState.mGroup);
+  return leads && (aNow - counts.mTermSince >= kGatherTime ||
+                   HaveVotersReported(aState));
+}
+
+// Hosts that stopped in order count nothing any more.
+std::uint32_t KnownHosts(const State& aState)
+{
+  const auto known = std::count_if(
+    aState.mHosts.begin(), aState.mHosts.end(), [](const auto& aEntry) {
+      return !(aEntry.second.mGone && aEntry.second.mStopping);
+    });
+  return static_cast<std::uint32_t>(known);
+}
+
+void SendTotals(State& aState, Micros aNow, Output& aOut)
+{
+  const rollup::State& rollup = aState.mCounts.mRollup;
+  const rollup::Totals& totals = *rollup.mTotals;
+  wire::CountsTotals word = ToWire(totals);
+  const Micros age = aNow - totals.mToldAt + kMillisecond - 1;
+  word.set_age_ms(static_cast<std::uint32_t>(age / kMillisecond));
+  for (const auto& [address, part] : rollup.mParts) {
+    if (!rollup::IsHeard(part, aNow) || !IsReporter(aState, address)) {
+      continue;
+    }
+    wire::FleetMessage message;
+    *message.mutable_totals() = word;
+    message.mutable_totals()->set_written_at(
+      static_cast<std::uint64_t>(aNow - part.mClockGap));
+    SendTo(aState, address, std::move(message), aOut);
+  }
+}
+
+void TellTotals(State& aState, Micros aNow, Output& aOut)
+{
+  rollup::State& rollup = aState.mCounts.mRollup;
+  if (!MayTellTotals(aState, aNow)) {
+    return;
+  }
+  rollup::Report sum = OwnCounts(aState, aNow);
+  const rollup::Stamp stamp{ aState.mGroup.mTerm, sum.mSequence };
+  const bool isIdle = sum.mSum.mTable.empty();
+  if (rollup::TakeTotals(
+        rollup,
+        rollup::MakeTotals(
+          rollup, aNow, std::move(sum.mSum), KnownHosts(aState), stamp))) {
+    SendTotals(aState, aNow, aOut);
+  }
+  rollup::MarkSent(rollup, aNow, isIdle);
+}
+
+void ReportCounts(State& aState,
+                  Micros aNow,
+                  const std::string& aTo,
+                  Output& aOut)
+{
+  rollup::State& rollup = aState.mCounts.mRollup;
+  if (aTo.empty() || aTo == aState.mSettings.mPeerAddress) {
+    return;
+  }
+  const rollup::Report report = OwnCounts(aState, aNow);
+  wire::FleetMessage message;
+  *message.mutable_counts() = ToWire(report);
+  SendTo(aState, aTo, std::move(message), aOut);
+  rollup::MarkSent(rollup, aNow, report.mSum.mTable.empty());
+  aState.mCounts.mReportedTo = aTo;
+}
+
+void LogMissing(State& aState, Micros aNow, Output& aOut)
+{
+  CountsState& counts = aState.mCounts;
+  const auto& totals = counts.mRollup.mTotals;
+  if (!counts.mRollup.mWanted) {
+    counts.mIsMissing = false;
+    return;
+  }
+  const Micros since =
+    std::max(counts.mWantedSince, totals ? totals->mToldAt : Micros(0));
+  const bool isMissing = aNow - since > kMissingAge;
+  if (isMissing == counts.mIsMissing) {
+    return;
+  }
+  counts.mIsMissing = isMissing;
+  aOut.mLogLines.push_back(
+    { isMissing ? 2 : 1,
+      std::string("event=") + (isMissing ? "totals_missing" : "totals_back") +
+        " age_ms=" + std::to_string((aNow - since) / kMillisecond) +
+        " hosts=" + std::to_string(totals ? totals->mSum.mHosts : 0) +
+        " silent=" + std::to_string(totals ? totals->mSilent : 0) +
+        " reports_to=" + counts.mReportedTo });
+}
+
+} // namespace
+
+void TellCounts(State& aState, Micros aNow, Output& aOut)
+{
+  rollup::State& rollup = aState.mCounts.mRollup;
+  if (aNow < rollup::NextLook(rollup)) {
+    return;
+  }
+  rollup::UpdateReporters(rollup, aNow);
+  const bool leads = consensus::IsLeader(aState.mGroup);
+  const std::string to =
+    HasVote(aState) ? LeaderAddress(aState) : aState.mUpstream;
+  if (leads) {
+    ConfirmLeadership(aState, aNow);
+  }
+  const bool isDue = rollup::IsDue(rollup, aNow);
+  if (leads && isDue) {
+    TellTotals(aState, aNow, aOut);
+  } else if (!leads && (isDue || to != aState.mCounts.mReportedTo)) {
+    ReportCounts(aState, aNow, to, aOut);
+  }
+  LogMissing(aState, aNow, aOut);
+}
+
+void HandleCounts(State& aState,
+                  Micros aNow,
+                  const std::string& aFrom,
+                  const wire::CountsReport& aMessage)
+{
+  if (std::optional<rollup::Report> report = FromWire(aMessage)) {
+    rollup::TakeReport(aState.mCounts.mRollup, aNow, aFrom, std::move(*report));
+  }
+}
+
+void HandleTotals(State& aState,
+                  Micros aNow,
+                  const wire::CountsTotals& aMessage,
+                  Output& aOut)
+{
+  std::optional<rollup::Totals> totals = FromWire(aMessage);
+  if (!totals) {
+    return;
+  }
+  const auto writtenAt = static_cast<Micros>(aMessage.written_at());
+  totals->mToldAt = std::min(aNow, writtenAt) -
+                    static_cast<Micros>(aMessage.age_ms()) * kMillisecond;
+  if (rollup::TakeTotals(aState.mCounts.mRollup, std::move(*totals))) {
+    SendTotals(aState, aNow, aOut);
+  }
+}
+
+void SetCounting(State& aState, Micros aNow, bool aWanted)
+{
+  rollup::State& rollup = aState.mCounts.mRollup;
+  if (rollup.mWanted == aWanted) {
+    return;
+  }
+  rollup.mWanted = aWanted;
+  rollup.mLookAt = aNow;
+  aState.mCounts.mWantedSince = aNow;
+}
+
+bool AreCountsDue(const State& aState, Micros aNow) noexcept
+{
+  return aNow >= rollup::NextLook(aState.mCounts.mRollup);
+}
+
+void SetCounts(State& aState, Micros aNow, rollup::Table aOwn)
+{
+  rollup::SetOwn(aState.mCounts.mRollup, aNow, std::move(aOwn));
+}
+
+void SelectTotals(State& aState, rollup::Selection aSelection)
+{
+  aState.mCounts.mRollup.mSelection = std::move(aSelection);
+}
+
+void SetLeastGrowth(State& aState,
+                    rollup::Subject aSubject,
+                    const rollup::Counts& aLeast)
+{
+  const auto subject = static_cast<std::size_t>(aSubject);
+  aState.mCounts.mRollup.mLeastGrowth.mBySubject.at(subject) = aLeast;
+}
+
+const rollup::Totals* NewestTotals(const State& aState) noexcept
+{
+  const auto& totals = aState.mCounts.mRollup.mTotals;
+  return totals ? &*totals : nullptr;
+}
+
+} // namespace geraniumpond::fleet
--- a/src/fleet/fleet.cpp
+++ b/src/fleet/fleet.cpp
@@ -187,6 +187,7 @@
   RetryPending(aState, aNow, aOut);
   AnswerDeferredAskers(aState, aNow, aOut);
   GossipToNeighbours(aState, aNow, aOut);
+  TellCounts(aState, aNow, aOut);
 }
 
 void Receive(State& aState,
@@ -218,6 +219,12 @@
     case wire::FleetMessage::kGossip:
       HandleGossip(aState, aNow, from, aMessage.gossip(), aOut);
       break;
+    case wire::FleetMessage::kCounts:
+      HandleCounts(aState, aNow, from, aMessage.counts());
+      break;
+    case wire::FleetMessage::kTotals:
+      HandleTotals(aState, aNow, aMessage.totals(), aOut);
+      break;
     case wire::FleetMessage::BODY_NOT_SET:
       aOut.mLogLines.push_back({ 2, "event=message_unknown from=" + from });
       break;
@@ -413,6 +420,10 @@
       return "join";
     case wire::FleetMessage::kGossip:
       return "gossip";
+    case wire::FleetMessage::kCounts:
+      return "counts";
+    case wire::FleetMessage::kTotals:
+      return "totals";
     case wire::FleetMessage::BODY_NOT_SET:
       break;
   }
@@ -429,6 +440,7 @@
     next = std::min(next, aState.mPushAt);
   }
   next = std::min(next, gossip::NextTick(aState.mGossip));
+  next = std::min(next, rollup::NextLook(aState.mCounts.mRollup));
   return std::min({ next, NextUpstreamTime(aState), NextQueryTime(aState) });
 }
 
--- a/src/fleet/inbox.cpp
+++ b/src/fleet/inbox.cpp
@@ -8,6 +8,13 @@
 
 /// Of each turn, so that announcements are not kept out by others.
 constexpr std::size_t kLeastAnnouncements = 1;
+/// The same for counts: limits are kept by them.
+constexpr std::size_t kLeastCounts = 1;
+
+bool HoldsCounts(const wire::FleetMessage& aMessage)
+{
+  return aMessage.has_counts() || aMessage.has_totals();
+}
 
 // A report contains everything that the host's previous one did, except for
 // reports that concern a change of upstream.
@@ -27,6 +34,9 @@
       aNext.from_address() != aWaiting.from_address()) {
     return false;
   }
+  if (HoldsCounts(aNext)) {
+    return true;
+  }
   if (aNext.has_submit()) {
     return aNext.submit().id() == aWaiting.submit().id() ||
            (aNext.submit().whole() && aWaiting.submit().whole());
@@ -49,12 +59,16 @@
   if (aMessage.has_submit()) {
     return mAnnouncements;
   }
+  if (HoldsCounts(aMessage)) {
+    return mCounts;
+  }
   return aMessage.follow().brief() ? mBriefReports : mOthers;
 }
 
 bool Inbox::Replace(Queued& aNext)
 {
-  if (!aNext.mMessage.has_follow() && !aNext.mMessage.has_submit()) {
+  if (!aNext.mMessage.has_follow() && !aNext.mMessage.has_submit() &&
+      !HoldsCounts(aNext.mMessage)) {
     return false;
   }
   std::deque<Queued>& queue = QueueOf(aNext.mMessage);
@@ -122,7 +136,9 @@
   (void)takeFrom(mConsensus, mConsensus.size());
   (void)takeFrom(mUrgent, aOthers);
   const std::size_t left = takeFrom(mBriefReports, takeFrom(mOthers, aOthers));
-  (void)takeFrom(mAnnouncements, std::max(left, kLeastAnnouncements));
+  const std::size_t unused =
+    takeFrom(mAnnouncements, std::max(left, kLeastAnnouncements));
+  (void)takeFrom(mCounts, std::max(std::min(left, unused), kLeastCounts));
   return taken;
 }
 
--- a/src/fleet/internal.h
+++ b/src/fleet/internal.h
@@ -296,6 +296,28 @@
 /// \brief Sends neighbours the facts that they lack.
 void GossipToNeighbours(State& aState, Micros aNow, Output& aOut);
 
+// --- counts.cpp: counts summed over all hosts
+/// \brief Reports counts to the upstream or the leader, or tells totals, when
+/// that is due.
+void TellCounts(State& aState, Micros aNow, Output& aOut);
+void HandleCounts(State& aState,
+                  Micros aNow,
+                  const std::string& aFrom,
+                  const wire::CountsReport& aMessage);
+void HandleTotals(State& aState,
+                  Micros aNow,
+                  const wire::CountsTotals& aMessage,
+                  Output& aOut);
+
+// --- counts_messages.cpp: counts as messages
+[[nodiscard]] wire::CountsReport ToWire(const rollup::Report& aReport);
+[[nodiscard]] std::optional<rollup::Report> FromWire(
+  const wire::CountsReport& aMessage);
+/// \brief Without the age and the time of writing.
+[[nodiscard]] wire::CountsTotals ToWire(const rollup::Totals& aTotals);
+[[nodiscard]] std::optional<rollup::Totals> FromWire(
+  const wire::CountsTotals& aMessage);
+
 // --- fleet.cpp
 void SendTo(State& aState,
             const std::string& aAddress,
--- a/src/frontend/gateway_calls.cpp
+++ b/src/frontend/gateway_calls.cpp
@@ -12,6 +12,21 @@
 
 constexpr int kTemporaryRedirect = 307;
 
+void AddTotalsGauges(const fleet::State& aFleet,
+                     Micros aNow,
+                     std::map<std::string, double>& aGauges)
+{
+  const rollup::Totals* totals = fleet::NewestTotals(aFleet);
+  if (totals == nullptr) {
+    return;
+  }
+  aGauges["totals_age_seconds"] =
+    static_cast<double>(aNow - totals->mToldAt) / kSecond;
+  aGauges["totals_hosts"] = totals->mSum.mHosts;
+  aGauges["totals_hosts_silent"] = totals->mSilent;
+  aGauges["totals_keys"] = static_cast<double>(totals->mSum.mTable.size());
+}
+
 } // namespace
 
 void GatewayProcess::HandleCall(std::uint64_t aExchange,
@@ -131,6 +146,7 @@
     gauges["losses_tolerated"] = health.mTolerated;
   }
   AddVerdictGauges(mState.mDispatch.mQuarantine, mNow, gauges);
+  AddTotalsGauges(fleet, mNow, gauges);
   gauges["facts"] = static_cast<double>(fleet.mGossip.mEntries.size());
   gauges["peer_connections"] =
     static_cast<double>(mPeers->OutgoingConnections());
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -69,6 +69,7 @@
     state.mDispatch,
     aContext.mNow,
     std::make_shared<const policy::TrafficPolicy>(std::move(decoded.value())));
+  UpdateCounting(aContext);
   aContext.Log(
     1,
     "event=policy_in_force version=" + std::to_string(catalog.mVersion) +
@@ -126,6 +127,7 @@
     CompleteOperation(aContext, done);
   }
   AnswerReads(aContext);
+  UseNewTotals(aContext);
 }
 
 void RecordWarmUp(Context& aContext, const wire::TargetRecord& aRecord)
@@ -301,6 +303,7 @@
       state.mFleet, aContext.mNow, dispatch::IsCutOff(state.mDispatch), output);
   }
   AppendEffects(aContext, std::move(effects));
+  UpdateCounts(aContext);
   fleet::Tick(state.mFleet, aContext.mNow, aRandom, output);
   ApplyFleetOutput(aContext, std::move(output));
   UpdateHostCount(aContext);
--- a/src/gateway/internal.h
+++ b/src/gateway/internal.h
@@ -26,6 +26,15 @@
 /// \brief Applies what a known target announces of its warm-up.
 void RecordWarmUp(Context& aContext, const wire::TargetRecord& aRecord);
 
+// --- rollup.cpp: counts summed over all hosts
+
+/// \brief Notes whether the policy has anything to count over all hosts.
+void UpdateCounting(Context& aContext);
+/// \brief Sets this host's own counts if they are due.
+void UpdateCounts(Context& aContext);
+/// \brief Hands totals that have arrived to those who use them.
+void UseNewTotals(Context& aContext);
+
 // --- operations.cpp: calls from targets and operators
 
 void HandleAnnounce(Context& aContext, const Announce& aCall);
--- a/tests/fleet_inbox_test.cpp
+++ b/tests/fleet_inbox_test.cpp
@@ -31,6 +31,14 @@
   return message.SerializeAsString();
 }
 
+std::string CountsOf(const std::string& aHost, std::uint64_t aSequence)
+{
+  wire::FleetMessage message;
+  message.set_from_address(aHost);
+  message.mutable_counts()->set_sequence(aSequence);
+  return message.SerializeAsString();
+}
+
 } // namespace
 
 /// \brief Messages that arrive faster than they are processed.
@@ -43,6 +51,7 @@
   CPPUNIT_TEST(RepeatedCommandIsQueuedOnce);
   CPPUNIT_TEST(UrgentCommandBehindManyAnnouncementsIsTakenBeforeThem);
   CPPUNIT_TEST(ManyUrgentCommandsDoNotStarveOthers);
+  CPPUNIT_TEST(CountsAreReplacedAndComeAfterReports);
   CPPUNIT_TEST(FullInboxDropsAndCounts);
   CPPUNIT_TEST(UnreadableMessageIsRefused);
   CPPUNIT_TEST_SUITE_END();
@@ -126,6 +135,20 @@
     CPPUNIT_ASSERT(taken.back().has_follow());
   }
 
+  void CountsAreReplacedAndComeAfterReports()
+  {
+    for (std::uint64_t sequence = 1; sequence <= 3; ++sequence) {
+      CPPUNIT_ASSERT(mInbox.Put(CountsOf("one", sequence)));
+    }
+    CPPUNIT_ASSERT(mInbox.Put(ReportOf("two", 1)));
+    CPPUNIT_ASSERT(mInbox.Put(ReportOf("three", 1)));
+    CPPUNIT_ASSERT_EQUAL(std::size_t(3), mInbox.Waiting());
+    const std::vector<wire::FleetMessage> taken = mInbox.Take(1);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(2), taken.size());
+    CPPUNIT_ASSERT_EQUAL(std::string("two"), taken[0].from_address());
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t(3), taken[1].counts().sequence());
+  }
+
   void FullInboxDropsAndCounts()
   {
     Inbox small(100);
