--- a/src/frontend/load_monitor.cpp
+++ b/src/frontend/load_monitor.cpp
@@ -23,9 +23,9 @@
   "outbox",
   "disk",
 };
-constexpr std::array<const char*, 8> kWorkNames = {
-  "connections", "consensus", "reports", "replies",
-  "commands",    "facts",     "disk",    "time",
+constexpr std::array<const char*, 9> kWorkNames = {
+  "connections", "consensus", "reports", "replies", "commands",
+  "facts",       "counts",    "disk",    "time",
 };
 
 Micros ThreadCpuTime()
--- a/src/frontend/load_monitor.h
+++ b/src/frontend/load_monitor.h
@@ -35,6 +35,7 @@
   Replies,
   Commands,
   Facts,
+  Counts,
   Disk,
   Time,
 };
