--- a/src/gateway/internal.h
+++ b/src/gateway/internal.h
@@ -36,6 +36,15 @@
 [[nodiscard]] dispatch::Arrival WithSender(const State& aState,
                                            dispatch::Arrival aArrival);
 
+// --- rollup.cpp: counts summed over all hosts
+
+/// \brief Notes whether the policy has anything to count over all hosts.
+void UpdateCounting(Context& aContext);
+/// \brief Sets this host's own counts if they are due.
+void UpdateCounts(Context& aContext);
+/// \brief Hands totals that have arrived to those who use them.
+void UseNewTotals(Context& aContext);
+
 // --- operations.cpp: calls from targets and operators
 
 void HandleAnnounce(Context& aContext, const Announce& aCall);
