--- a/include/geraniumpond/policy.h
+++ b/include/geraniumpond/policy.h
@@ -128,6 +128,9 @@
   const TrafficPolicy& aPolicy,
   std::string_view aHost);
 
+/// \brief True if any account has a limit.
+[[nodiscard]] bool HasLimitedAccounts(const TrafficPolicy& aPolicy) noexcept;
+
 /// \brief Chooses a service by weight; `aPoint` is a uniform random number in
 /// [0, 1).
 [[nodiscard]] const std::string& PickBackend(const Route& aRoute,
--- a/src/dispatch/account_limits.cpp
+++ b/src/dispatch/account_limits.cpp
@@ -75,15 +75,18 @@
                       Micros aNow,
                       const Arrival& aArrival,
                       Request& aRequest,
-                      bool aIsReturn,
                       Effects& aOut)
 {
   const quota::Limit limit = LimitOf(aState, aRequest.mAccount);
   if (aRequest.mIsRelayed || !limit.Exists()) {
     return true;
   }
-  const quota::Verdict verdict = quota::Admit(
-    aState.mQuota, aNow, quota::DigestOf(aRequest.mAccount), limit, aIsReturn);
+  const quota::Verdict verdict =
+    quota::Admit(aState.mQuota,
+                 aNow,
+                 quota::DigestOf(aRequest.mAccount),
+                 limit,
+                 IsReturn(aRequest));
   aRequest.mHoldsQuota = verdict.mAdmitted;
   if (!verdict.mAdmitted) {
     RefuseArrival(aState,
@@ -120,6 +123,13 @@
   }
 }
 
+bool AwaitsTotals(const State& aState, Micros aNow) noexcept
+{
+  return aNow < aState.mPolicyExpectedUntil &&
+         aState.mQuota.mTotals.mToldAt == 0 && aState.mPolicy &&
+         policy::HasLimitedAccounts(*aState.mPolicy);
+}
+
 void TickQuota(State& aState, Micros aNow, Effects& aOut)
 {
   quota::Tick(aState.mQuota, aNow);
--- a/src/dispatch/admission.cpp
+++ b/src/dispatch/admission.cpp
@@ -117,12 +117,13 @@
 bool MakeRoom(State& aState,
               Micros aNow,
               const Arrival& aArrival,
-              const Request& aRequest,
+              Request& aRequest,
               Effects& aOut)
 {
   if (!IsHeldBack(aState, aNow, aRequest)) {
     return true;
   }
+  ReleaseQuota(aState, aRequest);
   RefuseArrival(aState,
                 aArrival,
                 kUnavailable,
@@ -191,7 +192,7 @@
                    Effects& aOut)
 {
   ++aState.mCounters["requests"];
-  if (!aState.mPolicy) {
+  if (!aState.mPolicy || AwaitsTotals(aState, aNow)) {
     QueueUnrouted(aState, aNow, aArrival, aOut);
     return;
   }
@@ -231,6 +232,7 @@
   if (!Authorise(aState, aNow, aArrival, *route, request, aOut) ||
       !CountArrival(aState, aNow, aArrival, *route, request, aOut) ||
       !PassQuarantine(aState, aNow, aArrival, request, aOut) ||
+      !AdmitWithinQuota(aState, aNow, aArrival, request, aOut) ||
       !MakeRoom(aState, aNow, aArrival, request, aOut)) {
     return;
   }
--- a/src/dispatch/client_retries.cpp
+++ b/src/dispatch/client_retries.cpp
@@ -65,4 +65,9 @@
   aStatistics.mDeviation += gain * (deviation - aStatistics.mDeviation);
 }
 
+bool IsReturn(const Request& aRequest) noexcept
+{
+  return aRequest.mObjectiveAt <= aRequest.mArrivedAt;
+}
+
 } // namespace geraniumpond::dispatch
--- a/src/dispatch/fairness.cpp
+++ b/src/dispatch/fairness.cpp
@@ -10,22 +10,13 @@
 
 namespace {
 
-/// Digests of keys that hosts sum up have this many bits.
-constexpr std::uint64_t kDigestMask = (std::uint64_t(1) << 48) - 1;
 constexpr std::size_t kArrived = 0;
 constexpr std::size_t kLacking = 1;
 
 rollup::Key KeyOf(const std::string& aService, int aPriority)
 {
-  const std::uint64_t digest =
-    Hash64(aService + "/" + std::to_string(aPriority));
-  return { rollup::Subject::Priority, digest & kDigestMask };
-}
-
-// A return's objective has passed before it arrives.
-bool IsReturn(const Request& aRequest)
-{
-  return aRequest.mObjectiveAt <= aRequest.mArrivedAt;
+  return rollup::MakeKey(rollup::Subject::Priority,
+                         Hash64(aService + "/" + std::to_string(aPriority)));
 }
 
 // Totals name priorities by digest only.
--- a/src/dispatch/internal.h
+++ b/src/dispatch/internal.h
@@ -310,6 +310,9 @@
 [[nodiscard]] Micros NextUnroutedTime(const State& aState) noexcept;
 
 // --- client_retries.cpp: retries by clients
+/// \brief True for a request whose latency objective had passed before it
+/// arrived.
+[[nodiscard]] bool IsReturn(const Request& aRequest) noexcept;
 /// \brief True when a request's remaining client timeout shows that it is a
 /// retry: its client has already waited longer than the route's latency
 /// objective.
@@ -375,7 +378,6 @@
                                     Micros aNow,
                                     const Arrival& aArrival,
                                     Request& aRequest,
-                                    bool aIsReturn,
                                     Effects& aOut);
 /// \brief A request is sent, to a target or to another host.
 void CountQuotaSent(State& aState, Micros aNow, Request& aRequest);
@@ -386,6 +388,9 @@
                                   const Request& aRequest);
 /// \brief Gives a request back that ends without having been sent.
 void ReleaseQuota(State& aState, Request& aRequest);
+/// \brief True while a host that has just started is to hear what accounts
+/// have used of their limits.
+[[nodiscard]] bool AwaitsTotals(const State& aState, Micros aNow) noexcept;
 /// \brief Logs which accounts start and end being limited at this host.
 void TickQuota(State& aState, Micros aNow, Effects& aOut);
 
--- a/src/dispatch/relay.cpp
+++ b/src/dispatch/relay.cpp
@@ -92,6 +92,7 @@
   attempt.mLargeBytes = aLargeBytes;
   aState.mLargeBytes += aLargeBytes;
   ++aRequest.mSent;
+  CountQuotaSent(aState, aNow, aRequest);
   aRequest.mHostsTried.insert(aHost);
   aRequest.mHedging = false;
   aRequest.mHedgeAt = 0;
--- a/src/dispatch/requests.cpp
+++ b/src/dispatch/requests.cpp
@@ -142,6 +142,7 @@
     return;
   }
   StopWaiting(aState, found->second);
+  ReleaseQuota(aState, found->second);
   aState.mTimers.erase({ found->second.mTimerAt, aRequest });
   aState.mRequests.erase(found);
 }
@@ -234,6 +235,7 @@
                         : 0;
   CountSend(aState, aNow, aRequest);
   RecordDispatch(aState.mServices[aRequest.mService], aNow);
+  CountQuotaSent(aState, aNow, aRequest);
   Log(aOut,
       1,
       "event=sent" + Describe(aState, aRequest, aNow) + Describe(attempt) +
--- a/src/dispatch/unrouted.cpp
+++ b/src/dispatch/unrouted.cpp
@@ -4,10 +4,11 @@
 #include <limits>
 #include <utility>
 
-// Requests that arrive while a host starts. After an outage of all hosts,
-// clients reconnect before the control group has a leader. A refused client
-// retries after a third of its time and is late; one whose request is queued
-// briefly is usually on time.
+// Requests that arrive while a host starts: it has no policy yet, or does not
+// know yet what accounts have used of their limits. After an outage of all
+// hosts, clients reconnect before the control group has a leader. A refused
+// client retries after a third of its time and is late; one whose request is
+// queued briefly is usually on time.
 namespace geraniumpond::dispatch {
 
 namespace {
@@ -80,7 +81,7 @@
 
 void AdmitUnrouted(State& aState, Micros aNow, Effects& aOut)
 {
-  if (!aState.mPolicy) {
+  if (!aState.mPolicy || AwaitsTotals(aState, aNow)) {
     return;
   }
   const auto queued = std::exchange(aState.mUnrouted, {});
--- a/src/dispatch/waiting.cpp
+++ b/src/dispatch/waiting.cpp
@@ -135,6 +135,38 @@
   return true;
 }
 
+// Takes another attempt from the budget of the service and, if the last one may
+// run, from the limit of the account. False if the request does not go on with
+// one.
+bool TakeExtraAttempt(State& aState,
+                      Micros aNow,
+                      Request& aRequest,
+                      Effects& aOut)
+{
+  Service& service = aState.mServices[aRequest.mService];
+  const char* denied = "extra_attempts_spent";
+  if (TakeExtra(aState, service.mExtra, aNow)) {
+    const bool repeats = aRequest.mMayHaveRun || !aRequest.mAttempts.empty();
+    if (!repeats || TakeExtraQuota(aState, aNow, aRequest)) {
+      return true;
+    }
+    denied = "account_at_limit";
+  }
+  ++aState.mCounters["extra_over_budget"];
+  if (aRequest.mHedging) {
+    StopHedging(aState, aNow, aRequest);
+    return false;
+  }
+  Refuse(aState,
+         aNow,
+         aRequest.mId,
+         aRequest.mMayHaveRun ? 502 : 503,
+         RetryAfter(aState, 0),
+         denied,
+         aOut);
+  return false;
+}
+
 void TrySend(State& aState,
              Micros aNow,
              Request& aRequest,
@@ -159,19 +191,7 @@
            aOut);
     return;
   }
-  if (extra && !TakeExtra(aState, service.mExtra, aNow)) {
-    ++aState.mCounters["extra_over_budget"];
-    if (aRequest.mHedging) {
-      StopHedging(aState, aNow, aRequest);
-      return;
-    }
-    Refuse(aState,
-           aNow,
-           aRequest.mId,
-           aRequest.mMayHaveRun ? 502 : 503,
-           RetryAfter(aState, 0),
-           "extra_attempts_spent",
-           aOut);
+  if (extra && !TakeExtraAttempt(aState, aNow, aRequest, aOut)) {
     return;
   }
   fair_queue::Serve(service.mWaiting, aRequest.mId);
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -4,23 +4,6 @@
 
 namespace geraniumpond::gateway {
 
-namespace {
-
-/// Interval at which the number of live hosts is updated.
-constexpr Micros kHostCountInterval = 500 * kMillisecond;
-/// Time after a start until all hosts that started together are known: they
-/// report every 0.4 s, and a host list passes through a few relays.
-constexpr Micros kHostDiscoveryTime = 3 * kSecond;
-/// Part of the stop grace period reserved for the process to exit.
-constexpr Micros kStopReserve = 800 * kMillisecond;
-/// The same while answers are still being sent; whatever remains is cut off.
-constexpr Micros kSendingReserve = 300 * kMillisecond;
-/// A link that is this many times faster carries the large answers of several
-/// hosts beside its own.
-constexpr double kFastLinkRatio = 10;
-/// Time after a start during which requests may wait for the first policy.
-constexpr Micros kInitialPolicyWait = 1 * kSecond;
-
 void AppendEffects(Context& aContext, dispatch::Effects aEffects)
 {
   for (dispatch::Effect& effect : aEffects) {
@@ -44,6 +27,26 @@
   }
 }
 
+namespace {
+
+/// Interval at which the number of live hosts is updated.
+constexpr Micros kHostCountInterval = 500 * kMillisecond;
+/// Time after a start until all hosts that started together are known: they
+/// report every 0.4 s, and a host list passes through a few relays.
+constexpr Micros kHostDiscoveryTime = 3 * kSecond;
+/// Part of the stop grace period reserved for the process to exit.
+constexpr Micros kStopReserve = 800 * kMillisecond;
+/// The same while answers are still being sent; whatever remains is cut off.
+constexpr Micros kSendingReserve = 300 * kMillisecond;
+/// A link that is this many times faster carries the large answers of several
+/// hosts beside its own.
+constexpr double kFastLinkRatio = 10;
+/// Time after a start during which requests may wait for the first policy.
+constexpr Micros kInitialPolicyWait = 1 * kSecond;
+/// Time after the first policy until what accounts have used is known here: a
+/// report and an answer by each host on the way to the leader.
+constexpr Micros kFirstTotalsWait = 800 * kMillisecond;
+
 void ApplyNewPolicy(Context& aContext, fleet::Output& aFleet)
 {
   State& state = aContext.mState;
@@ -64,6 +67,10 @@
     return;
   }
   policy::BuildIndex(decoded.value());
+  if (!inForce && policy::HasLimitedAccounts(decoded.value())) {
+    state.mDispatch.mPolicyExpectedUntil = std::max(
+      state.mDispatch.mPolicyExpectedUntil, aContext.mNow + kFirstTotalsWait);
+  }
   const std::size_t routes = decoded.value().mRoutes.size();
   dispatch::SetPolicy(
     state.mDispatch,
@@ -266,6 +273,7 @@
   state.mDispatch.mKnowsHosts =
     aContext.mNow >= state.mStartedAt + kHostDiscoveryTime;
   UpdateSharers(aContext);
+  UpdateCountHosts(aContext);
   UpdateFastHosts(aContext);
   UpdateHostDataCentres(aContext);
   const int hosts = fleet::LiveHostCount(state.mFleet, aContext.mNow);
--- a/src/gateway/internal.h
+++ b/src/gateway/internal.h
@@ -20,6 +20,9 @@
 
 // --- gateway.cpp
 
+/// \brief Appends the effects of a dispatch call; facts go to other hosts.
+void AppendEffects(Context& aContext, dispatch::Effects aEffects);
+
 /// \brief Applies the output of a fleet call and appends its effects.
 void ApplyFleetOutput(Context& aContext, fleet::Output aFleet);
 
@@ -40,6 +43,8 @@
 
 /// \brief Notes whether the policy has anything to count over all hosts.
 void UpdateCounting(Context& aContext);
+/// \brief Tells those who divide limits among hosts which hosts there are.
+void UpdateCountHosts(Context& aContext);
 /// \brief Sets this host's own counts if they are due.
 void UpdateCounts(Context& aContext);
 /// \brief Hands totals that have arrived to those who use them.
--- a/src/policy/policy.cpp
+++ b/src/policy/policy.cpp
@@ -205,4 +205,16 @@
   return aRoute.mBackends.back().mService;
 }
 
+bool HasLimitedAccounts(const TrafficPolicy& aPolicy) noexcept
+{
+  if (!aPolicy.mAccounts) {
+    return false;
+  }
+  const auto& accounts = aPolicy.mAccounts->mAccounts;
+  return std::any_of(
+    accounts.begin(), accounts.end(), [](const accounts::Account& aAccount) {
+      return aAccount.mPerSecond > 0;
+    });
+}
+
 } // namespace geraniumpond::policy
--- a/src/quota/counts.cpp
+++ b/src/quota/counts.cpp
@@ -57,7 +57,7 @@
 
 rollup::Key KeyOf(std::uint64_t aAccount) noexcept
 {
-  return { rollup::Subject::Account, aAccount };
+  return rollup::MakeKey(rollup::Subject::Account, aAccount);
 }
 
 Slice& SliceAt(Account& aAccount, Micros aNow)
