--- a/tests/fakes/gateway_world.cpp
+++ b/tests/fakes/gateway_world.cpp
@@ -178,6 +178,30 @@
   }
 }
 
+void GatewayWorld::WipeHost(std::size_t aHost)
+{
+  KillHost(aHost);
+  Host& host = mHosts[aHost];
+  host.mDisk = FreshDisk(host.mSettings.mFleet.mSeeds, false, mRandom());
+}
+
+std::size_t GatewayWorld::ReplaceHost(std::size_t aHost)
+{
+  KillHost(aHost);
+  const std::size_t added = mHosts.size();
+  Host host;
+  host.mSettings = mHosts[aHost].mSettings;
+  const std::string ip = "10.1.0." + std::to_string(added);
+  fleet::Settings& fleet = host.mSettings.mFleet;
+  fleet.mPeerAddress = ip + ":7";
+  fleet.mCallerAddress = ip + ":80";
+  host.mDisk = FreshDisk(fleet.mSeeds, false, mRandom());
+  mHostByAddress[fleet.mPeerAddress] = added;
+  mHosts.push_back(std::move(host));
+  StartHost(added);
+  return added;
+}
+
 void GatewayWorld::BreakJobs(const std::string& aAddress,
                              dispatch::EndKind aKind)
 {
@@ -262,7 +286,8 @@
   Post(aHost, gateway::PutPolicy{ mLastId, PolicyDocument(mLoad, version) });
 }
 
-void GatewayWorld::PerformOne(std::size_t, gateway::AnswerOperation& aEffect)
+void GatewayWorld::PerformOne(std::size_t aHost,
+                              gateway::AnswerOperation& aEffect)
 {
   const auto order = mOrderCalls.find(aEffect.mOperation);
   if (order != mOrderCalls.end()) {
@@ -271,6 +296,9 @@
     Micros& at = mEvacuationOrders[order->second].mAcknowledgedAt;
     if (aEffect.mEnd == gateway::OperationOutcome::Done && !lost && at == 0) {
       at = mNow;
+      if (mOnAcknowledgement) {
+        Later(kStep, [this, aHost] { mOnAcknowledgement(aHost); });
+      }
     }
     mOrderCalls.erase(order);
     return;
@@ -732,15 +760,29 @@
   if (client.mAddresses.empty()) {
     return std::nullopt;
   }
-  const std::string address =
-    client.mAddresses[mRandom() % client.mAddresses.size()];
+  return IndexOf(client.mAddresses[mRandom() % client.mAddresses.size()]);
+}
+
+std::size_t GatewayWorld::IndexOf(const std::string& aCallerAddress) const
+{
   const auto found =
     std::find_if(mHosts.begin(), mHosts.end(), [&](const Host& aHost) {
-      return aHost.mSettings.mFleet.mCallerAddress == address;
+      return aHost.mSettings.mFleet.mCallerAddress == aCallerAddress;
     });
   return static_cast<std::size_t>(found - mHosts.begin());
 }
 
+std::vector<std::size_t> GatewayWorld::NamedBy(std::size_t aHost)
+{
+  Host& host = mHosts[aHost];
+  std::vector<std::size_t> named;
+  for (const std::string& address : gateway::AddressesFor(
+         host.mState, { host.mSettings.mFleet.mDataCentre }, mNow)) {
+    named.push_back(IndexOf(address));
+  }
+  return named;
+}
+
 void GatewayWorld::RecordFirstTry(std::size_t aHost,
                                   const Client& aClient,
                                   int aStatus)
--- a/tests/fakes/gateway_world.h
+++ b/tests/fakes/gateway_world.h
@@ -147,6 +147,8 @@
                        bool aEvacuated,
                        Micros aPatience = 4 * kSecond);
   std::vector<EvacuationOrder> mEvacuationOrders;
+  /// Called with the host that acknowledges an order.
+  std::function<void(std::size_t)> mOnAcknowledgement;
   /// Share of the acknowledgements to orders that are lost on their way.
   double mLostAcknowledgements = 0;
   /// \brief Policy version that a host applies; 0 for none.
@@ -157,6 +159,8 @@
   /// \brief From now on clients ask a host of their data centre where to
   /// connect, keep the answer, and leave out an address that failed them.
   void UseDirectory(int aClients);
+  /// \brief The hosts that a host names to a client of its data centre.
+  [[nodiscard]] std::vector<std::size_t> NamedBy(std::size_t aHost);
   /// \brief Requests `aPath` from a random host at every interval `aGap`.
   void SendRepeatedly(const std::string& aPath,
                       Micros aGap,
@@ -210,6 +214,11 @@
   /// Injected fault: all gossip messages are lost.
   bool mDropsGossip = false;
   void KillHost(std::size_t aHost);
+  /// \brief The same, and its disk is lost.
+  void WipeHost(std::size_t aHost);
+  /// \brief Ends a host for good and starts an empty one of the same kind at
+  /// another address; returns the new one.
+  std::size_t ReplaceHost(std::size_t aHost);
   void StartHost(std::size_t aHost);
   void StopHost(std::size_t aHost);
   /// \brief Suspends the host; events that arrive meanwhile are deferred.
@@ -223,6 +232,11 @@
   }
 
   [[nodiscard]] std::vector<std::string> TargetAddresses() const;
+  [[nodiscard]] const std::string& DataCentreOf(
+    const std::string& aTarget) const
+  {
+    return mTargets.at(aTarget).mDataCentre;
+  }
   [[nodiscard]] Micros Now() const noexcept { return mNow; }
 
   /// All requests that reached a target, including refused ones.
@@ -321,7 +335,8 @@
   void PerformOne(std::size_t aHost, dispatch::DeliverAnswer& aEffect);
   void PerformOne(std::size_t aHost, dispatch::ReplyToClient& aEffect);
   void PerformOne(std::size_t, dispatch::LogLine&) {}
-  void PerformOne(std::size_t, gateway::AnswerOperation& aEffect);
+  void PerformOne(std::size_t aHost, gateway::AnswerOperation& aEffect);
+  [[nodiscard]] std::size_t IndexOf(const std::string& aCallerAddress) const;
   void PerformOne(std::size_t aHost, gateway::SendPeer& aEffect);
   void PerformOne(std::size_t aHost, gateway::Persist& aEffect);
   void PerformOne(std::size_t, gateway::ExitProcess&) {}
--- a/tests/gateway_evacuation_test.cpp
+++ b/tests/gateway_evacuation_test.cpp
@@ -21,6 +21,7 @@
 /// The same after the control group was disturbed.
 constexpr Micros kInForceAfterLosses = 5 * kSecond;
 constexpr std::uint64_t kSeeds = 6;
+constexpr std::size_t kControlHosts = 4;
 
 std::size_t ArrivalsAt(const GatewayWorld& aWorld,
                        const std::string& aDataCentre,
@@ -47,6 +48,8 @@
   CPPUNIT_TEST(TargetsAreUsedAgainAfterTheEvacuation);
   CPPUNIT_TEST(OrderSurvivesALossOfAllHosts);
   CPPUNIT_TEST(OrderSurvivesLossesOfTheLeader);
+  CPPUNIT_TEST(OrderSurvivesADiskLostRightAfterItsAcknowledgement);
+  CPPUNIT_TEST(OrderOutlivesAReplacedControlHost);
   CPPUNIT_TEST(OrderHoldsThoughAcknowledgementsAreLost);
   CPPUNIT_TEST(DelayedCopyOfAnEarlierOrderChangesNothing);
   CPPUNIT_TEST(RequestsAreRefusedAtOnceIfAllDataCentresAreEvacuated);
@@ -90,11 +93,7 @@
     for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
       GatewayWorld world(GatewayLoad(), seed);
       Begin(world);
-      for (std::size_t host = 0; host < world.Hosts(); ++host) {
-        world.KillHost(host);
-        world.Later(static_cast<Micros>(500 + 37 * host) * kMillisecond,
-                    [&world, host] { world.StartHost(host); });
-      }
+      LoseAllPower(world, world.Hosts());
       // Hosts that start apply no older state, so the order holds at once.
       const Micros from = world.Now();
       world.Advance(15 * kSecond);
@@ -122,6 +121,48 @@
     }
   }
 
+  // A host without a disk acknowledges what the leader has committed, so the
+  // leader loses its own. Then the power of all hosts is lost.
+  void OrderSurvivesADiskLostRightAfterItsAcknowledgement()
+  {
+    for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
+      GatewayWorld world(GatewayLoad(), seed);
+      std::optional<std::size_t> wiped;
+      world.mOnAcknowledgement = [&](std::size_t aHost) {
+        const bool hasDisk = aHost < kControlHosts;
+        wiped = hasDisk ? aHost : world.LeaderHost();
+        world.WipeHost(*wiped);
+        world.Later(1500 * kMillisecond,
+                    [&world, &wiped] { world.StartHost(*wiped); });
+      };
+      Begin(world);
+      CPPUNIT_ASSERT(wiped.has_value());
+      const EvacuationOrder& order = world.mEvacuationOrders.front();
+      world.Advance(4 * kSecond);
+      LoseAllPower(world, world.Hosts());
+      world.Advance(15 * kSecond);
+      ExpectNothing(world, order.mAcknowledgedAt + kInForceAfterLosses, seed);
+      CPPUNIT_ASSERT(!world.At(*wiped).mDispatch.mEvacuated.empty());
+    }
+  }
+
+  void OrderOutlivesAReplacedControlHost()
+  {
+    for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
+      GatewayWorld world(GatewayLoad(), seed);
+      Begin(world);
+      const std::size_t gone = world.LeaderHost();
+      const std::size_t added = world.ReplaceHost(gone);
+      const Micros from = world.Now();
+      world.Advance(8 * kSecond);
+      CPPUNIT_ASSERT(!world.At(added).mDispatch.mEvacuated.empty());
+      LoseAllPower(world, gone);
+      world.Advance(15 * kSecond);
+      ExpectNothing(world, from, seed);
+      CPPUNIT_ASSERT(!world.At(added).mDispatch.mEvacuated.empty());
+    }
+  }
+
   void OrderHoldsThoughAcknowledgementsAreLost()
   {
     for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
@@ -213,6 +254,18 @@
            command.has_set_evacuation();
   }
 
+  // All hosts but `aGone` start again one after the other.
+  static void LoseAllPower(GatewayWorld& aWorld, std::size_t aGone)
+  {
+    for (std::size_t host = 0; host < aWorld.Hosts(); ++host) {
+      aWorld.KillHost(host);
+      if (host != aGone) {
+        aWorld.Later(static_cast<Micros>(500 + 37 * host) * kMillisecond,
+                     [&aWorld, host] { aWorld.StartHost(host); });
+      }
+    }
+  }
+
   static void Begin(GatewayWorld& aWorld, Micros aPatience = 4 * kSecond)
   {
     aWorld.Settle();
