Let the search of gateways know evacuations and cold targets

Checked: nothing from hosts in touch at an evacuated data centre 5 s after the acknowledgement, and a cold target's bound in any second from all hosts.

The control group's schedules and the soak are not extended.

--- a/tests/fakes/gateway_schedule.cpp
+++ b/tests/fakes/gateway_schedule.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <array>
 #include <cstdio>
+#include <deque>
 #include <map>
 #include <utility>
 
@@ -25,11 +26,18 @@
 constexpr double kExtraFloor = 60;
 constexpr double kMinServedShare = 0.98;
 
-constexpr std::array<const char*, 14> kFaultNames = {
+/// Time within which an acknowledged evacuation is in force at hosts in touch.
+constexpr Micros kEvacuationTime = 5 * kSecond;
+constexpr Micros kEvacuationPatience = 8 * kSecond;
+/// Faults that are drawn for all schedules; the others are drawn after them, so
+/// that a seed keeps the faults that it had.
+constexpr std::size_t kCommonFaults = 14;
+
+constexpr std::array<const char*, 16> kFaultNames = {
   "harmful",        "limit",        "target_ends",     "targets_end",
   "target_silent",  "target_reset", "target_replaced", "targets_fail",
   "host_killed",    "host_stopped", "host_frozen",     "host_cut",
-  "control_killed", "all_killed",
+  "control_killed", "all_killed",   "evacuation",      "data_centre_cold",
 };
 
 /// \brief When hosts and the control group were disturbed, and the announced
@@ -100,6 +108,8 @@
            HarmfulViolation(),
            LimitViolation(),
            ExtraViolation(),
+           EvacuationViolation(),
+           WarmUpViolation(),
            RecoveryViolation(before) }) {
       outcome.mViolation =
         outcome.mViolation.empty() ? broken : outcome.mViolation;
@@ -157,6 +167,16 @@
       case GatewayFault::AllKilled:
         InjectIntoHosts(aStep, until);
         break;
+      case GatewayFault::Evacuation:
+        Evacuate(DataCentreOf(aStep), aStep.mDuration);
+        break;
+      case GatewayFault::DataCentreCold:
+        for (const std::string& target : mWorld.TargetAddresses()) {
+          if (mWorld.DataCentreOf(target) == DataCentreOf(aStep)) {
+            mWorld.TurnCold(target);
+          }
+        }
+        break;
     }
   }
 
@@ -196,6 +216,22 @@
     }
   }
 
+  std::string DataCentreOf(const GatewayStep& aStep) const
+  {
+    return "dc" +
+           std::to_string(aStep.mSubject % static_cast<std::size_t>(
+                                             mSchedule.mLoad.mDataCentres));
+  }
+
+  // The targets may have become cold meanwhile.
+  void Evacuate(const std::string& aDataCentre, Micros aDuration)
+  {
+    mWorld.OrderEvacuation(aDataCentre, true, aDuration);
+    mWorld.Later(aDuration, [this, aDataCentre] {
+      mWorld.OrderEvacuation(aDataCentre, false, kEvacuationPatience);
+    });
+  }
+
   // Hosts learn the limit only from the first answer after this. Each target
   // has at most one limit per schedule.
   void StartLimit(const GatewayStep& aStep,
@@ -333,6 +369,58 @@
     return static_cast<double>(most);
   }
 
+  // An order holds from its acknowledgement until the next one is sent. One
+  // that was acknowledged after the next had been sent does not count.
+  std::string EvacuationViolation() const
+  {
+    const std::vector<EvacuationOrder>& orders = mWorld.mEvacuationOrders;
+    for (std::size_t i = 0; i + 1 < orders.size(); ++i) {
+      const EvacuationOrder& order = orders[i];
+      if (!order.mEvacuated || order.mAcknowledgedAt == 0) {
+        continue;
+      }
+      const Micros from = order.mAcknowledgedAt + kEvacuationTime;
+      const auto arrived =
+        std::count_if(mWorld.mArrivals.begin(),
+                      mWorld.mArrivals.end(),
+                      [&](const TargetArrival& aArrival) {
+                        return aArrival.mDataCentre == order.mDataCentre &&
+                               aArrival.mAt >= from &&
+                               aArrival.mAt < orders[i + 1].mSentAt &&
+                               IsCounted(aArrival);
+                      });
+      if (arrived > 0) {
+        return std::to_string(arrived) + " requests arrived at " +
+               order.mDataCentre + ", which is evacuated";
+      }
+    }
+    return "";
+  }
+
+  // Counts hosts in touch or not.
+  std::string WarmUpViolation() const
+  {
+    const auto allowed = static_cast<std::size_t>(
+      mSchedule.mLoad.mWarmUpPerSecond * kWarmUpRatio + kWarmUpFloor);
+    std::map<std::string, std::deque<Micros>> lately;
+    for (const TargetArrival& arrival : mWorld.mArrivals) {
+      if (!arrival.mColdSince) {
+        continue;
+      }
+      std::deque<Micros>& times = lately[arrival.mTarget];
+      times.push_back(arrival.mAt);
+      while (arrival.mAt - times.front() >= kSecond) {
+        times.pop_front();
+      }
+      if (times.size() > allowed) {
+        return "cold target " + arrival.mTarget + " got " +
+               std::to_string(times.size()) +
+               " requests in a second, allowed " + std::to_string(allowed);
+      }
+    }
+    return "";
+  }
+
   // The requests are counted in the same window, the one before it or the one
   // half a window earlier, whichever has most.
   std::string ExtraViolation() const
@@ -392,6 +480,34 @@
   return load;
 }
 
+// One data centre at most is evacuated at any time, for long enough to see what
+// arrives after the order is in force.
+void DrawEvacuation(std::mt19937_64& aRandom, GatewaySchedule& aSchedule)
+{
+  GatewayStep step;
+  step.mFault = GatewayFault::Evacuation;
+  step.mAt = static_cast<Micros>(aRandom() % 8000) * kMillisecond;
+  step.mDuration =
+    (7000 + static_cast<Micros>(aRandom() % 6000)) * kMillisecond;
+  step.mSubject = aRandom();
+  aSchedule.mSteps.push_back(step);
+}
+
+void DrawColdTargets(std::mt19937_64& aRandom, GatewaySchedule& aSchedule)
+{
+  aSchedule.mLoad.mWarmUp = 3 * kSecond;
+  aSchedule.mLoad.mWarmUpPerSecond =
+    2 + static_cast<double>(aRandom() % 40) / 10;
+  const std::size_t count = 1 + aRandom() % 2;
+  for (std::size_t i = 0; i < count; ++i) {
+    GatewayStep step;
+    step.mFault = GatewayFault::DataCentreCold;
+    step.mAt = static_cast<Micros>(aRandom() % 18000) * kMillisecond;
+    step.mSubject = aRandom();
+    aSchedule.mSteps.push_back(step);
+  }
+}
+
 } // namespace
 
 const char* ToString(GatewayFault aFault) noexcept
@@ -410,11 +526,10 @@
     GatewayStep step;
     // Harmful requests and limits are drawn more often, since they are the main
     // subject of the search.
-    const std::size_t kind = random() % (kFaultNames.size() + 6);
-    step.mFault =
-      kind < kFaultNames.size()
-        ? static_cast<GatewayFault>(kind)
-        : (kind % 2 == 0 ? GatewayFault::Harmful : GatewayFault::Limit);
+    const std::size_t kind = random() % (kCommonFaults + 6);
+    step.mFault = kind < kCommonFaults ? static_cast<GatewayFault>(kind)
+                                       : (kind % 2 == 0 ? GatewayFault::Harmful
+                                                        : GatewayFault::Limit);
     step.mAt = static_cast<Micros>(random() % 16000) * kMillisecond;
     step.mDuration =
       (500 + static_cast<Micros>(random() % 7500)) * kMillisecond;
@@ -422,6 +537,13 @@
     step.mRate = 0.5 + static_cast<double>(random() % 100) / 10;
     schedule.mSteps.push_back(step);
   }
+  std::mt19937_64 further(~aSeed);
+  if (further() % 2 == 0) {
+    DrawEvacuation(further, schedule);
+  }
+  if (further() % 2 == 0) {
+    DrawColdTargets(further, schedule);
+  }
   std::sort(schedule.mSteps.begin(),
             schedule.mSteps.end(),
             [](const GatewayStep& aLeft, const GatewayStep& aRight) {
--- a/tests/fakes/gateway_schedule.h
+++ b/tests/fakes/gateway_schedule.h
@@ -28,6 +28,11 @@
   HostCut,
   ControlKilled,
   AllKilled,
+  /// An operator withdraws a data centre's targets from service, and returns
+  /// them to it after the step's duration.
+  Evacuation,
+  /// The targets of a data centre turn cold.
+  DataCentreCold,
 };
 [[nodiscard]] const char* ToString(GatewayFault aFault) noexcept;
 
