--- a/tests/dispatch_load_test.cpp
+++ b/tests/dispatch_load_test.cpp
@@ -2,6 +2,10 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <algorithm>
+#include <string>
+#include <vector>
+
 namespace geraniumpond::dispatch {
 
 using fakes::DispatchLoad;
@@ -15,6 +19,8 @@
   CPPUNIT_TEST_SUITE(DispatchLoadTest);
   CPPUNIT_TEST(ModerateLoadIsNearlyAllAnsweredOnTime);
   CPPUNIT_TEST(OverloadLeavesMostRequestsOnTimeOverManyHosts);
+  CPPUNIT_TEST(UrgentRequestsAreServedWhereAnEvacuationLeavesTooLittleRoom);
+  CPPUNIT_TEST(OthersAreRefusedAtOnceWhereAnEvacuationLeavesTooLittleRoom);
   CPPUNIT_TEST(HostsContactOnlyTheirSubsetUnderLoad);
   CPPUNIT_TEST(HostsContactFewTargetsWhileTheseAnnounceThemselves);
   CPPUNIT_TEST_SUITE_END();
@@ -43,6 +49,34 @@
     CPPUNIT_ASSERT(full.mInTime > 0.9 * full.mOffered);
   }
 
+  void UrgentRequestsAreServedWhereAnEvacuationLeavesTooLittleRoom()
+  {
+    const DispatchOutcomes outcomes = RunWithoutADataCentre();
+    const std::string seen = Describe(outcomes.mUrgent) + " urgent, " +
+                             Describe(outcomes.mOthers) + " others in time";
+    CPPUNIT_ASSERT_MESSAGE(
+      seen, outcomes.mUrgent.mInTime > 0.95 * outcomes.mUrgent.mOffered);
+    CPPUNIT_ASSERT_MESSAGE(
+      seen, outcomes.mOthers.mInTime > 0.3 * outcomes.mOthers.mOffered);
+  }
+
+  // A client that is refused within an eighth of its objective loses nothing by
+  // having been held.
+  void OthersAreRefusedAtOnceWhereAnEvacuationLeavesTooLittleRoom()
+  {
+    const DispatchOutcomes outcomes = RunWithoutADataCentre();
+    const std::vector<Micros>& refused = outcomes.mOthers.mRefusedAfter;
+    const Micros atOnce = DispatchLoad().mObjective / 8;
+    const auto late =
+      std::count_if(refused.begin(), refused.end(), [&](Micros aAfter) {
+        return aAfter > atOnce;
+      });
+    CPPUNIT_ASSERT(!refused.empty());
+    CPPUNIT_ASSERT_MESSAGE(std::to_string(late) + " of " +
+                             std::to_string(refused.size()) + " held",
+                           10 * late <= static_cast<long>(refused.size()));
+  }
+
   void HostsContactOnlyTheirSubsetUnderLoad()
   {
     const DispatchOutcomes outcomes = RunLoad(LoadOf(1));
@@ -73,6 +107,23 @@
     return load;
   }
 
+  static std::string Describe(const fakes::PriorityOutcomes& aOutcomes)
+  {
+    return std::to_string(aOutcomes.mInTime) + " of " +
+           std::to_string(aOutcomes.mOffered);
+  }
+
+  // One of four data centres is evacuated; two in five requests are urgent.
+  static DispatchOutcomes RunWithoutADataCentre()
+  {
+    DispatchLoad load = LoadOf(1.2);
+    load.mUrgentShare = 0.4;
+    DispatchWorld world(load, 7);
+    world.AddTargets();
+    world.Evacuate("dc1");
+    return world.RunLoad(20 * kSecond);
+  }
+
   static DispatchOutcomes RunLoad(const DispatchLoad& aLoad)
   {
     DispatchWorld world(aLoad, 7);
--- a/tests/fakes/dispatch_world.cpp
+++ b/tests/fakes/dispatch_world.cpp
@@ -16,6 +16,7 @@
 /// A client retries once, after at most a third of its remaining time.
 constexpr int kRetryShare = 3;
 constexpr double kWorkSpread = 0.3;
+constexpr const char* kUrgentPrefix = "/urgent/";
 
 std::shared_ptr<const policy::TrafficPolicy> PolicyFor(
   const DispatchLoad& aLoad)
@@ -34,6 +35,10 @@
   route.mPriority = 1;
   route.mBackends = { { "service", 1 } };
   trafficPolicy->mRoutes = { route };
+  route.mName = "urgent";
+  route.mPathPrefix = kUrgentPrefix;
+  route.mPriority = 0;
+  trafficPolicy->mRoutes.push_back(route);
   trafficPolicy->mServices["service"] = { "service", "/health", 1000 };
   policy::BuildIndex(*trafficPolicy);
   return trafficPolicy;
@@ -92,6 +97,16 @@
   Announce(mLoad.mTargets);
 }
 
+void DispatchWorld::Evacuate(const std::string& aDataCentre)
+{
+  for (std::size_t host = 0; host < mHosts.size(); ++host) {
+    dispatch::Effects effects;
+    dispatch::SetEvacuated(mHosts[host], mNow, { aDataCentre }, effects);
+    dispatch::SetTargets(mHosts[host], mNow, mRecords, effects);
+    Perform(host, effects);
+  }
+}
+
 void DispatchWorld::AddTargetsOneByOne(Micros aGap)
 {
   for (int count = 1; count <= mLoad.mTargets; ++count) {
@@ -184,7 +199,12 @@
   mClients[client] = { mNow,
                        static_cast<Micros>(static_cast<double>(mLoad.mWork) *
                                            spread(mRandom)) };
+  // Draws nothing where all are equal, so that their loads stay as they are.
+  mClients[client].mUrgent =
+    mLoad.mUrgentShare > 0 &&
+    std::uniform_real_distribution<>()(mRandom) < mLoad.mUrgentShare;
   ++mOutcomes.mOffered;
+  ++OutcomesOf(mClients[client]).mOffered;
   SendClient(client);
 }
 
@@ -195,7 +215,9 @@
   arrival.mId = ++mLastId;
   arrival.mClientRequestId = std::to_string(arrival.mId);
   arrival.mHostName = "host";
-  arrival.mPath = "/x";
+  Client& client = mClients.at(aClient);
+  client.mSentAt = mNow;
+  arrival.mPath = client.mUrgent ? std::string(kUrgentPrefix) + "x" : "/x";
   arrival.mPatience =
     2 * mLoad.mTimeout - (mNow - mClients.at(aClient).mStartedAt);
   mClientOf[arrival.mId] = aClient;
@@ -204,12 +226,20 @@
   Perform(host, effects);
 }
 
+PriorityOutcomes& DispatchWorld::OutcomesOf(const Client& aClient)
+{
+  return aClient.mUrgent ? mOutcomes.mUrgent : mOutcomes.mOthers;
+}
+
 void DispatchWorld::EndClient(std::uint64_t aRequest,
                               int aStatus,
                               Micros aRetryAfter)
 {
   const std::uint64_t id = mClientOf.at(aRequest);
   Client& client = mClients.at(id);
+  if (aStatus == 503) {
+    OutcomesOf(client).mRefusedAfter.push_back(mNow - client.mSentAt);
+  }
   if (aStatus == 503 && !client.mRetried) {
     client.mRetried = true;
     const Micros left = client.mStartedAt + 2 * mLoad.mTimeout - mNow;
@@ -220,6 +250,7 @@
   if (aStatus == 200) {
     const bool inTime = mNow - client.mStartedAt <= mLoad.mObjective;
     ++(inTime ? mOutcomes.mInTime : mOutcomes.mLate);
+    OutcomesOf(client).mInTime += inTime ? 1 : 0;
   } else {
     ++(aStatus == 503 ? mOutcomes.mRefused : mOutcomes.mFailed);
   }
--- a/tests/fakes/dispatch_world.h
+++ b/tests/fakes/dispatch_world.h
@@ -37,6 +37,18 @@
   double mSlowShare = 0.42;
   double mSlowFactor = 7;
   Micros mSpeedDuration = 500 * kMillisecond;
+  /// Share of the requests that go before the others.
+  double mUrgentShare = 0;
+};
+
+/// \brief Outcomes of the requests of one priority.
+struct PriorityOutcomes
+{
+  int mOffered = 0;
+  int mInTime = 0;
+  /// Refusals by hosts, those after which the client tries again included, and
+  /// the time that the request had been there.
+  std::vector<Micros> mRefusedAfter;
 };
 
 /// \brief Outcomes of the clients' requests.
@@ -49,6 +61,8 @@
   int mFailed = 0;
   int mProbes = 0;
   int mSends = 0;
+  PriorityOutcomes mUrgent;
+  PriorityOutcomes mOthers;
   /// Pairs of a host and a target that had contact at least once.
   std::size_t mContacts = 0;
 };
@@ -66,6 +80,8 @@
   /// themselves during a rollout.
   void AddTargetsOneByOne(Micros aGap);
   void AddTargets();
+  /// \brief Withdraws a data centre's targets from service, at all hosts.
+  void Evacuate(const std::string& aDataCentre);
 
   [[nodiscard]] const DispatchOutcomes& Outcomes() const noexcept
   {
@@ -94,6 +110,8 @@
     Micros mStartedAt = 0;
     Micros mWork = 0;
     bool mRetried = false;
+    bool mUrgent = false;
+    Micros mSentAt = 0;
   };
 
   void Announce(int aCount);
@@ -102,6 +120,7 @@
   void Perform(std::size_t aHost, const dispatch::Effects& aEffects);
   void StartClient();
   void SendClient(std::uint64_t aClient);
+  PriorityOutcomes& OutcomesOf(const Client& aClient);
   void EndClient(std::uint64_t aRequest, int aStatus, Micros aRetryAfter);
   void ArriveAtTarget(std::uint64_t aJob);
   void StartJob(std::uint64_t aJob);
