--- a/tests/dispatch_load_test.cpp
+++ b/tests/dispatch_load_test.cpp
@@ -2,6 +2,10 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <algorithm>
+#include <string>
+#include <vector>
+
 namespace geraniumpond::dispatch {
 
 using fakes::DispatchLoad;
@@ -15,6 +19,8 @@
   CPPUNIT_TEST_SUITE(DispatchLoadTest);
   CPPUNIT_TEST(ModerateLoadIsNearlyAllAnsweredOnTime);
   CPPUNIT_TEST(OverloadLeavesMostRequestsOnTimeOverManyHosts);
+  CPPUNIT_TEST(UrgentRequestsAreServedWhereAnEvacuationLeavesTooLittleRoom);
+  CPPUNIT_TEST(OthersAreRefusedAtOnceWhereAnEvacuationLeavesTooLittleRoom);
   CPPUNIT_TEST(HostsContactOnlyTheirSubsetUnderLoad);
   CPPUNIT_TEST(HostsContactFewTargetsWhileTheseAnnounceThemselves);
   CPPUNIT_TEST_SUITE_END();
@@ -43,6 +49,35 @@
     CPPUNIT_ASSERT(full.mInTime > 0.9 * full.mOffered);
   }
 
+  void UrgentRequestsAreServedWhereAnEvacuationLeavesTooLittleRoom()
+  {
+    const DispatchOutcomes outcomes = RunWithoutADataCentre();
+    const fakes::DispatchPart& urgent = outcomes.mKinds.at(kUrgent);
+    const fakes::DispatchPart& others = outcomes.mKinds.at(kOthers);
+    const std::string seen =
+      Describe(urgent) + " urgent, " + Describe(others) + " others in time";
+    CPPUNIT_ASSERT_MESSAGE(seen, urgent.mInTime > 0.95 * urgent.mOffered);
+    CPPUNIT_ASSERT_MESSAGE(seen, others.mInTime > 0.3 * others.mOffered);
+  }
+
+  // A client that is refused within an eighth of its objective loses nothing by
+  // having been held.
+  void OthersAreRefusedAtOnceWhereAnEvacuationLeavesTooLittleRoom()
+  {
+    const DispatchOutcomes outcomes = RunWithoutADataCentre();
+    const std::vector<Micros>& refused =
+      outcomes.mKinds.at(kOthers).mRefusedAfter;
+    const Micros atOnce = DispatchLoad().mObjective / 8;
+    const auto late =
+      std::count_if(refused.begin(), refused.end(), [&](Micros aAfter) {
+        return aAfter > atOnce;
+      });
+    CPPUNIT_ASSERT(!refused.empty());
+    CPPUNIT_ASSERT_MESSAGE(std::to_string(late) + " of " +
+                             std::to_string(refused.size()) + " held",
+                           10 * late <= static_cast<long>(refused.size()));
+  }
+
   void HostsContactOnlyTheirSubsetUnderLoad()
   {
     const DispatchOutcomes outcomes = RunLoad(LoadOf(1));
@@ -58,6 +93,9 @@
   }
 
 private:
+  static constexpr const char* kUrgent = "urgent";
+  static constexpr const char* kOthers = "others";
+
   static constexpr std::size_t kHosts = 40;
   static constexpr std::size_t kSubset = 12;
 
@@ -73,6 +111,23 @@
     return load;
   }
 
+  static std::string Describe(const fakes::DispatchPart& aOutcomes)
+  {
+    return std::to_string(aOutcomes.mInTime) + " of " +
+           std::to_string(aOutcomes.mOffered);
+  }
+
+  // One of four data centres is evacuated; two in five requests are urgent.
+  static DispatchOutcomes RunWithoutADataCentre()
+  {
+    DispatchLoad load = LoadOf(1.2);
+    load.mKinds = { { kUrgent, 0.4, 1, 0 }, { kOthers, 0.6, 1, 1 } };
+    DispatchWorld world(load, 7);
+    world.AddTargets();
+    world.Evacuate("dc1");
+    return world.RunLoad(20 * kSecond);
+  }
+
   static DispatchOutcomes RunLoad(const DispatchLoad& aLoad)
   {
     DispatchWorld world(aLoad, 7);
--- a/tests/fakes/dispatch_world.cpp
+++ b/tests/fakes/dispatch_world.cpp
@@ -153,6 +153,16 @@
   Announce(mLoad.mTargets);
 }
 
+void DispatchWorld::Evacuate(const std::string& aDataCentre)
+{
+  for (std::size_t host = 0; host < mHosts.size(); ++host) {
+    dispatch::Effects effects;
+    dispatch::SetEvacuated(mHosts[host], mNow, { aDataCentre }, effects);
+    dispatch::SetTargets(mHosts[host], mNow, mRecords, effects);
+    Perform(host, effects);
+  }
+}
+
 void DispatchWorld::AddTargetsOneByOne(Micros aGap)
 {
   for (int count = 1; count <= mLoad.mTargets; ++count) {
@@ -292,7 +302,8 @@
 
 void DispatchWorld::SendClient(std::uint64_t aClient)
 {
-  const Client& client = mClients.at(aClient);
+  Client& client = mClients.at(aClient);
+  client.mSentAt = mNow;
   const std::size_t host = mRandom() % mHosts.size();
   dispatch::Arrival arrival;
   arrival.mId = ++mLastId;
@@ -317,6 +328,9 @@
   const std::uint64_t id = mClientOf.at(aRequest);
   Client& client = mClients.at(id);
   const DispatchKind& kind = KindOf(client);
+  if (aStatus == 503) {
+    mOutcomes.mKinds[kind.mName].mRefusedAfter.push_back(mNow - client.mSentAt);
+  }
   if (aStatus == 503 && !client.mRetried) {
     client.mRetried = true;
     const Micros left = client.mStartedAt + 2 * kind.mTimeout - mNow;
--- a/tests/fakes/dispatch_world.h
+++ b/tests/fakes/dispatch_world.h
@@ -74,6 +74,9 @@
   int mOffered = 0;
   int mInTime = 0;
   int mLate = 0;
+  /// Refusals by hosts, those after which the client tries again included, and
+  /// the time that the request had been there.
+  std::vector<Micros> mRefusedAfter;
 };
 
 /// \brief Outcomes of the clients' requests.
@@ -105,6 +108,8 @@
   /// themselves during a rollout.
   void AddTargetsOneByOne(Micros aGap);
   void AddTargets();
+  /// \brief Withdraws a data centre's targets from service, at all hosts.
+  void Evacuate(const std::string& aDataCentre);
 
   [[nodiscard]] const DispatchOutcomes& Outcomes() const noexcept
   {
@@ -131,6 +136,7 @@
   struct Client
   {
     Micros mStartedAt = 0;
+    Micros mSentAt = 0;
     Micros mWork = 0;
     bool mRetried = false;
     std::size_t mKind = 0;
