--- a/tests/authorisation_test.cpp
+++ b/tests/authorisation_test.cpp
@@ -287,7 +287,8 @@
     CPPUNIT_ASSERT_EQUAL(first, FirstInQueue());
     mHost->AnswerProbes();
     CPPUNIT_ASSERT_EQUAL(std::size_t(2), mHost->All<SendRequest>().size());
-    CPPUNIT_ASSERT(mHost->mState.mServices.at("service").mWaiting.mWaiters.empty());
+    CPPUNIT_ASSERT(
+      mHost->mState.mServices.at("service").mWaiting.mWaiters.empty());
   }
 
   void RequestPassedOnNamesItsAccount()
@@ -400,7 +401,9 @@
 
   [[nodiscard]] std::uint64_t FirstInQueue() const
   {
-    return mHost->mState.mServices.at("service").mWaiting.mWaiters.begin()->Request();
+    return mHost->mState.mServices.at("service")
+      .mWaiting.mWaiters.begin()
+      ->Request();
   }
 
   [[nodiscard]] std::uint64_t Count(const std::string& aName) const
