Let the simulated accounts keep within their limits

The load of fair room gives accounts rates for their weights; since limits are joined, hosts that hear no totals refused all of them. The world now tells its hosts that nothing is used.

--- a/tests/fakes/dispatch_world.cpp
+++ b/tests/fakes/dispatch_world.cpp
@@ -16,6 +16,8 @@
 /// A client retries once, after at most a third of its remaining time.
 constexpr int kRetryShare = 3;
 constexpr double kWorkSpread = 0.3;
+constexpr Micros kQuotaWindow = 5 * kSecond;
+constexpr double kNoLimit = 1e9;
 
 // A load without kinds is of one kind.
 std::vector<DispatchKind> KindsOf(const DispatchLoad& aLoad)
@@ -119,6 +121,11 @@
     dispatch::SetHosts(state, mNow, mLoad.mHosts);
     dispatch::SetPolicy(state, mNow, PolicyFor(mLoad));
     dispatch::SetFairAcrossHosts(state, mLoad.mFairAcrossHosts);
+    // Accounts have rates for their weights; no limit binds them.
+    state.mQuota =
+      quota::MakeState({ kQuotaWindow, 0, kNoLimit }, mNow - 2 * kQuotaWindow);
+    quota::SetHosts(
+      state.mQuota, mNow, rate_share::MakeMembers({ "host" }, "host"));
     mHosts.push_back(std::move(state));
   }
 }
@@ -178,6 +185,9 @@
   if (mLoad.mFairAcrossHosts) {
     HandRoundCounts();
   }
+  if (!mLoad.mAccounts.empty()) {
+    HandRoundUse();
+  }
   const Micros end = mNow + aTime;
   Micros next = mNow;
   while (next < end) {
@@ -281,6 +291,19 @@
   Schedule(kPeriod, [this] { HandRoundCounts(); });
 }
 
+// No account has used much of its limit.
+void DispatchWorld::HandRoundUse()
+{
+  constexpr Micros kPeriod = 200 * kMillisecond;
+  rollup::Totals totals;
+  totals.mToldAt = mNow;
+  totals.mSum.mHosts = 1;
+  for (dispatch::State& host : mHosts) {
+    quota::SetTotals(host.mQuota, mNow, totals);
+  }
+  Schedule(kPeriod, [this] { HandRoundUse(); });
+}
+
 void DispatchWorld::StartClient()
 {
   std::lognormal_distribution<double> spread(-kWorkSpread * kWorkSpread / 2,
--- a/tests/fakes/dispatch_world.h
+++ b/tests/fakes/dispatch_world.h
@@ -148,6 +148,7 @@
   void Schedule(Micros aDelay, std::function<void()> aTask);
   void Perform(std::size_t aHost, const dispatch::Effects& aEffects);
   void HandRoundCounts();
+  void HandRoundUse();
   void RejectJob(std::uint64_t aJob);
   [[nodiscard]] bool IsShedding(const FakeTarget& aTarget) const;
   [[nodiscard]] const DispatchKind& KindOf(const Client& aClient) const;
