--- a/tests/quota_test.cpp
+++ b/tests/quota_test.cpp
@@ -13,6 +13,7 @@
 constexpr std::size_t kHosts = 40;
 
 const std::uint64_t kAccount = DigestOf("orchard");
+const rollup::Key kKey = rollup::MakeKey(rollup::Subject::Account, kAccount);
 
 std::vector<std::string> Names()
 {
@@ -31,9 +32,7 @@
   rollup::Totals totals;
   totals.mToldAt = aToldAt;
   totals.mSum.mHosts = aHosts;
-  totals.mSum.mTable[{ rollup::Subject::Account, kAccount }] = {
-    aUsed, aOffered, aOffered, 1000000
-  };
+  totals.mSum.mTable[kKey] = { aUsed, aOffered, aOffered, 1000000 };
   return totals;
 }
 
@@ -58,7 +57,7 @@
 {
   rollup::Table table;
   AddOwn(aState, aNow, table);
-  return table[{ rollup::Subject::Account, kAccount }];
+  return table[kKey];
 }
 
 } // namespace
