--- a/src/gateway/internal.h
+++ b/src/gateway/internal.h
@@ -41,6 +41,12 @@
 
 // --- rollup.cpp: counts summed over all hosts
 
+/// \brief Tells the fleet whether anything is counted, and which counts matter
+/// to others at once or at all.
+void SetUpCounting(fleet::State& aFleet, Micros aNow, bool aWanted);
+/// \brief Hosts among which limits are divided; silent ones keep their part
+/// until they are forgotten.
+[[nodiscard]] rate_share::Members CountingHosts(const fleet::State& aFleet);
 /// \brief Notes whether the policy has anything to count over all hosts.
 void UpdateCounting(Context& aContext);
 /// \brief Tells those who divide limits among hosts which hosts there are.
--- a/src/gateway/rollup.cpp
+++ b/src/gateway/rollup.cpp
@@ -36,33 +36,41 @@
 
 } // namespace
 
+void SetUpCounting(fleet::State& aFleet, Micros aNow, bool aWanted)
+{
+  fleet::SetCounting(aFleet, aNow, aWanted);
+  fleet::SelectTotals(aFleet, IsTotalNeeded);
+  fleet::SetLeastGrowth(aFleet, rollup::Subject::Account, kAccountGrowth);
+}
+
+rate_share::Members CountingHosts(const fleet::State& aFleet)
+{
+  const std::string& own = aFleet.mSettings.mPeerAddress;
+  std::vector<std::string> hosts = { own };
+  for (const auto& [address, host] : aFleet.mHosts) {
+    if (!host.mGone && address != own) {
+      hosts.push_back(address);
+    }
+  }
+  return rate_share::MakeMembers(hosts, own);
+}
+
 void UpdateCounting(Context& aContext)
 {
   State& state = aContext.mState;
   const auto& policy = state.mDispatch.mPolicy;
   const bool isWanted = policy && (policy::HasLimitedAccounts(*policy) ||
                                    state.mSettings.mFairAcrossHosts);
-  fleet::SetCounting(state.mFleet, aContext.mNow, isWanted);
-  fleet::SelectTotals(state.mFleet, IsTotalNeeded);
-  fleet::SetLeastGrowth(state.mFleet, rollup::Subject::Account, kAccountGrowth);
+  SetUpCounting(state.mFleet, aContext.mNow, isWanted);
 }
 
-// Silent hosts keep their part until they are forgotten.
 void UpdateCountHosts(Context& aContext)
 {
   State& state = aContext.mState;
-  if (!state.mFleet.mCounts.mRollup.mWanted) {
-    return;
-  }
-  const std::string& own = state.mSettings.mFleet.mPeerAddress;
-  std::vector<std::string> hosts = { own };
-  for (const auto& [address, host] : state.mFleet.mHosts) {
-    if (!host.mGone && address != own) {
-      hosts.push_back(address);
-    }
+  if (state.mFleet.mCounts.mRollup.mWanted) {
+    quota::SetHosts(
+      state.mDispatch.mQuota, aContext.mNow, CountingHosts(state.mFleet));
   }
-  quota::SetHosts(
-    state.mDispatch.mQuota, aContext.mNow, rate_share::MakeMembers(hosts, own));
 }
 
 void UpdateCounts(Context& aContext)
--- a/tests/quota_world.h
+++ b/tests/quota_world.h
@@ -61,6 +61,50 @@
   double mLost = 0.02;
 };
 
+/// \brief Accounts whose requests are skewed by size.
+inline std::vector<Customer> MakeCustomers(const WorldSettings& aSettings)
+{
+  double sum = 0;
+  for (std::size_t i = 0; i < aSettings.mCustomers; ++i) {
+    sum += std::pow(i + 1.0, -aSettings.mSkew);
+  }
+  std::vector<Customer> customers;
+  for (std::size_t i = 0; i < aSettings.mCustomers; ++i) {
+    Customer customer;
+    customer.mName = "a" + std::to_string(i);
+    customer.mKey = DigestOf(customer.mName);
+    customer.mPerSecond =
+      aSettings.mPerSecond * std::pow(i + 1.0, -aSettings.mSkew) / sum;
+    customer.mLimit.mPerSecond = aSettings.mHeadroom * customer.mPerSecond;
+    customer.mLimit.mBurst =
+      aSettings.mBurstSeconds * customer.mLimit.mPerSecond;
+    customers.push_back(customer);
+  }
+  return customers;
+}
+
+/// \brief Most requests that arrived in a window which begins at `aFrom` or
+/// later, as a share of the bound.
+inline double WorstWindow(const Customer& aCustomer, Micros aFrom)
+{
+  const Settings settings;
+  auto times = aCustomer.mSentAt;
+  std::sort(times.begin(), times.end());
+  std::size_t first = 0;
+  std::size_t most = 0;
+  for (std::size_t i = 0; i < times.size(); ++i) {
+    while (times[i] - times[first] >= settings.mWindow ||
+           times[first] < aFrom) {
+      if (first == i) {
+        break;
+      }
+      ++first;
+    }
+    most = std::max(most, i - first + 1);
+  }
+  return static_cast<double>(most) / Bound(settings, aCustomer.mLimit);
+}
+
 class World
 {
   /// Bytes of one account in a message, and how long clients wait.
@@ -73,8 +117,8 @@
   World(const WorldSettings& aSettings, std::uint64_t aSeed)
     : mSettings(aSettings)
     , mRandom(aSeed)
+    , mCustomers(MakeCustomers(aSettings))
   {
-    MakeCustomers();
     mHosts.resize(aSettings.mHosts);
     for (std::size_t i = 0; i < mHosts.size(); ++i) {
       mNames.push_back("h" + std::to_string(i));
@@ -193,22 +237,7 @@
   /// \brief Most requests that arrived in a window, as a share of the bound.
   double WorstWindow(const Customer& aCustomer) const
   {
-    const Settings settings;
-    auto times = aCustomer.mSentAt;
-    std::sort(times.begin(), times.end());
-    std::size_t first = 0;
-    std::size_t most = 0;
-    for (std::size_t i = 0; i < times.size(); ++i) {
-      while (times[i] - times[first] >= settings.mWindow ||
-             times[first] < mCountFrom) {
-        if (first == i) {
-          break;
-        }
-        ++first;
-      }
-      most = std::max(most, i - first + 1);
-    }
-    return static_cast<double>(most) / Bound(settings, aCustomer.mLimit);
+    return quota::WorstWindow(aCustomer, mCountFrom);
   }
 
 private:
@@ -229,25 +258,6 @@
     return static_cast<double>(mRandom() >> 11) / 9007199254740992.0;
   }
 
-  void MakeCustomers()
-  {
-    double sum = 0;
-    for (std::size_t i = 0; i < mSettings.mCustomers; ++i) {
-      sum += std::pow(i + 1.0, -mSettings.mSkew);
-    }
-    for (std::size_t i = 0; i < mSettings.mCustomers; ++i) {
-      Customer customer;
-      customer.mName = "a" + std::to_string(i);
-      customer.mKey = DigestOf(customer.mName);
-      customer.mPerSecond =
-        mSettings.mPerSecond * std::pow(i + 1.0, -mSettings.mSkew) / sum;
-      customer.mLimit.mPerSecond = mSettings.mHeadroom * customer.mPerSecond;
-      customer.mLimit.mBurst =
-        mSettings.mBurstSeconds * customer.mLimit.mPerSecond;
-      mCustomers.push_back(customer);
-    }
-  }
-
   void TellHosts()
   {
     for (std::size_t i = 0; i < mHosts.size(); ++i) {
