Find the target at an address by an index

Each announcement of an unknown target looked through all others for one at its address, at every host: FleetReadTest with the announcements of 1,080 targets did not end in minutes. An index by address, which follows from the records and is the same on all replicas, answers that at once.

--- a/include/geraniumpond/catalog.h
+++ b/include/geraniumpond/catalog.h
@@ -8,6 +8,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <unordered_map>
 
 #include "impl/wire.h"
 
@@ -42,6 +43,9 @@
   std::string mDocument;
   std::deque<wire::AcceptedChange> mAccepted;
   std::map<std::string, wire::TargetRecord> mTargets;
+  /// Id of the target with the latest birth at an address; none of targets
+  /// that state no birth. Follows from mTargets.
+  std::unordered_map<std::string, std::string> mTargetAt;
   /// Birth time of the latest removed incarnation, by target id.
   std::map<std::string, std::uint64_t> mRemoved;
   /// The ids in mRemoved, in order of removal.
--- a/src/catalog/catalog.cpp
+++ b/src/catalog/catalog.cpp
@@ -101,18 +101,58 @@
          aLater.born_ms() > aEarlier.born_ms();
 }
 
+const wire::TargetRecord* FindAt(const State& aState,
+                                 const std::string& aAddress)
+{
+  const auto at = aState.mTargetAt.find(aAddress);
+  return at == aState.mTargetAt.end() ? nullptr
+                                      : &aState.mTargets.at(at->second);
+}
+
+// Equal births are told apart by id, so that all replicas choose the same.
+void IndexAddress(State& aState, const wire::TargetRecord& aRecord)
+{
+  if (aRecord.born_ms() == 0) {
+    return;
+  }
+  const wire::TargetRecord* known = FindAt(aState, aRecord.address());
+  if (known == nullptr || known->born_ms() < aRecord.born_ms() ||
+      (known->born_ms() == aRecord.born_ms() && aRecord.id() < known->id())) {
+    aState.mTargetAt[aRecord.address()] = aRecord.id();
+  }
+}
+
+void EraseTarget(State& aState, const std::string& aId)
+{
+  const auto found = aState.mTargets.find(aId);
+  const std::string address = found->second.address();
+  const auto at = aState.mTargetAt.find(address);
+  const bool isIndexed = at != aState.mTargetAt.end() && at->second == aId;
+  if (isIndexed) {
+    aState.mTargetAt.erase(at);
+  }
+  aState.mTargets.erase(found);
+  if (!isIndexed) {
+    return;
+  }
+  for (const auto& [id, record] : aState.mTargets) {
+    if (record.address() == address) {
+      IndexAddress(aState, record);
+    }
+  }
+}
+
 // An address belongs to one target at a time: whoever had it before is gone,
 // whether it said so or not.
 void RemoveEarlierAtSameAddress(State& aState,
                                 const wire::TargetRecord& aRecord)
 {
-  for (auto it = aState.mTargets.begin(); it != aState.mTargets.end();) {
-    if (!IsLaterAtSameAddress(aRecord, it->second)) {
-      ++it;
-      continue;
-    }
-    RecordRemoval(aState, it->first, it->second.born_ms());
-    it = aState.mTargets.erase(it);
+  const wire::TargetRecord* known = FindAt(aState, aRecord.address());
+  while (known != nullptr && IsLaterAtSameAddress(aRecord, *known)) {
+    const std::string id = known->id();
+    RecordRemoval(aState, id, known->born_ms());
+    EraseTarget(aState, id);
+    known = FindAt(aState, aRecord.address());
   }
 }
 
@@ -123,13 +163,20 @@
     return OutcomeOf(aState, true, "known");
   }
   RemoveEarlierAtSameAddress(aState, aRecord);
-  wire::TargetRecord& known = aState.mTargets[aRecord.id()];
   // Draining is final for an incarnation; a later incarnation of the same
   // target does not inherit it.
-  const bool same = known.born_ms() == aRecord.born_ms();
-  const bool draining = (same && known.draining()) || aRecord.draining();
+  const auto found = aState.mTargets.find(aRecord.id());
+  const bool isKnown = found != aState.mTargets.end();
+  const bool draining =
+    aRecord.draining() || (isKnown && found->second.draining() &&
+                           found->second.born_ms() == aRecord.born_ms());
+  if (isKnown) {
+    EraseTarget(aState, aRecord.id());
+  }
+  wire::TargetRecord& known = aState.mTargets[aRecord.id()];
   known = aRecord;
   known.set_draining(draining);
+  IndexAddress(aState, known);
   return OutcomeOf(aState, true, "noted");
 }
 
@@ -150,7 +197,7 @@
     return OutcomeOf(
       aState, true, "a later one stays, born_ms=" + std::to_string(born));
   }
-  aState.mTargets.erase(found);
+  EraseTarget(aState, aRemoval.id());
   RecordRemoval(aState, aRemoval.id(), born);
   return OutcomeOf(aState, true, "removed, born_ms=" + std::to_string(born));
 }
@@ -165,7 +212,7 @@
   const bool later = found != aState.mTargets.end() &&
                      found->second.born_ms() > aRemoval.born_ms();
   if (found != aState.mTargets.end() && !later) {
-    aState.mTargets.erase(found);
+    EraseTarget(aState, aRemoval.id());
   }
   RecordRemoval(aState, aRemoval.id(), aRemoval.born_ms());
   return OutcomeOf(aState, true, later ? "a later one stays" : "removed");
@@ -237,10 +284,8 @@
   }
   const auto found = aState.mTargets.find(aRecord.id());
   if (found == aState.mTargets.end()) {
-    return std::none_of(
-      aState.mTargets.begin(), aState.mTargets.end(), [&](const auto& aKnown) {
-        return IsLaterAtSameAddress(aKnown.second, aRecord);
-      });
+    const wire::TargetRecord* holder = FindAt(aState, aRecord.address());
+    return holder == nullptr || !IsLaterAtSameAddress(*holder, aRecord);
   }
   return ChangesRecord(found->second, aRecord);
 }
@@ -391,6 +436,7 @@
                          snapshot.accepted().end());
   for (const wire::TargetRecord& record : snapshot.targets()) {
     state.mTargets[record.id()] = record;
+    IndexAddress(state, record);
   }
   for (const std::string& id : snapshot.removed_targets()) {
     RecordRemoval(state, id, 0);
--- a/tests/catalog_test.cpp
+++ b/tests/catalog_test.cpp
@@ -17,6 +17,7 @@
   CPPUNIT_TEST(LaterTargetAtAnAddressReplacesTheEarlierOne);
   CPPUNIT_TEST(LateAnnouncementAtATakenAddressIsIgnored);
   CPPUNIT_TEST(TargetsWithoutBirthTimesMayShareAnAddress);
+  CPPUNIT_TEST(RestoredStateKnowsWhoHasAnAddress);
   CPPUNIT_TEST(SnapshotPreservesIncarnations);
   CPPUNIT_TEST(RemovalWithoutBirthBindsWhatItsSenderCanBe);
   CPPUNIT_TEST(RemovalWithoutBirthKeepsALaterIncarnation);
@@ -114,6 +115,17 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t(2), mState.mTargets.size());
   }
 
+  void RestoredStateKnowsWhoHasAnAddress()
+  {
+    AnnounceOther(kLate);
+    mState = Load(Save(mState)).value();
+    Announce(kEarly, 1, false);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(0), mState.mTargets.count("t"));
+    Announce(kLate + 1, 1, false);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), mState.mTargets.count("t"));
+    CPPUNIT_ASSERT_EQUAL(std::size_t(0), mState.mTargets.count("other"));
+  }
+
   void SnapshotPreservesIncarnations()
   {
     Announce(kEarly, 1, false);
