--- a/bench/gateway_search.cpp
+++ b/bench/gateway_search.cpp
@@ -1,7 +1,8 @@
 // Randomized search for fault schedules that violate a guarantee of simulated
 // gateway hosts. Faults are requests that crash targets, limits that targets
-// announce, targets that turn cold, data centres that are evacuated, and targets
-// and hosts that crash, stop answering, freeze, are isolated or replaced.
+// announce, targets that turn cold, data centres that are evacuated, and
+// targets and hosts that crash, stop answering, freeze, are isolated or
+// replaced.
 //
 //   gateway_search --seeds N [--first S]   runs a range of seeds
 //   gateway_search --show S                minimizes the schedule of one seed
