Know the hosts that divide limits with the policy, and no fewer than counted

A host that had just started took totals, and refused every request of an account with a limit until its next look at the hosts, up to 0.5 s later: without hosts its cover is nought. Seen over TCP, where an account far below its limit got 429s from a host with totals 51 ms old. The hosts are told with the policy now. A host that knows few hosts yet, but hears totals over all, would have divided the bound by the few once it was cut off; it divides by no fewer than the totals cover.

--- a/src/gateway/rollup.cpp
+++ b/src/gateway/rollup.cpp
@@ -62,6 +62,8 @@
   const bool isWanted = policy && (policy::HasLimitedAccounts(*policy) ||
                                    state.mSettings.mFairAcrossHosts);
   SetUpCounting(state.mFleet, aContext.mNow, isWanted);
+  // Without hosts nothing would be admitted, whatever the totals say.
+  UpdateCountHosts(aContext);
 }
 
 void UpdateCountHosts(Context& aContext)
--- a/src/quota/plan.cpp
+++ b/src/quota/plan.cpp
@@ -144,7 +144,12 @@
 
 std::size_t HostCountAt(const State& aState, Micros aNow) noexcept
 {
-  std::size_t hosts = aState.mMembers.mDigests.size();
+  if (aState.mMembers.mDigests.empty()) {
+    return 0;
+  }
+  // A host that has just started knows few others yet.
+  std::size_t hosts = std::max<std::size_t>(aState.mMembers.mDigests.size(),
+                                            aState.mTotals.mSum.mHosts);
   for (const HostCount& count : aState.mHostCounts) {
     hosts = aNow < count.mUntil ? std::max(hosts, count.mHosts) : hosts;
   }
--- a/tests/gateway_rollup_test.cpp
+++ b/tests/gateway_rollup_test.cpp
@@ -31,6 +31,7 @@
   CPPUNIT_TEST_SUITE(GatewayRollupTest);
   CPPUNIT_TEST(AccountsWithALimitAreCounted);
   CPPUNIT_TEST(AccountsWithoutALimitAreNot);
+  CPPUNIT_TEST(HostsThatDivideLimitsAreKnownWithThePolicy);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -50,8 +51,27 @@
     CPPUNIT_ASSERT(fleet::NewestTotals(mState.mFleet) == nullptr);
   }
 
+  void HostsThatDivideLimitsAreKnownWithThePolicy()
+  {
+    Start();
+    Do(PutPolicy{ 1, "5" });
+    while (mState.mDispatch.mPolicy == nullptr) {
+      RunFor(10 * kMillisecond);
+    }
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1),
+                         mState.mDispatch.mQuota.mMembers.mDigests.size());
+  }
+
 private:
   void RunWithPolicy(const char* aDocument)
+  {
+    Start();
+    Do(PutPolicy{ 1, aDocument });
+    RunFor(3 * kSecond);
+    CPPUNIT_ASSERT(mState.mDispatch.mPolicy != nullptr);
+  }
+
+  void Start()
   {
     Settings settings;
     settings.mFleet.mPeerAddress = kSelf;
@@ -64,9 +84,6 @@
       Open(settings, fakes::FreshDisk({ kSelf }, true, 0), mNow, 1, effects);
     Perform(effects);
     RunFor(3 * kSecond);
-    Do(PutPolicy{ 1, aDocument });
-    RunFor(3 * kSecond);
-    CPPUNIT_ASSERT(mState.mDispatch.mPolicy != nullptr);
   }
 
   void RunFor(Micros aTime)
--- a/tests/quota_test.cpp
+++ b/tests/quota_test.cpp
@@ -89,6 +89,7 @@
   CPPUNIT_TEST(StartAndEndOfALimitAreReportedOnce);
   CPPUNIT_TEST(IdleAccountIsForgotten);
   CPPUNIT_TEST(OnlyAccountsWithSomeLoadMatter);
+  CPPUNIT_TEST(HostThatKnowsFewHostsTakesTheTotalsWord);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -223,6 +224,19 @@
     CPPUNIT_ASSERT(state.mAccounts.empty());
   }
 
+  void HostThatKnowsFewHostsTakesTheTotalsWord()
+  {
+    State state = MakeHost();
+    SetHosts(state, kStart, rate_share::MakeMembers({ "h" }, "h"));
+    state.mHostCounts.clear();
+    SetTotals(state, kStart, MakeTotals(kStart, 60, 5));
+    CPPUNIT_ASSERT(Send(state, kStart));
+    const Account& account = state.mAccounts.at(kAccount);
+    // An equal part of the bound, in whole requests.
+    const double part = Bound(state.mSettings, kLimit) / kHosts;
+    CPPUNIT_ASSERT(account.mPlan.mOwnPart <= part + 1);
+  }
+
   void OnlyAccountsWithSomeLoadMatter()
   {
     CPPUNIT_ASSERT(Matters({ 9, 9, 9, 250000 }) &&
