--- a/tests/fakes/running_gateway.h
+++ b/tests/fakes/running_gateway.h
@@ -26,6 +26,9 @@
 public:
   explicit RunningGateway(double aLinkMbps = 1000)
   {
+    mSettings.mQuotaWindow = 5 * kSecond;
+    mSettings.mQuotaOverage = 0.1;
+    mSettings.mQuotaSlack = 20;
     mFolder = Poco::TemporaryFile::tempName();
     Poco::File(mFolder).createDirectories();
     mSettings.mId = "h1";
@@ -48,7 +51,7 @@
   RunningGateway(const RunningGateway& aFounder, const std::string& aIp)
   {
     mSettings = aFounder.mSettings;
-    mSettings.mId = "h2";
+    mSettings.mId = "h" + aIp.substr(aIp.rfind('.') + 1);
     mSettings.mDataFolder.clear();
     mSettings.mFounding = false;
     mSettings.mLinkMbps = 1000;
@@ -76,6 +79,13 @@
 
   void Stop() { mStop = true; }
 
+  /// \brief Ends the host at once; it tells nobody.
+  void Kill()
+  {
+    mKill = true;
+    Join();
+  }
+
   void Join()
   {
     if (mThread.joinable()) {
@@ -133,7 +143,7 @@
     frontend::GatewayProcess process(mSettings, frontend::NativeDialect());
     const bool started = static_cast<bool>(process.Start());
     bool stopping = false;
-    while (started && process.RunOnce()) {
+    while (started && !mKill && process.RunOnce()) {
       if (mStop && !stopping) {
         stopping = true;
         process.RequestStop();
@@ -179,6 +189,7 @@
   std::string mFolder;
   GatewaySettings mSettings;
   std::atomic<bool> mStop{ false };
+  std::atomic<bool> mKill{ false };
   std::thread mThread;
 };
 
