Believe reports of hosts that a started control host knows from an upstream

Cause: an entry of the list of hosts without a reporter was learned from an upstream, whose messages confirm all hosts as heard. A report of its real reporter is older than that and was dropped, and the word that the host is gone is believed only from a known reporter. The entry lived for the longest lease (5.4 s) from the confirmation on.

Ruled out: late pushes (all other control hosts and their followers dropped it after 2.6 to 3.0 s), a silent reporter.

Change: a report replaces an entry without a reporter whatever its age; an end is believed from any reporter if none is known.

--- a/src/fleet/hosts.cpp
+++ b/src/fleet/hosts.cpp
@@ -30,7 +30,8 @@
   return aHost.mCutOff ? Hash64("cut_off", digest) : digest;
 }
 
-// Only the last reporter of a host can tell that it is gone.
+// Only the last reporter of a host can tell that it is gone, or any if none is
+// known here.
 void MergeGone(State& aState, const Host& aHost)
 {
   const auto found = aState.mHosts.find(aHost.mPeerAddress);
@@ -38,8 +39,9 @@
     return;
   }
   Host& known = found->second;
-  if (!known.mGone && known.mIncarnation == aHost.mIncarnation &&
-      known.mReportedBy == aHost.mReportedBy) {
+  const bool mayTell =
+    known.mReportedBy.empty() || known.mReportedBy == aHost.mReportedBy;
+  if (!known.mGone && known.mIncarnation == aHost.mIncarnation && mayTell) {
     known.mGone = true;
     known.mSequence = ++aState.mHostsSequence;
     aState.mHostsUrgent = aState.mHostsSequence;
@@ -230,7 +232,9 @@
 
 // The later incarnation wins; within the same one, the most recent report does.
 // If a clock was set back, a lower incarnation may be the later one, so an
-// expired entry is always replaced.
+// expired entry is always replaced. An entry without a reporter was learned
+// from an upstream, which confirms all hosts that it has not yet heard to be
+// gone: its time says nothing about the host.
 void MergeHost(State& aState, Host aHost)
 {
   if (aHost.mGone) {
@@ -240,10 +244,10 @@
   Host& known = aState.mHosts[aHost.mPeerAddress];
   const bool isNew = known.mPeerAddress.empty();
   const bool expired = aHost.mHeardAt - known.mHeardAt >= kHostLease;
-  const bool later = isNew || expired ||
-                     aHost.mIncarnation > known.mIncarnation ||
-                     (aHost.mIncarnation == known.mIncarnation &&
-                      aHost.mHeardAt >= known.mHeardAt);
+  const bool later =
+    isNew || expired || aHost.mIncarnation > known.mIncarnation ||
+    (aHost.mIncarnation == known.mIncarnation &&
+     (aHost.mHeardAt >= known.mHeardAt || known.mReportedBy.empty()));
   if (!later) {
     return;
   }
