Take the unused subject of counts out

Cause: Subject::Room was declared and used nowhere. A table of that subject in a message is unreadable now; no host sends one.

--- a/include/geraniumpond/rollup.h
+++ b/include/geraniumpond/rollup.h
@@ -31,10 +31,8 @@
   Account,
   /// Requests of one priority at one service.
   Priority,
-  /// The targets of one service in one data centre.
-  Room,
 };
-constexpr std::size_t kSubjectCount = 3;
+constexpr std::size_t kSubjectCount = 2;
 
 /// \brief One thing that is counted, by the digest of its name.
 struct Key
