Split the gateway reducer by job

The data centres of hosts move from directory.cpp to hosts.cpp, the warm-up of a known target to operations.cpp. UpdateHostCount() did more than its name said: UpdateHosts() does what is due, UpdateHostCount() the count alone. The code is moved, not changed; the order of the steps is the same. Comments of the headers are plainer.

--- a/include/geraniumpond/gateway.h
+++ b/include/geraniumpond/gateway.h
@@ -245,7 +245,7 @@
   std::map<std::uint64_t, Operation> mOperations;
   std::vector<WaitingRead> mReads;
   Micros mStartedAt = 0;
-  Micros mHostCountUpdatedAt = 0;
+  Micros mHostsUpdatedAt = 0;
   Micros mPeakHostsAt = 0;
   /// The last totals of counts that were handed to those who use them.
   rollup::Stamp mTotalsUsed;
--- a/src/gateway/directory.cpp
+++ b/src/gateway/directory.cpp
@@ -17,8 +17,8 @@
 /// would delay clients' answers on the same link.
 constexpr Micros kMaxDocumentTime = 100 * kMillisecond;
 
-// Clients whose requests are bound to regions are led there, or stay in their
-// own: elsewhere the bodies of their requests must not go.
+// Clients whose requests are bound to regions are directed to hosts there or in
+// their own region: the bodies of their requests must not get to others.
 std::vector<const fleet::Host*> HostsFor(const State& aState,
                                          const Lookup& aLookup,
                                          Micros aNow)
@@ -48,22 +48,6 @@
 
 } // namespace
 
-// Requests that are bound to regions are passed on to hosts there only.
-void UpdateHostDataCentres(Context& aContext)
-{
-  State& state = aContext.mState;
-  std::map<std::string, std::string>& known = state.mDispatch.mHostDataCentres;
-  known.clear();
-  const auto& policy = state.mDispatch.mPolicy;
-  if (!policy || !policy->mNamesRegions) {
-    return;
-  }
-  for (const fleet::Host* host :
-       fleet::HostsForClients(state.mFleet, aContext.mNow)) {
-    known[host->mCallerAddress] = host->mDataCentre;
-  }
-}
-
 // Control hosts answer reads themselves: their links are fast, and an
 // unreachable leader must not make reads fail on the other hosts.
 std::string PolicyRedirect(const State& aState, Micros aNow)
--- a/src/gateway/internal.h
+++ b/src/gateway/internal.h
@@ -18,7 +18,7 @@
   }
 };
 
-// --- gateway.cpp
+// --- output.cpp: what dispatch and the fleet put out
 
 /// \brief Appends the effects of a dispatch call; facts go to other hosts.
 void AppendEffects(Context& aContext, dispatch::Effects aEffects);
@@ -26,42 +26,62 @@
 /// \brief Applies the output of a fleet call and appends its effects.
 void ApplyFleetOutput(Context& aContext, fleet::Output aFleet);
 
-/// \brief Applies what a known target announces of its warm-up.
-void RecordWarmUp(Context& aContext, const wire::TargetRecord& aRecord);
+// --- policy.cpp: how a policy comes into force
 
-// --- accounts.cpp: what keys and names of accounts are worth at this host
+/// \brief Puts the catalog's policy into force unless it is so already or
+/// withheld; tells `aFleet` that this host is ready for clients.
+void ApplyNewPolicy(Context& aContext, fleet::Output& aFleet);
+/// \brief Puts the withheld policy into force once the control group has
+/// confirmed it.
+void ApplyWithheldPolicy(Context& aContext);
 
-/// \brief Updates how far this host's policy may be relied on, by the age of
-/// the group's confirmation.
+// --- hosts.cpp: what dispatch is told of the other hosts
+
+/// \brief Updates the number of hosts and what depends on which there are, if
+/// that is due.
+void UpdateHosts(Context& aContext);
+/// \brief Updates the hosts that requests may be passed on to while this host
+/// does not hear from targets.
+void UpdateRelayHosts(Context& aContext);
+
+// --- stop.cpp: the graceful stop of the host
+
+void HandleStop(Context& aContext);
+/// \brief Ends the process once its work is done or time has run out.
+void ContinueStop(Context& aContext);
+/// \brief Latest time at which a host that is stopping ends the process.
+[[nodiscard]] Micros ExitDeadline(const State& aState);
+
+// --- accounts.cpp: how long keys may be relied on, and who may state accounts
+
+/// \brief Updates whether this host's policy may be outdated and until when
+/// its keys are accepted, by the age of the group's confirmation.
 void UpdateTrust(Context& aContext);
-/// \brief A request that arrives, and whether it comes from a host of the
-/// fleet.
+/// \brief The request with the mark whether it comes from a host of the fleet.
 [[nodiscard]] dispatch::Arrival WithSender(const State& aState,
                                            dispatch::Arrival aArrival);
 
 // --- rollup.cpp: counts summed over all hosts
 
-/// \brief Tells the fleet whether anything is counted, and which counts matter
-/// to others at once or at all.
+/// \brief Tells the fleet whether anything is counted, which totals all hosts
+/// need, and which growth is reported at once.
 void SetUpCounting(fleet::State& aFleet, Micros aNow, bool aWanted);
 /// \brief Hosts among which limits are divided; silent ones keep their part
 /// until they are forgotten.
 [[nodiscard]] rate_share::Members CountingHosts(const fleet::State& aFleet);
-/// \brief Notes whether the policy has anything to count over all hosts.
+/// \brief Turns counting over all hosts on or off as the policy needs it.
 void UpdateCounting(Context& aContext);
-/// \brief Tells those who divide limits among hosts which hosts there are.
+/// \brief Tells the limits of accounts which hosts there are.
 void UpdateCountHosts(Context& aContext);
 /// \brief Sets this host's own counts if they are due.
 void UpdateCounts(Context& aContext);
-/// \brief Hands totals that have arrived to those who use them.
+/// \brief Passes totals that have arrived to the modules that use them.
 void UseNewTotals(Context& aContext);
 
 // --- operations.cpp: calls from targets and operators
 
 void HandleAnnounce(Context& aContext, const Announce& aCall);
 void HandleWithdraw(Context& aContext, const Withdraw& aCall);
-/// \brief Updates what dispatch knows of the hosts' data centres.
-void UpdateHostDataCentres(Context& aContext);
 void HandlePutPolicy(Context& aContext, const PutPolicy& aCall);
 void HandleReadPolicy(Context& aContext, const ReadPolicy& aCall);
 void HandleSetEvacuation(Context& aContext, const SetEvacuation& aCall);
--- a/src/gateway/operations.cpp
+++ b/src/gateway/operations.cpp
@@ -220,6 +220,19 @@
   }
 }
 
+namespace {
+
+// A known target may announce nothing but its warm-up.
+void RecordWarmUp(Context& aContext, const wire::TargetRecord& aRecord)
+{
+  dispatch::Effects effects;
+  dispatch::HandleAnnouncedWarmUp(
+    aContext.mState.mDispatch, aContext.mNow, aRecord, effects);
+  AppendEffects(aContext, std::move(effects));
+}
+
+} // namespace
+
 void HandleAnnounce(Context& aContext, const Announce& aCall)
 {
   const catalog::State& catalog = aContext.mState.mFleet.mCatalog;
--- /dev/null
+++ b/src/gateway/stop.cpp
@@ -0,0 +1,70 @@
+#include "internal.h"
+
+#include <algorithm>
+
+// The stop of a host: it sees its requests through within the grace period.
+namespace geraniumpond::gateway {
+
+namespace {
+
+/// Part of the stop grace period reserved for the process to exit.
+constexpr Micros kStopReserve = 800 * kMillisecond;
+/// The same while answers are still being sent; whatever remains is cut off.
+constexpr Micros kSendingReserve = 300 * kMillisecond;
+
+// Clients keep sending requests for as long as they may have cached this host's
+// address. Requests in flight are not cut off before the exit deadline.
+Micros EarliestExit(const State& aState)
+{
+  const Settings& settings = aState.mSettings;
+  const Micros cacheTime = settings.mAnswerKeep * settings.mAnswerKeepFactor;
+  return aState.mStopAt +
+         std::min(cacheTime + 500 * kMillisecond, settings.mStopGrace * 3 / 4);
+}
+
+} // namespace
+
+void HandleStop(Context& aContext)
+{
+  State& state = aContext.mState;
+  if (state.mStopping) {
+    return;
+  }
+  state.mStopping = true;
+  state.mStopAt = aContext.mNow;
+  aContext.Log(1,
+               "event=stopping requests=" +
+                 std::to_string(dispatch::RunningRequests(state.mDispatch)));
+  fleet::Output output;
+  fleet::BeginStop(state.mFleet, aContext.mNow, output);
+  ApplyFleetOutput(aContext, std::move(output));
+}
+
+Micros ExitDeadline(const State& aState)
+{
+  return aState.mStopAt + aState.mSettings.mStopGrace -
+         (aState.mSending ? kSendingReserve : kStopReserve);
+}
+
+void ContinueStop(Context& aContext)
+{
+  State& state = aContext.mState;
+  if (!state.mStopping || state.mExited) {
+    return;
+  }
+  // For the reducer a request ends when its answer is handed over for sending;
+  // a large answer then takes seconds on a slow link.
+  const bool idle = dispatch::RunningRequests(state.mDispatch) == 0 &&
+                    state.mOperations.empty() && !state.mSending;
+  if ((aContext.mNow >= EarliestExit(state) && idle) ||
+      aContext.mNow >= ExitDeadline(state)) {
+    state.mExited = true;
+    aContext.Log(1,
+                 "event=stopped requests_cut=" +
+                   std::to_string(dispatch::RunningRequests(state.mDispatch)) +
+                   " answers_cut=" + (state.mSending ? "yes" : "no"));
+    aContext.mOut.emplace_back(ExitProcess{});
+  }
+}
+
+} // namespace geraniumpond::gateway
