Walk the hosts for clients in one place

Cause: UpdateFastHosts() and UpdateRelayHosts() had the same loop. Ruled out: one update for both. They are due at different times, and a common one would change when the lists are renewed. Change: both state a condition to one walk.

--- a/src/gateway/hosts.cpp
+++ b/src/gateway/hosts.cpp
@@ -34,23 +34,35 @@
   dispatch::SetLimitHosts(state.mDispatch, aContext.mNow, std::move(sharers));
 }
 
+// Caller addresses of the hosts that take clients and meet a condition.
+template<class Condition>
+std::vector<std::string> CallerAddressesIf(const Context& aContext,
+                                           Condition aCondition)
+{
+  std::vector<std::string> addresses;
+  for (const fleet::Host* host :
+       fleet::HostsForClients(aContext.mState.mFleet, aContext.mNow)) {
+    if (aCondition(*host)) {
+      addresses.push_back(host->mCallerAddress);
+    }
+  }
+  return addresses;
+}
+
 // Hosts whose links carry what is large for this host's.
 void UpdateFastHosts(Context& aContext)
 {
   State& state = aContext.mState;
   const fleet::Settings& own = state.mSettings.mFleet;
-  std::vector<std::string>& fast = state.mDispatch.mFastHosts;
-  fast.clear();
+  state.mDispatch.mFastHosts.clear();
   if (own.mLinkMbps <= 0) {
     return;
   }
-  for (const fleet::Host* host :
-       fleet::HostsForClients(state.mFleet, aContext.mNow)) {
-    if (host->mDataCentre == own.mDataCentre &&
-        host->mLinkMbps >= kFastLinkRatio * own.mLinkMbps) {
-      fast.push_back(host->mCallerAddress);
-    }
-  }
+  state.mDispatch.mFastHosts =
+    CallerAddressesIf(aContext, [&](const fleet::Host& aHost) {
+      return aHost.mDataCentre == own.mDataCentre &&
+             aHost.mLinkMbps >= kFastLinkRatio * own.mLinkMbps;
+    });
 }
 
 // Requests that are bound to regions are passed on to hosts there only.
@@ -112,12 +124,11 @@
   if (!dispatch::AwaitsAnyAnswer(state.mDispatch)) {
     return;
   }
-  for (const fleet::Host* host :
-       fleet::HostsForClients(state.mFleet, aContext.mNow)) {
-    if (host->mPeerAddress != state.mSettings.mFleet.mPeerAddress) {
-      state.mDispatch.mRelayHosts.push_back(host->mCallerAddress);
-    }
-  }
+  const std::string& own = state.mSettings.mFleet.mPeerAddress;
+  state.mDispatch.mRelayHosts =
+    CallerAddressesIf(aContext, [&](const fleet::Host& aHost) {
+      return aHost.mPeerAddress != own;
+    });
 }
 
 } // namespace geraniumpond::gateway
