Define what a large answer is once

Cause: dispatch and the pacer of the link each had the time from which an answer is large. Change: link.h has it. The pacer's arithmetic is kept, since it rounds to bytes; the product in dispatch may differ in its last bit.

--- a/src/dispatch/cost.cpp
+++ b/src/dispatch/cost.cpp
@@ -1,5 +1,7 @@
 #include "internal.h"
 
+#include <geraniumpond/link.h>
+
 #include <algorithm>
 #include <cmath>
 
@@ -18,9 +20,6 @@
 constexpr double kCrossingShare = 0.3;
 constexpr double kCrossingBytes = 20000;
 constexpr double kCrossingMax = 6;
-/// An answer that takes longer than this to transfer on the host's link counts
-/// as large.
-constexpr Micros kSmallAnswerTime = 50 * kMillisecond;
 /// Concurrent large answers may occupy the host's link for no longer than this,
 /// unless a single one does: probes, policies and other answers queue behind
 /// them.
@@ -124,8 +123,8 @@
 
 double LargeBytes(const State& aState, const Need& aNeed) noexcept
 {
-  const double small = aState.mBounds.mLinkBytesPerSecond *
-                       static_cast<double>(kSmallAnswerTime) / kSecond;
+  const double small =
+    link::SmallAnswerBytes(aState.mBounds.mLinkBytesPerSecond);
   return aNeed.mAnswerBytes > small ? aNeed.mAnswerBytes : 0;
 }
 
--- a/src/frontend/link_pacer.cpp
+++ b/src/frontend/link_pacer.cpp
@@ -1,5 +1,7 @@
 #include "link_pacer.h"
 
+#include <geraniumpond/link.h>
+
 #include <algorithm>
 #include <cmath>
 #include <limits>
@@ -10,8 +12,6 @@
 
 /// Large answers get this share of the link; the rest is for what cannot wait.
 constexpr double kLargeShare = 0.75;
-/// An answer that occupies the link for longer counts as large.
-constexpr double kLargeSeconds = 0.05;
 /// Time for which one piece of a large answer occupies the link: anything else
 /// waits no longer than this.
 constexpr double kPieceSeconds = 0.015;
@@ -35,7 +35,7 @@
 
 std::size_t LinkPacer::SmallBytes() const noexcept
 {
-  return static_cast<std::size_t>(kLargeSeconds * mBytesPerSecond);
+  return static_cast<std::size_t>(link::SmallAnswerBytes(mBytesPerSecond));
 }
 
 bool LinkPacer::IsLarge(std::size_t aBytes) const noexcept
