Share one handler factory among the gateway tests

Cause: five tests had a factory each that differed in the handler's name. Change: fakes::HandlerFactory takes a function that makes the handler. No check is changed.

--- a/tests/gateway_accounts_test.cpp
+++ b/tests/gateway_accounts_test.cpp
@@ -1,9 +1,9 @@
+#include "fakes/handler_factory.h"
 #include "fakes/running_gateway.h"
 
 #include <cppunit/extensions/HelperMacros.h>
 
 #include <Poco/Net/HTTPRequestHandler.h>
-#include <Poco/Net/HTTPRequestHandlerFactory.h>
 #include <Poco/Net/HTTPServer.h>
 #include <Poco/Net/HTTPServerRequest.h>
 #include <Poco/Net/HTTPServerResponse.h>
@@ -78,16 +78,6 @@
   }
 };
 
-class FieldsHandlerFactory : public net::HTTPRequestHandlerFactory
-{
-public:
-  net::HTTPRequestHandler* createRequestHandler(
-    const net::HTTPServerRequest&) override
-  {
-    return new FieldsHandler;
-  }
-};
-
 struct Answer
 {
   net::HTTPResponse mHead;
@@ -177,9 +167,10 @@
 public:
   void setUp() override
   {
-    mTarget = std::make_unique<net::HTTPServer>(new FieldsHandlerFactory,
-                                                net::ServerSocket(0),
-                                                new net::HTTPServerParams);
+    mTarget = std::make_unique<net::HTTPServer>(
+      new fakes::HandlerFactory([] { return new FieldsHandler; }),
+      net::ServerSocket(0),
+      new net::HTTPServerParams);
     mTarget->start();
   }
 
--- a/tests/gateway_limits_test.cpp
+++ b/tests/gateway_limits_test.cpp
@@ -1,9 +1,9 @@
+#include "fakes/handler_factory.h"
 #include "fakes/running_gateway.h"
 
 #include <cppunit/extensions/HelperMacros.h>
 
 #include <Poco/Net/HTTPRequestHandler.h>
-#include <Poco/Net/HTTPRequestHandlerFactory.h>
 #include <Poco/Net/HTTPServer.h>
 #include <Poco/Net/HTTPServerRequest.h>
 #include <Poco/Net/HTTPServerResponse.h>
@@ -125,23 +125,6 @@
   Arrivals& mArrivals;
 };
 
-class CountingHandlerFactory : public net::HTTPRequestHandlerFactory
-{
-public:
-  explicit CountingHandlerFactory(Arrivals& aArrivals)
-    : mArrivals(aArrivals)
-  {
-  }
-  net::HTTPRequestHandler* createRequestHandler(
-    const net::HTTPServerRequest&) override
-  {
-    return new CountingHandler(mArrivals);
-  }
-
-private:
-  Arrivals& mArrivals;
-};
-
 /// \brief A caller of one account at one host, which does not wait as it is
 /// told, and connects again when its host is gone.
 class Caller
@@ -225,7 +208,8 @@
   {
     // Each open connection takes a thread.
     Poco::ThreadPool threads(2, kTargetThreads);
-    net::HTTPServer target(new CountingHandlerFactory(mArrivals),
+    net::HTTPServer target(new fakes::HandlerFactory(
+                             [this] { return new CountingHandler(mArrivals); }),
                            threads,
                            net::ServerSocket(0),
                            MakeParams());
--- a/tests/gateway_narrow_link_test.cpp
+++ b/tests/gateway_narrow_link_test.cpp
@@ -1,10 +1,10 @@
+#include "fakes/handler_factory.h"
 #include "fakes/narrow_link.h"
 #include "fakes/running_gateway.h"
 
 #include <cppunit/extensions/HelperMacros.h>
 
 #include <Poco/Net/HTTPRequestHandler.h>
-#include <Poco/Net/HTTPRequestHandlerFactory.h>
 #include <Poco/Net/HTTPServer.h>
 #include <Poco/Net/HTTPServerRequest.h>
 #include <Poco/Net/HTTPServerResponse.h>
@@ -75,16 +75,6 @@
   }
 };
 
-class SizesHandlerFactory : public net::HTTPRequestHandlerFactory
-{
-public:
-  net::HTTPRequestHandler* createRequestHandler(
-    const net::HTTPServerRequest&) override
-  {
-    return new SizesHandler;
-  }
-};
-
 struct Answer
 {
   int mStatus = 0;
@@ -125,7 +115,7 @@
 
 public:
   GatewayNarrowLinkTest()
-    : mTarget(new SizesHandlerFactory,
+    : mTarget(new fakes::HandlerFactory([] { return new SizesHandler; }),
               net::ServerSocket(0),
               new net::HTTPServerParams)
   {
--- a/tests/gateway_relay_test.cpp
+++ b/tests/gateway_relay_test.cpp
@@ -1,9 +1,9 @@
+#include "fakes/handler_factory.h"
 #include "fakes/running_gateway.h"
 
 #include <cppunit/extensions/HelperMacros.h>
 
 #include <Poco/Net/HTTPRequestHandler.h>
-#include <Poco/Net/HTTPRequestHandlerFactory.h>
 #include <Poco/Net/HTTPServer.h>
 #include <Poco/Net/HTTPServerRequest.h>
 #include <Poco/Net/HTTPServerResponse.h>
@@ -52,16 +52,6 @@
   }
 };
 
-class EchoHandlerFactory : public net::HTTPRequestHandlerFactory
-{
-public:
-  net::HTTPRequestHandler* createRequestHandler(
-    const net::HTTPServerRequest&) override
-  {
-    return new EchoHandler;
-  }
-};
-
 struct Answer
 {
   net::HTTPResponse mHead;
@@ -98,7 +88,9 @@
   void TargetGetsARelayedRequestLikeAnyOther()
   {
     net::HTTPServer target(
-      new EchoHandlerFactory, net::ServerSocket(0), new net::HTTPServerParams);
+      new fakes::HandlerFactory([] { return new EchoHandler; }),
+      net::ServerSocket(0),
+      new net::HTTPServerParams);
     target.start();
     fakes::RunningGateway host;
     CPPUNIT_ASSERT(
--- a/tests/gateway_stop_test.cpp
+++ b/tests/gateway_stop_test.cpp
@@ -1,3 +1,4 @@
+#include "fakes/handler_factory.h"
 #include "fakes/running_gateway.h"
 
 #include <cppunit/extensions/HelperMacros.h>
@@ -5,7 +6,6 @@
 #include <Poco/Net/HTTPClientSession.h>
 #include <Poco/Net/HTTPRequest.h>
 #include <Poco/Net/HTTPRequestHandler.h>
-#include <Poco/Net/HTTPRequestHandlerFactory.h>
 #include <Poco/Net/HTTPResponse.h>
 #include <Poco/Net/HTTPServer.h>
 #include <Poco/Net/HTTPServerRequest.h>
@@ -58,16 +58,6 @@
   }
 };
 
-class LargeAnswerHandlerFactory : public net::HTTPRequestHandlerFactory
-{
-public:
-  net::HTTPRequestHandler* createRequestHandler(
-    const net::HTTPServerRequest&) override
-  {
-    return new LargeAnswerHandler;
-  }
-};
-
 } // namespace
 
 /// \brief Tests the graceful shutdown of a gateway host on loopback with one
@@ -81,9 +71,10 @@
 public:
   void LargeAnswerToASlowReaderIsWholeThoughTheHostStops()
   {
-    net::HTTPServer target(new LargeAnswerHandlerFactory,
-                           net::ServerSocket(0),
-                           new net::HTTPServerParams);
+    net::HTTPServer target(
+      new fakes::HandlerFactory([] { return new LargeAnswerHandler; }),
+      net::ServerSocket(0),
+      new net::HTTPServerParams);
     target.start();
     fakes::RunningGateway host;
     CPPUNIT_ASSERT(
