Split the gateway process by job

Cause: gateway_process.cpp (459 lines) held clocks, the settings of the reducer, the sinks of servers, the disk, the inbox of other threads and the loop. The reducer's settings are a free function of the host's settings.

--- a/src/frontend/gateway_process.h
+++ b/src/frontend/gateway_process.h
@@ -87,7 +87,6 @@
 
   [[nodiscard]] Result<consensus::Recovered> OpenStorage(
     const fleet::Settings& aFleet);
-  [[nodiscard]] gateway::Settings ReducerSettings() const;
   void ProcessInbox();
   void HandleSynced(std::uint64_t aSequence);
   void ProcessPeerMessages();
