Give names that say what they stand for

Cause: signs, ways, moving, closing and opening need an explanation. Change: mSigns is mAnswerCount, RecordSign() RecordServiceAnswer(), mHostsWithoutWay mConsecutiveHostFailures; the threshold of admission is updated (UpdateThreshold(), was Move()), and its shares are lowered and raised; kPace of the sums is kReportInterval. The test of the threshold calls the new name; its checks are the same.

--- a/include/geraniumpond/dispatch/services.h
+++ b/include/geraniumpond/dispatch/services.h
@@ -82,9 +82,9 @@
   Micros mDispatchedAt = 0;
   /// Until when any of its targets rests.
   Micros mRestUntil = 0;
-  /// Answers of its targets, and how many of these have been asked since the
-  /// last one.
-  std::uint64_t mSigns = 1;
+  /// Number of answers of its targets, and how many targets have been asked
+  /// since the last one.
+  std::uint64_t mAnswerCount = 1;
   std::size_t mAskedTargets = 0;
   /// When enough of them had been asked; 0 while they have not.
   Micros mSilentSince = 0;
@@ -93,8 +93,9 @@
   Micros mServedElsewhereAt = 0;
   /// Hosts that do not reach the targets, and until when they are not tried.
   std::map<std::string, Micros> mAvoidedHosts;
-  /// Hosts in a row that did not reach them, and until when none is tried.
-  int mHostsWithoutWay = 0;
+  /// Consecutive tries of other hosts that did not reach the targets, and until
+  /// when no host is tried.
+  int mConsecutiveHostFailures = 0;
   Micros mDownUntil = 0;
   /// True if requests were still waiting at the last dispatch.
   bool mWasBusy = false;
--- a/include/geraniumpond/dispatch/targets.h
+++ b/include/geraniumpond/dispatch/targets.h
@@ -87,8 +87,8 @@
   /// Gets no requests until a probe succeeds at mNextProbeAt or later.
   bool mUnavailable = false;
   Micros mNextProbeAt = 0;
-  /// Service::mSigns when it was last asked.
-  std::uint64_t mAskedAtSign = 0;
+  /// Service::mAnswerCount when it was last asked.
+  std::uint64_t mAskedAtAnswer = 0;
   /// It has said in an answer that it leaves: it gets nothing new.
   bool mLeaving = false;
   /// It has asked this host to send nothing until then.
--- a/include/geraniumpond/fair_admission.h
+++ b/include/geraniumpond/fair_admission.h
@@ -51,18 +51,19 @@
 {
   /// By priority; priorities that are not held back are absent.
   std::map<int, double> mShares;
-  /// Sums that it was worked out from, and when it last moved.
+  /// Time of the sums that it was worked out from; when a share was last
+  /// lowered, and when one was last raised.
   Micros mToldAt = 0;
-  Micros mClosedAt = 0;
-  Micros mOpenedAt = 0;
+  Micros mLoweredAt = 0;
+  Micros mRaisedAt = 0;
 };
 
-/// \brief Moves the threshold by sums that were told at `aToldAt`; true if it
-/// has moved. Does nothing if they are too old or known already.
-bool Move(Threshold& aThreshold,
-          const Levels& aLevels,
-          Micros aToldAt,
-          Micros aNow);
+/// \brief Updates the threshold from sums that the leader sent at `aToldAt`;
+/// true if it has changed. Does nothing if they are too old or known already.
+bool UpdateThreshold(Threshold& aThreshold,
+                     const Levels& aLevels,
+                     Micros aToldAt,
+                     Micros aNow);
 
 /// \brief Share of the requests of a priority that is admitted; all of them
 /// once nothing has been told for too long.
--- a/src/dispatch/ends.cpp
+++ b/src/dispatch/ends.cpp
@@ -131,7 +131,7 @@
     target.mSentSinceReport = std::max(0, target.mSentSinceReport - 1);
   }
   if (aEnd.mKind == EndKind::Answered) {
-    RecordSign(aState, aState.mServices[target.mService], aNow, aOut);
+    RecordServiceAnswer(aState, aState.mServices[target.mService], aNow, aOut);
   }
   if (aEnd.mKind == EndKind::Answered && !aEnd.mMisdirected) {
     UpdateLimit(aState, aNow, target, aAttempt, aEnd, aOut);
--- a/src/dispatch/fairness.cpp
+++ b/src/dispatch/fairness.cpp
@@ -117,7 +117,7 @@
   for (auto& [name, service] : fairness.mServices) {
     const fair_admission::Levels levels =
       LevelsOf(name, fairness.mPriorities, aTotals.mSum.mTable);
-    if (fair_admission::Move(
+    if (fair_admission::UpdateThreshold(
           service.mThreshold, levels, aTotals.mToldAt, aNow)) {
       Log(aOut,
           1,
@@ -152,8 +152,8 @@
 
 void CountRefusal(State& aState, Micros aNow, const Request& aRequest)
 {
-  // One that was sent found room; what its targets made of it says nothing of
-  // the room for others.
+  // A request that was sent has found room; a later refusal is due to its
+  // targets.
   if (aState.mFairness && !aRequest.mIsRelayed && aRequest.mSent == 0) {
     fair_admission::CountLacking(WindowOf(*aState.mFairness, aRequest), aNow);
   }
--- a/src/dispatch/reach.cpp
+++ b/src/dispatch/reach.cpp
@@ -95,10 +95,11 @@
 
 void RecordQuestion(Service& aService, Target& aTarget, Micros aNow) noexcept
 {
-  if (!aService.mReportsLoad || aTarget.mAskedAtSign == aService.mSigns) {
+  if (!aService.mReportsLoad ||
+      aTarget.mAskedAtAnswer == aService.mAnswerCount) {
     return;
   }
-  aTarget.mAskedAtSign = aService.mSigns;
+  aTarget.mAskedAtAnswer = aService.mAnswerCount;
   ++aService.mAskedTargets;
   const std::size_t enough = std::min(kMinProbes, aService.mSubset.size());
   if (aService.mSilentSince == 0 && aService.mAskedTargets >= enough) {
@@ -106,7 +107,10 @@
   }
 }
 
-void RecordSign(State& aState, Service& aService, Micros aNow, Effects& aOut)
+void RecordServiceAnswer(State& aState,
+                         Service& aService,
+                         Micros aNow,
+                         Effects& aOut)
 {
   if (IsSilent(aService, aNow)) {
     Log(aOut,
@@ -117,7 +121,7 @@
   }
   aService.mSilentSince = 0;
   aService.mAskedTargets = 0;
-  ++aService.mSigns;
+  ++aService.mAnswerCount;
   aService.mHeardAt = aNow;
 }
 
--- a/src/dispatch/reach.h
+++ b/src/dispatch/reach.h
@@ -8,7 +8,10 @@
 /// \brief Records that a target of this service was asked for its load.
 void RecordQuestion(Service& aService, Target& aTarget, Micros aNow) noexcept;
 /// \brief Records an answer of any target of this service.
-void RecordSign(State& aState, Service& aService, Micros aNow, Effects& aOut);
+void RecordServiceAnswer(State& aState,
+                         Service& aService,
+                         Micros aNow,
+                         Effects& aOut);
 /// \brief Records that another host has reached this service's targets.
 void RecordServedElsewhere(Service& aService, Micros aNow) noexcept;
 
--- a/src/dispatch/relay.cpp
+++ b/src/dispatch/relay.cpp
@@ -21,7 +21,7 @@
 constexpr Micros kAvoidFor = 2 * kSecond;
 /// After this many hosts in a row that do not reach a service, its targets are
 /// taken to be down for this long.
-constexpr int kMaxHostsWithoutWay = 16;
+constexpr int kMaxHostFailures = 16;
 constexpr Micros kDownFor = 1 * kSecond;
 constexpr int kServerError = 500;
 constexpr int kUnavailable = 503;
@@ -64,10 +64,10 @@
   aService.mAvoidedHosts[aHost] = aNow + kAvoidFor;
 }
 
-void CountHostWithoutWay(Service& aService, Micros aNow)
+void CountHostFailure(Service& aService, Micros aNow)
 {
-  if (++aService.mHostsWithoutWay >= kMaxHostsWithoutWay) {
-    aService.mHostsWithoutWay = 0;
+  if (++aService.mConsecutiveHostFailures >= kMaxHostFailures) {
+    aService.mConsecutiveHostFailures = 0;
     aService.mDownUntil = aNow + kDownFor;
   }
 }
@@ -205,7 +205,7 @@
   if (aEnd.mKind == EndKind::NotSent || aEnd.mMisdirected) {
     --aRequest.mSent;
     AvoidHost(service, aAttempt.mHost, aNow);
-    CountHostWithoutWay(service, aNow);
+    CountHostFailure(service, aNow);
     ++aState.mCounters["relays_without_way"];
     if (!CanPassOn(aRequest) || !PassOn(aState, aNow, aRequest, aOut)) {
       RetryElsewhere(aState, aNow, aRequest, "no_way_through_host", aOut);
@@ -225,11 +225,11 @@
   if (aEnd.mKind == EndKind::Broken) {
     aRequest.mMayHaveRun = true;
     AvoidHost(service, aAttempt.mHost, aNow);
-    CountHostWithoutWay(service, aNow);
+    CountHostFailure(service, aNow);
     Refuse(aState, aNow, aRequest.mId, kBadGateway, 0, "host_broke_off", aOut);
     return;
   }
-  service.mHostsWithoutWay = 0;
+  service.mConsecutiveHostFailures = 0;
   if (aEnd.mStatus < kServerError) {
     RecordServedElsewhere(service, aNow);
     RecordAnswer(aState, aNow, aRequest.mIdentity, aOut);
--- a/src/dispatch/targets.cpp
+++ b/src/dispatch/targets.cpp
@@ -351,7 +351,7 @@
   const bool otherTarget =
     !aEnd.mAnsweredBy.empty() && aEnd.mAnsweredBy != target.mName;
   if (aEnd.mAnswered) {
-    RecordSign(aState, aState.mServices[service], aNow, aOut);
+    RecordServiceAnswer(aState, aState.mServices[service], aNow, aOut);
   }
   if (!aEnd.mAnswered && aEnd.mRefused) {
     HandleTargetEnd(aState, aNow, target, aOut);
--- a/src/fair_admission/fair_admission.cpp
+++ b/src/fair_admission/fair_admission.cpp
@@ -9,23 +9,25 @@
 
 constexpr Micros kWindow = 1 * kSecond;
 constexpr Micros kSlice = 200 * kMillisecond;
-/// Sums older than this say nothing of the load at the moment.
+/// Sums older than this do not show the present load.
 constexpr Micros kMaxAge = 1500 * kMillisecond;
-/// Less urgent requests are slowed down, never shut out.
+/// Less urgent requests are never all refused.
 constexpr double kMinShare = 0.2;
 /// Shares of the urgent requests that lack room above which others are held
-/// back, and below which they are let in again.
+/// back, and below which they are admitted again.
 constexpr double kHighLacking = 0.08;
 constexpr double kLowLacking = 0.03;
-/// Fewer than these lack room by chance.
+/// A smaller number of requests may lack room by chance.
 constexpr std::uint32_t kMinLacking = 8;
-/// A change shows in the sums after about this time.
-constexpr Micros kCloseInterval = 700 * kMillisecond;
-constexpr Micros kOpenInterval = 300 * kMillisecond;
-/// Part that is closed at once, for each request that lacks room, and at most.
-constexpr double kClosing = 2;
-constexpr double kMaxClosing = 0.4;
-constexpr double kOpening = 0.04;
+/// Intervals between two decreases, and between two increases, of a share: the
+/// effect of a decrease shows in the sums after about this time.
+constexpr Micros kLowerInterval = 700 * kMillisecond;
+constexpr Micros kRaiseInterval = 300 * kMillisecond;
+/// Requests by which the admitted ones are reduced for each one that lacks
+/// room; the largest decrease of a share in one step; and its increase.
+constexpr double kReductionPerLacking = 2;
+constexpr double kMaxDecrease = 0.4;
+constexpr double kIncrease = 0.04;
 
 Demand& Current(Window& aWindow, Micros aNow)
 {
@@ -66,7 +68,7 @@
 }
 
 // The least urgent priority that can still make room for more urgent ones.
-std::optional<int> LevelToClose(const Threshold& aThreshold,
+std::optional<int> LevelToLower(const Threshold& aThreshold,
                                 const Levels& aLevels)
 {
   for (auto level = aLevels.rbegin(); level != aLevels.rend(); ++level) {
@@ -79,24 +81,25 @@
   return std::nullopt;
 }
 
-void Close(Threshold& aThreshold, const Levels& aLevels, int aPriority)
+void Lower(Threshold& aThreshold, const Levels& aLevels, int aPriority)
 {
   const double lacking = SumBefore(aLevels, aPriority).mLacking;
   const double step =
-    std::min(kMaxClosing, kClosing * lacking / aLevels.at(aPriority).mArrived);
+    std::min(kMaxDecrease,
+             kReductionPerLacking * lacking / aLevels.at(aPriority).mArrived);
   aThreshold.mShares[aPriority] =
     std::max(kMinShare, ShareOf(aThreshold, aPriority) - step);
 }
 
-// The most urgent priority is let in first.
-void Open(Threshold& aThreshold, const Levels& aLevels)
+// The most urgent priority is admitted again first.
+void Raise(Threshold& aThreshold, const Levels& aLevels)
 {
   const auto first = aThreshold.mShares.begin();
   if (first == aThreshold.mShares.end() ||
       Lacks(SumBefore(aLevels, first->first), kLowLacking)) {
     return;
   }
-  first->second += kOpening;
+  first->second += kIncrease;
   if (first->second >= 1) {
     aThreshold.mShares.erase(first);
   }
@@ -126,10 +129,10 @@
   return sum;
 }
 
-bool Move(Threshold& aThreshold,
-          const Levels& aLevels,
-          Micros aToldAt,
-          Micros aNow)
+bool UpdateThreshold(Threshold& aThreshold,
+                     const Levels& aLevels,
+                     Micros aToldAt,
+                     Micros aNow)
 {
   if (aToldAt <= aThreshold.mToldAt || aNow - aToldAt > kMaxAge) {
     return false;
@@ -140,14 +143,15 @@
   }
   aThreshold.mToldAt = aToldAt;
   const std::map<int, double> before = aThreshold.mShares;
-  const std::optional<int> level = LevelToClose(aThreshold, aLevels);
-  const Micros movedAt = std::max(aThreshold.mOpenedAt, aThreshold.mClosedAt);
-  if (level && aNow - aThreshold.mClosedAt >= kCloseInterval) {
-    Close(aThreshold, aLevels, *level);
-    aThreshold.mClosedAt = aNow;
-  } else if (!level && aNow - movedAt >= kOpenInterval) {
-    Open(aThreshold, aLevels);
-    aThreshold.mOpenedAt = aNow;
+  const std::optional<int> level = LevelToLower(aThreshold, aLevels);
+  const Micros changedAt =
+    std::max(aThreshold.mRaisedAt, aThreshold.mLoweredAt);
+  if (level && aNow - aThreshold.mLoweredAt >= kLowerInterval) {
+    Lower(aThreshold, aLevels, *level);
+    aThreshold.mLoweredAt = aNow;
+  } else if (!level && aNow - changedAt >= kRaiseInterval) {
+    Raise(aThreshold, aLevels);
+    aThreshold.mRaisedAt = aNow;
   }
   return aThreshold.mShares != before;
 }
--- a/src/rollup/rollup.cpp
+++ b/src/rollup/rollup.cpp
@@ -2,9 +2,9 @@
 
 #include <algorithm>
 
-// The sums travel at a steady pace, so that a lost message is made up for by
-// the next one; growth goes ahead of the pace, because limits are overrun by
-// it.
+// Sums are sent at regular intervals, so that a lost message is made up for by
+// the next one. Growth is reported ahead of the interval, because it may exceed
+// limits.
 namespace geraniumpond::rollup {
 
 namespace {
@@ -13,15 +13,15 @@
 /// them is 2 in 10 million.
 constexpr int kDigestBits = 48;
 /// Interval between two reports.
-constexpr Micros kPace = 200 * kMillisecond;
+constexpr Micros kReportInterval = 200 * kMillisecond;
 /// The same while all counts are zero: three of them within the time after
 /// which a host is silent.
-constexpr Micros kIdlePace = 400 * kMillisecond;
+constexpr Micros kIdleReportInterval = 400 * kMillisecond;
 /// Interval at which a host looks for counts that have grown.
 constexpr Micros kLookInterval = 50 * kMillisecond;
 /// Time in which urgent reports of several hosts are collected.
 constexpr Micros kCollectTime = 20 * kMillisecond;
-/// Urgent reports in a row; one more is allowed each kPace.
+/// Urgent reports in a row; one more is allowed each kReportInterval.
 constexpr int kUrgentReports = 2;
 /// A host that was not heard for this long drops out of the sum: a few reports
 /// lost in a row.
@@ -77,13 +77,13 @@
 
 void FillAllowance(Allowance& aAllowance, Micros aNow) noexcept
 {
-  if (aNow - aAllowance.mFilledAt >= kUrgentReports * kPace) {
+  if (aNow - aAllowance.mFilledAt >= kUrgentReports * kReportInterval) {
     aAllowance = { kUrgentReports, aNow };
     return;
   }
-  while (aNow - aAllowance.mFilledAt >= kPace) {
+  while (aNow - aAllowance.mFilledAt >= kReportInterval) {
     aAllowance.mLeft = std::min(kUrgentReports, aAllowance.mLeft + 1);
-    aAllowance.mFilledAt += kPace;
+    aAllowance.mFilledAt += kReportInterval;
   }
 }
 
@@ -200,7 +200,8 @@
   aState.mLookAt = aNow + kLookInterval;
   const Micros since = aNow - aState.mSentAt;
   const bool isIdle = aState.mIsIdle && aState.mOwn.empty();
-  if (aState.mSentAt == 0 || since >= (isIdle ? kIdlePace : kPace)) {
+  if (aState.mSentAt == 0 ||
+      since >= (isIdle ? kIdleReportInterval : kReportInterval)) {
     return true;
   }
   FillAllowance(aState.mAllowance, aNow);
--- a/tests/fair_admission_test.cpp
+++ b/tests/fair_admission_test.cpp
@@ -103,17 +103,17 @@
     Hear(levels);
     const double once = ShareOf(2);
     for (int i = 0; i < 5; ++i) {
-      Move(mThreshold, levels, mToldAt, mToldAt + kSecond);
+      UpdateThreshold(mThreshold, levels, mToldAt, mToldAt + kSecond);
     }
     CPPUNIT_ASSERT_EQUAL(once, ShareOf(2));
   }
 
   void OldSumsMoveNothing()
   {
-    Move(mThreshold,
-         { { 1, { 100, 90 } }, { 2, { 100, 0 } } },
-         mNow,
-         mNow + 3 * kSecond);
+    UpdateThreshold(mThreshold,
+                    { { 1, { 100, 90 } }, { 2, { 100, 0 } } },
+                    mNow,
+                    mNow + 3 * kSecond);
     CPPUNIT_ASSERT(mThreshold.mShares.empty());
   }
 
@@ -138,7 +138,7 @@
   {
     mToldAt += 200 * kMillisecond;
     mNow = mToldAt + 500 * kMillisecond;
-    Move(mThreshold, aLevels, mToldAt, mNow);
+    UpdateThreshold(mThreshold, aLevels, mToldAt, mNow);
   }
 
   [[nodiscard]] double ShareOf(int aPriority) const
