--- a/include/geraniumpond/accounts.h
+++ b/include/geraniumpond/accounts.h
@@ -30,7 +30,7 @@
   /// requests per second for no limit.
   double mPerSecond = 0;
   double mBurst = 0;
-  /// Goes before the priority of the route.
+  /// Overrides the priority of the route.
   std::optional<int> mPriority;
   /// Regions whose targets may get its requests; empty for all.
   std::vector<std::string> mRegions;
@@ -52,8 +52,8 @@
 };
 
 /// \brief Adds an account and its keys. Returns what is wrong with them, in
-/// which case the book must not be used; empty if nothing is. No fault names a
-/// key.
+/// which case the book must not be used; empty if nothing is. No text contains
+/// a key.
 [[nodiscard]] std::vector<std::string>
 Add(Book& aBook, Account aAccount, const std::vector<std::string>& aKeys);
 
@@ -65,7 +65,7 @@
 [[nodiscard]] const Account* FindByName(const Book& aBook,
                                         const std::string& aName) noexcept;
 
-/// \brief What a request shows of its account.
+/// \brief What a request states about its account.
 struct Claim
 {
   /// Digest of the key that the client sent; none without a readable key.
@@ -97,12 +97,14 @@
   const Account* mAccount = nullptr;
 };
 
-/// \brief Judges a request by the accounts of the policy, or by their absence.
+/// \brief Decides whether a request may be sent, and for which account. Without
+/// accounts in the policy, requests need no key.
 [[nodiscard]] Judgement Judge(const std::optional<Book>& aBook,
                               const Claim& aClaim) noexcept;
 
-/// \brief Until when a host may act on keys if the group's last word, of
-/// `aConfirmedAt`, is to bind it within `aBound`.
+/// \brief Until when a host may accept keys that it knew at the control group's
+/// last confirmation, of `aConfirmedAt`, if a key that is taken away must be
+/// refused everywhere within `aBound`.
 [[nodiscard]] Micros TrustedUntil(Micros aConfirmedAt, Micros aBound) noexcept;
 
 } // namespace geraniumpond::accounts
--- a/include/geraniumpond/consensus.h
+++ b/include/geraniumpond/consensus.h
@@ -192,8 +192,8 @@
                                         Micros aNow,
                                         Output& aOut);
 
-/// \brief On the leader: opens a round that the next heartbeats carry, without
-/// a message of its own.
+/// \brief On the leader: starts a leader check that travels with the next
+/// heartbeats; returns its number.
 [[nodiscard]] std::uint64_t OpenRound(State& aState) noexcept;
 
 /// \brief True once a quorum has answered a round: the applied state then
--- a/include/geraniumpond/dispatch/effects.h
+++ b/include/geraniumpond/dispatch/effects.h
@@ -34,8 +34,7 @@
   bool mProvenConnection = false;
   /// Name of the client account; empty if none.
   std::string mAccount;
-  /// Requests need keys: what the client says of its account, and its key, stay
-  /// at this host.
+  /// The client's key, and what the client says of its account, are left out.
   bool mHidesKey = false;
 };
 
--- a/include/geraniumpond/dispatch/fairness.h
+++ b/include/geraniumpond/dispatch/fairness.h
@@ -9,12 +9,14 @@
 #include <set>
 #include <string>
 
-/// \brief Room for more urgent requests that wait at other hosts.
+/// \brief Admission by priority over all hosts: less urgent requests of a
+/// service are held back while more urgent ones lack room at any host.
 namespace geraniumpond::dispatch {
 
 struct State;
 
-/// \brief One service: what this host has counted, and what it admits.
+/// \brief One service: what this host has counted, by priority, and what it
+/// admits.
 struct ServiceFairness
 {
   std::map<int, fair_admission::Window> mOwn;
@@ -30,7 +32,7 @@
   std::set<int> mPriorities;
 };
 
-/// \brief Sets whether this host takes part.
+/// \brief Turns admission by priority over all hosts on or off at this host.
 void SetFairAcrossHosts(State& aState, bool aWanted);
 
 /// \brief Adds what this host has counted in the last second: requests that
--- a/include/geraniumpond/dispatch/requests.h
+++ b/include/geraniumpond/dispatch/requests.h
@@ -36,7 +36,8 @@
   std::string mHost;
 };
 
-/// \brief What a new policy is applied to while a request is under way.
+/// \brief What is kept of a request so that a new policy can be applied to it
+/// while it is under way.
 struct Credentials
 {
   /// Digest of the key that its client sent.
--- a/include/geraniumpond/fleet.h
+++ b/include/geraniumpond/fleet.h
@@ -283,12 +283,13 @@
   rollup::State mRollup;
   /// The host that was last sent a report.
   std::string mReportedTo;
-  /// At the leader: the term, since when it leads in it, the rounds that wait
-  /// for a quorum with the time at which they were opened, and that of the last
-  /// one that a quorum has answered.
+  /// At the leader: its term, and since when it has led in it.
   std::uint64_t mTerm = 0;
   Micros mTermSince = 0;
+  /// At the leader: when each leader check that waits for a quorum was started,
+  /// by its number.
   std::map<std::uint64_t, Micros> mRounds;
+  /// At the leader: when the last check that a quorum has answered was started.
   Micros mLeadingAt = 0;
   /// Since when totals are wanted, and whether it was logged that they are
   /// missing.
@@ -477,10 +478,11 @@
 /// \brief Sets what this host counts by itself, in place of the last ones.
 void SetCounts(State& aState, Micros aNow, rollup::Table aOwn);
 
-/// \brief Sets which totals all hosts need; it matters while this host leads.
+/// \brief Sets which totals all hosts need; used only while this host leads.
 void SelectTotals(State& aState, rollup::Selection aSelection);
 
-/// \brief Sets from which growth counts of this host are told at once.
+/// \brief Sets the least growth of this host's counts that is reported ahead of
+/// the regular interval.
 void SetLeastGrowth(State& aState,
                     rollup::Subject aSubject,
                     const rollup::Counts& aLeast);
--- a/include/geraniumpond/fleet_inbox.h
+++ b/include/geraniumpond/fleet_inbox.h
@@ -37,8 +37,8 @@
   /// many others; of announcements and counts at least one each.
   [[nodiscard]] std::vector<wire::FleetMessage> Take(std::size_t aOthers);
 
-  /// \brief Longest time that a queued message has waited, brief reports
-  /// excluded, and counts.
+  /// \brief Longest time that a queued message has waited, brief reports and
+  /// counts excluded.
   [[nodiscard]] Micros LongestWait(Micros aNow) const noexcept;
 
   [[nodiscard]] bool IsEmpty() const noexcept { return Waiting() == 0; }
--- a/include/geraniumpond/gateway.h
+++ b/include/geraniumpond/gateway.h
@@ -36,8 +36,9 @@
   regions::Map mRegions;
   /// Speed of the host's network link, in bytes per second.
   double mLinkBytesPerSecond = 125e6;
-  /// A host without the group's word refuses requests that need a key before
-  /// this time has passed since one was taken away.
+  /// Whether a host that gets no confirmations of the control group refuses
+  /// requests that need a key, and within which time a key that is taken away
+  /// must be refused.
   bool mStrictRevocation = false;
   Micros mRevokeWithin = 5 * kSecond;
   /// Time for which clients cache a directory answer.
@@ -247,7 +248,7 @@
   Micros mStartedAt = 0;
   Micros mHostsUpdatedAt = 0;
   Micros mPeakHostsAt = 0;
-  /// The last totals of counts that were handed to those who use them.
+  /// Of the last totals that were passed to the modules that use them.
   rollup::Stamp mTotalsUsed;
   /// Shuffles the addresses of directory answers.
   std::mt19937_64 mShuffle;
--- a/include/geraniumpond/gateway_settings.h
+++ b/include/geraniumpond/gateway_settings.h
@@ -62,12 +62,13 @@
   double mWarmUpRatio = 1;
   double mWarmUpFloor = 0;
 
-  /// Whether a host without the control group's word refuses requests that need
-  /// a key, and within which time a key that is taken away must be refused.
+  /// Whether a host that gets no confirmations of the control group refuses
+  /// requests that need a key, and within which time a key that is taken away
+  /// must be refused.
   bool mStrictRevocation = false;
   Micros mRevokeWithin = 5 * kSecond;
-  /// Requests of an account in any window: its limit there, a share of that
-  /// more, plus a fixed number.
+  /// In any window, an account's requests may reach (rate x window + burst) x
+  /// (1 + overage) + slack.
   Micros mQuotaWindow = 0;
   double mQuotaOverage = 0;
   double mQuotaSlack = 0;
--- a/include/geraniumpond/rollup.h
+++ b/include/geraniumpond/rollup.h
@@ -17,9 +17,9 @@
 ///
 /// Each host tells its upstream the counts of itself and of all that follow it;
 /// the leader of the control group adds them up and sends the totals that
-/// matter back down. Counts are states, not changes, so that a message may be
-/// lost, repeated or late. What is counted is the business of the modules that
-/// use it.
+/// hosts need back down. Counts are states, not changes, so that a message may
+/// be lost, repeated or late. What is counted is the business of the modules
+/// that use it.
 ///
 /// A plain struct and free functions: no clock, thread, socket or file.
 namespace geraniumpond::rollup {
@@ -59,7 +59,7 @@
   std::uint32_t mHosts = 0;
 };
 
-/// \brief Order of what leaders tell: later terms first, then later words.
+/// \brief Order of totals: by the leader's term, then by sequence number.
 struct Stamp
 {
   std::uint64_t mTerm = 0;
@@ -72,12 +72,13 @@
   }
 };
 
-/// \brief What the leader has told of all hosts.
+/// \brief Counts summed over all hosts, as the leader sent them.
 struct Totals
 {
-  /// Holds the keys that matter; the count of another key is small or zero.
+  /// Holds the keys of the leader's Selection; counts of others are small or
+  /// zero.
   Sum mSum;
-  /// When the leader told it, by this host's clock; never later than true.
+  /// When the leader sent them, by this host's clock: exact or too early.
   Micros mToldAt = 0;
   /// Hosts that the leader knows of and that are not in the sum.
   std::uint32_t mSilent = 0;
@@ -91,13 +92,15 @@
 struct Report
 {
   Sum mSum;
-  /// Longest way to a host below the sender; a cycle of hosts raises it.
+  /// Longest path to a host below the sender in the tree; grows without end
+  /// where hosts follow each other in a cycle.
   std::uint32_t mHeight = 0;
   std::uint64_t mIncarnation = 0;
   std::uint64_t mSequence = 0;
   /// By the sender's clock.
   Micros mSentAt = 0;
-  /// A count has grown much: it is passed on soon.
+  /// A count has grown much: the report is passed on ahead of the regular
+  /// interval.
   bool mUrgent = false;
 };
 
@@ -112,15 +115,15 @@
   Micros mGapUpdatedAt = 0;
 };
 
-/// \brief Reports that may go ahead of the pace.
+/// \brief Number of reports that may be sent ahead of the regular interval.
 struct Allowance
 {
   int mLeft = 0;
   Micros mFilledAt = 0;
 };
 
-/// \brief Growth of a count from which it is told ahead of the pace, if it is
-/// half of the count too; 0 for never.
+/// \brief Least growth of a count that is reported ahead of the regular
+/// interval, if it is at least half of the count, too; 0 for never.
 struct LeastGrowth
 {
   std::array<Counts, kSubjectCount> mBySubject{};
@@ -129,7 +132,7 @@
 /// \brief The counts of one host.
 struct State
 {
-  /// The embedder counts something, at this host and at others.
+  /// Whether the embedder counts anything, at this host and at others.
   bool mWanted = false;
   Table mOwn;
   /// By the address of the reporting host. Silent ones are kept for a while,
@@ -147,7 +150,7 @@
   bool mIsIdle = true;
   bool mUrgent = false;
   Allowance mAllowance;
-  /// When this host looks next whether a report is due.
+  /// When this host next checks whether a report is due.
   Micros mLookAt = 0;
 
   std::optional<Totals> mTotals;
--- a/src/dispatch/authorisation.cpp
+++ b/src/dispatch/authorisation.cpp
@@ -5,8 +5,8 @@
 #include <vector>
 
 // A policy binds requests that arrive and those under way: each is judged when
-// it arrives, again at each new policy, and the outcome is heeded before each
-// send. What runs at a target already ends as it would.
+// it arrives, again at each new policy, and the outcome is checked before each
+// send. What runs at a target already is not cut off.
 namespace geraniumpond::dispatch {
 
 namespace {
@@ -15,7 +15,8 @@
 constexpr int kMisdirected = 421;
 constexpr int kBadGateway = 502;
 constexpr int kUnavailable = 503;
-/// The group's next word may come within a few tenths of a second.
+/// The control group's next confirmation may come within a few tenths of a
+/// second.
 constexpr Micros kOutdatedRetryDelay = 500 * kMillisecond;
 
 using RoutesByName = std::unordered_map<std::string_view, const policy::Route*>;
--- a/src/fleet/counts.cpp
+++ b/src/fleet/counts.cpp
@@ -2,16 +2,17 @@
 
 #include <algorithm>
 
-// How counts travel: reports go up the tree to the leader, totals come down.
-// Only hosts that report are told totals.
+// Messages with counts: reports go up the tree to the leader, totals come down.
+// Totals are sent only to hosts that report.
 namespace geraniumpond::fleet {
 
 namespace {
 
-/// The leader tells totals while a quorum has answered a round that was opened
-/// less than this ago: less than the time after which voters elect another.
+/// The leader sends totals while a quorum has answered a leader check that was
+/// started less than this ago: less than the time after which voters elect
+/// another leader.
 constexpr Micros kLeadershipTime = 500 * kMillisecond;
-/// Rounds that may wait for a quorum.
+/// Leader checks that may wait for a quorum.
 constexpr std::size_t kMaxRounds = 16;
 /// Time for the other voters to report to a new leader.
 constexpr Micros kGatherTime = 300 * kMillisecond;
@@ -88,7 +89,7 @@
                    HaveVotersReported(aState));
 }
 
-// Hosts that stopped in order count nothing any more.
+// Hosts that were stopped gracefully count nothing any more.
 std::uint32_t KnownHosts(const State& aState)
 {
   const auto known = std::count_if(
@@ -102,15 +103,15 @@
 {
   const rollup::State& rollup = aState.mCounts.mRollup;
   const rollup::Totals& totals = *rollup.mTotals;
-  wire::CountsTotals word = ToWire(totals);
+  wire::CountsTotals stated = ToWire(totals);
   const Micros age = aNow - totals.mToldAt + kMillisecond - 1;
-  word.set_age_ms(static_cast<std::uint32_t>(age / kMillisecond));
+  stated.set_age_ms(static_cast<std::uint32_t>(age / kMillisecond));
   for (const auto& [address, part] : rollup.mParts) {
     if (!rollup::IsHeard(part, aNow) || !IsReporter(aState, address)) {
       continue;
     }
     wire::FleetMessage message;
-    *message.mutable_totals() = word;
+    *message.mutable_totals() = stated;
     message.mutable_totals()->set_written_at(
       static_cast<std::uint64_t>(aNow - part.mClockGap));
     SendTo(aState, address, std::move(message), aOut);
--- a/src/fleet/inbox.cpp
+++ b/src/fleet/inbox.cpp
@@ -6,9 +6,10 @@
 
 namespace {
 
-/// Of each turn, so that announcements are not kept out by others.
+/// Announcements taken in each turn, so that other messages do not keep them
+/// out.
 constexpr std::size_t kLeastAnnouncements = 1;
-/// The same for counts: limits are kept by them.
+/// The same for counts, by which limits are kept.
 constexpr std::size_t kLeastCounts = 1;
 
 bool HoldsCounts(const wire::FleetMessage& aMessage)
--- a/src/frontend/dialect.h
+++ b/src/frontend/dialect.h
@@ -39,7 +39,7 @@
   /// that passed it on; not forwarded to targets.
   std::string mRelayedAccount = "Relayed-Account";
   std::string mRelayedIdentity = "Relayed-Identity";
-  /// Where clients put their key, and the word before it.
+  /// Field in which clients send their key, and the scheme before it.
   std::string mAuthorization = "Authorization";
   std::string mKeyScheme = "Token";
   /// Name of the client account, for targets.
--- a/src/frontend/http_server.cpp
+++ b/src/frontend/http_server.cpp
@@ -415,8 +415,8 @@
   }
 }
 
-// A host that stood still accepts connections long after they were opened. One
-// that is accepted now was not waiting when the loop last looked, which was
+// A host that was suspended accepts connections long after they were opened.
+// One that is accepted now was not waiting when the loop last looked, which was
 // after the tick before the last.
 void HttpServer::DateWaitingConnections(Micros aTimeOfDay)
 {
