Count one unanswered question at a cut-off host

Cause: a cut-off host is named again once no service was silent for a second, and a service is silent only if several targets were asked in vain. Without clients and with its small budget of probes a host asks fewer in half a second.

Ruled out: a limit on the pause between answers (trial, 350 ms): a quiet host's answers are further apart, 7 hosts of 8 were not named again after 4 s.

--- a/include/geraniumpond/dispatch/services.h
+++ b/include/geraniumpond/dispatch/services.h
@@ -88,6 +88,8 @@
   std::size_t mAskedTargets = 0;
   /// When enough of them had been asked; 0 while they have not.
   Micros mSilentSince = 0;
+  /// When the first question after its last answer was asked; 0 without one.
+  Micros mUnansweredSince = 0;
   Micros mHeardAt = 0;
   /// When another host last got an answer for this one.
   Micros mServedElsewhereAt = 0;
--- a/src/dispatch/reach.cpp
+++ b/src/dispatch/reach.cpp
@@ -58,6 +58,17 @@
     });
 }
 
+// A cut-off host asks too seldom to find a service silent in a short loss of
+// its links, so one question without an answer counts.
+bool AwaitsAnswerForLong(const State& aState, Micros aNow)
+{
+  return std::any_of(
+    aState.mServices.begin(), aState.mServices.end(), [&](const auto& aEntry) {
+      const Micros asked = aEntry.second.mUnansweredSince;
+      return asked != 0 && aNow - asked >= kSilentAfter;
+    });
+}
+
 // Services without requests would otherwise never be known to be unreached.
 void AskQuietServices(State& aState, Micros aNow, Effects& aOut)
 {
@@ -95,6 +106,9 @@
 
 void RecordQuestion(Service& aService, Target& aTarget, Micros aNow) noexcept
 {
+  if (aService.mUnansweredSince == 0) {
+    aService.mUnansweredSince = aNow;
+  }
   if (!aService.mReportsLoad ||
       aTarget.mAskedAtAnswer == aService.mAnswerCount) {
     return;
@@ -120,6 +134,7 @@
           " cut_off=" + (aState.mReach.mCutOff ? "yes" : "no"));
   }
   aService.mSilentSince = 0;
+  aService.mUnansweredSince = 0;
   aService.mAskedTargets = 0;
   ++aService.mAnswerCount;
   aService.mHeardAt = aNow;
@@ -170,6 +185,7 @@
   }
   for (auto& [name, service] : aState.mServices) {
     service.mSilentSince = service.mSilentSince == 0 ? 0 : aNow;
+    service.mUnansweredSince = service.mUnansweredSince == 0 ? 0 : aNow;
   }
 }
 
@@ -185,7 +201,9 @@
   if (silent || reach.mCutOff) {
     AskQuietServices(aState, aNow, aOut);
   }
-  if (!silent) {
+  const bool isHeard =
+    !silent && !(reach.mCutOff && AwaitsAnswerForLong(aState, aNow));
+  if (isHeard) {
     reach.mHeardSince = reach.mHeardSince == 0 ? aNow : reach.mHeardSince;
     if (reach.mCutOff && aNow - reach.mHeardSince >= kHeardAgainAfter) {
       SetCutOff(aState, false, aOut);
@@ -193,7 +211,7 @@
     return true;
   }
   reach.mHeardSince = 0;
-  if (!reach.mCutOff && IsProvenCutOff(aState, aNow) &&
+  if (silent && !reach.mCutOff && IsProvenCutOff(aState, aNow) &&
       ReachesNothing(aState, aNow)) {
     SetCutOff(aState, true, aOut);
   }
