Let no late order undo an acknowledged evacuation, and search for it

Cause: an order to what was in force anyway was answered "known" before its revision was compared, and did not raise it. An order to the opposite that a link had held was then accepted after it and undid what was acknowledged. Found by the schedules of the control group, which learn evacuations here: three operators order, lift and repeat them, over links that hold or copy some messages, among policy changes and all faults of the schedules.

Ruled out: a later order of the operators (the check names the orders after the last acknowledged one); a lost order (the revision was above the acknowledged one at all hosts; the smallest schedule has no fault).

Change: the revision is compared first, and each accepted order raises it. A resent copy is then refused for its revision and built on the one that the answer tells, as orders of hosts that are behind are. An order that was refused so and has no time left is unclear (503) in place of a conflict, at which operators' calls end.

Checks: an acknowledged order is in force at undisturbed hosts after 2 s and at all hosts after the last fault, no host has what nobody asked for since, and each operator is acknowledged.

Tests that changed: LaterEvacuationIsNotUndoneByAnEarlierCopy took a resend and a repeated order as accepted without a trace, which was the fault; both have tests of their own now, and the repeated order must not be undone. ParsedScheduleEqualsItsSource has reads and evacuations as well.

--- a/bench/member_search.cpp
+++ b/bench/member_search.cpp
@@ -4,7 +4,9 @@
 //   member_search --seeds N [--first S]   a fixed range of seeds
 //   member_search --seconds N             as many seeds as fit into N seconds
 //   member_search --reads 1               with policy reads in the schedules
-//   member_search --plant sync|size|read  an injected defect that must be found
+//   member_search --evacuations 1         with evacuations in the schedules
+//   member_search --plant sync|size|read|early|revision
+//                                         an injected defect that must be found
 //   member_search --show S                minimises and runs a seed's schedule
 //   member_search --file F                a schedule read from a file
 //                                         (--show and --file print the violated
@@ -26,11 +28,12 @@
 using namespace geraniumpond;
 
 fakes::FleetSchedule MakeSchedule(std::uint64_t aSeed,
-                                  bool aReads,
+                                  const fakes::Options& aOptions,
                                   fakes::FleetDefect aPlant)
 {
   fakes::FleetSchedule schedule = fakes::MakeFleetSchedule(aSeed);
-  schedule.mReadPolicy = aReads;
+  schedule.mReadPolicy = aOptions.Number("reads", 0) != 0;
+  schedule.mEvacuate = aOptions.Number("evacuations", 0) != 0;
   schedule.mDefect = aPlant;
   return schedule;
 }
@@ -138,7 +141,7 @@
   if (options.Number("show", 0) > 0) {
     return PrintRun(fakes::ShrinkFleetSchedule(
       MakeSchedule(static_cast<std::uint64_t>(options.Number("show", 0)),
-                   options.Number("reads", 0) != 0,
+                   options,
                    fakes::FleetDefect::None)));
   }
   const auto first = static_cast<std::uint64_t>(options.Number("first", 1));
@@ -148,7 +151,7 @@
   const std::optional<fakes::FleetDefect> defect =
     fakes::ParseFleetDefect(options.Text("plant", "none"));
   if (!defect) {
-    std::cerr << "--plant: one of none, sync, size, read\n";
+    std::cerr << "--plant: one of none, sync, size, read, early, revision\n";
     return 2;
   }
   const bool injected = *defect != fakes::FleetDefect::None;
@@ -161,8 +164,7 @@
   };
   for (; hasMore(); ++schedulesRun) {
     const std::uint64_t seed = first + schedulesRun;
-    const fakes::FleetSchedule schedule =
-      MakeSchedule(seed, options.Number("reads", 0) != 0, *defect);
+    const fakes::FleetSchedule schedule = MakeSchedule(seed, options, *defect);
     const std::string violation = fakes::RunFleetSchedule(schedule);
     if (injected && !violation.empty()) {
       std::cout << "found at seed " << seed << ": " << violation << std::endl;
--- a/include/geraniumpond/catalog.h
+++ b/include/geraniumpond/catalog.h
@@ -29,7 +29,7 @@
 struct Evacuation
 {
   bool mActive = false;
-  /// Increases with each change.
+  /// Increases with each order that is accepted.
   std::uint64_t mRevision = 0;
 };
 
--- a/src/catalog/catalog.cpp
+++ b/src/catalog/catalog.cpp
@@ -219,7 +219,9 @@
 }
 
 // An order has no number of its own, so a copy that was delayed until after a
-// later order is told by the revision that its sender knew.
+// later order is told by the revision that its sender knew. What is in force
+// may be ordered while an earlier order to the opposite is still under way, so
+// such an order has a revision of its own too, and is compared as well.
 wire::CatalogOutcome ApplyEvacuation(State& aState,
                                      const wire::SetEvacuation& aChange)
 {
@@ -227,12 +229,13 @@
   const bool isKnown = found != aState.mEvacuations.end();
   const Evacuation known = isKnown ? found->second : Evacuation();
   wire::CatalogOutcome outcome;
-  if (known.mActive == aChange.evacuated()) {
-    outcome = OutcomeOf(aState, true, "known");
-  } else if (known.mRevision != aChange.base_revision()) {
+  if (known.mRevision != aChange.base_revision()) {
     outcome = OutcomeOf(aState, false, "a later order is in force");
   } else if (!isKnown && aState.mEvacuations.size() >= kMaxEvacuations) {
-    outcome = OutcomeOf(aState, false, "too many data centres");
+    // No more can be evacuated, so that there is nothing to take back.
+    outcome = aChange.evacuated()
+                ? OutcomeOf(aState, false, "too many data centres")
+                : OutcomeOf(aState, true, "known");
   } else {
     aState.mEvacuations[aChange.data_centre()] = { aChange.evacuated(),
                                                    known.mRevision + 1 };
--- a/src/gateway/operations.cpp
+++ b/src/gateway/operations.cpp
@@ -102,6 +102,20 @@
   return true;
 }
 
+// A caller ends at a conflict; an order that another one overtook, and for
+// which no time was left, may still be wanted.
+OperationOutcome EndOfCommitted(const Operation& aOperation,
+                                const wire::CatalogOutcome& aOutcome)
+{
+  const bool overtaken =
+    aOperation.mKind == OperationKind::SetEvacuation &&
+    aOutcome.evacuation_revision() != aOperation.mEvacuation.base_revision();
+  if (aOutcome.accepted()) {
+    return OperationOutcome::Done;
+  }
+  return overtaken ? OperationOutcome::Unavailable : OperationOutcome::Conflict;
+}
+
 std::string Describe(const fleet::ReadTrace& aRead,
                      const State& aState,
                      Micros aNow)
@@ -186,8 +200,7 @@
     answer.mEnd = OperationOutcome::Unavailable;
     answer.mReason += aDone.mReason;
   } else {
-    answer.mEnd = aDone.mOutcome.accepted() ? OperationOutcome::Done
-                                            : OperationOutcome::Conflict;
+    answer.mEnd = EndOfCommitted(operation, aDone.mOutcome);
     answer.mReason += aDone.mOutcome.reason();
   }
   Answer(aContext,
--- a/tests/catalog_test.cpp
+++ b/tests/catalog_test.cpp
@@ -25,6 +25,9 @@
   CPPUNIT_TEST(RemovalWithoutBirthOfAnUnknownIdBlocksNoBirth);
   CPPUNIT_TEST(RemovalWithoutBirthKeepsOutATargetWithoutBirth);
   CPPUNIT_TEST(LaterEvacuationIsNotUndoneByAnEarlierCopy);
+  CPPUNIT_TEST(ResentEvacuationStaysInForce);
+  CPPUNIT_TEST(RepeatedEvacuationIsNotUndoneByAnEarlierLift);
+  CPPUNIT_TEST(LiftOfWhatIsInServiceIsNotUndoneByAnEarlierEvacuation);
   CPPUNIT_TEST(SnapshotPreservesEvacuations);
   CPPUNIT_TEST_SUITE_END();
 
@@ -184,9 +187,6 @@
   void LaterEvacuationIsNotUndoneByAnEarlierCopy()
   {
     CPPUNIT_ASSERT(Evacuate(true, 0).accepted());
-    // A resend, and a new order to the same effect.
-    CPPUNIT_ASSERT(Evacuate(true, 0).accepted());
-    CPPUNIT_ASSERT(Evacuate(true, 1).accepted());
     CPPUNIT_ASSERT(Evacuate(false, 1).accepted());
     const wire::CatalogOutcome late = Evacuate(true, 0);
     CPPUNIT_ASSERT(!late.accepted());
@@ -197,6 +197,33 @@
                          EvacuatedDataCentres(mState).count("dc"));
   }
 
+  // The sender of a copy builds it on the revision that it is told.
+  void ResentEvacuationStaysInForce()
+  {
+    CPPUNIT_ASSERT(Evacuate(true, 0).accepted());
+    const wire::CatalogOutcome resent = Evacuate(true, 0);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t(1), resent.evacuation_revision());
+    CPPUNIT_ASSERT(Evacuate(true, resent.evacuation_revision()).accepted());
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1),
+                         EvacuatedDataCentres(mState).count("dc"));
+  }
+
+  void RepeatedEvacuationIsNotUndoneByAnEarlierLift()
+  {
+    CPPUNIT_ASSERT(Evacuate(true, 0).accepted());
+    CPPUNIT_ASSERT(Evacuate(true, 1).accepted());
+    CPPUNIT_ASSERT(!Evacuate(false, 1).accepted());
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1),
+                         EvacuatedDataCentres(mState).count("dc"));
+  }
+
+  void LiftOfWhatIsInServiceIsNotUndoneByAnEarlierEvacuation()
+  {
+    CPPUNIT_ASSERT(Evacuate(false, 0).accepted());
+    CPPUNIT_ASSERT(!Evacuate(true, 0).accepted());
+    CPPUNIT_ASSERT(EvacuatedDataCentres(mState).empty());
+  }
+
   void SnapshotPreservesEvacuations()
   {
     (void)Evacuate(true, 0);
--- a/tests/fakes/fleet_schedule.cpp
+++ b/tests/fakes/fleet_schedule.cpp
@@ -29,11 +29,8 @@
   "settle",
 };
 
-constexpr std::array<const char*, 4> kDefectNames = {
-  "none",
-  "sync",
-  "size",
-  "read",
+constexpr std::array<const char*, 6> kDefectNames = {
+  "none", "sync", "size", "read", "early", "revision",
 };
 
 } // namespace
@@ -102,7 +99,8 @@
   out << "seed=" << aSchedule.mSeed << " disks=" << aSchedule.mHostsWithDisk
       << " others=" << aSchedule.mHostsWithoutDisk
       << " tolerated=" << aSchedule.mTolerated
-      << (aSchedule.mReadPolicy ? " reads=1" : "") << "\n";
+      << (aSchedule.mReadPolicy ? " reads=1" : "")
+      << (aSchedule.mEvacuate ? " evacuations=1" : "") << "\n";
   for (const FleetStep& step : aSchedule.mSteps) {
     out << "  " << ToString(step.mFault) << " pick=" << step.mSelector
         << " for_ms=" << step.mDuration / kMillisecond
@@ -134,6 +132,7 @@
       schedule.mHostsWithoutDisk = static_cast<int>(number("others"));
       schedule.mTolerated = static_cast<int>(number("tolerated"));
       schedule.mReadPolicy = number("reads") != 0;
+      schedule.mEvacuate = number("evacuations") != 0;
       continue;
     }
     const auto* name = std::find(kFaultNames.begin(), kFaultNames.end(), first);
--- a/tests/fakes/fleet_schedule.h
+++ b/tests/fakes/fleet_schedule.h
@@ -64,6 +64,10 @@
   ToleratesNoLoss,
   /// Leaders assume that a quorum follows them, without a confirmation.
   TrustsUnconfirmedLeader,
+  /// Evacuations are acknowledged before a quorum has them.
+  AcknowledgesEarly,
+  /// A late evacuation is not compared with what is in force.
+  IgnoresRevisions,
 };
 
 /// \brief The defect of this name; nothing for an unknown name.
@@ -90,6 +94,8 @@
   FleetDefect mDefect = FleetDefect::None;
   /// Operators read the policy throughout the run.
   bool mReadPolicy = false;
+  /// Operators evacuate data centres throughout the run.
+  bool mEvacuate = false;
   std::vector<FleetStep> mSteps;
 };
 
--- a/tests/fakes/fleet_schedule_runner.cpp
+++ b/tests/fakes/fleet_schedule_runner.cpp
@@ -1,3 +1,4 @@
+#include "fakes/evacuation_operators.h"
 #include "fakes/fleet_schedule.h"
 #include "fakes/fleet_stability.h"
 #include "fakes/policy_readers.h"
@@ -48,6 +49,7 @@
     , mSimulation(aSchedule.mSeed)
     , mStability(mSimulation, aSchedule.mTolerated)
     , mReaders(mSimulation, aSchedule.mSeed)
+    , mEvacuations(mSimulation, aSchedule.mSeed)
     , mLog(aLog)
   {
   }
@@ -55,7 +57,7 @@
   std::string Run()
   {
     mSimulation.mShouldDrop = [this](const SentMessage& aSent) {
-      return IsBetweenHalves(aSent);
+      return IsBetweenHalves(aSent) || mEvacuations.Holds(aSent);
     };
     const bool toleratesNoLoss =
       mSchedule.mDefect == FleetDefect::ToleratesNoLoss;
@@ -63,6 +65,10 @@
       mSchedule.mDefect == FleetDefect::LosesSyncedWrites;
     mSimulation.mForgesLeaderChecks =
       mSchedule.mDefect == FleetDefect::TrustsUnconfirmedLeader;
+    mEvacuations.mAcknowledgesEarly =
+      mSchedule.mDefect == FleetDefect::AcknowledgesEarly;
+    mEvacuations.mIgnoresRevisions =
+      mSchedule.mDefect == FleetDefect::IgnoresRevisions;
     mSimulation.StartFleet(mSchedule.mHostsWithDisk,
                            mSchedule.mHostsWithoutDisk,
                            toleratesNoLoss ? 0 : mSchedule.mTolerated);
@@ -106,6 +112,9 @@
       ChangePolicy();
       mSimulation.Advance(kCheckInterval);
       CollectChangeOutcome();
+      if (mSchedule.mEvacuate) {
+        mEvacuations.Poll(Hosts(false, true));
+      }
       LogHostLines();
       CheckInvariants();
     }
@@ -126,6 +135,10 @@
 
   void LogHostLines()
   {
+    for (const std::string& line : mEvacuations.mLogLines) {
+      Log("operator", line);
+    }
+    mEvacuations.mLogLines.clear();
     for (const std::string& address : mSimulation.Addresses()) {
       for (const std::string& line : Node(address).mLogLines) {
         Log(address, line);
@@ -518,6 +531,8 @@
                      std::to_string(version);
       }
       lastSeen = version;
+      const std::string undone = mEvacuations.Undone(address);
+      mViolation = mViolation.empty() ? undone : mViolation;
     }
     CheckAppliedVersions();
     CheckReads();
@@ -555,6 +570,11 @@
                          kMillisecond) +
           " ms ago";
       }
+      const std::string lacking =
+        mEvacuations.Lacking(address, mSimulation.mNow - kChangeDeadline);
+      if (stable && mustApply && mViolation.empty()) {
+        mViolation = lacking;
+      }
     }
   }
 
@@ -606,6 +626,13 @@
                std::to_string(state.mCatalog.mVersion) + ", not " +
                std::to_string(mAcknowledged);
       }
+      std::string lacking = mEvacuations.Lacking(address, mSimulation.mNow);
+      if (!lacking.empty()) {
+        return lacking;
+      }
+    }
+    if (mSchedule.mEvacuate && !mEvacuations.AllWereAcknowledged()) {
+      return "an operator has had no evacuation acknowledged";
     }
     const fleet::GroupHealth health =
       fleet::HealthOf(Node(leader).mState, mSimulation.mNow);
@@ -636,6 +663,7 @@
   FleetSimulation mSimulation;
   FleetStability mStability;
   PolicyReaders mReaders;
+  EvacuationOperators mEvacuations;
   std::ostream* mLog = nullptr;
   std::string mViolation;
   std::multimap<Micros, std::function<void()>> mScheduledActions;
--- a/tests/fakes/fleet_simulation.cpp
+++ b/tests/fakes/fleet_simulation.cpp
@@ -295,12 +295,18 @@
   return true;
 }
 
+void FleetSimulation::Deliver(SentMessage aSent)
+{
+  mQueue.emplace(mNow + kOneWayDelay, std::move(aSent));
+}
+
 std::uint64_t FleetSimulation::Submit(const std::string& aAddress,
-                                      const wire::CatalogCommand& aCommand)
+                                      const wire::CatalogCommand& aCommand,
+                                      Micros aTimeout)
 {
   fleet::Output output;
-  const std::uint64_t id = fleet::Submit(
-    mNodes.at(aAddress).mState, mNow, aCommand, 850 * kMillisecond, output);
+  const std::uint64_t id =
+    fleet::Submit(mNodes.at(aAddress).mState, mNow, aCommand, aTimeout, output);
   ProcessOutput(aAddress, output);
   return id;
 }
--- a/tests/fakes/fleet_simulation.h
+++ b/tests/fakes/fleet_simulation.h
@@ -122,7 +122,10 @@
   bool RunUntil(Micros aTimeout, const std::function<bool()>& aCondition);
 
   [[nodiscard]] std::uint64_t Submit(const std::string& aAddress,
-                                     const wire::CatalogCommand& aCommand);
+                                     const wire::CatalogCommand& aCommand,
+                                     Micros aTimeout = 850 * kMillisecond);
+  /// \brief Puts a message on the network, as a copy of one sent before.
+  void Deliver(SentMessage aSent);
   /// \brief Publishes a fact that a host has observed.
   void ShareFact(const std::string& aAddress, gossip::Item aFact);
   /// \brief Submits a command and waits; true if it was committed and accepted.
--- a/tests/fleet_schedules_test.cpp
+++ b/tests/fleet_schedules_test.cpp
@@ -36,7 +36,10 @@
 
   void ParsedScheduleEqualsItsSource()
   {
-    const std::string text = Describe(MakeFleetSchedule(5));
+    FleetSchedule schedule = MakeFleetSchedule(5);
+    schedule.mReadPolicy = true;
+    schedule.mEvacuate = true;
+    const std::string text = Describe(schedule);
     std::istringstream in(text);
     CPPUNIT_ASSERT_EQUAL(text, Describe(ParseFleetSchedule(in).value()));
   }
--- a/tests/gateway_evacuation_test.cpp
+++ b/tests/gateway_evacuation_test.cpp
@@ -54,6 +54,7 @@
   CPPUNIT_TEST(DelayedCopyOfAnEarlierOrderChangesNothing);
   CPPUNIT_TEST(RequestsAreRefusedAtOnceIfAllDataCentresAreEvacuated);
   CPPUNIT_TEST(UnknownDataCentreIsRefused);
+  CPPUNIT_TEST(OrderThatALaterOneOvertookIsUnclear);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -245,7 +246,40 @@
     }
   }
 
+  // A caller ends at a conflict, though its order may still be wanted.
+  void OrderThatALaterOneOvertookIsUnclear()
+  {
+    GatewayWorld world(GatewayLoad(), 10);
+    world.Settle();
+    State state = world.At(world.Hosts() - 1);
+    Event order;
+    order.mNow = world.Now();
+    order.mBody = SetEvacuation{ 1, kDataCentre, true };
+    (void)Step(state, order);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), state.mOperations.size());
+    PeerMessage answer;
+    wire::SubmitReply& reply = *answer.mMessage.mutable_submit_reply();
+    reply.set_id(state.mOperations.begin()->first);
+    reply.set_status(wire::SUBMIT_COMMITTED);
+    reply.mutable_outcome()->set_evacuation_revision(7);
+    Event late;
+    late.mNow = state.mOperations.begin()->second.mGiveUpAt;
+    late.mBody = answer;
+    const std::optional<OperationOutcome> end = EndOf(Step(state, late));
+    CPPUNIT_ASSERT(end && *end == OperationOutcome::Unavailable);
+  }
+
 private:
+  static std::optional<OperationOutcome> EndOf(const Effects& aEffects)
+  {
+    for (const Effect& effect : aEffects) {
+      if (const auto* answer = std::get_if<AnswerOperation>(&effect)) {
+        return answer->mEnd;
+      }
+    }
+    return std::nullopt;
+  }
+
   static bool IsOrder(const wire::FleetMessage& aMessage)
   {
     wire::CatalogCommand command;
