Evacuate a data centre and replace a client account's key in the soak

Cause: the soak's operator changed routes alone; evacuations and keys were not checked on real processes under faults from outside.

Change: each version of the policy takes a key of a client account away and gives a new one, and has a route that needs one; targets are spread over three data centres, of which the operator evacuates one for 5 s at a time, sends an order again elsewhere until it is acknowledged, and lifts it. The three clients that show what hosts act by keep a connection to each host to the end. 2 s after the acknowledgement, at hosts to which and to whose group nothing was done for 3 s: no request with an old key reaches a target, a new key is not refused, no request reaches the evacuated data centre.

Checks that changed: targets were all in one data centre; routes are public but one, since the policy has an account now; probes of policies come over kept connections. Nothing is judged more mildly.

--- a/tests/soak/policy_watch.cpp
+++ b/tests/soak/policy_watch.cpp
@@ -17,23 +17,38 @@
 /// Versions for which a policy has a route.
 constexpr std::uint64_t kKept = 24;
 constexpr int kOk = 200;
+constexpr int kNoAccount = 401;
 constexpr int kNotFound = 404;
 constexpr const char* kMovedTo = "moved-";
 
 void AddRoute(std::ostringstream& aOut,
               const std::string& aName,
               const std::string& aKind,
-              const std::string& aService)
+              const std::string& aService,
+              bool aPublic = true)
 {
   aOut << "[route " << aName << "]\nhost = soak.example\nprefix = /" << aName
        << "/\nkind = " << aKind
        << "\ntimeout = 1500ms\nobjective = 300ms\nattempts = 2\nbackends = "
-       << aService << "\n";
+       << aService << "\npublic = " << (aPublic ? "yes" : "no") << "\n";
+}
+
+std::string KeyOf(std::uint64_t aVersion)
+{
+  return "key-" + std::to_string(aVersion);
 }
 
 } // namespace
 
-std::string PolicyText(std::uint64_t aVersion, std::uint64_t aBase)
+std::string DataCentreOf(const std::string& aTarget)
+{
+  const bool moved = aTarget.compare(0, 6, kMovedTo) == 0;
+  return moved ? "dc-0" : "dc-" + std::to_string((aTarget.back() - '0') % 3);
+}
+
+std::string PolicyText(std::uint64_t aVersion,
+                       std::uint64_t aBase,
+                       std::uint64_t aKeysKept)
 {
   std::ostringstream out;
   out << "[policy]\nversion = " << aVersion << "\nbase = " << aBase
@@ -41,6 +56,7 @@
          "[service other]\nhealth_path = /health\n";
   AddRoute(out, "safe", "safe", "main");
   AddRoute(out, "unsafe", "unsafe", "main");
+  AddRoute(out, "keyed", "safe", "main", false);
   const std::uint64_t first = aVersion > kKept ? aVersion - kKept + 1 : 1;
   for (std::uint64_t added = first; added <= aVersion; ++added) {
     AddRoute(out, "added-" + std::to_string(added), "safe", "main");
@@ -51,6 +67,12 @@
              "safe",
              moved > aVersion ? "main" : "other");
   }
+  out << "[account client]\nkeys =";
+  const std::uint64_t gone = aVersion > aKeysKept ? aVersion - aKeysKept : 0;
+  for (std::uint64_t key = gone + 1; key <= aVersion; ++key) {
+    out << " " << KeyOf(key);
+  }
+  out << "\n";
   return out.str();
 }
 
@@ -66,6 +88,24 @@
   mAcknowledged.emplace(aVersion, steady_clock::now());
 }
 
+void PolicyWatch::EvacuationAcknowledged()
+{
+  const std::lock_guard<std::mutex> lock(mMutex);
+  ++mEvacuations;
+  mEvacuatedAt = steady_clock::now();
+}
+
+void PolicyWatch::Lifting()
+{
+  const std::lock_guard<std::mutex> lock(mMutex);
+  mEvacuatedAt.reset();
+}
+
+bool PolicyWatch::IsEvacuated(TimePoint aNow) const
+{
+  return mEvacuatedAt && aNow - *mEvacuatedAt > kInForceWithin;
+}
+
 void PolicyWatch::BeginTrouble(const std::set<std::size_t>& aHosts,
                                bool aControl)
 {
@@ -105,6 +145,10 @@
   if (!IsCalm(aHost, now)) {
     return std::nullopt;
   }
+  if (aRandom % 6 == 5) {
+    const Probe probe{ Sign::Evacuated, "/safe/x", mEvacuations, "" };
+    return IsEvacuated(now) ? std::optional(probe) : std::nullopt;
+  }
   Probe probe;
   for (const auto& [version, at] : mAcknowledged) {
     probe.mVersion = now - at > kInForceWithin ? version : probe.mVersion;
@@ -113,10 +157,18 @@
     return std::nullopt;
   }
   const std::string version = std::to_string(probe.mVersion);
-  if (aRandom % 3 == 0 && probe.mVersion > kKept) {
+  if (aRandom % 6 == 4 && probe.mVersion > kKeysKept) {
+    probe.mSign = Sign::KeyDropped;
+    probe.mPath = "/keyed/x";
+    probe.mKey = KeyOf(probe.mVersion - kKeysKept);
+  } else if (aRandom % 6 == 3) {
+    probe.mSign = Sign::KeyAdded;
+    probe.mPath = "/keyed/x";
+    probe.mKey = KeyOf(probe.mVersion);
+  } else if (aRandom % 6 == 0 && probe.mVersion > kKept) {
     probe.mSign = Sign::Dropped;
     probe.mPath = "/added-" + std::to_string(probe.mVersion - kKept) + "/x";
-  } else if (aRandom % 3 == 1) {
+  } else if (aRandom % 6 == 1) {
     probe.mSign = Sign::Moved;
     probe.mPath = "/moves-" + version + "/x";
   } else {
@@ -126,16 +178,40 @@
   return probe;
 }
 
+bool PolicyWatch::ShowsOldPolicy(const Probe& aProbe,
+                                 const ProbeAnswer& aAnswer) const
+{
+  switch (aProbe.mSign) {
+    case Sign::Added:
+      return aAnswer.mStatus == kNotFound &&
+             mMostSent < aProbe.mVersion + kKept;
+    case Sign::Dropped:
+      return aAnswer.mStatus == kOk;
+    case Sign::Moved:
+      return aAnswer.mStatus == kOk &&
+             aAnswer.mTarget.compare(0, 6, kMovedTo) != 0;
+    case Sign::KeyAdded:
+      return aAnswer.mStatus == kNoAccount &&
+             mMostSent < aProbe.mVersion + kKeysKept;
+    case Sign::KeyDropped:
+      return aAnswer.mStatus == kOk || !aAnswer.mTarget.empty();
+    case Sign::Evacuated:
+      break;
+  }
+  return false;
+}
+
 std::string PolicyWatch::Judge(const Probe& aProbe, const ProbeAnswer& aAnswer)
 {
   const std::lock_guard<std::mutex> lock(mMutex);
-  const bool mayBeDropped = mMostSent >= aProbe.mVersion + kKept;
-  const bool old = (aProbe.mSign == Sign::Added &&
-                    aAnswer.mStatus == kNotFound && !mayBeDropped) ||
-                   (aProbe.mSign == Sign::Dropped && aAnswer.mStatus == kOk) ||
-                   (aProbe.mSign == Sign::Moved && aAnswer.mStatus == kOk &&
-                    aAnswer.mTarget.compare(0, 6, kMovedTo) != 0);
-  if (!old) {
+  if (aProbe.mSign == Sign::Evacuated) {
+    const bool same = mEvacuatedAt && mEvacuations == aProbe.mVersion;
+    return same && !aAnswer.mTarget.empty() &&
+               DataCentreOf(aAnswer.mTarget) == kEvacuated
+             ? "sends to " + aAnswer.mTarget + " in an evacuated data centre"
+             : "";
+  }
+  if (!ShowsOldPolicy(aProbe, aAnswer)) {
     return "";
   }
   const auto at = mAcknowledged.find(aProbe.mVersion);
--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -47,31 +47,24 @@
   std::string mBody;
 };
 
-Reply CallHost(const std::string& aAddress,
-               const std::string& aMethod,
-               const std::string& aPath,
+Reply Exchange(Poco::Net::HTTPClientSession& aSession,
+               Poco::Net::HTTPRequest& aRequest,
                const std::string& aBody,
                const std::string& aRequestId)
 {
   Reply reply;
   try {
-    const std::size_t colon = aAddress.find(':');
-    Poco::Net::HTTPClientSession session(
-      aAddress.substr(0, colon),
-      static_cast<Poco::UInt16>(std::atoi(aAddress.c_str() + colon + 1)));
-    session.setTimeout(Poco::Timespan(3, 0));
-    Poco::Net::HTTPRequest request(
-      aMethod, aPath, Poco::Net::HTTPMessage::HTTP_1_1);
-    request.setHost("soak.example");
-    request.setContentLength(static_cast<std::streamsize>(aBody.size()));
+    aSession.setTimeout(Poco::Timespan(3, 0));
+    aRequest.setHost("soak.example");
+    aRequest.setContentLength(static_cast<std::streamsize>(aBody.size()));
     if (!aRequestId.empty()) {
-      request.set("Request-Id", aRequestId);
-      request.set("Patience-Ms", "1500");
+      aRequest.set("Request-Id", aRequestId);
+      aRequest.set("Patience-Ms", "1500");
     }
-    session.sendRequest(request) << aBody;
+    aSession.sendRequest(aRequest) << aBody;
     reply.mStatus = -1;
     Poco::Net::HTTPResponse response;
-    std::istream& body = session.receiveResponse(response);
+    std::istream& body = aSession.receiveResponse(response);
     Poco::StreamCopier::copyToString(body, reply.mBody);
     reply.mStatus = response.getStatus();
     if (response.hasContentLength() &&
@@ -81,10 +74,56 @@
     }
   } catch (const Poco::Exception&) {
     // The status says how far it came; a host that is down is no finding.
+    aSession.reset();
   }
   return reply;
 }
 
+Reply CallHost(const std::string& aAddress,
+               const std::string& aMethod,
+               const std::string& aPath,
+               const std::string& aBody,
+               const std::string& aRequestId)
+{
+  Poco::Net::HTTPClientSession session{ Poco::Net::SocketAddress(aAddress) };
+  Poco::Net::HTTPRequest request(
+    aMethod, aPath, Poco::Net::HTTPMessage::HTTP_1_1);
+  return Exchange(session, request, aBody, aRequestId);
+}
+
+/// \brief Connections of one client, one for each host, which stay open.
+class KeptConnections
+{
+public:
+  Reply Ask(const std::string& aAddress,
+            const std::string& aPath,
+            const std::string& aKey,
+            const std::string& aRequestId)
+  {
+    std::unique_ptr<Poco::Net::HTTPClientSession>& session =
+      mSessions[aAddress];
+    if (!session) {
+      session = std::make_unique<Poco::Net::HTTPClientSession>(
+        Poco::Net::SocketAddress(aAddress));
+      session->setKeepAlive(true);
+      session->setKeepAliveTimeout(Poco::Timespan(3600, 0));
+    }
+    Poco::Net::HTTPRequest request(
+      "GET", aPath, Poco::Net::HTTPMessage::HTTP_1_1);
+    if (!aKey.empty()) {
+      request.set("Authorization", "Token " + aKey);
+    }
+    return Exchange(*session, request, "", aRequestId);
+  }
+
+private:
+  std::map<std::string, std::unique_ptr<Poco::Net::HTTPClientSession>>
+    mSessions;
+};
+
+/// An evacuation lasts longer than it takes to be in force.
+constexpr seconds kEvacuationLasts{ 5 };
+constexpr seconds kEvacuationPause{ 1 };
 /// More changes than follow within the time in which one is in force.
 constexpr std::uint64_t kPlantedAhead = 20;
 
@@ -179,8 +218,8 @@
         const std::string body =
           R"({"service":")" +
           std::string(name.compare(0, 6, "moved-") == 0 ? "other" : "main") +
-          R"(","address":")" + address +
-          R"(","data_centre":"dc-0","slots":4,"draining":)" +
+          R"(","address":")" + address + R"(","data_centre":")" +
+          DataCentreOf(name) + R"(","slots":4,"draining":)" +
           (leaves ? "true" : "false") + R"(,"sequence":)" +
           std::to_string(sequence) + "}";
         const Reply reply =
@@ -199,16 +238,51 @@
     }
   }
 
+  // An order is sent again elsewhere until it is acknowledged.
+  void OrderEvacuation(std::mt19937_64& aRandom)
+  {
+    if (steady_clock::now() < mNextOrderAt) {
+      return;
+    }
+    if (mEvacuated) {
+      mWatch.Lifting();
+    }
+    const bool planted = mOptions.mPlant == "evacuation";
+    const int status = planted
+                         ? 200
+                         : CallHost(AnyHost(aRandom, true),
+                                    mEvacuated ? "DELETE" : "PUT",
+                                    std::string("/evacuations/") + kEvacuated,
+                                    "",
+                                    "")
+                             .mStatus;
+    if (status != 200) {
+      return;
+    }
+    mEvacuated = !mEvacuated;
+    if (mEvacuated) {
+      mWatch.EvacuationAcknowledged();
+    }
+    mNextOrderAt =
+      steady_clock::now() + (mEvacuated ? kEvacuationLasts : kEvacuationPause);
+  }
+
   // A change every second; reads must show what was acknowledged before.
   void Operate()
   {
     std::mt19937_64 random(mOptions.mSeed + 2);
     std::uint64_t version = 1;
+    const std::uint64_t kept =
+      kKeysKept + (mOptions.mPlant == "key" ? kPlantedAhead : 0);
     while (!mStopping) {
       const std::uint64_t base = mAcknowledged;
       mWatch.Sending(version);
-      const Reply put = CallHost(
-        AnyHost(random, true), "PUT", "/policy", PolicyText(version, base), "");
+      OrderEvacuation(random);
+      const Reply put = CallHost(AnyHost(random, true),
+                                 "PUT",
+                                 "/policy",
+                                 PolicyText(version, base, kept),
+                                 "");
       if (put.mStatus == 200) {
         ++mLedger.mChanges;
         mAcknowledged = version;
@@ -269,6 +343,7 @@
   {
     std::mt19937_64 random(mOptions.mSeed + 100 +
                            static_cast<std::uint64_t>(aWatcher));
+    KeptConnections connections;
     for (int i = 0; !mStopping; ++i) {
       const std::size_t host = random() % mFleet.Hosts().size();
       const std::optional<Probe> probe = mWatch.NextProbe(host, random());
@@ -278,9 +353,11 @@
       }
       const std::string id =
         "probe-" + std::to_string(aWatcher) + "-" + std::to_string(i);
-      const Reply reply =
-        CallHost(mFleet.Hosts()[host].mCallers, "GET", probe->mPath, "", id);
+      const Reply reply = connections.Ask(
+        mFleet.Hosts()[host].mCallers, probe->mPath, probe->mKey, id);
       ++mLedger.mProbes;
+      mLedger.mOldKeyProbes += probe->mSign == Sign::KeyDropped ? 1 : 0;
+      mLedger.mEvacuationProbes += probe->mSign == Sign::Evacuated ? 1 : 0;
       const std::string fault =
         mWatch.Judge(*probe, { reply.mStatus, mLedger.RanAt(id) });
       if (!fault.empty()) {
@@ -446,7 +523,9 @@
               << " answered, " << mLedger.mRefused << " refused, "
               << mLedger.mFailed << " failed, " << mLedger.mChanges
               << " changes, " << mLedger.mReads << " reads, " << mLedger.mProbes
-              << " probes, " << violations.size() << " violations\n";
+              << " probes (" << mLedger.mOldKeyProbes << " with an old key, "
+              << mLedger.mEvacuationProbes << " of an evacuation), "
+              << violations.size() << " violations\n";
     for (const std::string& violation : violations) {
       std::cout << "  VIOLATION " << violation << "\n";
     }
@@ -473,6 +552,9 @@
   std::atomic<bool> mStopping{ false };
   std::atomic<bool> mTroubled{ false };
   std::atomic<std::uint64_t> mAcknowledged{ 0 };
+  /// Of the operator alone.
+  bool mEvacuated = false;
+  steady_clock::time_point mNextOrderAt;
   std::atomic<bool> mLeft{ false };
   std::atomic<steady_clock::time_point> mLeftAt{ steady_clock::time_point() };
 };
@@ -523,7 +605,7 @@
       default:
         std::cerr << "usage: soak --binary FILE [--seed N] [--seconds N] "
                      "[--disks N] [--others N] [--data-centres N] [--port N] "
-                     "[--plant read|twice|policy]\n";
+                     "[--plant read|twice|policy|key|evacuation]\n";
         return 2;
     }
   }
--- a/tests/soak/stand_ins.h
+++ b/tests/soak/stand_ins.h
@@ -37,6 +37,8 @@
   std::atomic<int> mReads{ 0 };
   std::atomic<int> mChanges{ 0 };
   std::atomic<int> mProbes{ 0 };
+  std::atomic<int> mOldKeyProbes{ 0 };
+  std::atomic<int> mEvacuationProbes{ 0 };
 
 private:
   std::mutex mMutex;
