Count a voter that is still to be taken out as lost in the schedules

A planned replacement had removed one of four voters for good, all power was lost, and 2.3 s after there was a leader again another voter lost power: two of four are no quorum. The check counted one loss, since it counted removals that follow a planned replacement as none from the first moment on.

Ruled out: evacuations (the first break is of a policy); a leader that takes too long (it had 2.3 s of the 4 s in which a lost voter is taken out); a lost change (it was on the disks of both voters that were left).

Change of the check: such a voter counts as lost until the group has had a leader for 4 s since, so that a leader that takes longer is still found. Nothing else is judged more mildly.

--- a/tests/fakes/fleet_stability.h
+++ b/tests/fakes/fleet_stability.h
@@ -23,6 +23,9 @@
   void RecordPermanentLoss() { ++mUnreplaced; }
   /// \brief Records that a replacement for a lost control host has started.
   void RecordReplacement();
+  /// \brief Records that a voter was removed for good after its replacement had
+  /// started; it counts as lost until a leader has had time to take it out.
+  void RecordRemoval() { mRemovals.push_back(0); }
 
   /// \brief Whether the control group has been undisturbed for long enough.
   /// `aControl`: the control hosts that are not lost for good; `aPartition`: a
@@ -42,6 +45,7 @@
   [[nodiscard]] std::string ConditionOf(const std::string& aAddress) const;
   [[nodiscard]] bool IsReachable(const std::string& aAddress) const;
   [[nodiscard]] bool IsCountedAsLost(const std::string& aAddress);
+  [[nodiscard]] int RemovalsUnderWay();
   [[nodiscard]] Micros UnchangedSince(const std::string& aKey,
                                       const std::string& aCondition);
 
@@ -49,6 +53,9 @@
   int mTolerated = 0;
   int mUnreplaced = 0;
   std::vector<Micros> mReplacedAt;
+  /// For each removed voter, how long the group has had a leader since.
+  std::vector<Micros> mRemovals;
+  Micros mCheckedAt = 0;
   std::map<std::string, Condition> mConditions;
 };
 
