Refuse limits and windows of accounts that counts cannot hold

quota_window = 0s passed the check of the settings though the plan divides by it; a window of nothing or of years, and rates and bursts up to 1e308 in policy documents, passed too (the policy file refused those above 1e9). Negative, nan, inf, words and huge overage, slack, rate and burst were refused already; now shown by a test.

Durations can have bounds as numbers have; the window is 0.1 s (the slice in which requests are counted) to 600 s (each slice of it is kept). Rates and bursts of all policies end at 1e9.

Before: PlatformTest::QuotaSettingsAreChecked failed at quota_window = 0s, PlatformAccountsTest:: InvalidAccountsAreRejected at 1e10. After: PlatformTest 14 passed, PlatformAccountsTest 6 passed, linked without the other suites; the whole unit_tests was not run.

--- a/src/accounts/accounts.cpp
+++ b/src/accounts/accounts.cpp
@@ -10,9 +10,12 @@
 
 namespace {
 
+/// Largest rate and burst: what counts of requests hold.
+constexpr double kMaxAmount = 1e9;
+
 bool IsAmount(double aValue) noexcept
 {
-  return std::isfinite(aValue) && aValue >= 0;
+  return aValue >= 0 && aValue <= kMaxAmount;
 }
 
 // Targets are told the name in a header field.
@@ -33,11 +36,11 @@
   }
   if (!IsAmount(aAccount.mPerSecond)) {
     faults.push_back("account " + aAccount.mName +
-                     ": the rate is not 0 or above");
+                     ": the rate is not from 0 to 1e9");
   }
   if (!IsAmount(aAccount.mBurst)) {
     faults.push_back("account " + aAccount.mName +
-                     ": the burst is not 0 or above");
+                     ": the burst is not from 0 to 1e9");
   }
   return faults;
 }
--- a/src/config/gateway_settings.cpp
+++ b/src/config/gateway_settings.cpp
@@ -13,6 +13,11 @@
 using ini::Section;
 using ini::ValueType;
 
+/// Seconds: requests are counted in slices of the least, and a host keeps each
+/// slice of a window.
+constexpr double kLeastQuotaWindow = 0.1;
+constexpr double kMostQuotaWindow = 600;
+
 const std::vector<KeyRule>& Rules()
 {
   static const std::vector<KeyRule> rules = {
@@ -40,7 +45,12 @@
     { "bounds", "warm_up_floor", ValueType::Decimal, "0", 0, 1e6 },
     { "accounts", "strict_revocation", ValueType::Boolean, "no" },
     { "accounts", "revoke_within", ValueType::Duration, "5s" },
-    { "accounts", "quota_window", ValueType::Duration, "5s" },
+    { "accounts",
+      "quota_window",
+      ValueType::Duration,
+      "5s",
+      kLeastQuotaWindow,
+      kMostQuotaWindow },
     { "accounts", "quota_overage", ValueType::Decimal, "0.1", 0, 10 },
     { "accounts", "quota_slack", ValueType::Decimal, "20", 0, 1e6 },
     { "fairness", "across_hosts", ValueType::Boolean, "no" },
--- a/src/config/ini.h
+++ b/src/config/ini.h
@@ -39,6 +39,7 @@
   ValueType mType;
   /// Null marks a required key.
   const char* mDefault;
+  /// Bounds of a number; of a duration in seconds, where mMax is not 0.
   double mMin = 0;
   double mMax = 0;
   /// Space-separated choices of a Choice.
--- a/src/config/ini_values.cpp
+++ b/src/config/ini_values.cpp
@@ -69,6 +69,15 @@
          value >= aRule.mMin && value <= aRule.mMax;
 }
 
+bool IsDuration(const KeyRule& aRule, const std::string& aValue)
+{
+  const std::optional<Micros> value = ParseDuration(aValue);
+  const auto seconds = static_cast<double>(value.value_or(0)) / kSecond;
+  const bool isBounded = aRule.mMax > 0;
+  return value &&
+         (!isBounded || (seconds >= aRule.mMin && seconds <= aRule.mMax));
+}
+
 bool AllOf(const std::string& aValue, bool (*aTest)(const std::string&))
 {
   const std::vector<std::string> parts = Split(aValue);
@@ -138,7 +147,7 @@
     case ValueType::OptionalText:
       return true;
     case ValueType::Duration:
-      return ParseDuration(aValue).has_value();
+      return IsDuration(aRule, aValue);
     case ValueType::AddressList:
       return AllOf(aValue, IsAddress);
   }
@@ -173,7 +182,10 @@
     case ValueType::OptionalText:
       return "any text";
     case ValueType::Duration:
-      return "a number from 0 with its unit: 250ms, 2.5s";
+      return aRule.mMax > 0
+               ? "a duration from " + Number(aRule.mMin) + "s to " +
+                   Number(aRule.mMax) + "s with its unit: 250ms, 2.5s"
+               : "a number from 0 with its unit: 250ms, 2.5s";
     case ValueType::AddressList:
       return "a list of ip:port";
   }
--- a/tests/platform_accounts_test.cpp
+++ b/tests/platform_accounts_test.cpp
@@ -134,7 +134,9 @@
       { R"("name":"t2")", R"("name":"")" },
       { R"("rate_per_s":337)", R"("rate_per_s":-1)" },
       { R"("rate_per_s":337)", R"("rate_per_s":1e999)" },
+      { R"("rate_per_s":337)", R"("rate_per_s":1e10)" },
       { R"("burst":12.5)", R"("burst":-0.1)" },
+      { R"("burst":12.5)", R"("burst":1e10)" },
       { R"("burst":12.5)", R"("burst":"12")" },
       { R"("public":true)", R"("public":1)" },
     };
@@ -143,7 +145,11 @@
       CPPUNIT_ASSERT_MESSAGE(
         to, !decoded || !policy::Validate(decoded.value()).empty());
     }
-    for (const char* to : { "per_second = -1", "per_second = inf" }) {
+    for (const char* to : { "per_second = -1",
+                            "per_second = inf",
+                            "per_second = nan",
+                            "per_second = many",
+                            "per_second = 1e10" }) {
       CPPUNIT_ASSERT(
         !policy::DecodePolicyFile(Replaced(kFile, "per_second = 337", to)));
     }
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -83,6 +83,7 @@
   CPPUNIT_TEST(EvacuationOrdersAreParsed);
   CPPUNIT_TEST(PolicyFileMatchesPolicyDocument);
   CPPUNIT_TEST(GatewaySettingsAreChecked);
+  CPPUNIT_TEST(QuotaSettingsAreChecked);
   CPPUNIT_TEST(LongestPrefixOfTheHostWins);
   CPPUNIT_TEST_SUITE_END();
 
@@ -420,6 +421,39 @@
     CPPUNIT_ASSERT(!ParseGatewaySettings("", "f").Ok());
   }
 
+  void QuotaSettingsAreChecked()
+  {
+    const std::string text =
+      "[host]\nid = h\ndata_centre = z\ndata_folder =\n"
+      "[listen]\ncallers = 10.0.0.1:1\ncalls = 10.0.0.1:2\n"
+      "hosts = 10.0.0.1:3\nmetrics = 10.0.0.1:4\n"
+      "[fleet]\nseeds = 10.0.0.2:9\n[accounts]\n";
+    for (const char* sound : { "quota_window = 100ms",
+                               "quota_window = 600s",
+                               "quota_overage = 0",
+                               "quota_slack = 0" }) {
+      CPPUNIT_ASSERT_MESSAGE(sound,
+                             ParseGatewaySettings(text + sound, "f").Ok());
+    }
+    const std::pair<const char*, const char*> wrong[] = {
+      { "quota_window", "0s" },    { "quota_window", "99ms" },
+      { "quota_window", "-5s" },   { "quota_window", "601s" },
+      { "quota_window", "nans" },  { "quota_window", "5" },
+      { "quota_overage", "-0.1" }, { "quota_overage", "nan" },
+      { "quota_overage", "10.1" }, { "quota_overage", "much" },
+      { "quota_slack", "-1" },     { "quota_slack", "nan" },
+      { "quota_slack", "1e7" },    { "quota_slack", "inf" },
+    };
+    for (const auto& [key, value] : wrong) {
+      const std::string line = std::string(key) + " = " + value;
+      const auto read = ParseGatewaySettings(text + line, "f");
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(line, std::size_t(1), read.mFaults.size());
+      CPPUNIT_ASSERT_EQUAL(std::string("accounts/") + key,
+                           read.mFaults[0].mKey);
+      CPPUNIT_ASSERT_EQUAL(std::string(value), read.mFaults[0].mGiven);
+    }
+  }
+
   void LongestPrefixOfTheHostWins()
   {
     auto decoded = DecodePolicy(kDocument);
