Let only requests of accounts with a limit await the first totals

A host that has just started held every arrival for up to 0.8 s until it heard totals, also those passed on, of public routes and of accounts without a limit. Which account a request has is known after authorisation, so the check moved behind it: before anything of the request is counted. What waits is judged anew at each totals and each policy. A request that waited in vain is refused as no_totals_yet where it was no_policy_yet.

Before: AccountLimitsTest::OnlyRequestsOfLimitedAccountsAwaitTheFirstTotals failed (a relayed request was not sent). After: AccountLimitsTest 9 passed.

--- a/src/dispatch/account_limits.cpp
+++ b/src/dispatch/account_limits.cpp
@@ -142,11 +142,11 @@
   }
 }
 
-bool AwaitsTotals(const State& aState, Micros aNow) noexcept
+bool AwaitsTotals(const State& aState, Micros aNow, const Request& aRequest)
 {
   return aNow < aState.mPolicyExpectedUntil &&
-         aState.mQuota.mTotals.mToldAt == 0 && aState.mPolicy &&
-         policy::HasLimitedAccounts(*aState.mPolicy);
+         aState.mQuota.mTotals.mToldAt == 0 && !aRequest.mIsRelayed &&
+         LimitOf(aState, aRequest.mAccount).Exists();
 }
 
 void TickQuota(State& aState, Micros aNow, Effects& aOut)
--- a/src/dispatch/admission.cpp
+++ b/src/dispatch/admission.cpp
@@ -192,8 +192,8 @@
                    Effects& aOut)
 {
   ++aState.mCounters["requests"];
-  if (!aState.mPolicy || AwaitsTotals(aState, aNow)) {
-    QueueUnrouted(aState, aNow, aArrival, aOut);
+  if (!aState.mPolicy) {
+    QueueUnrouted(aState, aNow, aNow, aArrival, aOut);
     return;
   }
   if (!aArrival.mRelayedAfter) {
@@ -229,8 +229,14 @@
     return;
   }
   Request request = MakeRequest(aState, aArrivedAt, aArrival, *route);
-  if (!Authorise(aState, aNow, aArrival, *route, request, aOut) ||
-      !CountArrival(aState, aNow, aArrival, *route, request, aOut) ||
+  if (!Authorise(aState, aNow, aArrival, *route, request, aOut)) {
+    return;
+  }
+  if (AwaitsTotals(aState, aNow, request)) {
+    QueueUnrouted(aState, aNow, aArrivedAt, aArrival, aOut);
+    return;
+  }
+  if (!CountArrival(aState, aNow, aArrival, *route, request, aOut) ||
       !PassQuarantine(aState, aNow, aArrival, request, aOut) ||
       !AdmitWithinQuota(aState, aNow, aArrival, request, aOut) ||
       !MakeRoom(aState, aNow, aArrival, request, aOut)) {
--- a/src/dispatch/internal.h
+++ b/src/dispatch/internal.h
@@ -299,9 +299,11 @@
   const SpeedStatistics& aStatistics) noexcept;
 
 // --- unrouted.cpp: requests that arrive before the first policy
-/// \brief Queues a request until the first policy arrives, or refuses it.
+/// \brief Queues a request until the first policy or the first totals arrive,
+/// or refuses it.
 void QueueUnrouted(State& aState,
                    Micros aNow,
+                   Micros aArrivedAt,
                    const Arrival& aArrival,
                    Effects& aOut);
 /// \brief Refuses a request that matches no route of the policy.
@@ -393,9 +395,11 @@
 /// \brief Counts a request that waits while a new policy comes, unless it is
 /// counted already.
 void AdoptQuota(State& aState, Micros aNow, Request& aRequest);
-/// \brief True while a host that has just started is to hear what accounts
-/// have used of their limits.
-[[nodiscard]] bool AwaitsTotals(const State& aState, Micros aNow) noexcept;
+/// \brief True while a host that has just started is to hear what the
+/// request's account has used of its limit.
+[[nodiscard]] bool AwaitsTotals(const State& aState,
+                                Micros aNow,
+                                const Request& aRequest);
 /// \brief Logs which accounts start and end being limited at this host.
 void TickQuota(State& aState, Micros aNow, Effects& aOut);
 
--- a/src/dispatch/unrouted.cpp
+++ b/src/dispatch/unrouted.cpp
@@ -5,8 +5,8 @@
 #include <utility>
 
 // Requests that arrive while a host starts: it has no policy yet, or does not
-// know yet what accounts have used of their limits. After an outage of all
-// hosts, clients reconnect before the control group has a leader. A refused
+// know yet what their accounts have used of their limits. After an outage of
+// all hosts, clients reconnect before the control group has a leader. A refused
 // client retries after a third of its time and is late; one whose request is
 // queued briefly is usually on time.
 namespace geraniumpond::dispatch {
@@ -21,22 +21,29 @@
 constexpr Micros kStartingRetryDelay = 200 * kMillisecond;
 constexpr Micros kNoPolicyRetryDelay = 500 * kMillisecond;
 
+const char* MissingYet(const State& aState) noexcept
+{
+  return aState.mPolicy ? "no_totals_yet" : "no_policy_yet";
+}
+
 } // namespace
 
 void QueueUnrouted(State& aState,
                    Micros aNow,
+                   Micros aArrivedAt,
                    const Arrival& aArrival,
                    Effects& aOut)
 {
   const auto share = static_cast<Micros>(
     kPolicyWaitShare * static_cast<double>(aArrival.mPatience));
-  const Micros giveUpAt = std::min(aNow + share, aState.mPolicyExpectedUntil);
+  const Micros giveUpAt =
+    std::min(aArrivedAt + share, aState.mPolicyExpectedUntil);
   if (giveUpAt <= aNow) {
     RefuseArrival(
-      aState, aArrival, 503, kNoPolicyRetryDelay, "no_policy_yet", aOut);
+      aState, aArrival, 503, kNoPolicyRetryDelay, MissingYet(aState), aOut);
     return;
   }
-  aState.mUnrouted[aArrival.mId] = { aArrival, aNow, giveUpAt };
+  aState.mUnrouted[aArrival.mId] = { aArrival, aArrivedAt, giveUpAt };
 }
 
 // A 404 states that the route does not exist, and clients do not retry it.
@@ -64,7 +71,7 @@
                   it->second.mArrival,
                   503,
                   RetryAfter(aState, kStartingRetryDelay),
-                  "no_policy_yet",
+                  MissingYet(aState),
                   aOut);
     it = aState.mUnrouted.erase(it);
   }
@@ -81,7 +88,7 @@
 
 void AdmitUnrouted(State& aState, Micros aNow, Effects& aOut)
 {
-  if (!aState.mPolicy || AwaitsTotals(aState, aNow)) {
+  if (!aState.mPolicy) {
     return;
   }
   const auto queued = std::exchange(aState.mUnrouted, {});
--- a/tests/account_limits_test.cpp
+++ b/tests/account_limits_test.cpp
@@ -44,6 +44,9 @@
   CPPUNIT_TEST(LimitThatIsNewCountsRequestsThatWait);
   CPPUNIT_TEST(AccountAtItsLimitLeavesSecondAttemptsToOthers);
   CPPUNIT_TEST(LimitedAccountIsNamedInTheLog);
+  CPPUNIT_TEST(OnlyRequestsOfLimitedAccountsAwaitTheFirstTotals);
+  CPPUNIT_TEST(RequestsThatAwaitTotalsAreSentOnceTheyCome);
+  CPPUNIT_TEST(RequestsForWhichNoTotalsComeAreToldToReturn);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -141,7 +144,81 @@
     CPPUNIT_ASSERT_EQUAL(1, lines);
   }
 
+  void OnlyRequestsOfLimitedAccountsAwaitTheFirstTotals()
+  {
+    const auto mayWait = PolicyWith("a", kPerSecond);
+    auto open = std::make_shared<policy::TrafficPolicy>(*mayWait);
+    for (policy::Route& route : open->mRoutes) {
+      route.mPublic = true;
+    }
+    policy::BuildIndex(*open);
+    auto unlimited = std::make_shared<policy::TrafficPolicy>(*mayWait);
+    unlimited->mAccounts->mAccounts.front().mPerSecond = 0;
+    Arrival relayed;
+    relayed.mPath = "/unsafe/x";
+    relayed.mHasRelayFields = true;
+    relayed.mIsFromHost = true;
+    relayed.mRelayedAfter = 10 * kMillisecond;
+    relayed.mAccount = "a";
+    Arrival keyed;
+    keyed.mPath = "/unsafe/x";
+    keyed.mKey = accounts::DigestOf(kKey);
+    Arrival keyless;
+    keyless.mPath = "/unsafe/x";
+    ExpectSentAtOnce(mayWait, keyed, 0);
+    ExpectSentAtOnce(mayWait, relayed, 1);
+    ExpectSentAtOnce(open, keyed, 0);
+    ExpectSentAtOnce(open, keyless, 1);
+    ExpectSentAtOnce(unlimited, keyed, 1);
+  }
+
+  void RequestsThatAwaitTotalsAreSentOnceTheyCome()
+  {
+    AwaitTotals();
+    Arrive("/unsafe/x");
+    mHost->Advance(100 * kMillisecond);
+    AdmitUnrouted(mHost->mState, mHost->mNow, mHost->mEffects);
+    mHost->AnswerProbes();
+    CPPUNIT_ASSERT(mHost->All<SendRequest>().empty());
+    Hear(0);
+    AdmitUnrouted(mHost->mState, mHost->mNow, mHost->mEffects);
+    mHost->AnswerProbes();
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), mHost->All<SendRequest>().size());
+    CPPUNIT_ASSERT_EQUAL(1U, Used("a"));
+  }
+
+  void RequestsForWhichNoTotalsComeAreToldToReturn()
+  {
+    AwaitTotals();
+    Arrive("/unsafe/x");
+    mHost->Advance(810 * kMillisecond);
+    CPPUNIT_ASSERT_EQUAL(503, mHost->OnlyReply().mStatus);
+    CPPUNIT_ASSERT(mHost->OnlyReply().mRetryAfter > 0);
+  }
+
 private:
+  // As on a host that has just started.
+  void AwaitTotals()
+  {
+    setUp();
+    mHost->mState.mQuota = quota::MakeState({}, mHost->mNow - kMinute);
+    quota::SetHosts(
+      mHost->mState.mQuota, mHost->mNow, rate_share::MakeMembers({ "h" }, "h"));
+    mHost->mState.mPolicyExpectedUntil = mHost->mNow + 800 * kMillisecond;
+  }
+
+  void ExpectSentAtOnce(std::shared_ptr<const policy::TrafficPolicy> aPolicy,
+                        const Arrival& aArrival,
+                        std::size_t aSent)
+  {
+    AwaitTotals();
+    Apply(std::move(aPolicy));
+    Arrive(aArrival);
+    mHost->AnswerProbes();
+    CPPUNIT_ASSERT_EQUAL(aSent, mHost->All<SendRequest>().size());
+    CPPUNIT_ASSERT(mHost->All<ReplyToClient>().empty());
+  }
+
   void Apply(std::shared_ptr<const policy::TrafficPolicy> aPolicy)
   {
     SetPolicy(mHost->mState, mHost->mNow, std::move(aPolicy));
