Keep limits of accounts in parts while no leader tells totals

While no leader told totals each host acted alone. On paper hosts that divide the bound equally and hear nothing refuse 0.287 of what accounts at 0.9 of their limit ask (0.195 at 0.625; 141 hosts, 85 accounts, requests at random hosts), since a host's part of a small account is a request or none. Four groups that share their parts refuse 0.001 and below. So no split of alone hosts can do.

A control host without totals for 0.5 s now tells those that follow it what they do together, with the number of all hosts; they divide their share of the bound as with totals of a side. No host is in two parts but one that moves, for 1.2 s. The part is a message of its own: what the leader says keeps its order, and no other reader of totals sees it.

A host alone no longer keeps what it used itself: an equal part of the room, and of what has left the window since the last totals, up to an equal part of the bound.

QuotaTest 16, RollupTest 17, FleetCountsTest 10, GatewayRollupTest 3, DispatchTest 33, AuthorisationTest 19, AccountsTest 9 passed; the whole unit_tests was not run.

--- a/include/geraniumpond/fleet.h
+++ b/include/geraniumpond/fleet.h
@@ -488,6 +488,11 @@
 /// \brief The newest totals, whatever their age; nullptr before the first.
 [[nodiscard]] const rollup::Totals* NewestTotals(const State& aState) noexcept;
 
+/// \brief The totals of part of the hosts that were told last, while no others
+/// came; null before the first.
+[[nodiscard]] const rollup::Totals* NewestPartTotals(
+  const State& aState) noexcept;
+
 /// \brief Records that all writes up to a sequence number are on disk.
 void Synced(State& aState, Micros aNow, std::uint64_t aSequence, Output& aOut);
 
--- a/include/geraniumpond/rollup.h
+++ b/include/geraniumpond/rollup.h
@@ -84,6 +84,9 @@
   /// Hosts that the leader knows of and that are not in the sum.
   std::uint32_t mSilent = 0;
   Stamp mStamp;
+  /// Told by a control host without a leader, for the hosts that follow it;
+  /// holds all keys, and no stamp.
+  bool mIsPart = false;
 };
 
 /// \brief Which totals all hosts need. It must own what it reads.
@@ -153,6 +156,8 @@
   Micros mLookAt = 0;
 
   std::optional<Totals> mTotals;
+  /// The latest of a control host alone, while no others came.
+  std::optional<Totals> mPartTotals;
 };
 
 /// \brief Makes a key; digests are shortened for the messages between hosts.
@@ -208,6 +213,19 @@
 /// \brief Takes totals unless newer ones are known; returns whether it did.
 [[nodiscard]] bool TakeTotals(State& aState, Totals aTotals);
 
+/// \brief True if totals of all hosts have not come for a while, but did
+/// before.
+[[nodiscard]] bool LacksTotals(const State& aState, Micros aNow) noexcept;
+
+/// \brief At a control host: totals of the hosts that follow it.
+[[nodiscard]] Totals MakePartTotals(Micros aNow,
+                                    Sum aSum,
+                                    std::uint32_t aKnownHosts);
+
+/// \brief Takes totals of a control host alone, unless those of all hosts are
+/// there or a newer part is known; returns whether it did.
+[[nodiscard]] bool TakePartTotals(State& aState, Micros aNow, Totals aTotals);
+
 /// \brief Earliest time at which this host has something to look at.
 [[nodiscard]] Micros NextLook(const State& aState) noexcept;
 
--- a/src/fleet/counts.cpp
+++ b/src/fleet/counts.cpp
@@ -3,7 +3,8 @@
 #include <algorithm>
 
 // How counts travel: reports go up the tree to the leader, totals come down.
-// Only hosts that report are told totals.
+// Only hosts that report are told totals. While no leader tells any, each
+// control host tells those that follow it what they do together.
 namespace geraniumpond::fleet {
 
 namespace {
@@ -88,6 +89,12 @@
                    HaveVotersReported(aState));
 }
 
+// Other control hosts tell their own part, so that no host is in two.
+bool IsInPart(const State& aState, const std::string& aAddress)
+{
+  return IsReporter(aState, aAddress) && !IsControlAddress(aState, aAddress);
+}
+
 // Hosts that stopped in order count nothing any more.
 std::uint32_t KnownHosts(const State& aState)
 {
@@ -98,21 +105,23 @@
   return static_cast<std::uint32_t>(known);
 }
 
-void SendTotals(State& aState, Micros aNow, Output& aOut)
+void SendTotals(State& aState,
+                Micros aNow,
+                const rollup::Totals& aTotals,
+                Output& aOut)
 {
-  const rollup::State& rollup = aState.mCounts.mRollup;
-  const rollup::Totals& totals = *rollup.mTotals;
-  wire::CountsTotals word = ToWire(totals);
-  const Micros age = aNow - totals.mToldAt + kMillisecond - 1;
+  wire::CountsTotals word = ToWire(aTotals);
+  const Micros age = aNow - aTotals.mToldAt + kMillisecond - 1;
   word.set_age_ms(static_cast<std::uint32_t>(age / kMillisecond));
-  for (const auto& [address, part] : rollup.mParts) {
-    if (!rollup::IsHeard(part, aNow) || !IsReporter(aState, address)) {
+  const auto isReader = aTotals.mIsPart ? IsInPart : IsReporter;
+  for (const auto& [address, part] : aState.mCounts.mRollup.mParts) {
+    if (!rollup::IsHeard(part, aNow) || !isReader(aState, address)) {
       continue;
     }
+    word.set_written_at(static_cast<std::uint64_t>(aNow - part.mClockGap));
     wire::FleetMessage message;
-    *message.mutable_totals() = word;
-    message.mutable_totals()->set_written_at(
-      static_cast<std::uint64_t>(aNow - part.mClockGap));
+    *(aTotals.mIsPart ? message.mutable_part_totals()
+                      : message.mutable_totals()) = word;
     SendTo(aState, address, std::move(message), aOut);
   }
 }
@@ -130,7 +139,31 @@
         rollup,
         rollup::MakeTotals(
           rollup, aNow, std::move(sum.mSum), KnownHosts(aState), stamp))) {
-    SendTotals(aState, aNow, aOut);
+    SendTotals(aState, aNow, *rollup.mTotals, aOut);
+  }
+  rollup::MarkSent(rollup, aNow, isIdle);
+}
+
+// Where no totals of all hosts have been, nobody can tell how much of them this
+// part is.
+void TellPartTotals(State& aState, Micros aNow, Output& aOut)
+{
+  rollup::State& rollup = aState.mCounts.mRollup;
+  if (!HasVote(aState) || !rollup::LacksTotals(rollup, aNow)) {
+    return;
+  }
+  rollup::Report sum =
+    rollup::MakeReport(rollup, aNow, [&](const std::string& aAddress) {
+      return IsInPart(aState, aAddress);
+    });
+  const bool isIdle = sum.mSum.mTable.empty();
+  const std::uint32_t hosts =
+    std::max(KnownHosts(aState), rollup.mTotals->mSum.mHosts);
+  if (rollup::TakePartTotals(
+        rollup,
+        aNow,
+        rollup::MakePartTotals(aNow, std::move(sum.mSum), hosts))) {
+    SendTotals(aState, aNow, *rollup.mPartTotals, aOut);
   }
   rollup::MarkSent(rollup, aNow, isIdle);
 }
@@ -152,6 +185,18 @@
   aState.mCounts.mReportedTo = aTo;
 }
 
+std::optional<rollup::Totals> ReadTotals(Micros aNow,
+                                         const wire::CountsTotals& aMessage)
+{
+  std::optional<rollup::Totals> totals = FromWire(aMessage);
+  if (totals) {
+    const auto writtenAt = static_cast<Micros>(aMessage.written_at());
+    totals->mToldAt = std::min(aNow, writtenAt) -
+                      static_cast<Micros>(aMessage.age_ms()) * kMillisecond;
+  }
+  return totals;
+}
+
 void LogMissing(State& aState, Micros aNow, Output& aOut)
 {
   CountsState& counts = aState.mCounts;
@@ -192,6 +237,9 @@
     ConfirmLeadership(aState, aNow);
   }
   const bool isDue = rollup::IsDue(rollup, aNow);
+  if (isDue) {
+    TellPartTotals(aState, aNow, aOut);
+  }
   if (leads && isDue) {
     TellTotals(aState, aNow, aOut);
   } else if (!leads && (isDue || to != aState.mCounts.mReportedTo)) {
@@ -215,15 +263,28 @@
                   const wire::CountsTotals& aMessage,
                   Output& aOut)
 {
-  std::optional<rollup::Totals> totals = FromWire(aMessage);
-  if (!totals) {
+  std::optional<rollup::Totals> totals = ReadTotals(aNow, aMessage);
+  rollup::State& rollup = aState.mCounts.mRollup;
+  if (totals && rollup::TakeTotals(rollup, std::move(*totals))) {
+    SendTotals(aState, aNow, *rollup.mTotals, aOut);
+  }
+}
+
+// A host reports to its upstream only, and is in the part of that one.
+void HandlePartTotals(State& aState,
+                      Micros aNow,
+                      const std::string& aFrom,
+                      const wire::CountsTotals& aMessage,
+                      Output& aOut)
+{
+  std::optional<rollup::Totals> totals = ReadTotals(aNow, aMessage);
+  if (!totals || HasVote(aState) || aFrom != aState.mUpstream) {
     return;
   }
-  const auto writtenAt = static_cast<Micros>(aMessage.written_at());
-  totals->mToldAt = std::min(aNow, writtenAt) -
-                    static_cast<Micros>(aMessage.age_ms()) * kMillisecond;
-  if (rollup::TakeTotals(aState.mCounts.mRollup, std::move(*totals))) {
-    SendTotals(aState, aNow, aOut);
+  totals->mIsPart = true;
+  rollup::State& rollup = aState.mCounts.mRollup;
+  if (rollup::TakePartTotals(rollup, aNow, std::move(*totals))) {
+    SendTotals(aState, aNow, *rollup.mPartTotals, aOut);
   }
 }
 
@@ -267,4 +328,10 @@
   return totals ? &*totals : nullptr;
 }
 
+const rollup::Totals* NewestPartTotals(const State& aState) noexcept
+{
+  const auto& totals = aState.mCounts.mRollup.mPartTotals;
+  return totals ? &*totals : nullptr;
+}
+
 } // namespace geraniumpond::fleet
--- a/src/fleet/fleet.cpp
+++ b/src/fleet/fleet.cpp
@@ -225,6 +225,9 @@
     case wire::FleetMessage::kTotals:
       HandleTotals(aState, aNow, aMessage.totals(), aOut);
       break;
+    case wire::FleetMessage::kPartTotals:
+      HandlePartTotals(aState, aNow, from, aMessage.part_totals(), aOut);
+      break;
     case wire::FleetMessage::BODY_NOT_SET:
       aOut.mLogLines.push_back({ 2, "event=message_unknown from=" + from });
       break;
@@ -424,6 +427,8 @@
       return "counts";
     case wire::FleetMessage::kTotals:
       return "totals";
+    case wire::FleetMessage::kPartTotals:
+      return "part_totals";
     case wire::FleetMessage::BODY_NOT_SET:
       break;
   }
--- a/src/fleet/internal.h
+++ b/src/fleet/internal.h
@@ -308,6 +308,11 @@
                   Micros aNow,
                   const wire::CountsTotals& aMessage,
                   Output& aOut);
+void HandlePartTotals(State& aState,
+                      Micros aNow,
+                      const std::string& aFrom,
+                      const wire::CountsTotals& aMessage,
+                      Output& aOut);
 
 // --- counts_messages.cpp: counts as messages
 [[nodiscard]] wire::CountsReport ToWire(const rollup::Report& aReport);
--- a/src/gateway/rollup.cpp
+++ b/src/gateway/rollup.cpp
@@ -19,12 +19,15 @@
   return table;
 }
 
+// Only limits of accounts know how to use totals of a part.
 void UseTotals(Context& aContext, const rollup::Totals& aTotals)
 {
   dispatch::State& dispatch = aContext.mState.mDispatch;
   quota::SetTotals(dispatch.mQuota, aContext.mNow, aTotals);
   dispatch::Effects effects;
-  dispatch::HandleDemandTotals(dispatch, aContext.mNow, aTotals, effects);
+  if (!aTotals.mIsPart) {
+    dispatch::HandleDemandTotals(dispatch, aContext.mNow, aTotals, effects);
+  }
   dispatch::AdmitUnrouted(dispatch, aContext.mNow, effects);
   AppendEffects(aContext, std::move(effects));
 }
@@ -91,6 +94,11 @@
     state.mTotalsUsed = totals->mStamp;
     UseTotals(aContext, *totals);
   }
+  const rollup::Totals* part = fleet::NewestPartTotals(state.mFleet);
+  if (part != nullptr &&
+      part->mToldAt > state.mDispatch.mQuota.mTotals.mToldAt) {
+    UseTotals(aContext, *part);
+  }
 }
 
 } // namespace geraniumpond::gateway
--- a/src/quota/counts.cpp
+++ b/src/quota/counts.cpp
@@ -99,6 +99,15 @@
          SentSince(aAccount, aNow - aState.mSettings.mWindow);
 }
 
+std::uint32_t Unheard(const State& aState,
+                      Micros aNow,
+                      const Account& aAccount) noexcept
+{
+  const Micros from = std::max(aState.mTotals.mToldAt - kReportDelay,
+                               aNow - aState.mSettings.mWindow);
+  return aAccount.mWaiting + SentSince(aAccount, from);
+}
+
 void AddOwn(const State& aState, Micros aNow, rollup::Table& aTable)
 {
   for (const auto& [key, account] : aState.mAccounts) {
--- a/src/quota/internal.h
+++ b/src/quota/internal.h
@@ -43,6 +43,11 @@
                                    const Account& aAccount,
                                    Micros aNow) noexcept;
 
+/// \brief Requests admitted that the totals do not contain yet.
+[[nodiscard]] std::uint32_t Unheard(const State& aState,
+                                    Micros aNow,
+                                    const Account& aAccount) noexcept;
+
 // --- quota.cpp
 void RecordChange(State& aState,
                   Micros aNow,
@@ -61,6 +66,11 @@
 [[nodiscard]] std::size_t HostCountAt(const State& aState,
                                       Micros aNow) noexcept;
 void RecordTold(const State& aState, std::uint64_t aKey, Account& aAccount);
+/// \brief True if a host that hears no totals may admit one more request.
+[[nodiscard]] bool FitsOwnPart(const State& aState,
+                               Micros aNow,
+                               std::uint64_t aKey,
+                               const Account& aAccount);
 void UpdatePlan(const State& aState,
                 Micros aNow,
                 std::uint64_t aKey,
--- a/src/quota/plan.cpp
+++ b/src/quota/plan.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <limits>
 
 // What the totals allow a host. They are some tenths of a second old, and tell
 // what was, so a plan has three bounds: the share of the offered requests that
@@ -39,8 +40,8 @@
 /// Requests in a second, relative to what came before, that are no surge.
 constexpr double kUsualFactor = 2;
 /// The part of the room that hosts may use which hear nothing more; the rest
-/// has been used by some before they knew.
-constexpr double kSilentRoom = 0.3;
+/// is for those that used more than their part before they knew.
+constexpr double kSilentRoom = 0.6;
 /// Totals that cover this much less than the ones before are doubted for a
 /// while: a new leader hears the hosts one after the other.
 constexpr double kLessCover = 0.5;
@@ -69,6 +70,13 @@
          aSlack * aSettings.mSlack;
 }
 
+// Limits may be larger than any count.
+std::uint32_t InCount(double aRequests) noexcept
+{
+  constexpr double kMost = std::numeric_limits<std::uint32_t>::max();
+  return static_cast<std::uint32_t>(std::clamp(aRequests, 0.0, kMost));
+}
+
 Told ToldOf(const State& aState, std::uint64_t aKey, const Limit& aLimit)
 {
   const auto& table = aState.mTotals.mSum.mTable;
@@ -79,6 +87,13 @@
              counts[kOffered] / Seconds(kRecent),
              counts[kSent] / Seconds(kRecent) };
   }
+  if (aState.mTotals.mIsPart) {
+    return {};
+  }
+  // A part is told with all its keys.
+  if (aState.mTotals.mIsPart) {
+    return {};
+  }
   const double used = kAssumedLoad * Target(aState.mSettings, aLimit);
   const double perSecond = used / Seconds(aState.mSettings.mWindow);
   return { used, perSecond, perSecond };
@@ -97,18 +112,27 @@
   return hosts <= 0 ? 0 : std::min(1.0, aState.mTotals.mSum.mHosts / hosts);
 }
 
-// Requests sent in the last window by hosts that may be gone by now.
-double RememberedUse(const State& aState, const Account& aAccount) noexcept
+// Requests of all hosts in a period, by the rates that were told.
+double SentBetween(const Account& aAccount,
+                   Micros aFrom,
+                   Micros aUntil) noexcept
 {
-  const Micros from = aState.mTotals.mToldAt - aState.mSettings.mWindow;
-  double used = 0;
+  double sent = 0;
   for (std::size_t i = 1; i < aAccount.mTold.size(); ++i) {
     const ToldRate& told = aAccount.mTold[i];
-    const Micros since = std::max(from, aAccount.mTold[i - 1].mAt);
-    const Micros gap = std::min(told.mAt - since, kSilentAfter);
-    used += told.mSent * Seconds(std::max<Micros>(0, gap));
+    const Micros since = std::max(aFrom, aAccount.mTold[i - 1].mAt);
+    const Micros gap =
+      std::min(std::min(told.mAt, aUntil) - since, kSilentAfter);
+    sent += told.mSent * Seconds(std::max<Micros>(0, gap));
   }
-  return used;
+  return sent;
+}
+
+// Requests sent in the last window by hosts that may be gone by now.
+double RememberedUse(const State& aState, const Account& aAccount) noexcept
+{
+  const Micros toldAt = aState.mTotals.mToldAt;
+  return SentBetween(aAccount, toldAt - aState.mSettings.mWindow, toldAt);
 }
 
 // Requests per second that leave the window about now.
@@ -148,8 +172,10 @@
     return 0;
   }
   // A host that has just started knows few others yet.
-  std::size_t hosts = std::max<std::size_t>(aState.mMembers.mDigests.size(),
-                                            aState.mTotals.mSum.mHosts);
+  const rollup::Totals& totals = aState.mTotals;
+  const std::size_t told =
+    totals.mSum.mHosts + (totals.mIsPart ? totals.mSilent : 0);
+  std::size_t hosts = std::max(aState.mMembers.mDigests.size(), told);
   for (const HostCount& count : aState.mHostCounts) {
     hosts = aNow < count.mUntil ? std::max(hosts, count.mHosts) : hosts;
   }
@@ -188,7 +214,7 @@
       0.0,
       most - aAccount.mLimit.mPerSecond * Seconds(aState.mSettings.mWindow));
   }
-  history.push_back({ at, static_cast<std::uint32_t>(told.mSent) });
+  history.push_back({ at, InCount(told.mSent) });
   const Micros from = at - aState.mSettings.mWindow;
   history.erase(
     history.begin(),
@@ -308,36 +334,79 @@
                                           std::max(1.0, aUse.mLeaving));
 }
 
-// Its use as far as the bound has room for the use of all, and an equal part of
-// what is left; in whole requests, so that small parts are not lost. Hosts that
-// used more than an equal part may not go on, since the others leave only equal
-// parts to those that are silent.
-std::uint32_t OwnPart(const State& aState,
-                      Micros aNow,
-                      std::uint64_t aKey,
-                      const Account& aAccount,
-                      double aUsed,
-                      double aLeft)
+// Requests of all hosts that the totals contain and that have left the window
+// since.
+double GoneSince(const State& aState,
+                 Micros aNow,
+                 const Account& aAccount,
+                 double aKnown)
 {
-  const auto hosts = static_cast<double>(HostCountAt(aState, aNow));
-  if (hosts <= 0) {
-    return 0;
+  const Micros toldAt = aState.mTotals.mToldAt;
+  const Micros until = aNow - aState.mSettings.mWindow;
+  if (until >= toldAt) {
+    return aKnown;
   }
-  const double kept =
-    aLeft < 0 ? std::max(0.0, 1 + aLeft / std::max(1.0, aUsed)) : 1;
-  const double part = kept * OwnUse(aState, aAccount, aNow) +
-                      kSilentRoom * std::max(0.0, aLeft) / hosts;
+  const Micros from = toldAt - aState.mSettings.mWindow;
+  return std::min(aKnown, SentBetween(aAccount, from, until));
+}
+
+// What this host may send that the totals do not contain: an equal part of the
+// room that they leave, and of what has left the window since.
+double NewPart(const State& aState,
+               Micros aNow,
+               std::uint64_t aKey,
+               const Account& aAccount)
+{
+  const Settings& settings = aState.mSettings;
+  const Micros toldAt = aState.mTotals.mToldAt;
+  const double cover = Cover(aState, toldAt);
+  const Told told = ToldOf(aState, aKey, aAccount.mLimit);
+  const double known = JudgeUse(aState, toldAt, aAccount, told, cover).mKnown;
+  const double room = cover * Bound(settings, aAccount.mLimit) - known;
+  // By then what hosts sent before they knew has left the window.
+  const bool isPast = aNow - toldAt >= settings.mWindow + kSilentAfter;
+  const double kept = isPast || room < 0 ? 1 : kSilentRoom;
+  return kept * room + GoneSince(aState, aNow, aAccount, known);
+}
+
+// What others leave to a host that they do not hear, whatever it used before.
+std::uint32_t EqualPart(const State& aState, Micros aNow, const Limit& aLimit)
+{
+  const auto hosts = static_cast<double>(HostCountAt(aState, aNow));
+  return hosts <= 0
+           ? 0
+           : InCount(std::ceil(Bound(aState.mSettings, aLimit) / hosts));
+}
+
+// Small parts are not lost: as many hosts get a whole request.
+double InWholes(const State& aState, std::uint64_t aKey, double aPart)
+{
+  const double whole = std::floor(aPart);
+  const double hosts = static_cast<double>(aState.mMembers.mDigests.size());
   const auto rank =
     static_cast<double>(rate_share::RankOf(aState.mMembers, aKey));
-  const double whole =
-    std::floor(part) + (rank < (part - std::floor(part)) * hosts ? 1 : 0);
-  const double equal =
-    std::ceil(Bound(aState.mSettings, aAccount.mLimit) / hosts);
-  return static_cast<std::uint32_t>(std::min(whole, equal));
+  return rank < (aPart - whole) * hosts ? whole + 1 : whole;
 }
 
 } // namespace
 
+bool FitsOwnPart(const State& aState,
+                 Micros aNow,
+                 std::uint64_t aKey,
+                 const Account& aAccount)
+{
+  const auto hosts = static_cast<double>(HostCountAt(aState, aNow));
+  const double covered = Cover(aState, aNow) * hosts;
+  if (covered <= 0) {
+    return false;
+  }
+  const double equal = Bound(aState.mSettings, aAccount.mLimit) / hosts;
+  const double part =
+    std::min(equal, NewPart(aState, aNow, aKey, aAccount) / covered);
+  return OwnUse(aState, aAccount, aNow) < aAccount.mPlan.mOwnPart &&
+         Unheard(aState, aNow, aAccount) < InWholes(aState, aKey, part);
+}
+
 void UpdatePlan(const State& aState,
                 Micros aNow,
                 std::uint64_t aKey,
@@ -364,10 +433,7 @@
       std::min(plan.mMost, std::max(kMinUnheard, kOverlap * plan.mExpected));
   }
   plan.mUsual = std::max(1.0, kUsualFactor * demand.mPerSecond);
-  // What is sent until hosts find out that nothing more comes counts, too.
-  const double soon = std::min(admitted, told.mOffered) * Seconds(kSilentAfter);
-  const double left = room - std::max(0.0, use.mNow - use.mKnown) - soon;
-  plan.mOwnPart = OwnPart(aState, aNow, aKey, aAccount, use.mNow, left);
+  plan.mOwnPart = EqualPart(aState, aNow, aAccount.mLimit);
   plan.mRoomIn = RoomIn(aState, aAccount, use, cover);
 }
 
--- a/src/quota/quota.cpp
+++ b/src/quota/quota.cpp
@@ -57,17 +57,13 @@
   return account;
 }
 
-bool FitsOwnPart(const State& aState, const Account& aAccount, Micros aNow)
+bool FitsAlone(const State& aState,
+               Micros aNow,
+               std::uint64_t aKey,
+               const Account& aAccount)
 {
   const bool remembers = aNow - aState.mStartedAt >= aState.mSettings.mWindow;
-  return remembers && OwnUse(aState, aAccount, aNow) < aAccount.mPlan.mOwnPart;
-}
-
-// Requests that the totals do not contain yet.
-std::uint32_t Unheard(const State& aState, const Account& aAccount) noexcept
-{
-  const Micros from = aState.mTotals.mToldAt - kReportDelay;
-  return aAccount.mWaiting + SentSince(aAccount, from);
+  return remembers && FitsOwnPart(aState, aNow, aKey, aAccount);
 }
 
 // Totals that are late may be the last ones for a while.
@@ -76,7 +72,7 @@
   const bool late = aNow - aState.mTotals.mToldAt > kLateAfter;
   const Plan& plan = aAccount.mPlan;
   const double most = late ? std::min(plan.mMost, plan.mUsual) : plan.mMost;
-  return Unheard(aState, aAccount) + 1 <= most;
+  return Unheard(aState, aNow, aAccount) + 1 <= most;
 }
 
 bool FitsPlan(const State& aState,
@@ -159,7 +155,7 @@
   ++SliceAt(account, aNow).mOffered;
   const bool inTouch = IsInTouch(aState, aNow);
   const bool fits = inTouch ? FitsPlan(aState, account, aNow, aIsReturn)
-                            : FitsOwnPart(aState, account, aNow);
+                            : FitsAlone(aState, aNow, aAccount, account);
   if (fits) {
     ++account.mWaiting;
     ++aState.mCounters.mAdmitted;
@@ -216,7 +212,7 @@
   const bool fits =
     IsInTouch(aState, aNow)
       ? account.mPlan.mFraction >= 1 && FitsRoom(aState, account, aNow)
-      : FitsOwnPart(aState, account, aNow);
+      : FitsAlone(aState, aNow, aAccount, account);
   aState.mCounters.mExtraDenied += fits ? 0 : 1;
   return fits;
 }
--- a/src/rollup/rollup.cpp
+++ b/src/rollup/rollup.cpp
@@ -29,6 +29,12 @@
 /// A frozen host may wake after this long; what waited for it meanwhile must
 /// not look new.
 constexpr Micros kForgetTime = 60 * kSecond;
+/// Totals of this age are missing: the leader tells them while a quorum has
+/// answered within this time, and they come at kPace.
+constexpr Micros kMissingAge = 500 * kMillisecond;
+/// Words of a control host alone are further apart than this; the same word
+/// that comes twice is not.
+constexpr Micros kLeastWordGap = 20 * kMillisecond;
 /// Levels of the tallest tree: three of relays, the control hosts, the leader,
 /// and some while hosts move.
 constexpr std::uint32_t kMaxHeight = 8;
@@ -253,6 +259,34 @@
   return true;
 }
 
+bool LacksTotals(const State& aState, Micros aNow) noexcept
+{
+  return aState.mTotals && aNow - aState.mTotals->mToldAt > kMissingAge;
+}
+
+Totals MakePartTotals(Micros aNow, Sum aSum, std::uint32_t aKnownHosts)
+{
+  Totals totals;
+  totals.mSum = std::move(aSum);
+  totals.mToldAt = aNow;
+  totals.mSilent = aKnownHosts - std::min(aKnownHosts, totals.mSum.mHosts);
+  totals.mIsPart = true;
+  return totals;
+}
+
+bool TakePartTotals(State& aState, Micros aNow, Totals aTotals)
+{
+  const bool isOld =
+    aState.mPartTotals &&
+    aTotals.mToldAt < aState.mPartTotals->mToldAt + kLeastWordGap;
+  const bool hasTotals = aState.mTotals && !LacksTotals(aState, aNow);
+  if (isOld || hasTotals) {
+    return false;
+  }
+  aState.mPartTotals = std::move(aTotals);
+  return true;
+}
+
 Micros NextLook(const State& aState) noexcept
 {
   return IsActive(aState) ? aState.mLookAt : std::numeric_limits<Micros>::max();
--- a/tests/quota_fleet_test.cpp
+++ b/tests/quota_fleet_test.cpp
@@ -170,6 +170,10 @@
       host.mTotalsUsed = totals->mStamp;
       SetTotals(host.mState, now, *totals);
     }
+    const rollup::Totals* part = fleet::NewestPartTotals(fleet);
+    if (part != nullptr && part->mToldAt > host.mState.mTotals.mToldAt) {
+      SetTotals(host.mState, now, *part);
+    }
   }
 
   void AskNew(std::size_t aCustomer)
