--- a/src/fleet/counts.cpp
+++ b/src/fleet/counts.cpp
@@ -20,8 +20,9 @@
 constexpr Micros kMissingAge = 1 * kSecond;
 
 // Other voters report to the leader alone. A host above this one cannot be
-// below it.
-bool IsReporter(const State& aState, const std::string& aAddress)
+// below it. Hosts that are out of touch do not say any more whom they follow,
+// but report their counts to their last upstream.
+bool IsReporter(const State& aState, Micros aNow, const std::string& aAddress)
 {
   if (consensus::IsLeader(aState.mGroup) &&
       IsControlAddress(aState, aAddress)) {
@@ -31,14 +32,17 @@
   const bool isAbove =
     !HasVote(aState) && (aAddress == aState.mUpstream ||
                          std::count(route.begin(), route.end(), aAddress) != 0);
-  return !isAbove && aState.mFollowers.count(aAddress) != 0;
+  const bool mayBeOutOfTouch =
+    rollup::LacksTotals(aState.mCounts.mRollup, aNow);
+  return !isAbove &&
+         (mayBeOutOfTouch || aState.mFollowers.count(aAddress) != 0);
 }
 
 rollup::Report OwnCounts(const State& aState, Micros aNow)
 {
   rollup::Report report = rollup::MakeReport(
     aState.mCounts.mRollup, aNow, [&](const std::string& aAddress) {
-      return IsReporter(aState, aAddress);
+      return IsReporter(aState, aNow, aAddress);
     });
   report.mIncarnation = aState.mSettings.mIncarnation;
   return report;
@@ -90,9 +94,10 @@
 }
 
 // Other control hosts tell their own part, so that no host is in two.
-bool IsInPart(const State& aState, const std::string& aAddress)
+bool IsInPart(const State& aState, Micros aNow, const std::string& aAddress)
 {
-  return IsReporter(aState, aAddress) && !IsControlAddress(aState, aAddress);
+  return IsReporter(aState, aNow, aAddress) &&
+         !IsControlAddress(aState, aAddress);
 }
 
 // Hosts that stopped in order count nothing any more.
@@ -115,7 +120,7 @@
   word.set_age_ms(static_cast<std::uint32_t>(age / kMillisecond));
   const auto isReader = aTotals.mIsPart ? IsInPart : IsReporter;
   for (const auto& [address, part] : aState.mCounts.mRollup.mParts) {
-    if (!rollup::IsHeard(part, aNow) || !isReader(aState, address)) {
+    if (!rollup::IsHeard(part, aNow) || !isReader(aState, aNow, address)) {
       continue;
     }
     word.set_written_at(static_cast<std::uint64_t>(aNow - part.mClockGap));
@@ -154,7 +159,7 @@
   }
   rollup::Report sum =
     rollup::MakeReport(rollup, aNow, [&](const std::string& aAddress) {
-      return IsInPart(aState, aAddress);
+      return IsInPart(aState, aNow, aAddress);
     });
   const bool isIdle = sum.mSum.mTable.empty();
   const std::uint32_t hosts =
