Take counts back from the upstream that is left, and doubt no part

A host that moved was in two sums until the old upstream had not heard it for 1.2 s; it now tells the old one that it counts nothing there. Totals of a part are taken at once, since they say what they cover; only those of a new leader that cover little are doubted.

New: RollupTest, totals of a part; FleetCountsTest, parts of a group cut in halves: each host hears of its part, and no host is in two for longer than a move takes.

--- a/src/fleet/counts.cpp
+++ b/src/fleet/counts.cpp
@@ -173,6 +173,18 @@
   rollup::MarkSent(rollup, aNow, isIdle);
 }
 
+// The host that was reported to before would count this one for a while.
+void TakeBackCounts(State& aState, Micros aNow, Output& aOut)
+{
+  rollup::Report nothing;
+  nothing.mIncarnation = aState.mSettings.mIncarnation;
+  nothing.mSequence = aState.mCounts.mRollup.mSequence + 1;
+  nothing.mSentAt = aNow;
+  wire::FleetMessage message;
+  *message.mutable_counts() = ToWire(nothing);
+  SendTo(aState, aState.mCounts.mReportedTo, std::move(message), aOut);
+}
+
 void ReportCounts(State& aState,
                   Micros aNow,
                   const std::string& aTo,
@@ -182,6 +194,10 @@
   if (aTo.empty() || aTo == aState.mSettings.mPeerAddress) {
     return;
   }
+  const std::string& last = aState.mCounts.mReportedTo;
+  if (!last.empty() && last != aTo) {
+    TakeBackCounts(aState, aNow, aOut);
+  }
   const rollup::Report report = OwnCounts(aState, aNow);
   wire::FleetMessage message;
   *message.mutable_counts() = ToWire(report);
--- a/src/quota/plan.cpp
+++ b/src/quota/plan.cpp
@@ -443,7 +443,8 @@
   if (aTotals.mToldAt <= last.mToldAt) {
     return;
   }
-  const bool coversLess = aTotals.mSum.mHosts < kLessCover * last.mSum.mHosts;
+  const bool coversLess =
+    !aTotals.mIsPart && aTotals.mSum.mHosts < kLessCover * last.mSum.mHosts;
   if (coversLess && aNow - last.mToldAt < kDoubtFor) {
     ++aState.mCounters.mTotalsDoubted;
     return;
--- a/tests/fleet_counts_test.cpp
+++ b/tests/fleet_counts_test.cpp
@@ -51,6 +51,7 @@
   CPPUNIT_TEST(TotalsAreBackAfterTheLeaderIsKilled);
   CPPUNIT_TEST(FrozenLeaderIsNotBelievedWhenItWakes);
   CPPUNIT_TEST(GroupCutInHalvesTellsOneWord);
+  CPPUNIT_TEST(PartsOfAGroupCutInHalvesHoldEachHostOnce);
   CPPUNIT_TEST(HalfOfTheHostsKilledAndBackAreCounted);
   CPPUNIT_TEST(HostsBehindKilledRelaysAreCountedAgain);
   CPPUNIT_TEST(WordsThatWaitedForAFrozenHostAreAsOldAsTheyAre);
@@ -169,6 +170,31 @@
     });
   }
 
+  void PartsOfAGroupCutInHalvesHoldEachHostOnce()
+  {
+    // Of two data centres each; the third number of an address is its own.
+    const auto isFirst = [](const std::string& aAddress) {
+      return aAddress.at(5) == '0' || aAddress.at(5) == '1';
+    };
+    ForEachSeed([&] {
+      mSimulation.mShouldDrop = [&](const fakes::SentMessage& aSent) {
+        Record(aSent);
+        return isFirst(aSent.mFrom) != isFirst(aSent.mTo);
+      };
+      RunWith(2 * kSecond, [] {});
+      Micros onceAt = mSimulation.mNow;
+      RunWith(4 * kSecond, [&] {
+        ExpectParts();
+        onceAt = HostsInParts() <= kHosts ? mSimulation.mNow : onceAt;
+        CPPUNIT_ASSERT_MESSAGE(Label("parts"),
+                               mSimulation.mNow - onceAt < kDoubleCounting);
+      });
+      RecordWords();
+      ExpectFreshAgainAfterLeader();
+      ExpectCount(kHosts);
+    });
+  }
+
   void HalfOfTheHostsKilledAndBackAreCounted()
   {
     ForEachSeed([&] {
@@ -265,6 +291,30 @@
   }
 
 private:
+  // All hosts hear of their part, which says how many there are in all.
+  void ExpectParts() const
+  {
+    for (const std::string& address : mSimulation.Addresses()) {
+      const rollup::Totals* part =
+        NewestPartTotals(mSimulation.At(address).mState);
+      CPPUNIT_ASSERT_MESSAGE(Label(address), part != nullptr);
+      CPPUNIT_ASSERT_MESSAGE(Label(address),
+                             mSimulation.mNow - part->mToldAt < kFresh);
+      CPPUNIT_ASSERT_EQUAL(kHosts, part->mSum.mHosts + part->mSilent);
+    }
+  }
+
+  std::uint32_t HostsInParts() const
+  {
+    std::uint32_t hosts = 0;
+    for (const std::string& address : mSimulation.Addresses()) {
+      hosts += mSimulation.IsControl(address)
+                 ? NewestPartTotals(mSimulation.At(address).mState)->mSum.mHosts
+                 : 0;
+    }
+    return hosts;
+  }
+
   void Begin(std::uint64_t aSeed)
   {
     mSimulation = FleetSimulation(aSeed);
--- a/tests/rollup_test.cpp
+++ b/tests/rollup_test.cpp
@@ -66,6 +66,7 @@
   CPPUNIT_TEST(CycleIsRefused);
   CPPUNIT_TEST(SumStaysAtTheHighestNumber);
   CPPUNIT_TEST(OlderTotalsNeverReplaceNewerOnes);
+  CPPUNIT_TEST(TotalsOfAPartAreTakenWhileThoseOfAllAreMissing);
   CPPUNIT_TEST(TotalsHoldWhatIsSelectedAndTheSilent);
   CPPUNIT_TEST(NothingIsDueWhereNothingIsCounted);
   CPPUNIT_TEST(ReportsKeepThePace);
@@ -188,6 +189,27 @@
     CPPUNIT_ASSERT(TakeTotals(mState, TotalsOf(4, 1)));
   }
 
+  void TotalsOfAPartAreTakenWhileThoseOfAllAreMissing()
+  {
+    const auto take = [&](Micros aToldAt, Micros aNow) {
+      return TakePartTotals(
+        mState, aNow, MakePartTotals(aToldAt, { Counting(3), 35 }, 141));
+    };
+    Totals all = TotalsOf(1, 1);
+    all.mToldAt = kStart;
+    CPPUNIT_ASSERT(!LacksTotals(mState, kStart) && TakeTotals(mState, all));
+    const Micros soon = kStart + 400 * kMillisecond;
+    CPPUNIT_ASSERT(!take(soon, soon));
+    const Micros later = kStart + kSecond;
+    CPPUNIT_ASSERT(LacksTotals(mState, later) && take(later, later));
+    // The same word once more, and an older one.
+    CPPUNIT_ASSERT(!take(later + kMillisecond, later + kMillisecond));
+    CPPUNIT_ASSERT(!take(later - kMillisecond, later + kMillisecond));
+    CPPUNIT_ASSERT(mState.mPartTotals->mIsPart);
+    CPPUNIT_ASSERT_EQUAL(106U, mState.mPartTotals->mSilent);
+    CPPUNIT_ASSERT(mState.mTotals->mStamp.mTerm == 1);
+  }
+
   void TotalsHoldWhatIsSelectedAndTheSilent()
   {
     mState.mSelection = [](const Key&, const Counts& aCounts) {
