--- a/src/fleet/counts.cpp
+++ b/src/fleet/counts.cpp
@@ -3,7 +3,8 @@
 #include <algorithm>
 
 // Messages with counts: reports go up the tree to the leader, totals come down.
-// Totals are sent only to hosts that report.
+// Totals are sent only to hosts that report. While no leader sends any, each
+// control host tells those that follow it what they do together.
 namespace geraniumpond::fleet {
 
 namespace {
@@ -20,8 +21,9 @@
 constexpr Micros kMissingAge = 1 * kSecond;
 
 // Other voters report to the leader alone. A host above this one cannot be
-// below it.
-bool IsReporter(const State& aState, const std::string& aAddress)
+// below it. Hosts that are out of touch do not say any more whom they follow,
+// but report their counts to their last upstream.
+bool IsReporter(const State& aState, Micros aNow, const std::string& aAddress)
 {
   if (consensus::IsLeader(aState.mGroup) &&
       IsControlAddress(aState, aAddress)) {
@@ -31,14 +33,17 @@
   const bool isAbove =
     !HasVote(aState) && (aAddress == aState.mUpstream ||
                          std::count(route.begin(), route.end(), aAddress) != 0);
-  return !isAbove && aState.mFollowers.count(aAddress) != 0;
+  const bool mayBeOutOfTouch =
+    rollup::LacksTotals(aState.mCounts.mRollup, aNow);
+  return !isAbove &&
+         (mayBeOutOfTouch || aState.mFollowers.count(aAddress) != 0);
 }
 
 rollup::Report OwnCounts(const State& aState, Micros aNow)
 {
   rollup::Report report = rollup::MakeReport(
     aState.mCounts.mRollup, aNow, [&](const std::string& aAddress) {
-      return IsReporter(aState, aAddress);
+      return IsReporter(aState, aNow, aAddress);
     });
   report.mIncarnation = aState.mSettings.mIncarnation;
   return report;
@@ -89,6 +94,13 @@
                    HaveVotersReported(aState));
 }
 
+// Other control hosts tell their own part, so that no host is in two.
+bool IsInPart(const State& aState, Micros aNow, const std::string& aAddress)
+{
+  return IsReporter(aState, aNow, aAddress) &&
+         !IsControlAddress(aState, aAddress);
+}
+
 // Hosts that were stopped gracefully count nothing any more.
 std::uint32_t KnownHosts(const State& aState)
 {
@@ -99,21 +111,23 @@
   return static_cast<std::uint32_t>(known);
 }
 
-void SendTotals(State& aState, Micros aNow, Output& aOut)
+void SendTotals(State& aState,
+                Micros aNow,
+                const rollup::Totals& aTotals,
+                Output& aOut)
 {
-  const rollup::State& rollup = aState.mCounts.mRollup;
-  const rollup::Totals& totals = *rollup.mTotals;
-  wire::CountsTotals stated = ToWire(totals);
-  const Micros age = aNow - totals.mToldAt + kMillisecond - 1;
+  wire::CountsTotals stated = ToWire(aTotals);
+  const Micros age = aNow - aTotals.mToldAt + kMillisecond - 1;
   stated.set_age_ms(static_cast<std::uint32_t>(age / kMillisecond));
-  for (const auto& [address, part] : rollup.mParts) {
-    if (!rollup::IsHeard(part, aNow) || !IsReporter(aState, address)) {
+  const auto isReader = aTotals.mIsPart ? IsInPart : IsReporter;
+  for (const auto& [address, part] : aState.mCounts.mRollup.mParts) {
+    if (!rollup::IsHeard(part, aNow) || !isReader(aState, aNow, address)) {
       continue;
     }
+    stated.set_written_at(static_cast<std::uint64_t>(aNow - part.mClockGap));
     wire::FleetMessage message;
-    *message.mutable_totals() = stated;
-    message.mutable_totals()->set_written_at(
-      static_cast<std::uint64_t>(aNow - part.mClockGap));
+    *(aTotals.mIsPart ? message.mutable_part_totals()
+                      : message.mutable_totals()) = stated;
     SendTo(aState, address, std::move(message), aOut);
   }
 }
@@ -131,11 +145,47 @@
         rollup,
         rollup::MakeTotals(
           rollup, aNow, std::move(sum.mSum), KnownHosts(aState), stamp))) {
-    SendTotals(aState, aNow, aOut);
+    SendTotals(aState, aNow, *rollup.mTotals, aOut);
+  }
+  rollup::MarkSent(rollup, aNow, isIdle);
+}
+
+// Where no totals of all hosts have been, nobody can tell how much of them this
+// part is.
+void TellPartTotals(State& aState, Micros aNow, Output& aOut)
+{
+  rollup::State& rollup = aState.mCounts.mRollup;
+  if (!HasVote(aState) || !rollup::LacksTotals(rollup, aNow)) {
+    return;
+  }
+  rollup::Report sum =
+    rollup::MakeReport(rollup, aNow, [&](const std::string& aAddress) {
+      return IsInPart(aState, aNow, aAddress);
+    });
+  const bool isIdle = sum.mSum.mTable.empty();
+  const std::uint32_t hosts =
+    std::max(KnownHosts(aState), rollup.mTotals->mSum.mHosts);
+  if (rollup::TakePartTotals(
+        rollup,
+        aNow,
+        rollup::MakePartTotals(aNow, std::move(sum.mSum), hosts))) {
+    SendTotals(aState, aNow, *rollup.mPartTotals, aOut);
   }
   rollup::MarkSent(rollup, aNow, isIdle);
 }
 
+// The host that was reported to before would count this one for a while.
+void TakeBackCounts(State& aState, Micros aNow, Output& aOut)
+{
+  rollup::Report nothing;
+  nothing.mIncarnation = aState.mSettings.mIncarnation;
+  nothing.mSequence = aState.mCounts.mRollup.mSequence + 1;
+  nothing.mSentAt = aNow;
+  wire::FleetMessage message;
+  *message.mutable_counts() = ToWire(nothing);
+  SendTo(aState, aState.mCounts.mReportedTo, std::move(message), aOut);
+}
+
 void ReportCounts(State& aState,
                   Micros aNow,
                   const std::string& aTo,
@@ -145,6 +195,10 @@
   if (aTo.empty() || aTo == aState.mSettings.mPeerAddress) {
     return;
   }
+  const std::string& last = aState.mCounts.mReportedTo;
+  if (!last.empty() && last != aTo) {
+    TakeBackCounts(aState, aNow, aOut);
+  }
   const rollup::Report report = OwnCounts(aState, aNow);
   wire::FleetMessage message;
   *message.mutable_counts() = ToWire(report);
@@ -153,6 +207,18 @@
   aState.mCounts.mReportedTo = aTo;
 }
 
+std::optional<rollup::Totals> ReadTotals(Micros aNow,
+                                         const wire::CountsTotals& aMessage)
+{
+  std::optional<rollup::Totals> totals = FromWire(aMessage);
+  if (totals) {
+    const auto writtenAt = static_cast<Micros>(aMessage.written_at());
+    totals->mToldAt = std::min(aNow, writtenAt) -
+                      static_cast<Micros>(aMessage.age_ms()) * kMillisecond;
+  }
+  return totals;
+}
+
 void LogMissing(State& aState, Micros aNow, Output& aOut)
 {
   CountsState& counts = aState.mCounts;
@@ -193,6 +259,9 @@
     ConfirmLeadership(aState, aNow);
   }
   const bool isDue = rollup::IsDue(rollup, aNow);
+  if (isDue) {
+    TellPartTotals(aState, aNow, aOut);
+  }
   if (leads && isDue) {
     TellTotals(aState, aNow, aOut);
   } else if (!leads && (isDue || to != aState.mCounts.mReportedTo)) {
@@ -216,15 +285,28 @@
                   const wire::CountsTotals& aMessage,
                   Output& aOut)
 {
-  std::optional<rollup::Totals> totals = FromWire(aMessage);
-  if (!totals) {
+  std::optional<rollup::Totals> totals = ReadTotals(aNow, aMessage);
+  rollup::State& rollup = aState.mCounts.mRollup;
+  if (totals && rollup::TakeTotals(rollup, std::move(*totals))) {
+    SendTotals(aState, aNow, *rollup.mTotals, aOut);
+  }
+}
+
+// A host reports to its upstream only, and is in the part of that one.
+void HandlePartTotals(State& aState,
+                      Micros aNow,
+                      const std::string& aFrom,
+                      const wire::CountsTotals& aMessage,
+                      Output& aOut)
+{
+  std::optional<rollup::Totals> totals = ReadTotals(aNow, aMessage);
+  if (!totals || HasVote(aState) || aFrom != aState.mUpstream) {
     return;
   }
-  const auto writtenAt = static_cast<Micros>(aMessage.written_at());
-  totals->mToldAt = std::min(aNow, writtenAt) -
-                    static_cast<Micros>(aMessage.age_ms()) * kMillisecond;
-  if (rollup::TakeTotals(aState.mCounts.mRollup, std::move(*totals))) {
-    SendTotals(aState, aNow, aOut);
+  totals->mIsPart = true;
+  rollup::State& rollup = aState.mCounts.mRollup;
+  if (rollup::TakePartTotals(rollup, aNow, std::move(*totals))) {
+    SendTotals(aState, aNow, *rollup.mPartTotals, aOut);
   }
 }
 
@@ -268,4 +350,10 @@
   return totals ? &*totals : nullptr;
 }
 
+const rollup::Totals* NewestPartTotals(const State& aState) noexcept
+{
+  const auto& totals = aState.mCounts.mRollup.mPartTotals;
+  return totals ? &*totals : nullptr;
+}
+
 } // namespace geraniumpond::fleet
