Scale the assumed use in a started host's first window only, and test a loss of all hosts

The scale is for totals that cover few hosts right after a start. After a host's first window the two sides of a cut group do as before.

--- a/src/quota/plan.cpp
+++ b/src/quota/plan.cpp
@@ -76,9 +76,16 @@
   return hosts <= 0 ? 0 : std::min(1.0, aState.mTotals.mSum.mHosts / hosts);
 }
 
-// The totals leave out accounts with little load. The hosts that they cover are
-// taken to use their part of what is assumed: right after a loss of all hosts
-// they are few, and would be limited for what nobody has used.
+// The totals leave out accounts with little load; these are taken to use a part
+// of their limit. Right after a loss of all hosts the totals cover few hosts,
+// which have not used the part of all.
+double AssumedLoad(const State& aState) noexcept
+{
+  const Micros toldAt = aState.mTotals.mToldAt;
+  const bool hasStarted = toldAt - aState.mStartedAt < aState.mSettings.mWindow;
+  return hasStarted ? kAssumedLoad * Cover(aState, toldAt) : kAssumedLoad;
+}
+
 Told ToldOf(const State& aState, std::uint64_t aKey, const Limit& aLimit)
 {
   const auto& table = aState.mTotals.mSum.mTable;
@@ -89,8 +96,7 @@
              counts[kOffered] / Seconds(kRecent),
              counts[kSent] / Seconds(kRecent) };
   }
-  const double used = Cover(aState, aState.mTotals.mToldAt) * kAssumedLoad *
-                      Target(aState.mSettings, aLimit);
+  const double used = AssumedLoad(aState) * Target(aState.mSettings, aLimit);
   const double perSecond = used / Seconds(aState.mSettings.mWindow);
   return { used, perSecond, perSecond };
 }
--- a/tests/quota_fleet_test.cpp
+++ b/tests/quota_fleet_test.cpp
@@ -27,6 +27,11 @@
 /// it, at hosts that hear totals, which may be late or new.
 constexpr double kMaxRefused = 0.005;
 constexpr double kMaxRefusedInFault = 0.01;
+/// Refusals of the requests from one second on after all hosts were lost, when
+/// the clients of that time have come back together.
+constexpr double kMaxRefusedAfterLoss = 0.1;
+constexpr Micros kDownTime = 1 * kSecond;
+constexpr double kReturningTogether = 2;
 constexpr std::uint64_t kSeeds = 2;
 /// The largest account, and middle ones.
 constexpr std::size_t kHot[] = { 0, 3, 10 };
@@ -270,6 +275,26 @@
   aFleet.Advance(6 * kSecond);
 }
 
+// All hosts forget what they sent.
+void LoseAllHosts(LimitingFleet& aFleet)
+{
+  for (const std::string& address : aFleet.Addresses()) {
+    aFleet.Fleet().LosePower(address);
+  }
+  aFleet.Fleet().Advance(kDownTime);
+  for (const std::string& address : aFleet.Addresses()) {
+    aFleet.Fleet().Start(address, false);
+    aFleet.Begin(address);
+  }
+}
+
+void LoseAllAndGoOn(LimitingFleet& aFleet)
+{
+  aFleet.Advance(3 * kSecond);
+  LoseAllHosts(aFleet);
+  aFleet.Advance(9 * kSecond);
+}
+
 } // namespace
 
 /// \brief The limits of accounts by the sums of a simulated fleet: 141 hosts in
@@ -282,6 +307,8 @@
   CPPUNIT_TEST(BoundHoldsWhileTheLeaderIsKilled);
   CPPUNIT_TEST(BoundHoldsWhileTheGroupIsCutInHalves);
   CPPUNIT_TEST(BoundHoldsWhileHostsAreCutOff);
+  CPPUNIT_TEST(BoundHoldsWhileAllHostsAreLost);
+  CPPUNIT_TEST(ClientsThatReturnTogetherAreAdmittedAfterAllHostsWereLost);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -311,6 +338,43 @@
     Play(CutOffHosts, kMaxRefused, "cut off");
   }
 
+  // What hosts refuse while they hear no totals is not looked at here.
+  void BoundHoldsWhileAllHostsAreLost()
+  {
+    std::string failures;
+    for (const std::size_t hot : kHot) {
+      LimitingFleet fleet(1);
+      fleet.Customers()[hot].mPerSecond *= kSurge;
+      LoseAllAndGoOn(fleet);
+      for (const Customer& customer : fleet.Customers()) {
+        const double worst = fleet.Worst(customer);
+        failures += worst <= 1 ? ""
+                               : "\n" + customer.mName + " at " +
+                                   std::to_string(worst) + " of its bound";
+      }
+    }
+    CPPUNIT_ASSERT_MESSAGE(failures, failures.empty());
+  }
+
+  // Twice as much is asked in the two seconds after the start as usual, which
+  // is more than the limits' rates and less than their bursts.
+  void ClientsThatReturnTogetherAreAdmittedAfterAllHostsWereLost()
+  {
+    LimitingFleet fleet(1);
+    fleet.Advance(5 * kSecond);
+    LoseAllHosts(fleet);
+    for (Customer& customer : fleet.Customers()) {
+      customer.mPerSecond *= kReturningTogether;
+    }
+    fleet.Advance(kSecond);
+    fleet.ForgetCounts();
+    fleet.Advance(kSecond);
+    const double refused =
+      fleet.RefusedOfOthers(fleet.Customers().size(), false);
+    CPPUNIT_ASSERT_MESSAGE(std::to_string(refused),
+                           refused < kMaxRefusedAfterLoss);
+  }
+
 private:
   void Play(Fault aFault, double aMaxRefused, const std::string& aWhat)
   {
