--- a/src/quota/plan.cpp
+++ b/src/quota/plan.cpp
@@ -425,7 +425,9 @@
 
   Plan& plan = aAccount.mPlan;
   plan.mUsed = use.mNow;
-  plan.mFraction = admitted >= told.mOffered ? 1 : admitted / told.mOffered;
+  plan.mFraction = cover <= 0                  ? 0
+                   : admitted >= told.mOffered ? 1
+                                               : admitted / told.mOffered;
   plan.mExpected = admitted * demand.mShare;
   plan.mMost = std::max(kMinUnheard, weight * room);
   if (plan.mFraction < 1) {
