Mend what the review of the joined parts found, and word it plainly

- Orders that an earlier release answered "known" would give other results when its log is replayed by the new rule: an acknowledged evacuation came back or was lost.
Orders now say that they always raise the revision; others are applied by the old rule, and a replica that counted less follows (CatalogTest, two new).
- A control host could believe what others say of itself, and stay gone until it restarted; reports about the host itself are ignored.
- A leader that was replaced counted other voters' sums in its report.
- A host that acts alone after part totals took the rates of all hosts for those of its part, and so freed too much.
- Part totals queued like commands, each of them; they replace one another now.
- A voter's urgent report was sent at the usual pace after part totals.

Comments and some names are worded as a reader new to the code proposed.

--- a/include/geraniumpond/dispatch.h
+++ b/include/geraniumpond/dispatch.h
@@ -86,8 +86,8 @@
   budget::TokenBucket mProbeBudget;
   std::unordered_map<std::uint64_t, Request> mRequests;
   std::map<std::uint64_t, Unrouted> mUnrouted;
-  /// While the host starts, the time until which the first policy is expected,
-  /// and what accounts have used of their limits.
+  /// After a start: until when requests may wait for the first policy, or for
+  /// the first totals of accounts.
   Micros mPolicyExpectedUntil = 0;
   std::set<std::pair<Micros, std::uint64_t>> mTimers;
   std::set<std::pair<Micros, std::string>> mProbeTimers;
--- a/include/geraniumpond/fleet.h
+++ b/include/geraniumpond/fleet.h
@@ -490,8 +490,7 @@
 /// \brief The newest totals, whatever their age; nullptr before the first.
 [[nodiscard]] const rollup::Totals* NewestTotals(const State& aState) noexcept;
 
-/// \brief The totals of part of the hosts that were told last, while no others
-/// came; null before the first.
+/// \brief The newest part totals, whatever their age; nullptr before the first.
 [[nodiscard]] const rollup::Totals* NewestPartTotals(
   const State& aState) noexcept;
 
--- a/include/geraniumpond/quota.h
+++ b/include/geraniumpond/quota.h
@@ -16,8 +16,9 @@
 /// Each host counts what it was offered and what it sent; the totals of all
 /// hosts come back within a second. Far below the limit everything is admitted;
 /// near or beyond it all hosts admit the same fraction of what they are
-/// offered, wherever that is. A host that hears no totals acts within a fixed
-/// part of the bound, which the others leave to it.
+/// offered, wherever that is. Without a leader, the hosts that follow one
+/// control host do so within their part of the bound. A host that hears no
+/// totals at all acts alone, within a part that the others leave to it.
 ///
 /// A plain struct and free functions: no clock, thread, socket or file.
 namespace geraniumpond::quota {
@@ -56,23 +57,26 @@
   std::uint32_t mSent = 0;
 };
 
-/// \brief Requests per second sent by all hosts, as told at one time.
+/// \brief Requests per second of all hosts, in the totals of one time.
 struct ToldRate
 {
   Micros mAt = 0;
   std::uint32_t mSent = 0;
+  /// Hosts that the totals covered.
+  std::uint32_t mHosts = 0;
 };
 
-/// \brief What a host does with an account's requests until it hears more.
+/// \brief What a host does with an account's requests until the next totals
+/// arrive.
 struct Plan
 {
   /// Share of the requests offered that is admitted.
   double mFraction = 1;
-  /// Requests that this host may admit without the totals knowing of them.
+  /// Requests that it may admit that are not yet in the totals.
   double mMost = 0;
   /// The same while totals are late.
   double mUsual = 0;
-  /// Requests per window when no more totals come.
+  /// While this host acts alone: upper bound of its requests in a window.
   std::uint32_t mOwnPart = 0;
   /// Requests per second that this host is expected to admit.
   double mExpected = 0;
@@ -169,7 +173,7 @@
 /// \brief Sets the hosts that may send requests.
 void SetHosts(State& aState, Micros aNow, rate_share::Members aHosts);
 
-/// \brief Takes the totals that the leader has told; older ones are dropped.
+/// \brief Takes totals of all hosts, or of a part; older ones are dropped.
 void SetTotals(State& aState, Micros aNow, rollup::Totals aTotals);
 
 /// \brief Adds what this host tells of its accounts.
--- a/include/geraniumpond/rollup.h
+++ b/include/geraniumpond/rollup.h
@@ -83,8 +83,8 @@
   /// Hosts that the leader knows of and that are not in the sum.
   std::uint32_t mSilent = 0;
   Stamp mStamp;
-  /// Told by a control host without a leader, for the hosts that follow it;
-  /// holds all keys, and no stamp.
+  /// True for part totals: counts of the hosts that follow one control host,
+  /// sent by it while it hears no leader. They hold all keys and have no stamp.
   bool mIsPart = false;
 };
 
@@ -157,7 +157,7 @@
   Micros mLookAt = 0;
 
   std::optional<Totals> mTotals;
-  /// The latest of a control host alone, while no others came.
+  /// The newest part totals; taken only while totals of all hosts are lacking.
   std::optional<Totals> mPartTotals;
 };
 
@@ -214,8 +214,8 @@
 /// \brief Takes totals unless newer ones are known; returns whether it did.
 [[nodiscard]] bool TakeTotals(State& aState, Totals aTotals);
 
-/// \brief True if totals of all hosts have not come for a while, but did
-/// before.
+/// \brief True if totals of all hosts came before, but none within the last
+/// half second.
 [[nodiscard]] bool LacksTotals(const State& aState, Micros aNow) noexcept;
 
 /// \brief At a control host: totals of the hosts that follow it.
--- a/src/catalog/catalog.cpp
+++ b/src/catalog/catalog.cpp
@@ -218,10 +218,26 @@
   return OutcomeOf(aState, true, later ? "a later one stays" : "removed");
 }
 
-// An order has no number of its own, so a copy that was delayed until after a
-// later order is told by the revision that its sender knew. What is in force
-// may be ordered while an earlier order to the opposite is still under way, so
-// such an order has a revision of its own too, and is compared as well.
+// Replicas may have counted differently while releases were mixed, so one that
+// is lower follows the sender.
+bool IsOutdated(const Evacuation& aKnown, const wire::SetEvacuation& aChange)
+{
+  return aChange.always_raises() ? aKnown.mRevision > aChange.base_revision()
+                                 : aKnown.mRevision != aChange.base_revision();
+}
+
+std::uint64_t NextRevision(const Evacuation& aKnown,
+                           const wire::SetEvacuation& aChange)
+{
+  return 1 +
+         (aChange.always_raises() ? aChange.base_revision() : aKnown.mRevision);
+}
+
+// Orders have no number of their own. A copy that arrives after a later order
+// is recognised by its base revision. An order for the state in force raises
+// the revision too: otherwise a delayed order for the opposite state, sent
+// before it, would still match and undo it. Logs of earlier releases hold
+// orders for which it did not; they keep the result that was acknowledged.
 wire::CatalogOutcome ApplyEvacuation(State& aState,
                                      const wire::SetEvacuation& aChange)
 {
@@ -229,16 +245,20 @@
   const bool isKnown = found != aState.mEvacuations.end();
   const Evacuation known = isKnown ? found->second : Evacuation();
   wire::CatalogOutcome outcome;
-  if (known.mRevision != aChange.base_revision()) {
+  if (!aChange.always_raises() && known.mActive == aChange.evacuated()) {
+    outcome = OutcomeOf(aState, true, "known");
+  } else if (IsOutdated(known, aChange)) {
     outcome = OutcomeOf(aState, false, "a later order is in force");
   } else if (!isKnown && aState.mEvacuations.size() >= kMaxEvacuations) {
-    // No more can be evacuated, so that there is nothing to take back.
+    // An unlisted data centre cannot be evacuated any more, so no delayed order
+    // can undo this one, and it needs no revision.
     outcome = aChange.evacuated()
                 ? OutcomeOf(aState, false, "too many data centres")
                 : OutcomeOf(aState, true, "known");
   } else {
-    aState.mEvacuations[aChange.data_centre()] = { aChange.evacuated(),
-                                                   known.mRevision + 1 };
+    aState.mEvacuations[aChange.data_centre()] = {
+      aChange.evacuated(), NextRevision(known, aChange)
+    };
     outcome = OutcomeOf(aState, true, "accepted");
   }
   outcome.set_evacuation_revision(
--- a/src/dispatch/internal.h
+++ b/src/dispatch/internal.h
@@ -298,7 +298,7 @@
 [[nodiscard]] double MeanSpeedDuration(
   const SpeedStatistics& aStatistics) noexcept;
 
-// --- unrouted.cpp: requests that arrive before the first policy
+// --- unrouted.cpp: requests that wait while a host starts
 /// \brief Queues a request until the first policy or the first totals arrive,
 /// or refuses it.
 void QueueUnrouted(State& aState,
--- a/src/dispatch/reach.cpp
+++ b/src/dispatch/reach.cpp
@@ -21,6 +21,9 @@
 /// is asked as well; and how many of them at a check.
 constexpr Micros kQuietAfter = 200 * kMillisecond;
 constexpr std::size_t kServicesAsked = 32;
+/// A service that has not answered for this much longer than another one is
+/// down itself: its silence says nothing about this host's links.
+constexpr Micros kDownAfter = 5 * kSecond;
 /// A host that handles its timers this late may find answers that it has not
 /// read yet.
 constexpr Micros kLateThreshold = 30 * kMillisecond;
@@ -58,14 +61,28 @@
     });
 }
 
-// A cut-off host asks too seldom to find a service silent in a short loss of
-// its links, so one question without an answer counts.
-bool AwaitsAnswerForLong(const State& aState, Micros aNow)
+Micros LastAnswerAt(const State& aState)
 {
+  Micros last = 0;
+  for (const auto& [name, service] : aState.mServices) {
+    last = service.mTargets.empty() ? last : std::max(last, service.mHeardAt);
+  }
+  return last;
+}
+
+// A cut-off host sends few probes. In a short outage they are too few to mark a
+// service as silent, so a single unanswered probe counts.
+bool LacksAnswers(const State& aState, Micros aNow)
+{
+  const Micros last = LastAnswerAt(aState);
   return std::any_of(
     aState.mServices.begin(), aState.mServices.end(), [&](const auto& aEntry) {
-      const Micros asked = aEntry.second.mUnansweredSince;
-      return asked != 0 && aNow - asked >= kSilentAfter;
+      const Service& service = aEntry.second;
+      const Micros asked = service.mUnansweredSince;
+      const bool isDown =
+        service.mTargets.empty() || last - service.mHeardAt >= kDownAfter;
+      return !isDown && (IsSilent(service, aNow) ||
+                         (asked != 0 && aNow - asked >= kSilentAfter));
     });
 }
 
@@ -201,8 +218,7 @@
   if (silent || reach.mCutOff) {
     AskQuietServices(aState, aNow, aOut);
   }
-  const bool isHeard =
-    !silent && !(reach.mCutOff && AwaitsAnswerForLong(aState, aNow));
+  const bool isHeard = reach.mCutOff ? !LacksAnswers(aState, aNow) : !silent;
   if (isHeard) {
     reach.mHeardSince = reach.mHeardSince == 0 ? aNow : reach.mHeardSince;
     if (reach.mCutOff && aNow - reach.mHeardSince >= kHeardAgainAfter) {
--- a/src/dispatch/unrouted.cpp
+++ b/src/dispatch/unrouted.cpp
@@ -13,15 +13,15 @@
 
 namespace {
 
-/// Share of its time that a request waits for the first policy; the rest
-/// suffices for its work, or for its client to retry.
-constexpr double kPolicyWaitShare = 0.25;
-/// Retry delay for refused clients: a starting host has its policy a few tenths
-/// of a second later.
+/// Share of its time that a request waits for the first policy or the first
+/// totals; the rest suffices for its work, or for its client to retry.
+constexpr double kStartWaitShare = 0.25;
+/// Retry delay for refused clients: a starting host has its policy and totals a
+/// few tenths of a second later.
 constexpr Micros kStartingRetryDelay = 200 * kMillisecond;
 constexpr Micros kNoPolicyRetryDelay = 500 * kMillisecond;
 
-const char* MissingYet(const State& aState) noexcept
+const char* RefusalReason(const State& aState) noexcept
 {
   return aState.mPolicy ? "no_totals_yet" : "no_policy_yet";
 }
@@ -35,12 +35,12 @@
                    Effects& aOut)
 {
   const auto share = static_cast<Micros>(
-    kPolicyWaitShare * static_cast<double>(aArrival.mPatience));
+    kStartWaitShare * static_cast<double>(aArrival.mPatience));
   const Micros giveUpAt =
     std::min(aArrivedAt + share, aState.mPolicyExpectedUntil);
   if (giveUpAt <= aNow) {
     RefuseArrival(
-      aState, aArrival, 503, kNoPolicyRetryDelay, MissingYet(aState), aOut);
+      aState, aArrival, 503, kNoPolicyRetryDelay, RefusalReason(aState), aOut);
     return;
   }
   aState.mUnrouted[aArrival.mId] = { aArrival, aArrivedAt, giveUpAt };
@@ -71,7 +71,7 @@
                   it->second.mArrival,
                   503,
                   RetryAfter(aState, kStartingRetryDelay),
-                  MissingYet(aState),
+                  RefusalReason(aState),
                   aOut);
     it = aState.mUnrouted.erase(it);
   }
--- a/src/fleet/counts.cpp
+++ b/src/fleet/counts.cpp
@@ -21,8 +21,9 @@
 constexpr Micros kMissingAge = 1 * kSecond;
 
 // Other voters report to the leader alone. A host above this one cannot be
-// below it. Hosts that are out of touch do not say any more whom they follow,
-// but report their counts to their last upstream.
+// below it. While totals are lacking, hosts may be out of touch with the
+// control group: they no longer name their upstream but still report counts to
+// the last one, so any of them that reports is accepted.
 bool IsReporter(const State& aState, Micros aNow, const std::string& aAddress)
 {
   if (consensus::IsLeader(aState.mGroup) &&
@@ -34,6 +35,7 @@
     !HasVote(aState) && (aAddress == aState.mUpstream ||
                          std::count(route.begin(), route.end(), aAddress) != 0);
   const bool mayBeOutOfTouch =
+    !IsControlAddress(aState, aAddress) &&
     rollup::LacksTotals(aState.mCounts.mRollup, aNow);
   return !isAbove &&
          (mayBeOutOfTouch || aState.mFollowers.count(aAddress) != 0);
@@ -49,8 +51,8 @@
   return report;
 }
 
-// Rounds travel with heartbeats. One that was answered shows that this host led
-// when it was opened, even if the answers waited in its sockets.
+// Leader checks travel with heartbeats. Once a quorum has answered one, this
+// host led when it was started, even if the answers waited in its sockets.
 void ConfirmLeadership(State& aState, Micros aNow)
 {
   CountsState& counts = aState.mCounts;
@@ -94,7 +96,8 @@
                    HaveVotersReported(aState));
 }
 
-// Other control hosts tell their own part, so that no host is in two.
+// Other control hosts are excluded: they send part totals of their own, and no
+// host may be in two parts.
 bool IsInPart(const State& aState, Micros aNow, const std::string& aAddress)
 {
   return IsReporter(aState, aNow, aAddress) &&
@@ -150,8 +153,8 @@
   rollup::MarkSent(rollup, aNow, isIdle);
 }
 
-// Where no totals of all hosts have been, nobody can tell how much of them this
-// part is.
+// Without earlier totals of all hosts the share of the bound that belongs to
+// this part is unknown, so nothing is sent.
 void TellPartTotals(State& aState, Micros aNow, Output& aOut)
 {
   rollup::State& rollup = aState.mCounts.mRollup;
@@ -174,7 +177,8 @@
   rollup::MarkSent(rollup, aNow, isIdle);
 }
 
-// The host that was reported to before would count this one for a while.
+// Sends empty counts to the previous upstream, whose sum would otherwise
+// contain this host until its last report expires.
 void TakeBackCounts(State& aState, Micros aNow, Output& aOut)
 {
   rollup::Report nothing;
@@ -260,7 +264,10 @@
   }
   const bool isDue = rollup::IsDue(rollup, aNow);
   if (isDue) {
+    const bool isUrgent = rollup.mUrgent;
     TellPartTotals(aState, aNow, aOut);
+    // The report to a leader is still to be sent.
+    rollup.mUrgent = isUrgent;
   }
   if (leads && isDue) {
     TellTotals(aState, aNow, aOut);
@@ -292,7 +299,8 @@
   }
 }
 
-// A host reports to its upstream only, and is in the part of that one.
+// Only the upstream's part totals contain this host, since it reports to no
+// other host; those of other hosts are ignored.
 void HandlePartTotals(State& aState,
                       Micros aNow,
                       const std::string& aFrom,
--- a/src/fleet/hosts.cpp
+++ b/src/fleet/hosts.cpp
@@ -237,6 +237,10 @@
 // gone: its time says nothing about the host.
 void MergeHost(State& aState, Host aHost)
 {
+  // Nobody knows more of this host than it does.
+  if (aHost.mPeerAddress == aState.mSettings.mPeerAddress) {
+    return;
+  }
   if (aHost.mGone) {
     MergeGone(aState, aHost);
     return;
--- a/src/fleet/inbox.cpp
+++ b/src/fleet/inbox.cpp
@@ -14,7 +14,8 @@
 
 bool HoldsCounts(const wire::FleetMessage& aMessage)
 {
-  return aMessage.has_counts() || aMessage.has_totals();
+  return aMessage.has_counts() || aMessage.has_totals() ||
+         aMessage.has_part_totals();
 }
 
 // A report contains everything that the host's previous one did, except for
--- a/src/frontend/gateway_inbox.cpp
+++ b/src/frontend/gateway_inbox.cpp
@@ -32,7 +32,8 @@
   if (aMessage.has_gossip()) {
     return WorkKind::Facts;
   }
-  if (aMessage.has_counts() || aMessage.has_totals()) {
+  if (aMessage.has_counts() || aMessage.has_totals() ||
+      aMessage.has_part_totals()) {
     return WorkKind::Counts;
   }
   return aMessage.has_follow_reply() ? WorkKind::Replies : WorkKind::Commands;
--- a/src/gateway/hosts.cpp
+++ b/src/gateway/hosts.cpp
@@ -49,7 +49,8 @@
   return addresses;
 }
 
-// Hosts whose links carry what is large for this host's.
+// Hosts of this data centre with a link fast enough to carry this host's large
+// answers.
 void UpdateFastHosts(Context& aContext)
 {
   State& state = aContext.mState;
--- a/src/gateway/operations.cpp
+++ b/src/gateway/operations.cpp
@@ -102,18 +102,20 @@
   return true;
 }
 
-// A caller ends at a conflict; an order that another one overtook, and for
-// which no time was left, may still be wanted.
+// Callers do not repeat a call that ends in a conflict. An order refused only
+// for an outdated revision, when no time was left to submit it again, may still
+// be wanted, so it ends as unavailable, which callers repeat.
 OperationOutcome EndOfCommitted(const Operation& aOperation,
                                 const wire::CatalogOutcome& aOutcome)
 {
-  const bool overtaken =
+  const bool hasOutdatedRevision =
     aOperation.mKind == OperationKind::SetEvacuation &&
     aOutcome.evacuation_revision() != aOperation.mEvacuation.base_revision();
   if (aOutcome.accepted()) {
     return OperationOutcome::Done;
   }
-  return overtaken ? OperationOutcome::Unavailable : OperationOutcome::Conflict;
+  return hasOutdatedRevision ? OperationOutcome::Unavailable
+                             : OperationOutcome::Conflict;
 }
 
 std::string Describe(const fleet::ReadTrace& aRead,
@@ -343,6 +345,7 @@
   operation.mGiveUpAt = aContext.mNow + kOperationTimeout;
   operation.mEvacuation.set_data_centre(aCall.mDataCentre);
   operation.mEvacuation.set_evacuated(aCall.mEvacuated);
+  operation.mEvacuation.set_always_raises(true);
   operation.mEvacuation.set_base_revision(
     catalog::EvacuationRevision(state.mFleet.mCatalog, aCall.mDataCentre));
   SubmitEvacuation(aContext, operation);
--- a/src/gateway/policy.cpp
+++ b/src/gateway/policy.cpp
@@ -7,8 +7,8 @@
 
 namespace {
 
-/// Time after the first policy until what accounts have used is known here: a
-/// report and an answer by each host on the way to the leader.
+/// After the first policy, time within which the first totals of accounts
+/// arrive: one report and one answer per hop to the leader.
 constexpr Micros kFirstTotalsWait = 800 * kMillisecond;
 
 } // namespace
--- a/src/quota/plan.cpp
+++ b/src/quota/plan.cpp
@@ -39,14 +39,15 @@
 constexpr double kOverlap = 1.25;
 /// Requests in a second, relative to what came before, that are no surge.
 constexpr double kUsualFactor = 2;
-/// The part of the room that hosts may use which hear nothing more; the rest
-/// is for those that used more than their part before they knew.
+/// Share of the room that hosts acting alone may use in the first window. The
+/// rest covers hosts that had used more than their part before they knew that
+/// they are alone.
 constexpr double kSilentRoom = 0.6;
 /// Totals that cover this much less than the ones before are doubted for a
 /// while: a new leader hears the hosts one after the other.
 constexpr double kLessCover = 0.5;
 constexpr Micros kDoubtFor = 600 * kMillisecond;
-/// How long the part of a host is kept that is known no more.
+/// How long the part of a host that is no longer known is reserved.
 constexpr Micros kKeepHosts = 20 * kSecond;
 
 struct Told
@@ -87,13 +88,11 @@
              counts[kOffered] / Seconds(kRecent),
              counts[kSent] / Seconds(kRecent) };
   }
+  // Part totals contain all keys: an account that is not in them has no use.
   if (aState.mTotals.mIsPart) {
     return {};
   }
-  // A part is told with all its keys.
-  if (aState.mTotals.mIsPart) {
-    return {};
-  }
+  // Totals leave out accounts with little load.
   const double used = kAssumedLoad * Target(aState.mSettings, aLimit);
   const double perSecond = used / Seconds(aState.mSettings.mWindow);
   return { used, perSecond, perSecond };
@@ -112,10 +111,12 @@
   return hosts <= 0 ? 0 : std::min(1.0, aState.mTotals.mSum.mHosts / hosts);
 }
 
-// Requests of all hosts in a period, by the rates that were told.
+// Requests in a period of all hosts or, of rates that cover more hosts than
+// these, of their share.
 double SentBetween(const Account& aAccount,
                    Micros aFrom,
-                   Micros aUntil) noexcept
+                   Micros aUntil,
+                   std::uint32_t aHosts) noexcept
 {
   double sent = 0;
   for (std::size_t i = 1; i < aAccount.mTold.size(); ++i) {
@@ -123,7 +124,9 @@
     const Micros since = std::max(aFrom, aAccount.mTold[i - 1].mAt);
     const Micros gap =
       std::min(std::min(told.mAt, aUntil) - since, kSilentAfter);
-    sent += told.mSent * Seconds(std::max<Micros>(0, gap));
+    const double share =
+      told.mHosts <= aHosts ? 1.0 : static_cast<double>(aHosts) / told.mHosts;
+    sent += share * told.mSent * Seconds(std::max<Micros>(0, gap));
   }
   return sent;
 }
@@ -132,7 +135,10 @@
 double RememberedUse(const State& aState, const Account& aAccount) noexcept
 {
   const Micros toldAt = aState.mTotals.mToldAt;
-  return SentBetween(aAccount, toldAt - aState.mSettings.mWindow, toldAt);
+  return SentBetween(aAccount,
+                     toldAt - aState.mSettings.mWindow,
+                     toldAt,
+                     std::numeric_limits<std::uint32_t>::max());
 }
 
 // Requests per second that leave the window about now.
@@ -214,7 +220,7 @@
       0.0,
       most - aAccount.mLimit.mPerSecond * Seconds(aState.mSettings.mWindow));
   }
-  history.push_back({ at, InCount(told.mSent) });
+  history.push_back({ at, InCount(told.mSent), aState.mTotals.mSum.mHosts });
   const Micros from = at - aState.mSettings.mWindow;
   history.erase(
     history.begin(),
@@ -347,12 +353,14 @@
     return aKnown;
   }
   const Micros from = toldAt - aState.mSettings.mWindow;
-  return std::min(aKnown, SentBetween(aAccount, from, until));
+  const std::uint32_t hosts = aState.mTotals.mSum.mHosts;
+  return std::min(aKnown, SentBetween(aAccount, from, until, hosts));
 }
 
-// What this host may send that the totals do not contain: an equal part of the
-// room that they leave, and of what has left the window since.
-double NewPart(const State& aState,
+// Requests that all hosts in the totals may send together and that the totals
+// do not contain: the room that these leave, and what has left the window
+// since.
+double NewRoom(const State& aState,
                Micros aNow,
                std::uint64_t aKey,
                const Account& aAccount)
@@ -363,7 +371,8 @@
   const Told told = ToldOf(aState, aKey, aAccount.mLimit);
   const double known = JudgeUse(aState, toldAt, aAccount, told, cover).mKnown;
   const double room = cover * Bound(settings, aAccount.mLimit) - known;
-  // By then what hosts sent before they knew has left the window.
+  // By then, what hosts sent before they knew that they are alone has left the
+  // window.
   const bool isPast = aNow - toldAt >= settings.mWindow + kSilentAfter;
   const double kept = isPast || room < 0 ? 1 : kSilentRoom;
   return kept * room + GoneSince(aState, aNow, aAccount, known);
@@ -378,7 +387,8 @@
            : InCount(std::ceil(Bound(aState.mSettings, aLimit) / hosts));
 }
 
-// Small parts are not lost: as many hosts get a whole request.
+// The part in whole requests. The remaining fraction is not lost: that fraction
+// of the hosts, chosen by rank for this account, may send one request more.
 double InWholes(const State& aState, std::uint64_t aKey, double aPart)
 {
   const double whole = std::floor(aPart);
@@ -402,7 +412,7 @@
   }
   const double equal = Bound(aState.mSettings, aAccount.mLimit) / hosts;
   const double part =
-    std::min(equal, NewPart(aState, aNow, aKey, aAccount) / covered);
+    std::min(equal, NewRoom(aState, aNow, aKey, aAccount) / covered);
   return OwnUse(aState, aAccount, aNow) < aAccount.mPlan.mOwnPart &&
          Unheard(aState, aNow, aAccount) < InWholes(aState, aKey, part);
 }
--- a/src/quota/quota.cpp
+++ b/src/quota/quota.cpp
@@ -62,8 +62,10 @@
                std::uint64_t aKey,
                const Account& aAccount)
 {
-  const bool remembers = aNow - aState.mStartedAt >= aState.mSettings.mWindow;
-  return remembers && FitsOwnPart(aState, aNow, aKey, aAccount);
+  // In the first window after its start a host does not know what it had used
+  // before, so it admits nothing alone.
+  const bool knowsOwnUse = aNow - aState.mStartedAt >= aState.mSettings.mWindow;
+  return knowsOwnUse && FitsOwnPart(aState, aNow, aKey, aAccount);
 }
 
 // Totals that are late may be the last ones for a while.
--- a/src/rollup/rollup.cpp
+++ b/src/rollup/rollup.cpp
@@ -3,8 +3,8 @@
 #include <algorithm>
 
 // Sums are sent at regular intervals, so that a lost message is made up for by
-// the next one. Growth is reported ahead of the interval, because it may exceed
-// limits.
+// the next one. Growth is reported ahead of the interval, because limits are
+// exceeded for as long as other hosts do not know of it.
 namespace geraniumpond::rollup {
 
 namespace {
@@ -29,12 +29,13 @@
 /// A frozen host may wake after this long; what waited for it meanwhile must
 /// not look new.
 constexpr Micros kForgetTime = 60 * kSecond;
-/// Totals of this age are missing: the leader tells them while a quorum has
-/// answered within this time, and they come at kPace.
-constexpr Micros kMissingAge = 500 * kMillisecond;
-/// Words of a control host alone are further apart than this; the same word
-/// that comes twice is not.
-constexpr Micros kLeastWordGap = 20 * kMillisecond;
+/// Totals older than this are lacking. The leader sends them every
+/// kReportInterval, while a quorum has answered a leader check within this
+/// time.
+constexpr Micros kLacksTotalsAge = 500 * kMillisecond;
+/// Part totals that were made less than this after the last ones are a repeated
+/// copy of them: the time computed at receipt is not exact.
+constexpr Micros kMinPartTotalsGap = 20 * kMillisecond;
 /// Levels of the tallest tree: three of relays, the control hosts, the leader,
 /// and some while hosts move.
 constexpr std::uint32_t kMaxHeight = 8;
@@ -262,7 +263,7 @@
 
 bool LacksTotals(const State& aState, Micros aNow) noexcept
 {
-  return aState.mTotals && aNow - aState.mTotals->mToldAt > kMissingAge;
+  return aState.mTotals && aNow - aState.mTotals->mToldAt > kLacksTotalsAge;
 }
 
 Totals MakePartTotals(Micros aNow, Sum aSum, std::uint32_t aKnownHosts)
@@ -279,7 +280,7 @@
 {
   const bool isOld =
     aState.mPartTotals &&
-    aTotals.mToldAt < aState.mPartTotals->mToldAt + kLeastWordGap;
+    aTotals.mToldAt < aState.mPartTotals->mToldAt + kMinPartTotalsGap;
   const bool hasTotals = aState.mTotals && !LacksTotals(aState, aNow);
   if (isOld || hasTotals) {
     return false;
--- a/tests/account_limits_test.cpp
+++ b/tests/account_limits_test.cpp
@@ -150,7 +150,7 @@
   {
     constexpr int kFew = 500;
     constexpr int kTimes = 10;
-    // Three times as much for what the machine does beside it.
+    // A factor of 3 allows for other load on the machine.
     constexpr double kMost = 3 * kTimes;
     const double few = SecondsToName(kFew);
     const double many = SecondsToName(kFew * kTimes);
--- a/tests/catalog_test.cpp
+++ b/tests/catalog_test.cpp
@@ -25,6 +25,8 @@
   CPPUNIT_TEST(RemovalWithoutBirthOfAnUnknownIdBlocksNoBirth);
   CPPUNIT_TEST(RemovalWithoutBirthKeepsOutATargetWithoutBirth);
   CPPUNIT_TEST(LaterEvacuationIsNotUndoneByAnEarlierCopy);
+  CPPUNIT_TEST(OrdersOfEarlierReleasesKeepTheirResult);
+  CPPUNIT_TEST(ReplicaThatCountedLessFollowsTheNextOrder);
   CPPUNIT_TEST(ResentEvacuationStaysInForce);
   CPPUNIT_TEST(RepeatedEvacuationIsNotUndoneByAnEarlierLift);
   CPPUNIT_TEST(LiftOfWhatIsInServiceIsNotUndoneByAnEarlierEvacuation);
@@ -237,7 +239,27 @@
                          EvacuatedDataCentres(mState).count("dc"));
   }
 
+  // Their orders for what is in force did not raise the revision.
+  void OrdersOfEarlierReleasesKeepTheirResult()
+  {
+    mAlwaysRaises = false;
+    CPPUNIT_ASSERT(Evacuate(true, 0).accepted());
+    CPPUNIT_ASSERT(Evacuate(true, 1).accepted());
+    CPPUNIT_ASSERT(Evacuate(false, 1).accepted());
+    CPPUNIT_ASSERT(EvacuatedDataCentres(mState).empty());
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t(2), EvacuationRevision(mState, "dc"));
+  }
+
+  void ReplicaThatCountedLessFollowsTheNextOrder()
+  {
+    CPPUNIT_ASSERT(Evacuate(true, 3).accepted());
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t(4), EvacuationRevision(mState, "dc"));
+    CPPUNIT_ASSERT(!Evacuate(false, 3).accepted());
+  }
+
 private:
+  bool mAlwaysRaises = true;
+
   wire::CatalogOutcome Evacuate(bool aEvacuated, std::uint64_t aBaseRevision)
   {
     wire::CatalogCommand command;
@@ -245,6 +267,7 @@
     change.set_data_centre("dc");
     change.set_evacuated(aEvacuated);
     change.set_base_revision(aBaseRevision);
+    change.set_always_raises(mAlwaysRaises);
     return Apply(mState, command);
   }
 
--- a/tests/fakes/evacuation_operators.cpp
+++ b/tests/fakes/evacuation_operators.cpp
@@ -80,6 +80,7 @@
   order.set_data_centre(aOperator.mDataCentre);
   order.set_evacuated(aOperator.mOrders.back().mEvacuated);
   order.set_base_revision(aCall.mBase);
+  order.set_always_raises(true);
   mLogLines.push_back(aOperator.mDataCentre + " at " + aCall.mHost +
                       (order.evacuated() ? " evacuate" : " lift") +
                       ", base revision " + std::to_string(aCall.mBase));
--- a/tests/fleet_counts_test.cpp
+++ b/tests/fleet_counts_test.cpp
@@ -65,7 +65,8 @@
     mSimulation.StartSpreadFleet(kDataCentres, kOthers, 1);
     int sent = 0;
     mSimulation.mShouldDrop = [&](const fakes::SentMessage& aSent) {
-      sent += aSent.mMessage.has_counts() || aSent.mMessage.has_totals();
+      sent += aSent.mMessage.has_counts() || aSent.mMessage.has_totals() ||
+              aSent.mMessage.has_part_totals();
       return false;
     };
     mSimulation.Advance(10 * kSecond);
@@ -276,7 +277,8 @@
     std::size_t sent = 0;
     mSimulation.mShouldDrop = [&](const fakes::SentMessage& aSent) {
       Record(aSent);
-      if (aSent.mMessage.has_counts() || aSent.mMessage.has_totals()) {
+      if (aSent.mMessage.has_counts() || aSent.mMessage.has_totals() ||
+          aSent.mMessage.has_part_totals()) {
         longest = std::max(longest, aSent.mMessage.ByteSizeLong());
         bytes += aSent.mMessage.ByteSizeLong();
         ++sent;
--- a/tests/gateway_evacuation_test.cpp
+++ b/tests/gateway_evacuation_test.cpp
@@ -246,7 +246,7 @@
     }
   }
 
-  // A caller ends at a conflict, though its order may still be wanted.
+  // Callers do not repeat a call that ends in a conflict.
   void OrderThatALaterOneOvertookIsUnclear()
   {
     GatewayWorld world(GatewayLoad(), 10);
--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -552,7 +552,7 @@
   std::atomic<bool> mStopping{ false };
   std::atomic<bool> mTroubled{ false };
   std::atomic<std::uint64_t> mAcknowledged{ 0 };
-  /// Of the operator alone.
+  /// Used by the operator's thread only.
   bool mEvacuated = false;
   steady_clock::time_point mNextOrderAt;
   std::atomic<bool> mLeft{ false };
