--- a/tests/gateway_limits_test.cpp
+++ b/tests/gateway_limits_test.cpp
@@ -130,8 +130,10 @@
 class Caller
 {
 public:
-  Caller(net::SocketAddress aHost, std::string aAccount, milliseconds aPause)
-    : mHost(std::move(aHost))
+  Caller(const net::SocketAddress& aHost,
+         std::string aAccount,
+         milliseconds aPause)
+    : mHost(aHost)
     , mAccount(std::move(aAccount))
     , mPause(aPause)
     , mThread([this] { Run(); })
--- a/tests/quota_world.h
+++ b/tests/quota_world.h
@@ -420,16 +420,15 @@
       return;
     }
     mTold = table;
-    for (std::size_t i = 0; i < mHosts.size(); ++i) {
-      if (mHosts[i].mSide != aSide) {
+    for (WorldHost& host : mHosts) {
+      if (host.mSide != aSide) {
         continue;
       }
       mBytesSent += kEntryBytes * totals.mSum.mTable.size();
       if (Uniform() < mSettings.mLost) {
         continue;
       }
-      Later(mHosts[i].mDownDelay, [this, i, totals] {
-        WorldHost& host = mHosts[i];
+      Later(host.mDownDelay, [this, &host, totals] {
         if (host.mAlive && !host.mFrozen && host.mSide != 0) {
           SetTotals(host.mState, mNow, totals);
         }
