--- a/review/standins/deployment.sh
+++ b/review/standins/deployment.sh
@@ -110,6 +110,6 @@
 finish() {
   wait "$1"
   local result=$?
-  tail -n 1 "$RECORD"
+  grep -E " (broken|held): " "$RECORD" | tail -n 1
   exit $result
 }
