--- a/review/1/driver.cpp
+++ b/review/1/driver.cpp
@@ -59,14 +59,16 @@
   const std::vector<Node> nodes = NodesFromEnvironment();
   std::vector<std::unique_ptr<Instance>> instances;
   for (int i = 0; i < kInstances; ++i) {
-    instances.push_back(std::make_unique<Instance>(
-      "i-" + std::to_string(i),
-      "huvo11a",
-      InstanceIp(i),
-      nodes[i % nodes.size()].Zone(),
-      kSlots,
-      nodes,
-      [](const Message&) { return Answer{ kWork, "done\n" }; }));
+    instances.push_back(
+      std::make_unique<Instance>("i-" + std::to_string(i),
+                                 "huvo11a",
+                                 InstanceIp(i),
+                                 nodes[i % nodes.size()].Zone(),
+                                 kSlots,
+                                 nodes,
+                                 [](const Message&) {
+                                   return Answer{ kWork, "done\n" };
+                                 }));
   }
   StartTraffic(nodes,
                { { "r-1", "/lohu930/", "safe", "2500ms", 2, "huvo11a" },
--- a/review/2/driver.cpp
+++ b/review/2/driver.cpp
@@ -80,7 +80,8 @@
 // A configuration like the first one that breaks off in a route.
 std::string UnreadableConfiguration()
 {
-  return "{\"version\":7,\"base_version\":1,\"resources\":[{\"type\":\"routes\","
+  return "{\"version\":7,\"base_version\":1,\"resources\":[{\"type\":"
+         "\"routes\","
          "\"metadata\":{\"name\":\"r-1\"},\"spec\":" +
          std::string(kBrackets, '[');
 }
@@ -92,14 +93,16 @@
   const std::vector<Node> nodes = NodesFromEnvironment();
   std::vector<std::unique_ptr<Instance>> instances;
   for (int i = 0; i < kInstances; ++i) {
-    instances.push_back(std::make_unique<Instance>(
-      "i-" + std::to_string(i),
-      "huvo11a",
-      InstanceIp(i),
-      nodes[i % nodes.size()].Zone(),
-      kSlots,
-      nodes,
-      [](const Message&) { return Answer{ kWork, "done\n" }; }));
+    instances.push_back(
+      std::make_unique<Instance>("i-" + std::to_string(i),
+                                 "huvo11a",
+                                 InstanceIp(i),
+                                 nodes[i % nodes.size()].Zone(),
+                                 kSlots,
+                                 nodes,
+                                 [](const Message&) {
+                                   return Answer{ kWork, "done\n" };
+                                 }));
   }
   StartTraffic(nodes,
                { { "r-1", "/lohu930/", "safe", "2500ms", 2, "huvo11a" } });
@@ -112,7 +115,8 @@
   Sleep(4);
   if (HasTrouble()) {
     const int status = PutConfiguration(nodes, UnreadableConfiguration(), 10);
-    Record("operator: the unreadable configuration ends with status %d", status);
+    Record("operator: the unreadable configuration ends with status %d",
+           status);
   }
   Sleep(4);
   gStop = true;
--- a/review/3/driver.cpp
+++ b/review/3/driver.cpp
@@ -73,15 +73,16 @@
     const auto found = gWorkEnds.find(request.mId);
     workEnd = found == gWorkEnds.end() ? 0 : found->second - stoppedAt;
   }
-  Record("client: download %s: status %d, %zu of %s bytes, %s after %.3f s; its "
-         "instance was done %.3f s after the SIGTERM",
-         request.mId.c_str(),
-         answer.Status(),
-         answer.mBody.size(),
-         answer.Field("Content-Length").c_str(),
-         answer.mComplete ? "complete" : "connection ended",
-         Now() - sentAt,
-         workEnd);
+  Record(
+    "client: download %s: status %d, %zu of %s bytes, %s after %.3f s; its "
+    "instance was done %.3f s after the SIGTERM",
+    request.mId.c_str(),
+    answer.Status(),
+    answer.mBody.size(),
+    answer.Field("Content-Length").c_str(),
+    answer.mComplete ? "complete" : "connection ended",
+    Now() - sentAt,
+    workEnd);
   aOut.mIsAnswered = answer.mComplete && answer.Status() == 200;
   aOut.mIsCounted = workEnd > 0 && workEnd < kLastSixth;
   aOut.mIsLost = aOut.mIsCounted && !answer.mComplete && !answer.mTimedOut;
--- a/review/standins/standins.h
+++ b/review/standins/standins.h
@@ -118,7 +118,8 @@
       return false;
     }
     const int one = 1;
-    (void)::setsockopt(mDescriptor, IPPROTO_TCP, TCP_NODELAY, &one, sizeof(one));
+    (void)::setsockopt(
+      mDescriptor, IPPROTO_TCP, TCP_NODELAY, &one, sizeof(one));
     return true;
   }
 
@@ -207,8 +208,7 @@
     address.sin_family = AF_INET;
     address.sin_port = htons(
       static_cast<std::uint16_t>(std::atoi(aAddress.c_str() + colon + 1)));
-    ::inet_pton(
-      AF_INET, aAddress.substr(0, colon).c_str(), &address.sin_addr);
+    ::inet_pton(AF_INET, aAddress.substr(0, colon).c_str(), &address.sin_addr);
     return address;
   }
 
@@ -442,8 +442,8 @@
     for (int sequence = 1;; ++sequence) {
       const std::string body =
         "{\"service\":\"" + mService + "\",\"address\":\"" + mAddress +
-        "\",\"zone\":\"" + mZone + "\",\"version\":\"v1\",\"slots\":" +
-        std::to_string(mSlots) +
+        "\",\"zone\":\"" + mZone +
+        "\",\"version\":\"v1\",\"slots\":" + std::to_string(mSlots) +
         ",\"state\":\"ready\",\"warmup_left\":\"0ms\",\"sequence\":" +
         std::to_string(sequence) + "}";
       double pause = 1.5;
@@ -482,7 +482,8 @@
   {
     Connection connection(aDescriptor);
     const int one = 1;
-    (void)::setsockopt(aDescriptor, IPPROTO_TCP, TCP_NODELAY, &one, sizeof(one));
+    (void)::setsockopt(
+      aDescriptor, IPPROTO_TCP, TCP_NODELAY, &one, sizeof(one));
     while (true) {
       const Message request = connection.Read(Now() + 3600);
       if (!request.mComplete) {
@@ -520,6 +521,13 @@
                               "Content-Length: 0\r\n\r\n");
     }
     ++mBusy;
+    if (!WaitForSlot(aConnection, aRequest)) {
+      --mBusy;
+      return aConnection.Send("HTTP/1.1 503 Service Unavailable\r\n"
+                              "Not-Executed: 1\r\nRequest-Id: " +
+                              id + "\r\n" + LoadField() +
+                              "Content-Length: 0\r\n\r\n");
+    }
     {
       const std::lock_guard<std::mutex> lock(mMutex);
       mRuns.push_back(id);
@@ -536,6 +544,7 @@
       Sleep(std::min(0.005, until - Now()));
       isLeft = aConnection.HasEnded();
     }
+    --mRunning;
     --mBusy;
     if (isLeft) {
       Record("instance %s drops %s: its connection was closed",
@@ -556,6 +565,24 @@
     return isSent;
   }
 
+  // False if the deadline passed, or the connection ended, before a slot was
+  // free.
+  bool WaitForSlot(Connection& aConnection, const Message& aRequest)
+  {
+    const std::string deadline = aRequest.Field("Deadline-Ms");
+    const double until =
+      Now() + (deadline.empty() ? 60 : std::atof(deadline.c_str()) / 1000);
+    while (Now() < until && !aConnection.HasEnded()) {
+      int running = mRunning;
+      if (running < mSlots &&
+          mRunning.compare_exchange_strong(running, running + 1)) {
+        return true;
+      }
+      Sleep(0.001);
+    }
+    return false;
+  }
+
   static constexpr int kQueue = 4;
 
   std::string mId;
@@ -566,7 +593,9 @@
   std::vector<Node> mNodes;
   Handler mHandler;
   int mListener = -1;
+  /// Requests that run or wait here, and those that run.
   std::atomic<int> mBusy{ 0 };
+  std::atomic<int> mRunning{ 0 };
   std::mutex mMutex;
   std::vector<std::string> mRuns;
 };
@@ -597,18 +626,17 @@
            route.mPrefix + "\",\"route_type\":\"" + route.mType +
            "\",\"timeout\":\"" + route.mTimeout +
            "\",\"target_latency\":\"600ms\",\"priority\":1,\"service\":\"" +
-           route.mService + "\",\"attempts\":" +
-           std::to_string(route.mAttempts) + "}},";
+           route.mService +
+           "\",\"attempts\":" + std::to_string(route.mAttempts) + "}},";
   }
   for (const std::string& service : services) {
     out += "{\"type\":\"services\",\"metadata\":{\"name\":\"" + service +
            "\"},\"spec\":{\"health_check_path\":\"/health\","
            "\"max_connections\":260,\"protocol\":\"h1\",\"tls\":false}},";
   }
-  return out +
-         "{\"type\":\"limits\",\"metadata\":{},\"spec\":{"
-         "\"max_header_bytes\":16384,\"max_body_bytes\":67108864,"
-         "\"header_timeout\":\"3000ms\",\"idle_timeout\":\"15000ms\"}}]}";
+  return out + "{\"type\":\"limits\",\"metadata\":{},\"spec\":{"
+               "\"max_header_bytes\":16384,\"max_body_bytes\":67108864,"
+               "\"header_timeout\":\"3000ms\",\"idle_timeout\":\"15000ms\"}}]}";
 }
 
 /// \brief Sends a configuration as the operator does, until it has a clear
@@ -628,10 +656,9 @@
            answer.Status(),
            answer.Status() == 0 && !answer.mTimedOut ? ", connection ended"
                                                      : "");
-    if (answer.Status() == 200 || (answer.Status() >= 400 &&
-                                   answer.Status() < 500 &&
-                                   answer.Status() != 408 &&
-                                   answer.Status() != 429)) {
+    if (answer.Status() == 200 ||
+        (answer.Status() >= 400 && answer.Status() < 500 &&
+         answer.Status() != 408 && answer.Status() != 429)) {
       return answer.Status();
     }
     Sleep(pause);
