Keep the values of header fields as they were sent

Harmless values of that form reached the other side changed, and a value of over 8 KB was answered with 400.

Cause: heads were read by POCO's reader of mail headers, which decodes encoded words, line breaks included, and bounds a value by 8 KB. What it returned was written as lines of the next message without a check.

Ruled out: line breaks in the head as sent (there are none); a second reader at the target (the bytes on the wire hold the second request).

Lines are written in one place, which writes none that would not be one line. A target whose id a field cannot hold is refused. The older host still reads by POCO and refuses what would be several lines; it changes harmless words as before.

Why this mends it: a value is the bytes between the colon and the end of its line, none of which is a control character, so that written again it is the same one line. The check where lines are written holds for texts that are not read from a message.

--- a/src/accounts/accounts.cpp
+++ b/src/accounts/accounts.cpp
@@ -1,5 +1,7 @@
 #include <geraniumpond/accounts.h>
 
+#include <geraniumpond/field_text.h>
+
 #include <Poco/SHA1Engine.h>
 
 #include <algorithm>
@@ -21,11 +23,8 @@
 // Targets are told the name in a header field.
 bool IsName(const std::string& aName)
 {
-  constexpr char kDelete = 0x7f;
   return !aName.empty() && aName.front() != ' ' && aName.back() != ' ' &&
-         std::none_of(aName.begin(), aName.end(), [](char aChar) {
-           return static_cast<unsigned char>(aChar) < ' ' || aChar == kDelete;
-         });
+         aName.find('\t') == std::string::npos && IsFieldText(aName);
 }
 
 std::vector<std::string> FaultsOf(const Account& aAccount)
--- a/src/edge/attempt.cpp
+++ b/src/edge/attempt.cpp
@@ -169,6 +169,9 @@
     SendRequest();
     AwaitHead();
     mSession->receiveResponse(mResponse);
+    if (!HasFieldTexts(mResponse)) {
+      return;
+    }
     mEnd.set_status(static_cast<std::uint32_t>(mResponse.getStatus()));
     *mEnd.mutable_load() = ParseLoad(mResponse);
     const bool headOnly = mExchange->mRequest.mMethod == "HEAD";
--- a/src/edge/forwarding.cpp
+++ b/src/edge/forwarding.cpp
@@ -1,5 +1,7 @@
 #include "forwarding.h"
 
+#include <geraniumpond/field_text.h>
+
 #include <Poco/NumberParser.h>
 #include <Poco/String.h>
 
@@ -32,6 +34,14 @@
 
 } // namespace
 
+// POCO decodes encoded words of values, which may hold line breaks.
+bool HasFieldTexts(const Poco::Net::HTTPMessage& aMessage)
+{
+  return std::all_of(aMessage.begin(), aMessage.end(), [](const auto& aField) {
+    return IsFieldText(aField.second);
+  });
+}
+
 void FillTargetRequest(const CallerRequest& aFrom,
                        const wire::Dispatch& aDispatch,
                        Micros aNow,
--- a/src/edge/forwarding.h
+++ b/src/edge/forwarding.h
@@ -11,6 +11,9 @@
 /// docs/INTERFACES.md.
 namespace geraniumpond::edge {
 
+/// \brief True if no field holds a line break or another control character.
+[[nodiscard]] bool HasFieldTexts(const Poco::Net::HTTPMessage& aMessage);
+
 /// \brief Builds the request to a target from the caller's request.
 void FillTargetRequest(const CallerRequest& aFrom,
                        const wire::Dispatch& aDispatch,
--- a/src/edge/http_server.cpp
+++ b/src/edge/http_server.cpp
@@ -1,5 +1,7 @@
 #include "http_server.h"
 
+#include "forwarding.h"
+
 #include <geraniumpond/hash.h>
 
 #include <Poco/Net/NetException.h>
@@ -255,7 +257,8 @@
     std::all_of(aRequest.begin(), aRequest.end(), [](const auto& aField) {
       return IsToken(aField.first);
     });
-  if (!validNames || !IsToken(aRequest.getMethod())) {
+  if (!validNames || !HasFieldTexts(aRequest) ||
+      !IsToken(aRequest.getMethod())) {
     return { kBadRequest, "malformed header" };
   }
   return CheckLength(aRequest, aMaxBody);
--- a/src/frontend/http_message.cpp
+++ b/src/frontend/http_message.cpp
@@ -1,13 +1,13 @@
 #include "http_message.h"
 
-#include <Poco/MemoryStream.h>
-#include <Poco/Net/HTTPRequest.h>
+#include "http_head.h"
+
+#include <geraniumpond/field_text.h>
+
 #include <Poco/Net/HTTPResponse.h>
 #include <Poco/NumberParser.h>
-#include <Poco/String.h>
 
 #include <algorithm>
-#include <array>
 #include <cctype>
 
 namespace geraniumpond::frontend {
@@ -17,14 +17,6 @@
 constexpr std::string_view kHeadEnd = "\r\n\r\n";
 constexpr std::size_t kMaxResponseHead = 64 * 1024;
 
-std::size_t CountFields(const HeaderFields& aFields, std::string_view aName)
-{
-  return static_cast<std::size_t>(
-    std::count_if(aFields.begin(), aFields.end(), [&](const auto& aField) {
-      return EqualIgnoringCase(aField.first, aName);
-    }));
-}
-
 bool ParseLength(const std::string& aText, std::uint64_t& aOut)
 {
   const bool digits =
@@ -39,98 +31,8 @@
   return true;
 }
 
-// The next hop might parse a name that contains a space differently.
-bool IsValidFieldName(const std::string& aName)
-{
-  return !aName.empty() &&
-         std::none_of(aName.begin(), aName.end(), [](char aChar) {
-           return static_cast<unsigned char>(aChar) <= ' ' || aChar == 0x7f;
-         });
-}
-
-template<class Message>
-HeaderFields FieldsOf(const Message& aMessage)
-{
-  HeaderFields fields;
-  fields.reserve(aMessage.size());
-  for (const auto& [name, value] : aMessage) {
-    fields.emplace_back(name, value);
-  }
-  return fields;
-}
-
-bool SupportsKeepAlive(const std::string& aVersion, const HeaderFields& aFields)
-{
-  if (HasToken(aFields, "Connection", "close")) {
-    return false;
-  }
-  return aVersion == "HTTP/1.1" ||
-         HasToken(aFields, "Connection", "keep-alive");
-}
-
-int KeepAliveSeconds(const HeaderFields& aFields)
-{
-  const std::string* value = FindField(aFields, "Keep-Alive");
-  if (value == nullptr) {
-    return 0;
-  }
-  const std::size_t at = value->find("timeout=");
-  int seconds = 0;
-  if (at != std::string::npos) {
-    std::size_t end = at + 8;
-    while (end < value->size() &&
-           std::isdigit(static_cast<unsigned char>((*value)[end])) != 0) {
-      ++end;
-    }
-    (void)Poco::NumberParser::tryParse(value->substr(at + 8, end - at - 8),
-                                       seconds);
-  }
-  return seconds;
-}
-
 } // namespace
 
-bool EqualIgnoringCase(std::string_view aLeft, std::string_view aRight)
-{
-  return aLeft.size() == aRight.size() &&
-         std::equal(
-           aLeft.begin(), aLeft.end(), aRight.begin(), [](char aA, char aB) {
-             return std::tolower(static_cast<unsigned char>(aA)) ==
-                    std::tolower(static_cast<unsigned char>(aB));
-           });
-}
-
-const std::string* FindField(const HeaderFields& aFields,
-                             std::string_view aName)
-{
-  for (const auto& [name, value] : aFields) {
-    if (EqualIgnoringCase(name, aName)) {
-      return &value;
-    }
-  }
-  return nullptr;
-}
-
-bool HasToken(const HeaderFields& aFields,
-              std::string_view aName,
-              std::string_view aToken)
-{
-  for (const auto& [name, value] : aFields) {
-    if (!EqualIgnoringCase(name, aName)) {
-      continue;
-    }
-    std::size_t at = 0;
-    while (at <= value.size()) {
-      const std::size_t comma = std::min(value.find(',', at), value.size());
-      if (EqualIgnoringCase(Poco::trim(value.substr(at, comma - at)), aToken)) {
-        return true;
-      }
-      at = comma + 1;
-    }
-  }
-  return false;
-}
-
 // ------------------------------------------------------------- RequestReader
 
 ReadStatus RequestReader::Reject(int aStatus, std::string aReason)
@@ -186,26 +88,18 @@
   if (end > aLimits.mMaxHeaderBytes) {
     return Reject(431, "header too large");
   }
-  Poco::Net::HTTPRequest parsed;
-  try {
-    Poco::MemoryInputStream stream(
-      aBuffer.data(), static_cast<std::streamsize>(end + kHeadEnd.size()));
-    parsed.read(stream);
-  } catch (const Poco::Exception& error) {
-    return Reject(400, error.displayText());
+  Result<RequestHead> head = ParseRequestHead(
+    std::string_view(aBuffer).substr(0, end + kHeadEnd.size()));
+  if (!head) {
+    return Reject(400, head.error().mMessage);
   }
   aBuffer.erase(0, end + kHeadEnd.size());
   mRequest = HttpRequest();
-  mRequest.mMethod = parsed.getMethod();
-  mRequest.mTarget = parsed.getURI();
-  mRequest.mFields = FieldsOf(parsed);
-  mRequest.mKeepAlive =
-    SupportsKeepAlive(parsed.getVersion(), mRequest.mFields);
-  const bool valid = std::all_of(
-    mRequest.mFields.begin(), mRequest.mFields.end(), [](const auto& aField) {
-      return IsValidFieldName(aField.first);
-    });
-  if (!valid || mRequest.mTarget.empty() || mRequest.mTarget[0] != '/' ||
+  mRequest.mMethod = std::move(head.value().mMethod);
+  mRequest.mTarget = std::move(head.value().mTarget);
+  mRequest.mFields = std::move(head.value().mFields);
+  mRequest.mKeepAlive = head.value().mKeepAlive;
+  if (mRequest.mTarget.empty() || mRequest.mTarget[0] != '/' ||
       CountFields(mRequest.mFields, "Host") != 1) {
     return Reject(400, "malformed request");
   }
@@ -277,24 +171,20 @@
                         0, std::min<std::size_t>(5, aBuffer.size()))) != 0;
     return malformed ? ReadStatus::Malformed : ReadStatus::Partial;
   }
-  Poco::Net::HTTPResponse parsed;
-  try {
-    Poco::MemoryInputStream stream(
-      aBuffer.data(), static_cast<std::streamsize>(end + kHeadEnd.size()));
-    parsed.read(stream);
-  } catch (const Poco::Exception&) {
+  Result<ResponseHead> head = ParseResponseHead(
+    std::string_view(aBuffer).substr(0, end + kHeadEnd.size()));
+  if (!head) {
     return ReadStatus::Malformed;
   }
   aBuffer.erase(0, end + kHeadEnd.size());
   mResponse = HttpResponse();
-  mResponse.mStatus = parsed.getStatus();
-  mResponse.mReason = parsed.getReason();
-  mResponse.mFields = FieldsOf(parsed);
+  mResponse.mStatus = head.value().mStatus;
+  mResponse.mReason = std::move(head.value().mReason);
+  mResponse.mFields = std::move(head.value().mFields);
   const HeaderFields& fields = mResponse.mFields;
-  mResponse.mKeepAlive = SupportsKeepAlive(parsed.getVersion(), fields);
+  mResponse.mKeepAlive = head.value().mKeepAlive;
   mResponse.mKeepAliveSeconds = KeepAliveSeconds(fields);
-  if (mResponse.mStatus < 100 || mResponse.mStatus > 599 ||
-      parsed.getVersion().compare(0, 5, "HTTP/") != 0) {
+  if (mResponse.mStatus < 100 || mResponse.mStatus > 599) {
     return ReadStatus::Malformed;
   }
   const std::size_t encodings = CountFields(fields, "Transfer-Encoding");
@@ -356,28 +246,19 @@
 
 // -------------------------------------------------------------------- others
 
-bool IsHopByHopField(const HeaderFields& aFields, const std::string& aName)
+namespace {
+
+std::string ReasonOf(const HttpResponse& aResponse)
 {
-  constexpr std::array<std::string_view, 10> names = {
-    "Connection",
-    "Keep-Alive",
-    "Proxy-Connection",
-    "Transfer-Encoding",
-    "TE",
-    "Trailer",
-    "Upgrade",
-    "Expect",
-    "Proxy-Authorization",
-    "Proxy-Authenticate",
-  };
-  return std::any_of(names.begin(),
-                     names.end(),
-                     [&](std::string_view aHopName) {
-                       return EqualIgnoringCase(aHopName, aName);
-                     }) ||
-         HasToken(aFields, "Connection", aName);
+  return !aResponse.mReason.empty() && IsFieldText(aResponse.mReason)
+           ? aResponse.mReason
+           : Poco::Net::HTTPResponse::getReasonForStatus(
+               static_cast<Poco::Net::HTTPResponse::HTTPStatus>(
+                 aResponse.mStatus));
 }
 
+} // namespace
+
 std::string Serialize(const HttpResponse& aResponse,
                       bool aClose,
                       bool aHeadOnly)
@@ -387,11 +268,7 @@
   out += "HTTP/1.1 ";
   out += std::to_string(aResponse.mStatus);
   out += ' ';
-  out +=
-    aResponse.mReason.empty()
-      ? Poco::Net::HTTPResponse::getReasonForStatus(
-          static_cast<Poco::Net::HTTPResponse::HTTPStatus>(aResponse.mStatus))
-      : aResponse.mReason;
+  out += ReasonOf(aResponse);
   out += "\r\n";
   const bool bodiless = aResponse.mStatus == 204 || aResponse.mStatus == 304;
   for (const auto& [name, value] : aResponse.mFields) {
@@ -399,10 +276,7 @@
         (EqualIgnoringCase(name, "Content-Length") && !aHeadOnly)) {
       continue;
     }
-    out += name;
-    out += ": ";
-    out += value;
-    out += "\r\n";
+    out += FieldLine(name, value);
   }
   if (!bodiless && !aHeadOnly) {
     out += "Content-Length: ";
--- a/src/frontend/http_message.h
+++ b/src/frontend/http_message.h
@@ -1,32 +1,16 @@
 #pragma once
 
+#include "header_fields.h"
+
 #include <geraniumpond/hash.h>
 #include <geraniumpond/policy.h>
 
 #include <cstdint>
 #include <optional>
 #include <string>
-#include <string_view>
-#include <utility>
-#include <vector>
 
 namespace geraniumpond::frontend {
 
-using HeaderFields = std::vector<std::pair<std::string, std::string>>;
-
-/// \brief Compares two names or tokens ignoring ASCII case.
-[[nodiscard]] bool EqualIgnoringCase(std::string_view aLeft,
-                                     std::string_view aRight);
-
-/// \brief Value of the first field of a name, ignoring case; null if absent.
-[[nodiscard]] const std::string* FindField(const HeaderFields& aFields,
-                                           std::string_view aName);
-
-/// \brief True if a comma-separated field contains `aToken`.
-[[nodiscard]] bool HasToken(const HeaderFields& aFields,
-                            std::string_view aName,
-                            std::string_view aToken);
-
 /// \brief A complete request.
 struct HttpRequest
 {
@@ -165,10 +149,6 @@
   bool mHaveHead = false;
 };
 
-/// \brief True for hop-by-hop fields, which are not forwarded.
-[[nodiscard]] bool IsHopByHopField(const HeaderFields& aFields,
-                                   const std::string& aName);
-
 /// \brief Serializes a response with its Content-Length.
 [[nodiscard]] std::string Serialize(const HttpResponse& aResponse,
                                     bool aClose,
--- a/src/frontend/request_fields.cpp
+++ b/src/frontend/request_fields.cpp
@@ -130,11 +130,6 @@
   return read;
 }
 
-std::string FieldLine(const std::string& aName, const std::string& aValue)
-{
-  return aName + ": " + aValue + "\r\n";
-}
-
 std::string ForwardedBytes(const HttpRequest& aRequest,
                            const FieldNames& aNames,
                            const Forwarding& aForwarding)
--- a/src/frontend/request_fields.h
+++ b/src/frontend/request_fields.h
@@ -52,8 +52,4 @@
                                          const FieldNames& aNames,
                                          const Forwarding& aForwarding);
 
-/// \brief One line of a header.
-[[nodiscard]] std::string FieldLine(const std::string& aName,
-                                    const std::string& aValue);
-
 } // namespace geraniumpond::frontend
--- a/src/frontend/target_fields.cpp
+++ b/src/frontend/target_fields.cpp
@@ -24,13 +24,6 @@
 /// Longest warm-up that is believed.
 constexpr Micros kLongestWarmUp = 600 * kSecond;
 
-std::ptrdiff_t CountFields(const HeaderFields& aFields, std::string_view aName)
-{
-  return std::count_if(aFields.begin(), aFields.end(), [&](const auto& aField) {
-    return EqualIgnoringCase(aField.first, aName);
-  });
-}
-
 } // namespace
 
 std::optional<dispatch::Report> ParseLoad(const std::string& aText)
--- a/src/gateway/operations.cpp
+++ b/src/gateway/operations.cpp
@@ -1,5 +1,7 @@
 #include "internal.h"
 
+#include <geraniumpond/field_text.h>
+
 #include <algorithm>
 #include <array>
 #include <limits>
@@ -250,6 +252,17 @@
 
 void HandleAnnounce(Context& aContext, const Announce& aCall)
 {
+  // The id is sent in a header field of each request.
+  if (!IsFieldText(aCall.mRecord.id())) {
+    Answer(aContext,
+           { aCall.mOperation,
+             OperationOutcome::Invalid,
+             "an id that a header field cannot hold",
+             "",
+             "" },
+           NameOf(OperationKind::Announce));
+    return;
+  }
   const catalog::State& catalog = aContext.mState.mFleet.mCatalog;
   if (!catalog::ChangesState(catalog, aCall.mRecord)) {
     // Renewals that change nothing are not logged.
--- a/tests/gateway_test.cpp
+++ b/tests/gateway_test.cpp
@@ -73,6 +73,7 @@
   CPPUNIT_TEST(UnknownRouteGets404OnlyWhileThePolicyIsCurrent);
   CPPUNIT_TEST(HostThatIsNotSettledRefusesRequestsWhileMessagesWait);
   CPPUNIT_TEST(HostWithFollowersRefusesRequestsWhileMessagesWait);
+  CPPUNIT_TEST(TargetWithALineBreakInItsIdIsRefused);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -215,6 +216,24 @@
       404, StatusOfUnknownRoute(state, kStart + 2000, kShortDelay));
   }
 
+  // Guards against a name that is sent to the target as two header fields.
+  void TargetWithALineBreakInItsIdIsRefused()
+  {
+    for (const char* id : { "t\r\nX: y", "t\n1", "t\x01" }) {
+      State state = Follower(kFastLink, true, 100);
+      Event event;
+      event.mNow = kStart + kSecond;
+      Announce call{ 7, {} };
+      call.mRecord.set_id(id);
+      call.mRecord.set_service("s");
+      call.mRecord.set_address("10.0.0.3:80");
+      event.mBody = std::move(call);
+      const Effects effects = Step(state, event);
+      CPPUNIT_ASSERT(AnswerIn(effects) != nullptr);
+      CPPUNIT_ASSERT(AnswerIn(effects)->mEnd == OperationOutcome::Invalid);
+    }
+  }
+
 private:
   static constexpr Micros kShortDelay = 50 * kMillisecond;
   static constexpr Micros kLongDelay = 200 * kMillisecond;
--- a/tests/http_test.cpp
+++ b/tests/http_test.cpp
@@ -7,6 +7,19 @@
 
 namespace geraniumpond::frontend {
 
+namespace {
+
+/// Values that mail programs decode; in HTTP they are plain text.
+constexpr const char* kEncodedWords[] = {
+  "=?UTF-8?Q?hello_world?=",
+  "=?UTF-8?Q?a=0D=0A=0D=0APOST_/x_HTTP/1.1=0D=0AHost:_h=0D=0A=0D=0A?=",
+  "=?utf-8?b?YQ0KWC1BZGRlZDogMQ==?=",
+  "before =?UTF-8?Q?a?= =?UTF-8?Q?=0D=0AContent-Length:_7?= after",
+  "=?UTF-8?Q?=00?=",
+};
+
+} // namespace
+
 class HttpTest : public CppUnit::TestFixture
 {
   CPPUNIT_TEST_SUITE(HttpTest);
@@ -19,6 +32,12 @@
   CPPUNIT_TEST(InterimResponsesAreSkipped);
   CPPUNIT_TEST(NonHttpBytesAreMalformed);
   CPPUNIT_TEST(SerializedResponseHasContentLengthAndNoHopByHopFields);
+  CPPUNIT_TEST(FieldValuesOfRequestsAreReadAsSent);
+  CPPUNIT_TEST(FieldValuesOfResponsesAreReadAsSent);
+  CPPUNIT_TEST(LongFieldsAndManyFieldsAreReadWithinTheLimit);
+  CPPUNIT_TEST(FoldedFieldIsReadAsOneLine);
+  CPPUNIT_TEST(HeadsWithControlCharactersAreMalformed);
+  CPPUNIT_TEST(TextWithLineBreaksIsNotSerialized);
   CPPUNIT_TEST(OnlyValidLoadIsParsed);
   CPPUNIT_TEST(OnlyValidLimitIsParsed);
   CPPUNIT_TEST_SUITE_END();
@@ -216,6 +235,116 @@
     CPPUNIT_ASSERT(read(twice).mKind == Kind::Invalid);
   }
 
+  // Guards against a smuggled request: a field value that was decoded as that
+  // of a mail held line breaks that its sender had not sent.
+  void FieldValuesOfRequestsAreReadAsSent()
+  {
+    for (const char* value : kEncodedWords) {
+      std::string buffer =
+        "GET / HTTP/1.1\r\nHost: h\r\nX-Note: " + std::string(value) +
+        "\r\n\r\n";
+      RequestReader reader;
+      CPPUNIT_ASSERT(reader.Read(buffer, {}) == ReadStatus::Complete);
+      const HttpRequest request = reader.Take();
+      CPPUNIT_ASSERT_EQUAL(std::string(value),
+                           *FindField(request.mFields, "X-Note"));
+      CPPUNIT_ASSERT_EQUAL(std::size_t(2), request.mFields.size());
+    }
+  }
+
+  // Guards against an answer whose decoded fields add a signature, a length or
+  // another answer.
+  void FieldValuesOfResponsesAreReadAsSent()
+  {
+    for (const char* value : kEncodedWords) {
+      std::string buffer = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\nX-Note: " +
+                           std::string(value) + "\r\n\r\n";
+      ResponseReader reader;
+      CPPUNIT_ASSERT(reader.Read(buffer, false) == ReadStatus::Complete);
+      const HttpResponse response = reader.Take();
+      CPPUNIT_ASSERT_EQUAL(std::string(value),
+                           *FindField(response.mFields, "X-Note"));
+      const std::string sent = Serialize(response, false, false);
+      CPPUNIT_ASSERT(sent.find("X-Note: " + std::string(value) + "\r\n") !=
+                     std::string::npos);
+    }
+  }
+
+  // Guards against refusing proper requests: a value of more than 8 KB and a
+  // hundred fields were malformed, whatever the policy's limit.
+  void LongFieldsAndManyFieldsAreReadWithinTheLimit()
+  {
+    const std::string cookie(9000, 'c');
+    std::string many;
+    for (int i = 0; i < 150; ++i) {
+      many += "X-" + std::to_string(i) + ": v\r\n";
+    }
+    for (const std::string& fields :
+         { "Cookie: " + cookie + "\r\n", many, "X-Empty:\r\n" + many }) {
+      std::string buffer = "GET / HTTP/1.1\r\nHost: h\r\n" + fields + "\r\n";
+      RequestReader reader;
+      CPPUNIT_ASSERT(reader.Read(buffer, {}) == ReadStatus::Complete);
+    }
+  }
+
+  void FoldedFieldIsReadAsOneLine()
+  {
+    std::string buffer = "GET / HTTP/1.1\r\nHost: h\r\nX-Note: a\r\n"
+                         " \tb: c\r\n\r\n";
+    RequestReader reader;
+    CPPUNIT_ASSERT(reader.Read(buffer, {}) == ReadStatus::Complete);
+    const HttpRequest request = reader.Take();
+    CPPUNIT_ASSERT_EQUAL(std::size_t(2), request.mFields.size());
+    CPPUNIT_ASSERT_EQUAL(std::string("a b: c"),
+                         *FindField(request.mFields, "X-Note"));
+  }
+
+  // Guards against bytes that the next hop may take for the end of a line.
+  void HeadsWithControlCharactersAreMalformed()
+  {
+    using namespace std::string_literals;
+    for (const std::string& head : {
+           "GET / HTTP/1.1\r\nHost: h\r\nX-Note: a\nb: c\r\n\r\n"s,
+           "GET / HTTP/1.1\r\nHost: h\r\nX-Note: a\rb: c\r\n\r\n"s,
+           "GET / HTTP/1.1\r\nHost: h\r\nX-Note: a\0b\r\n\r\n"s,
+           "GET / HTTP/1.1\r\nHost: h\r\nX-No\0te: a\r\n\r\n"s,
+           "GET / HTTP/1.1\r\nHost: h\r\nno colon\r\n\r\n"s,
+           "GET / HTTP/1.1\nHost: h\r\n\r\n"s,
+           "G\tET / HTTP/1.1\r\nHost: h\r\n\r\n"s,
+           "GET /\x01 HTTP/1.1\r\nHost: h\r\n\r\n"s,
+           "GET /\rx HTTP/1.1\r\nHost: h\r\n\r\n"s,
+         }) {
+      std::string buffer = head;
+      RequestReader reader;
+      CPPUNIT_ASSERT_MESSAGE(head,
+                             reader.Read(buffer, {}) == ReadStatus::Malformed);
+    }
+    for (const std::string& head : {
+           "HTTP/1.1 200 O\nK\r\nContent-Length: 0\r\n\r\n"s,
+           "HTTP/1.1 200 OK\r\nX-Note: a\nContent-Length: 0\r\n\r\n"s,
+           "HTTP/1.1 200 OK\r\nX-Note: a\0\r\nContent-Length: 0\r\n\r\n"s,
+         }) {
+      std::string buffer = head;
+      ResponseReader reader;
+      CPPUNIT_ASSERT_MESSAGE(
+        head, reader.Read(buffer, false) == ReadStatus::Malformed);
+    }
+  }
+
+  // Guards against a text of the host's own, such as a name that somebody
+  // chose, that adds a field or a message.
+  void TextWithLineBreaksIsNotSerialized()
+  {
+    HttpResponse response = MakeResponse(200, "text/plain", "ok");
+    response.mReason = "OK\r\nX-Added: 1";
+    response.mFields.emplace_back("X-Note", "a\r\nX-Added: 2");
+    response.mFields.emplace_back("X-Other\r\nX-Added", "3");
+    CPPUNIT_ASSERT_EQUAL(std::string("HTTP/1.1 200 OK\r\n"
+                                     "Content-Type: text/plain\r\n"
+                                     "Content-Length: 2\r\n\r\nok"),
+                         Serialize(response, false, false));
+  }
+
   void OnlyValidLoadIsParsed()
   {
     const auto full = ParseLoad("3, 1,8,250");
--- a/tests/request_fields_test.cpp
+++ b/tests/request_fields_test.cpp
@@ -51,6 +51,8 @@
   CPPUNIT_TEST(RelayFieldsAreNeverSentOn);
   CPPUNIT_TEST(RelayFieldsAreRead);
   CPPUNIT_TEST(RepeatedAndUnreadableRelayFieldsAreUnsound);
+  CPPUNIT_TEST(EncodedWordIsSentOnAsItCame);
+  CPPUNIT_TEST(TextWithLineBreaksIsNotSentOn);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -160,6 +162,37 @@
       CPPUNIT_ASSERT(read.mAny && read.mUnsound);
     }
   }
+
+  // Guards against a target that runs a request which no client sent: the
+  // encoded word was sent on with the line breaks that it stands for.
+  void EncodedWordIsSentOnAsItCame()
+  {
+    const std::string line =
+      "X-Note: =?UTF-8?Q?a=0D=0A=0D=0APOST_/y_HTTP/1.1=0D=0AHost:_h"
+      "=0D=0A=0D=0A?=\r\n";
+    std::string sent = "GET /x HTTP/1.1\r\nHost: h\r\n" + line + "\r\n";
+    RequestReader client;
+    CPPUNIT_ASSERT(client.Read(sent, {}) == ReadStatus::Complete);
+    Forwarding forwarding;
+    forwarding.mTimeout = 20 * kMillisecond;
+    CPPUNIT_ASSERT_EQUAL("GET /x HTTP/1.1\r\nHost: h\r\n" + line +
+                           "Patience-Ms: 20\r\n\r\n",
+                         ForwardedBytes(client.Take(), Names(), forwarding));
+  }
+
+  // Guards against fields that are not read from a request and hold line
+  // breaks.
+  void TextWithLineBreaksIsNotSentOn()
+  {
+    CPPUNIT_ASSERT_EQUAL(std::string(), FieldLine("X-Note", "a\r\nX: b"));
+    CPPUNIT_ASSERT_EQUAL(std::string(), FieldLine("X-Note", "a\nb"));
+    CPPUNIT_ASSERT_EQUAL(std::string(), FieldLine("X\r\nY", "a"));
+    CPPUNIT_ASSERT_EQUAL(std::string("X-Note: a\tb\r\n"),
+                         FieldLine("X-Note", "a\tb"));
+    const std::string bytes =
+      Forwarded({ { "Host", "h" }, { "X-Note", "a\r\n\r\nGET /y" } }, false);
+    CPPUNIT_ASSERT(!Has(bytes, "GET /y"));
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(RequestFieldsTest);
