--- a/src/frontend/gateway_process.cpp
+++ b/src/frontend/gateway_process.cpp
@@ -14,6 +14,9 @@
 
 /// Upper bound of a wait, so that connection timeouts are checked in time.
 constexpr Micros kLongestWait = 50 * kMillisecond;
+/// Largest call of an operator or a target. A document takes up to sixteen
+/// times its size while it is decoded.
+constexpr std::uint64_t kMaxCallBytes = 4 * 1024 * 1024;
 
 } // namespace
 
@@ -75,6 +78,9 @@
   for (const std::string& address : addresses) {
     mCallServers.push_back(
       std::make_unique<HttpServer>(mLoop, address, *mCallSink));
+    policy::RequestLimits limits;
+    limits.mMaxBodyBytes = kMaxCallBytes;
+    mCallServers.back()->SetLimits(limits);
   }
   mNow = Now();
   TickConnections();
