Stay until the last answer of a stop is sent

Cause: the step that hands the last answer over decided on the exit by whether answers were being sent before it.

Ruled out: the end of the grace period; the target (it had sent all); the link (the rest takes 0.2 s).

Change: an answer that a step hands over counts as being sent until the loop has looked. The loop looks at answers to calls as well.

Why this mends it: whatever hands an answer over is an effect of its step, so that no exit is decided beside one; the loop looks in each iteration while the host stops.

Before: two new tests of GatewayTest failed, and GatewayStopTest on real sockets (9,221 of 90,000 bytes).

--- a/include/geraniumpond/gateway.h
+++ b/include/geraniumpond/gateway.h
@@ -256,6 +256,7 @@
   bool mPolicyWithheld = false;
   bool mStopping = false;
   Micros mStopAt = 0;
+  /// Answers are being sent, as far as is known.
   bool mSending = false;
   bool mExited = false;
 };
--- a/src/frontend/gateway_process.cpp
+++ b/src/frontend/gateway_process.cpp
@@ -144,8 +144,7 @@
   YieldToMessageThread(next);
   ProcessInbox();
   if (mNow >= gateway::NextTick(mState) || mState.mStopping) {
-    const bool sending = mState.mStopping && mClientServer->HasUnsentAnswers();
-    Post(gateway::TimePassed{ sending });
+    Post(gateway::TimePassed{ mState.mStopping && HasUnsentAnswers() });
   }
   TickConnections();
   mLoadMonitor.RecordWork(WorkKind::Time, 1);
@@ -156,6 +155,15 @@
   return !mExited;
 }
 
+bool GatewayProcess::HasUnsentAnswers() const
+{
+  return mClientServer->HasUnsentAnswers() ||
+         std::any_of(
+           mCallServers.begin(), mCallServers.end(), [](const auto& aServer) {
+             return aServer->HasQueuedBytes();
+           });
+}
+
 // Connections measure timeouts from the time of the last tick.
 void GatewayProcess::TickConnections()
 {
--- a/src/frontend/gateway_process.h
+++ b/src/frontend/gateway_process.h
@@ -92,6 +92,8 @@
   void ProcessPeerMessages();
   void YieldToMessageThread(Micros aDueAt);
   void TickConnections();
+  /// \brief True while answers to clients, operators or targets are being sent.
+  [[nodiscard]] bool HasUnsentAnswers() const;
   void HandleCall(std::uint64_t aExchange, const HttpRequest& aRequest);
   void HandlePolicyRead(std::uint64_t aExchange, const HttpRequest& aRequest);
   [[nodiscard]] HttpResponse RedirectTo(const std::string& aPeerAddress,
--- a/src/frontend/http_server.cpp
+++ b/src/frontend/http_server.cpp
@@ -140,8 +140,9 @@
   [[nodiscard]] std::uint64_t Id() const noexcept { return mId; }
   [[nodiscard]] bool HasUnsentAnswers() const
   {
-    return mSocket.Unsent() > 0 || mLingering;
+    return HasQueuedBytes() || mLingering;
   }
+  [[nodiscard]] bool HasQueuedBytes() const { return mSocket.Unsent() > 0; }
 
 private:
   struct Pending
@@ -387,6 +388,14 @@
     });
 }
 
+bool HttpServer::HasQueuedBytes() const
+{
+  return std::any_of(
+    mConnections.begin(), mConnections.end(), [](const auto& aEntry) {
+      return aEntry.second->HasQueuedBytes();
+    });
+}
+
 void HttpServer::CloseIdle()
 {
   std::vector<Connection*> all;
--- a/src/frontend/http_server.h
+++ b/src/frontend/http_server.h
@@ -74,6 +74,9 @@
   /// not been closed by its client yet.
   [[nodiscard]] bool HasUnsentAnswers() const;
 
+  /// \brief True while bytes of an answer wait to be sent.
+  [[nodiscard]] bool HasQueuedBytes() const;
+
   void OnReadable() override;
   void OnWritable() override {}
 
--- a/src/gateway/stop.cpp
+++ b/src/gateway/stop.cpp
@@ -22,6 +22,16 @@
          std::min(cacheTime + 500 * kMillisecond, settings.mStopGrace * 3 / 4);
 }
 
+bool HandsOverAnswer(const Effects& aEffects)
+{
+  return std::any_of(
+    aEffects.begin(), aEffects.end(), [](const Effect& aEffect) {
+      return std::holds_alternative<dispatch::DeliverAnswer>(aEffect) ||
+             std::holds_alternative<dispatch::ReplyToClient>(aEffect) ||
+             std::holds_alternative<AnswerOperation>(aEffect);
+    });
+}
+
 } // namespace
 
 void HandleStop(Context& aContext)
@@ -53,7 +63,9 @@
     return;
   }
   // For the reducer a request ends when its answer is handed over for sending;
-  // a large answer then takes seconds on a slow link.
+  // a large answer then takes seconds on a slow link. What this step hands over
+  // counts as being sent until the loop has looked.
+  state.mSending = state.mSending || HandsOverAnswer(aContext.mOut);
   const bool idle = dispatch::RunningRequests(state.mDispatch) == 0 &&
                     state.mOperations.empty() && !state.mSending;
   if ((aContext.mNow >= EarliestExit(state) && idle) ||
--- a/tests/gateway_stop_test.cpp
+++ b/tests/gateway_stop_test.cpp
@@ -11,7 +11,10 @@
 #include <Poco/Net/HTTPServerRequest.h>
 #include <Poco/Net/HTTPServerResponse.h>
 
+#include <Poco/StreamCopier.h>
+
 #include <chrono>
+#include <sstream>
 #include <thread>
 
 namespace geraniumpond::frontend {
@@ -22,6 +25,11 @@
 using std::chrono::milliseconds;
 
 constexpr std::size_t kAnswerBytes = 24 * 1024 * 1024;
+constexpr std::size_t kPackBytes = 90000;
+/// Time for which a target works on a pack: longer than a host that stops stays
+/// without a request.
+constexpr milliseconds kPackWork{ 1500 };
+constexpr double kNarrowLinkMbps = 2.5;
 constexpr const char* kPolicy = "[policy]\n"
                                 "version = 1\n"
                                 "base = 0\n"
@@ -38,7 +46,8 @@
                                 "attempts = 1\n"
                                 "backends = s:1\n";
 
-/// \brief Answers health checks, and all other requests with a large body.
+/// \brief Answers health checks, and all other requests with a large body;
+/// packs after some work.
 class LargeAnswerHandler : public net::HTTPRequestHandler
 {
 public:
@@ -53,7 +62,11 @@
       return;
     }
     aResponse.set("Request-Id", aRequest.get("Request-Id", ""));
-    const std::string body(kAnswerBytes, 'x');
+    const bool isPack = aRequest.getURI() == "/pack";
+    if (isPack) {
+      std::this_thread::sleep_for(kPackWork);
+    }
+    const std::string body(isPack ? kPackBytes : kAnswerBytes, 'x');
     aResponse.sendBuffer(body.data(), body.size());
   }
 };
@@ -66,6 +79,7 @@
 {
   CPPUNIT_TEST_SUITE(GatewayStopTest);
   CPPUNIT_TEST(LargeAnswerToASlowReaderIsWholeThoughTheHostStops);
+  CPPUNIT_TEST(LastAnswerIsWholeThoughTheHostHasNothingElseToDo);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -85,6 +99,34 @@
     CPPUNIT_ASSERT_EQUAL(kAnswerBytes, bytesRead);
   }
 
+  // Guards against an exit in the step that hands the last answer over: on a
+  // narrow link it is sent in pieces, and all but the first were lost.
+  void LastAnswerIsWholeThoughTheHostHasNothingElseToDo()
+  {
+    net::HTTPServer target(
+      new fakes::HandlerFactory([] { return new LargeAnswerHandler; }),
+      net::ServerSocket(0),
+      new net::HTTPServerParams);
+    target.start();
+    fakes::RunningGateway host(kNarrowLinkMbps);
+    CPPUNIT_ASSERT(
+      host.Announce(kPolicy, "127.0.0.1:" + std::to_string(target.port())));
+    net::HTTPClientSession session(host.CallerAddress());
+    net::HTTPRequest request("GET", "/pack", "HTTP/1.1");
+    request.setHost("h.example");
+    request.set("Request-Id", "q1");
+    session.sendRequest(request);
+    std::this_thread::sleep_for(milliseconds(100));
+    host.Stop();
+    net::HTTPResponse response;
+    std::ostringstream body;
+    Poco::StreamCopier::copyStream(session.receiveResponse(response), body);
+    host.Join();
+    target.stopAll(true);
+    CPPUNIT_ASSERT_EQUAL(200, static_cast<int>(response.getStatus()));
+    CPPUNIT_ASSERT_EQUAL(kPackBytes, body.str().size());
+  }
+
 private:
   // Reads for at least two seconds, so that the host has sent its answer to the
   // socket and has nothing else to do long before the client has read it.
--- a/tests/gateway_test.cpp
+++ b/tests/gateway_test.cpp
@@ -2,6 +2,8 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <algorithm>
+
 namespace geraniumpond::gateway {
 
 namespace {
@@ -73,6 +75,8 @@
   CPPUNIT_TEST(UnknownRouteGets404OnlyWhileThePolicyIsCurrent);
   CPPUNIT_TEST(HostThatIsNotSettledRefusesRequestsWhileMessagesWait);
   CPPUNIT_TEST(HostWithFollowersRefusesRequestsWhileMessagesWait);
+  CPPUNIT_TEST(StoppingHostStaysWhileItsLastAnswerIsSent);
+  CPPUNIT_TEST(AnswerAtTheExitDeadlineIsSent);
   CPPUNIT_TEST(TargetWithALineBreakInItsIdIsRefused);
   CPPUNIT_TEST_SUITE_END();
 
@@ -216,6 +220,37 @@
       404, StatusOfUnknownRoute(state, kStart + 2000, kShortDelay));
   }
 
+  // Guards against an exit that is decided by whether answers were being sent
+  // before the last one was handed over: the rest of a large one was lost.
+  void StoppingHostStaysWhileItsLastAnswerIsSent()
+  {
+    State state = Follower(kSlowLink, true, kLargeDocument);
+    Stop(state, kStart);
+    const Micros later = kStart + 5 * kSecond;
+    const Effects asked = Read(state, later);
+    CPPUNIT_ASSERT(!HasExit(asked));
+    const Effects ended = Step(state, FromLeader(later, SubmitIn(asked), 1));
+    CPPUNIT_ASSERT(AnswerIn(ended) != nullptr);
+    CPPUNIT_ASSERT(!HasExit(ended));
+    CPPUNIT_ASSERT(!HasExit(Tick(state, later + kMillisecond, true)));
+    CPPUNIT_ASSERT(HasExit(Tick(state, later + 50 * kMillisecond, false)));
+  }
+
+  // Guards against the same at the end of the grace period, part of which is
+  // reserved for sending.
+  void AnswerAtTheExitDeadlineIsSent()
+  {
+    State state = Follower(kSlowLink, true, kLargeDocument);
+    Stop(state, kStart);
+    const Micros deadline = ExitDeadline(state);
+    const Effects asked = Read(state, deadline - 100 * kMillisecond);
+    const Effects ended = Step(state, FromLeader(deadline, SubmitIn(asked), 1));
+    CPPUNIT_ASSERT(AnswerIn(ended) != nullptr);
+    CPPUNIT_ASSERT(!HasExit(ended));
+    CPPUNIT_ASSERT(!HasExit(Tick(state, deadline + kMillisecond, true)));
+    CPPUNIT_ASSERT(HasExit(Tick(state, deadline + kSecond, true)));
+  }
+
   // Guards against a name that is sent to the target as two header fields.
   void TargetWithALineBreakInItsIdIsRefused()
   {
@@ -235,6 +270,28 @@
   }
 
 private:
+  static void Stop(State& aState, Micros aNow)
+  {
+    Event event;
+    event.mNow = aNow;
+    event.mBody = StopRequested{};
+    (void)Step(aState, event);
+  }
+
+  static bool HasExit(const Effects& aEffects)
+  {
+    return std::any_of(
+      aEffects.begin(), aEffects.end(), [](const Effect& aEffect) {
+        return std::holds_alternative<ExitProcess>(aEffect);
+      });
+  }
+
+  // The grace period less what is reserved while nothing is being sent.
+  static Micros ExitDeadline(const State& aState)
+  {
+    return aState.mStopAt + aState.mSettings.mStopGrace - 800 * kMillisecond;
+  }
+
   static constexpr Micros kShortDelay = 50 * kMillisecond;
   static constexpr Micros kLongDelay = 200 * kMillisecond;
 
@@ -304,11 +361,11 @@
     (void)Step(aState, event);
   }
 
-  static Effects Tick(State& aState, Micros aNow)
+  static Effects Tick(State& aState, Micros aNow, bool aSending = false)
   {
     Event event;
     event.mNow = aNow;
-    event.mBody = TimePassed{};
+    event.mBody = TimePassed{ aSending };
     return Step(aState, event);
   }
 
