Read a connection again once its answers are sent

Cause: reading was paused at the end of ReadRequests(), which after a send was called again only with bytes of a request in the buffer.

Ruled out: a request that is read and forgotten (the sink never sees it).

Change: one place decides whether a connection is read; received and sent bytes and answers lead to it. What a client sends behind 16 unanswered requests was read into memory without a bound; it stays in the socket. A paused connection still notices its client's end. At connections to targets, a request that is partly sent is not held up by a pause of reading.

Why this mends it: the pause is a function of what is unsent and unhandled, and every change of either works it out anew.

Before: ConnectionIsReadAgainAfterALargeAnswer read 2 of 4 requests, RequestsOfAClientThatDoesNotReadAreLeftInTheSocket took all that was sent. After: both pass, and ClientThatLeavesWhileItIsNotReadIsNoticed, which passed before.

--- a/src/frontend/event_loop.cpp
+++ b/src/frontend/event_loop.cpp
@@ -16,6 +16,19 @@
 constexpr Micros kLongestWait = 10 * kSecond;
 constexpr std::uint32_t kReadEvents = EPOLLIN | EPOLLRDHUP;
 
+std::uint32_t EventsOf(Reading aReading)
+{
+  switch (aReading) {
+    case Reading::Bytes:
+      return kReadEvents;
+    case Reading::End:
+      return EPOLLRDHUP;
+    case Reading::Paused:
+      break;
+  }
+  return 0;
+}
+
 } // namespace
 
 EventLoop::EventLoop()
@@ -76,14 +89,14 @@
   }
 }
 
-void EventLoop::PauseReading(int aDescriptor, Handler& aHandler, bool aPaused)
+void EventLoop::WatchReading(int aDescriptor,
+                             Handler& aHandler,
+                             Reading aReading)
 {
   const auto found = mRegistrations.find(&aHandler);
   if (found != mRegistrations.end()) {
-    const std::uint32_t events = found->second.mEvents;
-    SetEvents(aDescriptor,
-              aHandler,
-              aPaused ? events & ~kReadEvents : events | kReadEvents);
+    const std::uint32_t others = found->second.mEvents & ~kReadEvents;
+    SetEvents(aDescriptor, aHandler, others | EventsOf(aReading));
   }
 }
 
--- a/src/frontend/event_loop.h
+++ b/src/frontend/event_loop.h
@@ -27,6 +27,17 @@
   virtual void OnWritable() = 0;
 };
 
+/// \brief What a descriptor is watched for in the direction of its peer's
+/// bytes.
+enum class Reading
+{
+  /// Bytes and their end: OnReadable() and OnPeerClosed().
+  Bytes,
+  /// OnPeerClosed() only.
+  End,
+  Paused
+};
+
 /// \brief Waits for descriptor events, a timeout, or a wake-up by another
 /// thread.
 ///
@@ -43,8 +54,7 @@
   void Add(int aDescriptor, Handler& aHandler);
   /// \brief Enables or disables OnWritable().
   void WatchWritable(int aDescriptor, Handler& aHandler, bool aWatch);
-  /// \brief Disables or enables OnReadable().
-  void PauseReading(int aDescriptor, Handler& aHandler, bool aPaused);
+  void WatchReading(int aDescriptor, Handler& aHandler, Reading aReading);
   void Remove(int aDescriptor, Handler& aHandler);
 
   /// \brief Ends a wait of RunOnce(); may be called from any thread.
--- a/src/frontend/http_server.cpp
+++ b/src/frontend/http_server.cpp
@@ -21,6 +21,10 @@
 constexpr std::size_t kMaxPipelined = 16;
 /// Unsent answer bytes at which reading from a slow client is paused.
 constexpr std::size_t kMaxUnsent = 4 * 1024 * 1024;
+/// Bytes of one connection that are read before others are served.
+constexpr std::size_t kMaxReadAtOnce = 64 * 1024;
+/// Bytes behind the requests that are handled at which reading is paused.
+constexpr std::size_t kMaxUnread = 64 * 1024;
 /// How often connections are checked for timeouts.
 constexpr Micros kTimeoutCheckInterval = 250 * kMillisecond;
 /// How long input is discarded before a connection is closed: closing a socket
@@ -53,14 +57,20 @@
     mSocket.Watch(*this, false);
   }
 
-  void OnPeerClosed() override { mPeerClosed = true; }
+  void OnPeerClosed() override
+  {
+    mPeerClosed = true;
+    if (mIsReadingPaused) {
+      Close();
+    }
+  }
 
   // A request that arrives together with the end of its connection is dropped:
   // its client gave up while the request waited here, and nobody would receive
   // the answer of a target.
   void OnReadable() override
   {
-    const ReceiveResult received = mSocket.Receive();
+    const ReceiveResult received = mSocket.Receive(kMaxReadAtOnce);
     if (mLingering) {
       mSocket.Input().clear();
       if (received == ReceiveResult::End || received == ReceiveResult::Reset) {
@@ -183,7 +193,22 @@
       mServer.mExchanges[exchange] = this;
       mServer.mSink.OnRequest(exchange, std::move(request));
     }
-    mSocket.PauseReading(!mLingering && mSocket.Unsent() > kMaxUnsent);
+    UpdateReading();
+  }
+
+  // A client is not read further while it does not read its answers, or while
+  // it sends on behind requests that are not answered. Every answer and every
+  // byte that is sent leads here again.
+  void UpdateReading()
+  {
+    if (mSocket.Closed()) {
+      return;
+    }
+    // A head that is not whole yet stays within its own limit.
+    const std::size_t mostUnread = mServer.mLimits.mMaxHeaderBytes + kMaxUnread;
+    mIsReadingPaused = !mLingering && (mSocket.Unsent() > kMaxUnsent ||
+                                       mSocket.Input().size() > mostUnread);
+    mSocket.WatchReading(mIsReadingPaused ? Reading::End : Reading::Bytes);
   }
 
   void RejectMalformed(int aStatus, const std::string& aReason)
@@ -255,9 +280,7 @@
       }
       return;
     }
-    if (!mSocket.Input().empty()) {
-      ReadRequests();
-    }
+    ReadRequests();
   }
 
   void BeginLingeringClose()
@@ -265,7 +288,7 @@
     mLingering = true;
     mLastActivityAt = mServer.mNow;
     mSocket.Input().clear();
-    mSocket.PauseReading(false);
+    mSocket.WatchReading(Reading::Bytes);
     mSocket.ShutdownSend();
   }
 
@@ -293,6 +316,7 @@
   bool mClosing = false;
   bool mLingering = false;
   bool mPeerClosed = false;
+  bool mIsReadingPaused = false;
 };
 
 HttpServer::HttpServer(EventLoop& aLoop,
--- a/src/frontend/socket.cpp
+++ b/src/frontend/socket.cpp
@@ -147,10 +147,10 @@
   (void)::shutdown(Descriptor(), SHUT_WR);
 }
 
-void BufferedSocket::PauseReading(bool aPaused)
+void BufferedSocket::WatchReading(Reading aReading)
 {
   if (mHandler != nullptr) {
-    mLoop.PauseReading(Descriptor(), *mHandler, aPaused);
+    mLoop.WatchReading(Descriptor(), *mHandler, aReading);
   }
 }
 
--- a/src/frontend/socket.h
+++ b/src/frontend/socket.h
@@ -53,7 +53,7 @@
 
   /// \brief Closes the sending direction.
   void ShutdownSend();
-  void PauseReading(bool aPaused);
+  void WatchReading(Reading aReading);
   void Close();
 
   [[nodiscard]] std::string& Input() noexcept { return mIn; }
--- a/src/frontend/target_connection.cpp
+++ b/src/frontend/target_connection.cpp
@@ -67,14 +67,16 @@
     SendRequestBytes(std::move(mPendingBytes));
     return;
   }
+  // The socket takes bytes, or the pacer allows to read. Either may come while
+  // the other is waited for.
+  if (mSocket.Unsent() > 0 && !mSocket.Flush()) {
+    Fail("send_failed");
+    return;
+  }
   if (mIsReadingPaused) {
     mIsReadingPaused = false;
-    mSocket.PauseReading(false);
+    mSocket.WatchReading(Reading::Bytes);
     OnReadable();
-    return;
-  }
-  if (!mSocket.Flush()) {
-    Fail("send_failed");
   }
 }
 
@@ -89,7 +91,7 @@
   const std::size_t most = BytesToRead();
   if (most == 0) {
     mIsReadingPaused = true;
-    mSocket.PauseReading(true);
+    mSocket.WatchReading(Reading::Paused);
     return;
   }
   const std::size_t before = mSocket.Input().size();
--- a/tests/http_server_test.cpp
+++ b/tests/http_server_test.cpp
@@ -8,6 +8,7 @@
 
 #include <memory>
 #include <string>
+#include <sys/socket.h>
 #include <vector>
 
 namespace geraniumpond::frontend {
@@ -26,15 +27,22 @@
 class CountingSink : public RequestSink
 {
 public:
-  void OnRequest(std::uint64_t, HttpRequest aRequest) override
+  void OnRequest(std::uint64_t aExchange, HttpRequest aRequest) override
   {
     ++mRequests;
+    mExchanges.push_back(aExchange);
+    if (mServer != nullptr) {
+      mServer->Respond(aExchange, MakeResponse(404, "", ""));
+    }
     mOpenedAt = aRequest.mOpenedAt;
   }
   void OnClientDisconnected(std::uint64_t) override { ++mDisconnected; }
   void OnMalformed(int, const std::string&) override { ++mMalformed; }
 
   int mRequests = 0;
+  std::vector<std::uint64_t> mExchanges;
+  /// Answers requests at once if it is set.
+  HttpServer* mServer = nullptr;
   Micros mOpenedAt = 0;
   int mDisconnected = 0;
   int mMalformed = 0;
@@ -51,6 +59,9 @@
   CPPUNIT_TEST(RequestOfConnectedClientIsAnswered);
   CPPUNIT_TEST(ConnectionIsDatedBeforeTheTimeThatItWaited);
   CPPUNIT_TEST(LaterRequestOfAConnectionHasItsDate);
+  CPPUNIT_TEST(ConnectionIsReadAgainAfterALargeAnswer);
+  CPPUNIT_TEST(RequestsOfAClientThatDoesNotReadAreLeftInTheSocket);
+  CPPUNIT_TEST(ClientThatLeavesWhileItIsNotReadIsNoticed);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -124,7 +135,144 @@
     CPPUNIT_ASSERT_EQUAL(openedAt, mSink.mOpenedAt);
   }
 
+  // Guards against a connection that is never read again: a request that came
+  // while much of an answer waited to be sent paused reading for good.
+  void ConnectionIsReadAgainAfterALargeAnswer()
+  {
+    SendRequests(1);
+    Run(kIterations);
+    CPPUNIT_ASSERT_EQUAL(1, mSink.mRequests);
+    mServer.Respond(mSink.mExchanges[0],
+                    MakeResponse(200, "", std::string(kLargeBytes, 'x')));
+    SendMore(1);
+    Run(kIterations);
+    SendMore(1);
+    Run(kIterations);
+    CPPUNIT_ASSERT(ReadBytes(kLargeBytes) >= kLargeBytes);
+    Run(kIterations);
+    SendMore(1);
+    Run(kIterations);
+    CPPUNIT_ASSERT_EQUAL(4, mSink.mRequests);
+    for (int i = 1; i < 4; ++i) {
+      mServer.Respond(mSink.mExchanges[static_cast<std::size_t>(i)],
+                      MakeResponse(200, "", "ok"));
+    }
+    CPPUNIT_ASSERT(ReadBytes(3) >= 3);
+  }
+
+  // Guards against memory that grows with what a client sends on without
+  // reading; and against requests that are forgotten once it reads.
+  void RequestsOfAClientThatDoesNotReadAreLeftInTheSocket()
+  {
+    SendRequests(1);
+    Run(kIterations);
+    mClients.front()->setBlocking(false);
+    const std::size_t sent = SendUntilBlocked();
+    CPPUNIT_ASSERT_MESSAGE(std::to_string(sent), sent < kMostBuffered);
+    const int before = mSink.mRequests;
+    for (std::size_t i = 0; i < mSink.mExchanges.size() && i < 200; ++i) {
+      mServer.Respond(mSink.mExchanges[i], MakeResponse(200, "", "ok"));
+      Run(1);
+    }
+    CPPUNIT_ASSERT(mSink.mRequests >= before + 100);
+  }
+
+  // Guards against targets that work for a client that has left: a pause of
+  // reading hides the end of its connection.
+  void ClientThatLeavesWhileItIsNotReadIsNoticed()
+  {
+    SendRequests(1);
+    Run(kIterations);
+    SendMore(kPausingRequests);
+    Run(kIterations);
+    mClients.clear();
+    Run(kIterations);
+    CPPUNIT_ASSERT_EQUAL(mSink.mRequests, mSink.mDisconnected);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(0), mServer.Connections());
+  }
+
 private:
+  static constexpr std::size_t kLargeBytes = 24 * 1024 * 1024;
+  /// Buffers of a loopback connection hold a few megabytes on each side.
+  static constexpr std::size_t kMostBuffered = 32 * 1024 * 1024;
+  /// Over 200 KB, which the buffers of a connection hold.
+  static constexpr int kPausingRequests = 5000;
+  static constexpr int kManyRequests = 200000;
+  static constexpr const char* kRequest =
+    "GET /path HTTP/1.1\r\nHost: h.example\r\n\r\n";
+
+  static std::size_t Count(const std::string& aText, const std::string& aPart)
+  {
+    std::size_t count = 0;
+    for (std::size_t at = aText.find(aPart); at != std::string::npos;
+         at = aText.find(aPart, at + 1)) {
+      ++count;
+    }
+    return count;
+  }
+
+  void SendText(const std::string& aText)
+  {
+    mClients.front()->sendBytes(aText.data(), static_cast<int>(aText.size()));
+  }
+
+  void SendMore(int aCount)
+  {
+    for (int i = 0; i < aCount; ++i) {
+      SendText(kRequest);
+    }
+  }
+
+  // Sends requests until neither the server nor the connection takes more.
+  std::size_t SendUntilBlocked()
+  {
+    std::string bytes;
+    for (int i = 0; i < 1000; ++i) {
+      bytes += kRequest;
+    }
+    std::size_t sent = 0;
+    for (int refusals = 0; refusals < 20 && sent < 2 * kMostBuffered;) {
+      const std::size_t at = sent % bytes.size();
+      const ssize_t count = ::send(mClients.front()->impl()->sockfd(),
+                                   bytes.data() + at,
+                                   bytes.size() - at,
+                                   MSG_NOSIGNAL);
+      refusals = count > 0 ? 0 : refusals + 1;
+      sent += count > 0 ? static_cast<std::size_t>(count) : 0;
+      Run(1);
+    }
+    return sent;
+  }
+
+  // Reads until at least so many bytes have come; fewer if none come for long.
+  std::size_t ReadBytes(std::size_t aBytes)
+  {
+    std::size_t read = 0;
+    for (int idle = 0; read < aBytes && idle < 200;) {
+      const std::size_t count = ReadAvailable().size();
+      idle = count == 0 ? idle + 1 : 0;
+      read += count;
+      Run(1);
+    }
+    return read;
+  }
+
+  std::string ReadAvailable()
+  {
+    std::string read;
+    std::vector<char> bytes(1024 * 1024);
+    while (true) {
+      const ssize_t count = ::recv(mClients.front()->impl()->sockfd(),
+                                   bytes.data(),
+                                   bytes.size(),
+                                   MSG_DONTWAIT);
+      if (count <= 0) {
+        return read;
+      }
+      read.append(bytes.data(), static_cast<std::size_t>(count));
+    }
+  }
+
   void SendRequests(int aCount)
   {
     const std::string request = "GET /path HTTP/1.1\r\nHost: h.example\r\n\r\n";
