Read the requests of a connection in one loop

Would be seen by callers: a client that sends many requests ahead which are answered at once (unknown routes; calls) ends the process.

Cause: an answer leads to the next request being read; while a request was handed on, that was a call within the call, once a request in the buffer.

Change: a call within the loop returns to it.

Why this mends it: the depth no longer depends on what a client sends.

--- a/src/frontend/http_server.cpp
+++ b/src/frontend/http_server.cpp
@@ -165,37 +165,51 @@
     double mBytesPerSecond = 0;
   };
 
+  // A request may be answered while it is handed on, which leads here again;
+  // the loop then reads the next one.
   void ReadRequests()
   {
-    while (!mSocket.Closed() && !mLingering && !mCloseAfterError &&
-           !mLastRequestRead && mPending.size() < kMaxPipelined) {
-      const ReadStatus status = mReader.Read(mSocket.Input(), mServer.mLimits);
-      if (mReader.TakeExpectContinue() && status == ReadStatus::Partial) {
-        (void)mSocket.Send("HTTP/1.1 100 Continue\r\n\r\n");
-      }
-      if (status == ReadStatus::Malformed) {
-        RejectMalformed(mReader.ErrorStatus(), mReader.ErrorReason());
-        return;
-      }
-      if (status == ReadStatus::Partial) {
-        break;
-      }
-      HttpRequest request = mReader.Take();
-      request.mSender = mSender;
-      request.mOpenedAt = mOpenedAt;
-      const std::uint64_t exchange = NextExchangeId();
-      mPending.push_back({ exchange,
-                           request.mMethod == "HEAD",
-                           !request.mKeepAlive,
-                           false,
-                           "" });
-      mLastRequestRead = !request.mKeepAlive;
-      mServer.mExchanges[exchange] = this;
-      mServer.mSink.OnRequest(exchange, std::move(request));
+    if (mIsReadingRequests) {
+      return;
     }
+    mIsReadingRequests = true;
+    while (MayReadRequest() && ReadRequest()) {
+    }
+    mIsReadingRequests = false;
     UpdateReading();
   }
 
+  [[nodiscard]] bool MayReadRequest() const
+  {
+    return !mSocket.Closed() && !mLingering && !mCloseAfterError &&
+           !mLastRequestRead && mPending.size() < kMaxPipelined;
+  }
+
+  // False if no whole request is left.
+  bool ReadRequest()
+  {
+    const ReadStatus status = mReader.Read(mSocket.Input(), mServer.mLimits);
+    if (mReader.TakeExpectContinue() && status == ReadStatus::Partial) {
+      (void)mSocket.Send("HTTP/1.1 100 Continue\r\n\r\n");
+    }
+    if (status == ReadStatus::Malformed) {
+      RejectMalformed(mReader.ErrorStatus(), mReader.ErrorReason());
+    }
+    if (status != ReadStatus::Complete) {
+      return false;
+    }
+    HttpRequest request = mReader.Take();
+    request.mSender = mSender;
+    request.mOpenedAt = mOpenedAt;
+    const std::uint64_t exchange = NextExchangeId();
+    mPending.push_back(
+      { exchange, request.mMethod == "HEAD", !request.mKeepAlive, false, "" });
+    mLastRequestRead = !request.mKeepAlive;
+    mServer.mExchanges[exchange] = this;
+    mServer.mSink.OnRequest(exchange, std::move(request));
+    return true;
+  }
+
   // A client is not read further while it does not read its answers, or while
   // it sends on behind requests that are not answered. Every answer and every
   // byte that is sent leads here again.
@@ -317,6 +331,7 @@
   bool mLingering = false;
   bool mPeerClosed = false;
   bool mIsReadingPaused = false;
+  bool mIsReadingRequests = false;
 };
 
 HttpServer::HttpServer(EventLoop& aLoop,
--- a/tests/http_server_test.cpp
+++ b/tests/http_server_test.cpp
@@ -62,6 +62,7 @@
   CPPUNIT_TEST(ConnectionIsReadAgainAfterALargeAnswer);
   CPPUNIT_TEST(RequestsOfAClientThatDoesNotReadAreLeftInTheSocket);
   CPPUNIT_TEST(ClientThatLeavesWhileItIsNotReadIsNoticed);
+  CPPUNIT_TEST(RequestsThatAreAnsweredAtOnceTakeNoStack);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -191,6 +192,35 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t(0), mServer.Connections());
   }
 
+  // Guards against a client that ends the process: each request behind one that
+  // was answered at once was read by a further call.
+  void RequestsThatAreAnsweredAtOnceTakeNoStack()
+  {
+    mSink.mServer = &mServer;
+    SendRequests(1);
+    Run(kIterations);
+    mClients.front()->setBlocking(false);
+    std::size_t received = 0;
+    std::string sent;
+    for (int i = 0; i < kManyRequests; ++i) {
+      sent += kRequest;
+    }
+    for (std::size_t at = 0; at < sent.size();) {
+      const ssize_t count = ::send(mClients.front()->impl()->sockfd(),
+                                   sent.data() + at,
+                                   sent.size() - at,
+                                   MSG_NOSIGNAL);
+      at += count > 0 ? static_cast<std::size_t>(count) : 0;
+      if (count <= 0) {
+        Run(1);
+        received += ReadAvailable().size();
+      }
+    }
+    received += ReadBytes(kManyRequests * std::size_t(1000));
+    CPPUNIT_ASSERT(received > kManyRequests);
+    CPPUNIT_ASSERT_EQUAL(kManyRequests + 1, mSink.mRequests);
+  }
+
 private:
   static constexpr std::size_t kLargeBytes = 24 * 1024 * 1024;
   /// Buffers of a loopback connection hold a few megabytes on each side.
