Close no connection before an answer that is owed

Cause: after the stop the first answer closed its connection, and what was read behind it was cancelled at its target. A malformed request behind proper ones did the same to them.

Change: the answer to the last request that was read closes; from the stop on nothing is read behind a request at work, and what is unread is closed on.

Why this mends it: a connection closes with the last of the requests that it has read, so that all of them have their answers.

Before: RequestsBehindAnotherAreAnsweredThoughTheHostStops and RequestsBeforeAMalformedOneAreAnswered failed. After: HttpServerTest 11 of 11.

--- a/src/frontend/http_server.cpp
+++ b/src/frontend/http_server.cpp
@@ -104,8 +104,10 @@
   {
     for (Pending& pending : mPending) {
       if (pending.mExchange == aExchange) {
-        const bool close =
-          pending.mClose || mServer.mStopping || mCloseAfterError;
+        // What was sent behind a closing answer counts as not read, so that no
+        // answer closes before one that is owed.
+        const bool isLast = &pending == &mPending.back();
+        const bool close = pending.mClose || (mServer.mStopping && isLast);
         pending.mBytes = Serialize(aResponse, close, pending.mHeadOnly);
         pending.mClose = close;
         pending.mBytesPerSecond = aBytesPerSecond;
@@ -182,7 +184,8 @@
   [[nodiscard]] bool MayReadRequest() const
   {
     return !mSocket.Closed() && !mLingering && !mCloseAfterError &&
-           !mLastRequestRead && mPending.size() < kMaxPipelined;
+           !mLastRequestRead && mPending.size() < kMaxPipelined &&
+           (!mServer.mStopping || mPending.empty());
   }
 
   // False if no whole request is left.
--- a/src/frontend/http_server.h
+++ b/src/frontend/http_server.h
@@ -52,7 +52,8 @@
                const HttpResponse& aResponse,
                double aBytesPerSecond = 0);
 
-  /// \brief Closes each connection after its next answer from now on.
+  /// \brief From now on closes each connection after the answers to the
+  /// requests that it has read, or to the next one.
   void BeginStop() { mStopping = true; }
   /// \brief Closes connections that have no request in progress.
   void CloseIdle();
--- a/tests/http_server_test.cpp
+++ b/tests/http_server_test.cpp
@@ -63,6 +63,8 @@
   CPPUNIT_TEST(RequestsOfAClientThatDoesNotReadAreLeftInTheSocket);
   CPPUNIT_TEST(ClientThatLeavesWhileItIsNotReadIsNoticed);
   CPPUNIT_TEST(RequestsThatAreAnsweredAtOnceTakeNoStack);
+  CPPUNIT_TEST(RequestsBehindAnotherAreAnsweredThoughTheHostStops);
+  CPPUNIT_TEST(RequestsBeforeAMalformedOneAreAnswered);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -221,6 +223,50 @@
     CPPUNIT_ASSERT_EQUAL(kManyRequests + 1, mSink.mRequests);
   }
 
+  // Guards against a stop that cancels requests at which targets are at work,
+  // because the answer before them closed the connection.
+  void RequestsBehindAnotherAreAnsweredThoughTheHostStops()
+  {
+    SendRequests(1);
+    SendMore(1);
+    Run(kIterations);
+    CPPUNIT_ASSERT_EQUAL(2, mSink.mRequests);
+    mServer.BeginStop();
+    SendMore(1);
+    Run(kIterations);
+    mServer.Respond(mSink.mExchanges[0], MakeResponse(200, "", "one"));
+    Run(kIterations);
+    CPPUNIT_ASSERT_EQUAL(0, mSink.mDisconnected);
+    mServer.Respond(mSink.mExchanges[1], MakeResponse(200, "", "two"));
+    Run(kIterations);
+    const std::string answers = ReadAvailable();
+    const std::size_t first = answers.find("one");
+    const std::size_t second = answers.find("two");
+    const std::size_t close = answers.find("Connection: close");
+    CPPUNIT_ASSERT(first < close && close < second);
+    CPPUNIT_ASSERT(second != std::string::npos);
+    // What came after the stop was not read, which the close says.
+    CPPUNIT_ASSERT_EQUAL(2, mSink.mRequests);
+  }
+
+  // Guards against the same by a malformed request behind proper ones.
+  void RequestsBeforeAMalformedOneAreAnswered()
+  {
+    SendRequests(1);
+    SendMore(1);
+    SendText("no request\r\n\r\n");
+    Run(kIterations);
+    CPPUNIT_ASSERT_EQUAL(1, mSink.mMalformed);
+    for (const std::uint64_t exchange : mSink.mExchanges) {
+      mServer.Respond(exchange, MakeResponse(200, "", "ok"));
+    }
+    Run(kIterations);
+    CPPUNIT_ASSERT_EQUAL(0, mSink.mDisconnected);
+    const std::string answers = ReadAvailable();
+    CPPUNIT_ASSERT_EQUAL(std::size_t(2), Count(answers, "HTTP/1.1 200"));
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), Count(answers, "HTTP/1.1 400"));
+  }
+
 private:
   static constexpr std::size_t kLargeBytes = 24 * 1024 * 1024;
   /// Buffers of a loopback connection hold a few megabytes on each side.
