Bound what a host takes of the answers of targets

Interim answers or answers to others without end hold up the whole loop.

Cause: the body of an answer was bounded by time alone, and so were trailers, interim answers and answers to other requests; each chunk and each skipped answer moved all bytes behind it.

Ruled out: heads that come in pieces (bounded before, that test passed).

Change: bounds of the body of one answer, of all bodies that are being read, of what is received beside them, of trailers, of skipped answers and of probes' answers. The first two are settings; the second follows the host's memory. Chunks are read in one pass, 256 KB of a connection at a time.

Why this mends it: every byte that is received counts towards one of the bounds, whatever it is, and the largest of the answers ends before the host's memory does. The connection is closed, and the attempt ends as broken: the request may have run.

Before: seven of EndlessAnswersTest failed, one of them held the loop for more than 90 s. After: 15 passed (sound answers of 64 MB, whole and in chunks, among them), GatewayBoundsTest 2, HttpTest 17, GatewayNarrowLinkTest 2, GatewayRelayTest 2.

--- a/include/geraniumpond/gateway_settings.h
+++ b/include/geraniumpond/gateway_settings.h
@@ -19,6 +19,10 @@
   /// other hosts.
   std::string mDataFolder;
 
+  /// Memory of the host, which bounds what it holds of answers; 0 if it is not
+  /// known.
+  std::uint64_t mMemoryBytes = 0;
+
   /// Where clients send requests.
   std::string mCallerAddress;
   /// Where targets, operators and directory clients make API calls.
@@ -56,6 +60,8 @@
   Micros mExtraWindow = 0;
   /// Probes per target and second.
   double mProbesPerTarget = 0;
+  /// Largest body of a target's answer; as large as that of a request may be.
+  std::uint64_t mMaxAnswerBytes = 64ULL * 1024 * 1024;
 
   /// Requests at a cold target in any second: a ratio of the rate that the
   /// policy states plus a fixed number.
--- a/src/config/gateway_settings.cpp
+++ b/src/config/gateway_settings.cpp
@@ -24,6 +24,7 @@
     { "host", "id", ValueType::Text, nullptr },
     { "host", "data_centre", ValueType::Text, nullptr },
     { "host", "data_folder", ValueType::OptionalText, "" },
+    { "host", "memory_mb", ValueType::Integer, "0", 0, 1e6 },
     { "listen", "callers", ValueType::Address, nullptr },
     { "listen", "calls", ValueType::AddressList, nullptr },
     { "listen", "hosts", ValueType::Address, nullptr },
@@ -41,6 +42,7 @@
     { "bounds", "extra_floor", ValueType::Decimal, "20", 0, 1e6 },
     { "bounds", "extra_window", ValueType::Duration, "10s" },
     { "bounds", "probes_per_target", ValueType::Decimal, "10", 0, 1e6 },
+    { "bounds", "answer_mb", ValueType::Integer, "64", 1, 1e6 },
     { "bounds", "warm_up_ratio", ValueType::Decimal, "1", 0, 100 },
     { "bounds", "warm_up_floor", ValueType::Decimal, "0", 0, 1e6 },
     { "accounts", "strict_revocation", ValueType::Boolean, "no" },
@@ -70,11 +72,18 @@
   return rules;
 }
 
+std::uint64_t MegabytesOf(const Section& aSection, const std::string& aKey)
+{
+  constexpr std::uint64_t kMegabyte = 1024ULL * 1024;
+  return static_cast<std::uint64_t>(aSection.Integer(aKey)) * kMegabyte;
+}
+
 void ReadHost(const Section& aSection, GatewaySettings& aOut)
 {
   aOut.mId = aSection.Text("id");
   aOut.mDataCentre = aSection.Text("data_centre");
   aOut.mDataFolder = aSection.Text("data_folder");
+  aOut.mMemoryBytes = MegabytesOf(aSection, "memory_mb");
 }
 
 void ReadListen(const Section& aSection, GatewaySettings& aOut)
@@ -142,6 +151,7 @@
   aOut.mExtraFloor = aSection.Decimal("extra_floor");
   aOut.mExtraWindow = aSection.Duration("extra_window");
   aOut.mProbesPerTarget = aSection.Decimal("probes_per_target");
+  aOut.mMaxAnswerBytes = MegabytesOf(aSection, "answer_mb");
   aOut.mWarmUpRatio = aSection.Decimal("warm_up_ratio");
   aOut.mWarmUpFloor = aSection.Decimal("warm_up_floor");
 }
--- a/src/frontend/gateway_process.cpp
+++ b/src/frontend/gateway_process.cpp
@@ -29,7 +29,11 @@
   , mRandom(RandomUint64())
   , mOutgoingPacer(LinkBytesPerSecond(aSettings))
   , mIncomingPacer(LinkBytesPerSecond(aSettings))
-  , mTargets(mLoop, aDialect.mFieldNames, *this, mIncomingPacer)
+  , mTargets(mLoop,
+             aDialect.mFieldNames,
+             *this,
+             mIncomingPacer,
+             AnswerBoundsFor(aSettings.mMaxAnswerBytes, aSettings.mMemoryBytes))
   , mClientSink(std::make_unique<ClientSink>(*this))
   , mCallSink(std::make_unique<CallSink>(*this))
 {
--- a/src/frontend/http_body.cpp
+++ b/src/frontend/http_body.cpp
@@ -11,6 +11,25 @@
 namespace {
 
 constexpr std::size_t kMaxChunkLine = 4096;
+constexpr std::size_t kMaxTrailerBytes = 64 * 1024;
+/// Body from which its buffer grows by a quarter, not by as much again.
+constexpr std::size_t kLargeBody = 1024 * 1024;
+
+void Append(std::string_view aBytes, std::string& aBody)
+{
+  const std::size_t size = aBody.size() + aBytes.size();
+  if (size > aBody.capacity() && size > kLargeBody) {
+    aBody.reserve(size + size / 4);
+  }
+  aBody += aBytes;
+}
+
+// What is left of a line that is not whole yet is bounded.
+ReadStatus PartialLine(std::string_view aBytes)
+{
+  return aBytes.size() > kMaxChunkLine ? ReadStatus::Malformed
+                                       : ReadStatus::Partial;
+}
 
 } // namespace
 
@@ -18,6 +37,7 @@
 {
   mFraming = aFraming;
   mRemaining = aLength;
+  mTrailerBytes = 0;
   mPart = ChunkPart::Size;
 }
 
@@ -27,92 +47,99 @@
     case Framing::None:
       return ReadStatus::Complete;
     case Framing::UntilClose:
-      aBody += aBuffer;
+      Append(aBuffer, aBody);
       aBuffer.clear();
       return ReadStatus::Partial;
-    case Framing::Chunked:
-      return FeedChunked(aBuffer, aBody);
+    case Framing::Chunked: {
+      // What was read leaves the buffer once: there may be many small chunks.
+      std::string_view bytes = aBuffer;
+      const ReadStatus status = FeedChunked(bytes, aBody);
+      aBuffer.erase(0, aBuffer.size() - bytes.size());
+      return status;
+    }
     case Framing::Length:
       break;
   }
   const auto take = static_cast<std::size_t>(
     std::min<std::uint64_t>(mRemaining, aBuffer.size()));
-  aBody.append(aBuffer, 0, take);
+  Append(std::string_view(aBuffer).substr(0, take), aBody);
   aBuffer.erase(0, take);
   mRemaining -= take;
   return mRemaining == 0 ? ReadStatus::Complete : ReadStatus::Partial;
 }
 
-ReadStatus BodyReader::ReadChunkSize(std::string& aBuffer)
+ReadStatus BodyReader::ReadChunkSize(std::string_view& aBytes)
 {
-  const std::size_t end = aBuffer.find("\r\n");
-  if (end == std::string::npos) {
-    return aBuffer.size() > kMaxChunkLine ? ReadStatus::Malformed
-                                          : ReadStatus::Partial;
+  const std::size_t end = aBytes.find("\r\n");
+  if (end == std::string_view::npos) {
+    return PartialLine(aBytes);
   }
   const std::string digits =
-    Poco::trim(aBuffer.substr(0, std::min(end, aBuffer.find(';'))));
+    Poco::trim(std::string(aBytes.substr(0, std::min(end, aBytes.find(';')))));
   Poco::UInt64 size = 0;
   const bool valid = !digits.empty() && digits.size() <= 15 &&
                      std::isxdigit(static_cast<unsigned char>(digits[0])) != 0;
   if (!valid || !Poco::NumberParser::tryParseHex64(digits, size)) {
     return ReadStatus::Malformed;
   }
-  aBuffer.erase(0, end + 2);
+  aBytes.remove_prefix(end + 2);
   mRemaining = size;
   mPart = size == 0 ? ChunkPart::Trailer : ChunkPart::Data;
   return ReadStatus::Complete;
 }
 
-ReadStatus BodyReader::SkipTrailerLine(std::string& aBuffer)
+ReadStatus BodyReader::ReadChunkEnd(std::string_view& aBytes)
 {
-  const std::size_t end = aBuffer.find("\r\n");
-  if (end == std::string::npos) {
-    return aBuffer.size() > kMaxChunkLine ? ReadStatus::Malformed
-                                          : ReadStatus::Partial;
+  if (aBytes.size() < 2) {
+    return ReadStatus::Partial;
+  }
+  if (aBytes.compare(0, 2, "\r\n") != 0) {
+    return ReadStatus::Malformed;
   }
-  aBuffer.erase(0, end + 2);
-  return end == 0 ? ReadStatus::Complete : ReadStatus::Partial;
+  aBytes.remove_prefix(2);
+  mPart = ChunkPart::Size;
+  return ReadStatus::Complete;
 }
 
-ReadStatus BodyReader::FeedChunked(std::string& aBuffer, std::string& aBody)
+// Complete after the empty line that ends the trailer.
+ReadStatus BodyReader::SkipTrailer(std::string_view& aBytes)
 {
-  while (true) {
-    if (mPart == ChunkPart::Size) {
-      const ReadStatus status = ReadChunkSize(aBuffer);
-      if (status != ReadStatus::Complete) {
-        return status;
-      }
+  while (mTrailerBytes <= kMaxTrailerBytes) {
+    const std::size_t end = aBytes.find("\r\n");
+    if (end == std::string_view::npos) {
+      return PartialLine(aBytes);
+    }
+    aBytes.remove_prefix(end + 2);
+    mTrailerBytes += end + 2;
+    if (end == 0) {
+      return ReadStatus::Complete;
     }
+  }
+  return ReadStatus::Malformed;
+}
+
+ReadStatus BodyReader::FeedChunked(std::string_view& aBytes, std::string& aBody)
+{
+  while (mPart != ChunkPart::Trailer) {
     if (mPart == ChunkPart::Data) {
       const auto take = static_cast<std::size_t>(
-        std::min<std::uint64_t>(mRemaining, aBuffer.size()));
-      aBody.append(aBuffer, 0, take);
-      aBuffer.erase(0, take);
+        std::min<std::uint64_t>(mRemaining, aBytes.size()));
+      Append(aBytes.substr(0, take), aBody);
+      aBytes.remove_prefix(take);
       mRemaining -= take;
       if (mRemaining > 0) {
         return ReadStatus::Partial;
       }
       mPart = ChunkPart::DataEnd;
     }
-    if (mPart == ChunkPart::DataEnd) {
-      if (aBuffer.size() < 2) {
-        return ReadStatus::Partial;
-      }
-      if (aBuffer.compare(0, 2, "\r\n") != 0) {
-        return ReadStatus::Malformed;
-      }
-      aBuffer.erase(0, 2);
-      mPart = ChunkPart::Size;
-    }
-    if (mPart == ChunkPart::Trailer) {
-      const std::size_t before = aBuffer.size();
-      const ReadStatus status = SkipTrailerLine(aBuffer);
-      if (status != ReadStatus::Partial || aBuffer.size() == before) {
-        return status;
-      }
+    const ReadStatus status = mPart == ChunkPart::DataEnd
+                                ? ReadChunkEnd(aBytes)
+                                : ReadChunkSize(aBytes);
+    if (status != ReadStatus::Complete) {
+      return status;
     }
   }
+  return SkipTrailer(aBytes);
 }
 
 } // namespace geraniumpond::frontend
--- a/src/frontend/http_message.cpp
+++ b/src/frontend/http_message.cpp
@@ -1,5 +1,6 @@
 #include "http_message.h"
 
+#include "answer_bounds.h"
 #include "http_head.h"
 
 #include <geraniumpond/field_text.h>
@@ -171,6 +172,9 @@
                         0, std::min<std::size_t>(5, aBuffer.size()))) != 0;
     return malformed ? ReadStatus::Malformed : ReadStatus::Partial;
   }
+  if (end > kMaxResponseHead) {
+    return ReadStatus::Malformed;
+  }
   Result<ResponseHead> head = ParseResponseHead(
     std::string_view(aBuffer).substr(0, end + kHeadEnd.size()));
   if (!head) {
@@ -205,6 +209,9 @@
         !ParseLength(*FindField(fields, "Content-Length"), length)) {
       return ReadStatus::Malformed;
     }
+    if (length > mMaxBody) {
+      return ReadStatus::TooLarge;
+    }
     mBody.Start(BodyReader::Framing::Length, length);
   } else {
     mBody.Start(BodyReader::Framing::UntilClose, 0);
@@ -224,10 +231,14 @@
       }
     }
     if (mResponse.mStatus >= 200) {
-      return mBody.Feed(aBuffer, mResponse.mBody);
+      const ReadStatus body = mBody.Feed(aBuffer, mResponse.mBody);
+      return mResponse.mBody.size() > mMaxBody ? ReadStatus::TooLarge : body;
     }
     // Interim responses are skipped; the final one follows.
     mHaveHead = false;
+    if (++mInterimResponses > kMaxSkippedAnswers) {
+      return ReadStatus::Malformed;
+    }
   }
 }
 
@@ -241,6 +252,7 @@
 HttpResponse ResponseReader::Take()
 {
   mHaveHead = false;
+  mInterimResponses = 0;
   return std::move(mResponse);
 }
 
--- a/src/frontend/http_message.h
+++ b/src/frontend/http_message.h
@@ -6,6 +6,7 @@
 #include <geraniumpond/policy.h>
 
 #include <cstdint>
+#include <limits>
 #include <optional>
 #include <string>
 
@@ -48,7 +49,9 @@
   /// More bytes are needed.
   Partial,
   Complete,
-  Malformed
+  Malformed,
+  /// The body of a response is larger than it may be.
+  TooLarge
 };
 
 /// \brief Reads a body delimited by length, chunks or the connection's end.
@@ -79,13 +82,16 @@
     Trailer
   };
 
-  [[nodiscard]] ReadStatus FeedChunked(std::string& aBuffer,
+  /// \brief Reads chunks, and moves `aBytes` behind what was read.
+  [[nodiscard]] ReadStatus FeedChunked(std::string_view& aBytes,
                                        std::string& aBody);
-  [[nodiscard]] ReadStatus ReadChunkSize(std::string& aBuffer);
-  [[nodiscard]] ReadStatus SkipTrailerLine(std::string& aBuffer);
+  [[nodiscard]] ReadStatus ReadChunkSize(std::string_view& aBytes);
+  [[nodiscard]] ReadStatus ReadChunkEnd(std::string_view& aBytes);
+  [[nodiscard]] ReadStatus SkipTrailer(std::string_view& aBytes);
 
   Framing mFraming = Framing::None;
   std::uint64_t mRemaining = 0;
+  std::size_t mTrailerBytes = 0;
   ChunkPart mPart = ChunkPart::Size;
 };
 
@@ -132,6 +138,9 @@
 class ResponseReader
 {
 public:
+  /// \brief Bounds the bodies of the responses that follow.
+  void SetMaxBody(std::uint64_t aBytes) noexcept { mMaxBody = aBytes; }
+
   [[nodiscard]] ReadStatus Read(std::string& aBuffer, bool aHeadOnly);
 
   /// \brief Handles an orderly end of the connection; Complete if the end
@@ -140,12 +149,19 @@
 
   [[nodiscard]] HttpResponse Take();
   [[nodiscard]] bool Started() const noexcept { return mHaveHead; }
+  /// \brief Bytes of the body that have been read.
+  [[nodiscard]] std::size_t BodyBytes() const noexcept
+  {
+    return mResponse.mBody.size();
+  }
 
 private:
   [[nodiscard]] ReadStatus ReadHead(std::string& aBuffer, bool aHeadOnly);
 
   HttpResponse mResponse;
   BodyReader mBody;
+  std::uint64_t mMaxBody = std::numeric_limits<std::uint64_t>::max();
+  int mInterimResponses = 0;
   bool mHaveHead = false;
 };
 
--- a/src/frontend/target_connection.cpp
+++ b/src/frontend/target_connection.cpp
@@ -2,6 +2,7 @@
 
 #include "target_answers.h"
 
+#include <algorithm>
 #include <cerrno>
 #include <utility>
 
@@ -18,6 +19,9 @@
 /// Idle connections are reused for this fraction of the keep-alive timeout that
 /// their target states.
 constexpr double kIdleTimeoutFraction = 0.8;
+/// Bytes of one connection that are read before others are served; its buffer
+/// keeps this size.
+constexpr std::size_t kMaxReadAtOnce = 256 * 1024;
 
 } // namespace
 
@@ -41,7 +45,8 @@
   mJob = Job::Probe;
   mProbePath = aPath;
   mHeadOnly = false;
-  Start("GET " + aPath + " HTTP/1.1\r\nHost: " + mAddress + "\r\n\r\n");
+  Start("GET " + aPath + " HTTP/1.1\r\nHost: " + mAddress + "\r\n\r\n",
+        kMaxProbeBytes);
 }
 
 void TargetPool::Connection::StartAttempt(OutboundRequest aRequest)
@@ -52,7 +57,7 @@
   mRequestId = std::move(aRequest.mRequestId);
   mHeadOnly = aRequest.mHeadOnly;
   mPool.mAttempts[mAttempt] = this;
-  Start(std::move(aRequest.mBytes));
+  Start(std::move(aRequest.mBytes), mPool.mBounds.mMaxBytes);
 }
 
 void TargetPool::Connection::OnWritable()
@@ -104,7 +109,7 @@
     }
     return;
   }
-  if (ReadAnswers()) {
+  if (ReadAnswers() || EnforceBounds()) {
     return;
   }
   if (received == ReceiveResult::End) {
@@ -139,14 +144,17 @@
     return;
   }
   mSocket.Close();
+  SetHeldBytes(0);
   mPool.mPacer.Remove(*this);
   mPool.Retire(*this);
 }
 
-void TargetPool::Connection::Start(std::string aBytes)
+void TargetPool::Connection::Start(std::string aBytes, std::uint64_t aMaxBody)
 {
   mStartedAt = mPool.mNow;
   mReceivedBytes = 0;
+  mMaxReceivedBytes = MaxReceivedBytes(aMaxBody);
+  mReader.SetMaxBody(aMaxBody);
   if (mConnecting) {
     mPendingBytes = std::move(aBytes);
     return;
@@ -170,8 +178,9 @@
 {
   LinkPacer& pacer = mPool.mPacer;
   const std::size_t small = pacer.SmallBytes();
+  const std::size_t most = std::min(small, kMaxReadAtOnce);
   mIsReadPaced = mJob == Job::Attempt && mReceivedBytes >= small;
-  return mIsReadPaced ? pacer.Take(*this, small) : small;
+  return mIsReadPaced ? pacer.Take(*this, most) : most;
 }
 
 void TargetPool::Connection::RecordRead(std::size_t aAllowed, std::size_t aRead)
@@ -189,8 +198,9 @@
     if (status == ReadStatus::Partial) {
       return false;
     }
-    if (status == ReadStatus::Malformed) {
-      Fail("not_an_answer");
+    if (status != ReadStatus::Complete) {
+      Fail(status == ReadStatus::TooLarge ? "answer_too_large"
+                                          : "not_an_answer");
       return true;
     }
     if (Finish()) {
@@ -199,6 +209,24 @@
   }
 }
 
+bool TargetPool::Connection::EnforceBounds()
+{
+  if (mReceivedBytes > mMaxReceivedBytes) {
+    Fail("too_many_bytes");
+    return true;
+  }
+  SetHeldBytes(mReader.BodyBytes());
+  mPool.EnforceBounds();
+  return mSocket.Closed();
+}
+
+void TargetPool::Connection::SetHeldBytes(std::uint64_t aBytes)
+{
+  mPool.mHeldBytes += aBytes;
+  mPool.mHeldBytes -= mHeldBytes;
+  mHeldBytes = aBytes;
+}
+
 bool TargetPool::Connection::IsOfAnotherExchange(
   const HttpResponse& aResponse) const
 {
@@ -212,7 +240,10 @@
 {
   HttpResponse response = mReader.Take();
   if (IsOfAnotherExchange(response)) {
-    mReceivedStray = true;
+    if (++mStrayAnswers > kMaxSkippedAnswers) {
+      Fail("not_an_answer");
+      return true;
+    }
     return false;
   }
   if (mJob == Job::Attempt &&
@@ -220,7 +251,8 @@
     Fail("not_an_answer");
     return true;
   }
-  const bool reusable = response.mKeepAlive && !mReceivedStray &&
+  SetHeldBytes(0);
+  const bool reusable = response.mKeepAlive && mStrayAnswers == 0 &&
                         mSocket.Input().empty() && mSocket.Unsent() == 0;
   if (response.mKeepAliveSeconds > 0) {
     mIdleTimeout = static_cast<Micros>(
--- a/src/frontend/target_connection.h
+++ b/src/frontend/target_connection.h
@@ -36,15 +36,21 @@
   /// \brief Closes the connection without reporting a result.
   void Close();
 
+  /// \brief Closes the connection and reports the failure of its job, if any.
+  void Fail(const char* aReason, bool aRefused = false);
+
   [[nodiscard]] std::uint64_t Id() const noexcept { return mId; }
   [[nodiscard]] std::uint64_t Attempt() const noexcept { return mAttempt; }
   [[nodiscard]] const std::string& Target() const noexcept { return mTarget; }
   [[nodiscard]] Micros LastUsedAt() const noexcept { return mLastUsedAt; }
+  /// \brief Bytes of the answer that is being read.
+  [[nodiscard]] std::uint64_t HeldBytes() const noexcept { return mHeldBytes; }
   [[nodiscard]] Micros IdleTimeout() const noexcept { return mIdleTimeout; }
 
 private:
-  /// \brief Sends a request, once the connection is open.
-  void Start(std::string aBytes);
+  /// \brief Sends a request, once the connection is open; its answer may have
+  /// a body of `aMaxBody` bytes.
+  void Start(std::string aBytes, std::uint64_t aMaxBody);
   void SendRequestBytes(std::string aBytes);
 
   /// \brief Number of bytes that may be read now.
@@ -54,6 +60,10 @@
   /// \brief Reads the answers that have arrived; true when the exchange has
   /// ended.
   bool ReadAnswers();
+  /// \brief Ends the exchange if too much has been received for it, or is held
+  /// of all answers; true if it has ended.
+  bool EnforceBounds();
+  void SetHeldBytes(std::uint64_t aBytes);
 
   [[nodiscard]] bool IsOfAnotherExchange(const HttpResponse& aResponse) const;
 
@@ -63,9 +73,6 @@
 
   void Report(Job aJob, HttpResponse aResponse);
 
-  /// \brief Closes the connection and reports the failure of its job, if any.
-  void Fail(const char* aReason, bool aRefused = false);
-
   TargetPool& mPool;
   std::uint64_t mId = 0;
   std::string mTarget;
@@ -84,13 +91,15 @@
   /// states its own.
   Micros mIdleTimeout = 3 * kSecond;
   std::size_t mReceivedBytes = 0;
+  std::uint64_t mMaxReceivedBytes = 0;
+  std::uint64_t mHeldBytes = 0;
+  int mStrayAnswers = 0;
   bool mIsReadPaced = false;
   bool mIsReadingPaused = false;
   bool mConnecting = true;
   bool mHasSentBytes = false;
   bool mIsReused = false;
   bool mHeadOnly = false;
-  bool mReceivedStray = false;
 };
 
 } // namespace geraniumpond::frontend
--- a/src/frontend/target_pool.cpp
+++ b/src/frontend/target_pool.cpp
@@ -26,11 +26,13 @@
 TargetPool::TargetPool(EventLoop& aLoop,
                        const FieldNames& aNames,
                        TargetSink& aSink,
-                       LinkPacer& aPacer)
+                       LinkPacer& aPacer,
+                       const AnswerBounds& aBounds)
   : mLoop(aLoop)
   , mNames(aNames)
   , mSink(aSink)
   , mPacer(aPacer)
+  , mBounds(aBounds)
 {
 }
 
@@ -135,6 +137,20 @@
   }
 }
 
+void TargetPool::EnforceBounds()
+{
+  if (mHeldBytes <= mBounds.mMaxTotalBytes) {
+    return;
+  }
+  std::vector<HeldAnswer> answers;
+  for (const auto& [id, connection] : mConnections) {
+    answers.push_back({ id, connection->HeldBytes() });
+  }
+  if (const auto id = AnswerToGiveUp(answers, mBounds)) {
+    mConnections.at(*id)->Fail("answers_too_large");
+  }
+}
+
 void TargetPool::Tick(Micros aNow)
 {
   mNow = aNow;
--- a/src/frontend/target_pool.h
+++ b/src/frontend/target_pool.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "answer_bounds.h"
 #include "dialect.h"
 #include "http_message.h"
 #include "socket.h"
@@ -49,11 +50,13 @@
 class TargetPool
 {
 public:
-  /// \brief Large answers are read at the pace of `aPacer`.
+  /// \brief Large answers are read at the pace of `aPacer`, and none beyond
+  /// `aBounds`.
   TargetPool(EventLoop& aLoop,
              const FieldNames& aNames,
              TargetSink& aSink,
-             LinkPacer& aPacer);
+             LinkPacer& aPacer,
+             const AnswerBounds& aBounds = {});
   ~TargetPool();
   TargetPool(const TargetPool&) = delete;
   TargetPool& operator=(const TargetPool&) = delete;
@@ -71,6 +74,8 @@
   {
     return mConnections.size();
   }
+  /// \brief Bytes of the answers that are being read.
+  [[nodiscard]] std::uint64_t HeldBytes() const noexcept { return mHeldBytes; }
 
 private:
   class Connection;
@@ -81,11 +86,15 @@
   Connection* Open(const std::string& aTarget, const std::string& aAddress);
   void ReturnToIdle(Connection& aConnection);
   void Retire(Connection& aConnection);
+  /// \brief Gives up an answer if more is held than the bounds allow.
+  void EnforceBounds();
 
   EventLoop& mLoop;
   FieldNames mNames;
   TargetSink& mSink;
   LinkPacer& mPacer;
+  AnswerBounds mBounds;
+  std::uint64_t mHeldBytes = 0;
   Micros mNow = 0;
   Micros mTimeoutsCheckedAt = 0;
   std::uint64_t mLastConnectionId = 0;
