Refuse a policy whose health path adds lines to probes

Would be seen by callers: a policy with a line break in a health path makes each probe carry a request of its own to targets; with a space in it, probes are malformed.

Cause: the path was written into the request line as it stood in the policy.

Ruled out: the rest of a probe (the address is checked when a target announces itself, and is resolved before it is used).

Change: such a policy is refused.

--- a/include/geraniumpond/field_text.h
+++ b/include/geraniumpond/field_text.h
@@ -17,4 +17,11 @@
   });
 }
 
+/// \brief True for text that can stand between the spaces of a request line.
+[[nodiscard]] inline bool IsRequestTarget(std::string_view aText) noexcept
+{
+  return IsFieldText(aText) &&
+         aText.find_first_of(" \t") == std::string_view::npos;
+}
+
 } // namespace geraniumpond
--- a/src/policy/policy.cpp
+++ b/src/policy/policy.cpp
@@ -1,4 +1,6 @@
 #include <geraniumpond/policy.h>
+
+#include <geraniumpond/field_text.h>
 #include <geraniumpond/regions.h>
 
 #include <algorithm>
@@ -139,6 +141,12 @@
                        ": another route has its host name and prefix");
     }
   }
+  for (const auto& [name, service] : aPolicy.mServices) {
+    if (!IsRequestTarget(service.mHealthPath)) {
+      faults.push_back("service " + name +
+                       ": the health path cannot stand in a request");
+    }
+  }
   return faults;
 }
 
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -73,6 +73,7 @@
   CPPUNIT_TEST_SUITE(PlatformTest);
   CPPUNIT_TEST(PolicyDocumentIsDecoded);
   CPPUNIT_TEST(RegionsOfARouteAreRead);
+  CPPUNIT_TEST(HealthPathThatAddsARequestIsRejected);
   CPPUNIT_TEST(InvalidPolicyDocumentsAreRejected);
   CPPUNIT_TEST(CallsAreParsed);
   CPPUNIT_TEST(StartTimeIsReadWherePresent);
@@ -122,6 +123,19 @@
     }
   }
 
+  // Guards against probes that carry a request of their own to targets.
+  void HealthPathThatAddsARequestIsRejected()
+  {
+    for (const char* path : { "/well HTTP/1.1\\r\\n\\r\\nPOST /x",
+                              "/well x",
+                              "/well\\n",
+                              "/w\\u0000" }) {
+      const auto decoded = DecodePolicy(Replaced(kDocument, "/well", path));
+      CPPUNIT_ASSERT_MESSAGE(
+        path, !decoded || !policy::Validate(decoded.value()).empty());
+    }
+  }
+
   void InvalidPolicyDocumentsAreRejected()
   {
     const std::pair<std::string, std::string> changes[] = {
