Read nothing behind an answer that closes its connection

Would be seen by callers: a request that reaches a stopping host while a large closing answer is still on its way is passed on to a target, and its connection is closed without an answer.

Cause: reading went on until the closing answer was sent; the request that was read then was cancelled with the connection.

Change: nothing is read once an answer closes the connection; by the protocol what was sent behind it counts as not read and is sent again.

--- a/src/frontend/http_server.cpp
+++ b/src/frontend/http_server.cpp
@@ -183,7 +183,7 @@
 
   [[nodiscard]] bool MayReadRequest() const
   {
-    return !mSocket.Closed() && !mLingering && !mCloseAfterError &&
+    return !mSocket.Closed() && !mClosing && !mLingering && !mCloseAfterError &&
            !mLastRequestRead && mPending.size() < kMaxPipelined &&
            (!mServer.mStopping || mPending.empty());
   }
--- a/tests/http_server_test.cpp
+++ b/tests/http_server_test.cpp
@@ -64,6 +64,7 @@
   CPPUNIT_TEST(ClientThatLeavesWhileItIsNotReadIsNoticed);
   CPPUNIT_TEST(RequestsThatAreAnsweredAtOnceTakeNoStack);
   CPPUNIT_TEST(RequestsBehindAnotherAreAnsweredThoughTheHostStops);
+  CPPUNIT_TEST(RequestBehindAClosingAnswerIsNotRead);
   CPPUNIT_TEST(RequestsBeforeAMalformedOneAreAnswered);
   CPPUNIT_TEST_SUITE_END();
 
@@ -249,6 +250,24 @@
     CPPUNIT_ASSERT_EQUAL(2, mSink.mRequests);
   }
 
+  // Guards against a request that is passed on to a target although its
+  // connection closes as soon as the answer before it is sent.
+  void RequestBehindAClosingAnswerIsNotRead()
+  {
+    SendRequests(1);
+    Run(kIterations);
+    mServer.BeginStop();
+    mServer.Respond(mSink.mExchanges[0],
+                    MakeResponse(200, "", std::string(kLargeBytes, 'x')));
+    SendMore(1);
+    Run(kIterations);
+    CPPUNIT_ASSERT_EQUAL(1, mSink.mRequests);
+    CPPUNIT_ASSERT(ReadBytes(kLargeBytes) >= kLargeBytes);
+    Run(kIterations);
+    CPPUNIT_ASSERT_EQUAL(1, mSink.mRequests);
+    CPPUNIT_ASSERT_EQUAL(0, mSink.mDisconnected);
+  }
+
   // Guards against the same by a malformed request behind proper ones.
   void RequestsBeforeAMalformedOneAreAnswered()
   {
