--- /dev/null
+++ b/src/frontend/client_connection.cpp
@@ -0,0 +1,287 @@
+#include "client_connection.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace geraniumpond::frontend {
+
+namespace {
+
+/// Requests of one connection that are handled concurrently.
+constexpr std::size_t kMaxPipelined = 16;
+/// Unsent answer bytes at which reading from a slow client is paused.
+constexpr std::size_t kMaxUnsent = 4 * 1024 * 1024;
+/// Bytes of one connection that are read before others are served.
+constexpr std::size_t kMaxReadAtOnce = 64 * 1024;
+/// Bytes behind the requests that are handled at which reading is paused.
+constexpr std::size_t kMaxUnread = 64 * 1024;
+/// How long input is discarded before a connection is closed: closing a socket
+/// with unread bytes resets the connection, and the last answer would be lost.
+constexpr Micros kLingerTimeout = 1 * kSecond;
+
+} // namespace
+
+HttpServer::Connection::Connection(HttpServer& aServer,
+                                   std::uint64_t aId,
+                                   const Poco::Net::StreamSocket& aSocket,
+                                   std::string aSender)
+  : mServer(aServer)
+  , mId(aId)
+  , mSocket(aServer.mLoop, aSocket)
+  , mSender(std::move(aSender))
+  , mLastActivityAt(aServer.mNow)
+  , mOpenedAt(aServer.mNoneWaitedAt)
+{
+  mSocket.Watch(*this, false);
+}
+
+void HttpServer::Connection::OnPeerClosed()
+{
+  mPeerClosed = true;
+  if (mIsReadingPaused) {
+    Close();
+  }
+}
+
+// A request that arrives together with the end of its connection is dropped:
+// its client gave up while the request waited here, and nobody would receive
+// the answer of a target.
+void HttpServer::Connection::OnReadable()
+{
+  const ReceiveResult received = mSocket.Receive(kMaxReadAtOnce);
+  if (mLingering) {
+    mSocket.Input().clear();
+    if (received == ReceiveResult::End || received == ReceiveResult::Reset) {
+      Close();
+    }
+    return;
+  }
+  if (received == ReceiveResult::Data) {
+    mLastActivityAt = mServer.mNow;
+  }
+  if (received == ReceiveResult::Reset || received == ReceiveResult::End ||
+      mPeerClosed) {
+    Close();
+    return;
+  }
+  ReadRequests();
+}
+
+void HttpServer::Connection::OnWritable()
+{
+  if (!mSocket.Flush()) {
+    Close();
+    return;
+  }
+  ContinueAfterSend();
+}
+
+void HttpServer::Connection::Respond(std::uint64_t aExchange,
+                                     const HttpResponse& aResponse,
+                                     double aBytesPerSecond)
+{
+  for (Pending& pending : mPending) {
+    if (pending.mExchange == aExchange) {
+      // What was sent behind a closing answer counts as not read, so that no
+      // answer closes before one that is owed.
+      const bool isLast = &pending == &mPending.back();
+      const bool close = pending.mClose || (mServer.mStopping && isLast);
+      pending.mBytes = Serialize(aResponse, close, pending.mHeadOnly);
+      pending.mClose = close;
+      pending.mBytesPerSecond = aBytesPerSecond;
+      pending.mAnswered = true;
+    }
+  }
+  SendAnswered();
+}
+
+void HttpServer::Connection::CheckTimeouts(Micros aNow)
+{
+  const policy::RequestLimits& limits = mServer.mLimits;
+  if (mLingering) {
+    if (aNow - mLastActivityAt > kLingerTimeout) {
+      Close();
+    }
+    return;
+  }
+  if (!mPending.empty() || mSocket.Unsent() > 0) {
+    return;
+  }
+  const bool partial = mReader.InBody() || !mSocket.Input().empty();
+  const Micros bound = partial ? limits.mHeaderTimeout : limits.mIdleTimeout;
+  if (aNow - mLastActivityAt <= bound) {
+    return;
+  }
+  if (partial) {
+    RejectMalformed(408, "request not whole in time");
+  } else {
+    BeginLingeringClose();
+  }
+}
+
+void HttpServer::Connection::CloseIfIdle()
+{
+  const bool partial = mReader.InBody() || !mSocket.Input().empty();
+  if (!mLingering && mPending.empty() && mSocket.Unsent() == 0 && !partial) {
+    BeginLingeringClose();
+  }
+}
+
+bool HttpServer::Connection::HasUnsentAnswers() const
+{
+  return HasQueuedBytes() || mLingering;
+}
+
+// A request may be answered while it is handed on, which leads here again;
+// the loop then reads the next one.
+void HttpServer::Connection::ReadRequests()
+{
+  if (mIsReadingRequests) {
+    return;
+  }
+  mIsReadingRequests = true;
+  while (MayReadRequest() && ReadRequest()) {
+  }
+  mIsReadingRequests = false;
+  UpdateReading();
+}
+
+bool HttpServer::Connection::MayReadRequest() const
+{
+  return !mSocket.Closed() && !mClosing && !mLingering && !mCloseAfterError &&
+         !mLastRequestRead && mPending.size() < kMaxPipelined &&
+         (!mServer.mStopping || mPending.empty());
+}
+
+bool HttpServer::Connection::ReadRequest()
+{
+  const ReadStatus status = mReader.Read(mSocket.Input(), mServer.mLimits);
+  if (mReader.TakeExpectContinue() && status == ReadStatus::Partial) {
+    (void)mSocket.Send("HTTP/1.1 100 Continue\r\n\r\n");
+  }
+  if (status == ReadStatus::Malformed) {
+    RejectMalformed(mReader.ErrorStatus(), mReader.ErrorReason());
+  }
+  if (status != ReadStatus::Complete) {
+    return false;
+  }
+  HttpRequest request = mReader.Take();
+  request.mSender = mSender;
+  request.mOpenedAt = mOpenedAt;
+  const std::uint64_t exchange = NextExchangeId();
+  mPending.push_back(
+    { exchange, request.mMethod == "HEAD", !request.mKeepAlive, false, "" });
+  mLastRequestRead = !request.mKeepAlive;
+  mServer.mExchanges[exchange] = this;
+  mServer.mSink.OnRequest(exchange, std::move(request));
+  return true;
+}
+
+// A client is not read further while it does not read its answers, or while
+// it sends on behind requests that are not answered. Every answer and every
+// byte that is sent leads here again.
+void HttpServer::Connection::UpdateReading()
+{
+  if (mSocket.Closed()) {
+    return;
+  }
+  // A head that is not whole yet stays within its own limit.
+  const std::size_t mostUnread = mServer.mLimits.mMaxHeaderBytes + kMaxUnread;
+  mIsReadingPaused = !mLingering && (mSocket.Unsent() > kMaxUnsent ||
+                                     mSocket.Input().size() > mostUnread);
+  mSocket.WatchReading(mIsReadingPaused ? Reading::End : Reading::Bytes);
+}
+
+void HttpServer::Connection::RejectMalformed(int aStatus,
+                                             const std::string& aReason)
+{
+  mServer.mSink.OnMalformed(aStatus, aReason);
+  mCloseAfterError = true;
+  HttpResponse response = MakeResponse(aStatus, "text/plain", aReason + "\n");
+  mPending.push_back({ 0, false, true, true, "" });
+  mPending.back().mBytes = Serialize(response, true, false);
+  SendAnswered();
+}
+
+void HttpServer::Connection::SendAnswered()
+{
+  while (!mPending.empty() && mPending.front().mAnswered) {
+    Pending pending = std::move(mPending.front());
+    mPending.pop_front();
+    mServer.mExchanges.erase(pending.mExchange);
+    mLastActivityAt = mServer.mNow;
+    PaceIfLarge(pending);
+    if (!mSocket.Send(std::move(pending.mBytes))) {
+      Close();
+      return;
+    }
+    if (pending.mClose) {
+      mClosing = true;
+      DropPending();
+      break;
+    }
+  }
+  ContinueAfterSend();
+}
+
+void HttpServer::Connection::PaceIfLarge(const Pending& aPending)
+{
+  LinkPacer* pacer = mServer.mPacer;
+  if (aPending.mBytesPerSecond > 0) {
+    std::unique_ptr<LinkPacer>& own = mServer.mClientPacers[mId];
+    if (!own) {
+      own = std::make_unique<LinkPacer>(aPending.mBytesPerSecond);
+    }
+    own->Tick(mServer.mNow);
+    pacer = own.get();
+  }
+  if (pacer != nullptr && pacer->IsLarge(aPending.mBytes.size())) {
+    mSocket.Pace(*pacer);
+  }
+}
+
+// Requests behind the last answer of a connection will not be answered.
+void HttpServer::Connection::DropPending()
+{
+  const std::deque<Pending> dropped = std::exchange(mPending, {});
+  for (const Pending& pending : dropped) {
+    if (mServer.mExchanges.erase(pending.mExchange) != 0) {
+      mServer.mSink.OnClientDisconnected(pending.mExchange);
+    }
+  }
+}
+
+void HttpServer::Connection::ContinueAfterSend()
+{
+  if (mSocket.Closed() || mLingering) {
+    return;
+  }
+  if (mClosing) {
+    if (mSocket.Unsent() == 0) {
+      BeginLingeringClose();
+    }
+    return;
+  }
+  ReadRequests();
+}
+
+void HttpServer::Connection::BeginLingeringClose()
+{
+  mLingering = true;
+  mLastActivityAt = mServer.mNow;
+  mSocket.Input().clear();
+  mSocket.WatchReading(Reading::Bytes);
+  mSocket.ShutdownSend();
+}
+
+void HttpServer::Connection::Close()
+{
+  if (mSocket.Closed()) {
+    return;
+  }
+  mSocket.Close();
+  DropPending();
+  mServer.Retire(*this);
+}
+
+} // namespace geraniumpond::frontend
--- /dev/null
+++ b/src/frontend/client_connection.h
@@ -0,0 +1,83 @@
+#pragma once
+
+#include "http_server.h"
+
+#include <deque>
+#include <string>
+
+namespace geraniumpond::frontend {
+
+/// \brief One client's connection.
+class HttpServer::Connection : public Handler
+{
+public:
+  Connection(HttpServer& aServer,
+             std::uint64_t aId,
+             const Poco::Net::StreamSocket& aSocket,
+             std::string aSender);
+  void OnPeerClosed() override;
+  void OnReadable() override;
+  void OnWritable() override;
+  /// \brief Answers an exchange, once those before it are answered.
+  void Respond(std::uint64_t aExchange,
+               const HttpResponse& aResponse,
+               double aBytesPerSecond);
+  /// \brief Ends a request in part or an idle time that has timed out.
+  void CheckTimeouts(Micros aNow);
+  void CloseIfIdle();
+  [[nodiscard]] std::uint64_t Id() const noexcept { return mId; }
+  /// \brief True while answers are being sent, or the client has not closed
+  /// yet.
+  [[nodiscard]] bool HasUnsentAnswers() const;
+  [[nodiscard]] bool HasQueuedBytes() const { return mSocket.Unsent() > 0; }
+
+private:
+  struct Pending
+  {
+    std::uint64_t mExchange = 0;
+    bool mHeadOnly = false;
+    bool mClose = false;
+    bool mAnswered = false;
+    std::string mBytes;
+    double mBytesPerSecond = 0;
+  };
+
+  /// \brief Hands on the requests that have been read.
+  void ReadRequests();
+  [[nodiscard]] bool MayReadRequest() const;
+  /// \brief Hands on one request; false if no whole one is left.
+  [[nodiscard]] bool ReadRequest();
+  /// \brief Pauses or resumes reading.
+  void UpdateReading();
+  /// \brief Answers what was read with an error, after the answers owed.
+  void RejectMalformed(int aStatus, const std::string& aReason);
+  /// \brief Sends the answers whose turn it is.
+  void SendAnswered();
+  void PaceIfLarge(const Pending& aPending);
+  /// \brief Forgets requests that will not be answered.
+  void DropPending();
+  /// \brief Goes on after an answer or a part of one was sent.
+  void ContinueAfterSend();
+  /// \brief Closes the sending direction and waits for the client to close.
+  void BeginLingeringClose();
+  void Close();
+
+  HttpServer& mServer;
+  std::uint64_t mId = 0;
+  BufferedSocket mSocket;
+  /// Address of the client.
+  std::string mSender;
+  RequestReader mReader;
+  std::deque<Pending> mPending;
+  Micros mLastActivityAt = 0;
+  Micros mOpenedAt = 0;
+  bool mLastRequestRead = false;
+  bool mCloseAfterError = false;
+  bool mClosing = false;
+  bool mLingering = false;
+  bool mPeerClosed = false;
+  bool mIsReadingPaused = false;
+  bool mIsReadingRequests = false;
+};
+
+} // namespace geraniumpond::frontend
