Stay while a read waits for the policy that the group named

Would be seen by callers: an operator's read at a host that stops ends without an answer, though most of a second of its time is left.

Cause: a read that waits for the version that the leader named has left the list of operations, by which a stopping host knows whom it owes an answer. Found by reading, as a relative of the last answer that was cut.

Before: GatewayTest::StoppingHostStaysWhileAReadWaitsForThePolicy failed. After: GatewayTest 16 of 16.

--- a/src/gateway/stop.cpp
+++ b/src/gateway/stop.cpp
@@ -67,7 +67,8 @@
   // counts as being sent until the loop has looked.
   state.mSending = state.mSending || HandsOverAnswer(aContext.mOut);
   const bool idle = dispatch::RunningRequests(state.mDispatch) == 0 &&
-                    state.mOperations.empty() && !state.mSending;
+                    state.mOperations.empty() && state.mReads.empty() &&
+                    !state.mSending;
   if ((aContext.mNow >= EarliestExit(state) && idle) ||
       aContext.mNow >= ExitDeadline(state)) {
     state.mExited = true;
--- a/tests/gateway_test.cpp
+++ b/tests/gateway_test.cpp
@@ -77,6 +77,7 @@
   CPPUNIT_TEST(HostWithFollowersRefusesRequestsWhileMessagesWait);
   CPPUNIT_TEST(StoppingHostStaysWhileItsLastAnswerIsSent);
   CPPUNIT_TEST(AnswerAtTheExitDeadlineIsSent);
+  CPPUNIT_TEST(StoppingHostStaysWhileAReadWaitsForThePolicy);
   CPPUNIT_TEST(TargetWithALineBreakInItsIdIsRefused);
   CPPUNIT_TEST_SUITE_END();
 
@@ -251,6 +252,25 @@
     CPPUNIT_ASSERT(HasExit(Tick(state, deadline + kSecond, true)));
   }
 
+  // Guards against an operator's read that is cut off: it is no longer an
+  // operation of the group while it waits for the version that the group named.
+  void StoppingHostStaysWhileAReadWaitsForThePolicy()
+  {
+    State state = Follower(kFastLink, true, 100);
+    Stop(state, kStart);
+    const Micros later = kStart + 4200 * kMillisecond;
+    const Effects asked = Read(state, later);
+    Event newer = FromLeader(later, SubmitIn(asked), 2);
+    std::get<PeerMessage>(newer.mBody)
+      .mMessage.mutable_submit_reply()
+      ->clear_leader_address();
+    CPPUNIT_ASSERT(!HasExit(Step(state, newer)));
+    CPPUNIT_ASSERT(!HasExit(Tick(state, later + kMillisecond)));
+    const Effects ended = Tick(state, later + 850 * kMillisecond);
+    CPPUNIT_ASSERT(AnswerIn(ended) != nullptr);
+    CPPUNIT_ASSERT(!HasExit(ended));
+  }
+
   // Guards against a name that is sent to the target as two header fields.
   void TargetWithALineBreakInItsIdIsRefused()
   {
