Look for the size of a chunk in its own line only

Would be seen by callers: a body in very small chunks, of a client or a target, holds up the loop for a time that grows with the square of what has come.

Cause: the extension of a chunk was looked for in all bytes behind it.

Change: the line of the chunk alone is looked at, without copies. Spaces before the digits are no longer accepted, which the protocol never allowed.

--- a/src/frontend/http_body.cpp
+++ b/src/frontend/http_body.cpp
@@ -1,9 +1,8 @@
 #include "http_message.h"
 
-#include <Poco/NumberParser.h>
-#include <Poco/String.h>
-
 #include <algorithm>
+#include <charconv>
+#include <optional>
 
 // Reads bodies delimited by length, chunks or the connection's end.
 namespace geraniumpond::frontend {
@@ -11,6 +10,8 @@
 namespace {
 
 constexpr std::size_t kMaxChunkLine = 4096;
+constexpr std::size_t kMaxChunkDigits = 15;
+constexpr int kHexadecimal = 16;
 constexpr std::size_t kMaxTrailerBytes = 64 * 1024;
 /// Body from which its buffer grows by a quarter, not by as much again.
 constexpr std::size_t kLargeBody = 1024 * 1024;
@@ -24,6 +25,22 @@
   aBody += aBytes;
 }
 
+// Hexadecimal digits, which spaces and an extension may follow.
+std::optional<std::uint64_t> ParseChunkSize(std::string_view aLine)
+{
+  const std::size_t end = std::min(aLine.find_first_of("; \t"), aLine.size());
+  const std::string_view rest = aLine.substr(end);
+  const std::size_t next = rest.find_first_not_of(" \t");
+  std::uint64_t size = 0;
+  const auto read =
+    std::from_chars(aLine.data(), aLine.data() + end, size, kHexadecimal);
+  const bool isValid = end > 0 && end <= kMaxChunkDigits &&
+                       read.ec == std::errc() &&
+                       read.ptr == aLine.data() + end &&
+                       (next == std::string_view::npos || rest[next] == ';');
+  return isValid ? std::optional<std::uint64_t>(size) : std::nullopt;
+}
+
 // What is left of a line that is not whole yet is bounded.
 ReadStatus PartialLine(std::string_view aBytes)
 {
@@ -74,17 +91,14 @@
   if (end == std::string_view::npos) {
     return PartialLine(aBytes);
   }
-  const std::string digits =
-    Poco::trim(std::string(aBytes.substr(0, std::min(end, aBytes.find(';')))));
-  Poco::UInt64 size = 0;
-  const bool valid = !digits.empty() && digits.size() <= 15 &&
-                     std::isxdigit(static_cast<unsigned char>(digits[0])) != 0;
-  if (!valid || !Poco::NumberParser::tryParseHex64(digits, size)) {
+  const std::string_view line = aBytes.substr(0, end);
+  const std::optional<std::uint64_t> size = ParseChunkSize(line);
+  if (!size) {
     return ReadStatus::Malformed;
   }
   aBytes.remove_prefix(end + 2);
-  mRemaining = size;
-  mPart = size == 0 ? ChunkPart::Trailer : ChunkPart::Data;
+  mRemaining = *size;
+  mPart = *size == 0 ? ChunkPart::Trailer : ChunkPart::Data;
   return ReadStatus::Complete;
 }
 
--- a/tests/http_test.cpp
+++ b/tests/http_test.cpp
@@ -1,3 +1,4 @@
+#include "fakes/processor_time.h"
 #include "frontend/http_message.h"
 #include "frontend/target_fields.h"
 
@@ -38,6 +39,7 @@
   CPPUNIT_TEST(FoldedFieldIsReadAsOneLine);
   CPPUNIT_TEST(HeadsWithControlCharactersAreMalformed);
   CPPUNIT_TEST(TextWithLineBreaksIsNotSerialized);
+  CPPUNIT_TEST(ManySmallChunksAreReadInOnePass);
   CPPUNIT_TEST(OnlyValidLoadIsParsed);
   CPPUNIT_TEST(OnlyValidLimitIsParsed);
   CPPUNIT_TEST_SUITE_END();
@@ -345,6 +347,24 @@
                          Serialize(response, false, false));
   }
 
+  // Guards against a loop that is held up by the size of what has come: each
+  // chunk was looked for, or moved, through all bytes behind it.
+  void ManySmallChunksAreReadInOnePass()
+  {
+    constexpr std::size_t kChunks = 150000;
+    std::string buffer =
+      "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+    for (std::size_t i = 0; i < kChunks; ++i) {
+      buffer += "1\r\nx\r\n";
+    }
+    buffer += "0\r\n\r\n";
+    ResponseReader reader;
+    const double start = fakes::ProcessorSeconds();
+    CPPUNIT_ASSERT(reader.Read(buffer, false) == ReadStatus::Complete);
+    CPPUNIT_ASSERT(fakes::ProcessorSeconds() - start < 0.5);
+    CPPUNIT_ASSERT_EQUAL(kChunks, reader.Take().mBody.size());
+  }
+
   void OnlyValidLoadIsParsed()
   {
     const auto full = ParseLoad("3, 1,8,250");
