--- a/tests/endless_answers_test.cpp
+++ b/tests/endless_answers_test.cpp
@@ -232,9 +232,9 @@
     CPPUNIT_ASSERT(target.Sent() < aMostSent);
   }
 
-  void AssertWhole(Script aScript, std::size_t aBytes)
+  void AssertWhole(const Script& aScript, std::size_t aBytes)
   {
-    ScriptedTarget target(std::move(aScript));
+    ScriptedTarget target(aScript);
     AssertWhole(target, aBytes);
   }
 
