--- a/src/frontend/client_connection.h
+++ b/src/frontend/client_connection.h
@@ -32,6 +32,7 @@
   [[nodiscard]] bool HasQueuedBytes() const { return mSocket.Unsent() > 0; }
 
 private:
+  /// \brief A request that was read and whose answer has not been sent.
   struct Pending
   {
     std::uint64_t mExchange = 0;
@@ -68,6 +69,7 @@
   /// Address of the client.
   std::string mSender;
   RequestReader mReader;
+  /// In the order of their answers.
   std::deque<Pending> mPending;
   Micros mLastActivityAt = 0;
   Micros mOpenedAt = 0;
--- a/src/frontend/http_message.cpp
+++ b/src/frontend/http_message.cpp
@@ -32,6 +32,17 @@
   return true;
 }
 
+// The usual reason of the status, unless the message has one that stays within
+// its line.
+std::string ReasonOf(const HttpResponse& aResponse)
+{
+  return !aResponse.mReason.empty() && IsFieldText(aResponse.mReason)
+           ? aResponse.mReason
+           : Poco::Net::HTTPResponse::getReasonForStatus(
+               static_cast<Poco::Net::HTTPResponse::HTTPStatus>(
+                 aResponse.mStatus));
+}
+
 } // namespace
 
 // ------------------------------------------------------------- RequestReader
@@ -258,19 +269,6 @@
 
 // -------------------------------------------------------------------- others
 
-namespace {
-
-std::string ReasonOf(const HttpResponse& aResponse)
-{
-  return !aResponse.mReason.empty() && IsFieldText(aResponse.mReason)
-           ? aResponse.mReason
-           : Poco::Net::HTTPResponse::getReasonForStatus(
-               static_cast<Poco::Net::HTTPResponse::HTTPStatus>(
-                 aResponse.mStatus));
-}
-
-} // namespace
-
 std::string Serialize(const HttpResponse& aResponse,
                       bool aClose,
                       bool aHeadOnly)
