Refuse invalid calls in one place

Three calls built the same answer, one of them since target ids are checked. What a stopping host waits for at callers other than clients is said. No change of behaviour.

--- a/src/frontend/gateway_process.h
+++ b/src/frontend/gateway_process.h
@@ -93,6 +93,7 @@
   void YieldToMessageThread(Micros aDueAt);
   void TickConnections();
   /// \brief True while answers to clients, operators or targets are being sent.
+  /// Only clients are waited for until they have closed.
   [[nodiscard]] bool HasUnsentAnswers() const;
   void HandleCall(std::uint64_t aExchange, const HttpRequest& aRequest);
   void HandlePolicyRead(std::uint64_t aExchange, const HttpRequest& aRequest);
--- a/src/gateway/operations.cpp
+++ b/src/gateway/operations.cpp
@@ -239,6 +239,16 @@
 
 namespace {
 
+void Refuse(Context& aContext,
+            std::uint64_t aOperation,
+            OperationKind aKind,
+            const std::string& aReason)
+{
+  Answer(aContext,
+         { aOperation, OperationOutcome::Invalid, aReason, "", "" },
+         NameOf(aKind));
+}
+
 // A known target may announce nothing but its warm-up.
 void RecordWarmUp(Context& aContext, const wire::TargetRecord& aRecord)
 {
@@ -254,13 +264,10 @@
 {
   // The id is sent in a header field of each request.
   if (!IsFieldText(aCall.mRecord.id())) {
-    Answer(aContext,
-           { aCall.mOperation,
-             OperationOutcome::Invalid,
-             "an id that a header field cannot hold",
-             "",
-             "" },
-           NameOf(OperationKind::Announce));
+    Refuse(aContext,
+           aCall.mOperation,
+           OperationKind::Announce,
+           "an id that a header field cannot hold");
     return;
   }
   const catalog::State& catalog = aContext.mState.mFleet.mCatalog;
@@ -315,9 +322,7 @@
     fault = faults.empty() ? "" : faults.front();
   }
   if (!fault.empty()) {
-    Answer(aContext,
-           { aCall.mOperation, OperationOutcome::Invalid, fault, "", "" },
-           NameOf(OperationKind::PutPolicy));
+    Refuse(aContext, aCall.mOperation, OperationKind::PutPolicy, fault);
     return;
   }
   wire::CatalogCommand command;
@@ -340,13 +345,10 @@
     known.empty() ||
     std::find(known.begin(), known.end(), aCall.mDataCentre) != known.end();
   if (aCall.mDataCentre.empty() || !isKnown) {
-    Answer(aContext,
-           { aCall.mOperation,
-             OperationOutcome::Invalid,
-             "unknown data centre '" + aCall.mDataCentre + "'",
-             "",
-             "" },
-           NameOf(OperationKind::SetEvacuation));
+    Refuse(aContext,
+           aCall.mOperation,
+           OperationKind::SetEvacuation,
+           "unknown data centre '" + aCall.mDataCentre + "'");
     return;
   }
   Operation operation{
