--- a/src/config/gateway_settings.cpp
+++ b/src/config/gateway_settings.cpp
@@ -24,7 +24,7 @@
     { "host", "id", ValueType::Text, nullptr },
     { "host", "data_centre", ValueType::Text, nullptr },
     { "host", "data_folder", ValueType::OptionalText, "" },
-    { "host", "memory_mb", ValueType::Integer, "0", 0, 1e6 },
+    { "host", "process_mb", ValueType::Integer, "0", 0, 1e6 },
     { "listen", "callers", ValueType::Address, nullptr },
     { "listen", "calls", ValueType::AddressList, nullptr },
     { "listen", "hosts", ValueType::Address, nullptr },
@@ -83,7 +83,7 @@
   aOut.mId = aSection.Text("id");
   aOut.mDataCentre = aSection.Text("data_centre");
   aOut.mDataFolder = aSection.Text("data_folder");
-  aOut.mMemoryBytes = MegabytesOf(aSection, "memory_mb");
+  aOut.mMemoryBytes = MegabytesOf(aSection, "process_mb");
 }
 
 void ReadListen(const Section& aSection, GatewaySettings& aOut)
