Show a change that is lost since a restarted voter had not synced it

Cause: a voter takes what it reads from its disk at a start for durable. A process that is killed leaves written records that it had not synced; the next one acknowledges them without a sync, and a loss of power takes them.

The simulated fleet hid it: it took the writes of a killed process to be on the disk by its next start. It now keeps them unsynced until the next sync; a disk that is made at a start is synced.

Evidence: three control hosts, one voter slow, one killed between its write and its sync and started again, the change acknowledged with its copy, then all power and the leader's disk lost: the change is gone.

--- a/tests/fakes/fleet_simulation.cpp
+++ b/tests/fakes/fleet_simulation.cpp
@@ -48,10 +48,13 @@
   if (node.mSettings.mControl && node.mDisk.mHard.storage().empty()) {
     const bool founds = aFounding && seed;
     node.mDisk = FreshDisk(mSeeds, founds, founds ? 0 : Random());
+    node.mSyncedDisk = node.mDisk;
+  }
+  // The files hold what a killed process has written, but until the next sync a
+  // power loss still takes what that process had not synced.
+  for (consensus::Write& write : node.mUnsynced) {
+    write.mSequence = 0;
   }
-  // Writes of a killed process have reached the disk by its next start.
-  node.mSyncedDisk = node.mDisk;
-  node.mUnsynced.clear();
   node.mAlive = true;
   node.mInbox = fleet::Inbox();
   // Command ids are unique only within one process.
--- a/tests/fakes/fleet_simulation.h
+++ b/tests/fakes/fleet_simulation.h
@@ -23,6 +23,7 @@
   consensus::Recovered mDisk;
   /// The synced part of the disk, which survives a power loss.
   consensus::Recovered mSyncedDisk;
+  /// Of this process, and of earlier ones that were killed.
   std::deque<consensus::Write> mUnsynced;
   bool mAlive = false;
   /// Outcomes of submitted commands, by command id.
