Check the durable copies of each acknowledged change in the search

Cause of the change: the search judged only what was left after a loss, so that a change on too few disks showed only where just these were lost, and a loss of all power took one disk, never as many as are tolerated.

--- a/bench/member_search.cpp
+++ b/bench/member_search.cpp
@@ -5,6 +5,8 @@
 //   member_search --seconds N             as many seeds as fit into N seconds
 //   member_search --reads 1               with policy reads in the schedules
 //   member_search --evacuations 1         with evacuations in the schedules
+//   member_search --losses 1              losses of all power take as many
+//                                         disks as are tolerated
 //   member_search --plant sync|size|read|early|revision
 //                                         an injected defect that must be found
 //   member_search --show S                minimises and runs a seed's schedule
@@ -34,6 +36,7 @@
   fakes::FleetSchedule schedule = fakes::MakeFleetSchedule(aSeed);
   schedule.mReadPolicy = aOptions.Number("reads", 0) != 0;
   schedule.mEvacuate = aOptions.Number("evacuations", 0) != 0;
+  schedule.mLoseToleratedDisks = aOptions.Number("losses", 0) != 0;
   schedule.mDefect = aPlant;
   return schedule;
 }
--- a/tests/fakes/fleet_schedule.cpp
+++ b/tests/fakes/fleet_schedule.cpp
@@ -100,7 +100,8 @@
       << " others=" << aSchedule.mHostsWithoutDisk
       << " tolerated=" << aSchedule.mTolerated
       << (aSchedule.mReadPolicy ? " reads=1" : "")
-      << (aSchedule.mEvacuate ? " evacuations=1" : "") << "\n";
+      << (aSchedule.mEvacuate ? " evacuations=1" : "")
+      << (aSchedule.mLoseToleratedDisks ? " losses=1" : "") << "\n";
   for (const FleetStep& step : aSchedule.mSteps) {
     out << "  " << ToString(step.mFault) << " pick=" << step.mSelector
         << " for_ms=" << step.mDuration / kMillisecond
@@ -133,6 +134,7 @@
       schedule.mTolerated = static_cast<int>(number("tolerated"));
       schedule.mReadPolicy = number("reads") != 0;
       schedule.mEvacuate = number("evacuations") != 0;
+      schedule.mLoseToleratedDisks = number("losses") != 0;
       continue;
     }
     const auto* name = std::find(kFaultNames.begin(), kFaultNames.end(), first);
--- a/tests/fakes/fleet_schedule.h
+++ b/tests/fakes/fleet_schedule.h
@@ -31,7 +31,9 @@
   LosePower,
   /// All hosts lose power.
   LoseAllPower,
-  /// All hosts lose power, and one of them the content of its disk.
+  /// All hosts lose power, and one of them the content of its disk; with
+  /// FleetSchedule::mLoseToleratedDisks as many as are tolerated, the leader's
+  /// first.
   LoseAllPowerAndOneDisk,
   /// A control host is isolated from all other hosts.
   IsolateHost,
@@ -96,6 +98,8 @@
   bool mReadPolicy = false;
   /// Operators evacuate data centres throughout the run.
   bool mEvacuate = false;
+  /// Losses of all power take as many disks as the group tolerates.
+  bool mLoseToleratedDisks = false;
   std::vector<FleetStep> mSteps;
 };
 
--- a/tests/fakes/fleet_schedule_runner.cpp
+++ b/tests/fakes/fleet_schedule_runner.cpp
@@ -1,3 +1,4 @@
+#include "fakes/durable_copies.h"
 #include "fakes/evacuation_operators.h"
 #include "fakes/fleet_schedule.h"
 #include "fakes/fleet_stability.h"
@@ -258,11 +259,10 @@
           SelectControlHost(aStep.mSelector), aStep.mDuration, true, false);
         break;
       case FleetFault::LoseAllPower:
-        LoseAllPower(aStep.mDuration, "");
+        LoseAllPower(aStep.mDuration, {});
         break;
       case FleetFault::LoseAllPowerAndOneDisk:
-        LoseAllPower(aStep.mDuration,
-                     CanLoseDisk() ? SelectControlHost(aStep.mSelector) : "");
+        LoseAllPower(aStep.mDuration, DisksToLose(aStep.mSelector));
         break;
       case FleetFault::IsolateHost:
         IsolateHost(SelectControlHost(aStep.mSelector), aStep.mDuration);
@@ -383,16 +383,36 @@
     RunLater(aDuration, [this, aHost] { StartIfDown(aHost); });
   }
 
-  void LoseAllPower(Micros aDuration, const std::string& aWiped)
+  std::vector<std::string> DisksToLose(std::uint64_t aSelector)
+  {
+    std::vector<std::string> hosts;
+    if (!mSchedule.mLoseToleratedDisks) {
+      const std::string host =
+        CanLoseDisk() ? SelectControlHost(aSelector) : "";
+      return host.empty() ? hosts : std::vector<std::string>{ host };
+    }
+    hosts = Hosts(true, true);
+    std::shuffle(hosts.begin(), hosts.end(), std::mt19937_64(aSelector));
+    const std::string leader = mSimulation.Leader();
+    std::stable_partition(
+      hosts.begin(), hosts.end(), [&](const std::string& aHost) {
+        return aHost == leader;
+      });
+    const int tolerated = std::max(0, mSchedule.mTolerated - MissingDisks());
+    hosts.resize(std::min<std::size_t>(hosts.size(), tolerated));
+    return hosts;
+  }
+
+  void LoseAllPower(Micros aDuration, const std::vector<std::string>& aWiped)
   {
     for (const std::string& address : Hosts(false, true)) {
       mSimulation.LosePower(address);
       RunLater(aDuration, [this, address] { StartIfDown(address); });
     }
-    if (!aWiped.empty()) {
-      Log(aWiped, "loses its disk");
+    for (const std::string& address : aWiped) {
+      Log(address, "loses its disk");
       ++mMissingDisks;
-      mSimulation.Wipe(aWiped);
+      mSimulation.Wipe(address);
     }
   }
 
@@ -516,12 +536,27 @@
     if (end.mEnd == fleet::SubmitResult::Committed && end.mOutcome.accepted()) {
       mAcknowledged = std::max(mAcknowledged, mPendingChange->mVersion);
       mAcknowledgedAt.emplace(mAcknowledged, mSimulation.mNow);
+      CheckDurability(mPendingChange->mVersion);
     }
     mPendingChange.reset();
   }
 
   // --- checks
 
+  // An acknowledged change is on more synced disks than may be lost. Disks that
+  // were lost since its commit are among those that may.
+  void CheckDurability(std::uint64_t aVersion)
+  {
+    const int copies = DurableCopies(mSimulation, Hosts(true, false), aVersion);
+    const int missing = MissingDisks();
+    if (copies + missing <= mSchedule.mTolerated) {
+      mViolation = "version " + std::to_string(aVersion) +
+                   " was acknowledged with " + std::to_string(copies) +
+                   " durable copies, " + std::to_string(missing) +
+                   " disks missing";
+    }
+  }
+
   // The policy version of a host never decreases while its process runs.
   void CheckInvariants()
   {
