Acknowledge nothing after a start before the disk has synced

Callers would see: a policy that was acknowledged is gone after a final fault.

Cause: a voter took what it read at its start for durable (consensus::Open), though a killed process may have written it without a sync, and replaced files without a sync of the folder. It acknowledged entries and repeated votes by it. Class: state that is durable by assumption.

Change: Open() puts out an empty write; its sync is the first that this process awaits, so that votes, acknowledgements and the own copy wait for it. The writer syncs the folder and the log before its first record: a loss of power must not keep a later record and lose an inherited one. Both hosts use it.

Ruled out by reading: acknowledgements of operators, reads and announcements rest on commits; an answer to a leader check promises no disk.

--- a/examples/embed_consensus/main.cpp
+++ b/examples/embed_consensus/main.cpp
@@ -15,12 +15,14 @@
     peers[i].set_id("member-" + std::to_string(i));
   }
   std::map<std::string, gp::consensus::State> members;
+  std::map<std::string, gp::consensus::Output> outputs;
   for (const gp::wire::Peer& peer : peers) {
     gp::consensus::Recovered disk;
     disk.mHard.set_storage(gp::consensus::kFoundingStorage);
     *disk.mSnapshot.mutable_membership() =
       gp::consensus::InitialMembership(peers);
-    members[peer.id()] = gp::consensus::Open(peer.id(), disk, 0, 1);
+    gp::consensus::Output& opened = outputs[peer.id()];
+    members[peer.id()] = gp::consensus::Open(peer.id(), disk, 0, 1, opened);
   }
 
   std::deque<gp::wire::ConsensusMessage> network;
@@ -49,6 +51,10 @@
     }
   };
 
+  for (auto& [id, member] : members) {
+    perform(member, std::move(outputs[id]));
+  }
+
   bool proposed = false;
   for (gp::Micros now = 0; now < 5 * gp::kSecond && applied < 3;
        now += 10 * gp::kMillisecond) {
--- a/include/geraniumpond/consensus.h
+++ b/include/geraniumpond/consensus.h
@@ -73,7 +73,8 @@
   bool mSnapshotSent = false;
 };
 
-/// \brief A write to the log file; writes are performed in sequence order.
+/// \brief A write to the log file; writes are performed in sequence order. One
+/// without records or a snapshot only asks for a sync.
 struct Write
 {
   std::uint64_t mSequence = 0;
@@ -162,11 +163,13 @@
   std::vector<wire::Entry> mEntries;
 };
 
-/// \brief Restores a member from its persistent state.
+/// \brief Restores a member from its persistent state. Puts out an empty write:
+/// its sync makes durable what an earlier process has written.
 [[nodiscard]] State Open(const std::string& aId,
                          const Recovered& aRecovered,
                          Micros aNow,
-                         std::uint64_t aRandom);
+                         std::uint64_t aRandom,
+                         Output& aOut);
 
 /// \brief Processes timeouts; cheap when none is due.
 void Tick(State& aState, Micros aNow, std::uint64_t aRandom, Output& aOut);
--- a/src/consensus/log.cpp
+++ b/src/consensus/log.cpp
@@ -234,7 +234,8 @@
 State Open(const std::string& aId,
            const Recovered& aRecovered,
            Micros aNow,
-           std::uint64_t aRandom)
+           std::uint64_t aRandom,
+           Output& aOut)
 {
   State state;
   state.mId = aId;
@@ -248,7 +249,11 @@
   for (const wire::Entry& entry : aRecovered.mEntries) {
     state.mLog.push_back(entry);
   }
-  state.mSyncedIndex = LastIndex(state);
+  // A process that was killed may not have synced what it wrote, and a power
+  // loss would still take it: nothing that was read is acknowledged before the
+  // first sync.
+  (void)OpenWrite(state, aOut);
+  TrackUnsynced(state);
   RefreshMembership(state);
   state.mRole = MayCampaign(state) ? Role::Follower : Role::Learner;
   ResetElection(state, aNow, aRandom);
--- a/src/edge/files.cpp
+++ b/src/edge/files.cpp
@@ -38,6 +38,8 @@
   return true;
 }
 
+} // namespace
+
 Result<bool> SyncFolder(const std::string& aFolder)
 {
   const int folder = ::open(aFolder.c_str(), O_RDONLY | O_DIRECTORY);
@@ -52,8 +54,6 @@
   return true;
 }
 
-} // namespace
-
 Result<bool> ReplaceFile(const std::string& aFolder,
                          const std::string& aName,
                          const std::string& aContent)
--- a/src/edge/storage.cpp
+++ b/src/edge/storage.cpp
@@ -315,11 +315,28 @@
   return true;
 }
 
+// A process that was killed may have replaced files, or appended to the log,
+// without a sync. Its records must not be lost behind later ones that are kept.
+Result<bool> LogWriter::SyncInherited()
+{
+  if (mIsInheritedSynced) {
+    return true;
+  }
+  Result<bool> synced = SyncFolder(mFolder);
+  synced = synced ? Sync() : synced;
+  mIsInheritedSynced = static_cast<bool>(synced);
+  return synced;
+}
+
 // All records of one write share a frame: after a power failure any part of the
 // unsynced data may be missing, and valid records after a missing one would
 // look like a corrupt log.
 Result<bool> LogWriter::Write(const wire::Persist& aPersist)
 {
+  Result<bool> inherited = SyncInherited();
+  if (!inherited) {
+    return inherited;
+  }
   std::string bytes;
   if (aPersist.records_size() == 1) {
     bytes = Frame(aPersist.records(0).SerializeAsString());
--- a/src/edge/storage.h
+++ b/src/edge/storage.h
@@ -35,7 +35,8 @@
   LogWriter& operator=(const LogWriter&) = delete;
   ~LogWriter();
 
-  /// \brief Writes records without waiting for them to reach the disk.
+  /// \brief Writes records without waiting for them to reach the disk. The
+  /// first write waits until what an earlier process left is on disk.
   [[nodiscard]] Result<bool> Write(const wire::Persist& aPersist);
 
   /// \brief Discards what was written since the last sync, after a failure.
@@ -47,6 +48,7 @@
 private:
   explicit LogWriter(std::string aFolder);
   [[nodiscard]] Result<bool> OpenLog();
+  [[nodiscard]] Result<bool> SyncInherited();
   [[nodiscard]] Result<bool> ReplaceSnapshotAndLog(
     const wire::Persist& aPersist);
 
@@ -54,8 +56,13 @@
   int mFile = -1;
   /// Length of the log at its last sync.
   std::int64_t mSyncedBytes = 0;
+  /// True once what an earlier process left is on disk.
+  bool mIsInheritedSynced = false;
 };
 
+/// \brief Makes the names of a folder's files durable.
+[[nodiscard]] Result<bool> SyncFolder(const std::string& aFolder);
+
 /// \brief Replaces a file atomically and syncs it and its folder.
 [[nodiscard]] Result<bool> ReplaceFile(const std::string& aFolder,
                                        const std::string& aName,
--- a/src/fleet/fleet.cpp
+++ b/src/fleet/fleet.cpp
@@ -135,12 +135,14 @@
   State state;
   state.mSettings = aSettings;
   state.mControlAddresses = aSettings.mSeeds;
+  consensus::Output raft;
   if (aSettings.mControl) {
     state.mGroup = consensus::Open(
       MemberId(aSettings.mPeerAddress, aRecovered.mHard.storage()),
       aRecovered,
       aNow,
-      aRandom);
+      aRandom,
+      raft);
     state.mGroup.mOptions.mStartupDivisor = kFirstElectionDivisor;
     state.mGroup.mElectionAt =
       aNow + (state.mGroup.mElectionAt - aNow) / kFirstVoteDivisor;
@@ -157,6 +159,7 @@
   state.mLastSubmitId = aRandom;
   RefreshOwnHost(state, aNow);
   state.mReportAt = aNow;
+  Perform(state, aNow, std::move(raft), aOut);
   Tick(state, aNow, aRandom, aOut);
   return state;
 }
--- a/src/node/group.cpp
+++ b/src/node/group.cpp
@@ -182,9 +182,14 @@
   for (const wire::Entry& entry : aEvent.entries()) {
     recovered.mEntries.push_back(entry);
   }
-  state.mGroup = consensus::Open(
-    aEvent.settings().id(), recovered, aContext.mNow, aContext.NextRandom());
+  consensus::Output output;
+  state.mGroup = consensus::Open(aEvent.settings().id(),
+                                 recovered,
+                                 aContext.mNow,
+                                 aContext.NextRandom(),
+                                 output);
   InstallSnapshot(aContext, recovered.mSnapshot);
+  ProcessConsensusOutput(aContext, std::move(output));
 }
 
 void TickGroup(Context& aContext)
