--- a/src/edge/storage.cpp
+++ b/src/edge/storage.cpp
@@ -3,6 +3,7 @@
 #include <geraniumpond/consensus.h>
 #include <geraniumpond/hash.h>
 
+#include <algorithm>
 #include <cerrno>
 #include <cstring>
 #include <fcntl.h>
@@ -170,31 +171,47 @@
 }
 
 // A crash between replacing the snapshot and replacing the log leaves the old
-// log. A log that the snapshot covers or contradicts is discarded; a gap
-// between the two is an error.
-Result<bool> ReconcileWithSnapshot(StoredState& aState)
+// log. One that the snapshot covers or contradicts is of no use.
+bool IsReplacedBySnapshot(const StoredState& aState)
 {
-  std::vector<wire::Entry>& entries = aState.mEntries;
+  const std::vector<wire::Entry>& entries = aState.mEntries;
   const std::uint64_t snapshotIndex = aState.mSnapshot.index();
   if (entries.empty()) {
-    return true;
+    return false;
+  }
+  return entries.back().index() < snapshotIndex ||
+         std::any_of(
+           entries.begin(), entries.end(), [&](const wire::Entry& aEntry) {
+             return aEntry.index() == snapshotIndex &&
+                    aEntry.term() != aState.mSnapshot.term();
+           });
+}
+
+// New entries would be appended behind those of the discarded log. The snapshot
+// that replaces them must be durable before they go.
+Result<bool> DiscardLog(const std::string& aFolder, StoredState& aState)
+{
+  aState.mEntries.clear();
+  const Result<bool> synced = SyncFolder(aFolder);
+  if (!synced) {
+    return synced;
   }
-  if (entries.front().index() > snapshotIndex + 1) {
+  wire::LogRecord record;
+  *record.mutable_hard_state() = aState.mHardState;
+  return ReplaceFile(aFolder, kLogFile, Frame(record.SerializeAsString()));
+}
+
+Result<bool> ReconcileWithSnapshot(const std::string& aFolder,
+                                   StoredState& aState)
+{
+  const std::vector<wire::Entry>& entries = aState.mEntries;
+  if (!entries.empty() &&
+      entries.front().index() > aState.mSnapshot.index() + 1) {
     return Fail(ErrorCode::Corrupt,
                 "entries between snapshot and log are missing");
   }
-  if (entries.back().index() < snapshotIndex) {
-    entries.clear();
-    return true;
-  }
-  for (const wire::Entry& entry : entries) {
-    if (entry.index() == snapshotIndex &&
-        entry.term() != aState.mSnapshot.term()) {
-      entries.clear();
-      return true;
-    }
-  }
-  return true;
+  return IsReplacedBySnapshot(aState) ? DiscardLog(aFolder, aState)
+                                      : Result<bool>(true);
 }
 
 Result<bool> InitFolder(const std::string& aFolder,
@@ -242,7 +259,7 @@
   if (!log) {
     return log.error();
   }
-  const Result<bool> reconciled = ReconcileWithSnapshot(state);
+  const Result<bool> reconciled = ReconcileWithSnapshot(aFolder, state);
   if (!reconciled) {
     return reconciled.error();
   }
--- a/tests/storage_test.cpp
+++ b/tests/storage_test.cpp
@@ -40,6 +40,7 @@
   CPPUNIT_TEST(LogWithAnyCorruptByteInTheMiddleIsRefused);
   CPPUNIT_TEST(SnapshotWithAnyCorruptByteIsRefused);
   CPPUNIT_TEST(CrashBetweenSnapshotAndLogIsRepaired);
+  CPPUNIT_TEST(LogThatASnapshotReplacesTakesNewEntries);
   CPPUNIT_TEST(WriteToAFullDiskIsAnError);
   CPPUNIT_TEST(InitOfAnInitializedFolderIsRefused);
   CPPUNIT_TEST(IncarnationGrowsWhenTheClockGoesBack);
@@ -182,6 +183,27 @@
     }
   }
 
+  // Guards against a voter that cannot start again after a crash between a
+  // snapshot and its log.
+  void LogThatASnapshotReplacesTakesNewEntries()
+  {
+    constexpr std::uint64_t kSnapshotIndex = 5;
+    Write({ EntryRecord(1), EntryRecord(2), EntryRecord(3) });
+    wire::Snapshot snapshot;
+    snapshot.set_index(kSnapshotIndex);
+    snapshot.set_term(1);
+    CPPUNIT_ASSERT(
+      ReplaceFile(mFolder, "snapshot", Frame(snapshot.SerializeAsString())));
+    CPPUNIT_ASSERT(Recover(mFolder));
+    Write({ EntryRecord(kSnapshotIndex + 1) });
+    const auto state = Recover(mFolder);
+    CPPUNIT_ASSERT_MESSAGE(state ? "" : state.error().mMessage,
+                           static_cast<bool>(state));
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), state.value().mEntries.size());
+    CPPUNIT_ASSERT_EQUAL(std::string("founding"),
+                         state.value().mHardState.storage());
+  }
+
   void WriteToAFullDiskIsAnError()
   {
     CPPUNIT_ASSERT_EQUAL(0, ::unlink((mFolder + "/log").c_str()));
