Take late requests of added routes by their deadline alone

Callers would see: a request that a stopping host took and its target did not finish ends without an answer (LOST around a SIGTERM).

Cause: in the second half of a shutdown a route without an answer was taken by eight times what is assumed of its work. Of a route that was added since the shutdown began nobody has an answer, and a target that is slow or silent holds the request beyond the exit.

Change: the shutdown remembers the routes in force when it began; others are taken by their deadline, like known ones.

Evidence: ShutdownTest::LateRequestOfARouteAddedSinceIsTakenByItsDeadline failed before (2 sent, 1 wanted), 15 of 15 pass.

--- a/include/geraniumpond/dispatch.h
+++ b/include/geraniumpond/dispatch.h
@@ -63,6 +63,8 @@
   Micros mBeganAt = 0;
   /// By then its answers have to be complete.
   Micros mEndsAt = 0;
+  /// Names of the routes in force when it began.
+  std::set<std::string> mRoutes = {};
 };
 
 /// \brief Counters published as metrics.
--- a/src/dispatch/shutdown.cpp
+++ b/src/dispatch/shutdown.cpp
@@ -50,7 +50,8 @@
 
 // How many times its work a request may take; none where its deadline alone
 // counts. Without an answer yet, the work of a route is assumed to be long
-// already. Close to the exit, usual work says too little of a single request.
+// already. Close to the exit, usual work says too little of a single request,
+// and nothing is known of a route that was added since the shutdown began.
 std::optional<Micros> MarginOf(const State& aState,
                                const Request& aRequest,
                                bool aIsLate)
@@ -59,7 +60,9 @@
   const bool isLearnt =
     found != aState.mStatistics.end() && found->second.mWork > 0;
   if (aIsLate) {
-    return isLearnt ? std::nullopt : std::optional<Micros>(kUnknownWorkMargin);
+    const bool isNew = aState.mShutdown->mRoutes.count(aRequest.mRoute) == 0;
+    return isLearnt || isNew ? std::nullopt
+                             : std::optional<Micros>(kUnknownWorkMargin);
   }
   return isLearnt ? kWorkMargin : 1;
 }
@@ -106,6 +109,11 @@
 void BeginShutdown(State& aState, const Shutdown& aShutdown)
 {
   aState.mShutdown = aShutdown;
+  if (aState.mPolicy) {
+    for (const policy::Route& route : aState.mPolicy->mRoutes) {
+      aState.mShutdown->mRoutes.insert(route.mName);
+    }
+  }
 }
 
 // A host that passed the request on is told to try another one.
--- a/tests/shutdown_test.cpp
+++ b/tests/shutdown_test.cpp
@@ -29,6 +29,7 @@
   CPPUNIT_TEST(RequestThatUsuallyEndsInTimeIsServedInTheFirstHalf);
   CPPUNIT_TEST(LateRequestOfARouteWithoutAnAnswerIsServedByWhatIsAssumed);
   CPPUNIT_TEST(LateRequestOfAKnownRouteIsTakenByItsDeadline);
+  CPPUNIT_TEST(LateRequestOfARouteAddedSinceIsTakenByItsDeadline);
   CPPUNIT_TEST(RequestOfAnotherHostIsSentBackAsMisdirected);
   CPPUNIT_TEST(WorkMayTakeTwiceAsLongAsItUsuallyDoes);
   CPPUNIT_TEST(WaitingRequestIsRefusedOnceItMayOutlastTheEnd);
@@ -109,6 +110,20 @@
     CPPUNIT_ASSERT_EQUAL(503, mHost->OnlyReply().mStatus);
   }
 
+  // Guards against requests that the exit cuts off at slow or silent targets.
+  void LateRequestOfARouteAddedSinceIsTakenByItsDeadline()
+  {
+    Begin(kLongShutdown);
+    mHost->Advance(kLongShutdown - kRouteTimeout);
+    AddRoute("added");
+    Serve("/added/a");
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), mHost->All<SendRequest>().size());
+    mHost->Advance(kMillisecond);
+    Serve("/added/b");
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), mHost->All<SendRequest>().size());
+    CPPUNIT_ASSERT_EQUAL(503, mHost->OnlyReply().mStatus);
+  }
+
   void RequestOfAnotherHostIsSentBackAsMisdirected()
   {
     Begin(kLongShutdown);
@@ -216,6 +231,20 @@
     BeginShutdown(mHost->mState, { mHost->mNow, mHost->mNow + aSpan });
   }
 
+  void AddRoute(const std::string& aName)
+  {
+    policy::TrafficPolicy policy = *mHost->mState.mPolicy;
+    ++policy.mVersion;
+    policy::Route route = policy.mRoutes.front();
+    route.mName = aName;
+    route.mPathPrefix = "/" + aName + "/";
+    policy.mRoutes.push_back(route);
+    policy::BuildIndex(policy);
+    SetPolicy(mHost->mState,
+              mHost->mNow,
+              std::make_shared<const policy::TrafficPolicy>(std::move(policy)));
+  }
+
   void Learn(const std::string& aRoute, Micros aWork)
   {
     mHost->mState.mStatistics[aRoute].mWork = static_cast<double>(aWork);
