--- a/src/fleet/group_health.cpp
+++ b/src/fleet/group_health.cpp
@@ -74,6 +74,24 @@
   return health;
 }
 
+namespace {
+
+// The newest policy in the entries behind the snapshot, committed or not; 0 if
+// there is none.
+std::uint64_t PolicyInLog(const consensus::State& aGroup)
+{
+  std::uint64_t newest = 0;
+  for (const wire::Entry& entry : aGroup.mLog) {
+    wire::CatalogCommand command;
+    if (command.ParseFromString(entry.command()) && command.has_put_policy()) {
+      newest = command.put_policy().version();
+    }
+  }
+  return newest;
+}
+
+} // namespace
+
 void LogOpened(const State& aState, Output& aOut)
 {
   const consensus::State& group = aState.mGroup;
@@ -81,8 +99,10 @@
   aOut.mLogLines.push_back(
     { 1,
       "event=group_opened member=" + group.mId +
-        " voters=" + std::to_string(health.mVoters) + " policy=" +
-        std::to_string(aState.mCatalog.mVersion) + DescribeElection(group) });
+        " voters=" + std::to_string(health.mVoters) +
+        " policy=" + std::to_string(aState.mCatalog.mVersion) +
+        " policy_in_log=" + std::to_string(PolicyInLog(group)) +
+        DescribeElection(group) });
 }
 
 void LogGroupHealth(State& aState, Micros aNow, Output& aOut)
--- a/tests/fleet_members_test.cpp
+++ b/tests/fleet_members_test.cpp
@@ -486,6 +486,12 @@
     FleetSimulation simulation = StartedFleet();
     CPPUNIT_ASSERT(
       HasLogLine(simulation, FounderAddress(1), "event=group_opened"));
+    CPPUNIT_ASSERT(simulation.Commit(kFollower, PutPolicyCommand(2, 1, "two")));
+    simulation.Advance(kSecond);
+    simulation.Kill(FounderAddress(1));
+    simulation.Start(FounderAddress(1), false);
+    CPPUNIT_ASSERT(
+      HasLogLine(simulation, FounderAddress(1), " policy_in_log=2"));
     simulation.Kill(FounderAddress(1));
     simulation.Wipe(FounderAddress(1));
     simulation.Start(FounderAddress(1), false);
