Test a refused record behind a first one that is written

Cause: since the writer syncs what it inherited before its first record, WriteToAFullDiskIsAnError is answered by that sync, which its log cannot do, and not by the write that it was made for. It stays as it is.

Change: a second test in which the first record is written and the next one is refused by a limit on the size of files; it asks for the error of the write.

--- a/tests/storage_test.cpp
+++ b/tests/storage_test.cpp
@@ -5,7 +5,9 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <csignal>
 #include <fstream>
+#include <sys/resource.h>
 #include <unistd.h>
 
 namespace geraniumpond::edge {
@@ -42,6 +44,7 @@
   CPPUNIT_TEST(CrashBetweenSnapshotAndLogIsRepaired);
   CPPUNIT_TEST(LogThatASnapshotReplacesTakesNewEntries);
   CPPUNIT_TEST(WriteToAFullDiskIsAnError);
+  CPPUNIT_TEST(RecordThatTheDiskRefusesIsAnError);
   CPPUNIT_TEST(InitOfAnInitializedFolderIsRefused);
   CPPUNIT_TEST(IncarnationGrowsWhenTheClockGoesBack);
   CPPUNIT_TEST_SUITE_END();
@@ -217,6 +220,28 @@
     CPPUNIT_ASSERT(written.error().mCode == ErrorCode::Io);
   }
 
+  // The first write succeeds, so that what the folder holds is synced.
+  void RecordThatTheDiskRefusesIsAnError()
+  {
+    auto writer = LogWriter::Open(mFolder);
+    CPPUNIT_ASSERT(writer);
+    wire::Persist persist;
+    *persist.add_records() = EntryRecord(1);
+    CPPUNIT_ASSERT(writer.value()->Write(persist));
+    rlimit old{};
+    ::getrlimit(RLIMIT_FSIZE, &old);
+    const rlimit full{ 1, old.rlim_max };
+    const auto handler = std::signal(SIGXFSZ, SIG_IGN);
+    ::setrlimit(RLIMIT_FSIZE, &full);
+    const auto written = writer.value()->Write(persist);
+    ::setrlimit(RLIMIT_FSIZE, &old);
+    std::signal(SIGXFSZ, handler);
+    CPPUNIT_ASSERT(!written);
+    CPPUNIT_ASSERT(written.error().mCode == ErrorCode::Io);
+    CPPUNIT_ASSERT(written.error().mMessage.find("cannot write the log") !=
+                   std::string::npos);
+  }
+
   void InitOfAnInitializedFolderIsRefused()
   {
     const auto again = InitFoundingHost(mFolder, wire::HostSettings());
