--- a/src/edge/storage.cpp
+++ b/src/edge/storage.cpp
@@ -192,7 +192,7 @@
 Result<bool> DiscardLog(const std::string& aFolder, StoredState& aState)
 {
   aState.mEntries.clear();
-  const Result<bool> synced = SyncFolder(aFolder);
+  Result<bool> synced = SyncFolder(aFolder);
   if (!synced) {
     return synced;
   }
