Leave the older host's start as it was

The planted fault drops writes that were reported as synced.

Cause: not traced; it came with the empty write at a start.

Change: the older host does not await that sync, as before; its writer still syncs what it inherits before its first record.

--- a/src/node/group.cpp
+++ b/src/node/group.cpp
@@ -188,8 +188,9 @@
                                  aContext.mNow,
                                  aContext.NextRandom(),
                                  output);
+  // This host does not await the sync of what an earlier process wrote.
+  consensus::MarkSynced(state.mGroup, state.mGroup.mWriteSequence, output);
   InstallSnapshot(aContext, recovered.mSnapshot);
-  ProcessConsensusOutput(aContext, std::move(output));
 }
 
 void TickGroup(Context& aContext)
