--- a/review/support-2/harness.cpp
+++ b/review/support-2/harness.cpp
@@ -1,5 +1,6 @@
 #include "harness.h"
 
+#include <algorithm>
 #include <arpa/inet.h>
 #include <cerrno>
 #include <chrono>
@@ -480,18 +481,11 @@
   ::shutdown(mListener, SHUT_RDWR);
   mAcceptor.join();
   ::close(mListener);
-  {
-    const std::lock_guard<std::mutex> lock(mMutex);
-    for (const int descriptor : mDescriptors) {
-      ::shutdown(descriptor, SHUT_RDWR);
-    }
-  }
-  for (std::thread& thread : mThreads) {
-    thread.join();
-  }
+  std::unique_lock<std::mutex> lock(mMutex);
   for (const int descriptor : mDescriptors) {
-    ::close(descriptor);
+    ::shutdown(descriptor, SHUT_RDWR);
   }
+  mEnded.wait(lock, [this] { return mDescriptors.empty(); });
 }
 
 std::string Server::Beat(const std::string& aState)
@@ -521,16 +515,17 @@
     const int one = 1;
     ::setsockopt(descriptor, IPPROTO_TCP, TCP_NODELAY, &one, sizeof(one));
     const std::lock_guard<std::mutex> lock(mMutex);
-    mDescriptors.push_back(descriptor);
-    mThreads.emplace_back([this, descriptor] { Serve(descriptor); });
+    mDescriptors.insert(descriptor);
+    std::thread([this, descriptor] { Serve(descriptor); }).detach();
   }
 }
 
-// The descriptor is closed by the destructor; a shutdown ends the connection.
+// The destructor waits until no descriptor is listed any more; a shutdown ends
+// the connection.
 void Server::Serve(int aDescriptor)
 {
   constexpr double kIdle = 60;
-  Connection connection(::dup(aDescriptor));
+  Connection connection(aDescriptor);
   Message request;
   std::string extra;
   while (!mStopping && connection.ReadRequest(request, kIdle)) {
@@ -548,7 +543,10 @@
       extra = answer;
     }
   }
-  ::shutdown(aDescriptor, SHUT_RDWR);
+  const std::lock_guard<std::mutex> lock(mMutex);
+  mDescriptors.erase(aDescriptor);
+  connection.Close();
+  mEnded.notify_all();
 }
 
 bool Server::Enter()
@@ -787,8 +785,11 @@
       ::open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0600);
     ::dup2(out, STDOUT_FILENO);
     ::dup2(out, STDERR_FILENO);
-    const auto most = static_cast<rlim_t>(mDescriptors);
-    const rlimit limit{ most, most };
+    rlimit limit{};
+    (void)::getrlimit(RLIMIT_NOFILE, &limit);
+    limit.rlim_max =
+      std::min(limit.rlim_max, static_cast<rlim_t>(mDescriptors));
+    limit.rlim_cur = limit.rlim_max;
     if (::setrlimit(RLIMIT_NOFILE, &limit) != 0) {
       ::_exit(126);
     }
--- a/review/support-2/harness.h
+++ b/review/support-2/harness.h
@@ -9,6 +9,7 @@
 #include <map>
 #include <memory>
 #include <mutex>
+#include <set>
 #include <string>
 #include <thread>
 #include <utility>
@@ -156,8 +157,9 @@
   int mRunning = 0;
   int mWaiting = 0;
   std::vector<Run> mRuns;
-  std::vector<std::thread> mThreads;
-  std::vector<int> mDescriptors;
+  /// Open connections, each with a thread of its own.
+  std::set<int> mDescriptors;
+  std::condition_variable mEnded;
   std::thread mAcceptor;
 };
 
