Hold the body of a request once

What callers saw: a host that is out of memory after half of the bodies that it could hold.

An attempt now sends a large body from where the request stands, shared for as long as either needs it; the room for a large body is made at once, of which the system counts what is written to; empty buffers are given back, and large ones go back to the system when they are freed.

Ruled out: sending a small body apart from its head, which would be a packet and a system call more for each request.

--- a/src/frontend/client_connection.cpp
+++ b/src/frontend/client_connection.cpp
@@ -142,6 +142,7 @@
   mIsReadingRequests = true;
   while (MayReadRequest() && ReadRequest()) {
   }
+  mSocket.ReleaseInput();
   mIsReadingRequests = false;
   UpdateReading();
 }
--- a/src/frontend/gateway_effects.cpp
+++ b/src/frontend/gateway_effects.cpp
@@ -16,6 +16,9 @@
 /// Targets get a deadline this much before the client's, which leaves time to
 /// return the answer.
 constexpr Micros kReturnMargin = 2 * kMillisecond;
+/// Larger bodies are sent from where they stand; others in one packet with
+/// their head.
+constexpr std::size_t kCopiedBodyBytes = 16 * 1024;
 constexpr int kUnauthorised = 401;
 constexpr int kMisdirected = 421;
 constexpr int kUnavailable = 503;
@@ -93,11 +96,17 @@
   if (found == mExchanges.end()) {
     return;
   }
-  const HttpRequest& request = found->second.mRequest;
+  const std::shared_ptr<const HttpRequest>& shared = found->second.mRequest;
+  const HttpRequest& request = *shared;
   const std::string* id =
     FindField(request.mFields, mDialect.mFieldNames.mRequestId);
   aForwarding.mTimeout = aDeadline - mNow - kReturnMargin;
-  aOutbound.mBytes = ForwardedBytes(request, mDialect.mFieldNames, aForwarding);
+  aOutbound.mBytes = ForwardedHead(request, mDialect.mFieldNames, aForwarding);
+  if (request.mBody.size() > kCopiedBodyBytes) {
+    aOutbound.mBody = { shared, &shared->mBody };
+  } else {
+    aOutbound.mBytes += request.mBody;
+  }
   aOutbound.mRequestId = id == nullptr ? "" : *id;
   aOutbound.mHeadOnly = request.mMethod == "HEAD";
   mTargets.Send(std::move(aOutbound));
@@ -110,12 +119,12 @@
 {
   const auto found = mExchanges.find(aExchange);
   const FieldNames& names = mDialect.mFieldNames;
-  if (found == mExchanges.end() || FindField(found->second.mRequest.mFields,
+  if (found == mExchanges.end() || FindField(found->second.mRequest->mFields,
                                              names.mRelayedAfter) == nullptr) {
     return;
   }
   const std::string* id =
-    FindField(found->second.mRequest.mFields, names.mRequestId);
+    FindField(found->second.mRequest->mFields, names.mRequestId);
   if (id != nullptr) {
     aResponse.mFields.emplace_back(names.mRequestId, *id);
   }
--- a/src/frontend/gateway_host.cpp
+++ b/src/frontend/gateway_host.cpp
@@ -1,5 +1,6 @@
 #include "gateway_host.h"
 
+#include "allocation.h"
 #include "gateway_process.h"
 #include "system_clock.h"
 
@@ -77,6 +78,7 @@
 {
   edge::StartLogging(aSettings.mId, aSettings.mLogFormat, aSettings.mLogLevel);
   InstallSignalHandlers();
+  ReturnLargeBuffers();
   try {
     const int result = Serve(aSettings, aDialect);
     edge::WriteLog(1, "event=exited");
--- a/src/frontend/gateway_process.h
+++ b/src/frontend/gateway_process.h
@@ -49,7 +49,8 @@
   /// \brief A client's request that has not been answered yet.
   struct Exchange
   {
-    HttpRequest mRequest;
+    /// Shared with the attempts that send its body.
+    std::shared_ptr<const HttpRequest> mRequest;
     Micros mArrivedAt = 0;
     HttpResponse mAnswer;
     std::uint64_t mAnsweredBy = 0;
--- a/src/frontend/gateway_sinks.cpp
+++ b/src/frontend/gateway_sinks.cpp
@@ -57,7 +57,7 @@
   arrival.mId = aExchange;
   Exchange& exchange = mProcess.mExchanges[aExchange];
   exchange.mBytesPerSecond = bytesPerSecond;
-  exchange.mRequest = std::move(aRequest);
+  exchange.mRequest = std::make_shared<const HttpRequest>(std::move(aRequest));
   exchange.mArrivedAt = mProcess.mNow;
   mProcess.Post(std::move(arrival));
 }
--- a/src/frontend/http_body.cpp
+++ b/src/frontend/http_body.cpp
@@ -13,17 +13,10 @@
 constexpr std::size_t kMaxChunkDigits = 15;
 constexpr int kHexadecimal = 16;
 constexpr std::size_t kMaxTrailerBytes = 64 * 1024;
-/// Body from which its buffer grows by a quarter, not by as much again.
+/// Body whose buffer is made as large as it may get.
 constexpr std::size_t kLargeBody = 1024 * 1024;
-
-void Append(std::string_view aBytes, std::string& aBody)
-{
-  const std::size_t size = aBody.size() + aBytes.size();
-  if (size > aBody.capacity() && size > kLargeBody) {
-    aBody.reserve(size + size / 4);
-  }
-  aBody += aBytes;
-}
+/// Beyond this a buffer grows by a quarter at a time.
+constexpr std::uint64_t kMaxReserved = 256ULL * 1024 * 1024;
 
 // Hexadecimal digits, which spaces and an extension may follow.
 std::optional<std::uint64_t> ParseChunkSize(std::string_view aLine)
@@ -50,14 +43,29 @@
 
 } // namespace
 
-void BodyReader::Start(Framing aFraming, std::uint64_t aLength)
+void BodyReader::Start(Framing aFraming,
+                       std::uint64_t aLength,
+                       std::uint64_t aMost)
 {
   mFraming = aFraming;
   mRemaining = aLength;
+  mMost = aFraming == Framing::Length ? aLength : aMost;
   mTrailerBytes = 0;
   mPart = ChunkPart::Size;
 }
 
+// A buffer that grows holds the body twice while it is moved. Room that is made
+// at once takes memory only as far as it is written to.
+void BodyReader::Append(std::string_view aBytes, std::string& aBody) const
+{
+  const std::size_t size = aBody.size() + aBytes.size();
+  if (size > aBody.capacity() && size > kLargeBody) {
+    const std::uint64_t most = mMost <= kMaxReserved ? mMost : size + size / 4;
+    aBody.reserve(std::max<std::uint64_t>(size, most));
+  }
+  aBody += aBytes;
+}
+
 ReadStatus BodyReader::Feed(std::string& aBuffer, std::string& aBody)
 {
   switch (mFraming) {
--- a/src/frontend/http_message.cpp
+++ b/src/frontend/http_message.cpp
@@ -65,11 +65,11 @@
         !EqualIgnoringCase(encoding, "chunked")) {
       return Reject(400, "ambiguous framing");
     }
-    mBody.Start(BodyReader::Framing::Chunked, 0);
+    mBody.Start(BodyReader::Framing::Chunked, 0, aLimits.mMaxBodyBytes);
     return ReadStatus::Complete;
   }
   if (lengths == 0) {
-    mBody.Start(BodyReader::Framing::None, 0);
+    mBody.Start(BodyReader::Framing::None, 0, 0);
     return ReadStatus::Complete;
   }
   std::uint64_t length = 0;
@@ -80,7 +80,7 @@
   if (length > aLimits.mMaxBodyBytes) {
     return Reject(413, "body too large");
   }
-  mBody.Start(BodyReader::Framing::Length, length);
+  mBody.Start(BodyReader::Framing::Length, length, length);
   return ReadStatus::Complete;
 }
 
@@ -207,14 +207,14 @@
   std::uint64_t length = 0;
   if (aHeadOnly || mResponse.mStatus == 204 || mResponse.mStatus == 304 ||
       mResponse.mStatus < 200) {
-    mBody.Start(BodyReader::Framing::None, 0);
+    mBody.Start(BodyReader::Framing::None, 0, 0);
   } else if (encodings > 0) {
     if (encodings > 1 || lengths > 0 ||
         !EqualIgnoringCase(*FindField(fields, "Transfer-Encoding"),
                            "chunked")) {
       return ReadStatus::Malformed;
     }
-    mBody.Start(BodyReader::Framing::Chunked, 0);
+    mBody.Start(BodyReader::Framing::Chunked, 0, mMaxBody);
   } else if (lengths > 0) {
     if (lengths > 1 ||
         !ParseLength(*FindField(fields, "Content-Length"), length)) {
@@ -223,9 +223,9 @@
     if (length > mMaxBody) {
       return ReadStatus::TooLarge;
     }
-    mBody.Start(BodyReader::Framing::Length, length);
+    mBody.Start(BodyReader::Framing::Length, length, length);
   } else {
-    mBody.Start(BodyReader::Framing::UntilClose, 0);
+    mBody.Start(BodyReader::Framing::UntilClose, 0, mMaxBody);
     mResponse.mKeepAlive = false;
   }
   mHaveHead = true;
--- a/src/frontend/http_message.h
+++ b/src/frontend/http_message.h
@@ -66,7 +66,9 @@
     UntilClose
   };
 
-  void Start(Framing aFraming, std::uint64_t aLength);
+  /// \brief Starts a body of `aLength` bytes if that is known, and of `aMost`
+  /// at most.
+  void Start(Framing aFraming, std::uint64_t aLength, std::uint64_t aMost);
 
   /// \brief Moves body bytes from the front of the buffer to the body.
   [[nodiscard]] ReadStatus Feed(std::string& aBuffer, std::string& aBody);
@@ -85,12 +87,14 @@
   /// \brief Reads chunks, and moves `aBytes` behind what was read.
   [[nodiscard]] ReadStatus FeedChunked(std::string_view& aBytes,
                                        std::string& aBody);
+  void Append(std::string_view aBytes, std::string& aBody) const;
   [[nodiscard]] ReadStatus ReadChunkSize(std::string_view& aBytes);
   [[nodiscard]] ReadStatus ReadChunkEnd(std::string_view& aBytes);
   [[nodiscard]] ReadStatus SkipTrailer(std::string_view& aBytes);
 
   Framing mFraming = Framing::None;
   std::uint64_t mRemaining = 0;
+  std::uint64_t mMost = 0;
   std::size_t mTrailerBytes = 0;
   ChunkPart mPart = ChunkPart::Size;
 };
--- a/src/frontend/request_fields.cpp
+++ b/src/frontend/request_fields.cpp
@@ -14,6 +14,7 @@
 constexpr Micros kLongestRelayTime = 600 * kSecond;
 /// Slowest pace, in bytes per second, at which another host is sent an answer.
 constexpr double kMinPace = 1000;
+constexpr std::size_t kUsualHeadBytes = 512;
 
 bool IsRelayField(const FieldNames& aNames, const std::string& aName)
 {
@@ -130,12 +131,12 @@
   return read;
 }
 
-std::string ForwardedBytes(const HttpRequest& aRequest,
-                           const FieldNames& aNames,
-                           const Forwarding& aForwarding)
+std::string ForwardedHead(const HttpRequest& aRequest,
+                          const FieldNames& aNames,
+                          const Forwarding& aForwarding)
 {
   std::string out;
-  out.reserve(512 + aRequest.mBody.size());
+  out.reserve(kUsualHeadBytes);
   out += aRequest.mMethod + " " + aRequest.mTarget + " HTTP/1.1\r\n";
   bool framed = false;
   for (const auto& [name, value] : aRequest.mFields) {
@@ -153,8 +154,14 @@
     out += FieldLine("Content-Length", std::to_string(aRequest.mBody.size()));
   }
   out += "\r\n";
-  out += aRequest.mBody;
   return out;
 }
 
+std::string ForwardedBytes(const HttpRequest& aRequest,
+                           const FieldNames& aNames,
+                           const Forwarding& aForwarding)
+{
+  return ForwardedHead(aRequest, aNames, aForwarding) + aRequest.mBody;
+}
+
 } // namespace geraniumpond::frontend
--- a/src/frontend/request_fields.h
+++ b/src/frontend/request_fields.h
@@ -47,6 +47,11 @@
   bool mHidesKey = false;
 };
 
+/// \brief The head of a request for a target or another host.
+[[nodiscard]] std::string ForwardedHead(const HttpRequest& aRequest,
+                                        const FieldNames& aNames,
+                                        const Forwarding& aForwarding);
+
 /// \brief The bytes of a request for a target or another host.
 [[nodiscard]] std::string ForwardedBytes(const HttpRequest& aRequest,
                                          const FieldNames& aNames,
--- a/src/frontend/socket.cpp
+++ b/src/frontend/socket.cpp
@@ -13,6 +13,16 @@
 namespace {
 
 constexpr std::size_t kReadBytes = 32 * 1024;
+/// An empty buffer that has grown beyond this is given back: a host has
+/// thousands of connections, most of them idle.
+constexpr std::size_t kKeptCapacity = 4096;
+
+void ReleaseIfLarge(std::string& aBuffer)
+{
+  if (aBuffer.empty() && aBuffer.capacity() > kKeptCapacity) {
+    std::string().swap(aBuffer);
+  }
+}
 
 } // namespace
 
@@ -79,6 +89,7 @@
 {
   if (Unsent() == 0) {
     mOut = std::move(aBytes);
+    mBody.reset();
     mSent = 0;
   } else {
     mOut += aBytes;
@@ -86,11 +97,29 @@
   return Flush();
 }
 
+bool BufferedSocket::Send(std::string aHead,
+                          std::shared_ptr<const std::string> aBody)
+{
+  mOut = std::move(aHead);
+  mBody = std::move(aBody);
+  mSent = 0;
+  return Flush();
+}
+
+void BufferedSocket::ReleaseInput()
+{
+  ReleaseIfLarge(mIn);
+}
+
 ssize_t BufferedSocket::SendSome(std::size_t aMost)
 {
+  const bool isInBody = mSent >= mOut.size();
+  const std::string& from = isInBody ? *mBody : mOut;
+  const std::size_t at = isInBody ? mSent - mOut.size() : mSent;
+  const std::size_t most = std::min(aMost, from.size() - at);
   ssize_t count = -1;
   do {
-    count = ::send(Descriptor(), mOut.data() + mSent, aMost, MSG_NOSIGNAL);
+    count = ::send(Descriptor(), from.data() + at, most, MSG_NOSIGNAL);
   } while (count < 0 && errno == EINTR);
   mSent += count > 0 ? static_cast<std::size_t>(count) : 0;
   return count;
@@ -123,6 +152,8 @@
   const bool left = Unsent() > 0;
   if (!left) {
     mOut.clear();
+    ReleaseIfLarge(mOut);
+    mBody.reset();
     mSent = 0;
     mPacer = nullptr;
   }
--- a/src/frontend/socket.h
+++ b/src/frontend/socket.h
@@ -6,6 +6,7 @@
 #include <Poco/Net/StreamSocket.h>
 
 #include <limits>
+#include <memory>
 #include <string>
 
 namespace geraniumpond::frontend {
@@ -41,6 +42,11 @@
   /// connection is broken.
   [[nodiscard]] bool Send(std::string aBytes);
 
+  /// \brief The same with a body that others share, which is sent from where it
+  /// stands. Nothing else may be unsent.
+  [[nodiscard]] bool Send(std::string aHead,
+                          std::shared_ptr<const std::string> aBody);
+
   /// \brief Sends buffered bytes; false if the connection is broken.
   [[nodiscard]] bool Flush();
 
@@ -59,8 +65,10 @@
   [[nodiscard]] std::string& Input() noexcept { return mIn; }
   [[nodiscard]] std::size_t Unsent() const noexcept
   {
-    return mOut.size() - mSent;
+    return mOut.size() + (mBody ? mBody->size() : 0) - mSent;
   }
+  /// \brief Gives back memory that nothing needs any more.
+  void ReleaseInput();
   [[nodiscard]] bool Closed() const noexcept { return mClosed; }
 
 private:
@@ -76,6 +84,9 @@
   bool mClosed = false;
   std::string mIn;
   std::string mOut;
+  /// Sent behind mOut.
+  std::shared_ptr<const std::string> mBody;
+  /// Bytes of mOut and mBody that have been sent.
   std::size_t mSent = 0;
 };
 
--- a/src/frontend/target_connection.cpp
+++ b/src/frontend/target_connection.cpp
@@ -46,6 +46,7 @@
   mProbePath = aPath;
   mHeadOnly = false;
   Start("GET " + aPath + " HTTP/1.1\r\nHost: " + mAddress + "\r\n\r\n",
+        nullptr,
         kMaxProbeBytes);
 }
 
@@ -57,7 +58,9 @@
   mRequestId = std::move(aRequest.mRequestId);
   mHeadOnly = aRequest.mHeadOnly;
   mPool.mAttempts[mAttempt] = this;
-  Start(std::move(aRequest.mBytes), mPool.mBounds.mMaxBytes);
+  Start(std::move(aRequest.mBytes),
+        std::move(aRequest.mBody),
+        mPool.mBounds.mMaxBytes);
 }
 
 void TargetPool::Connection::OnWritable()
@@ -69,7 +72,7 @@
       return;
     }
     mConnecting = false;
-    SendRequestBytes(std::move(mPendingBytes));
+    SendRequestBytes(std::move(mPendingBytes), std::move(mPendingBody));
     return;
   }
   // The socket takes bytes, or the pacer allows to read. Either may come while
@@ -149,7 +152,9 @@
   mPool.Retire(*this);
 }
 
-void TargetPool::Connection::Start(std::string aBytes, std::uint64_t aMaxBody)
+void TargetPool::Connection::Start(std::string aBytes,
+                                   std::shared_ptr<const std::string> aBody,
+                                   std::uint64_t aMaxBody)
 {
   mStartedAt = mPool.mNow;
   mReceivedBytes = 0;
@@ -157,16 +162,19 @@
   mReader.SetMaxBody(aMaxBody);
   if (mConnecting) {
     mPendingBytes = std::move(aBytes);
+    mPendingBody = std::move(aBody);
     return;
   }
   mIsReused = true;
-  SendRequestBytes(std::move(aBytes));
+  SendRequestBytes(std::move(aBytes), std::move(aBody));
 }
 
-void TargetPool::Connection::SendRequestBytes(std::string aBytes)
+void TargetPool::Connection::SendRequestBytes(
+  std::string aBytes,
+  std::shared_ptr<const std::string> aBody)
 {
-  const std::size_t size = aBytes.size();
-  const bool isOpen = mSocket.Send(std::move(aBytes));
+  const std::size_t size = aBytes.size() + (aBody ? aBody->size() : 0);
+  const bool isOpen = mSocket.Send(std::move(aBytes), std::move(aBody));
   mHasSentBytes = mSocket.Unsent() < size;
   if (!isOpen) {
     Fail("send_failed");
--- a/src/frontend/target_connection.h
+++ b/src/frontend/target_connection.h
@@ -4,6 +4,7 @@
 #include "socket.h"
 #include "target_pool.h"
 
+#include <memory>
 #include <string>
 
 namespace geraniumpond::frontend {
@@ -50,8 +51,11 @@
 private:
   /// \brief Sends a request, once the connection is open; its answer may have
   /// a body of `aMaxBody` bytes.
-  void Start(std::string aBytes, std::uint64_t aMaxBody);
-  void SendRequestBytes(std::string aBytes);
+  void Start(std::string aBytes,
+             std::shared_ptr<const std::string> aBody,
+             std::uint64_t aMaxBody);
+  void SendRequestBytes(std::string aBytes,
+                        std::shared_ptr<const std::string> aBody);
 
   /// \brief Number of bytes that may be read now.
   [[nodiscard]] std::size_t BytesToRead();
@@ -81,6 +85,7 @@
   ResponseReader mReader;
   Job mJob = Job::None;
   std::string mPendingBytes;
+  std::shared_ptr<const std::string> mPendingBody;
   std::string mProbePath;
   std::string mRequestId;
   std::uint64_t mRequest = 0;
--- a/src/frontend/target_pool.h
+++ b/src/frontend/target_pool.h
@@ -40,6 +40,8 @@
   std::string mTarget;
   std::string mAddress;
   std::string mBytes;
+  /// Sent behind mBytes, from where the request stands; may be null.
+  std::shared_ptr<const std::string> mBody;
   std::string mRequestId;
   bool mHeadOnly = false;
   bool mProvenConnection = false;
--- a/tests/crowds/gateway_crowds_test.cpp
+++ b/tests/crowds/gateway_crowds_test.cpp
@@ -80,6 +80,7 @@
   CPPUNIT_TEST_SUITE(GatewayCrowdsTest);
   CPPUNIT_TEST(OneBodyOfTheLargestSizeIsServedInCalm);
   CPPUNIT_TEST(OneChunkedBodyOfTheLargestSizeIsServedInCalm);
+  CPPUNIT_TEST(BodyThatIsSentOnIsHeldOnce);
   CPPUNIT_TEST(BodiesSentWholeAtOnceFitTheMemory);
   CPPUNIT_TEST(BodiesThatStopShortFitTheMemory);
   CPPUNIT_TEST(BodiesThatDripFitTheMemory);
@@ -114,6 +115,19 @@
     ServeOneInCalm(Chunked(kPieceBytes, kLargest));
   }
 
+  // An attempt sent a copy, and a buffer that grew held the body twice.
+  void BodyThatIsSentOnIsHeldOnce()
+  {
+    HostLimits limits;
+    limits.mMemoryMb = 0;
+    limits.mBodyBytes = kLargest;
+    GatewayUnderTest host(limits);
+    Crowd crowd(host.Callers(), 1, BodyWithLength("POST", "/upload", kLargest));
+    CPPUNIT_ASSERT(crowd.PlayUntil([&] { return crowd.Answered(200) == 1; }));
+    const std::size_t peak = host.Process().PeakMemoryBytes();
+    CPPUNIT_ASSERT_MESSAGE(std::to_string(peak), peak < 2 * kLargest);
+  }
+
   void BodiesSentWholeAtOnceFitTheMemory()
   {
     PlayUploads(BodyWithLength("POST", "/upload", 8 * kMegabyte));
