Bound what a gateway host holds for all its clients

What callers saw: a host that is killed for its memory, and with it all requests in it, while other clients send bodies of legal size, stop short of their end, chunk them, or send on behind requests that wait. Cause: each reader bounded one message of one connection; nothing bounded their sum, at any listener.

All that is held (bytes read, requests that wait, answers not sent yet) is counted in one place, and a connection may hold sixteen times what is still free. So one body of the largest size is served in calm, many large ones leave room for small ones, and it is those that go on taking that are refused: 503 with Retry-After, before they are handed on, so that "not run" is true; for a host that passed a request on it bears that host's fields. A request behind others on its connection is not read on before there is room. Freed bodies were kept by the reader, as a string keeps its buffer when an empty one is assigned to it; Reset() gives it back.

Ruled out: giving up the largest holder, which costs a walk over all connections for each piece that is read; pausing readers alone, since clients that stop short would hold the memory for good.

The tests' ordinary requests have a route and a target of their own now: in two crowds all 64 slots of the only target were held by the crowd's requests, so that no host could have answered ("an ordinary request was not answered", once each); what is checked is the same.

--- a/src/frontend/allocation.cpp
+++ b/src/frontend/allocation.cpp
@@ -6,10 +6,10 @@
 
 namespace {
 
-constexpr int kLargeBytes = 1024 * 1024;
+constexpr int kLargeBytes = 128 * 1024;
 /// Free memory at the end of the heap that is kept: less would be given back
 /// and taken again all the time.
-constexpr int kKeptBytes = 4 * 1024 * 1024;
+constexpr int kKeptBytes = 1024 * 1024;
 
 } // namespace
 
--- a/src/frontend/client_connection.cpp
+++ b/src/frontend/client_connection.cpp
@@ -13,11 +13,24 @@
 constexpr std::size_t kMaxUnsent = 4 * 1024 * 1024;
 /// Bytes of one connection that are read before others are served.
 constexpr std::size_t kMaxReadAtOnce = 64 * 1024;
+/// The same where less than that may be held.
+constexpr std::size_t kReadShortOfMemory = 4 * 1024;
 /// Bytes behind the requests that are handled at which reading is paused.
 constexpr std::size_t kMaxUnread = 64 * 1024;
 /// How long input is discarded before a connection is closed: closing a socket
 /// with unread bytes resets the connection, and the last answer would be lost.
 constexpr Micros kLingerTimeout = 1 * kSecond;
+/// Held of a request beside its bytes, some of which stand twice.
+constexpr std::uint64_t kBytesPerRequest = 1024;
+
+std::uint64_t HeldBytesOf(const HttpRequest& aRequest)
+{
+  std::uint64_t head = aRequest.mTarget.size();
+  for (const auto& [name, value] : aRequest.mFields) {
+    head += name.size() + value.size();
+  }
+  return kBytesPerRequest + 2 * head + aRequest.mBody.size();
+}
 
 } // namespace
 
@@ -48,7 +61,10 @@
 // the answer of a target.
 void HttpServer::Connection::OnReadable()
 {
-  const ReceiveResult received = mSocket.Receive(kMaxReadAtOnce);
+  const bool hasRoom = mServer.mMemory == nullptr ||
+                       mServer.mMemory->MayHold(mHeldBytes + kMaxReadAtOnce);
+  const ReceiveResult received =
+    mSocket.Receive(hasRoom ? kMaxReadAtOnce : kReadShortOfMemory);
   if (mLingering) {
     mSocket.Input().clear();
     if (received == ReceiveResult::End || received == ReceiveResult::Reset) {
@@ -67,12 +83,34 @@
   ReadRequests();
 }
 
+void HttpServer::Connection::UpdateHeld()
+{
+  std::uint64_t held =
+    mSocket.Input().capacity() + mReader.HeldBytes() + mSocket.Unsent();
+  for (const Pending& pending : mPending) {
+    held += pending.mRequestBytes + pending.mBytes.size();
+  }
+  if (mSocket.Closed()) {
+    held = 0;
+  }
+  if (mServer.mMemory != nullptr) {
+    mServer.mMemory->Change(mHeldBytes, held);
+  }
+  mHeldBytes = held;
+}
+
+bool HttpServer::Connection::MayHoldMore() const
+{
+  return mServer.mMemory == nullptr || mServer.mMemory->MayHold(mHeldBytes);
+}
+
 void HttpServer::Connection::OnWritable()
 {
   if (!mSocket.Flush()) {
     Close();
     return;
   }
+  UpdateHeld();
   ContinueAfterSend();
 }
 
@@ -90,9 +128,11 @@
       pending.mClose = close;
       pending.mBytesPerSecond = aBytesPerSecond;
       pending.mAnswered = true;
+      pending.mRequestBytes = 0;
     }
   }
   SendAnswered();
+  UpdateHeld();
 }
 
 void HttpServer::Connection::CheckTimeouts(Micros aNow)
@@ -143,6 +183,7 @@
   while (MayReadRequest() && ReadRequest()) {
   }
   mSocket.ReleaseInput();
+  UpdateHeld();
   mIsReadingRequests = false;
   UpdateReading();
 }
@@ -154,7 +195,7 @@
     return false;
   }
   return mPending.empty() || (!mServer.mStopping && !mPending.back().mClose &&
-                              mPending.size() < kMaxPipelined);
+                              mPending.size() < kMaxPipelined && MayHoldMore());
 }
 
 bool HttpServer::Connection::ReadRequest()
@@ -166,6 +207,13 @@
   if (status == ReadStatus::Malformed) {
     RejectMalformed(mReader.ErrorStatus(), mReader.ErrorReason());
   }
+  UpdateHeld();
+  const bool isBegun = status == ReadStatus::Complete || mReader.InBody() ||
+                       !mSocket.Input().empty();
+  if (status != ReadStatus::Malformed && isBegun && !MayHoldMore()) {
+    Refuse(mReader.Request());
+    return false;
+  }
   if (status != ReadStatus::Complete) {
     return false;
   }
@@ -175,6 +223,8 @@
   const std::uint64_t exchange = NextExchangeId();
   mPending.push_back(
     { exchange, request.mMethod == "HEAD", !request.mKeepAlive, false, "" });
+  mPending.back().mRequestBytes = HeldBytesOf(request);
+  UpdateHeld();
   mServer.mExchanges[exchange] = this;
   mServer.mSink.OnRequest(exchange, std::move(request));
   return true;
@@ -191,7 +241,8 @@
   // A head that is not whole yet stays within its own limit.
   const std::size_t mostUnread = mServer.mLimits.mMaxHeaderBytes + kMaxUnread;
   mIsReadingPaused = !mLingering && (mSocket.Unsent() > kMaxUnsent ||
-                                     mSocket.Input().size() > mostUnread);
+                                     mSocket.Input().size() > mostUnread ||
+                                     (!mPending.empty() && !MayHoldMore()));
   mSocket.WatchReading(mIsReadingPaused ? Reading::End : Reading::Bytes);
 }
 
@@ -199,10 +250,25 @@
                                              const std::string& aReason)
 {
   mServer.mSink.OnMalformed(aStatus, aReason);
-  HttpResponse response = MakeResponse(aStatus, "text/plain", aReason + "\n");
+  AnswerAndClose(MakeResponse(aStatus, "text/plain", aReason + "\n"));
+}
+
+void HttpServer::Connection::Refuse(const HttpRequest& aRequest)
+{
+  AnswerAndClose(
+    mServer.mSink.Refuse(aRequest, "too much is held for clients"));
+}
+
+// What was read is not needed any more, though it may have been a part only.
+void HttpServer::Connection::AnswerAndClose(const HttpResponse& aResponse)
+{
+  mReader.Reset();
+  mSocket.Input().clear();
+  mSocket.ReleaseInput();
   mPending.push_back({ 0, false, true, true, "" });
-  mPending.back().mBytes = Serialize(response, true, false);
+  mPending.back().mBytes = Serialize(aResponse, true, false);
   SendAnswered();
+  UpdateHeld();
 }
 
 void HttpServer::Connection::SendAnswered()
@@ -283,6 +349,7 @@
   }
   mSocket.Close();
   DropPending();
+  UpdateHeld();
   mServer.Retire(*this);
 }
 
--- a/src/frontend/client_connection.h
+++ b/src/frontend/client_connection.h
@@ -41,6 +41,8 @@
     bool mAnswered = false;
     std::string mBytes;
     double mBytesPerSecond = 0;
+    /// Held of the request, wherever it is, until it is answered.
+    std::uint64_t mRequestBytes = 0;
   };
 
   /// \brief Hands on the requests that have been read.
@@ -52,6 +54,13 @@
   void UpdateReading();
   /// \brief Answers what was read with an error, after the answers owed.
   void RejectMalformed(int aStatus, const std::string& aReason);
+  /// \brief Refuses what was read, after the answers owed.
+  void Refuse(const HttpRequest& aRequest);
+  /// \brief Answers once all before it are answered, and closes.
+  void AnswerAndClose(const HttpResponse& aResponse);
+  /// \brief Counts what the connection holds now.
+  void UpdateHeld();
+  [[nodiscard]] bool MayHoldMore() const;
   /// \brief Sends the answers whose turn it is.
   void SendAnswered();
   void PaceIfLarge(const Pending& aPending);
@@ -71,6 +80,7 @@
   RequestReader mReader;
   /// In the order of their answers.
   std::deque<Pending> mPending;
+  std::uint64_t mHeldBytes = 0;
   Micros mLastActivityAt = 0;
   Micros mOpenedAt = 0;
   bool mClosing = false;
--- a/src/frontend/gateway_effects.cpp
+++ b/src/frontend/gateway_effects.cpp
@@ -114,17 +114,14 @@
 
 // The host that passed a request on tells this host's own answers from those of
 // targets by the same fields as a target's.
-void GatewayProcess::MarkForRelay(std::uint64_t aExchange,
+void GatewayProcess::MarkForRelay(const HttpRequest& aRequest,
                                   HttpResponse& aResponse) const
 {
-  const auto found = mExchanges.find(aExchange);
   const FieldNames& names = mDialect.mFieldNames;
-  if (found == mExchanges.end() || FindField(found->second.mRequest->mFields,
-                                             names.mRelayedAfter) == nullptr) {
+  if (FindField(aRequest.mFields, names.mRelayedAfter) == nullptr) {
     return;
   }
-  const std::string* id =
-    FindField(found->second.mRequest->mFields, names.mRequestId);
+  const std::string* id = FindField(aRequest.mFields, names.mRequestId);
   if (id != nullptr) {
     aResponse.mFields.emplace_back(names.mRequestId, *id);
   }
@@ -159,7 +156,10 @@
     response.mFields.emplace_back("WWW-Authenticate",
                                   mDialect.mFieldNames.mKeyScheme);
   }
-  MarkForRelay(aEffect.mRequest, response);
+  const auto found = mExchanges.find(aEffect.mRequest);
+  if (found != mExchanges.end()) {
+    MarkForRelay(*found->second.mRequest, response);
+  }
   RespondToClient(aEffect.mRequest, response);
 }
 
--- a/src/frontend/gateway_process.cpp
+++ b/src/frontend/gateway_process.cpp
@@ -29,6 +29,7 @@
   , mRandom(RandomUint64())
   , mOutgoingPacer(LinkBytesPerSecond(aSettings))
   , mIncomingPacer(LinkBytesPerSecond(aSettings))
+  , mClientMemory(MaxClientBytes(aSettings.mMemoryBytes))
   , mTargets(mLoop,
              aDialect.mFieldNames,
              *this,
@@ -79,13 +80,16 @@
       mInbox.mUnreadable += mPeerInbox.Put(aBytes, Now()) ? 0 : 1;
       mLoop.Wake();
     });
-  mClientServer = std::make_unique<HttpServer>(
-    mLoop, mSettings.mCallerAddress, *mClientSink, &mOutgoingPacer);
+  mClientServer = std::make_unique<HttpServer>(mLoop,
+                                               mSettings.mCallerAddress,
+                                               *mClientSink,
+                                               &mOutgoingPacer,
+                                               &mClientMemory);
   std::vector<std::string> addresses = mSettings.mCallAddresses;
   addresses.push_back(mSettings.mMetricsAddress);
   for (const std::string& address : addresses) {
-    mCallServers.push_back(
-      std::make_unique<HttpServer>(mLoop, address, *mCallSink));
+    mCallServers.push_back(std::make_unique<HttpServer>(
+      mLoop, address, *mCallSink, nullptr, &mClientMemory));
     policy::RequestLimits limits;
     limits.mMaxBodyBytes = kMaxCallBytes;
     mCallServers.back()->SetLimits(limits);
--- a/src/frontend/gateway_process.h
+++ b/src/frontend/gateway_process.h
@@ -108,7 +108,7 @@
   void Send(OutboundRequest aOutbound,
             Forwarding aForwarding,
             Micros aDeadline);
-  void MarkForRelay(std::uint64_t aExchange, HttpResponse& aResponse) const;
+  void MarkForRelay(const HttpRequest& aRequest, HttpResponse& aResponse) const;
   void RespondToClient(std::uint64_t aExchange, const HttpResponse& aResponse);
   void UpdateLimits();
 
@@ -126,6 +126,7 @@
   /// One for each direction of the link.
   LinkPacer mOutgoingPacer;
   LinkPacer mIncomingPacer;
+  ClientMemory mClientMemory;
   gateway::State mState;
   bool mOpened = false;
   TargetPool mTargets;
--- a/src/frontend/gateway_sinks.cpp
+++ b/src/frontend/gateway_sinks.cpp
@@ -77,6 +77,20 @@
   ++mProcess.mState.mDispatch.mCounters["malformed_requests"];
 }
 
+// Another host that passed the request on tries a further one, as after any
+// answer that says that it has not run.
+HttpResponse GatewayProcess::ClientSink::Refuse(const HttpRequest& aRequest,
+                                                const std::string& aReason)
+{
+  edge::WriteLog(2,
+                 "event=refused_for_memory reason=\"" + aReason + "\" held=" +
+                   std::to_string(mProcess.mClientMemory.HeldBytes()));
+  ++mProcess.mState.mDispatch.mCounters["refused_for_memory"];
+  HttpResponse response = RequestSink::Refuse(aRequest, aReason);
+  mProcess.MarkForRelay(aRequest, response);
+  return response;
+}
+
 void GatewayProcess::CallSink::OnRequest(std::uint64_t aExchange,
                                          HttpRequest aRequest)
 {
--- a/src/frontend/gateway_sinks.h
+++ b/src/frontend/gateway_sinks.h
@@ -19,6 +19,8 @@
   void OnRequest(std::uint64_t aExchange, HttpRequest aRequest) override;
   void OnClientDisconnected(std::uint64_t aExchange) override;
   void OnMalformed(int aStatus, const std::string& aReason) override;
+  [[nodiscard]] HttpResponse Refuse(const HttpRequest& aRequest,
+                                    const std::string& aReason) override;
 
 private:
   GatewayProcess& mProcess;
--- a/src/frontend/http_body.cpp
+++ b/src/frontend/http_body.cpp
@@ -14,7 +14,7 @@
 constexpr int kHexadecimal = 16;
 constexpr std::size_t kMaxTrailerBytes = 64 * 1024;
 /// Body whose buffer is made as large as it may get.
-constexpr std::size_t kLargeBody = 1024 * 1024;
+constexpr std::size_t kLargeBody = 64 * 1024;
 /// Beyond this a buffer grows by a quarter at a time.
 constexpr std::uint64_t kMaxReserved = 256ULL * 1024 * 1024;
 
--- a/src/frontend/http_message.cpp
+++ b/src/frontend/http_message.cpp
@@ -106,6 +106,7 @@
     return Reject(400, head.error().mMessage);
   }
   aBuffer.erase(0, end + kHeadEnd.size());
+  mHeadBytes = end;
   mRequest = HttpRequest();
   mRequest.mMethod = std::move(head.value().mMethod);
   mRequest.mTarget = std::move(head.value().mTarget);
@@ -164,6 +165,14 @@
   return std::move(mRequest);
 }
 
+// A string that an empty one is assigned to keeps its buffer; one that is moved
+// from does not.
+void RequestReader::Reset()
+{
+  const HttpRequest dropped = std::move(mRequest);
+  *this = RequestReader();
+}
+
 bool RequestReader::TakeExpectContinue() noexcept
 {
   return std::exchange(mExpectsContinue, false);
--- a/src/frontend/http_message.h
+++ b/src/frontend/http_message.h
@@ -107,6 +107,9 @@
   [[nodiscard]] ReadStatus Read(std::string& aBuffer,
                                 const policy::RequestLimits& aLimits);
 
+  /// \brief Forgets what was read, and gives its memory back.
+  void Reset();
+
   /// \brief Returns the request after Read() returned Complete.
   [[nodiscard]] HttpRequest Take();
 
@@ -117,6 +120,13 @@
     return mErrorReason;
   }
   [[nodiscard]] bool InBody() const noexcept { return mHaveHead; }
+  /// \brief Bytes of the request that is being read.
+  [[nodiscard]] std::uint64_t HeldBytes() const noexcept
+  {
+    return mHaveHead ? mHeadBytes + mRequest.mBody.size() : 0;
+  }
+  /// \brief The request as far as it has been read, while InBody().
+  [[nodiscard]] const HttpRequest& Request() const noexcept { return mRequest; }
   /// \brief True if the client waits for 100 Continue; true once per request.
   [[nodiscard]] bool TakeExpectContinue() noexcept;
 
@@ -132,6 +142,7 @@
   /// Hashes the body as it arrives; empty if there is no body.
   std::optional<Hasher> mHasher;
   std::size_t mHashedBytes = 0;
+  std::size_t mHeadBytes = 0;
   bool mHaveHead = false;
   bool mExpectsContinue = false;
   int mErrorStatus = 400;
--- a/src/frontend/http_server.cpp
+++ b/src/frontend/http_server.cpp
@@ -21,6 +21,9 @@
 constexpr std::size_t kMaxAcceptsPerIteration = 64;
 /// How often connections are checked for timeouts.
 constexpr Micros kTimeoutCheckInterval = 250 * kMillisecond;
+constexpr int kUnavailable = 503;
+/// Bodies that stop short are given up after a few seconds.
+constexpr const char* kRefusedRetryAfter = "1";
 
 } // namespace
 
@@ -30,13 +33,23 @@
   return ++last;
 }
 
+HttpResponse RequestSink::Refuse(const HttpRequest&, const std::string& aReason)
+{
+  HttpResponse response =
+    MakeResponse(kUnavailable, "text/plain", aReason + "\n");
+  response.mFields.emplace_back("Retry-After", kRefusedRetryAfter);
+  return response;
+}
+
 HttpServer::HttpServer(EventLoop& aLoop,
                        const std::string& aAddress,
                        RequestSink& aSink,
-                       LinkPacer* aPacer)
+                       LinkPacer* aPacer,
+                       ClientMemory* aMemory)
   : mLoop(aLoop)
   , mSink(aSink)
   , mPacer(aPacer)
+  , mMemory(aMemory)
 {
   mSocket.bind(Poco::Net::SocketAddress(aAddress), true);
   mSocket.listen(kBacklog);
--- a/src/frontend/http_server.h
+++ b/src/frontend/http_server.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "client_memory.h"
 #include "http_message.h"
 #include "socket.h"
 
@@ -29,6 +30,9 @@
   virtual void OnClientDisconnected(std::uint64_t aExchange) = 0;
   /// \brief A request was rejected before it was complete.
   virtual void OnMalformed(int aStatus, const std::string& aReason) = 0;
+  /// \brief Refuses a request that has not been handed on, and never will be.
+  [[nodiscard]] virtual HttpResponse Refuse(const HttpRequest& aRequest,
+                                            const std::string& aReason);
 };
 
 /// \brief An HTTP/1.1 server on an event loop. Pipelined requests are handled
@@ -37,10 +41,12 @@
 {
 public:
   /// \brief Large answers are sent at the pace of the link if there is one.
+  /// Connections hold what `aMemory` allows, any amount without it.
   HttpServer(EventLoop& aLoop,
              const std::string& aAddress,
              RequestSink& aSink,
-             LinkPacer* aPacer = nullptr);
+             LinkPacer* aPacer = nullptr,
+             ClientMemory* aMemory = nullptr);
   ~HttpServer() override;
 
   void SetLimits(const policy::RequestLimits& aLimits) { mLimits = aLimits; }
@@ -94,6 +100,7 @@
   EventLoop& mLoop;
   RequestSink& mSink;
   LinkPacer* mPacer = nullptr;
+  ClientMemory* mMemory = nullptr;
   Poco::Net::ServerSocket mSocket;
   policy::RequestLimits mLimits;
   bool mStopping = false;
--- a/tests/crowds/body_target.cpp
+++ b/tests/crowds/body_target.cpp
@@ -7,6 +7,7 @@
 #include <algorithm>
 #include <array>
 #include <cstdlib>
+#include <utility>
 
 namespace geraniumpond::crowds {
 
@@ -25,12 +26,13 @@
   return aHead.substr(from, aHead.find("\r\n", from) - from);
 }
 
-std::string AnswerTo(const std::string& aHead)
+std::string AnswerTo(const std::string& aHead, const std::string& aTarget)
 {
   const bool isLarge = aHead.find(" /large") != std::string::npos;
   const std::string id = FieldOf(aHead, "Request-Id");
   const std::size_t size = isLarge ? kLargeAnswer : 0;
-  return "HTTP/1.1 200 OK\r\nTarget-Id: t1\r\nTarget-Load: 0,0,64,100\r\n" +
+  return "HTTP/1.1 200 OK\r\nTarget-Id: " + aTarget +
+         "\r\nTarget-Load: 0,0,64,100\r\n" +
          (id.empty() ? "" : "Request-Id: " + id + "\r\n") +
          "Content-Length: " + std::to_string(size) + "\r\n\r\n" +
          std::string(size, 'x');
@@ -38,8 +40,9 @@
 
 } // namespace
 
-BodyTarget::BodyTarget()
-  : mServer(Poco::Net::SocketAddress("127.0.0.1", 0), 512)
+BodyTarget::BodyTarget(std::string aId)
+  : mId(std::move(aId))
+  , mServer(Poco::Net::SocketAddress("127.0.0.1", 0), 512)
   , mThread([this] { Accept(); })
 {
 }
@@ -115,7 +118,7 @@
       while (head.find(" /held") != std::string::npos && !mStop) {
         std::this_thread::sleep_for(std::chrono::milliseconds(20));
       }
-      const std::string answer = AnswerTo(head);
+      const std::string answer = AnswerTo(head, mId);
       for (std::size_t at = 0; at < answer.size() && !mStop;) {
         const int count = aSocket.sendBytes(
           answer.data() + at,
--- a/tests/crowds/body_target.h
+++ b/tests/crowds/body_target.h
@@ -16,11 +16,12 @@
 class BodyTarget
 {
 public:
-  BodyTarget();
+  explicit BodyTarget(std::string aId);
   ~BodyTarget();
   BodyTarget(const BodyTarget&) = delete;
   BodyTarget& operator=(const BodyTarget&) = delete;
 
+  [[nodiscard]] const std::string& Id() const noexcept { return mId; }
   [[nodiscard]] std::string Address() const
   {
     return mServer.address().toString();
@@ -36,6 +37,7 @@
                             char* aBuffer,
                             int aSize);
 
+  std::string mId;
   Poco::Net::ServerSocket mServer;
   std::atomic<bool> mStop{ false };
   std::vector<std::thread> mConnections;
--- a/tests/crowds/gateway_under_test.cpp
+++ b/tests/crowds/gateway_under_test.cpp
@@ -18,7 +18,7 @@
 constexpr int kPorts = 4;
 /// Left for targets, other hosts, the disk and operators.
 constexpr std::size_t kSpareDescriptors = 32;
-constexpr const char* kOrdinary = "GET /ordinary HTTP/1.1\r\n"
+constexpr const char* kOrdinary = "GET /ordinary/one HTTP/1.1\r\n"
                                   "Host: h.example\r\n"
                                   "Request-Id: ordinary\r\n\r\n";
 
@@ -37,6 +37,16 @@
          std::to_string(aBody.size()) + "\r\n\r\n" + aBody;
 }
 
+// A route and its service, whose kind of request may be repeated.
+std::string ServiceText(const std::string& aName, const std::string& aPrefix)
+{
+  return "[service " + aName + "]\nhealth_path = /health\n" +
+         "max_connections = 400\n\n[route " + aName +
+         "]\nhost = h.example\nprefix = " + aPrefix +
+         "\nkind = safe\ntimeout = 60s\nobjective = 30s\nattempts = 2\n" +
+         "backends = " + aName + ":1\n\n";
+}
+
 } // namespace
 
 GatewayUnderTest::GatewayUnderTest(const HostLimits& aLimits)
@@ -87,22 +97,27 @@
     std::to_string(mLimits.mHeaderBytes) +
     "\nbody_bytes = " + std::to_string(mLimits.mBodyBytes) +
     "\nheader_timeout = " + mLimits.mHeaderTimeout +
-    "\nidle_timeout = " + mLimits.mIdleTimeout +
-    "\n\n[service s]\nhealth_path = /health\nmax_connections = 400\n\n"
-    "[route r]\nhost = h.example\nprefix = /\nkind = safe\ntimeout = 60s\n"
-    "objective = 30s\nattempts = 2\nbackends = s:1\n";
-  const std::string record = R"({"service":"s","address":")" +
-                             mTarget.Address() +
-                             R"(","slots":64,"sequence":1})";
+    "\nidle_timeout = " + mLimits.mIdleTimeout + "\n\n" +
+    ServiceText("s", "/") + ServiceText("o", "/ordinary/");
   const bool serves =
     OrdinaryRequest(Calls(), PutBytes("/policy", policy)) == kStatusOk &&
-    OrdinaryRequest(Calls(), PutBytes("/targets/t1", record)) == kStatusOk &&
+    Announce("s", mTarget) && Announce("o", mOrdinaryTarget) &&
     OrdinaryRequest(Callers(), kOrdinary) == kStatusOk;
   if (!serves) {
     throw std::runtime_error("the host does not serve a first request");
   }
 }
 
+bool GatewayUnderTest::Announce(const std::string& aService,
+                                const BodyTarget& aTarget) const
+{
+  const std::string record = R"({"service":")" + aService + R"(","address":")" +
+                             aTarget.Address() +
+                             R"(","slots":64,"sequence":1})";
+  return OrdinaryRequest(
+           Calls(), PutBytes("/targets/" + aTarget.Id(), record)) == kStatusOk;
+}
+
 Poco::Net::SocketAddress GatewayUnderTest::Callers() const
 {
   return { kIp, static_cast<Poco::UInt16>(mPort) };
--- a/tests/crowds/gateway_under_test.h
+++ b/tests/crowds/gateway_under_test.h
@@ -22,7 +22,7 @@
   std::size_t mDescriptors = 0;
 };
 
-/// \brief One gateway host as a process of its own, and a target.
+/// \brief One gateway host as a process of its own, and two targets.
 class GatewayUnderTest
 {
 public:
@@ -55,11 +55,15 @@
                      const std::string& aFile,
                      bool aFounder) const;
   void PutPolicy();
+  [[nodiscard]] bool Announce(const std::string& aService,
+                              const BodyTarget& aTarget) const;
 
   HostLimits mLimits;
   std::string mFolder;
   int mPort = 0;
-  BodyTarget mTarget;
+  BodyTarget mTarget{ "t1" };
+  /// Of the ordinary requests: those of a crowd may hold the other for good.
+  BodyTarget mOrdinaryTarget{ "t2" };
   std::unique_ptr<ChildProcess> mProcess;
 };
 
