Give up answers that their clients do not read

What callers saw: a host that is killed for its memory while clients ask for large answers and read nothing. Cause: a connection with unsent bytes was never timed out, and only answers that were being read had a bound in sum.

Answers being read and answers not sent yet count to what is held for clients. Beyond it the connection with the most unsent bytes is closed: an ordinary client has less left the longer it reads. A connection whose client reads less than 256 bytes a second for the idle timeout is closed too; what waits for the pace of the link does not count, since no client holds that up.

Ruled out: a bound for one connection, which 72 of them exceed together.

--- a/src/frontend/client_connection.cpp
+++ b/src/frontend/client_connection.cpp
@@ -23,6 +23,15 @@
 /// Held of a request beside its bytes, some of which stand twice.
 constexpr std::uint64_t kBytesPerRequest = 1024;
 
+/// Slowest client, in bytes per second, that is waited for: one that is slower
+/// would take days for a body of the largest size.
+constexpr std::uint64_t kLeastBytesPerSecond = 256;
+
+std::uint64_t LeastBytesIn(Micros aTime)
+{
+  return kLeastBytesPerSecond * static_cast<std::uint64_t>(aTime) / kSecond;
+}
+
 std::uint64_t HeldBytesOf(const HttpRequest& aRequest)
 {
   std::uint64_t head = aRequest.mTarget.size();
@@ -133,6 +142,36 @@
   }
   SendAnswered();
   UpdateHeld();
+  if (mServer.mMemory != nullptr) {
+    mServer.mMemory->GiveUpAnswers();
+  }
+}
+
+std::uint64_t HttpServer::Connection::AnswerBytes() const
+{
+  std::uint64_t bytes = mSocket.Unsent();
+  for (const Pending& pending : mPending) {
+    bytes += pending.mBytes.size();
+  }
+  return bytes;
+}
+
+void HttpServer::Connection::GiveUpAnswer(const char* aReason)
+{
+  mServer.mSink.OnAnswerGivenUp(aReason, AnswerBytes());
+  Close();
+}
+
+// What waits for the pace of the link is not held up by the client.
+bool HttpServer::Connection::HasStalled(Micros aNow)
+{
+  const Micros bound = mServer.mLimits.mIdleTimeout;
+  if (!mSocket.IsBlocked() ||
+      mSocket.SentBytes() >= mSentBefore + LeastBytesIn(bound)) {
+    mSendingSince = aNow;
+    mSentBefore = mSocket.SentBytes();
+  }
+  return aNow - mSendingSince > bound;
 }
 
 void HttpServer::Connection::CheckTimeouts(Micros aNow)
@@ -144,6 +183,10 @@
     }
     return;
   }
+  if (HasStalled(aNow)) {
+    GiveUpAnswer("answer_not_read");
+    return;
+  }
   if (!mPending.empty() || mSocket.Unsent() > 0) {
     return;
   }
--- a/src/frontend/client_connection.h
+++ b/src/frontend/client_connection.h
@@ -30,6 +30,10 @@
   /// yet.
   [[nodiscard]] bool HasUnsentAnswers() const;
   [[nodiscard]] bool HasQueuedBytes() const { return mSocket.Unsent() > 0; }
+  /// \brief Bytes of answers that are not sent yet.
+  [[nodiscard]] std::uint64_t AnswerBytes() const;
+  /// \brief Closes a connection whose client does not read its answers.
+  void GiveUpAnswer(const char* aReason);
 
 private:
   /// \brief A request that was read and whose answer has not been sent.
@@ -61,6 +65,9 @@
   /// \brief Counts what the connection holds now.
   void UpdateHeld();
   [[nodiscard]] bool MayHoldMore() const;
+  /// \brief True if the client has read hardly anything of what is being sent
+  /// for longer than it may stay idle.
+  [[nodiscard]] bool HasStalled(Micros aNow);
   /// \brief Sends the answers whose turn it is.
   void SendAnswered();
   void PaceIfLarge(const Pending& aPending);
@@ -83,6 +90,9 @@
   std::uint64_t mHeldBytes = 0;
   Micros mLastActivityAt = 0;
   Micros mOpenedAt = 0;
+  /// When, and after which byte, the time of what is being sent began.
+  Micros mSendingSince = 0;
+  std::uint64_t mSentBefore = 0;
   bool mClosing = false;
   bool mLingering = false;
   bool mPeerClosed = false;
--- a/src/frontend/client_memory.cpp
+++ b/src/frontend/client_memory.cpp
@@ -1,5 +1,7 @@
 #include "client_memory.h"
 
+#include "http_server.h"
+
 #include <algorithm>
 
 namespace geraniumpond::frontend {
@@ -36,4 +38,25 @@
   return aBytes <= kTimesFree * free;
 }
 
+void ClientMemory::Remove(HttpServer& aServer)
+{
+  mServers.erase(std::remove(mServers.begin(), mServers.end(), &aServer),
+                 mServers.end());
+}
+
+void ClientMemory::GiveUpAnswers()
+{
+  while (mHeldBytes > mMaxBytes && !mServers.empty()) {
+    HttpServer* server =
+      *std::max_element(mServers.begin(),
+                        mServers.end(),
+                        [](const HttpServer* aLeft, const HttpServer* aRight) {
+                          return aLeft->MostUnsent() < aRight->MostUnsent();
+                        });
+    if (!server->CloseMostUnsent()) {
+      return;
+    }
+  }
+}
+
 } // namespace geraniumpond::frontend
--- a/src/frontend/client_memory.h
+++ b/src/frontend/client_memory.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <vector>
 
 /// \brief How much a host holds for its clients.
 ///
@@ -9,6 +10,8 @@
 /// asked for, beside ordinary ones.
 namespace geraniumpond::frontend {
 
+class HttpServer;
+
 /// \brief What all connections of clients, operators and targets hold together:
 /// bytes that were read, requests that wait, and answers that are not sent.
 class ClientMemory
@@ -31,11 +34,19 @@
   /// on to hold more.
   [[nodiscard]] bool MayHold(std::uint64_t aBytes) const noexcept;
 
+  /// \brief Closes connections with the most unsent bytes of answers while too
+  /// much is held.
+  void GiveUpAnswers();
+
   [[nodiscard]] std::uint64_t HeldBytes() const noexcept { return mHeldBytes; }
 
+  void Add(HttpServer& aServer) { mServers.push_back(&aServer); }
+  void Remove(HttpServer& aServer);
+
 private:
   std::uint64_t mMaxBytes = 0;
   std::uint64_t mHeldBytes = 0;
+  std::vector<HttpServer*> mServers;
 };
 
 /// \brief The most that a host with this much memory holds for its clients; a
--- a/src/frontend/gateway_process.cpp
+++ b/src/frontend/gateway_process.cpp
@@ -34,7 +34,8 @@
              aDialect.mFieldNames,
              *this,
              mIncomingPacer,
-             AnswerBoundsFor(aSettings.mMaxAnswerBytes, aSettings.mMemoryBytes))
+             AnswerBoundsFor(aSettings.mMaxAnswerBytes, aSettings.mMemoryBytes),
+             &mClientMemory)
   , mClientSink(std::make_unique<ClientSink>(*this))
   , mCallSink(std::make_unique<CallSink>(*this))
 {
--- a/src/frontend/gateway_sinks.cpp
+++ b/src/frontend/gateway_sinks.cpp
@@ -77,6 +77,16 @@
   ++mProcess.mState.mDispatch.mCounters["malformed_requests"];
 }
 
+void GatewayProcess::ClientSink::OnAnswerGivenUp(const char* aReason,
+                                                 std::uint64_t aUnsent)
+{
+  edge::WriteLog(2,
+                 std::string("event=answer_given_up reason=") + aReason +
+                   " unsent=" + std::to_string(aUnsent) + " held=" +
+                   std::to_string(mProcess.mClientMemory.HeldBytes()));
+  ++mProcess.mState.mDispatch.mCounters["answers_given_up"];
+}
+
 // Another host that passed the request on tries a further one, as after any
 // answer that says that it has not run.
 HttpResponse GatewayProcess::ClientSink::Refuse(const HttpRequest& aRequest,
--- a/src/frontend/gateway_sinks.h
+++ b/src/frontend/gateway_sinks.h
@@ -19,6 +19,7 @@
   void OnRequest(std::uint64_t aExchange, HttpRequest aRequest) override;
   void OnClientDisconnected(std::uint64_t aExchange) override;
   void OnMalformed(int aStatus, const std::string& aReason) override;
+  void OnAnswerGivenUp(const char* aReason, std::uint64_t aUnsent) override;
   [[nodiscard]] HttpResponse Refuse(const HttpRequest& aRequest,
                                     const std::string& aReason) override;
 
--- a/src/frontend/http_server.cpp
+++ b/src/frontend/http_server.cpp
@@ -41,6 +41,8 @@
   return response;
 }
 
+void RequestSink::OnAnswerGivenUp(const char*, std::uint64_t) {}
+
 HttpServer::HttpServer(EventLoop& aLoop,
                        const std::string& aAddress,
                        RequestSink& aSink,
@@ -55,11 +57,17 @@
   mSocket.listen(kBacklog);
   mSocket.setBlocking(false);
   mLoop.Add(mSocket.impl()->sockfd(), *this);
+  if (mMemory != nullptr) {
+    mMemory->Add(*this);
+  }
 }
 
 HttpServer::~HttpServer()
 {
   mLoop.Remove(mSocket.impl()->sockfd(), *this);
+  if (mMemory != nullptr) {
+    mMemory->Remove(*this);
+  }
 }
 
 // Accepts all waiting connections up to a bound: iterations of a busy loop are
@@ -144,6 +152,33 @@
     });
 }
 
+HttpServer::Connection* HttpServer::WithMostUnsent() const
+{
+  Connection* most = nullptr;
+  for (const auto& [id, connection] : mConnections) {
+    if (most == nullptr || connection->AnswerBytes() > most->AnswerBytes()) {
+      most = connection.get();
+    }
+  }
+  return most;
+}
+
+std::uint64_t HttpServer::MostUnsent() const
+{
+  const Connection* most = WithMostUnsent();
+  return most == nullptr ? 0 : most->AnswerBytes();
+}
+
+bool HttpServer::CloseMostUnsent()
+{
+  Connection* most = WithMostUnsent();
+  if (most == nullptr || most->AnswerBytes() == 0) {
+    return false;
+  }
+  most->GiveUpAnswer("answers_not_read");
+  return true;
+}
+
 void HttpServer::CloseIdle()
 {
   std::vector<Connection*> all;
--- a/src/frontend/http_server.h
+++ b/src/frontend/http_server.h
@@ -30,6 +30,8 @@
   virtual void OnClientDisconnected(std::uint64_t aExchange) = 0;
   /// \brief A request was rejected before it was complete.
   virtual void OnMalformed(int aStatus, const std::string& aReason) = 0;
+  /// \brief A connection was closed whose client had not read its answers.
+  virtual void OnAnswerGivenUp(const char* aReason, std::uint64_t aUnsent);
   /// \brief Refuses a request that has not been handed on, and never will be.
   [[nodiscard]] virtual HttpResponse Refuse(const HttpRequest& aRequest,
                                             const std::string& aReason);
@@ -84,6 +86,11 @@
   /// \brief True while bytes of an answer wait to be sent.
   [[nodiscard]] bool HasQueuedBytes() const;
 
+  /// \brief The most bytes of answers that wait at one connection.
+  [[nodiscard]] std::uint64_t MostUnsent() const;
+  /// \brief Closes that connection; false if no bytes wait at any.
+  bool CloseMostUnsent();
+
   void OnReadable() override;
   void OnWritable() override {}
 
@@ -94,6 +101,7 @@
   void Accept(const Poco::Net::StreamSocket& aSocket,
               const Poco::Net::SocketAddress& aSender);
   void Retire(Connection& aConnection);
+  [[nodiscard]] Connection* WithMostUnsent() const;
   void TickClientPacers();
   void DateWaitingConnections(Micros aTimeOfDay);
 
--- a/src/frontend/socket.cpp
+++ b/src/frontend/socket.cpp
@@ -121,7 +121,9 @@
   do {
     count = ::send(Descriptor(), from.data() + at, most, MSG_NOSIGNAL);
   } while (count < 0 && errno == EINTR);
-  mSent += count > 0 ? static_cast<std::size_t>(count) : 0;
+  const std::size_t sent = count > 0 ? static_cast<std::size_t>(count) : 0;
+  mSent += sent;
+  mSentBytes += sent;
   return count;
 }
 
@@ -150,6 +152,7 @@
     return false;
   }
   const bool left = Unsent() > 0;
+  mIsBlocked = left && !isPaced;
   if (!left) {
     mOut.clear();
     ReleaseIfLarge(mOut);
--- a/src/frontend/socket.h
+++ b/src/frontend/socket.h
@@ -5,6 +5,7 @@
 
 #include <Poco/Net/StreamSocket.h>
 
+#include <cstdint>
 #include <limits>
 #include <memory>
 #include <string>
@@ -69,6 +70,10 @@
   }
   /// \brief Gives back memory that nothing needs any more.
   void ReleaseInput();
+  /// \brief Bytes that the system has taken, over all messages.
+  [[nodiscard]] std::uint64_t SentBytes() const noexcept { return mSentBytes; }
+  /// \brief True while bytes wait for the peer to read.
+  [[nodiscard]] bool IsBlocked() const noexcept { return mIsBlocked; }
   [[nodiscard]] bool Closed() const noexcept { return mClosed; }
 
 private:
@@ -88,6 +93,8 @@
   std::shared_ptr<const std::string> mBody;
   /// Bytes of mOut and mBody that have been sent.
   std::size_t mSent = 0;
+  std::uint64_t mSentBytes = 0;
+  bool mIsBlocked = false;
 };
 
 } // namespace geraniumpond::frontend
--- a/src/frontend/target_connection.cpp
+++ b/src/frontend/target_connection.cpp
@@ -230,6 +230,9 @@
 
 void TargetPool::Connection::SetHeldBytes(std::uint64_t aBytes)
 {
+  if (mPool.mMemory != nullptr) {
+    mPool.mMemory->Change(mHeldBytes, aBytes);
+  }
   mPool.mHeldBytes += aBytes;
   mPool.mHeldBytes -= mHeldBytes;
   mHeldBytes = aBytes;
--- a/src/frontend/target_pool.cpp
+++ b/src/frontend/target_pool.cpp
@@ -27,12 +27,14 @@
                        const FieldNames& aNames,
                        TargetSink& aSink,
                        LinkPacer& aPacer,
-                       const AnswerBounds& aBounds)
+                       const AnswerBounds& aBounds,
+                       ClientMemory* aMemory)
   : mLoop(aLoop)
   , mNames(aNames)
   , mSink(aSink)
   , mPacer(aPacer)
   , mBounds(aBounds)
+  , mMemory(aMemory)
 {
 }
 
@@ -139,6 +141,9 @@
 
 void TargetPool::EnforceBounds()
 {
+  if (mMemory != nullptr) {
+    mMemory->GiveUpAnswers();
+  }
   if (mHeldBytes <= mBounds.mMaxTotalBytes) {
     return;
   }
--- a/src/frontend/target_pool.h
+++ b/src/frontend/target_pool.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "answer_bounds.h"
+#include "client_memory.h"
 #include "dialect.h"
 #include "http_message.h"
 #include "socket.h"
@@ -53,12 +54,13 @@
 {
 public:
   /// \brief Large answers are read at the pace of `aPacer`, and none beyond
-  /// `aBounds`.
+  /// `aBounds`; they count to what `aMemory` bounds.
   TargetPool(EventLoop& aLoop,
              const FieldNames& aNames,
              TargetSink& aSink,
              LinkPacer& aPacer,
-             const AnswerBounds& aBounds = {});
+             const AnswerBounds& aBounds = {},
+             ClientMemory* aMemory = nullptr);
   ~TargetPool();
   TargetPool(const TargetPool&) = delete;
   TargetPool& operator=(const TargetPool&) = delete;
@@ -96,6 +98,7 @@
   TargetSink& mSink;
   LinkPacer& mPacer;
   AnswerBounds mBounds;
+  ClientMemory* mMemory = nullptr;
   std::uint64_t mHeldBytes = 0;
   Micros mNow = 0;
   Micros mTimeoutsCheckedAt = 0;
