Time a whole head, and what comes of a body

What callers saw: a host full of requests that never become whole. Cause: any byte counted as activity, so that a client that sends one now and then was never timed out.

A head is timed as a whole, by the policy's header timeout; of a body, 256 bytes a second have to come in each such time, and all of it in the longest timeout of a route, after which no answer could be in time. Both end with 408, as silence did. The time does not run while requests ahead on the connection are not answered.

Ruled out: one time for a whole body, which a slow client inside the limits could not keep.

--- a/src/frontend/client_connection.cpp
+++ b/src/frontend/client_connection.cpp
@@ -27,6 +27,10 @@
 /// would take days for a body of the largest size.
 constexpr std::uint64_t kLeastBytesPerSecond = 256;
 
+/// No request can be answered in time whose body takes longer: the longest
+/// timeout of a route.
+constexpr Micros kLongestBody = 600 * kSecond;
+
 std::uint64_t LeastBytesIn(Micros aTime)
 {
   return kLeastBytesPerSecond * static_cast<std::uint64_t>(aTime) / kSecond;
@@ -188,24 +192,54 @@
     return;
   }
   if (!mPending.empty() || mSocket.Unsent() > 0) {
+    mMessageSince = 0;
     return;
   }
-  const bool partial = mReader.InBody() || !mSocket.Input().empty();
-  const Micros bound = partial ? limits.mHeaderTimeout : limits.mIdleTimeout;
-  if (aNow - mLastActivityAt <= bound) {
-    return;
-  }
-  if (partial) {
-    RejectMalformed(408, "request not whole in time");
-  } else {
+  TimeMessage();
+  if (IsReadingMessage()) {
+    if (IsMessageLate(aNow)) {
+      RejectMalformed(408, "request not whole in time");
+    }
+  } else if (aNow - mLastActivityAt > limits.mIdleTimeout) {
     BeginLingeringClose();
   }
 }
 
+bool HttpServer::Connection::IsReadingMessage() const
+{
+  return mReader.InBody() || !mSocket.Input().empty();
+}
+
+void HttpServer::Connection::TimeMessage()
+{
+  if (!IsReadingMessage()) {
+    mMessageSince = 0;
+  } else if (mMessageSince == 0 || mIsTimingBody != mReader.InBody()) {
+    mMessageSince = mServer.mNow;
+    mIsTimingBody = mReader.InBody();
+    mReceivingSince = mServer.mNow;
+    mReceivedBefore = mSocket.ReceivedBytes();
+  }
+}
+
+// Bytes that merely come now and then would keep a request open for good.
+bool HttpServer::Connection::IsMessageLate(Micros aNow)
+{
+  const Micros bound = mServer.mLimits.mHeaderTimeout;
+  if (!mIsTimingBody) {
+    return aNow - mMessageSince > bound;
+  }
+  if (mSocket.ReceivedBytes() >= mReceivedBefore + LeastBytesIn(bound)) {
+    mReceivingSince = aNow;
+    mReceivedBefore = mSocket.ReceivedBytes();
+  }
+  return aNow - mReceivingSince > bound || aNow - mMessageSince > kLongestBody;
+}
+
 void HttpServer::Connection::CloseIfIdle()
 {
-  const bool partial = mReader.InBody() || !mSocket.Input().empty();
-  if (!mLingering && mPending.empty() && mSocket.Unsent() == 0 && !partial) {
+  if (!mLingering && mPending.empty() && mSocket.Unsent() == 0 &&
+      !IsReadingMessage()) {
     BeginLingeringClose();
   }
 }
@@ -260,6 +294,7 @@
   if (status != ReadStatus::Complete) {
     return false;
   }
+  mMessageSince = 0;
   HttpRequest request = mReader.Take();
   request.mSender = mSender;
   request.mOpenedAt = mOpenedAt;
--- a/src/frontend/client_connection.h
+++ b/src/frontend/client_connection.h
@@ -65,6 +65,11 @@
   /// \brief Counts what the connection holds now.
   void UpdateHeld();
   [[nodiscard]] bool MayHoldMore() const;
+  /// \brief True while a request has come in part.
+  [[nodiscard]] bool IsReadingMessage() const;
+  /// \brief Times a head as a whole, and a body by what comes of it.
+  void TimeMessage();
+  [[nodiscard]] bool IsMessageLate(Micros aNow);
   /// \brief True if the client has read hardly anything of what is being sent
   /// for longer than it may stay idle.
   [[nodiscard]] bool HasStalled(Micros aNow);
@@ -93,6 +98,12 @@
   /// When, and after which byte, the time of what is being sent began.
   Micros mSendingSince = 0;
   std::uint64_t mSentBefore = 0;
+  /// When the head or body that is being read began; 0 if none is.
+  Micros mMessageSince = 0;
+  bool mIsTimingBody = false;
+  /// When, and after which byte, the time of the next part of it began.
+  Micros mReceivingSince = 0;
+  std::uint64_t mReceivedBefore = 0;
   bool mClosing = false;
   bool mLingering = false;
   bool mPeerClosed = false;
--- a/src/frontend/socket.cpp
+++ b/src/frontend/socket.cpp
@@ -67,6 +67,7 @@
     if (count > 0) {
       mIn.append(bytes.data(), static_cast<std::size_t>(count));
       aMost -= static_cast<std::size_t>(count);
+      mReceivedBytes += static_cast<std::uint64_t>(count);
       result = ReceiveResult::Data;
       if (static_cast<std::size_t>(count) < wanted) {
         return result;
--- a/src/frontend/socket.h
+++ b/src/frontend/socket.h
@@ -64,6 +64,7 @@
   void Close();
 
   [[nodiscard]] std::string& Input() noexcept { return mIn; }
+  [[nodiscard]] const std::string& Input() const noexcept { return mIn; }
   [[nodiscard]] std::size_t Unsent() const noexcept
   {
     return mOut.size() + (mBody ? mBody->size() : 0) - mSent;
@@ -72,6 +73,10 @@
   void ReleaseInput();
   /// \brief Bytes that the system has taken, over all messages.
   [[nodiscard]] std::uint64_t SentBytes() const noexcept { return mSentBytes; }
+  [[nodiscard]] std::uint64_t ReceivedBytes() const noexcept
+  {
+    return mReceivedBytes;
+  }
   /// \brief True while bytes wait for the peer to read.
   [[nodiscard]] bool IsBlocked() const noexcept { return mIsBlocked; }
   [[nodiscard]] bool Closed() const noexcept { return mClosed; }
@@ -94,6 +99,7 @@
   /// Bytes of mOut and mBody that have been sent.
   std::size_t mSent = 0;
   std::uint64_t mSentBytes = 0;
+  std::uint64_t mReceivedBytes = 0;
   bool mIsBlocked = false;
 };
 
