Keep descriptors for targets, other hosts and the disk

What callers saw: no answer while clients keep connections open that send nothing; requests that could not reach a target; a host that ended when another one was lost. Cause: clients were given descriptors to the last one. Then accept() failed, and the loop went round on the listening socket, which stays readable, without a pause.

Clients get half of the descriptors, operators, targets and directory clients a quarter, divided among their listeners. For a connection beyond that the one that is closing, or has been idle for longest, or has only sent a request in part is closed; where a request is handled at each, connections wait to be accepted. When no descriptor is free all the same, accepting pauses for 50 ms. The limit is the system's, or host/process_fds, which the platform fills in.

Evidence: SilentConnectionsLeaveDescriptors and the same at the call listener found 300 of 300 descriptors open, and leave more than 32 now; HostWithManyConnectionsOutlivesLossOfAnother ended the process, which lives now. Of the host listener all are still open: its connections are the message library's, which has no bound for them; it stays red.

--- a/include/geraniumpond/gateway_settings.h
+++ b/include/geraniumpond/gateway_settings.h
@@ -23,6 +23,9 @@
   /// known.
   std::uint64_t mMemoryBytes = 0;
 
+  /// Descriptors that the process may open; 0 for the system's limit.
+  std::size_t mMaxDescriptors = 0;
+
   /// Where clients send requests.
   std::string mCallerAddress;
   /// Where targets, operators and directory clients make API calls.
--- a/src/config/gateway_settings.cpp
+++ b/src/config/gateway_settings.cpp
@@ -25,6 +25,7 @@
     { "host", "data_centre", ValueType::Text, nullptr },
     { "host", "data_folder", ValueType::OptionalText, "" },
     { "host", "process_mb", ValueType::Integer, "0", 0, 1e6 },
+    { "host", "process_fds", ValueType::Integer, "0", 0, 1e9 },
     { "listen", "callers", ValueType::Address, nullptr },
     { "listen", "calls", ValueType::AddressList, nullptr },
     { "listen", "hosts", ValueType::Address, nullptr },
@@ -84,6 +85,8 @@
   aOut.mDataCentre = aSection.Text("data_centre");
   aOut.mDataFolder = aSection.Text("data_folder");
   aOut.mMemoryBytes = MegabytesOf(aSection, "process_mb");
+  aOut.mMaxDescriptors =
+    static_cast<std::size_t>(aSection.Integer("process_fds"));
 }
 
 void ReadListen(const Section& aSection, GatewaySettings& aOut)
--- a/src/frontend/client_connection.cpp
+++ b/src/frontend/client_connection.cpp
@@ -1,6 +1,7 @@
 #include "client_connection.h"
 
 #include <algorithm>
+#include <tuple>
 #include <utility>
 
 namespace geraniumpond::frontend {
@@ -151,6 +152,33 @@
   }
 }
 
+HttpServer::Connection::Worth HttpServer::Connection::WorthNow() const
+{
+  if (mLingering) {
+    return Worth::Closing;
+  }
+  if (!mPending.empty() || mSocket.Unsent() > 0) {
+    return Worth::Handled;
+  }
+  return IsReadingMessage() ? Worth::Reading : Worth::Idle;
+}
+
+// The one that has been silent for longest.
+bool HttpServer::Connection::IsGivenUpBefore(const Connection* aOther) const
+{
+  const Worth worth = WorthNow();
+  if (worth == Worth::Handled) {
+    return false;
+  }
+  if (aOther == nullptr) {
+    return true;
+  }
+  const Worth other = aOther->WorthNow();
+  return worth != other ? worth < other
+                        : std::tie(mLastActivityAt, mId) <
+                            std::tie(aOther->mLastActivityAt, aOther->mId);
+}
+
 std::uint64_t HttpServer::Connection::AnswerBytes() const
 {
   std::uint64_t bytes = mSocket.Unsent();
--- a/src/frontend/client_connection.h
+++ b/src/frontend/client_connection.h
@@ -34,6 +34,10 @@
   [[nodiscard]] std::uint64_t AnswerBytes() const;
   /// \brief Closes a connection whose client does not read its answers.
   void GiveUpAnswer(const char* aReason);
+  /// \brief True if this connection is closed sooner than the other, if any,
+  /// where there are too many.
+  [[nodiscard]] bool IsGivenUpBefore(const Connection* aOther) const;
+  void GiveUpForAnother() { Close(); }
 
 private:
   /// \brief A request that was read and whose answer has not been sent.
@@ -65,6 +69,15 @@
   /// \brief Counts what the connection holds now.
   void UpdateHeld();
   [[nodiscard]] bool MayHoldMore() const;
+  /// \brief How much is lost if it is closed: less first.
+  enum class Worth
+  {
+    Closing,
+    Idle,
+    Reading,
+    Handled
+  };
+  [[nodiscard]] Worth WorthNow() const;
   /// \brief True while a request has come in part.
   [[nodiscard]] bool IsReadingMessage() const;
   /// \brief Times a head as a whole, and a body by what comes of it.
--- a/src/frontend/gateway_process.cpp
+++ b/src/frontend/gateway_process.cpp
@@ -1,5 +1,6 @@
 #include "gateway_process.h"
 
+#include "connection_bounds.h"
 #include "gateway_sinks.h"
 #include "reducer_settings.h"
 #include "system_clock.h"
@@ -86,6 +87,10 @@
                                                *mClientSink,
                                                &mOutgoingPacer,
                                                &mClientMemory);
+  const ConnectionBounds bounds = ConnectionBoundsFor(
+    mSettings.mMaxDescriptors > 0 ? mSettings.mMaxDescriptors
+                                  : DescriptorLimit());
+  mClientServer->SetMaxConnections(bounds.mClients);
   std::vector<std::string> addresses = mSettings.mCallAddresses;
   addresses.push_back(mSettings.mMetricsAddress);
   for (const std::string& address : addresses) {
@@ -94,6 +99,8 @@
     policy::RequestLimits limits;
     limits.mMaxBodyBytes = kMaxCallBytes;
     mCallServers.back()->SetLimits(limits);
+    mCallServers.back()->SetMaxConnections(
+      std::max<std::size_t>(1, bounds.mCallers / addresses.size()));
   }
   mNow = Now();
   TickConnections();
--- a/src/frontend/http_server.cpp
+++ b/src/frontend/http_server.cpp
@@ -21,6 +21,8 @@
 constexpr std::size_t kMaxAcceptsPerIteration = 64;
 /// How often connections are checked for timeouts.
 constexpr Micros kTimeoutCheckInterval = 250 * kMillisecond;
+/// Time until connections are accepted again when no descriptor was free.
+constexpr Micros kAcceptPause = 50 * kMillisecond;
 constexpr int kUnavailable = 503;
 /// Bodies that stop short are given up after a few seconds.
 constexpr const char* kRefusedRetryAfter = "1";
@@ -77,14 +79,21 @@
 {
   mSomeWait = true;
   for (std::size_t i = 0; i < kMaxAcceptsPerIteration; ++i) {
+    if (mConnections.size() >= mMaxConnections && !MakeRoom()) {
+      PauseAccepting(0);
+      return;
+    }
     sockaddr_storage address{};
     socklen_t length = sizeof(address);
     auto* sender = reinterpret_cast<sockaddr*>(&address);
     const int descriptor = ::accept(mSocket.impl()->sockfd(), sender, &length);
     if (descriptor < 0) {
       mSomeWait = errno != EAGAIN && errno != EWOULDBLOCK;
-      // No connection is left, it was reset already, or the process is out of
-      // descriptors; the next call tries again.
+      // The socket stays readable while the process is out of descriptors.
+      if (errno == EMFILE || errno == ENFILE || errno == ENOBUFS) {
+        (void)MakeRoom();
+        PauseAccepting(kAcceptPause);
+      }
       return;
     }
     const Poco::Net::StreamSocket socket(
@@ -97,6 +106,36 @@
   }
 }
 
+bool HttpServer::MakeRoom()
+{
+  Connection* first = nullptr;
+  for (const auto& [id, connection] : mConnections) {
+    if (connection->IsGivenUpBefore(first)) {
+      first = connection.get();
+    }
+  }
+  if (first == nullptr) {
+    return false;
+  }
+  first->GiveUpForAnother();
+  return true;
+}
+
+void HttpServer::PauseAccepting(Micros aTime)
+{
+  mIsAcceptingPaused = true;
+  mAcceptAgainAt = mNow + aTime;
+  mLoop.WatchReading(mSocket.impl()->sockfd(), *this, Reading::Paused);
+}
+
+void HttpServer::ResumeAccepting()
+{
+  if (mIsAcceptingPaused && mNow >= mAcceptAgainAt) {
+    mIsAcceptingPaused = false;
+    mLoop.WatchReading(mSocket.impl()->sockfd(), *this, Reading::Bytes);
+  }
+}
+
 void HttpServer::Accept(const Poco::Net::StreamSocket& aSocket,
                         const Poco::Net::SocketAddress& aSender)
 {
@@ -227,6 +266,9 @@
   }
   mClosedConnections.clear();
   TickClientPacers();
+  if (mConnections.size() < mMaxConnections) {
+    ResumeAccepting();
+  }
   if (aNow < mTimeoutsCheckedAt + kTimeoutCheckInterval) {
     return;
   }
--- a/src/frontend/http_server.h
+++ b/src/frontend/http_server.h
@@ -8,6 +8,7 @@
 
 #include <deque>
 #include <functional>
+#include <limits>
 #include <memory>
 #include <string>
 #include <unordered_map>
@@ -52,6 +53,9 @@
   ~HttpServer() override;
 
   void SetLimits(const policy::RequestLimits& aLimits) { mLimits = aLimits; }
+  /// \brief Bounds the connections; for a new one beyond that the one that has
+  /// been idle for longest is closed.
+  void SetMaxConnections(std::size_t aCount) { mMaxConnections = aCount; }
 
   /// \brief Answers an exchange; has no effect if its client has disconnected.
   /// A large answer is sent at the pace of a link of this speed if one is
@@ -101,6 +105,11 @@
   void Accept(const Poco::Net::StreamSocket& aSocket,
               const Poco::Net::SocketAddress& aSender);
   void Retire(Connection& aConnection);
+  /// \brief Closes a connection at which no request is handled; false if there
+  /// is none.
+  bool MakeRoom();
+  void PauseAccepting(Micros aTime);
+  void ResumeAccepting();
   [[nodiscard]] Connection* WithMostUnsent() const;
   void TickClientPacers();
   void DateWaitingConnections(Micros aTimeOfDay);
@@ -118,6 +127,9 @@
   Micros mNoneWaitedAt = 0;
   bool mSomeWait = false;
   Micros mTimeoutsCheckedAt = 0;
+  std::size_t mMaxConnections = std::numeric_limits<std::size_t>::max();
+  bool mIsAcceptingPaused = false;
+  Micros mAcceptAgainAt = 0;
   std::uint64_t mLastConnectionId = 0;
   std::unordered_map<std::uint64_t, std::unique_ptr<Connection>> mConnections;
   /// Closed connections, destroyed once none of their methods is on the stack.
