Outlive a message that finds no free descriptor

Cause: a connection to another host needs a new socket, whose making throws zmq::error_t, and nothing in the messaging thread caught it.

Such a message is dropped and logged, as one to a host that cannot be reached; what builds on messages sends again. Other errors end the process as before.

Evidence: MessageWithoutAFreeDescriptorIsDroppedAndTheNextOneArrives ends the process of the tests without the change ("Too many open files") and passes with it.

--- a/src/edge/peers.cpp
+++ b/src/edge/peers.cpp
@@ -1,5 +1,7 @@
 #include "peers.h"
 
+#include "logging.h"
+
 #include <algorithm>
 #include <cerrno>
 #include <chrono>
@@ -270,6 +272,22 @@
   }
 }
 
+// Messages are lost if a peer is unreachable for long enough to fill its queue,
+// or no descriptor is free for it; all protocols on top recover from that.
+void Peers::SendOnOutgoing(const std::string& aAddress,
+                           const std::string& aBytes)
+{
+  try {
+    (void)SendNow(mSockets->OutgoingSocket(aAddress), zmq::buffer(aBytes));
+  } catch (const zmq::error_t& error) {
+    if (error.num() != EMFILE && error.num() != ENFILE) {
+      throw;
+    }
+    WriteLog(2,
+             "event=message_dropped reason=no_free_descriptor to=" + aAddress);
+  }
+}
+
 void Peers::SendQueued()
 {
   std::deque<Queued> queue;
@@ -282,9 +300,7 @@
     if (mSockets->SendOnIncoming(address, bytes)) {
       continue;
     }
-    // Messages are lost if a peer is unreachable for long enough to fill its
-    // queue; all protocols on top recover from that.
-    (void)SendNow(mSockets->OutgoingSocket(address), zmq::buffer(bytes));
+    SendOnOutgoing(address, bytes);
   }
 }
 
--- a/src/edge/peers.h
+++ b/src/edge/peers.h
@@ -78,6 +78,7 @@
   void Run();
   void Wake();
   void SendQueued();
+  void SendOnOutgoing(const std::string& aAddress, const std::string& aBytes);
 
   Handler mHandler;
   std::chrono::milliseconds mUnusedTimeout;
--- a/tests/peers_test.cpp
+++ b/tests/peers_test.cpp
@@ -5,11 +5,14 @@
 
 #include <Poco/Net/ServerSocket.h>
 
+#include <algorithm>
 #include <atomic>
 #include <chrono>
 #include <csignal>
+#include <sys/resource.h>
 #include <thread>
 #include <unistd.h>
+#include <vector>
 #include <zmq.hpp>
 
 namespace geraniumpond::edge {
@@ -18,6 +21,38 @@
 
 using fakes::FreeAddress;
 
+/// \brief Takes all descriptors of the process for as long as it lives; lowers
+/// their number so that there are few.
+class AllDescriptors
+{
+public:
+  AllDescriptors()
+  {
+    constexpr rlim_t kFew = 256;
+    ::getrlimit(RLIMIT_NOFILE, &mLimit);
+    rlimit few = mLimit;
+    few.rlim_cur = std::min<rlim_t>(kFew, mLimit.rlim_cur);
+    ::setrlimit(RLIMIT_NOFILE, &few);
+    for (int taken = ::dup(STDERR_FILENO); taken >= 0;
+         taken = ::dup(STDERR_FILENO)) {
+      mTaken.push_back(taken);
+    }
+  }
+  ~AllDescriptors()
+  {
+    for (const int taken : mTaken) {
+      ::close(taken);
+    }
+    ::setrlimit(RLIMIT_NOFILE, &mLimit);
+  }
+  AllDescriptors(const AllDescriptors&) = delete;
+  AllDescriptors& operator=(const AllDescriptors&) = delete;
+
+private:
+  rlimit mLimit{};
+  std::vector<int> mTaken;
+};
+
 } // namespace
 
 /// \brief Messaging between hosts: unreachable, blocked and idle peers.
@@ -29,6 +64,7 @@
   CPPUNIT_TEST(UnusedConnectionIsClosed);
   CPPUNIT_TEST(QueueIsEmptyAfterAnIteration);
   CPPUNIT_TEST(SignalsDoNotEndTheMessagingThread);
+  CPPUNIT_TEST(MessageWithoutAFreeDescriptorIsDroppedAndTheNextOneArrives);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -48,6 +84,26 @@
     }
   }
 
+  // Guards against the end of the process: a host without a free descriptor had
+  // to reach another one anew.
+  void MessageWithoutAFreeDescriptorIsDroppedAndTheNextOneArrives()
+  {
+    const std::string address = FreeAddress();
+    std::atomic<int> heard{ 0 };
+    Peers receiver(address, [&](std::string_view) { ++heard; });
+    Peers sender(FreeAddress(), [](std::string_view) {});
+    {
+      const AllDescriptors taken;
+      sender.Send(address, "lost");
+      CPPUNIT_ASSERT(sender.WaitForIteration(std::chrono::seconds(5)));
+    }
+    for (int i = 0; i < 500 && heard == 0; ++i) {
+      sender.Send(address, "arrives");
+      std::this_thread::sleep_for(std::chrono::milliseconds(10));
+    }
+    CPPUNIT_ASSERT(heard > 0);
+  }
+
   // Nothing listens on the peer's advertised address, as if a connect to a host
   // that has just started still hung.
   void MessageUsesTheConnectionThatThePeerOpened()
