Bound what an older host holds of its callers' bodies

What callers saw: a host of `serve` that is out of memory while callers announce or send large bodies. Cause: ReadBody() took the whole stated length from the memory, written to, before a byte had come, and nothing bounded the sum over its threads and listeners.

A piece is 4 KB.

--- a/include/geraniumpond/settings.h
+++ b/include/geraniumpond/settings.h
@@ -3,6 +3,7 @@
 #include <geraniumpond/result.h>
 #include <geraniumpond/time.h>
 
+#include <cstdint>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -45,6 +46,8 @@
   std::string mOperatorTokenSha256;
   Micros mAnswerKeep = 5 * kSecond;
   int mMaxConnections = 1000;
+  /// Memory of the host; 0 if it is not known.
+  std::uint64_t mMemoryBytes = 0;
   std::string mLogFormat;
   std::string mLogLevel;
 };
--- a/src/config/settings.cpp
+++ b/src/config/settings.cpp
@@ -18,6 +18,7 @@
     { "host", "data_centre", ValueType::Name, nullptr },
     { "host", "roles", ValueType::NameList, nullptr },
     { "host", "data_folder", ValueType::Text, nullptr },
+    { "host", "process_mb", ValueType::Integer, "0", 0, 1e6 },
     { "listen", "callers", ValueType::Address, "127.0.0.1:0" },
     { "listen", "admin", ValueType::Address, nullptr },
     { "listen", "hosts", ValueType::Address, nullptr },
@@ -75,7 +76,10 @@
 {
   aOut.mId = aSection.Text("id");
   aOut.mDataCentre = aSection.Text("data_centre");
+  constexpr std::uint64_t kMegabyte = 1024ULL * 1024;
   aOut.mDataFolder = aSection.Text("data_folder");
+  aOut.mMemoryBytes =
+    static_cast<std::uint64_t>(aSection.Integer("process_mb")) * kMegabyte;
 }
 
 void ReadListen(const Section& aSection, Settings& aOut)
--- a/src/edge/admin.cpp
+++ b/src/edge/admin.cpp
@@ -62,11 +62,22 @@
   return ConnectionAction::KeepOpen;
 }
 
+ConnectionAction EndUnread(Call& aCall, BodyResult aBody)
+{
+  if (aBody == BodyResult::CutOff) {
+    return ConnectionAction::Break;
+  }
+  RefuseForMemory(aCall);
+  return ConnectionAction::Close;
+}
+
 ConnectionAction Apply(Runtime& aRuntime, Call& aCall)
 {
   std::string body;
-  if (!ReadBody(aCall, body)) {
-    return ConnectionAction::Break;
+  HeldBytes held;
+  const BodyResult read = ReadBody(aCall, body, held);
+  if (read != BodyResult::Whole) {
+    return EndUnread(aCall, read);
   }
   const std::string token = TokenDigest(aCall.mRequest);
   return SendResult(
@@ -168,8 +179,10 @@
     return SendError(aCall, kBadRequest, "service and id must be names");
   }
   std::string body;
-  if (!ReadBody(aCall, body)) {
-    return ConnectionAction::Break;
+  HeldBytes held;
+  const BodyResult read = ReadBody(aCall, body, held);
+  if (read != BodyResult::Whole) {
+    return EndUnread(aCall, read);
   }
   const std::string error = FillAnnounce(body, announced);
   if (!error.empty()) {
--- a/src/edge/callers.cpp
+++ b/src/edge/callers.cpp
@@ -49,7 +49,7 @@
   return names;
 }
 
-bool ReadRequest(Call& aCall, CallerRequest& aOut)
+BodyResult ReadRequest(Call& aCall, CallerRequest& aOut)
 {
   Poco::Net::HTTPServerRequestImpl& request = aCall.mRequest;
   aOut.mMethod = request.getMethod();
@@ -66,7 +66,7 @@
       aOut.mHeaders.emplace_back(name, value);
     }
   }
-  return ReadBody(aCall, aOut.mBody);
+  return ReadBody(aCall, aOut.mBody, aOut.mHeld);
 }
 
 std::uint32_t DeadlineOf(const Poco::Net::HTTPServerRequestImpl& aRequest)
@@ -202,8 +202,12 @@
   ConnectionAction action = ConnectionAction::Break;
   try {
     // A request with a truncated body is dropped.
-    if (ReadRequest(aCall, exchange->mRequest)) {
+    const BodyResult body = ReadRequest(aCall, exchange->mRequest);
+    if (body == BodyResult::Whole) {
       action = Serve(aContext, aCall, exchange);
+    } else if (body == BodyResult::Refused) {
+      RefuseForMemory(aCall);
+      action = ConnectionAction::Close;
     }
   } catch (const Poco::Exception&) {
     action = ConnectionAction::Break;
--- a/src/edge/exchange.h
+++ b/src/edge/exchange.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "held_bytes.h"
+
 #include <geraniumpond/impl/wire.h>
 
 #include <Poco/Net/StreamSocket.h>
@@ -24,6 +26,7 @@
   std::string mUri;
   std::vector<std::pair<std::string, std::string>> mHeaders;
   std::string mBody;
+  HeldBytes mHeld;
   int mClientSocket = -1;
 };
 
--- a/src/edge/host.cpp
+++ b/src/edge/host.cpp
@@ -5,11 +5,15 @@
 #include "logging.h"
 #include "runtime.h"
 
+#include "frontend/allocation.h"
+
 #include <Poco/File.h>
 
 #include <csignal>
 #include <ctime>
+#include <memory>
 #include <pthread.h>
+#include <utility>
 
 namespace geraniumpond::edge {
 
@@ -61,9 +65,11 @@
 }
 
 HttpListener::Options CallerOptions(const Settings& aSettings,
-                                    AttemptContext& aContext)
+                                    AttemptContext& aContext,
+                                    std::shared_ptr<BodyMemory> aMemory)
 {
   HttpListener::Options options;
+  options.mMemory = std::move(aMemory);
   options.mAddress = aSettings.mCallerAddress;
   options.mMaxConnections = aSettings.mMaxConnections;
   options.mMaxBody = [&aContext] { return aContext.mRuntime.MaxBodyBytes(); };
@@ -76,9 +82,12 @@
   return options;
 }
 
-HttpListener::Options AdminOptions(const Settings& aSettings, Runtime& aRuntime)
+HttpListener::Options AdminOptions(const Settings& aSettings,
+                                   Runtime& aRuntime,
+                                   std::shared_ptr<BodyMemory> aMemory)
 {
   HttpListener::Options options;
+  options.mMemory = std::move(aMemory);
   options.mAddress = aSettings.mAdminAddress;
   options.mMaxConnections = kAdminConnections;
   options.mMaxBody = [] { return kMaxAdminBody; };
@@ -103,10 +112,12 @@
   SessionPool pool;
   RunningAttempts running;
   AttemptContext context{ runtime, pool, running };
-  const HttpListener admin(AdminOptions(aSettings, runtime));
+  const auto memory = std::make_shared<BodyMemory>(aSettings.mMemoryBytes);
+  const HttpListener admin(AdminOptions(aSettings, runtime, memory));
   std::unique_ptr<HttpListener> callers;
   if (aSettings.mEntry) {
-    callers = std::make_unique<HttpListener>(CallerOptions(aSettings, context));
+    callers =
+      std::make_unique<HttpListener>(CallerOptions(aSettings, context, memory));
   }
   WriteLog(1, "serving");
   WaitForStop(runtime);
@@ -122,6 +133,7 @@
 {
   StartLogging(aSettings.mId, aSettings.mLogFormat, aSettings.mLogLevel);
   BlockSignals();
+  frontend::ReturnLargeBuffers();
   try {
     return Serve(aSettings, aRecordFile);
   } catch (const Poco::Exception& error) {
--- a/src/edge/http_server.cpp
+++ b/src/edge/http_server.cpp
@@ -10,6 +10,7 @@
 #include <Poco/String.h>
 
 #include <algorithm>
+#include <array>
 #include <cctype>
 #include <poll.h>
 
@@ -25,9 +26,12 @@
 constexpr int kLengthRequired = 411;
 constexpr int kTooLarge = 413;
 constexpr int kUriTooLong = 414;
+constexpr int kUnavailable = 503;
 constexpr int kVersionNotSupported = 505;
 constexpr std::size_t kMaxUri = 4096;
 constexpr std::size_t kMaxLengthDigits = 15;
+/// Of a body that is read at a time.
+constexpr std::size_t kPieceBytes = 4096;
 constexpr int kIdleSeconds = 60;
 constexpr int kReadSeconds = 15;
 
@@ -155,7 +159,7 @@
       }
       response.setVersion(request.getVersion());
       response.setKeepAlive(request.getKeepAlive() && aSession.canKeepAlive());
-      Call call{ request, response, aSession };
+      Call call{ request, response, aSession, *mOptions.mMemory };
       const RequestError requestError =
         CheckRequest(request, mOptions.mMaxBody());
       if (requestError.mStatus != 0) {
@@ -276,17 +280,39 @@
   return CheckLength(aRequest, aMaxBody);
 }
 
-bool ReadBody(Call& aCall, std::string& aBody)
+// Takes memory as the bytes come: many callers may announce much and send
+// little.
+BodyResult ReadBody(Call& aCall, std::string& aBody, HeldBytes& aHeld)
 {
   if (!aCall.mRequest.hasContentLength()) {
-    return true;
+    return BodyResult::Whole;
   }
   const auto length =
     static_cast<std::size_t>(aCall.mRequest.getContentLength64());
-  aBody.resize(length);
   std::istream& stream = aCall.mRequest.stream();
-  stream.read(aBody.data(), static_cast<std::streamsize>(length));
-  return static_cast<std::size_t>(stream.gcount()) == length;
+  std::array<char, kPieceBytes> piece{};
+  while (aBody.size() < length) {
+    const std::size_t wanted = std::min(piece.size(), length - aBody.size());
+    stream.read(piece.data(), static_cast<std::streamsize>(wanted));
+    if (static_cast<std::size_t>(stream.gcount()) != wanted) {
+      return BodyResult::CutOff;
+    }
+    if (!aHeld.Grow(aCall.mMemory, aBody.size() + wanted)) {
+      return BodyResult::Refused;
+    }
+    aBody.reserve(length);
+    aBody.append(piece.data(), wanted);
+  }
+  return BodyResult::Whole;
+}
+
+void RefuseForMemory(Call& aCall)
+{
+  aCall.mResponse.setKeepAlive(false);
+  aCall.mResponse.set("Geraniumpond-Outcome", "not-run");
+  aCall.mResponse.set("Retry-After", "1");
+  aCall.mResponse.set("Geraniumpond-Retry-After-Ms", "1000");
+  SendText(aCall, kUnavailable, "text/plain", "too much is held for callers\n");
 }
 
 std::string TokenDigest(const HTTPRequest& aRequest)
--- a/src/edge/http_server.h
+++ b/src/edge/http_server.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "held_bytes.h"
+
 #include <Poco/Net/HTTPServerParams.h>
 #include <Poco/Net/HTTPServerRequestImpl.h>
 #include <Poco/Net/HTTPServerResponseImpl.h>
@@ -31,6 +33,7 @@
   Poco::Net::HTTPServerRequestImpl& mRequest;
   Poco::Net::HTTPServerResponseImpl& mResponse;
   Poco::Net::HTTPServerSession& mSession;
+  BodyMemory& mMemory;
 };
 
 /// \brief Why a request is rejected before it reaches a handler.
@@ -45,8 +48,22 @@
   const Poco::Net::HTTPServerRequestImpl& aRequest,
   std::uint64_t aMaxBody);
 
-/// \brief Reads the body that the request announces; false if it was cut off.
-[[nodiscard]] bool ReadBody(Call& aCall, std::string& aBody);
+/// \brief Outcome of reading a body.
+enum class BodyResult
+{
+  Whole,
+  CutOff,
+  /// More is held for callers than there is memory.
+  Refused
+};
+
+/// \brief Reads the body that the request announces, and counts it as held.
+[[nodiscard]] BodyResult ReadBody(Call& aCall,
+                                  std::string& aBody,
+                                  HeldBytes& aHeld);
+
+/// \brief Refuses a request that was not handed on, and never will be.
+void RefuseForMemory(Call& aCall);
 
 /// \brief SHA-256 of the bearer token, or of the empty string without one.
 [[nodiscard]] std::string TokenDigest(const Poco::Net::HTTPRequest& aRequest);
@@ -80,6 +97,8 @@
   {
     std::string mAddress;
     int mMaxConnections = 100;
+    /// Shared by the listeners of a host.
+    std::shared_ptr<BodyMemory> mMemory = std::make_shared<BodyMemory>(0);
     std::function<std::uint64_t()> mMaxBody;
     Handler mHandler;
     std::function<void(const RequestError&)> mOnMalformed;
