Time what callers of an older host send, and close idle connections first

What callers saw: no answer from a host of `serve` whose threads all wait for connections that send nothing, or now and then a byte. Cause: a connection has a thread, any byte started its wait anew, and a new connection waited for a thread until silent ones were timed out.

A first byte, a whole head and each 4 KB of a body have to come in 15 s; that is 273 bytes a second, about what a gateway asks. OpenSockets became OpenConnections, with a state and a time for each.

Ruled out: a shorter wait, which only moves the bound.

--- a/src/edge/http_server.cpp
+++ b/src/edge/http_server.cpp
@@ -30,10 +30,11 @@
 constexpr int kVersionNotSupported = 505;
 constexpr std::size_t kMaxUri = 4096;
 constexpr std::size_t kMaxLengthDigits = 15;
-/// Of a body that is read at a time.
-constexpr std::size_t kPieceBytes = 4096;
 constexpr int kIdleSeconds = 60;
+/// For the first byte of a connection, a whole head, and a piece of a body.
 constexpr int kReadSeconds = 15;
+/// Of a body that is read at a time.
+constexpr std::size_t kPieceBytes = 4096;
 
 bool IsToken(const std::string& aName)
 {
@@ -115,7 +116,7 @@
 public:
   Connection(const Poco::Net::StreamSocket& aSocket,
              const HttpListener::Options& aOptions,
-             OpenSockets& aOpen)
+             OpenConnections& aOpen)
     : TCPServerConnection(aSocket)
     , mOptions(aOptions)
     , mOpen(aOpen)
@@ -129,9 +130,9 @@
 
   void run() override
   {
-    const std::uint64_t id = mOpen.Add(socket());
+    mId = mOpen.Add(socket());
     ServeAll();
-    mOpen.Remove(id);
+    mOpen.Remove(mId);
   }
 
 private:
@@ -139,10 +140,16 @@
   {
     try {
       Poco::Net::HTTPServerSession session(socket(), mParams);
+      const Poco::Timespan firstByte(kReadSeconds, 0);
+      if (!socket().poll(firstByte, Poco::Net::Socket::SELECT_READ)) {
+        return;
+      }
       while (session.hasMoreRequests()) {
+        mOpen.SetState(mId, ConnectionState::Reading, kReadSeconds * kSecond);
         if (!Serve(session)) {
           return;
         }
+        mOpen.SetState(mId, ConnectionState::Idle, 0);
       }
     } catch (const Poco::Exception&) {
       // The caller has disconnected; no response can be sent.
@@ -157,9 +164,10 @@
       if (HasPeerClosed(socket())) {
         return false;
       }
+      mOpen.SetState(mId, ConnectionState::Handling, 0);
       response.setVersion(request.getVersion());
       response.setKeepAlive(request.getKeepAlive() && aSession.canKeepAlive());
-      Call call{ request, response, aSession, *mOptions.mMemory };
+      Call call{ request, response, aSession, *mOptions.mMemory, mOpen, mId };
       const RequestError requestError =
         CheckRequest(request, mOptions.mMaxBody());
       if (requestError.mStatus != 0) {
@@ -206,14 +214,15 @@
   }
 
   const HttpListener::Options& mOptions;
-  OpenSockets& mOpen;
+  OpenConnections& mOpen;
+  std::uint64_t mId = 0;
   Poco::Net::HTTPServerParams::Ptr mParams;
 };
 
 class Factory : public Poco::Net::TCPServerConnectionFactory
 {
 public:
-  Factory(const HttpListener::Options& aOptions, OpenSockets& aOpen)
+  Factory(const HttpListener::Options& aOptions, OpenConnections& aOpen)
     : mOptions(aOptions)
     , mOpen(aOpen)
   {
@@ -227,36 +236,11 @@
 
 private:
   const HttpListener::Options& mOptions;
-  OpenSockets& mOpen;
+  OpenConnections& mOpen;
 };
 
 } // namespace
 
-std::uint64_t OpenSockets::Add(const Poco::Net::StreamSocket& aSocket)
-{
-  const std::lock_guard<std::mutex> lock(mMutex);
-  mSockets.emplace(++mLast, aSocket);
-  return mLast;
-}
-
-void OpenSockets::Remove(std::uint64_t aId)
-{
-  const std::lock_guard<std::mutex> lock(mMutex);
-  mSockets.erase(aId);
-}
-
-void OpenSockets::ShutdownAll()
-{
-  const std::lock_guard<std::mutex> lock(mMutex);
-  for (auto& [id, socket] : mSockets) {
-    try {
-      socket.shutdown();
-    } catch (const Poco::Exception&) {
-      // The peer has closed the connection already.
-    }
-  }
-}
-
 RequestError CheckRequest(const Poco::Net::HTTPServerRequestImpl& aRequest,
                           std::uint64_t aMaxBody)
 {
@@ -293,6 +277,8 @@
   std::array<char, kPieceBytes> piece{};
   while (aBody.size() < length) {
     const std::size_t wanted = std::min(piece.size(), length - aBody.size());
+    aCall.mOpen.SetState(
+      aCall.mConnection, ConnectionState::Reading, kReadSeconds * kSecond);
     stream.read(piece.data(), static_cast<std::streamsize>(wanted));
     if (static_cast<std::size_t>(stream.gcount()) != wanted) {
       return BodyResult::CutOff;
@@ -303,6 +289,7 @@
     aBody.reserve(length);
     aBody.append(piece.data(), wanted);
   }
+  aCall.mOpen.SetState(aCall.mConnection, ConnectionState::Handling, 0);
   return BodyResult::Whole;
 }
 
@@ -336,6 +323,7 @@
 
 HttpListener::HttpListener(Options aOptions)
   : mOptions(std::move(aOptions))
+  , mOpen(static_cast<std::size_t>(std::max(mOptions.mMaxConnections, 1)))
   , mThreads(2, std::max(mOptions.mMaxConnections, 2))
 {
   const Poco::Net::SocketAddress address(mOptions.mAddress);
--- a/src/edge/http_server.h
+++ b/src/edge/http_server.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "held_bytes.h"
+#include "open_connections.h"
 
 #include <Poco/Net/HTTPServerParams.h>
 #include <Poco/Net/HTTPServerRequestImpl.h>
@@ -10,11 +11,8 @@
 #include <Poco/Net/TCPServer.h>
 #include <Poco/ThreadPool.h>
 
-#include <atomic>
 #include <functional>
-#include <map>
 #include <memory>
-#include <mutex>
 #include <string>
 
 namespace geraniumpond::edge {
@@ -34,6 +32,8 @@
   Poco::Net::HTTPServerResponseImpl& mResponse;
   Poco::Net::HTTPServerSession& mSession;
   BodyMemory& mMemory;
+  OpenConnections& mOpen;
+  std::uint64_t mConnection = 0;
 };
 
 /// \brief Why a request is rejected before it reaches a handler.
@@ -74,20 +74,6 @@
               const std::string& aType,
               const std::string& aBody);
 
-/// \brief Sockets of open connections, so that shutdown can close idle ones.
-class OpenSockets
-{
-public:
-  std::uint64_t Add(const Poco::Net::StreamSocket& aSocket);
-  void Remove(std::uint64_t aId);
-  void ShutdownAll();
-
-private:
-  std::mutex mMutex;
-  std::uint64_t mLast = 0;
-  std::map<std::uint64_t, Poco::Net::StreamSocket> mSockets;
-};
-
 /// \brief HTTP server with one thread per connection.
 class HttpListener
 {
@@ -114,7 +100,7 @@
 
 private:
   Options mOptions;
-  OpenSockets mOpen;
+  OpenConnections mOpen;
   Poco::ThreadPool mThreads;
   std::unique_ptr<Poco::Net::TCPServer> mServer;
 };
