Take no status outside the protocol for an answer

What callers saw, at other systems of this kind: an answer with status 000 from an instance in trouble. Here the older host took any status under 200 for an interim answer, 000 and 099 too, and read on, so that the bytes behind it became the answer; statuses over 599 it passed on. Cause: TargetSession checked the status from one side only.

A status under 100 or over 599 is no answer now: the attempt is broken, the connection is not used again, and what is told the caller follows from the kind of the request, as for any broken answer.

Evidence: StatusOutsideTheProtocolIsNotAnAnswerAtTheOlderHost (000, 099, 600, 999, alone and before an answer, GET and POST) fails before at 000 and passes now. The gateway held already: 502 for all four, StatusOutsideTheProtocolIsABadGatewayAtTheGateway.

--- a/src/edge/target_client.cpp
+++ b/src/edge/target_client.cpp
@@ -15,7 +15,9 @@
 constexpr std::size_t kMaxIdleConnections = 256;
 constexpr std::size_t kMaxHead = 64 * 1024;
 constexpr int kMaxInterimAnswers = 16;
+constexpr int kFirstStatus = 100;
 constexpr int kFirstFinalStatus = 200;
+constexpr int kLastStatus = 599;
 constexpr std::string_view kHeadEnd = "\r\n\r\n";
 constexpr std::size_t kMaxLine = 256;
 constexpr std::size_t kMaxTrailers = 64;
@@ -31,6 +33,11 @@
   return ::poll(&item, 1, 0) == 0;
 }
 
+bool IsStatus(int aStatus)
+{
+  return aStatus >= kFirstStatus && aStatus <= kLastStatus;
+}
+
 void FillResponse(const frontend::ResponseHead& aHead,
                   Poco::Net::HTTPResponse& aResponse)
 {
@@ -84,6 +91,9 @@
     if (!head) {
       throw Poco::Net::MessageException(head.error().mMessage);
     }
+    if (!IsStatus(head.value().mStatus)) {
+      throw Poco::Net::MessageException("the status of an answer is none");
+    }
     if (head.value().mStatus >= kFirstFinalStatus) {
       FillResponse(head.value(), aResponse);
       return mNoBody;
--- a/tests/cut_messages_test.cpp
+++ b/tests/cut_messages_test.cpp
@@ -168,6 +168,14 @@
   HttpListener mListener;
 };
 
+constexpr const char* kNoStatuses[] = { "000", "099", "600", "999" };
+
+std::string HeadWithStatus(const std::string& aStatus)
+{
+  return "HTTP/1.1 " + aStatus + " None\r\n" + kSigned +
+         "Content-Length: 0\r\n\r\n";
+}
+
 } // namespace
 
 /// \brief Tests messages whose sender closes in the middle of their head.
@@ -178,6 +186,8 @@
   CPPUNIT_TEST(ConnectionWithBytesBehindAnAnswerIsNotReused);
   CPPUNIT_TEST(AnswerWithACutHeadIsABadGatewayAtTheGateway);
   CPPUNIT_TEST(RequestWithACutHeadIsNotHandledByTheOlderHost);
+  CPPUNIT_TEST(StatusOutsideTheProtocolIsNotAnAnswerAtTheOlderHost);
+  CPPUNIT_TEST(StatusOutsideTheProtocolIsABadGatewayAtTheGateway);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -246,6 +256,36 @@
     CPPUNIT_ASSERT_EQUAL(200, StatusOfCut(host, head.size()));
   }
 
+  // Guards against a target in trouble whose status reaches the client, and
+  // against the bytes behind it, which were taken for the answer.
+  void StatusOutsideTheProtocolIsNotAnAnswerAtTheOlderHost()
+  {
+    for (const char* status : kNoStatuses) {
+      const std::string head = HeadWithStatus(status);
+      const std::string behind = std::string("HTTP/1.1 200 OK\r\n") + kSigned +
+                                 "Content-Length: 0\r\n\r\n";
+      const CuttingTarget target(head + behind);
+      for (const std::size_t bytes :
+           { head.size(), head.size() + behind.size() }) {
+        for (const char* method : { "GET", "POST" }) {
+          CPPUNIT_ASSERT_MESSAGE(status,
+                                 !IsTakenForWhole(target, method, bytes));
+        }
+      }
+    }
+  }
+
+  void StatusOutsideTheProtocolIsABadGatewayAtTheGateway()
+  {
+    for (const char* status : kNoStatuses) {
+      const std::string head = HeadWithStatus(status);
+      const CuttingTarget target(head);
+      fakes::RunningGateway host;
+      CPPUNIT_ASSERT(host.Announce(kPolicy, target.Address().toString()));
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(status, 502, StatusOfCut(host, head.size()));
+    }
+  }
+
   // Guards against requests that run without their body or with other fields.
   void RequestWithACutHeadIsNotHandledByTheOlderHost()
   {
