Tell the first hundred faults of a document

What callers saw: a host over its memory while documents are sent that are whole and full of faults. Cause: the answer told every fault, 11.6 MB for a document of 3.4 MB, and took as much again in the log line and while it was made. A first hundred are told now, and how many more there are, by the gateway and by the older host; `geraniumpond check` tells all of them as before.

--- a/src/config/policy_file.cpp
+++ b/src/config/policy_file.cpp
@@ -2,6 +2,7 @@
 
 #include "ini.h"
 
+#include <algorithm>
 #include <cstdlib>
 
 namespace geraniumpond::policy {
@@ -167,15 +168,31 @@
   return result;
 }
 
+namespace {
+
+/// The text of all faults of a document may be many times as long as it.
+constexpr std::size_t kMaxFaultsTold = 100;
+
+std::string TextOf(const std::vector<Fault>& aFaults)
+{
+  std::string text;
+  for (std::size_t i = 0; i < std::min(aFaults.size(), kMaxFaultsTold); ++i) {
+    text += (i == 0 ? "" : "; ") + ToString(aFaults[i]);
+  }
+  if (aFaults.size() > kMaxFaultsTold) {
+    text += "; and " + std::to_string(aFaults.size() - kMaxFaultsTold) +
+            " more faults";
+  }
+  return text;
+}
+
+} // namespace
+
 Result<TrafficPolicy> DecodePolicyFile(std::string_view aText)
 {
   Checked<TrafficPolicy> checked = ParsePolicy(aText, "policy");
   if (!checked.Ok()) {
-    std::string text;
-    for (const Fault& fault : checked.mFaults) {
-      text += (text.empty() ? "" : "; ") + ToString(fault);
-    }
-    return Fail(ErrorCode::InvalidArgument, text);
+    return Fail(ErrorCode::InvalidArgument, TextOf(checked.mFaults));
   }
   return std::move(checked.mValue);
 }
--- a/src/node/operators.cpp
+++ b/src/node/operators.cpp
@@ -2,6 +2,7 @@
 
 #include <Poco/JSON/Object.h>
 
+#include <algorithm>
 #include <sstream>
 
 namespace geraniumpond::node {
@@ -38,11 +39,18 @@
   return false;
 }
 
+/// The text of all faults of a document may be many times as long as it.
+constexpr std::size_t kMaxFaultsTold = 100;
+
 std::string FaultsJson(const std::vector<Fault>& aFaults)
 {
   Poco::JSON::Array faults;
-  for (const Fault& fault : aFaults) {
-    faults.add(ToString(fault));
+  for (std::size_t i = 0; i < std::min(aFaults.size(), kMaxFaultsTold); ++i) {
+    faults.add(ToString(aFaults[i]));
+  }
+  if (aFaults.size() > kMaxFaultsTold) {
+    faults.add("and " + std::to_string(aFaults.size() - kMaxFaultsTold) +
+               " more faults");
   }
   Poco::JSON::Object object;
   object.set("error", "invalid-argument");
