--- a/tests/crowds/child_process.cpp
+++ b/tests/crowds/child_process.cpp
@@ -44,6 +44,7 @@
             std::size_t aMaxDescriptors)
 {
   std::vector<char*> arguments;
+  arguments.reserve(aCommand.size() + 1);
   for (const std::string& word : aCommand) {
     arguments.push_back(const_cast<char*>(word.c_str()));
   }
@@ -135,7 +136,7 @@
 
 std::string NewFolder()
 {
-  const std::string folder = Poco::TemporaryFile::tempName();
+  std::string folder = Poco::TemporaryFile::tempName();
   Poco::File(folder).createDirectories();
   return folder;
 }
