Begin the time of an answer with its connection, and drop what lingers

Found on reading the change: the time in which an answer has to be read began at 0 for a connection whose first answer blocked before the first check, so that it could have been given up at once; and what is discarded behind a last answer kept its buffer, uncounted, for the second in which the connection lingers. The time now begins when the connection is accepted, and the buffer is given back.

--- a/src/frontend/client_connection.cpp
+++ b/src/frontend/client_connection.cpp
@@ -23,11 +23,9 @@
 constexpr Micros kLingerTimeout = 1 * kSecond;
 /// Held of a request beside its bytes, some of which stand twice.
 constexpr std::uint64_t kBytesPerRequest = 1024;
-
 /// Slowest client, in bytes per second, that is waited for: one that is slower
 /// would take days for a body of the largest size.
 constexpr std::uint64_t kLeastBytesPerSecond = 256;
-
 /// No request can be answered in time whose body takes longer: the longest
 /// timeout of a route.
 constexpr Micros kLongestBody = 600 * kSecond;
@@ -58,6 +56,7 @@
   , mSender(std::move(aSender))
   , mLastActivityAt(aServer.mNow)
   , mOpenedAt(aServer.mNoneWaitedAt)
+  , mSendingSince(aServer.mNow)
 {
   mSocket.Watch(*this, false);
 }
@@ -80,7 +79,7 @@
   const ReceiveResult received =
     mSocket.Receive(hasRoom ? kMaxReadAtOnce : kReadShortOfMemory);
   if (mLingering) {
-    mSocket.Input().clear();
+    DropInput();
     if (received == ReceiveResult::End || received == ReceiveResult::Reset) {
       Close();
     }
@@ -369,8 +368,7 @@
 void HttpServer::Connection::AnswerAndClose(const HttpResponse& aResponse)
 {
   mReader.Reset();
-  mSocket.Input().clear();
-  mSocket.ReleaseInput();
+  DropInput();
   mPending.push_back({ 0, false, true, true, "" });
   mPending.back().mBytes = Serialize(aResponse, true, false);
   SendAnswered();
@@ -443,11 +441,18 @@
 {
   mLingering = true;
   mLastActivityAt = mServer.mNow;
-  mSocket.Input().clear();
+  DropInput();
+  UpdateHeld();
   mSocket.WatchReading(Reading::Bytes);
   mSocket.ShutdownSend();
 }
 
+void HttpServer::Connection::DropInput()
+{
+  mSocket.Input().clear();
+  mSocket.ReleaseInput();
+}
+
 void HttpServer::Connection::Close()
 {
   if (mSocket.Closed()) {
--- a/src/frontend/client_connection.h
+++ b/src/frontend/client_connection.h
@@ -66,6 +66,8 @@
   void Refuse(const HttpRequest& aRequest);
   /// \brief Answers once all before it are answered, and closes.
   void AnswerAndClose(const HttpResponse& aResponse);
+  /// \brief Forgets what came behind the last request that is answered.
+  void DropInput();
   /// \brief Counts what the connection holds now.
   void UpdateHeld();
   [[nodiscard]] bool MayHoldMore() const;
