--- a/src/frontend/gateway_effects.cpp
+++ b/src/frontend/gateway_effects.cpp
@@ -101,11 +101,12 @@
   const std::string* id =
     FindField(request.mFields, mDialect.mFieldNames.mRequestId);
   aForwarding.mTimeout = aDeadline - mNow - kReturnMargin;
-  aOutbound.mBytes = ForwardedHead(request, mDialect.mFieldNames, aForwarding);
+  const FieldNames& names = mDialect.mFieldNames;
   if (request.mBody.size() > kCopiedBodyBytes) {
+    aOutbound.mBytes = ForwardedHead(request, names, aForwarding);
     aOutbound.mBody = { shared, &shared->mBody };
   } else {
-    aOutbound.mBytes += request.mBody;
+    aOutbound.mBytes = ForwardedBytes(request, names, aForwarding);
   }
   aOutbound.mRequestId = id == nullptr ? "" : *id;
   aOutbound.mHeadOnly = request.mMethod == "HEAD";
