Tell the first faults, and read megabytes, in one place

The gateway's policy files and the older host's deployments each cut the faults of a document after a hundred: FirstFaults() does it for both. Two files of settings each turned megabytes into bytes: Section::Megabytes() does.

--- a/include/geraniumpond/settings.h
+++ b/include/geraniumpond/settings.h
@@ -23,6 +23,11 @@
 /// \brief One line of text: "file:line: key: given ..., allowed ...".
 [[nodiscard]] std::string ToString(const Fault& aFault);
 
+/// \brief The lines of the first faults, and how many more there are: the text
+/// of all may be many times as long as the file.
+[[nodiscard]] std::vector<std::string> FirstFaults(
+  const std::vector<Fault>& aFaults);
+
 /// \brief Another host as named in a settings file: "id@ip:port".
 struct PeerAddress
 {
--- a/src/config/gateway_settings.cpp
+++ b/src/config/gateway_settings.cpp
@@ -73,18 +73,12 @@
   return rules;
 }
 
-std::uint64_t MegabytesOf(const Section& aSection, const std::string& aKey)
-{
-  constexpr std::uint64_t kMegabyte = 1024ULL * 1024;
-  return static_cast<std::uint64_t>(aSection.Integer(aKey)) * kMegabyte;
-}
-
 void ReadHost(const Section& aSection, GatewaySettings& aOut)
 {
   aOut.mId = aSection.Text("id");
   aOut.mDataCentre = aSection.Text("data_centre");
   aOut.mDataFolder = aSection.Text("data_folder");
-  aOut.mMemoryBytes = MegabytesOf(aSection, "process_mb");
+  aOut.mMemoryBytes = aSection.Megabytes("process_mb");
   aOut.mMaxDescriptors =
     static_cast<std::size_t>(aSection.Integer("process_fds"));
 }
@@ -154,7 +148,7 @@
   aOut.mExtraFloor = aSection.Decimal("extra_floor");
   aOut.mExtraWindow = aSection.Duration("extra_window");
   aOut.mProbesPerTarget = aSection.Decimal("probes_per_target");
-  aOut.mMaxAnswerBytes = MegabytesOf(aSection, "answer_mb");
+  aOut.mMaxAnswerBytes = aSection.Megabytes("answer_mb");
   aOut.mWarmUpRatio = aSection.Decimal("warm_up_ratio");
   aOut.mWarmUpFloor = aSection.Decimal("warm_up_floor");
 }
--- a/src/config/ini.cpp
+++ b/src/config/ini.cpp
@@ -214,6 +214,12 @@
   return mValues.at(aKey);
 }
 
+std::uint64_t Section::Megabytes(const std::string& aKey) const
+{
+  constexpr std::uint64_t kMegabyte = 1024ULL * 1024;
+  return static_cast<std::uint64_t>(Integer(aKey)) * kMegabyte;
+}
+
 long long Section::Integer(const std::string& aKey) const
 {
   return std::strtoll(Text(aKey).c_str(), nullptr, 10);
--- a/src/config/ini.h
+++ b/src/config/ini.h
@@ -2,6 +2,7 @@
 
 #include <geraniumpond/settings.h>
 
+#include <cstdint>
 #include <map>
 #include <optional>
 #include <string>
@@ -59,6 +60,8 @@
 
   [[nodiscard]] const std::string& Text(const std::string& aKey) const;
   [[nodiscard]] long long Integer(const std::string& aKey) const;
+  /// \brief A number of megabytes, as bytes.
+  [[nodiscard]] std::uint64_t Megabytes(const std::string& aKey) const;
   [[nodiscard]] double Decimal(const std::string& aKey) const;
   [[nodiscard]] Micros Duration(const std::string& aKey) const;
   [[nodiscard]] bool Boolean(const std::string& aKey) const;
--- a/src/config/policy_file.cpp
+++ b/src/config/policy_file.cpp
@@ -2,7 +2,6 @@
 
 #include "ini.h"
 
-#include <algorithm>
 #include <cstdlib>
 
 namespace geraniumpond::policy {
@@ -168,31 +167,15 @@
   return result;
 }
 
-namespace {
-
-/// The text of all faults of a document may be many times as long as it.
-constexpr std::size_t kMaxFaultsTold = 100;
-
-std::string TextOf(const std::vector<Fault>& aFaults)
-{
-  std::string text;
-  for (std::size_t i = 0; i < std::min(aFaults.size(), kMaxFaultsTold); ++i) {
-    text += (i == 0 ? "" : "; ") + ToString(aFaults[i]);
-  }
-  if (aFaults.size() > kMaxFaultsTold) {
-    text += "; and " + std::to_string(aFaults.size() - kMaxFaultsTold) +
-            " more faults";
-  }
-  return text;
-}
-
-} // namespace
-
 Result<TrafficPolicy> DecodePolicyFile(std::string_view aText)
 {
   Checked<TrafficPolicy> checked = ParsePolicy(aText, "policy");
   if (!checked.Ok()) {
-    return Fail(ErrorCode::InvalidArgument, TextOf(checked.mFaults));
+    std::string text;
+    for (const std::string& fault : FirstFaults(checked.mFaults)) {
+      text += (text.empty() ? "" : "; ") + fault;
+    }
+    return Fail(ErrorCode::InvalidArgument, text);
   }
   return std::move(checked.mValue);
 }
--- a/src/config/settings.cpp
+++ b/src/config/settings.cpp
@@ -11,6 +11,8 @@
 using ini::Section;
 using ini::ValueType;
 
+constexpr std::size_t kMaxFaultsTold = 100;
+
 const std::vector<KeyRule>& Rules()
 {
   static const std::vector<KeyRule> rules = {
@@ -76,10 +78,8 @@
 {
   aOut.mId = aSection.Text("id");
   aOut.mDataCentre = aSection.Text("data_centre");
-  constexpr std::uint64_t kMegabyte = 1024ULL * 1024;
   aOut.mDataFolder = aSection.Text("data_folder");
-  aOut.mMemoryBytes =
-    static_cast<std::uint64_t>(aSection.Integer("process_mb")) * kMegabyte;
+  aOut.mMemoryBytes = aSection.Megabytes("process_mb");
 }
 
 void ReadListen(const Section& aSection, Settings& aOut)
@@ -133,6 +133,21 @@
          "; allowed: " + aFault.mAllowed;
 }
 
+std::vector<std::string> FirstFaults(const std::vector<Fault>& aFaults)
+{
+  const std::size_t told = std::min(aFaults.size(), kMaxFaultsTold);
+  std::vector<std::string> texts;
+  texts.reserve(told + 1);
+  for (std::size_t i = 0; i < told; ++i) {
+    texts.push_back(ToString(aFaults[i]));
+  }
+  if (told < aFaults.size()) {
+    texts.push_back("and " + std::to_string(aFaults.size() - told) +
+                    " more faults");
+  }
+  return texts;
+}
+
 Checked<Settings> ParseSettings(std::string_view aText,
                                 const std::string& aFile)
 {
--- a/src/node/operators.cpp
+++ b/src/node/operators.cpp
@@ -2,7 +2,6 @@
 
 #include <Poco/JSON/Object.h>
 
-#include <algorithm>
 #include <sstream>
 
 namespace geraniumpond::node {
@@ -39,18 +38,11 @@
   return false;
 }
 
-/// The text of all faults of a document may be many times as long as it.
-constexpr std::size_t kMaxFaultsTold = 100;
-
 std::string FaultsJson(const std::vector<Fault>& aFaults)
 {
   Poco::JSON::Array faults;
-  for (std::size_t i = 0; i < std::min(aFaults.size(), kMaxFaultsTold); ++i) {
-    faults.add(ToString(aFaults[i]));
-  }
-  if (aFaults.size() > kMaxFaultsTold) {
-    faults.add("and " + std::to_string(aFaults.size() - kMaxFaultsTold) +
-               " more faults");
+  for (const std::string& fault : FirstFaults(aFaults)) {
+    faults.add(fault);
   }
   Poco::JSON::Object object;
   object.set("error", "invalid-argument");
