End unread bodies in one place, and take the clock as it is

Callers and operators of the older host each told a body that was refused from one that was cut off: EndUnread() does it for both. OpenConnections had a clock of its own in microseconds, though a time point does, as in Peers; no time is a state of its own, not a number. Times, states and answers are the same; CutMessagesTest and OlderHostCrowdsTest pass.

--- a/src/edge/admin.cpp
+++ b/src/edge/admin.cpp
@@ -62,15 +62,6 @@
   return ConnectionAction::KeepOpen;
 }
 
-ConnectionAction EndUnread(Call& aCall, BodyResult aBody)
-{
-  if (aBody == BodyResult::CutOff) {
-    return ConnectionAction::Break;
-  }
-  RefuseForMemory(aCall);
-  return ConnectionAction::Close;
-}
-
 ConnectionAction Apply(Runtime& aRuntime, Call& aCall)
 {
   std::string body;
--- a/src/edge/callers.cpp
+++ b/src/edge/callers.cpp
@@ -203,12 +203,8 @@
   try {
     // A request with a truncated body is dropped.
     const BodyResult body = ReadRequest(aCall, exchange->mRequest);
-    if (body == BodyResult::Whole) {
-      action = Serve(aContext, aCall, exchange);
-    } else if (body == BodyResult::Refused) {
-      RefuseForMemory(aCall);
-      action = ConnectionAction::Close;
-    }
+    action = body == BodyResult::Whole ? Serve(aContext, aCall, exchange)
+                                       : EndUnread(aCall, body);
   } catch (const Poco::Exception&) {
     action = ConnectionAction::Break;
   }
--- a/src/edge/http_server.cpp
+++ b/src/edge/http_server.cpp
@@ -12,6 +12,7 @@
 #include <algorithm>
 #include <array>
 #include <cctype>
+#include <chrono>
 #include <poll.h>
 
 namespace geraniumpond::edge {
@@ -32,7 +33,8 @@
 constexpr std::size_t kMaxLengthDigits = 15;
 constexpr int kIdleSeconds = 60;
 /// For the first byte of a connection, a whole head, and a piece of a body.
-constexpr int kReadSeconds = 15;
+constexpr std::chrono::seconds kReadTime{ 15 };
+constexpr std::chrono::seconds kAnyTime{ 0 };
 /// Of a body that is read at a time.
 constexpr std::size_t kPieceBytes = 4096;
 
@@ -125,7 +127,7 @@
     mParams->setKeepAlive(true);
     mParams->setMaxKeepAliveRequests(0);
     mParams->setKeepAliveTimeout(Poco::Timespan(kIdleSeconds, 0));
-    mParams->setTimeout(Poco::Timespan(kReadSeconds, 0));
+    mParams->setTimeout(Poco::Timespan(kReadTime.count(), 0));
   }
 
   void run() override
@@ -140,16 +142,16 @@
   {
     try {
       Poco::Net::HTTPServerSession session(socket(), mParams);
-      const Poco::Timespan firstByte(kReadSeconds, 0);
+      const Poco::Timespan firstByte(kReadTime.count(), 0);
       if (!socket().poll(firstByte, Poco::Net::Socket::SELECT_READ)) {
         return;
       }
       while (session.hasMoreRequests()) {
-        mOpen.SetState(mId, ConnectionState::Reading, kReadSeconds * kSecond);
+        mOpen.SetState(mId, ConnectionState::Reading, kReadTime);
         if (!Serve(session)) {
           return;
         }
-        mOpen.SetState(mId, ConnectionState::Idle, 0);
+        mOpen.SetState(mId, ConnectionState::Idle, kAnyTime);
       }
     } catch (const Poco::Exception&) {
       // The caller has disconnected; no response can be sent.
@@ -164,7 +166,7 @@
       if (HasPeerClosed(socket())) {
         return false;
       }
-      mOpen.SetState(mId, ConnectionState::Handling, 0);
+      mOpen.SetState(mId, ConnectionState::Handling, kAnyTime);
       response.setVersion(request.getVersion());
       response.setKeepAlive(request.getKeepAlive() && aSession.canKeepAlive());
       Call call{ request, response, aSession, *mOptions.mMemory, mOpen, mId };
@@ -278,7 +280,7 @@
   while (aBody.size() < length) {
     const std::size_t wanted = std::min(piece.size(), length - aBody.size());
     aCall.mOpen.SetState(
-      aCall.mConnection, ConnectionState::Reading, kReadSeconds * kSecond);
+      aCall.mConnection, ConnectionState::Reading, kReadTime);
     stream.read(piece.data(), static_cast<std::streamsize>(wanted));
     if (static_cast<std::size_t>(stream.gcount()) != wanted) {
       return BodyResult::CutOff;
@@ -289,17 +291,21 @@
     aBody.reserve(length);
     aBody.append(piece.data(), wanted);
   }
-  aCall.mOpen.SetState(aCall.mConnection, ConnectionState::Handling, 0);
+  aCall.mOpen.SetState(aCall.mConnection, ConnectionState::Handling, kAnyTime);
   return BodyResult::Whole;
 }
 
-void RefuseForMemory(Call& aCall)
+ConnectionAction EndUnread(Call& aCall, BodyResult aBody)
 {
+  if (aBody != BodyResult::Refused) {
+    return ConnectionAction::Break;
+  }
   aCall.mResponse.setKeepAlive(false);
   aCall.mResponse.set("Geraniumpond-Outcome", "not-run");
   aCall.mResponse.set("Retry-After", "1");
   aCall.mResponse.set("Geraniumpond-Retry-After-Ms", "1000");
   SendText(aCall, kUnavailable, "text/plain", "too much is held for callers\n");
+  return ConnectionAction::Close;
 }
 
 std::string TokenDigest(const HTTPRequest& aRequest)
--- a/src/edge/http_server.h
+++ b/src/edge/http_server.h
@@ -62,8 +62,9 @@
                                   std::string& aBody,
                                   HeldBytes& aHeld);
 
-/// \brief Refuses a request that was not handed on, and never will be.
-void RefuseForMemory(Call& aCall);
+/// \brief Ends a call whose body is not whole: refuses one that was refused,
+/// which was not handed on and never will be, and drops one that was cut off.
+[[nodiscard]] ConnectionAction EndUnread(Call& aCall, BodyResult aBody);
 
 /// \brief SHA-256 of the bearer token, or of the empty string without one.
 [[nodiscard]] std::string TokenDigest(const Poco::Net::HTTPRequest& aRequest);
--- a/src/edge/open_connections.cpp
+++ b/src/edge/open_connections.cpp
@@ -3,7 +3,6 @@
 #include <Poco/Exception.h>
 
 #include <algorithm>
-#include <chrono>
 #include <tuple>
 
 namespace geraniumpond::edge {
@@ -14,13 +13,6 @@
 /// One in so many threads is kept free for new connections.
 constexpr std::size_t kFreeParts = 8;
 
-Micros SteadyNow()
-{
-  return std::chrono::duration_cast<std::chrono::microseconds>(
-           std::chrono::steady_clock::now().time_since_epoch())
-    .count();
-}
-
 } // namespace
 
 OpenConnections::OpenConnections(std::size_t aMost)
@@ -45,7 +37,10 @@
   if (mEntries.size() >= mMost) {
     MakeRoom();
   }
-  mEntries[++mLast] = { aSocket, ConnectionState::Idle, SteadyNow(), 0, false };
+  Entry entry;
+  entry.mSocket = aSocket;
+  entry.mSince = Clock::now();
+  mEntries.emplace(++mLast, entry);
   return mLast;
 }
 
@@ -57,7 +52,7 @@
 
 void OpenConnections::SetState(std::uint64_t aId,
                                ConnectionState aState,
-                               Micros aMost)
+                               std::chrono::seconds aMost)
 {
   const std::lock_guard<std::mutex> lock(mMutex);
   const auto found = mEntries.find(aId);
@@ -65,12 +60,12 @@
     return;
   }
   Entry& entry = found->second;
-  const Micros now = SteadyNow();
+  const Clock::time_point now = Clock::now();
   if (entry.mState != aState) {
     entry.mState = aState;
     entry.mSince = now;
   }
-  entry.mUntil = aMost == 0 ? 0 : now + aMost;
+  entry.mUntil = aMost.count() == 0 ? Clock::time_point::max() : now + aMost;
 }
 
 // Its thread then finds the connection ended, and lets it go.
@@ -101,10 +96,11 @@
   }
 }
 
-void OpenConnections::CloseLate(Micros aNow)
+void OpenConnections::CloseLate()
 {
+  const Clock::time_point now = Clock::now();
   for (auto& [id, entry] : mEntries) {
-    if (entry.mUntil != 0 && aNow > entry.mUntil && !entry.mIsClosed) {
+    if (now > entry.mUntil && !entry.mIsClosed) {
       Shutdown(entry);
     }
   }
@@ -115,7 +111,7 @@
   std::unique_lock<std::mutex> lock(mMutex);
   while (
     !mStopChanged.wait_for(lock, kCheckInterval, [this] { return mStopped; })) {
-    CloseLate(SteadyNow());
+    CloseLate();
   }
 }
 
--- a/src/edge/open_connections.h
+++ b/src/edge/open_connections.h
@@ -1,9 +1,8 @@
 #pragma once
 
-#include <geraniumpond/time.h>
-
 #include <Poco/Net/StreamSocket.h>
 
+#include <chrono>
 #include <condition_variable>
 #include <cstddef>
 #include <cstdint>
@@ -42,21 +41,25 @@
   void Remove(std::uint64_t aId);
   /// \brief From now on the connection is in this state, for this long at most;
   /// 0 for any time.
-  void SetState(std::uint64_t aId, ConnectionState aState, Micros aMost);
+  void SetState(std::uint64_t aId,
+                ConnectionState aState,
+                std::chrono::seconds aMost);
   void ShutdownAll();
 
 private:
+  using Clock = std::chrono::steady_clock;
+
   struct Entry
   {
     Poco::Net::StreamSocket mSocket;
     ConnectionState mState = ConnectionState::Idle;
-    Micros mSince = 0;
-    Micros mUntil = 0;
+    Clock::time_point mSince;
+    Clock::time_point mUntil = Clock::time_point::max();
     bool mIsClosed = false;
   };
 
   void Run();
-  void CloseLate(Micros aNow);
+  void CloseLate();
   void MakeRoom();
   static void Shutdown(Entry& aEntry);
 
