Time what comes and what goes by one rule

Bodies that come and answers that go had the same rule twice, each with two fields: a Progress and HasStopped() serve both. What a connection holds counts its answers by the function that says how many bytes they have, and the servers are asked once each which has the most unsent, not once a comparison.

--- a/src/frontend/client_connection.cpp
+++ b/src/frontend/client_connection.cpp
@@ -56,7 +56,7 @@
   , mSender(std::move(aSender))
   , mLastActivityAt(aServer.mNow)
   , mOpenedAt(aServer.mNoneWaitedAt)
-  , mSendingSince(aServer.mNow)
+  , mSending{ aServer.mNow, 0 }
 {
   mSocket.Watch(*this, false);
 }
@@ -99,9 +99,9 @@
 void HttpServer::Connection::UpdateHeld()
 {
   std::uint64_t held =
-    mSocket.Input().capacity() + mReader.HeldBytes() + mSocket.Unsent();
+    mSocket.Input().capacity() + mReader.HeldBytes() + AnswerBytes();
   for (const Pending& pending : mPending) {
-    held += pending.mRequestBytes + pending.mBytes.size();
+    held += pending.mRequestBytes;
   }
   if (mSocket.Closed()) {
     held = 0;
@@ -196,13 +196,22 @@
 // What waits for the pace of the link is not held up by the client.
 bool HttpServer::Connection::HasStalled(Micros aNow)
 {
-  const Micros bound = mServer.mLimits.mIdleTimeout;
-  if (!mSocket.IsBlocked() ||
-      mSocket.SentBytes() >= mSentBefore + LeastBytesIn(bound)) {
-    mSendingSince = aNow;
-    mSentBefore = mSocket.SentBytes();
+  if (!mSocket.IsBlocked()) {
+    mSending = { aNow, mSocket.SentBytes() };
   }
-  return aNow - mSendingSince > bound;
+  return HasStopped(
+    mSending, mSocket.SentBytes(), aNow, mServer.mLimits.mIdleTimeout);
+}
+
+bool HttpServer::Connection::HasStopped(Progress& aProgress,
+                                        std::uint64_t aBytes,
+                                        Micros aNow,
+                                        Micros aBound)
+{
+  if (aBytes >= aProgress.mBytes + LeastBytesIn(aBound)) {
+    aProgress = { aNow, aBytes };
+  }
+  return aNow - aProgress.mSince > aBound;
 }
 
 void HttpServer::Connection::CheckTimeouts(Micros aNow)
@@ -244,8 +253,7 @@
   } else if (mMessageSince == 0 || mIsTimingBody != mReader.InBody()) {
     mMessageSince = mServer.mNow;
     mIsTimingBody = mReader.InBody();
-    mReceivingSince = mServer.mNow;
-    mReceivedBefore = mSocket.ReceivedBytes();
+    mReceiving = { mServer.mNow, mSocket.ReceivedBytes() };
   }
 }
 
@@ -256,11 +264,8 @@
   if (!mIsTimingBody) {
     return aNow - mMessageSince > bound;
   }
-  if (mSocket.ReceivedBytes() >= mReceivedBefore + LeastBytesIn(bound)) {
-    mReceivingSince = aNow;
-    mReceivedBefore = mSocket.ReceivedBytes();
-  }
-  return aNow - mReceivingSince > bound || aNow - mMessageSince > kLongestBody;
+  return HasStopped(mReceiving, mSocket.ReceivedBytes(), aNow, bound) ||
+         aNow - mMessageSince > kLongestBody;
 }
 
 void HttpServer::Connection::CloseIfIdle()
--- a/src/frontend/client_connection.h
+++ b/src/frontend/client_connection.h
@@ -71,6 +71,20 @@
   /// \brief Counts what the connection holds now.
   void UpdateHeld();
   [[nodiscard]] bool MayHoldMore() const;
+  /// \brief When, and after which byte, the time began in which the least bytes
+  /// have to come or go.
+  struct Progress
+  {
+    Micros mSince = 0;
+    std::uint64_t mBytes = 0;
+  };
+  /// \brief True if fewer than the least have for that long, of `aBytes` now;
+  /// the time begins anew when they have.
+  [[nodiscard]] static bool HasStopped(Progress& aProgress,
+                                       std::uint64_t aBytes,
+                                       Micros aNow,
+                                       Micros aBound);
+
   /// \brief How much is lost if it is closed: less first.
   enum class Worth
   {
@@ -110,15 +124,11 @@
   std::uint64_t mHeldBytes = 0;
   Micros mLastActivityAt = 0;
   Micros mOpenedAt = 0;
-  /// When, and after which byte, the time of what is being sent began.
-  Micros mSendingSince = 0;
-  std::uint64_t mSentBefore = 0;
+  Progress mSending;
   /// When the head or body that is being read began; 0 if none is.
   Micros mMessageSince = 0;
   bool mIsTimingBody = false;
-  /// When, and after which byte, the time of the next part of it began.
-  Micros mReceivingSince = 0;
-  std::uint64_t mReceivedBefore = 0;
+  Progress mReceiving;
   bool mClosing = false;
   bool mLingering = false;
   bool mPeerClosed = false;
--- a/src/frontend/client_memory.cpp
+++ b/src/frontend/client_memory.cpp
@@ -46,16 +46,20 @@
 
 void ClientMemory::GiveUpAnswers()
 {
-  while (mHeldBytes > mMaxBytes && !mServers.empty()) {
-    HttpServer* server =
-      *std::max_element(mServers.begin(),
-                        mServers.end(),
-                        [](const HttpServer* aLeft, const HttpServer* aRight) {
-                          return aLeft->MostUnsent() < aRight->MostUnsent();
-                        });
-    if (!server->CloseMostUnsent()) {
+  while (mHeldBytes > mMaxBytes) {
+    HttpServer* server = nullptr;
+    std::uint64_t most = 0;
+    for (HttpServer* one : mServers) {
+      const std::uint64_t unsent = one->MostUnsent();
+      if (unsent > most) {
+        server = one;
+        most = unsent;
+      }
+    }
+    if (server == nullptr) {
       return;
     }
+    server->CloseMostUnsent();
   }
 }
 
--- a/src/frontend/http_server.cpp
+++ b/src/frontend/http_server.cpp
@@ -208,14 +208,11 @@
   return most == nullptr ? 0 : most->AnswerBytes();
 }
 
-bool HttpServer::CloseMostUnsent()
+void HttpServer::CloseMostUnsent()
 {
-  Connection* most = WithMostUnsent();
-  if (most == nullptr || most->AnswerBytes() == 0) {
-    return false;
+  if (Connection* most = WithMostUnsent()) {
+    most->GiveUpAnswer("answers_not_read");
   }
-  most->GiveUpAnswer("answers_not_read");
-  return true;
 }
 
 void HttpServer::CloseIdle()
--- a/src/frontend/http_server.h
+++ b/src/frontend/http_server.h
@@ -92,8 +92,8 @@
 
   /// \brief The most bytes of answers that wait at one connection.
   [[nodiscard]] std::uint64_t MostUnsent() const;
-  /// \brief Closes that connection; false if no bytes wait at any.
-  bool CloseMostUnsent();
+  /// \brief Closes that connection.
+  void CloseMostUnsent();
 
   void OnReadable() override;
   void OnWritable() override {}
