--- a/tests/crowds/older_host_crowds_test.cpp
+++ b/tests/crowds/older_host_crowds_test.cpp
@@ -1,5 +1,6 @@
 #include "child_process.h"
 #include "crowd.h"
+#include "fakes/free_address.h"
 
 #include <cppunit/extensions/HelperMacros.h>
 
@@ -7,7 +8,6 @@
 
 #include <Poco/Exception.h>
 #include <Poco/File.h>
-#include <Poco/Net/ServerSocket.h>
 #include <Poco/Net/StreamSocket.h>
 
 #include <chrono>
@@ -30,12 +30,7 @@
                                   "Authorization: Bearer caller\r\n"
                                   "Connection: close\r\n\r\n";
 
-std::string FreeAddress()
-{
-  const Poco::Net::ServerSocket socket(
-    Poco::Net::SocketAddress("127.0.0.1", 0));
-  return socket.address().toString();
-}
+using fakes::FreeAddress;
 
 /// \brief One host of `serve` for control and entry, and one target.
 class OlderHost
