Replace a silent voter by a new one in one change

From then on no host had a leader: the operator's reads and changes got no answer, for good, though two of three disks held all that had been acknowledged.

Cause: MakeRoom() demoted the silent voter first and promoted the newcomer by a second change. Between the two the group had two voters, and both were needed. The voter that was lost in that commit never had its entry; the leader went by the smaller membership in its log, the whole voter had no vote in it and a shorter log. Class: the group is made smaller before it is made larger.

Ruled out: acknowledged changes on too few disks (both whole disks hold them); a returned voter that may not stand (it stands, and is refused for its log, as it must be).

Change: one voter replaces another in one change, by a joint membership (Raft): commits, elections and the confirmation of a leader need a majority of the voters before it and one of those after it; the leader leaves it by a second entry. Members say in their answers that they count both; where one that answers does not, the old two steps are taken.

Why this works: three with one silent need the two that are left, before and after, so neither the silent voter nor the newcomer is needed, and either may make up for one of the two. Any one disk of the four may be lost at any moment of the change.

Related paths: a disk that was replaced under its address takes the same way; five voters with two silent had the same fault (own test). Voters that are demoted without a newcomer are not affected (the rest tolerates one loss more after it), nor is the older host, which removes a voter only when its disk is gone already.

--- a/include/geraniumpond/consensus.h
+++ b/include/geraniumpond/consensus.h
@@ -15,7 +15,7 @@
 
 /// \brief A replicated log that implements Raft (Ongaro and Ousterhout, 2014),
 /// with pre-vote, check-quorum, learners, single-server membership changes,
-/// leadership transfer and snapshots.
+/// joint memberships, leadership transfer and snapshots.
 ///
 /// A plain struct and free functions: no clock, thread, socket or file. The
 /// embedder passes in the time and random numbers, performs the writes in
@@ -71,6 +71,16 @@
   /// Latest round that it has answered.
   std::uint64_t mRound = 0;
   bool mSnapshotSent = false;
+  /// Whether it counts votes by joint memberships; unknown until it answers.
+  std::optional<bool> mKnowsJoint;
+};
+
+/// \brief Whether the members of a group count votes by joint memberships.
+enum class JointSupport
+{
+  Unknown,
+  Some,
+  All
 };
 
 /// \brief A write to the log file; writes are performed in sequence order. One
@@ -203,14 +213,21 @@
 /// includes every entry that was committed when the read was requested.
 [[nodiscard]] bool IsReadConfirmed(const State& aState, std::uint64_t aRound);
 
-/// \brief Proposes a membership that differs by one voter at most; Conflict
-/// while an earlier change is uncommitted.
+/// \brief Proposes a membership that adds or removes one voter at most, or does
+/// both at once; Conflict while an earlier change is under way.
 [[nodiscard]] Result<std::uint64_t> ChangeMembership(
   State& aState,
   Micros aNow,
   const wire::Membership& aNext,
   Output& aOut);
 
+/// \brief On the leader: which members count votes by joint memberships, of
+/// those that are not silent and without `aExcept`. One voter may replace
+/// another in one change where all do.
+[[nodiscard]] JointSupport SupportForJoint(const State& aState,
+                                           Micros aNow,
+                                           const std::string& aExcept);
+
 /// \brief Transfers leadership to the most up-to-date reachable voter that is
 /// not in `aExcept`.
 void TransferLeadership(State& aState,
--- a/src/consensus/consensus.cpp
+++ b/src/consensus/consensus.cpp
@@ -18,26 +18,84 @@
          aRight->storage() == aLeft.storage();
 }
 
+// Voters of one membership that are none in another. A voter whose disk was
+// replaced counts as another voter.
+std::size_t VotersOnlyIn(const wire::Membership& aMembers,
+                         const wire::Membership& aOther)
+{
+  return static_cast<std::size_t>(std::count_if(
+    aMembers.members().begin(),
+    aMembers.members().end(),
+    [&](const wire::Member& aMember) {
+      return aMember.voter() &&
+             !SameVoter(aMember, FindMember(aOther, aMember.id()));
+    }));
+}
+
+// The membership in which a quorum needs a majority of the old voters and one
+// of the new. Fails unless all old voters are members of the new one.
+Result<wire::Membership> JointOf(const wire::Membership& aOld,
+                                 const wire::Membership& aNew)
+{
+  wire::Membership joint = aNew;
+  joint.set_joint(true);
+  std::size_t kept = 0;
+  for (wire::Member& member : *joint.mutable_members()) {
+    const wire::Member* old = FindMember(aOld, member.id());
+    const bool voted =
+      old != nullptr && old->voter() && old->storage() == member.storage();
+    member.set_voted_before(voted);
+    kept += voted ? 1 : 0;
+  }
+  if (kept != VoterCount(aOld)) {
+    return Fail(ErrorCode::InvalidArgument, "a voter is not in the next group");
+  }
+  return joint;
+}
+
 // Majorities of two consecutive memberships are sure to overlap only when the
-// memberships differ by one voter at most. A voter whose disk was replaced
-// counts as another voter.
-std::size_t VoterChanges(const wire::Membership& aOld,
-                         const wire::Membership& aNew)
-{
-  std::size_t changes = 0;
-  for (const wire::Member& member : aOld.members()) {
-    const wire::Member* next = FindMember(aNew, member.id());
-    if (member.voter() && !SameVoter(member, next)) {
-      ++changes;
-    }
+// memberships differ by one voter at most. Where one voter replaces another, a
+// joint membership comes between them.
+Result<wire::Membership> NextMembership(const wire::Membership& aOld,
+                                        const wire::Membership& aNew)
+{
+  const std::size_t removed = VotersOnlyIn(aOld, aNew);
+  const std::size_t added = VotersOnlyIn(aNew, aOld);
+  if (VoterCount(aNew) == 0 || removed > 1 || added > 1) {
+    return Fail(ErrorCode::InvalidArgument, "one voter at a time");
   }
-  for (const wire::Member& member : aNew.members()) {
-    const wire::Member* old = FindMember(aOld, member.id());
-    if (member.voter() && !SameVoter(member, old)) {
-      ++changes;
+  return removed + added == 2 ? JointOf(aOld, aNew)
+                              : Result<wire::Membership>(aNew);
+}
+
+void AppendMembership(State& aState,
+                      Micros aNow,
+                      const wire::Membership& aNext,
+                      Output& aOut)
+{
+  wire::Entry entry;
+  entry.set_term(aState.mTerm);
+  entry.set_index(LastIndex(aState) + 1);
+  *entry.mutable_membership() = aNext;
+  AppendEntries(aState, { entry }, aOut);
+  for (const wire::Member& member : aNext.members()) {
+    if (aState.mProgress.count(member.id()) == 0) {
+      Progress& progress = aState.mProgress[member.id()];
+      progress.mNext = LastIndex(aState);
+      progress.mTrackedSince = aNow;
+      progress.mHeardAt = aNow;
     }
   }
-  return changes;
+  for (auto it = aState.mProgress.begin(); it != aState.mProgress.end();) {
+    const bool kept = FindMember(aNext, it->first) != nullptr;
+    it = kept ? std::next(it) : aState.mProgress.erase(it);
+  }
+}
+
+bool HasCommittedMembership(const State& aState)
+{
+  return aState.mCommit >= aState.mMembershipIndex &&
+         aState.mCommit >= aState.mTermStart;
 }
 
 void LeaderTick(State& aState, Micros aNow, Output& aOut)
@@ -51,6 +109,7 @@
   }
   if (aNow >= aState.mHeartbeatAt) {
     aState.mHeartbeatAt = aNow + aState.mOptions.mHeartbeat;
+    LeaveJointMembership(aState, aNow, aOut);
     Broadcast(aState, aNow, aOut);
     ResendChecks(aState, aNow, aOut);
   }
@@ -175,7 +234,8 @@
 bool IsVoterOf(const State& aState, const wire::Membership& aMembers) noexcept
 {
   const wire::Member* self = FindMember(aMembers, aState.mId);
-  return self != nullptr && self->voter() && self->storage() == aState.mStorage;
+  return self != nullptr && HasVote(aMembers, *self) &&
+         self->storage() == aState.mStorage;
 }
 
 // True when this member is a voter in any membership that may be in effect: the
@@ -220,9 +280,41 @@
                   [](const wire::Member& aMember) { return aMember.voter(); }));
 }
 
-std::size_t Quorum(const State& aState) noexcept
+bool HasVote(const wire::Membership& aMembers,
+             const wire::Member& aMember) noexcept
 {
-  return VoterCount(aState.mMembership) / 2 + 1;
+  return aMember.voter() || (aMembers.joint() && aMember.voted_before());
+}
+
+bool IsQuorum(const wire::Membership& aMembers,
+              const std::set<std::string>& aNames)
+{
+  std::size_t voters = 0;
+  std::size_t named = 0;
+  std::size_t votersBefore = 0;
+  std::size_t namedBefore = 0;
+  for (const wire::Member& member : aMembers.members()) {
+    const std::size_t isNamed = aNames.count(member.id());
+    voters += member.voter() ? 1 : 0;
+    named += member.voter() ? isNamed : 0;
+    votersBefore += member.voted_before() ? 1 : 0;
+    namedBefore += member.voted_before() ? isNamed : 0;
+  }
+  return named > voters / 2 &&
+         (!aMembers.joint() || namedBefore > votersBefore / 2);
+}
+
+void LeaveJointMembership(State& aState, Micros aNow, Output& aOut)
+{
+  if (!aState.mMembership.joint() || !HasCommittedMembership(aState)) {
+    return;
+  }
+  wire::Membership next = aState.mMembership;
+  next.clear_joint();
+  for (wire::Member& member : *next.mutable_members()) {
+    member.clear_voted_before();
+  }
+  AppendMembership(aState, aNow, next, aOut);
 }
 
 wire::Membership WithoutMember(const wire::Membership& aMembers,
@@ -330,32 +422,38 @@
   if (aState.mRole != Role::Leader || aState.mFailed) {
     return Fail(ErrorCode::NotLeader, aState.mLeader);
   }
-  if (aState.mCommit < aState.mMembershipIndex ||
-      aState.mCommit < aState.mTermStart) {
-    return Fail(ErrorCode::Conflict, "an earlier change is not committed");
+  if (aState.mMembership.joint() || !HasCommittedMembership(aState)) {
+    return Fail(ErrorCode::Conflict, "an earlier change is under way");
   }
-  if (VoterChanges(aState.mMembership, aNext) > 1 || VoterCount(aNext) == 0) {
-    return Fail(ErrorCode::InvalidArgument, "one voter at a time");
+  const Result<wire::Membership> next =
+    NextMembership(aState.mMembership, aNext);
+  if (!next) {
+    return next.error();
   }
-  wire::Entry entry;
-  entry.set_term(aState.mTerm);
-  entry.set_index(LastIndex(aState) + 1);
-  *entry.mutable_membership() = aNext;
-  AppendEntries(aState, { entry }, aOut);
-  for (const wire::Member& member : aNext.members()) {
-    if (aState.mProgress.count(member.id()) == 0) {
-      Progress& progress = aState.mProgress[member.id()];
-      progress.mNext = LastIndex(aState);
-      progress.mTrackedSince = aNow;
-      progress.mHeardAt = aNow;
+  AppendMembership(aState, aNow, next.value(), aOut);
+  Broadcast(aState, aNow, aOut);
+  return aState.mMembershipIndex;
+}
+
+// A member that is silent now counts by the memberships that it finds in its
+// log when it is back, which is safe as long as all others count jointly.
+JointSupport SupportForJoint(const State& aState,
+                             Micros aNow,
+                             const std::string& aExcept)
+{
+  JointSupport support = JointSupport::All;
+  for (const auto& [id, progress] : aState.mProgress) {
+    const bool silent =
+      aNow - progress.mHeardAt >= aState.mOptions.mElectionMax;
+    if (id == aState.mId || id == aExcept || silent) {
+      continue;
     }
+    if (progress.mKnowsJoint == false) {
+      return JointSupport::Some;
+    }
+    support = progress.mKnowsJoint ? support : JointSupport::Unknown;
   }
-  for (auto it = aState.mProgress.begin(); it != aState.mProgress.end();) {
-    const bool kept = FindMember(aNext, it->first) != nullptr;
-    it = kept ? std::next(it) : aState.mProgress.erase(it);
-  }
-  Broadcast(aState, aNow, aOut);
-  return entry.index();
+  return support;
 }
 
 void MarkFailed(State& aState)
--- a/src/consensus/election.cpp
+++ b/src/consensus/election.cpp
@@ -54,7 +54,7 @@
 {
   const std::uint64_t last = LastIndex(aState);
   for (const wire::Member& member : aState.mMembership.members()) {
-    if (!member.voter() || member.id() == aState.mId) {
+    if (!HasVote(aState.mMembership, member) || member.id() == aState.mId) {
       continue;
     }
     wire::ConsensusMessage message = NewMessage(aState, member.id());
@@ -93,7 +93,7 @@
 
 void CountVotes(State& aState, Micros aNow, std::uint64_t aRandom, Output& aOut)
 {
-  if (aState.mVotes.size() < Quorum(aState)) {
+  if (!IsQuorum(aState.mMembership, aState.mVotes)) {
     return;
   }
   if (aState.mRole == Role::PreCandidate) {
@@ -248,7 +248,7 @@
     return;
   }
   const wire::Member* member = FindMember(aState.mMembership, aMessage.from());
-  if (member == nullptr || !member->voter() ||
+  if (member == nullptr || !HasVote(aState.mMembership, *member) ||
       member->storage() != aMessage.from_storage()) {
     return;
   }
--- a/src/consensus/internal.h
+++ b/src/consensus/internal.h
@@ -108,7 +108,16 @@
 /// \brief True for a member that may campaign: a voter, or one whose removal as
 /// a voter is in the log but not known to be committed.
 [[nodiscard]] bool MayCampaign(const State& aState) noexcept;
-[[nodiscard]] std::size_t Quorum(const State& aState) noexcept;
+/// \brief True for a member whose vote counts in a membership or, where it is a
+/// joint one, in the membership before it.
+[[nodiscard]] bool HasVote(const wire::Membership& aMembers,
+                           const wire::Member& aMember) noexcept;
+/// \brief True when the members named are a quorum.
+[[nodiscard]] bool IsQuorum(const wire::Membership& aMembers,
+                            const std::set<std::string>& aNames);
+/// \brief On the leader: appends the later membership of a joint one that is
+/// committed; the next broadcast sends it.
+void LeaveJointMembership(State& aState, Micros aNow, Output& aOut);
 
 /// \brief Creates a message with this member's identity and term.
 [[nodiscard]] wire::ConsensusMessage NewMessage(const State& aState,
@@ -123,15 +132,18 @@
                    wire::ConsensusMessage aMessage,
                    Output& aOut);
 
-/// \brief The largest value that a quorum of voters has reached. `aOf` extracts
-/// a voter's value from its Progress; `aOwn` is this member's value.
-template<class Value, class Of>
-[[nodiscard]] Value ReachedByQuorum(const State& aState, Value aOwn, Of aOf)
+/// \brief The largest value that a majority of the voters has reached that
+/// `aVotes` selects.
+template<class Value, class Of, class Votes>
+[[nodiscard]] Value ReachedByMajority(const State& aState,
+                                      Value aOwn,
+                                      Of aOf,
+                                      Votes aVotes)
 {
   std::vector<Value> values;
   for (const wire::Member& member : aState.mMembership.members()) {
     const auto progress = aState.mProgress.find(member.id());
-    if (!member.voter()) {
+    if (!aVotes(member)) {
       continue;
     }
     if (member.id() == aState.mId) {
@@ -148,6 +160,24 @@
   return values[values.size() / 2];
 }
 
+/// \brief The largest value that a quorum has reached. `aOf` extracts a voter's
+/// value from its Progress; `aOwn` is this member's value.
+template<class Value, class Of>
+[[nodiscard]] Value ReachedByQuorum(const State& aState, Value aOwn, Of aOf)
+{
+  const Value now =
+    ReachedByMajority(aState, aOwn, aOf, [](const wire::Member& aMember) {
+      return aMember.voter();
+    });
+  if (!aState.mMembership.joint()) {
+    return now;
+  }
+  return std::min(
+    now, ReachedByMajority(aState, aOwn, aOf, [](const wire::Member& aMember) {
+      return aMember.voted_before();
+    }));
+}
+
 /// \brief True when a quorum, this member included, has replied since a time.
 [[nodiscard]] bool QuorumHeardSince(const State& aState, Micros aTime);
 
--- a/src/consensus/replication.cpp
+++ b/src/consensus/replication.cpp
@@ -71,6 +71,7 @@
   reply.set_success(aSuccess);
   reply.set_index(aIndex);
   reply.set_round(aRound);
+  reply.set_knows_joint(true);
   SendAfterSync(aState, std::move(message), aOut);
 }
 
@@ -184,6 +185,10 @@
       aState.mHeartbeatAt = 0;
     }
     CommitTo(aState, match, aOut);
+    // The tick that sends the next heartbeat ends a joint membership.
+    if (aState.mMembership.joint() && match >= aState.mMembershipIndex) {
+      aState.mHeartbeatAt = 0;
+    }
     StepDownIfRemoved(aState, aOut);
   }
 }
@@ -230,6 +235,7 @@
   Progress& progress = aState.mProgress[member->id()];
   progress.mHeardAt = aNow;
   progress.mRound = std::max(progress.mRound, reply.round());
+  progress.mKnowsJoint = reply.knows_joint();
   SendChecksIfDue(aState, aNow, aOut);
   if (!reply.success()) {
     const std::uint64_t before = progress.mNext;
--- a/src/fleet/members.cpp
+++ b/src/fleet/members.cpp
@@ -10,9 +10,8 @@
 // tolerate more losses without them, but never below the number that the
 // configured losses require.
 //
-// Changes are made one at a time, each committed by the majority before and
-// after it. A voter is first made a learner, so that one that was only cut off
-// or restarted regains its vote as soon as it answers.
+// Changes are made one at a time. A voter is first made a learner, so that one
+// that was only cut off or restarted regains its vote as soon as it answers.
 namespace geraniumpond::fleet {
 
 namespace {
@@ -280,14 +279,30 @@
                 aOut);
 }
 
+void ReplaceVoter(State& aState,
+                  Micros aNow,
+                  const wire::Member& aGone,
+                  const wire::Member& aLearner,
+                  Output& aOut)
+{
+  const wire::Membership demoted =
+    WithVote(aState.mGroup.mMembership, aGone.id(), false);
+  ChangeMembers(aState,
+                aNow,
+                WithVote(demoted, aLearner.id(), true),
+                "replaces member=" + aLearner.id() + " gone=" + aGone.id(),
+                aOut);
+}
+
 // The learner may be lost by the time its vote counts, so no change may depend
 // on the host that it adds. If the answering voters would not be a majority of
-// the larger group, a voter that has left is demoted first. Until the promotion
-// the group needs only voters that it needs already.
-bool MakeRoom(State& aState,
-              Micros aNow,
-              const wire::Member& aLearner,
-              Output& aOut)
+// the larger group, it takes the place of a voter that has left. That is one
+// change: demoted first, that voter would have no vote if it returned while one
+// of those that the smaller group needs is lost.
+bool TakePlaceOfGoneVoter(State& aState,
+                          Micros aNow,
+                          const wire::Member& aLearner,
+                          Output& aOut)
 {
   const std::size_t voters = consensus::VoterCount(aState.mGroup.mMembership);
   const wire::Member* gone = VoterAt(aState, aLearner.address());
@@ -298,7 +313,15 @@
   if (gone == nullptr || !IsMajorityOf(aState, aNow, voters - 1, gone)) {
     return false;
   }
-  DemoteVoter(aState, aNow, *gone, "makes_room", aOut);
+  const consensus::JointSupport support =
+    consensus::SupportForJoint(aState.mGroup, aNow, gone->id());
+  const bool canReplace = IsMajorityOf(aState, aNow, voters, gone) &&
+                          support != consensus::JointSupport::Some;
+  if (!canReplace) {
+    DemoteVoter(aState, aNow, *gone, "makes_room", aOut);
+  } else if (support == consensus::JointSupport::All) {
+    ReplaceVoter(aState, aNow, *gone, aLearner, aOut);
+  }
   return true;
 }
 
@@ -312,7 +335,7 @@
       continue;
     }
     if (!IsMajorityOf(aState, aNow, voters + 1)) {
-      return MakeRoom(aState, aNow, member, aOut);
+      return TakePlaceOfGoneVoter(aState, aNow, member, aOut);
     }
     ChangeMembers(aState,
                   aNow,
--- a/tests/fleet_members_test.cpp
+++ b/tests/fleet_members_test.cpp
@@ -28,6 +28,8 @@
 /// Hosts without a disk, in fleets of three and of six hosts with a disk.
 constexpr const char* kFollower = "10.0.0.5:1";
 constexpr const char* kReader = "10.0.0.8:1";
+/// Host without a disk, in fleets of three and of five hosts with a disk.
+constexpr const char* kOperator = "10.0.0.7:1";
 
 } // namespace
 
@@ -48,6 +50,8 @@
   CPPUNIT_TEST(TwoOfSixReplacedThenTwoDisksLostKeepsTheChange);
   CPPUNIT_TEST(FailedJoinDoesNotCostTheQuorum);
   CPPUNIT_TEST(FailedJoinBesideALostVoterDoesNotCostTheQuorum);
+  CPPUNIT_TEST(DiskLostWhileANewHostReplacesASilentVoterDoesNotCostTheQuorum);
+  CPPUNIT_TEST(TwoDisksOfFiveLostDuringAReplacementDoNotCostTheQuorum);
   CPPUNIT_TEST(LeaderThatIsNoVoterTransfersLeadership);
   CPPUNIT_TEST(StoppingVoterIsRemovedBeforeItExits);
   CPPUNIT_TEST(LostVoterIsRemovedIfEnoughOthersRemain);
@@ -221,6 +225,50 @@
     }
   }
 
+  // Guards against a group without a leader for good after the loss of one
+  // disk: a silent voter that returns whole had no vote for the time of a
+  // commit.
+  void DiskLostWhileANewHostReplacesASilentVoterDoesNotCostTheQuorum()
+  {
+    for (const bool ofTheLeader : { false, true }) {
+      for (Micros after = 2400 * kMillisecond; after < 2800 * kMillisecond;
+           after += 4 * kMillisecond) {
+        FleetSimulation simulation = StartedFleet();
+        const std::vector<std::string> others = Followers(simulation, 3);
+        const std::string lost =
+          ofTheLeader ? simulation.Leader() : others.back();
+        simulation.Kill(others.front());
+        simulation.Add(kNewHost, true);
+        simulation.Start(kNewHost, false);
+        simulation.Advance(after);
+        AssertOutlivesLossOfDisks(simulation, { others.front() }, { lost });
+      }
+    }
+  }
+
+  // Guards against the same in a group that tolerates two losses.
+  void TwoDisksOfFiveLostDuringAReplacementDoNotCostTheQuorum()
+  {
+    for (Micros after = 2400 * kMillisecond; after < 2800 * kMillisecond;
+         after += 8 * kMillisecond) {
+      FleetSimulation simulation(7);
+      simulation.StartFleet(5, 4, 2);
+      CPPUNIT_ASSERT(simulation.RunUntil(
+        10 * kSecond, [&] { return simulation.Voters() == 5; }));
+      CPPUNIT_ASSERT(
+        simulation.Commit(kOperator, PutPolicyCommand(1, 0, "one")));
+      simulation.Advance(kSecond);
+      const std::vector<std::string> others = Followers(simulation, 5);
+      simulation.Kill(others[0]);
+      simulation.Kill(others[1]);
+      simulation.Add(kNewHost, true);
+      simulation.Start(kNewHost, false);
+      simulation.Advance(after);
+      AssertOutlivesLossOfDisks(
+        simulation, { others[0], others[1] }, { others[2], others[3] });
+    }
+  }
+
   // After a power loss a host does not know whether the entry that removed its
   // vote was committed, so it may be elected and leads until that entry is
   // committed. If it then only stepped down, the group would have no leader
@@ -500,6 +548,42 @@
   }
 
 private:
+  static std::vector<std::string> Followers(const FleetSimulation& aSimulation,
+                                            int aFounders)
+  {
+    std::vector<std::string> followers;
+    for (int i = 1; i <= aFounders; ++i) {
+      if (FounderAddress(i) != aSimulation.Leader()) {
+        followers.push_back(FounderAddress(i));
+      }
+    }
+    return followers;
+  }
+
+  // The group has a leader again, knows version 1 and takes version 2.
+  static void AssertOutlivesLossOfDisks(FleetSimulation& aSimulation,
+                                        const std::vector<std::string>& aKilled,
+                                        const std::vector<std::string>& aWiped)
+  {
+    const std::string after =
+      std::to_string(aSimulation.mNow / kMillisecond) + " ms";
+    for (const std::string& host : aWiped) {
+      aSimulation.LosePower(host);
+      aSimulation.Wipe(host);
+    }
+    aSimulation.Advance(kSecond);
+    for (const std::string& host : aKilled) {
+      aSimulation.Start(host, false);
+    }
+    aSimulation.Advance(2 * kSecond);
+    for (const std::string& host : aWiped) {
+      aSimulation.Start(host, false);
+    }
+    CPPUNIT_ASSERT_MESSAGE(after, aSimulation.RunUntil(kRecoveryTime, [&] {
+      return aSimulation.Commit(kFollower, PutPolicyCommand(2, 1, "two"));
+    }));
+  }
+
   static bool ToleratesOneLoss(const FleetSimulation& aSimulation)
   {
     const std::string leader = aSimulation.Leader();
