Send nothing non-idempotent where a refusal may come again

Cause: a refusal may lack the request's id, and then counts as that of the request in flight. A connection that carried one was used again, also for non-idempotent requests, as it had been alive less than 0.1 s ago. The late copy passed for the refusal of the next request, which its target ran meanwhile; the request went to a second target, or was refused as not run. Class: an answer is attributed by its place on a connection on which places are lost.

Change: a connection that carried a refusal without an id, of a request or of a probe, takes no non-idempotent request any more. Probes prefer a connection that any request may use, so that the one behind the probe is alive and fit. Related path: the older host, whose targets name no request in any answer, keeps non-idempotent calls off connections that carried a refusal.

Why this works: a non-idempotent request goes only over a connection on which nothing that was received can be repeated as its refusal.

--- a/src/edge/attempt.cpp
+++ b/src/edge/attempt.cpp
@@ -7,7 +7,6 @@
 #include <Poco/Net/NetException.h>
 #include <Poco/Net/SocketAddress.h>
 #include <Poco/NumberParser.h>
-#include <Poco/String.h>
 
 #include <algorithm>
 #include <poll.h>
@@ -34,7 +33,6 @@
 constexpr std::size_t kMaxBufferedResponse = 64 * 1024;
 constexpr std::size_t kMaxRecordedResponse = 256 * 1024;
 constexpr std::size_t kBufferBytes = 64 * 1024;
-constexpr int kUnavailable = 503;
 constexpr std::uint32_t kBadGateway = 502;
 
 // One buffer per thread: clearing a new one for each response would cost more
@@ -91,8 +89,9 @@
   bool Connect()
   {
     const Micros now = mContext.mRuntime.Now();
-    mSession =
-      mContext.mPool.Acquire(mDispatch.address(), mDispatch.max_idle_us(), now);
+    const SessionNeeds needs{ mDispatch.max_idle_us(),
+                              mDispatch.no_repeated_refusal() };
+    mSession = mContext.mPool.Acquire(mDispatch.address(), needs, now);
     if (mSession == nullptr) {
       const Poco::Net::SocketAddress address(mDispatch.address());
       mSession = std::make_unique<TargetSession>(address.host().toString(),
@@ -179,10 +178,7 @@
       return;
     }
     mSession->setTimeout(Poco::Timespan(kBodyReadTimeout));
-    const bool refused =
-      mResponse.getStatus() == kUnavailable &&
-      Poco::icompare(mResponse.get("Geraniumpond-Not-Run", ""), "yes") == 0;
-    if (refused) {
+    if (IsRefusal(mResponse)) {
       ReadUpTo(kMaxBufferedResponse);
       mEnd.set_end(wire::END_REFUSED);
       return;
--- a/src/edge/target_client.cpp
+++ b/src/edge/target_client.cpp
@@ -4,6 +4,7 @@
 
 #include <Poco/Net/NetException.h>
 #include <Poco/NumberParser.h>
+#include <Poco/String.h>
 
 #include <algorithm>
 #include <poll.h>
@@ -18,6 +19,7 @@
 constexpr int kFirstStatus = 100;
 constexpr int kFirstFinalStatus = 200;
 constexpr int kLastStatus = 599;
+constexpr int kUnavailable = 503;
 constexpr std::string_view kHeadEnd = "\r\n\r\n";
 constexpr std::size_t kMaxLine = 256;
 constexpr std::size_t kMaxTrailers = 64;
@@ -56,6 +58,12 @@
 
 } // namespace
 
+bool IsRefusal(const Poco::Net::HTTPResponse& aResponse)
+{
+  return aResponse.getStatus() == kUnavailable &&
+         Poco::icompare(aResponse.get("Geraniumpond-Not-Run", ""), "yes") == 0;
+}
+
 TargetSession::TargetSession(const std::string& aHost, std::uint16_t aPort)
   : HTTPClientSession(aHost, aPort)
 {
@@ -96,6 +104,7 @@
     }
     if (head.value().mStatus >= kFirstFinalStatus) {
       FillResponse(head.value(), aResponse);
+      mMayRepeatRefusal = mMayRepeatRefusal || IsRefusal(aResponse);
       return mNoBody;
     }
   }
@@ -245,29 +254,31 @@
 }
 
 std::unique_ptr<TargetSession> SessionPool::Acquire(const std::string& aAddress,
-                                                    Micros aMaxIdle,
+                                                    const SessionNeeds& aNeeds,
                                                     Micros aNow)
 {
   const std::lock_guard<std::mutex> lock(mMutex);
   auto& idle = mIdle[aAddress];
-  while (!idle.empty()) {
-    std::unique_ptr<TargetSession> session = std::move(idle.back());
-    idle.pop_back();
-    if (aNow - session->mLastUsed > kMaxIdleTime) {
-      idle.clear();
-      return nullptr;
-    }
-    if (aNow - session->mLastUsed > aMaxIdle) {
-      // The others have been idle for even longer. Keep this connection for
-      // request kinds that allow a longer idle time.
-      idle.push_back(std::move(session));
+  // All behind one that has been idle for too long have been for even longer.
+  const auto tooOld =
+    std::find_if(idle.rbegin(), idle.rend(), [&](const auto& aSession) {
+      return aNow - aSession->mLastUsed > kMaxIdleTime;
+    });
+  idle.erase(idle.begin(), tooOld.base());
+  while (true) {
+    const auto last =
+      std::find_if(idle.rbegin(), idle.rend(), [&](const auto& aSession) {
+        return !aNeeds.mNoRepeatedRefusal || !aSession->MayRepeatRefusal();
+      });
+    if (last == idle.rend() || aNow - (*last)->mLastUsed > aNeeds.mMaxIdle) {
       return nullptr;
     }
+    std::unique_ptr<TargetSession> session = std::move(*last);
+    idle.erase(std::next(last).base());
     if (HasNoPendingData(*session)) {
       return session;
     }
   }
-  return nullptr;
 }
 
 void SessionPool::Release(const std::string& aAddress,
--- a/src/edge/target_client.h
+++ b/src/edge/target_client.h
@@ -52,6 +52,13 @@
   /// \brief True if the connection can be used for another request.
   [[nodiscard]] bool Reusable() const;
 
+  /// \brief True after a refusal. Targets' answers name no request, so that a
+  /// late copy of it would pass for the refusal of the next one.
+  [[nodiscard]] bool MayRepeatRefusal() const noexcept
+  {
+    return mMayRepeatRefusal;
+  }
+
   Micros mLastUsed = 0;
 
 protected:
@@ -79,15 +86,28 @@
   std::uint64_t mRemaining = 0;
   bool mInChunk = false;
   bool mReusable = false;
+  bool mMayRepeatRefusal = false;
+};
+
+/// \brief True for an answer by which a target says that it has not run the
+/// request.
+[[nodiscard]] bool IsRefusal(const Poco::Net::HTTPResponse& aResponse);
+
+/// \brief What a request asks of an idle connection.
+struct SessionNeeds
+{
+  Micros mMaxIdle = 0;
+  bool mNoRepeatedRefusal = false;
 };
 
 /// \brief Pool of idle connections by target address.
 class SessionPool
 {
 public:
-  /// \brief Returns an open connection last used within `aMaxIdle`, or null.
+  /// \brief Returns the open connection used last of those that meet the needs,
+  /// or null.
   [[nodiscard]] std::unique_ptr<TargetSession>
-  Acquire(const std::string& aAddress, Micros aMaxIdle, Micros aNow);
+  Acquire(const std::string& aAddress, const SessionNeeds& aNeeds, Micros aNow);
   void Release(const std::string& aAddress,
                std::unique_ptr<TargetSession> aSession,
                Micros aNow);
--- a/src/frontend/target_answers.cpp
+++ b/src/frontend/target_answers.cpp
@@ -18,6 +18,12 @@
   return value != nullptr && *value == "1";
 }
 
+bool IsRefusal(const HttpResponse& aResponse, const FieldNames& aNames)
+{
+  return aResponse.mStatus == kStatusMisdirected ||
+         FindField(aResponse.mFields, aNames.mNotRun) != nullptr;
+}
+
 std::optional<dispatch::Report> ReportOf(const HttpResponse& aResponse,
                                          const FieldNames& aNames)
 {
@@ -49,16 +55,19 @@
                       const std::string& aRequestId)
 {
   const HeaderFields& fields = aResponse.mFields;
-  const bool named = aRequestId.empty() ||
-                     FindField(fields, aNames.mRequestId) != nullptr ||
-                     FindField(fields, aNames.mNotRun) != nullptr ||
-                     aResponse.mStatus == kStatusMisdirected;
+  const bool named = aRequestId.empty() || AnswersARequest(aResponse, aNames) ||
+                     IsRefusal(aResponse, aNames);
   const bool isSigned = aResponse.mStatus >= kFirstNonSuccessStatus ||
                         aNames.mSignature.empty() ||
                         FindField(fields, aNames.mSignature) != nullptr;
   return named && isSigned;
 }
 
+bool IsUnnamedRefusal(const HttpResponse& aResponse, const FieldNames& aNames)
+{
+  return IsRefusal(aResponse, aNames) && !AnswersARequest(aResponse, aNames);
+}
+
 dispatch::ProbeEnd ProbeEndOf(const HttpResponse& aResponse,
                               const FieldNames& aNames)
 {
@@ -83,8 +92,7 @@
   end.mKind = dispatch::EndKind::Answered;
   end.mStatus = aResponse.mStatus;
   end.mMisdirected = aResponse.mStatus == kStatusMisdirected;
-  end.mNotRun =
-    end.mMisdirected || FindField(aResponse.mFields, aNames.mNotRun) != nullptr;
+  end.mNotRun = IsRefusal(aResponse, aNames);
   end.mBytes = aResponse.mBody.size();
   end.mReport = ReportOf(aResponse, aNames);
   end.mLimit = ParseLimit(aResponse.mFields, aNames.mLimit);
--- a/src/frontend/target_answers.h
+++ b/src/frontend/target_answers.h
@@ -26,6 +26,11 @@
                                     const FieldNames& aNames,
                                     const std::string& aRequestId);
 
+/// \brief True for a refusal that does not name its request: a late copy of it
+/// passes for the refusal of any later one.
+[[nodiscard]] bool IsUnnamedRefusal(const HttpResponse& aResponse,
+                                    const FieldNames& aNames);
+
 /// \brief Result of a probe that was answered; the target is not set.
 [[nodiscard]] dispatch::ProbeEnd ProbeEndOf(const HttpResponse& aResponse,
                                             const FieldNames& aNames);
--- a/src/frontend/target_connection.cpp
+++ b/src/frontend/target_connection.cpp
@@ -271,6 +271,8 @@
       kSecond);
   }
   mLastUsedAt = mPool.mNow;
+  mMayRepeatRefusal =
+    mMayRepeatRefusal || IsUnnamedRefusal(response, mPool.mNames);
   const Job job = std::exchange(mJob, Job::None);
   if (job == Job::Attempt) {
     mPool.mAttempts.erase(mAttempt);
--- a/src/frontend/target_connection.h
+++ b/src/frontend/target_connection.h
@@ -47,6 +47,12 @@
   /// \brief Bytes of the answer that is being read.
   [[nodiscard]] std::uint64_t HeldBytes() const noexcept { return mHeldBytes; }
   [[nodiscard]] Micros IdleTimeout() const noexcept { return mIdleTimeout; }
+  /// \brief True after a refusal that named no request: a late copy of it would
+  /// pass for the refusal of the next request.
+  [[nodiscard]] bool MayRepeatRefusal() const noexcept
+  {
+    return mMayRepeatRefusal;
+  }
 
 private:
   /// \brief Sends a request, once the connection is open; its answer may have
@@ -105,6 +111,7 @@
   bool mHasSentBytes = false;
   bool mIsReused = false;
   bool mHeadOnly = false;
+  bool mMayRepeatRefusal = false;
 };
 
 } // namespace geraniumpond::frontend
--- a/src/frontend/target_pool.cpp
+++ b/src/frontend/target_pool.cpp
@@ -6,7 +6,6 @@
 #include <Poco/Net/SocketAddress.h>
 
 #include <algorithm>
-#include <limits>
 #include <netinet/tcp.h>
 
 namespace geraniumpond::frontend {
@@ -64,27 +63,40 @@
   return raw;
 }
 
+// The most recently used connection is the most likely to be alive.
 TargetPool::Connection* TargetPool::TakeIdle(const std::string& aTarget,
-                                             Micros aMaxAge)
+                                             const IdleNeeds& aNeeds)
 {
   const auto found = mIdle.find(aTarget);
-  if (found == mIdle.end() || found->second.empty()) {
+  if (found == mIdle.end()) {
     return nullptr;
   }
-  // The most recently used connection is the most likely to be alive.
-  Connection* connection = found->second.back();
+  std::vector<Connection*>& idle = found->second;
+  const auto last =
+    std::find_if(idle.rbegin(), idle.rend(), [&](const Connection* aIdle) {
+      return !aNeeds.mNoRepeatedRefusal || !aIdle->MayRepeatRefusal();
+    });
+  if (last == idle.rend()) {
+    return nullptr;
+  }
+  Connection* connection = *last;
   const Micros age = mNow - connection->LastUsedAt();
-  if (age > std::min(aMaxAge, connection->IdleTimeout())) {
+  if (age > std::min(aNeeds.mMaxAge, connection->IdleTimeout())) {
     return nullptr;
   }
-  found->second.pop_back();
+  idle.erase(std::next(last).base());
   return connection;
 }
 
+// A connection that any request may use is alive after its probe.
 void TargetPool::Probe(const dispatch::ProbeTarget& aProbe)
 {
-  Connection* connection =
-    TakeIdle(aProbe.mTarget, std::numeric_limits<Micros>::max());
+  IdleNeeds needs;
+  needs.mNoRepeatedRefusal = true;
+  Connection* connection = TakeIdle(aProbe.mTarget, needs);
+  if (connection == nullptr) {
+    connection = TakeIdle(aProbe.mTarget, IdleNeeds());
+  }
   if (connection == nullptr) {
     connection = Open(aProbe.mTarget, aProbe.mAddress);
   }
@@ -93,10 +105,11 @@
 
 void TargetPool::Send(OutboundRequest aRequest)
 {
-  const Micros age = aRequest.mProvenConnection
-                       ? kProvenMaxAge
-                       : std::numeric_limits<Micros>::max();
-  Connection* connection = TakeIdle(aRequest.mTarget, age);
+  IdleNeeds needs;
+  if (aRequest.mProvenConnection) {
+    needs = { kProvenMaxAge, true };
+  }
+  Connection* connection = TakeIdle(aRequest.mTarget, needs);
   if (connection == nullptr) {
     connection = Open(aRequest.mTarget, aRequest.mAddress);
   }
@@ -117,7 +130,9 @@
 {
   std::vector<Connection*>& idle = mIdle[aConnection.Target()];
   if (idle.size() >= kMaxIdlePerTarget) {
-    idle.front()->Close();
+    const auto limited = std::find_if(
+      idle.begin(), idle.end(), std::mem_fn(&Connection::MayRepeatRefusal));
+    (limited == idle.end() ? idle.front() : *limited)->Close();
   }
   mIdle[aConnection.Target()].push_back(&aConnection);
 }
--- a/src/frontend/target_pool.h
+++ b/src/frontend/target_pool.h
@@ -9,6 +9,7 @@
 #include <geraniumpond/dispatch.h>
 
 #include <functional>
+#include <limits>
 #include <map>
 #include <memory>
 #include <string>
@@ -45,6 +46,8 @@
   std::shared_ptr<const std::string> mBody;
   std::string mRequestId;
   bool mHeadOnly = false;
+  /// Only over a connection that is new, or was alive a moment ago and cannot
+  /// repeat the refusal of an earlier request.
   bool mProvenConnection = false;
 };
 
@@ -85,8 +88,16 @@
   class Connection;
   friend class Connection;
 
+  /// \brief What a request asks of an idle connection.
+  struct IdleNeeds
+  {
+    Micros mMaxAge = std::numeric_limits<Micros>::max();
+    bool mNoRepeatedRefusal = false;
+  };
+  /// \brief The connection used last of those that meet the needs; null if
+  /// there is none.
   [[nodiscard]] Connection* TakeIdle(const std::string& aTarget,
-                                     Micros aMaxAge);
+                                     const IdleNeeds& aNeeds);
   Connection* Open(const std::string& aTarget, const std::string& aAddress);
   void ReturnToIdle(Connection& aConnection);
   void Retire(Connection& aConnection);
--- a/src/node/attempts.cpp
+++ b/src/node/attempts.cpp
@@ -106,6 +106,7 @@
   dispatch.set_deadline_us(aRequest.mDeadline);
   dispatch.set_max_idle_us(aRequest.mIdempotent ? kMaxIdleIfIdempotent
                                                 : kMaxIdleIfNotIdempotent);
+  dispatch.set_no_repeated_refusal(!aRequest.mIdempotent);
   dispatch.set_buffer_answer(!aRequest.mKey.empty());
   if (aRequest.mAccepted != 0) {
     dispatch.set_range_from(aRequest.mResumeFrom);
--- a/tests/fakes/scripted_target.h
+++ b/tests/fakes/scripted_target.h
@@ -58,6 +58,8 @@
     return mServer.address().toString();
   }
   [[nodiscard]] std::size_t Sent() const { return mSent; }
+  /// \brief Connections accepted so far.
+  [[nodiscard]] std::size_t Connections() const { return mAccepted; }
 
 private:
   void Serve()
@@ -66,6 +68,7 @@
       if (mServer.poll(Poco::Timespan(0, 20000),
                        Poco::Net::Socket::SELECT_READ)) {
         Poco::Net::StreamSocket socket = mServer.acceptConnection();
+        ++mAccepted;
         mConnections.emplace_back([this, socket] { Play(socket); });
       }
     }
@@ -139,6 +142,7 @@
   Poco::Net::ServerSocket mServer;
   std::atomic<bool> mStop{ false };
   std::atomic<std::size_t> mSent{ 0 };
+  std::atomic<std::size_t> mAccepted{ 0 };
   std::vector<std::thread> mConnections;
   std::thread mThread;
 };
