Build an order on what its host knew when it was sent

Cause: an order has no number and no time of its own. The host built it on the revision that it knew when it read the order, and where the group refused that as outdated, on the one that the group answered with, so that a late order always counted as the newest. Class: an order is dated by its arrival.

Ruled out: the group's check of revisions (it refuses what builds on an older one); the age of the connection alone (a kept connection is old, and its next order is new); clocks (those of hosts may step, and the steady one stands still while a machine is suspended).

Change: a request says after which step of its host it was sent: that of the last answer on its connection, else the last one before the connection can have been opened. A host notes in which step it learnt of each revision. An order that may have been sent before that is unclear (503) at once, and is not submitted; nothing is submitted a second time. A refusal tells the host the revision, and the order that the operator sends again builds on it.

Why this works: an order that is accepted builds on the group's latest revision, which its host knew before the order was sent, so that none that was acknowledged came after it. An operator that still wants its order sends it again, over a connection whose last answer is newer, and is served.

Related paths: policies, announcements and withdrawals are bound already (base, sequence and birth, the connection's opening).

One check changed: OrderThatALaterOneOvertookIsUnclear sent its refusal at the time at which the host gave up, since it tried again before; it sends it at once now, which is stricter.

--- a/include/geraniumpond/gateway.h
+++ b/include/geraniumpond/gateway.h
@@ -110,6 +110,8 @@
   std::uint64_t mOperation = 0;
   std::string mDataCentre;
   bool mEvacuated = false;
+  /// Step of this host after which the order was sent.
+  std::uint64_t mSentAfterStep = 0;
 };
 
 /// \brief An operator releases a request from quarantine.
@@ -227,10 +229,15 @@
   std::string mSubject{};
   /// A read whose caller is redirected to the leader.
   bool mElsewhere = false;
-  /// The change of an evacuation, and until when it is submitted again if it
-  /// builds on an old revision.
   wire::SetEvacuation mEvacuation{};
-  Micros mGiveUpAt = 0;
+};
+
+/// \brief Latest revision of a data centre's evacuation that this host knows,
+/// and the step in which it learnt it.
+struct KnownRevision
+{
+  std::uint64_t mRevision = 0;
+  std::uint64_t mSinceStep = 0;
 };
 
 /// \brief A read that waits until this host has the required policy version.
@@ -249,6 +256,10 @@
   dispatch::State mDispatch;
   std::map<std::uint64_t, Operation> mOperations;
   std::vector<WaitingRead> mReads;
+  /// By data centre.
+  std::map<std::string, KnownRevision> mEvacuationRevisions;
+  /// Events processed since the process started.
+  std::uint64_t mSteps = 0;
   Micros mStartedAt = 0;
   Micros mHostsUpdatedAt = 0;
   Micros mPeakHostsAt = 0;
--- a/src/frontend/client_connection.cpp
+++ b/src/frontend/client_connection.cpp
@@ -55,7 +55,8 @@
   , mSocket(aServer.mLoop, aSocket)
   , mSender(std::move(aSender))
   , mLastActivityAt(aServer.mNow)
-  , mOpenedAt(aServer.mNoneWaitedAt)
+  , mOpened(aServer.mNoneWaited)
+  , mSentAfterStep(mOpened.mStep)
   , mSending{ aServer.mNow, 0 }
 {
   mSocket.Watch(*this, false);
@@ -329,7 +330,8 @@
   mMessageSince = 0;
   HttpRequest request = mReader.Take();
   request.mSender = mSender;
-  request.mOpenedAt = mOpenedAt;
+  request.mOpenedAt = mOpened.mTimeOfDay;
+  request.mSentAfterStep = mSentAfterStep;
   const std::uint64_t exchange = NextExchangeId();
   mPending.push_back(
     { exchange, request.mMethod == "HEAD", !request.mKeepAlive, false, "" });
@@ -398,6 +400,10 @@
       break;
     }
   }
+  // A client that does not pipeline sends its next request after this answer.
+  if (mPending.empty() && mSocket.Input().empty()) {
+    mSentAfterStep = mServer.mStep;
+  }
   ContinueAfterSend();
 }
 
--- a/src/frontend/client_connection.h
+++ b/src/frontend/client_connection.h
@@ -123,7 +123,9 @@
   std::deque<Pending> mPending;
   std::uint64_t mHeldBytes = 0;
   Micros mLastActivityAt = 0;
-  Micros mOpenedAt = 0;
+  Moment mOpened;
+  /// What is read now was sent after this step.
+  std::uint64_t mSentAfterStep = 0;
   Progress mSending;
   /// When the head or body that is being read began; 0 if none is.
   Micros mMessageSince = 0;
--- a/src/frontend/gateway_calls.cpp
+++ b/src/frontend/gateway_calls.cpp
@@ -43,8 +43,10 @@
   } else if (std::holds_alternative<ReadPolicyCall>(call)) {
     HandlePolicyRead(aExchange, aRequest);
   } else if (auto* evacuation = std::get_if<SetEvacuationCall>(&call)) {
-    Post(gateway::SetEvacuation{
-      aExchange, std::move(evacuation->mDataCentre), evacuation->mEvacuated });
+    Post(gateway::SetEvacuation{ aExchange,
+                                 std::move(evacuation->mDataCentre),
+                                 evacuation->mEvacuated,
+                                 aRequest.mSentAfterStep });
   } else if (const auto* resolve = std::get_if<ResolveCall>(&call)) {
     const std::vector<std::string> addresses =
       gateway::AddressesFor(mState, resolve->mLookup, mNow);
--- a/src/frontend/gateway_process.h
+++ b/src/frontend/gateway_process.h
@@ -167,7 +167,11 @@
   event.mRandom = NextRandom();
   event.mMessageDelay = mMessageDelay;
   event.mBody = std::move(aBody);
-  Perform(gateway::Step(mState, event));
+  gateway::Effects effects = gateway::Step(mState, event);
+  for (const std::unique_ptr<HttpServer>& server : mCallServers) {
+    server->SetStep(mState.mSteps);
+  }
+  Perform(std::move(effects));
 }
 
 } // namespace geraniumpond::frontend
--- a/src/frontend/http_message.h
+++ b/src/frontend/http_message.h
@@ -28,6 +28,9 @@
   std::string mSender;
   /// Time of day shortly before its connection was opened.
   Micros mOpenedAt = 0;
+  /// Step of this host after which it was sent: the last one known before its
+  /// connection was opened, or that of the last answer on it.
+  std::uint64_t mSentAfterStep = 0;
 };
 
 /// \brief A complete response.
--- a/src/frontend/http_server.cpp
+++ b/src/frontend/http_server.cpp
@@ -248,10 +248,11 @@
 // after the tick before the last.
 void HttpServer::DateWaitingConnections(Micros aTimeOfDay)
 {
+  const Moment tick{ aTimeOfDay, mStep };
   if (!mSomeWait) {
-    mNoneWaitedAt = mTimeOfDay == 0 ? aTimeOfDay : mTimeOfDay;
+    mNoneWaited = mLastTick.mTimeOfDay == 0 ? tick : mLastTick;
   }
-  mTimeOfDay = aTimeOfDay;
+  mLastTick = tick;
 }
 
 void HttpServer::Tick(Micros aNow, Micros aTimeOfDay)
--- a/src/frontend/http_server.h
+++ b/src/frontend/http_server.h
@@ -76,6 +76,8 @@
   /// \brief The same where the time of day, by which connections are dated,
   /// is not the time of the loop.
   void Tick(Micros aNow, Micros aTimeOfDay);
+  /// \brief The step of this host that follows all that was received so far.
+  void SetStep(std::uint64_t aStep) noexcept { mStep = aStep; }
   /// \brief Earliest time at which an answer that is paced goes on.
   [[nodiscard]] Micros NextTick() const noexcept;
 
@@ -114,6 +116,13 @@
   void TickClientPacers();
   void DateWaitingConnections(Micros aTimeOfDay);
 
+  /// \brief A moment by the two ways in which requests are dated.
+  struct Moment
+  {
+    Micros mTimeOfDay = 0;
+    std::uint64_t mStep = 0;
+  };
+
   EventLoop& mLoop;
   RequestSink& mSink;
   LinkPacer* mPacer = nullptr;
@@ -122,9 +131,10 @@
   policy::RequestLimits mLimits;
   bool mStopping = false;
   Micros mNow = 0;
-  Micros mTimeOfDay = 0;
-  /// Time of day at which no connection waited to be accepted.
-  Micros mNoneWaitedAt = 0;
+  std::uint64_t mStep = 0;
+  Moment mLastTick;
+  /// No connection waited to be accepted then.
+  Moment mNoneWaited;
   bool mSomeWait = false;
   Micros mTimeoutsCheckedAt = 0;
   std::size_t mMaxConnections = std::numeric_limits<std::size_t>::max();
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -165,6 +165,7 @@
 Effects Step(State& aState, const Event& aEvent)
 {
   Effects effects;
+  ++aState.mSteps;
   Context context{ aState, aEvent.mNow, effects };
   dispatch::IgnoreOwnDelay(aState.mDispatch, aEvent.mNow);
   UpdateTrust(context);
--- a/src/gateway/internal.h
+++ b/src/gateway/internal.h
@@ -79,13 +79,36 @@
 /// \brief Passes totals that have arrived to the modules that use them.
 void UseNewTotals(Context& aContext);
 
+// --- evacuations.cpp: operators' orders on data centres
+
+void HandleSetEvacuation(Context& aContext, const SetEvacuation& aCall);
+/// \brief Notes in which step this host learnt of revisions of the catalog.
+void LearnEvacuationRevisions(State& aState);
+/// \brief The same for one that the group has told.
+void LearnEvacuationRevision(State& aState,
+                             const std::string& aDataCentre,
+                             std::uint64_t aRevision);
+
 // --- operations.cpp: calls from targets and operators
 
+/// \brief Submits a command to the group; its caller is answered when it
+/// completes.
+void SubmitCommand(Context& aContext,
+                   const Operation& aOperation,
+                   const wire::CatalogCommand& aCommand);
+/// \brief Answers a call and logs how it ended.
+void Answer(Context& aContext,
+            AnswerOperation aAnswer,
+            OperationKind aKind,
+            const std::string& aSubject = "");
+void Refuse(Context& aContext,
+            std::uint64_t aOperation,
+            OperationKind aKind,
+            const std::string& aReason);
 void HandleAnnounce(Context& aContext, const Announce& aCall);
 void HandleWithdraw(Context& aContext, const Withdraw& aCall);
 void HandlePutPolicy(Context& aContext, const PutPolicy& aCall);
 void HandleReadPolicy(Context& aContext, const ReadPolicy& aCall);
-void HandleSetEvacuation(Context& aContext, const SetEvacuation& aCall);
 /// \brief Answers the call whose command has completed.
 void CompleteOperation(Context& aContext, const fleet::Completion& aDone);
 /// \brief Answers waiting reads whose version has arrived or that timed out.
--- a/src/gateway/operations.cpp
+++ b/src/gateway/operations.cpp
@@ -25,23 +25,6 @@
   "done", "invalid", "conflict", "unavailable", "elsewhere",
 };
 
-void Answer(Context& aContext,
-            AnswerOperation aAnswer,
-            const char* aWhat,
-            const std::string& aSubject = "")
-{
-  const bool good = aAnswer.mEnd == OperationOutcome::Done ||
-                    aAnswer.mEnd == OperationOutcome::Elsewhere;
-  aContext.Log(
-    good ? 1 : 2,
-    std::string("event=") + aWhat + " outcome=" + ToString(aAnswer.mEnd) +
-      " policy=" + std::to_string(aContext.mState.mFleet.mCatalog.mVersion) +
-      " leader=" + aContext.mState.mFleet.mLeaderAddress +
-      (aSubject.empty() ? "" : " " + aSubject) + " reason=\"" +
-      aAnswer.mReason + "\"");
-  aContext.mOut.emplace_back(std::move(aAnswer));
-}
-
 const char* NameOf(OperationKind aKind)
 {
   constexpr std::array<const char*, 5> names = {
@@ -51,19 +34,39 @@
   return names[static_cast<std::size_t>(aKind)];
 }
 
+} // namespace
+
+void Answer(Context& aContext,
+            AnswerOperation aAnswer,
+            OperationKind aKind,
+            const std::string& aSubject)
+{
+  const bool good = aAnswer.mEnd == OperationOutcome::Done ||
+                    aAnswer.mEnd == OperationOutcome::Elsewhere;
+  aContext.Log(good ? 1 : 2,
+               std::string("event=") + NameOf(aKind) +
+                 " outcome=" + ToString(aAnswer.mEnd) + " policy=" +
+                 std::to_string(aContext.mState.mFleet.mCatalog.mVersion) +
+                 " leader=" + aContext.mState.mFleet.mLeaderAddress +
+                 (aSubject.empty() ? "" : " " + aSubject) + " reason=\"" +
+                 aAnswer.mReason + "\"");
+  aContext.mOut.emplace_back(std::move(aAnswer));
+}
+
 void SubmitCommand(Context& aContext,
                    const Operation& aOperation,
-                   const wire::CatalogCommand& aCommand,
-                   Micros aTimeout = kOperationTimeout)
+                   const wire::CatalogCommand& aCommand)
 {
   State& state = aContext.mState;
   fleet::Output output;
-  const std::uint64_t id =
-    fleet::Submit(state.mFleet, aContext.mNow, aCommand, aTimeout, output);
+  const std::uint64_t id = fleet::Submit(
+    state.mFleet, aContext.mNow, aCommand, kOperationTimeout, output);
   state.mOperations[id] = aOperation;
   ApplyFleetOutput(aContext, std::move(output));
 }
 
+namespace {
+
 // A call that states no birth can only come from an incarnation that was born
 // before the call's connection was opened; a delayed copy of an earlier
 // incarnation's call comes over an older connection than the later birth.
@@ -78,35 +81,9 @@
   return removal;
 }
 
-void SubmitEvacuation(Context& aContext, const Operation& aOperation)
-{
-  wire::CatalogCommand command;
-  *command.mutable_set_evacuation() = aOperation.mEvacuation;
-  SubmitCommand(
-    aContext, aOperation, command, aOperation.mGiveUpAt - aContext.mNow);
-}
-
-// This host may not know the latest revision yet; the order then builds on the
-// one that the group answered with. True if it was submitted again.
-bool SubmitEvacuationAgain(Context& aContext,
-                           Operation aOperation,
-                           const fleet::Completion& aDone)
-{
-  const std::uint64_t revision = aDone.mOutcome.evacuation_revision();
-  if (aOperation.mKind != OperationKind::SetEvacuation ||
-      aDone.mEnd != fleet::SubmitResult::Committed ||
-      aDone.mOutcome.accepted() || aContext.mNow >= aOperation.mGiveUpAt ||
-      revision == aOperation.mEvacuation.base_revision()) {
-    return false;
-  }
-  aOperation.mEvacuation.set_base_revision(revision);
-  SubmitEvacuation(aContext, aOperation);
-  return true;
-}
-
 // Callers do not repeat a call that ends in a conflict. An order refused only
-// for an outdated revision, when no time was left to submit it again, may still
-// be wanted, so it ends as unavailable, which callers repeat.
+// for an outdated revision may still be wanted, so it ends as unavailable,
+// which callers repeat.
 OperationOutcome EndOfCommitted(const Operation& aOperation,
                                 const wire::CatalogOutcome& aOutcome)
 {
@@ -146,7 +123,6 @@
   };
   answer.mReason = Describe(aDone.mRead, state, aContext.mNow);
   const std::uint64_t version = aDone.mOutcome.version();
-  const char* name = NameOf(OperationKind::ReadPolicy);
   if (aDone.mEnd != fleet::SubmitResult::Committed) {
     answer.mReason += ", " + aDone.mReason;
   } else if (version == 0) {
@@ -169,7 +145,7 @@
   } else {
     answer.mReason += ", " + document.error().mMessage;
   }
-  Answer(aContext, std::move(answer), name);
+  Answer(aContext, std::move(answer), OperationKind::ReadPolicy);
 }
 
 } // namespace
@@ -193,8 +169,10 @@
     CompleteRead(aContext, operation, aDone);
     return;
   }
-  if (SubmitEvacuationAgain(aContext, operation, aDone)) {
-    return;
+  if (committed && operation.mKind == OperationKind::SetEvacuation) {
+    LearnEvacuationRevision(state,
+                            operation.mEvacuation.data_centre(),
+                            aDone.mOutcome.evacuation_revision());
   }
   AnswerOperation answer{ operation.mId, OperationOutcome::Done, "", "", "" };
   // A withdrawal has fields of its own for what it names.
@@ -209,7 +187,7 @@
   }
   Answer(aContext,
          std::move(answer),
-         NameOf(operation.mKind),
+         operation.mKind,
          isWithdrawal ? operation.mSubject : "");
 }
 
@@ -232,13 +210,11 @@
     } else {
       answer.mDocument = catalog.mDocument;
     }
-    Answer(aContext, std::move(answer), NameOf(OperationKind::ReadPolicy));
+    Answer(aContext, std::move(answer), OperationKind::ReadPolicy);
     it = state.mReads.erase(it);
   }
 }
 
-namespace {
-
 void Refuse(Context& aContext,
             std::uint64_t aOperation,
             OperationKind aKind,
@@ -246,9 +222,11 @@
 {
   Answer(aContext,
          { aOperation, OperationOutcome::Invalid, aReason, "", "" },
-         NameOf(aKind));
+         aKind);
 }
 
+namespace {
+
 // A known target may announce nothing but its warm-up.
 void RecordWarmUp(Context& aContext, const wire::TargetRecord& aRecord)
 {
@@ -299,7 +277,7 @@
   if (catalog::IsRemoved(catalog, removal.id(), removal.born_ms())) {
     Answer(aContext,
            { aCall.mOperation, OperationOutcome::Done, "known", "", "" },
-           NameOf(OperationKind::Withdraw),
+           OperationKind::Withdraw,
            subject);
     return;
   }
@@ -337,35 +315,6 @@
                 command);
 }
 
-void HandleSetEvacuation(Context& aContext, const SetEvacuation& aCall)
-{
-  const State& state = aContext.mState;
-  const std::vector<std::string>& known = state.mSettings.mDataCentres;
-  const bool isKnown =
-    known.empty() ||
-    std::find(known.begin(), known.end(), aCall.mDataCentre) != known.end();
-  if (aCall.mDataCentre.empty() || !isKnown) {
-    Refuse(aContext,
-           aCall.mOperation,
-           OperationKind::SetEvacuation,
-           "unknown data centre '" + aCall.mDataCentre + "'");
-    return;
-  }
-  Operation operation{
-    aCall.mOperation,
-    OperationKind::SetEvacuation,
-    "data_centre=" + aCall.mDataCentre +
-      (aCall.mEvacuated ? " evacuated" : " in_service"),
-  };
-  operation.mGiveUpAt = aContext.mNow + kOperationTimeout;
-  operation.mEvacuation.set_data_centre(aCall.mDataCentre);
-  operation.mEvacuation.set_evacuated(aCall.mEvacuated);
-  operation.mEvacuation.set_always_raises(true);
-  operation.mEvacuation.set_base_revision(
-    catalog::EvacuationRevision(state.mFleet.mCatalog, aCall.mDataCentre));
-  SubmitEvacuation(aContext, operation);
-}
-
 void HandleReadPolicy(Context& aContext, const ReadPolicy& aCall)
 {
   State& state = aContext.mState;
--- a/src/gateway/output.cpp
+++ b/src/gateway/output.cpp
@@ -35,6 +35,7 @@
   }
   if (aFleet.mTargetsChanged) {
     const catalog::State& catalog = state.mFleet.mCatalog;
+    LearnEvacuationRevisions(state);
     dispatch::Effects effects;
     dispatch::SetEvacuated(state.mDispatch,
                            aContext.mNow,
--- a/tests/fakes/evacuation_operators.cpp
+++ b/tests/fakes/evacuation_operators.cpp
@@ -97,8 +97,8 @@
     mSimulation.mNow + RandomTime(acknowledged ? kLongestPause : kSecond);
 }
 
-// A host whose order was refused for its revision builds it on the one that the
-// group answered with, as gateways do.
+// An order that was refused for its revision is sent again to the same host, as
+// operators may, which builds it on the one that the group answered with.
 void EvacuationOperators::TakeAnswer(Operator& aOperator)
 {
   Call& call = *aOperator.mCall;
--- a/tests/fakes/gateway_world.cpp
+++ b/tests/fakes/gateway_world.cpp
@@ -302,9 +302,9 @@
   }
   mOrderCalls[++mLastId] = aOrder;
   if (const std::optional<std::size_t> host = AnyHost()) {
-    Post(
-      *host,
-      gateway::SetEvacuation{ mLastId, order.mDataCentre, order.mEvacuated });
+    Post(*host,
+         gateway::SetEvacuation{
+           mLastId, order.mDataCentre, order.mEvacuated, At(*host).mSteps });
   }
   Later(kSecond, [this, aOrder, aGiveUpAt] { SendOrder(aOrder, aGiveUpAt); });
 }
--- a/tests/gateway_evacuation_test.cpp
+++ b/tests/gateway_evacuation_test.cpp
@@ -1,4 +1,5 @@
 #include "fakes/gateway_world.h"
+#include "fakes/running_gateway.h"
 
 #include <cppunit/extensions/HelperMacros.h>
 
@@ -13,7 +14,16 @@
 using fakes::GatewayWorld;
 using fakes::TargetArrival;
 
+namespace net = Poco::Net;
+
 constexpr const char* kDataCentre = "dc1";
+constexpr const char* kOrderPath = "/evacuations/dc1";
+constexpr const char* kPolicy = "[policy]\nversion = 1\nbase = 0\n"
+                                "[service s]\nhealth_path = /health\n"
+                                "[route r]\nhost = h.example\nprefix = /\n"
+                                "kind = safe\ntimeout = 2s\n"
+                                "objective = 1s\nattempts = 1\n"
+                                "backends = s:1\n";
 /// Time within which an order is acknowledged while the group is stable.
 constexpr Micros kAcknowledged = 1 * kSecond;
 /// Time within which an acknowledged order is in force at all hosts.
@@ -55,6 +65,11 @@
   CPPUNIT_TEST(RequestsAreRefusedAtOnceIfAllDataCentresAreEvacuated);
   CPPUNIT_TEST(UnknownDataCentreIsRefused);
   CPPUNIT_TEST(OrderThatALaterOneOvertookIsUnclear);
+  CPPUNIT_TEST(OrderThatIsSentAgainBuildsOnWhatTheGroupTold);
+  CPPUNIT_TEST(LateOrderDoesNotUndoALaterOne);
+  CPPUNIT_TEST(LateOrderAtAHostThatIsBehindDoesNotUndoALaterOne);
+  CPPUNIT_TEST(OrderSentAfterALaterOneIsTaken);
+  CPPUNIT_TEST(OrderOverAConnectionFromBeforeALaterOneIsUnclear);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -263,13 +278,130 @@
     reply.set_status(wire::SUBMIT_COMMITTED);
     reply.mutable_outcome()->set_evacuation_revision(7);
     Event late;
-    late.mNow = state.mOperations.begin()->second.mGiveUpAt;
+    late.mNow = world.Now() + kMillisecond;
     late.mBody = answer;
     const std::optional<OperationOutcome> end = EndOf(Step(state, late));
     CPPUNIT_ASSERT(end && *end == OperationOutcome::Unavailable);
   }
 
+  // Guards against operators who are refused by a host that is behind until it
+  // has heard of the later order.
+  void OrderThatIsSentAgainBuildsOnWhatTheGroupTold()
+  {
+    GatewayWorld world(GatewayLoad(), 10);
+    world.Settle();
+    State state = world.At(world.Hosts() - 1);
+    (void)Order(state, world.Now(), true, state.mSteps);
+    PeerMessage answer;
+    wire::SubmitReply& reply = *answer.mMessage.mutable_submit_reply();
+    reply.set_id(state.mOperations.begin()->first);
+    reply.set_status(wire::SUBMIT_COMMITTED);
+    reply.mutable_outcome()->set_evacuation_revision(7);
+    Event refusal;
+    refusal.mNow = world.Now();
+    refusal.mBody = answer;
+    (void)Step(state, refusal);
+    CPPUNIT_ASSERT(state.mOperations.empty());
+    CPPUNIT_ASSERT(!Order(state, world.Now(), true, state.mSteps));
+    CPPUNIT_ASSERT_EQUAL(
+      std::uint64_t(7),
+      state.mOperations.begin()->second.mEvacuation.base_revision());
+  }
+
+  // Guards against an evacuation that an order to the opposite undoes which was
+  // sent before it and held up, and against the reverse.
+  void LateOrderDoesNotUndoALaterOne()
+  {
+    for (const bool late : { false, true }) {
+      GatewayWorld world(GatewayLoad(), 11);
+      world.Settle();
+      const std::size_t host = world.Hosts() - 1;
+      const std::uint64_t sentAfter = world.At(host).mSteps;
+      world.OrderEvacuation(kDataCentre, !late);
+      world.Advance(2 * kSecond);
+      CPPUNIT_ASSERT(world.mEvacuationOrders.back().mAcknowledgedAt != 0);
+      State state = world.At(host);
+      const std::optional<OperationOutcome> end =
+        Order(state, world.Now(), late, sentAfter);
+      CPPUNIT_ASSERT(end && *end == OperationOutcome::Unavailable);
+      CPPUNIT_ASSERT(state.mOperations.empty());
+    }
+  }
+
+  // Guards against the same at a host that reads the late order before it hears
+  // of the later one.
+  void LateOrderAtAHostThatIsBehindDoesNotUndoALaterOne()
+  {
+    GatewayWorld world(GatewayLoad(), 12);
+    world.Settle();
+    const std::size_t host = world.Hosts() - 1;
+    const State before = world.At(host);
+    world.OrderEvacuation(kDataCentre, true);
+    world.Advance(2 * kSecond);
+    State state = before;
+    CPPUNIT_ASSERT(!Order(state, world.Now(), false, before.mSteps));
+    const wire::SetEvacuation& order =
+      state.mOperations.begin()->second.mEvacuation;
+    CPPUNIT_ASSERT(
+      order.base_revision() <
+      catalog::EvacuationRevision(world.At(0).mFleet.mCatalog, kDataCentre));
+  }
+
+  void OrderSentAfterALaterOneIsTaken()
+  {
+    GatewayWorld world(GatewayLoad(), 13);
+    Begin(world);
+    State state = world.At(world.Hosts() - 1);
+    CPPUNIT_ASSERT(!Order(state, world.Now(), false, state.mSteps));
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), state.mOperations.size());
+  }
+
+  // Guards against the same over TCP. Over that connection the order is taken
+  // when it comes again, since it was sent after an answer then.
+  void OrderOverAConnectionFromBeforeALaterOneIsUnclear()
+  {
+    fakes::RunningGateway host;
+    CPPUNIT_ASSERT(host.Announce(kPolicy, "127.0.0.1:9"));
+    net::StreamSocket held(host.CallAddress());
+    CPPUNIT_ASSERT_EQUAL(200, CallOver(held, "GET", "/ready"));
+    net::StreamSocket fresh(host.CallAddress());
+    CPPUNIT_ASSERT_EQUAL(200, CallOver(fresh, "PUT", kOrderPath));
+    CPPUNIT_ASSERT_EQUAL(503, CallOver(held, "DELETE", kOrderPath));
+    CPPUNIT_ASSERT_EQUAL(200, CallOver(held, "DELETE", kOrderPath));
+    CPPUNIT_ASSERT_EQUAL(503, CallOver(fresh, "PUT", kOrderPath));
+  }
+
 private:
+  // Status of the answer to a call without a body.
+  static int CallOver(net::StreamSocket& aSocket,
+                      const std::string& aMethod,
+                      const std::string& aPath)
+  {
+    const std::string call = aMethod + " " + aPath +
+                             " HTTP/1.1\r\nHost: h\r\n"
+                             "Content-Length: 0\r\n\r\n";
+    aSocket.sendBytes(call.data(), static_cast<int>(call.size()));
+    aSocket.setReceiveTimeout(Poco::Timespan(2, 0));
+    std::string answer(4096, '\0');
+    const int size =
+      aSocket.receiveBytes(answer.data(), static_cast<int>(answer.size()));
+    answer.resize(static_cast<std::size_t>(std::max(0, size)));
+    const std::size_t at = answer.find(' ');
+    return at == std::string::npos ? 0 : std::stoi(answer.substr(at + 1));
+  }
+
+  // How an order ends, if it is answered at once.
+  static std::optional<OperationOutcome> Order(State& aState,
+                                               Micros aNow,
+                                               bool aEvacuated,
+                                               std::uint64_t aSentAfterStep)
+  {
+    Event event;
+    event.mNow = aNow;
+    event.mBody = SetEvacuation{ 1, kDataCentre, aEvacuated, aSentAfterStep };
+    return EndOf(Step(aState, event));
+  }
+
   static std::optional<OperationOutcome> EndOf(const Effects& aEffects)
   {
     for (const Effect& effect : aEffects) {
--- a/tests/http_server_test.cpp
+++ b/tests/http_server_test.cpp
@@ -36,6 +36,7 @@
       mServer->Respond(aExchange, MakeResponse(404, "", ""));
     }
     mOpenedAt = aRequest.mOpenedAt;
+    mSentAfterStep = aRequest.mSentAfterStep;
   }
   void OnClientDisconnected(std::uint64_t) override { ++mDisconnected; }
   void OnMalformed(int, const std::string&) override { ++mMalformed; }
@@ -45,6 +46,7 @@
   /// Answers requests at once if it is set.
   HttpServer* mServer = nullptr;
   Micros mOpenedAt = 0;
+  std::uint64_t mSentAfterStep = 0;
   int mDisconnected = 0;
   int mMalformed = 0;
 };
@@ -60,6 +62,8 @@
   CPPUNIT_TEST(RequestOfConnectedClientIsAnswered);
   CPPUNIT_TEST(ConnectionIsDatedBeforeTheTimeThatItWaited);
   CPPUNIT_TEST(LaterRequestOfAConnectionHasItsDate);
+  CPPUNIT_TEST(RequestIsSentAfterTheStepBeforeItsConnectionWaited);
+  CPPUNIT_TEST(LaterRequestOfAConnectionIsSentAfterItsLastAnswer);
   CPPUNIT_TEST(ConnectionIsReadAgainAfterALargeAnswer);
   CPPUNIT_TEST(RequestsOfAClientThatDoesNotReadAreLeftInTheSocket);
   CPPUNIT_TEST(ClientThatLeavesWhileItIsNotReadIsNoticed);
@@ -140,6 +144,35 @@
     CPPUNIT_ASSERT_EQUAL(openedAt, mSink.mOpenedAt);
   }
 
+  // Guards against an order that counts as new though it was sent before a
+  // later one: its host was suspended, or its bytes were held up.
+  void RequestIsSentAfterTheStepBeforeItsConnectionWaited()
+  {
+    mServer.SetStep(5);
+    Run(kIterations);
+    SendRequests(1);
+    mServer.SetStep(9);
+    Run(kIterations);
+    CPPUNIT_ASSERT_EQUAL(1, mSink.mRequests);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t(5), mSink.mSentAfterStep);
+  }
+
+  void LaterRequestOfAConnectionIsSentAfterItsLastAnswer()
+  {
+    mServer.SetStep(5);
+    Run(kIterations);
+    SendRequests(1);
+    Run(kIterations);
+    mServer.SetStep(9);
+    mServer.Respond(mSink.mExchanges[0], MakeResponse(200, "", ""));
+    mServer.SetStep(12);
+    Run(kIterations);
+    SendMore(1);
+    Run(kIterations);
+    CPPUNIT_ASSERT_EQUAL(2, mSink.mRequests);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t(9), mSink.mSentAfterStep);
+  }
+
   // Guards against a connection that is never read again: a request that came
   // while much of an answer waited to be sent paused reading for good.
   void ConnectionIsReadAgainAfterALargeAnswer()
